Lay out the workspace, the core types and the streams between daemons

Cause: nothing existed. The parts of the daemon need shared values, messages and a blackboard before they can be built side by side. Ruled out: msgspec's own msgpack decoder for messages, since it refuses named tuples with more fields than known, and a mixed fleet needs those ignored. Conclusion: the types and the wire messages that the other packages share.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Entry points: `make demo` shows the whole path, `make test` proves it.
+
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+PACKAGES := $(wildcard packages/*)
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(PACKAGES))):$(CURDIR)
+export PYTHONHASHSEED := 0
+SEED ?= 0
+COUNT ?= 20000
+
+.PHONY: setup format lint unit test demo
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -r requirements-dev.txt
+	touch $@
+
+format: setup
+	$(BIN)/ruff format packages tests
+
+lint: setup
+	$(BIN)/ruff format --check packages tests
+	$(BIN)/flake8 --jobs 4 packages tests
+
+unit: setup
+	$(BIN)/python -m pytest -n 6
+
+test: lint unit
+
+demo: setup
+	$(BIN)/python -m tests.demo
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -0,0 +1,171 @@
+"""The blackboard of one process: what its controllers read and write.
+
+Each `Cell` holds one immutable value, has one writer, and calls its watchers
+after every change. Everything runs on one event loop, so no lock is needed.
+"""
+
+from asyncio import Event, Future, get_running_loop
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Generic, NamedTuple, TypeVar
+
+from bilberry_core.configuration import AcceptedVersion
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.snapshot import Snapshot
+
+Held = TypeVar('Held')
+
+
+class Phase(StrEnum):
+    """Where a daemon is in its life."""
+
+    STARTING = 'starting'
+    SERVING = 'serving'
+    DRAINING = 'draining'
+    STOPPED = 'stopped'
+
+
+class Beacon(NamedTuple):
+    """The leader's sign of life, passed down to every proxy.
+
+    `sequence` grows with each beacon of one term.
+    """
+
+    term: int
+    version: int
+    sequence: int
+
+
+class Holder(NamedTuple):
+    """An instance that keeps claims, and where it accepts streams."""
+
+    instance: str
+    host: str
+    port: int
+    failure_domain: str
+
+
+class ClaimEpoch(NamedTuple):
+    """The claim holders that the replicated log agreed on.
+
+    `previous` names the holders of the epoch before while the claims are
+    handed over, and is empty once that is done.
+    """
+
+    epoch: int
+    holders: tuple[Holder, ...]
+    previous: tuple[Holder, ...] = ()
+
+
+class Suspect(NamedTuple):
+    """A request that was in flight when an upstream crashed.
+
+    `fingerprint` is the digest of service, method, path and body;
+    `instance` and `incarnation` name the upstream that crashed, and
+    `expires_ms` is wall clock time in milliseconds.
+    """
+
+    fingerprint: bytes
+    service: str
+    instance: str
+    incarnation: int
+    expires_ms: int
+
+
+class ReplicaStatus(NamedTuple):
+    """What a replica knows of the replicated log and its role in it."""
+
+    role: str
+    term: int
+    leader: str
+    commit: int
+    members: tuple[str, ...]
+
+
+class Cell(Generic[Held]):
+    """One value on the blackboard."""
+
+    def __init__(self, value: Held) -> None:
+        """Starts with `value`."""
+        self._value = value
+        self._watchers: list[Callable[[Held], None]] = []
+
+    @property
+    def value(self) -> Held:
+        """The value held now."""
+        return self._value
+
+    def put(self, value: Held) -> None:
+        """Replaces the value and calls every watcher if it changed."""
+        if value is self._value:
+            return
+        self._value = value
+        for watcher in tuple(self._watchers):
+            watcher(value)
+
+    def watch(self, watcher: Callable[[Held], None]) -> Callable[[], None]:
+        """Calls `watcher` after each change; returns how to stop that."""
+        self._watchers.append(watcher)
+        return lambda: self._watchers.remove(watcher)
+
+    async def wait_for(self, condition: Callable[[Held], bool]) -> Held:
+        """Waits until the value meets `condition` and returns it."""
+        if condition(self._value):
+            return self._value
+        done: Future[Held] = get_running_loop().create_future()
+
+        def check(value: Held) -> None:
+            if not done.done() and condition(value):
+                done.set_result(value)
+
+        stop = self.watch(check)
+        try:
+            return await done
+        finally:
+            stop()
+
+
+class Board:
+    """Every cell of one process.
+
+    `accepted`
+        The newest accepted configuration; written by the replica
+        controller, or by the subscriber where this is no replica.
+    `own_endpoint`
+        The endpoint of the upstream beside this daemon.
+    `endpoints`
+        All endpoints known, by instance.
+    `snapshot`
+        What the proxy routes by.
+    `beacon`
+        The newest sign of life of the leader.
+    `claim_epoch`
+        The claim holders agreed on.
+    `suspects`
+        Requests in flight at crashes, by (fingerprint, instance,
+        incarnation).
+    `replica`
+        The state of the replicated log, on a replica.
+    `wanted_services`
+        Services that this proxy routes to.
+    `proxies`
+        Version held by each proxy attached to this relay, by instance.
+    `stale_since`
+        Monotonic time since when no beacon has moved; None while current.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.phase: Cell[Phase] = Cell(Phase.STARTING)
+        self.accepted: Cell[AcceptedVersion | None] = Cell(None)
+        self.own_endpoint: Cell[Endpoint | None] = Cell(None)
+        self.endpoints: Cell[dict[str, Endpoint]] = Cell({})
+        self.snapshot: Cell[Snapshot | None] = Cell(None)
+        self.beacon: Cell[Beacon | None] = Cell(None)
+        self.claim_epoch: Cell[ClaimEpoch | None] = Cell(None)
+        self.suspects: Cell[dict[tuple[bytes, str, int], Suspect]] = Cell({})
+        self.replica: Cell[ReplicaStatus | None] = Cell(None)
+        self.wanted_services: Cell[frozenset[str]] = Cell(frozenset())
+        self.proxies: Cell[dict[str, int]] = Cell({})
+        self.stale_since: Cell[float | None] = Cell(None)
+        self.stopping = Event()
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/clock.py
@@ -0,0 +1,45 @@
+"""Time and chance, behind protocols so that tests can drive them.
+
+Decisions never read a clock or a random source that was not passed in.
+"""
+
+from time import monotonic, time
+from typing import Protocol
+
+#: Milliseconds in one second.
+MS_PER_S = 1000
+
+
+class Clock(Protocol):
+    """Tells the time."""
+
+    def now(self) -> float:
+        """Returns monotonic time, in seconds."""
+
+    def wall_ms(self) -> int:
+        """Returns wall clock time, in milliseconds since the epoch."""
+
+
+class SystemClock:
+    """The clock of this machine."""
+
+    def now(self) -> float:
+        """Returns monotonic time, in seconds."""
+        return monotonic()
+
+    def wall_ms(self) -> int:
+        """Returns wall clock time, in milliseconds since the epoch."""
+        return int(time() * MS_PER_S)
+
+
+class RandomSource(Protocol):
+    """The part of `random.Random` that decisions use."""
+
+    def random(self) -> float:
+        """Returns a float in [0, 1)."""
+
+    def uniform(self, low: float, high: float) -> float:
+        """Returns a float in [low, high]."""
+
+    def randrange(self, stop: int) -> int:
+        """Returns an integer in [0, stop)."""
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/frame.py
@@ -0,0 +1,48 @@
+"""Frames: a big-endian length of four bytes, then that many bytes.
+
+A frame is bounded, so a peer can't make a receiver hold more than that.
+"""
+
+from collections.abc import Iterator
+
+from bilberry_core.error import FrameError
+
+#: Largest frame, in bytes.
+MAX_FRAME_BYTES = 4 << 20
+_LENGTH_BYTES = 4
+
+
+def frame(payload: bytes) -> bytes:
+    """Returns `payload` with its length in front."""
+    size = len(payload)
+    if size > MAX_FRAME_BYTES:
+        raise FrameError(f'frame of {size} bytes, at most {MAX_FRAME_BYTES}')
+    return size.to_bytes(_LENGTH_BYTES, 'big') + payload
+
+
+class FrameReader:
+    """Cuts a byte stream into the payloads of its frames."""
+
+    def __init__(self, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        """Accepts frames of at most `max_frame_bytes`."""
+        self.max_frame_bytes = max_frame_bytes
+        self._buffer = bytearray()
+
+    def feed(self, received: bytes) -> Iterator[bytes]:
+        """Yields each payload that is complete now.
+
+        Raises `FrameError` where a frame is longer than the bound.
+        """
+        self._buffer += received
+        start = 0
+        held = len(self._buffer)
+        while held - start >= _LENGTH_BYTES:
+            body = start + _LENGTH_BYTES
+            size = int.from_bytes(self._buffer[start:body], 'big')
+            if size > self.max_frame_bytes:
+                raise FrameError(f'frame of {size} bytes is over the bound')
+            if held - body < size:
+                break
+            start = body + size
+            yield bytes(self._buffer[body:start])
+        del self._buffer[:start]
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -0,0 +1,103 @@
+"""Messages of a request between two daemons (numbers 50 to 69).
+
+Calls of one stream are told apart by `call`, a number that the sender picks
+and never reuses on that stream.
+"""
+
+from typing import NamedTuple
+
+from bilberry_core.messages.registry import message
+from bilberry_core.policy import Priority
+from bilberry_core.verdict import Failure
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class Load(NamedTuple):
+    """How busy an upstream is, as the daemon beside it sees it.
+
+    `latency_us` is a moving mean of the upstream's answers, in microseconds.
+    """
+
+    outstanding: int
+    queued: int
+    slots: int
+    latency_us: int
+
+
+@message(50)
+class CallStart(NamedTuple):
+    """A request begins; `last` where its body is complete.
+
+    `deadline_ms` is the time left, in milliseconds, when it was sent.
+    """
+
+    call: int
+    service: str
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    last: bool
+    deadline_ms: int
+    priority: Priority
+    fingerprint: bytes = b''
+
+
+@message(51)
+class CallChunk(NamedTuple):
+    """More of a request's body."""
+
+    call: int
+    body: bytes
+    last: bool
+
+
+@message(52)
+class CallCancel(NamedTuple):
+    """The caller no longer waits for the answer."""
+
+    call: int
+
+
+@message(53)
+class Credit(NamedTuple):
+    """The receiver of a body can take this many further bytes."""
+
+    call: int
+    size: int
+
+
+@message(54)
+class ReplyStart(NamedTuple):
+    """An answer begins; `last` where its body is complete."""
+
+    call: int
+    status: int
+    headers: Headers
+    body: bytes
+    last: bool
+    load: Load
+
+
+@message(55)
+class ReplyChunk(NamedTuple):
+    """More of an answer's body."""
+
+    call: int
+    body: bytes
+    last: bool
+
+
+@message(56)
+class CallFailed(NamedTuple):
+    """The call ends without an answer, or an answer that began is cut."""
+
+    call: int
+    failure: Failure
+    load: Load
+
+
+@message(57)
+class Goodbye(NamedTuple):
+    """The sender drains: no new calls on this stream, the open ones end."""
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/policy.py
@@ -0,0 +1,75 @@
+"""The policy of a call: how callers reach a service.
+
+A `CallPolicy` is complete. A `PolicyChange` names only the options that an
+exception changes; the others keep the fleet-wide default.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Priority(StrEnum):
+    """What is shed last (urgent) and first (deferrable) under overload."""
+
+    URGENT = 'urgent'
+    NORMAL = 'normal'
+    DEFERRABLE = 'deferrable'
+
+
+class CallPolicy(NamedTuple):
+    """Every option of a call. New in version 0.1.
+
+    `timeout_ms`
+        Time from a caller's first byte to the end of the answer, in
+        milliseconds (default: 5000).
+    `retries`
+        Further attempts after the first (default: 1).
+    `retry_budget_percent`
+        Retries allowed for each hundred requests to a service (default: 20).
+    `priority`
+        Order of admission and shedding (default: normal).
+    `idempotent_methods`
+        HTTP methods that may run more than once
+        (default: GET, HEAD, OPTIONS, PUT, DELETE, TRACE).
+    `load_policy`
+        Name of the balancer (default: least_work).
+    `claim_retention_s`
+        How long the outcome of a claimed request is kept, in seconds
+        (default: 86400).
+    """
+
+    timeout_ms: int = 5000
+    retries: int = 1
+    retry_budget_percent: int = 20
+    priority: Priority = Priority.NORMAL
+    idempotent_methods: tuple[str, ...] = (
+        'GET',
+        'HEAD',
+        'OPTIONS',
+        'PUT',
+        'DELETE',
+        'TRACE',
+    )
+    load_policy: str = 'least_work'
+    claim_retention_s: int = 86400
+
+
+class PolicyChange(NamedTuple):
+    """The options that an exception changes; None keeps the default."""
+
+    timeout_ms: int | None = None
+    retries: int | None = None
+    retry_budget_percent: int | None = None
+    priority: Priority | None = None
+    idempotent_methods: tuple[str, ...] | None = None
+    load_policy: str | None = None
+    claim_retention_s: int | None = None
+
+    def apply(self, policy: CallPolicy) -> CallPolicy:
+        """Returns `policy` with the changed options replaced."""
+        changed = {
+            name: option
+            for name, option in zip(self._fields, self, strict=True)
+            if option is not None
+        }
+        return policy._replace(**changed)
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/snapshot.py
@@ -0,0 +1,117 @@
+"""The snapshot that a proxy routes by: one version, closed over references.
+
+It is built whole from an accepted configuration and the endpoints known, and
+swapped in with one assignment. A request keeps the snapshot it began with.
+"""
+
+from typing import NamedTuple
+
+from bilberry_core.configuration import (
+    AcceptedVersion,
+    Configuration,
+    RouteException,
+)
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.policy import CallPolicy
+
+
+class Route(NamedTuple):
+    """How calls to one service go: its exceptions by rank and endpoints."""
+
+    service: str
+    exceptions: tuple[RouteException, ...]
+    endpoints: tuple[Endpoint, ...]
+
+
+class Snapshot(NamedTuple):
+    """Everything a proxy needs to route a request, never partly replaced.
+
+    `services_by_host` maps every host name to a key of `routes`.
+    """
+
+    version: int
+    term: int
+    digest: bytes
+    defaults: CallPolicy
+    services_by_host: dict[str, str]
+    routes: dict[str, Route]
+
+
+class Decision(NamedTuple):
+    """The policy that a request gets, and the exception that changed it."""
+
+    service: str
+    policy: CallPolicy
+    exception: str
+    reason: str
+
+
+def compile_snapshot(
+    accepted: AcceptedVersion,
+    endpoints_by_service: dict[str, tuple[Endpoint, ...]],
+) -> Snapshot:
+    """Builds the snapshot of one accepted version.
+
+    Endpoints of services that the configuration does not declare are left
+    out, so that the snapshot is closed over its references.
+    """
+    configuration = accepted.configuration
+    routes = {
+        service.name: Route(
+            service.name,
+            _rank_exceptions(configuration, service.name),
+            endpoints_by_service.get(service.name, ()),
+        )
+        for service in configuration.services
+    }
+    return Snapshot(
+        version=accepted.version,
+        term=accepted.term,
+        digest=accepted.digest,
+        defaults=configuration.defaults,
+        services_by_host=_map_hosts(configuration),
+        routes=routes,
+    )
+
+
+def decide_policy(
+    snapshot: Snapshot,
+    service: str,
+    method: str,
+    path: str,
+) -> Decision:
+    """Returns the policy of one request to a service of the snapshot."""
+    for rule in snapshot.routes[service].exceptions:
+        if _matches(rule, method, path):
+            policy = rule.change.apply(snapshot.defaults)
+            return Decision(service, policy, rule.name, rule.reason)
+    return Decision(service, snapshot.defaults, '', '')
+
+
+def _map_hosts(configuration: Configuration) -> dict[str, str]:
+    services = configuration.services
+    hosts = {service.name: service.name for service in services}
+    for service in services:
+        hosts.update(dict.fromkeys(service.hosts, service.name))
+    return hosts
+
+
+def _rank_exceptions(
+    configuration: Configuration,
+    service: str,
+) -> tuple[RouteException, ...]:
+    mine = [
+        rule for rule in configuration.exceptions if rule.service == service
+    ]
+    mine.sort(key=_rank)
+    return tuple(mine)
+
+
+def _rank(rule: RouteException) -> tuple[int, bool, str]:
+    return -len(rule.path_prefix), not rule.methods, rule.name
+
+
+def _matches(rule: RouteException, method: str, path: str) -> bool:
+    if rule.methods and method not in rule.methods:
+        return False
+    return path.startswith(rule.path_prefix)
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/verdict.py
@@ -0,0 +1,64 @@
+"""The verdict on a failed request: whether an upstream may have run it.
+
+A `Failure` is the only way in which a request ends without an answer from its
+upstream. Its verdict decides whether the request may be tried again.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Verdict(StrEnum):
+    """Whether an upstream may have run a request."""
+
+    #: Proven: no byte of the request reached an upstream.
+    NOT_RUN = 'not_run'
+    #: Not known: at least one byte may have reached an upstream.
+    MAY_HAVE_RUN = 'may_have_run'
+    #: Proven: an upstream began to answer.
+    RAN = 'ran'
+
+
+class FailureCode(StrEnum):
+    """The cause of a failure, stable enough for scripts and alarms."""
+
+    UNKNOWN_SERVICE = 'unknown_service'
+    NO_ENDPOINT = 'no_endpoint'
+    NO_CONFIGURATION = 'no_configuration'
+    OVERLOADED = 'overloaded'
+    DRAINING = 'draining'
+    DEADLINE = 'deadline'
+    CANCELLED = 'cancelled'
+    UPSTREAM_UNREACHABLE = 'upstream_unreachable'
+    UPSTREAM_CLOSED = 'upstream_closed'
+    UPSTREAM_MALFORMED = 'upstream_malformed'
+    STREAM_LOST = 'stream_lost'
+    QUARANTINED = 'quarantined'
+    CLAIM_UNAVAILABLE = 'claim_unavailable'
+    CLAIM_CONFLICT = 'claim_conflict'
+    CLAIM_TAKEN = 'claim_taken'
+    BAD_REQUEST = 'bad_request'
+    TOO_LARGE = 'too_large'
+
+
+class Failure(NamedTuple):
+    """Why a request ended without an answer from its upstream.
+
+    `verdict`
+        Whether an upstream may have run the request.
+    `code`
+        The cause.
+    `detail`
+        One sentence for a person: what failed and where.
+    `retry_after_ms`
+        When the caller may come back, in milliseconds; 0 where unknown.
+    `retried`
+        True where a daemon has already spent retries on the request, so that
+        no other daemon multiplies them.
+    """
+
+    verdict: Verdict
+    code: FailureCode
+    detail: str = ''
+    retry_after_ms: int = 0
+    retried: bool = False
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bilberryspread, a folder that mirrors each package."""
--- /dev/null
+++ b/tests/bilberry_core/test_stream.py
@@ -0,0 +1,129 @@
+"""Streams: the secret is proven first, garbage closes only one stream."""
+
+from asyncio import Event, open_connection, run
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.endpoint import Address
+from bilberry_core.error import FrameError, HandshakeError
+from bilberry_core.frame import FrameReader, frame
+from bilberry_core.handshake import Purpose
+from bilberry_core.messages.registry import (
+    UnknownMessage,
+    decode_message,
+    encode_message,
+)
+from bilberry_core.messages.spread import Busy, Want
+from bilberry_core.stream import Credentials, Stream, StreamListener, dial
+
+LOOPBACK = Address('127.0.0.1', 0)
+CREDENTIALS = Credentials('fleet', 'a-1', b'secret')
+
+
+async def start_echo() -> tuple[StreamListener, Address]:
+    """Starts a listener that sends back every message."""
+    listener = StreamListener(CREDENTIALS)
+
+    def accept(stream: Stream) -> None:
+        stream.receiver = stream.send
+
+    listener.handle(Purpose.SPREAD, accept)
+    return listener, await listener.listen(LOOPBACK)
+
+
+class StreamTest(TestCase):
+    """Open streams on loopback."""
+
+    def test_message_goes_there_and_back(self):
+        """A message arrives as it was sent."""
+        self.assertEqual([Busy(7)], run(self._echo(CREDENTIALS)))
+
+    def test_wrong_secret_is_refused(self):
+        """A dialer without the fleet's secret gets no stream."""
+        stranger = CREDENTIALS._replace(secret=b'guess')
+        self.assertRaises(HandshakeError, run, self._echo(stranger))
+
+    def test_other_fleet_is_refused(self):
+        """A dialer of another fleet gets no stream."""
+        stranger = CREDENTIALS._replace(fleet='other')
+        self.assertRaises(HandshakeError, run, self._echo(stranger))
+
+    def test_garbage_closes_one_stream_only(self):
+        """A stranger's bytes end their own connection and no other."""
+
+        async def scenario() -> bytes:
+            listener, address = await start_echo()
+            stream = await dial(CREDENTIALS, address, Purpose.SPREAD)
+            answered = Event()
+            stream.receiver = lambda _message: answered.set()
+            reader, writer = await open_connection(*address)
+            writer.write(b'\xff' * 64)
+            received = await reader.read()
+            stream.send(Busy(1))
+            await answered.wait()
+            stream.close()
+            listener.close()
+            writer.close()
+            return received
+
+        self.assertEqual(20, len(run(scenario())))
+
+    async def _echo(self, credentials: Credentials) -> list:
+        listener, address = await start_echo()
+        received: list = []
+        done = Event()
+        try:
+            stream = await dial(credentials, address, Purpose.SPREAD)
+            stream.receiver = lambda one: (received.append(one), done.set())
+            stream.send(Busy(7))
+            await done.wait()
+            stream.close()
+        finally:
+            listener.close()
+        return received
+
+
+class MessageTest(TestCase):
+    """Encoding of messages."""
+
+    def test_fields_of_a_newer_sender_are_ignored(self):
+        """A longer array than known decodes to the known fields."""
+        encoded = encode_message(Busy(5))
+        longer = b'\x93' + encoded[1:] + b'\xc0'
+        self.assertEqual(Busy(5), decode_message(longer))
+
+    def test_unknown_number_is_told(self):
+        """A message of a newer protocol is no error."""
+        self.assertEqual(UnknownMessage(119), decode_message(b'\x91\x77'))
+
+    @given(st.binary(max_size=64))
+    def test_garbage_is_a_typed_error(self, garbage):
+        """Any bytes decode to a message or raise a FrameError."""
+        try:
+            decode_message(garbage)
+        except FrameError:
+            return
+
+    @given(st.lists(st.binary(max_size=40), max_size=8), st.integers(1, 9))
+    def test_frames_survive_any_split(self, payloads, step):
+        """Payloads come out whole, however the bytes are cut."""
+        sent = b''.join(frame(payload) for payload in payloads)
+        reader = FrameReader()
+        received = [
+            payload
+            for start in range(0, len(sent), step)
+            for payload in reader.feed(sent[start : start + step])
+        ]
+        self.assertEqual(payloads, received)
+
+    def test_frame_over_the_bound_is_refused(self):
+        """A length over the bound raises before it is buffered."""
+        reader = FrameReader(8)
+        self.assertRaises(FrameError, list, reader.feed(b'\x00\x00\x00\x09'))
+
+    def test_nested_records_survive(self):
+        """Tuples in messages come back as tuples."""
+        sent = Want(('callouts', 'stock'))
+        self.assertEqual(sent, decode_message(encode_message(sent)))
