--- /dev/null
+++ b/tests/bilberry_core/test_http.py
@@ -0,0 +1,83 @@
+"""Small HTTP exchanges: whole, bounded, and typed errors for the rest."""
+
+from asyncio import open_connection, run
+
+from testtools import TestCase
+
+from bilberry_core import http
+from bilberry_core.endpoint import Address
+from bilberry_core.http import (
+    HttpError,
+    HttpRequest,
+    HttpResponse,
+    fetch,
+    serve_http,
+)
+
+
+async def echo(request: HttpRequest) -> HttpResponse:
+    """Answers with the request's body."""
+    return HttpResponse(
+        200, ((b'x-method', request.method.encode()),), request.body
+    )
+
+
+async def with_server(exchange):
+    """Runs `exchange` with the address of an echo server."""
+    server = await serve_http(Address('127.0.0.1', 0), echo)
+    try:
+        return await exchange(Address(*server.sockets[0].getsockname()))
+    finally:
+        server.close()
+
+
+class HttpTest(TestCase):
+    """Exchanges on loopback."""
+
+    def test_body_goes_there_and_back(self):
+        """A body of several reads arrives whole."""
+        body = b'x' * 200_000
+
+        async def exchange(address):
+            return await fetch(address, HttpRequest('PUT', '/', (), body), 5)
+
+        response = run(with_server(exchange))
+        self.assertEqual(body, response.body)
+        self.assertEqual('PUT', response.get_header(b'x-method'))
+
+    def test_body_over_the_bound_is_refused(self):
+        """A body over the bound gets 413 and is not kept."""
+        body = b'x' * (http.MAX_BODY_BYTES + 1)
+
+        async def exchange(address):
+            return await fetch(address, HttpRequest('PUT', '/', (), body), 5)
+
+        self.assertEqual(413, run(with_server(exchange)).status)
+
+    def test_garbage_is_answered_400(self):
+        """Bytes that are no HTTP get 400 and the connection closes."""
+
+        async def exchange(address):
+            reader, writer = await open_connection(*address)
+            writer.write(b'\x00\x01garbage\r\n\r\n')
+            received = await reader.read()
+            writer.close()
+            return received
+
+        self.assertTrue(run(with_server(exchange)).startswith(b'HTTP/1.1 400'))
+
+    def test_early_close_is_an_error(self):
+        """A server that closes without an answer raises HttpError."""
+
+        async def exchange(address):
+            async def vanish(_request):
+                raise ConnectionResetError
+
+            server = await serve_http(Address('127.0.0.1', 0), vanish)
+            bound = Address(*server.sockets[0].getsockname())
+            try:
+                return await fetch(bound, HttpRequest('GET', '/'), 5)
+            finally:
+                server.close()
+
+        self.assertRaises(HttpError, run, with_server(exchange))
