Count the bytes of streams by purpose

Cause: control bytes are one of the users' two measures, and nothing counted them. Ruled out: counting in each controller; the stream sees every byte, framing included. Conclusion: the blackboard holds the counters; credentials hand them to every stream of the process.

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -12,6 +12,7 @@
 from bilberry_core.configuration import AcceptedVersion
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.snapshot import Snapshot
+from bilberry_core.traffic import Traffic
 
 Held = TypeVar('Held')
 
@@ -152,6 +153,8 @@
         Version held by each proxy attached to this relay, by instance.
     `stale_since`
         Monotonic time since when no beacon has moved; None while current.
+    `traffic`
+        Bytes sent and received by this process.
     """
 
     def __init__(self) -> None:
@@ -168,4 +171,5 @@
         self.wanted_services: Cell[frozenset[str]] = Cell(frozenset())
         self.proxies: Cell[dict[str, int]] = Cell({})
         self.stale_since: Cell[float | None] = Cell(None)
+        self.traffic = Traffic()
         self.stopping = Event()
--- a/packages/bilberry_core/bilberry_core/stream.py
+++ b/packages/bilberry_core/bilberry_core/stream.py
@@ -39,6 +39,7 @@
     check_proof,
 )
 from bilberry_core.messages.registry import decode_message, encode_message
+from bilberry_core.traffic import Traffic, TrafficCounter
 
 _log = getLogger(__name__)
 
@@ -49,11 +50,21 @@
 
 
 class Credentials(NamedTuple):
-    """What a daemon needs to take part in its fleet's streams."""
+    """What a daemon needs to take part in its fleet's streams.
+
+    `traffic` counts the bytes of its streams; None counts nothing.
+    """
 
     fleet: str
     instance: str
     secret: bytes
+    traffic: Traffic | None = None
+
+    def get_counter(self, purpose: Purpose) -> TrafficCounter:
+        """Returns the counter of a purpose."""
+        if self.traffic is None:
+            return TrafficCounter()
+        return self.traffic.get_counter(purpose)
 
 
 class Stream(Protocol):
@@ -67,8 +78,7 @@
         self.identity: Identity | None = None
         self.receiver: Receiver = _ignore
         self.on_close: Callable[[], None] = _do_nothing
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self._counter = TrafficCounter()
         self._reader = FrameReader(MAX_HANDSHAKE_BYTES)
         self._transport: Transport | None = None
         self._writable = Event()
@@ -94,7 +104,7 @@
         if not self.is_open:
             raise StreamClosedError('the stream is closed')
         payload = frame(encoded)
-        self.bytes_sent += len(payload)
+        self._counter.sent += len(payload)
         self._transport.write(payload)
 
     async def drained(self) -> None:
@@ -112,7 +122,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Called by the event loop."""
-        self.bytes_received += len(received)
+        self._counter.received += len(received)
         try:
             for payload in self._reader.feed(received):
                 self._on_payload(payload)
@@ -134,8 +144,13 @@
         self._writable.set()
         self.on_close()
 
-    def _begin_messages(self, identity: Identity) -> None:
+    def _begin_messages(
+        self,
+        identity: Identity,
+        counter: TrafficCounter,
+    ) -> None:
         self.identity = identity
+        self._counter = counter
         self._reader.max_frame_bytes = MAX_FRAME_BYTES
         self._on_payload = self._receive_payload
 
@@ -209,7 +224,7 @@
 ) -> Stream:
     """Opens a stream; raises `OSError` or `HandshakeError`."""
     identity = Identity(credentials.fleet, credentials.instance, purpose)
-    stream = _DialedStream(credentials.secret, identity)
+    stream = _DialedStream(credentials, identity)
     stream.receiver = receiver
     loop = get_running_loop()
     try:
@@ -269,17 +284,18 @@
             raise FrameError(f'no role here for purpose "{identity.purpose}"')
         self._timer.cancel()
         self._send_raw(proof)
-        self._begin_messages(identity)
+        counter = self._credentials.get_counter(identity.purpose)
+        self._begin_messages(identity, counter)
         handler(self)
 
 
 class _DialedStream(Stream):
     """The dialer's side: answer the challenge, check the proof."""
 
-    def __init__(self, secret: bytes, identity: Identity) -> None:
+    def __init__(self, credentials: Credentials, identity: Identity) -> None:
         super().__init__()
         self.ready: Future[None] = get_running_loop().create_future()
-        self._secret = secret
+        self._credentials = credentials
         self._dialed = identity
         self._nonce = urandom(NONCE_BYTES)
         self._expected_proof = b''
@@ -292,18 +308,24 @@
 
     def _receive_challenge(self, challenge: bytes) -> None:
         self._expected_proof = build_proof(
-            self._secret,
+            self._credentials.secret,
             self._nonce,
             challenge,
         )
         self._on_payload = self._receive_proof
         self._send_raw(
-            build_hello(self._secret, self._dialed, challenge, self._nonce),
+            build_hello(
+                self._credentials.secret,
+                self._dialed,
+                challenge,
+                self._nonce,
+            ),
         )
 
     def _receive_proof(self, proof: bytes) -> None:
         check_proof(proof, self._expected_proof)
-        self._begin_messages(self._dialed)
+        counter = self._credentials.get_counter(self._dialed.purpose)
+        self._begin_messages(self._dialed, counter)
         if not self.ready.done():
             self.ready.set_result(None)
 
