--- a/Makefile
+++ b/Makefile
@@ -21,11 +21,11 @@
 	touch $@
 
 format: setup
-	$(BIN)/ruff format packages tests
+	$(BIN)/ruff format packages tests demo
 
 lint: setup
-	$(BIN)/ruff format --check packages tests
-	$(BIN)/flake8 --jobs 4 packages tests
+	$(BIN)/ruff format --check packages tests demo
+	$(BIN)/flake8 --jobs 4 packages tests demo
 
 unit: setup
 	$(BIN)/python -m pytest -n 6
@@ -33,4 +33,4 @@
 test: lint unit
 
 demo: setup
-	$(BIN)/python -m tests.demo
+	$(BIN)/python -m demo
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small fleet on loopback: the launcher, a caller and the demonstration."""
--- /dev/null
+++ b/demo/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the demonstration as `python -m demo`."""
+
+from sys import exit
+
+from demo.story import main
+
+exit(main())
--- /dev/null
+++ b/demo/caller.py
@@ -0,0 +1,115 @@
+"""A caller that sends reads and bookings and counts what became of them.
+
+Each request carries an id of its own, so that the upstreams' records tell
+which requests ran, and how often.
+"""
+
+from asyncio import Task, create_task, gather, sleep
+from collections import Counter
+from itertools import count
+from typing import NamedTuple
+
+from bilberry_core.endpoint import Address
+from bilberry_core.error import BilberryError
+from bilberry_core.http import HttpRequest, HttpResponse, fetch
+
+_OK = 200
+_TIMEOUT_S = 15.0
+_BOOKING_SHARE = 5
+
+
+class Tally(NamedTuple):
+    """What became of the requests sent.
+
+    `not_run_ids` are the requests that the caller was told did not run, and
+    `answered_ids` those whose whole answer came back.
+    """
+
+    outcomes: Counter
+    not_run_ids: set[str]
+    answered_ids: set[str]
+
+
+class Caller:
+    """Sends requests to one daemon from several workers.
+
+    Options, all since version 0.1:
+
+    `address`
+        Where the daemon takes callers' requests.
+    `service`
+        The host name that is called.
+    `pause_s`
+        Pause of a worker between two requests, in seconds (default: 0.01).
+    """
+
+    def __init__(
+        self,
+        name: str,
+        address: Address,
+        service: str,
+        pause_s: float = 0.01,
+    ) -> None:
+        """Starts with nothing sent."""
+        self.tally = Tally(Counter(), set(), set())
+        self._name = name
+        self._address = address
+        self._service = service
+        self._pause_s = pause_s
+        self._numbers = count(1)
+        self._workers: list[Task[None]] = []
+        self._stopping = False
+
+    def start(self, workers: int) -> None:
+        """Starts to send from this many workers."""
+        self._workers = [create_task(self._work()) for _ in range(workers)]
+
+    async def stop(self) -> Tally:
+        """Lets each worker finish its request and returns the tally."""
+        self._stopping = True
+        await gather(*self._workers)
+        return self.tally
+
+    async def send(self, number: int) -> HttpResponse | None:
+        """Sends one request and counts its outcome."""
+        request_id = f'{self._name}-{number}'
+        request = build_request(self._service, request_id, number)
+        self.tally.outcomes['sent'] += 1
+        try:
+            response = await fetch(self._address, request, _TIMEOUT_S)
+        except (BilberryError, OSError, TimeoutError):
+            self.tally.outcomes['broken'] += 1
+            return None
+        self._count(request_id, response)
+        return response
+
+    async def _work(self) -> None:
+        while not self._stopping:
+            await self.send(next(self._numbers))
+            await sleep(self._pause_s)
+
+    def _count(self, request_id: str, response: HttpResponse) -> None:
+        if response.status == _OK:
+            self.tally.outcomes['answered'] += 1
+            self.tally.answered_ids.add(request_id)
+            return
+        verdict = response.get_header(b'bilberry-verdict') or 'no_verdict'
+        self.tally.outcomes[verdict] += 1
+        if verdict == 'not_run':
+            self.tally.not_run_ids.add(request_id)
+
+
+def build_request(
+    service: str,
+    request_id: str,
+    number: int,
+) -> HttpRequest:
+    """Returns a read, or for each fifth number a booking with its key."""
+    headers = (
+        (b'host', service.encode()),
+        (b'x-request-id', request_id.encode()),
+    )
+    if number % _BOOKING_SHARE:
+        return HttpRequest('GET', f'/open/{number}', headers)
+    key = (b'idempotency-key', request_id.encode())
+    return HttpRequest('POST', '/bookings', (*headers, key), b'{"job": 1}')
--- /dev/null
+++ b/demo/convergence.py
@@ -0,0 +1,74 @@
+"""Measures how long a change takes from acceptance until it is in force.
+
+A thread polls the status of every daemon while the change is made.
+"""
+
+from threading import Event, Thread
+from time import monotonic, sleep
+from typing import Any, NamedTuple
+
+from demo.fleet import Fleet
+
+_POLL_S = 0.005
+_TIMEOUT_S = 30.0
+
+
+class Convergence(NamedTuple):
+    """Seconds from the first daemon that ran a version to the last."""
+
+    version: int
+    seconds: float
+    daemons: int
+
+
+def get_version(status: dict[str, Any] | None) -> int:
+    """Returns the version that a daemon runs; 0 for none."""
+    if status is None:
+        return 0
+    return status.get('version') or 0
+
+
+class ConvergenceWatch:
+    """Notes when each daemon first ran a version."""
+
+    def __init__(self, fleet: Fleet, version: int) -> None:
+        """Watches the daemons that run now for `version`."""
+        self._fleet = fleet
+        self._version = version
+        self._seen: dict[str, float] = {}
+        self._done = Event()
+        self._thread = Thread(target=self._poll, daemon=True)
+
+    def start(self) -> None:
+        """Starts to poll."""
+        self._thread.start()
+
+    def wait(self) -> Convergence:
+        """Returns once every daemon runs the version.
+
+        Raises `TimeoutError` with the daemons that do not.
+        """
+        if not self._done.wait(_TIMEOUT_S):
+            behind = set(self._fleet.running_daemons()) - set(self._seen)
+            raise TimeoutError(
+                f'version {self._version} is not in force on {sorted(behind)}',
+            )
+        times = self._seen.values()
+        seconds = max(times) - min(times)
+        return Convergence(self._version, seconds, len(self._seen))
+
+    def _poll(self) -> None:
+        start = monotonic()
+        while monotonic() - start < _TIMEOUT_S:
+            for instance in self._fleet.running_daemons():
+                self._look(instance)
+            if set(self._seen) >= set(self._fleet.running_daemons()):
+                self._done.set()
+                return
+            sleep(_POLL_S)
+
+    def _look(self, instance: str) -> None:
+        if instance in self._seen:
+            return
+        if get_version(self._fleet.read_status(instance)) >= self._version:
+            self._seen[instance] = monotonic()
--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,239 @@
+"""Launches a fleet of real daemons and stand-in upstreams on loopback.
+
+Used by the demonstration and by the tests that run real processes. Every
+process is ended by its own id.
+"""
+
+from collections.abc import Iterable
+from json import loads
+from pathlib import Path
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from socket import create_server
+from subprocess import Popen
+from sys import executable
+from time import monotonic, sleep
+from typing import Any, NamedTuple
+from urllib.error import URLError
+from urllib.request import urlopen
+
+from yaml import safe_dump
+
+_HOST = '127.0.0.1'
+_POLL_S = 0.02
+_STOP_TIMEOUT_S = 40.0
+
+
+class Ports(NamedTuple):
+    """The TCP ports of one instance on loopback."""
+
+    streams: int
+    callers: int
+    upstream: int
+    operators: int
+
+
+class Plan(NamedTuple):
+    """One instance to launch: its daemon and the upstream beside it."""
+
+    instance: str
+    failure_domain: str
+    roles: tuple[str, ...]
+    service: str
+
+
+class Member(NamedTuple):
+    """One instance with its ports and its settings file."""
+
+    plan: Plan
+    ports: Ports
+    settings: Path
+
+
+class Fleet:
+    """The processes of one fleet, each started and ended by name."""
+
+    def __init__(self, folder: Path, members: Iterable[Member]) -> None:
+        """Takes what `prepare_fleet` wrote."""
+        self.folder = folder
+        self.members = {member.plan.instance: member for member in members}
+        self._daemons: dict[str, Popen] = {}
+        self._upstreams: dict[str, Popen] = {}
+
+    @property
+    def token_file(self) -> Path:
+        """The file with the operators' bearer token."""
+        return self.folder / 'token'
+
+    def start_daemon(self, instance: str) -> None:
+        """Starts the daemon of an instance."""
+        settings = str(self.members[instance].settings)
+        command = [executable, '-m', 'bilberryd', 'run', '--settings', settings]
+        self._daemons[instance] = self._launch(instance, command)
+
+    def start_upstream(self, instance: str, *options: str) -> None:
+        """Starts the stand-in upstream beside an instance's daemon."""
+        member = self.members[instance]
+        daemon = f'{_HOST}:{member.ports.upstream}'
+        command = [
+            executable,
+            '-m',
+            'tests.standin.upstream',
+            '--daemon',
+            daemon,
+            '--service',
+            member.plan.service,
+            *options,
+        ]
+        self._upstreams[instance] = self._launch(f'{instance}.up', command)
+
+    def start(self) -> None:
+        """Starts every daemon and every upstream."""
+        for instance in self.members:
+            self.start_daemon(instance)
+        for instance in self.members:
+            self.start_upstream(instance)
+
+    def kill_daemon(self, instance: str) -> None:
+        """Ends a daemon at once, as a crash would."""
+        daemon = self._daemons.pop(instance)
+        daemon.send_signal(SIGKILL)
+        daemon.wait()
+
+    def freeze_daemon(self, instance: str) -> None:
+        """Stops a daemon's execution; `thaw_daemon` lets it go on."""
+        self._daemons[instance].send_signal(SIGSTOP)
+
+    def thaw_daemon(self, instance: str) -> None:
+        """Lets a frozen daemon go on."""
+        self._daemons[instance].send_signal(SIGCONT)
+
+    def stop_daemon(self, instance: str) -> int:
+        """Ends a daemon gracefully and returns its exit code."""
+        return _terminate(self._daemons.pop(instance))
+
+    def stop_upstream(self, instance: str) -> int:
+        """Ends an upstream gracefully and returns its exit code."""
+        return _terminate(self._upstreams.pop(instance))
+
+    def kill_upstream(self, instance: str) -> None:
+        """Ends an upstream at once, as a crash would."""
+        upstream = self._upstreams.pop(instance)
+        upstream.send_signal(SIGKILL)
+        upstream.wait()
+
+    def close(self) -> None:
+        """Ends every process that is still running."""
+        running = [*self._upstreams.values(), *self._daemons.values()]
+        for process in running:
+            process.send_signal(SIGCONT)
+            process.send_signal(SIGKILL)
+        for process in running:
+            process.wait()
+        self._upstreams.clear()
+        self._daemons.clear()
+
+    def read_status(self, instance: str) -> dict[str, Any] | None:
+        """Returns a daemon's status; None where it does not answer."""
+        port = self.members[instance].ports.operators
+        url = f'http://{_HOST}:{port}/v1/status'
+        try:
+            with urlopen(url, timeout=1) as answer:
+                return loads(answer.read())
+        except (URLError, OSError):
+            return None
+
+    def running_daemons(self) -> tuple[str, ...]:
+        """Returns the instances whose daemon was started and not ended."""
+        return tuple(self._daemons)
+
+    def running_upstreams(self) -> tuple[str, ...]:
+        """Returns the instances whose upstream was started and not ended."""
+        return tuple(self._upstreams)
+
+    def get_pid(self, instance: str) -> int:
+        """Returns the process id of an instance's daemon."""
+        return self._daemons[instance].pid
+
+    def _launch(self, name: str, command: list[str]) -> Popen:
+        with (self.folder / f'{name}.log').open('ab') as log:
+            return Popen(command, stdout=log, stderr=log)
+
+
+def prepare_fleet(folder: Path, plans: Iterable[Plan]) -> Fleet:
+    """Writes the settings of every instance and returns the fleet."""
+    plans = tuple(plans)
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / 'secret').write_text('the-secret-of-a-loopback-fleet')
+    (folder / 'token').write_text('the-token-of-a-loopback-fleet')
+    ports = _pick_ports(len(plans))
+    members = [
+        Member(plan, ports[index], folder / f'{plan.instance}.yaml')
+        for index, plan in enumerate(plans)
+    ]
+    for member in members:
+        document = _describe(folder, member, members)
+        member.settings.write_text(safe_dump(document, sort_keys=False))
+    return Fleet(folder, members)
+
+
+def wait_until(condition, timeout_s: float, what: str) -> float:
+    """Polls until `condition()` holds and returns how long it took.
+
+    Raises `TimeoutError` that names `what` after `timeout_s` seconds.
+    """
+    start = monotonic()
+    while not condition():
+        if monotonic() - start > timeout_s:
+            raise TimeoutError(f'not within {timeout_s} s: {what}')
+        sleep(_POLL_S)
+    return monotonic() - start
+
+
+def _describe(folder: Path, member: Member, members: list[Member]) -> dict:
+    plan = member.plan
+    ports = member.ports
+    document = {
+        'fleet': 'demo',
+        'instance': plan.instance,
+        'failure_domain': plan.failure_domain,
+        'region': 'local',
+        'roles': list(plan.roles),
+        'listen': {
+            name: f'{_HOST}:{port}' for name, port in ports._asdict().items()
+        },
+        'secret_file': 'secret',
+        'token_file': 'token',
+        'replicas': _list_peers('replica', members),
+        'relays': _list_peers('relay', members),
+        'log': {'level': 'INFO', 'file': f'{folder}/{plan.instance}.json'},
+    }
+    if 'replica' in plan.roles:
+        document['data_folder'] = f'{folder}/data-{plan.instance}'
+    return document
+
+
+def _list_peers(role: str, members: list[Member]) -> list[dict[str, str]]:
+    return [
+        {
+            'instance': member.plan.instance,
+            'address': f'{_HOST}:{member.ports.streams}',
+            'failure_domain': member.plan.failure_domain,
+        }
+        for member in members
+        if role in member.plan.roles
+    ]
+
+
+def _pick_ports(count: int) -> list[Ports]:
+    per_instance = len(Ports._fields)
+    sockets = [create_server((_HOST, 0)) for _ in range(count * per_instance)]
+    numbers = [taken.getsockname()[1] for taken in sockets]
+    for taken in sockets:
+        taken.close()
+    starts = range(0, len(numbers), per_instance)
+    return [Ports(*numbers[start : start + per_instance]) for start in starts]
+
+
+def _terminate(process: Popen) -> int:
+    process.send_signal(SIGTERM)
+    return process.wait(_STOP_TIMEOUT_S)
--- /dev/null
+++ b/demo/operator.py
@@ -0,0 +1,51 @@
+"""An operator at the command line: runs `bilberryctl` against a fleet."""
+
+from pathlib import Path
+from subprocess import run
+from sys import executable
+from typing import NamedTuple
+
+from demo.fleet import Fleet
+
+
+class Outcome(NamedTuple):
+    """What a command printed and its exit code."""
+
+    code: int
+    output: str
+    errors: str
+
+
+class Operator:
+    """Runs commands against the replicas of a fleet."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Knows the operators' addresses of every replica."""
+        self._token_file = str(fleet.token_file)
+        self._servers = ','.join(
+            f'127.0.0.1:{member.ports.operators}'
+            for member in fleet.members.values()
+            if 'replica' in member.plan.roles
+        )
+
+    def run(self, *words: str) -> Outcome:
+        """Runs one command and returns its outcome."""
+        command = [
+            executable,
+            '-m',
+            'bilberryctl',
+            *words,
+            '--server',
+            self._servers,
+            '--token-file',
+            self._token_file,
+        ]
+        done = run(command, capture_output=True, text=True, check=False)
+        return Outcome(done.returncode, done.stdout, done.stderr)
+
+    def apply(self, file: Path, note: str) -> Outcome:
+        """Applies a configuration file; raises where it is not accepted."""
+        outcome = self.run('apply', str(file), '--note', note)
+        if outcome.code:
+            raise RuntimeError(f'apply {file}: {outcome.errors}')
+        return outcome
--- /dev/null
+++ b/demo/story.py
@@ -0,0 +1,204 @@
+"""The demonstration: changes, a leaving upstream, a killed replica.
+
+Prints what was measured and tells whether a promise was broken.
+"""
+
+from asyncio import run, sleep, to_thread
+from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from yaml import safe_dump, safe_load
+
+from bilberry_core.endpoint import Address
+from demo.caller import Caller, Tally
+from demo.convergence import Convergence, ConvergenceWatch, get_version
+from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
+from demo.operator import Operator
+from demo.record import RunRecord, read_runs
+
+_START_TIMEOUT_S = 30.0
+_STEP_S = 1.0
+_WORKERS = 4
+_SERVICES = ('callouts', 'stock')
+_EVERY_ROLE = ('proxy', 'relay', 'replica')
+_CONTROL = ('replica', 'spread', 'claim')
+
+
+def plan_instances() -> tuple[Plan, ...]:
+    """Returns three failure domains with one instance of each service."""
+    plans = []
+    for domain in ('a', 'b', 'c'):
+        plans.append(Plan(f'{domain}-1', domain, _EVERY_ROLE, 'callouts'))
+        plans.append(Plan(f'{domain}-2', domain, ('proxy',), 'stock'))
+    return tuple(plans)
+
+
+class Story:
+    """Runs the steps against one fleet."""
+
+    def __init__(self, fleet: Fleet, folder: Path) -> None:
+        """Starts with the configuration beside this module."""
+        self._fleet = fleet
+        self._operator = Operator(fleet)
+        self._file = folder / 'configuration.yaml'
+        source = Path(__file__).with_name('configuration.yaml')
+        self._document: dict[str, Any] = safe_load(source.read_text())
+        self._version = 0
+        self._callers: list[Caller] = []
+
+    async def tell(self) -> bool:
+        """Runs every step; returns whether every promise held."""
+        await self._begin()
+        await self._change_policies()
+        records = await self._lose_instances()
+        self._document['defaults']['timeout'] = '5s'
+        await self._change('a change is accepted by the two replicas left')
+        return await self._judge(records)
+
+    async def _change_policies(self) -> None:
+        self._document['defaults']['timeout'] = '4s'
+        await self._change('the default timeout is changed to 4s')
+        self._document['exceptions'] = {
+            'open-callouts': {
+                'service': 'callouts',
+                'path_prefix': '/open',
+                'set': {'priority': 'urgent', 'timeout': '2s'},
+                'reason': 'a dispatcher at night can not wait',
+            },
+        }
+        await self._change('an exception with its reason is added')
+
+    async def _lose_instances(self) -> list[RunRecord]:
+        _say('the upstream of b-2 leaves gracefully')
+        records = await to_thread(self._leave, 'b-2')
+        await sleep(_STEP_S)
+        _say('the replica c-1 is killed')
+        records += await to_thread(read_runs, self._fleet, ('c-1',))
+        self._fleet.kill_daemon('c-1')
+        await sleep(_STEP_S)
+        return records
+
+    async def _begin(self) -> None:
+        self._fleet.start()
+        _say('waiting for six daemons and their upstreams')
+        await to_thread(self._wait_for_leader)
+        await self._change('the first configuration is accepted')
+        await to_thread(self._wait_for_endpoints)
+        for instance, service in (('a-2', 'callouts'), ('b-1', 'stock')):
+            ports = self._fleet.members[instance].ports
+            address = Address('127.0.0.1', ports.callers)
+            caller = Caller(instance, address, f'{service}.example')
+            caller.start(_WORKERS)
+            self._callers.append(caller)
+        await sleep(_STEP_S)
+
+    async def _change(self, note: str) -> None:
+        self._version += 1
+        self._file.write_text(safe_dump(self._document))
+        watch = ConvergenceWatch(self._fleet, self._version)
+        before = self._count_control_bytes()
+        watch.start()
+        await to_thread(self._operator.apply, self._file, note)
+        convergence = await to_thread(watch.wait)
+        spent = self._count_control_bytes() - before
+        _say(f'{note}: {_describe(convergence)}, {spent} control bytes')
+        await sleep(_STEP_S)
+
+    def _leave(self, instance: str) -> list[RunRecord]:
+        records = read_runs(self._fleet, (instance,))
+        self._fleet.stop_upstream(instance)
+        return records
+
+    def _wait_for_leader(self) -> None:
+        wait_until(
+            lambda: any(
+                (
+                    (self._fleet.read_status(name) or {}).get('replica') or {}
+                ).get(
+                    'leader',
+                )
+                for name in ('a-1', 'b-1', 'c-1')
+            ),
+            _START_TIMEOUT_S,
+            'a leader is elected',
+        )
+
+    def _wait_for_endpoints(self) -> None:
+        wait_until(
+            self._has_endpoints, _START_TIMEOUT_S, 'every upstream is known'
+        )
+
+    def _has_endpoints(self) -> bool:
+        status = self._fleet.read_status('a-1') or {}
+        ready = status.get('endpoints', {}).get('ready', 0)
+        return ready >= len(self._fleet.members)
+
+    def _count_control_bytes(self) -> int:
+        total = 0
+        for instance in self._fleet.running_daemons():
+            status = self._fleet.read_status(instance) or {}
+            traffic = status.get('traffic', {})
+            total += sum(
+                traffic.get(one, {}).get('sent', 0) for one in _CONTROL
+            )
+        return total
+
+    async def _judge(self, records: list[RunRecord]) -> bool:
+        tallies = [await caller.stop() for caller in self._callers]
+        left = set(self._fleet.running_upstreams()) - {'c-1'}
+        records += await to_thread(read_runs, self._fleet, tuple(left))
+        versions = {
+            get_version(self._fleet.read_status(name))
+            for name in self._fleet.running_daemons()
+        }
+        _say(f'versions in force: {sorted(versions)}')
+        return _report(tallies, records) and versions == {self._version}
+
+
+def main() -> int:
+    """Runs the demonstration; returns the exit code."""
+    with TemporaryDirectory(prefix='bilberry-') as name:
+        folder = Path(name)
+        fleet = prepare_fleet(folder, plan_instances())
+        try:
+            kept = run(Story(fleet, folder).tell())
+        finally:
+            fleet.close()
+    _say('every promise held' if kept else 'A PROMISE WAS BROKEN')
+    return 0 if kept else 1
+
+
+def _report(tallies: Iterable[Tally], records: list[RunRecord]) -> bool:
+    outcomes: Counter = Counter()
+    refused: set[str] = set()
+    answered: set[str] = set()
+    for tally in tallies:
+        outcomes += tally.outcomes
+        refused |= tally.not_run_ids
+        answered |= tally.answered_ids
+    bookings = Counter(
+        record.request_id for record in records if record.method == 'POST'
+    )
+    twice = sum(1 for runs in bookings.values() if runs > 1)
+    ran = {record.request_id for record in records}
+    untrue = len(refused & ran)
+    _say(f'requests: {dict(outcomes)}')
+    _say(f'bookings run twice: {twice}; "not run" but ran: {untrue}')
+    _say(f'answered without a record of a run: {len(answered - ran)}')
+    broken = outcomes['broken'] + outcomes['no_verdict']
+    return not twice and not untrue and not broken and bool(answered)
+
+
+def _describe(convergence: Convergence) -> str:
+    milliseconds = convergence.seconds * 1000
+    return (
+        f'version {convergence.version} in force on '
+        f'{convergence.daemons} daemons after {milliseconds:.0f} ms'
+    )
+
+
+def _say(text: str) -> None:
+    print(f'demo: {text}', flush=True)
--- /dev/null
+++ b/packages/bilberryd/bilberryd/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of bilberryspread: one process for an instance, with roles."""
--- /dev/null
+++ b/packages/bilberryd/bilberryd/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command as `python -m bilberryd`."""
+
+from bilberryd.main import main
+
+main()
--- /dev/null
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -0,0 +1,165 @@
+"""Builds a daemon from its settings: which controllers each role needs.
+
+All construction is here, so that no controller knows another.
+"""
+
+from random import SystemRandom
+
+from bilberry_claims.client import ClaimClient
+from bilberry_claims.holder import HolderController
+from bilberry_core.board import Board
+from bilberry_core.clock import SystemClock
+from bilberry_core.configuration_file import validate_content
+from bilberry_core.disk import SystemDisk
+from bilberry_core.metric import open_metrics
+from bilberry_core.settings import Role, Settings
+from bilberry_core.stream import Credentials, StreamListener
+from bilberry_operators.controller import OperatorsController
+from bilberry_proxy.announcement import AnnouncementController
+from bilberry_proxy.controller import ProxyController
+from bilberry_replica.controller import ReplicaController
+from bilberry_spread.compiler import SnapshotController
+from bilberry_spread.relay import RelayController
+from bilberry_spread.subscriber import SubscriberController
+from bilberryd.daemon import Controller, Daemon
+
+
+class _Parts:
+    """The parts under construction, in the order in which they start."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.board = Board()
+        self.clock = SystemClock()
+        self.random = SystemRandom()
+        self.credentials = Credentials(
+            settings.fleet,
+            settings.instance,
+            settings.secret,
+            self.board.traffic,
+        )
+        self.listener = StreamListener(self.credentials)
+        self.metrics = open_metrics(settings.statsd)
+        self.controllers: list[Controller] = []
+        self.acceptor: ReplicaController | None = None
+        self.proxy: ProxyController | None = None
+
+
+def build_daemon(settings: Settings) -> Daemon:
+    """Returns the daemon that `settings` describe, not yet started."""
+    parts = _Parts(settings)
+    for role, add in _BUILDERS.items():
+        if role in settings.roles:
+            add(parts)
+    if Role.RELAY not in settings.roles:
+        _add_subscriber(parts)
+    if settings.listen.operators is not None:
+        _add_operators(parts)
+    draining = () if parts.proxy is None else (parts.proxy,)
+    return Daemon(
+        settings.listen.streams,
+        parts.board,
+        parts.listener,
+        tuple(parts.controllers),
+        draining,
+    )
+
+
+def _add_replica(parts: _Parts) -> None:
+    settings = parts.settings
+    disk = SystemDisk.open(settings.data_folder, settings.fleet)
+    parts.acceptor = ReplicaController.from_settings(
+        settings,
+        parts.board,
+        parts.listener,
+        parts.credentials,
+        parts.clock,
+        parts.random,
+        disk,
+        validate_content,
+    )
+    parts.controllers.append(parts.acceptor)
+    parts.controllers.append(
+        HolderController.from_settings(
+            settings,
+            parts.board,
+            parts.listener,
+            disk,
+            parts.clock,
+        ),
+    )
+
+
+def _add_relay(parts: _Parts) -> None:
+    parts.controllers.append(
+        RelayController.from_settings(
+            parts.settings,
+            parts.board,
+            parts.listener,
+            parts.credentials,
+            parts.clock,
+            parts.random,
+        ),
+    )
+
+
+def _add_subscriber(parts: _Parts) -> None:
+    parts.controllers.append(
+        SubscriberController.from_settings(
+            parts.settings,
+            parts.board,
+            parts.credentials,
+            parts.clock,
+            parts.random,
+        ),
+    )
+
+
+def _add_proxy(parts: _Parts) -> None:
+    settings = parts.settings
+    claims = None
+    if settings.replicas:
+        claims = ClaimClient.from_settings(
+            settings,
+            parts.board,
+            parts.credentials,
+            parts.clock,
+            parts.random,
+        )
+    parts.proxy = ProxyController.from_settings(
+        settings,
+        parts.board,
+        parts.listener,
+        parts.credentials,
+        parts.clock,
+        parts.random,
+        parts.metrics,
+        claims,
+    )
+    parts.controllers += [
+        SnapshotController.from_settings(settings, parts.board),
+        AnnouncementController.from_settings(
+            settings,
+            parts.board,
+            parts.clock,
+        ),
+        parts.proxy,
+    ]
+
+
+def _add_operators(parts: _Parts) -> None:
+    parts.controllers.append(
+        OperatorsController.from_settings(
+            parts.settings,
+            parts.board,
+            parts.acceptor,
+            parts.clock,
+        ),
+    )
+
+
+_BUILDERS = {
+    Role.REPLICA: _add_replica,
+    Role.RELAY: _add_relay,
+    Role.PROXY: _add_proxy,
+}
--- /dev/null
+++ b/packages/bilberryd/bilberryd/daemon.py
@@ -0,0 +1,116 @@
+"""One daemon: the controllers of its roles around one blackboard.
+
+`Daemon.run` returns after a graceful stop: requests in flight have ended and
+the endpoint beside it was told to be leaving.
+"""
+
+from asyncio import (
+    FIRST_COMPLETED,
+    CancelledError,
+    Task,
+    create_task,
+    gather,
+    get_running_loop,
+    wait,
+)
+from collections.abc import Coroutine
+from logging import getLogger
+from signal import SIGINT, SIGTERM
+from typing import Protocol
+
+from bilberry_core.board import Board, Phase
+from bilberry_core.endpoint import Address
+from bilberry_core.stream import StreamListener
+
+_log = getLogger(__name__)
+
+
+class Controller(Protocol):
+    """A part of the daemon that reads and writes the blackboard."""
+
+    async def run(self) -> None:
+        """Works until it is cancelled."""
+
+    async def stop(self) -> None:
+        """Releases what it holds."""
+
+
+class DrainingController(Controller, Protocol):
+    """A controller that finishes requests before it stops."""
+
+    async def drain(self) -> None:
+        """Takes nothing new and returns when nothing is in flight."""
+
+
+class Daemon:
+    """Runs the controllers of one instance until it is told to stop."""
+
+    def __init__(
+        self,
+        address: Address,
+        board: Board,
+        listener: StreamListener,
+        controllers: tuple[Controller, ...],
+        draining: tuple[DrainingController, ...],
+    ) -> None:
+        """Takes its parts; `assembly.build_daemon` makes them."""
+        self._address = address
+        self._board = board
+        self._listener = listener
+        self._controllers = controllers
+        self._draining = draining
+
+    async def run(self) -> None:
+        """Serves until SIGTERM or SIGINT, then drains.
+
+        A controller that fails ends the daemon with its error.
+        """
+        loop = get_running_loop()
+        for signal in (SIGTERM, SIGINT):
+            loop.add_signal_handler(signal, self._board.stopping.set)
+        address = await self._listener.listen(self._address)
+        _log.info('daemon_started', extra={'streams': list(address)})
+        tasks = [_start(part.run()) for part in self._controllers]
+        self._board.phase.put(Phase.SERVING)
+        try:
+            await self._serve(tasks)
+        finally:
+            await self._stop(tasks)
+
+    async def _serve(self, tasks: list[Task[None]]) -> None:
+        stopping = create_task(self._board.stopping.wait())
+        done, _running = await wait(
+            (stopping, *tasks),
+            return_when=FIRST_COMPLETED,
+        )
+        stopping.cancel()
+        for task in done - {stopping}:
+            task.result()
+        self._board.phase.put(Phase.DRAINING)
+        _log.info('daemon_draining')
+        await gather(*(part.drain() for part in self._draining))
+
+    async def _stop(self, tasks: list[Task[None]]) -> None:
+        for part in self._controllers:
+            await part.stop()
+        for task in tasks:
+            task.cancel()
+        await gather(*tasks, return_exceptions=True)
+        self._listener.close()
+        self._board.phase.put(Phase.STOPPED)
+        _log.info('daemon_stopped')
+
+
+def _start(work: Coroutine[None, None, None]) -> Task[None]:
+    task = create_task(work)
+    task.add_done_callback(_report)
+    return task
+
+
+def _report(task: Task[None]) -> None:
+    try:
+        task.result()
+    except CancelledError:
+        return
+    except Exception:
+        _log.exception('controller_failed')
