--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/disk.py
@@ -0,0 +1,191 @@
+"""The data folder of one instance, behind a protocol.
+
+Files last only once they are synced. `SystemDisk` locks its folder, so that
+no second process uses it, and marks it with the name of its fleet.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from fcntl import LOCK_EX, LOCK_NB, flock
+from os import O_APPEND, O_CREAT, O_RDONLY, O_RDWR, O_WRONLY
+from os import close as close_descriptor
+from os import fsync
+from os import open as open_descriptor
+from os import write as write_descriptor
+from pathlib import Path
+from typing import Protocol
+
+from bilberry_core.error import JournalError
+
+_LOCK_NAME = 'lock'
+_FLEET_NAME = 'fleet'
+_NEW_SUFFIX = '.new'
+_FILE_MODE = 0o600
+_FOLDER_MODE = 0o700
+
+
+class Disk(Protocol):
+    """Files of one folder, by name. Each call may raise `OSError`."""
+
+    def append(self, name: str, payload: bytes) -> None:
+        """Adds bytes at the end of a file, which is made if needed."""
+
+    def sync(self, name: str) -> None:
+        """Makes everything appended to a file durable."""
+
+    def read(self, name: str) -> bytes:
+        """Returns what a file holds; empty where there is none."""
+
+    def replace(self, name: str, payload: bytes) -> None:
+        """Replaces what a file holds, durably: all of it or nothing."""
+
+    def list(self) -> tuple[str, ...]:
+        """Returns the names of all files, sorted."""
+
+    def remove(self, name: str) -> None:
+        """Removes a file, durably."""
+
+    def close(self) -> None:
+        """Releases the folder for another process."""
+
+
+class SystemDisk:
+    """A folder of this machine."""
+
+    def __init__(self, folder: Path, lock: int) -> None:
+        """Uses a folder whose lock file is held as descriptor `lock`."""
+        self._folder = folder
+        self._lock = lock
+        self._descriptors: dict[str, int] = {}
+
+    @classmethod
+    def open(cls, folder: str, fleet: str) -> 'SystemDisk':
+        """Locks a folder, which is made if needed, for this process.
+
+        Raises `JournalError` where the folder is in use, of another fleet
+        or can't be written.
+        """
+        path = Path(folder)
+        try:
+            disk = cls(path, _lock_folder(path))
+        except OSError as error:
+            raise JournalError(f'data folder "{folder}": {error}') from error
+        try:
+            disk._check_fleet(fleet)
+        except (JournalError, OSError) as error:
+            disk.close()
+            raise JournalError(f'data folder "{folder}": {error}') from error
+        return disk
+
+    def append(self, name: str, payload: bytes) -> None:
+        """Adds bytes at the end of a file, which is made if needed."""
+        descriptor = self._descriptors.get(name)
+        if descriptor is None:
+            descriptor = self._open_to_append(name)
+        _write_all(descriptor, payload)
+
+    def sync(self, name: str) -> None:
+        """Makes everything appended to a file durable."""
+        descriptor = self._descriptors.get(name)
+        if descriptor is not None:
+            fsync(descriptor)
+
+    def read(self, name: str) -> bytes:
+        """Returns what a file holds; empty where there is none."""
+        with suppress(FileNotFoundError):
+            return (self._folder / name).read_bytes()
+        return b''
+
+    def replace(self, name: str, payload: bytes) -> None:
+        """Replaces what a file holds, durably: all of it or nothing."""
+        self._forget(name)
+        fresh = self._folder / (name + _NEW_SUFFIX)
+        fresh.unlink(missing_ok=True)
+        with _opened(fresh, O_WRONLY | O_CREAT) as descriptor:
+            _write_all(descriptor, payload)
+            fsync(descriptor)
+        fresh.rename(self._folder / name)
+        self._sync_folder()
+
+    def list(self) -> tuple[str, ...]:
+        """Returns the names of all files, sorted."""
+        names = {entry.name for entry in self._folder.iterdir()}
+        return tuple(sorted(names - {_LOCK_NAME, _FLEET_NAME}))
+
+    def remove(self, name: str) -> None:
+        """Removes a file, durably."""
+        self._forget(name)
+        (self._folder / name).unlink(missing_ok=True)
+        self._sync_folder()
+
+    def close(self) -> None:
+        """Releases the folder for another process."""
+        for name in tuple(self._descriptors):
+            self._forget(name)
+        close_descriptor(self._lock)
+
+    def _check_fleet(self, fleet: str) -> None:
+        for name in self.list():
+            if name.endswith(_NEW_SUFFIX):
+                self.remove(name)
+        marked = self.read(_FLEET_NAME).decode(errors='replace')
+        if not marked and not self.list():
+            self.replace(_FLEET_NAME, fleet.encode())
+            return
+        if marked != fleet:
+            raise JournalError(
+                f'it belongs to fleet "{marked}", not "{fleet}": '
+                + 'set another data folder',
+            )
+
+    def _open_to_append(self, name: str) -> int:
+        descriptor = open_descriptor(
+            self._folder / name,
+            O_WRONLY | O_CREAT | O_APPEND,
+            _FILE_MODE,
+        )
+        self._descriptors[name] = descriptor
+        self._sync_folder()
+        return descriptor
+
+    def _forget(self, name: str) -> None:
+        descriptor = self._descriptors.pop(name, None)
+        if descriptor is not None:
+            close_descriptor(descriptor)
+
+    def _sync_folder(self) -> None:
+        with _opened(self._folder, O_RDONLY) as descriptor:
+            fsync(descriptor)
+
+
+def _lock_folder(folder: Path) -> int:
+    folder.mkdir(mode=_FOLDER_MODE, parents=True, exist_ok=True)
+    descriptor = open_descriptor(
+        folder / _LOCK_NAME,
+        O_RDWR | O_CREAT,
+        _FILE_MODE,
+    )
+    try:
+        flock(descriptor, LOCK_EX | LOCK_NB)
+    except BlockingIOError as error:
+        close_descriptor(descriptor)
+        raise JournalError(
+            f'data folder "{folder}" is in use by another process: '
+            + 'stop that process or set another data folder',
+        ) from error
+    return descriptor
+
+
+def _write_all(descriptor: int, payload: bytes) -> None:
+    rest = memoryview(payload)
+    while rest:
+        rest = rest[write_descriptor(descriptor, rest) :]
+
+
+@contextmanager
+def _opened(path: Path, flags: int) -> Iterator[int]:
+    descriptor = open_descriptor(path, flags, _FILE_MODE)
+    try:
+        yield descriptor
+    finally:
+        close_descriptor(descriptor)
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/journal.py
@@ -0,0 +1,214 @@
+"""A journal: records that last once they are synced, in one file.
+
+Each record is its length, the checksums of its header and its bytes, the
+bytes, and an end mark that is never zero. So a record that was never written
+whole can be told from one that was damaged later: the first is cut off, the
+second raises `JournalError`.
+"""
+
+from asyncio import Task, create_task, shield, to_thread
+from collections.abc import Iterable
+from struct import Struct
+from typing import NamedTuple
+from zlib import crc32
+
+from bilberry_core.disk import Disk
+from bilberry_core.error import JournalError
+
+_MAGIC = b'BILBERRY-JOURNAL-1\n'
+_SIZES = Struct('>II')
+_CHECK = Struct('>I')
+_HEADER_BYTES = _SIZES.size + _CHECK.size
+_END_MARK = b'\xa5'
+_ZERO = b'\0'
+_ADVICE = (
+    'keep a copy of the data folder, empty it, and let this replica '
+    + 'catch up from the others'
+)
+
+
+class _Write(NamedTuple):
+    """Bytes to append, or to replace the file with."""
+
+    payload: bytes
+    replaces: bool = False
+
+
+class Journal:
+    """Records of one file of a disk.
+
+    `append` and `replace` only note what to write; `sync` writes it and makes
+    it durable, in a thread, for every caller that waits at the time. After a
+    failed sync every call raises `JournalError`: what the disk holds is not
+    known any more, so only a new start may read it.
+    """
+
+    def __init__(self, disk: Disk, name: str, size: int) -> None:
+        """Continues a file whose records were read; see `open`."""
+        self._disk = disk
+        self._name = name
+        self._size = size
+        self._writes: list[_Write] = []
+        self._noted = 0
+        self._durable = 0
+        self._flush: Task[None] | None = None
+        self._failure = ''
+
+    @classmethod
+    def open(cls, disk: Disk, name: str) -> tuple['Journal', list[bytes]]:
+        """Returns the journal of a file and the records it holds.
+
+        A last record that was never written whole is cut off. Raises
+        `JournalError` where records are damaged.
+        """
+        try:
+            return cls._load(disk, name)
+        except OSError as error:
+            raise JournalError(f'file "{name}": {error}') from error
+
+    @property
+    def size(self) -> int:
+        """Bytes of the file, with what was noted and not yet written."""
+        return self._size
+
+    @property
+    def failure(self) -> str:
+        """Why the journal can't be used any more; empty while it can."""
+        return self._failure
+
+    def append(self, record: bytes) -> None:
+        """Notes a record, which lasts after the next `sync`."""
+        self._check_usable()
+        payload = _encode_record(record)
+        self._note(_Write(payload))
+        self._size += len(payload)
+
+    def replace(self, records: Iterable[bytes]) -> None:
+        """Notes that `records` take the place of all noted before."""
+        self._check_usable()
+        payload = _MAGIC + b''.join(map(_encode_record, records))
+        self._writes.clear()
+        self._note(_Write(payload, replaces=True))
+        self._size = len(payload)
+
+    async def sync(self) -> None:
+        """Makes everything noted so far durable."""
+        self._check_usable()
+        wanted = self._noted
+        while self._durable < wanted:
+            if self._flush is None:
+                self._flush = create_task(self._flush_in_thread())
+            await shield(self._flush)
+            self._check_usable()
+
+    def sync_now(self) -> None:
+        """Makes everything noted so far durable, in the calling thread."""
+        self._check_usable()
+        noted = self._noted
+        self._perform(self._take_writes())
+        self._check_usable()
+        self._durable = noted
+
+    async def _flush_in_thread(self) -> None:
+        noted = self._noted
+        await to_thread(self._perform, self._take_writes())
+        if not self._failure:
+            self._durable = noted
+        self._flush = None
+
+    def _perform(self, writes: list[_Write]) -> None:
+        try:
+            _write(self._disk, self._name, writes)
+        except OSError as error:
+            self._failure = (
+                f'file "{self._name}" could not be written: {error}; '
+                + 'mend the disk, then restart this replica'
+            )
+
+    def _take_writes(self) -> list[_Write]:
+        writes = self._writes
+        self._writes = []
+        return writes
+
+    def _note(self, write: _Write) -> None:
+        self._writes.append(write)
+        self._noted += 1
+
+    def _check_usable(self) -> None:
+        if self._failure:
+            raise JournalError(self._failure)
+
+    @classmethod
+    def _load(cls, disk: Disk, name: str) -> tuple['Journal', list[bytes]]:
+        held = disk.read(name)
+        if len(held) < len(_MAGIC) and _MAGIC.startswith(held):
+            disk.replace(name, _MAGIC)
+            return cls(disk, name, len(_MAGIC)), []
+        if not held.startswith(_MAGIC):
+            raise JournalError(f'file "{name}" is no journal: {_ADVICE}')
+        records, end = _read_records(name, held)
+        if end < len(held):
+            disk.replace(name, held[:end])
+        return cls(disk, name, end), records
+
+
+def _write(disk: Disk, name: str, writes: list[_Write]) -> None:
+    if writes and writes[0].replaces:
+        disk.replace(name, writes[0].payload)
+        writes = writes[1:]
+    if writes:
+        disk.append(name, b''.join(write.payload for write in writes))
+        disk.sync(name)
+
+
+def _encode_record(record: bytes) -> bytes:
+    sizes = _SIZES.pack(len(record), crc32(record))
+    return sizes + _CHECK.pack(crc32(sizes)) + record + _END_MARK
+
+
+def _read_records(name: str, held: bytes) -> tuple[list[bytes], int]:
+    records: list[bytes] = []
+    start = len(_MAGIC)
+    while start < len(held):
+        end = _find_end(held, start)
+        if not _is_whole(held, start, end):
+            if _is_torn(held, start, end):
+                break
+            raise JournalError(
+                f'file "{name}" is damaged at byte {start}: {_ADVICE}',
+            )
+        records.append(held[start + _HEADER_BYTES : end - 1])
+        start = end
+    return records, start
+
+
+def _find_end(held: bytes, start: int) -> int:
+    """Returns where the record ends, 0 where its header is damaged."""
+    header = held[start : start + _HEADER_BYTES]
+    if len(header) < _HEADER_BYTES:
+        return 0
+    if _CHECK.pack(crc32(header[: _SIZES.size])) != header[_SIZES.size :]:
+        return 0
+    size, _ = _SIZES.unpack_from(header)
+    return start + _HEADER_BYTES + size + 1
+
+
+def _is_whole(held: bytes, start: int, end: int) -> bool:
+    if not end or end > len(held):
+        return False
+    _, checksum = _SIZES.unpack_from(held, start)
+    body = held[start + _HEADER_BYTES : end - 1]
+    return crc32(body) == checksum and held[end - 1 : end] == _END_MARK
+
+
+def _is_torn(held: bytes, start: int, end: int) -> bool:
+    """Tells whether a record was never written whole.
+
+    Then the file ends within it, or with zeros in place of its end.
+    """
+    if end > len(held):
+        return True
+    written = len(held.rstrip(_ZERO)) - start
+    if end:
+        return written < end - start
+    return written < _HEADER_BYTES
--- /dev/null
+++ b/tests/bilberry_core/fake_disk.py
@@ -0,0 +1,65 @@
+"""A disk in memory that forgets, tears, flips and fails as told."""
+
+from collections.abc import Callable
+
+
+class FakeDisk:
+    """Files of which only the synced part survives `crash`.
+
+    `before_sync` is called with the name of the file before each sync and
+    replace, and may raise `OSError`.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.files: dict[str, bytearray] = {}
+        self.synced: dict[str, int] = {}
+        self.syncs = 0
+        self.before_sync: Callable[[str], None] = _pass
+
+    def append(self, name: str, payload: bytes) -> None:
+        """Adds bytes at the end of a file."""
+        self.files.setdefault(name, bytearray()).extend(payload)
+
+    def sync(self, name: str) -> None:
+        """Makes a file durable."""
+        self.before_sync(name)
+        self.syncs += 1
+        self.synced[name] = len(self.files.get(name, b''))
+
+    def read(self, name: str) -> bytes:
+        """Returns what a file holds."""
+        return bytes(self.files.get(name, b''))
+
+    def replace(self, name: str, payload: bytes) -> None:
+        """Replaces what a file holds, durably."""
+        self.before_sync(name)
+        self.files[name] = bytearray(payload)
+        self.synced[name] = len(payload)
+
+    def list(self) -> tuple[str, ...]:
+        """Returns the names of all files."""
+        return tuple(sorted(self.files))
+
+    def remove(self, name: str) -> None:
+        """Removes a file."""
+        self.files.pop(name, None)
+        self.synced.pop(name, None)
+
+    def close(self) -> None:
+        """Does nothing."""
+
+    def crash(self, kept: int = 0) -> None:
+        """Loses what was not synced, but for its first `kept` bytes."""
+        for name, held in self.files.items():
+            del held[self.synced.get(name, 0) + kept :]
+            self.synced[name] = len(held)
+
+    def flip(self, name: str, bit: int) -> None:
+        """Flips one bit of a file."""
+        position, shift = divmod(bit, 8)
+        self.files[name][position] ^= 1 << shift
+
+
+def _pass(_name: str) -> None:
+    """Lets a sync succeed."""
--- /dev/null
+++ b/tests/bilberry_core/test_disk.py
@@ -0,0 +1,73 @@
+"""Data folders: one process, one fleet, replacement whole or not at all."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from bilberry_core.disk import SystemDisk
+from bilberry_core.error import JournalError
+
+
+class SystemDiskTest(TestCase):
+    """A folder of this machine."""
+
+    def setUp(self):
+        """Makes a folder for the test."""
+        super().setUp()
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = str(Path(folder.name) / 'data')
+
+    def open_disk(self, fleet: str = 'one') -> SystemDisk:
+        """Opens the folder and closes it after the test."""
+        disk = SystemDisk.open(self.folder, fleet)
+        self.addCleanup(disk.close)
+        return disk
+
+    def test_folder_opens_once(self):
+        """A folder in use is refused, and free again after close."""
+        disk = SystemDisk.open(self.folder, 'one')
+        self.assertRaises(JournalError, SystemDisk.open, self.folder, 'one')
+        disk.close()
+        self.open_disk()
+
+    def test_other_fleet_is_refused(self):
+        """A folder keeps the fleet that it was first used for."""
+        SystemDisk.open(self.folder, 'one').close()
+        error = self.assertRaises(
+            JournalError,
+            SystemDisk.open,
+            self.folder,
+            'two',
+        )
+        self.assertIn('fleet "one"', str(error))
+        self.open_disk()
+
+    def test_files_without_a_marker_are_refused(self):
+        """A folder with files of unknown origin is not taken over."""
+        Path(self.folder).mkdir()
+        (Path(self.folder) / 'stray').write_bytes(b'1')
+        self.assertRaises(JournalError, SystemDisk.open, self.folder, 'one')
+
+    def test_appended_and_replaced_bytes_are_read(self):
+        """Appends go to the file that the last replacement made."""
+        disk = self.open_disk()
+        disk.append('log', b'old')
+        disk.replace('log', b'a')
+        disk.append('log', b'b')
+        disk.sync('log')
+        self.assertEqual(b'ab', disk.read('log'))
+        self.assertEqual(('log',), disk.list())
+        disk.remove('log')
+        self.assertEqual(b'', disk.read('log'))
+
+    def test_half_written_replacement_is_dropped(self):
+        """What a crash left of a replacement does not survive a start."""
+        disk = SystemDisk.open(self.folder, 'one')
+        disk.replace('log', b'whole')
+        disk.append('log.new', b'ha')
+        disk.close()
+        disk = self.open_disk()
+        self.assertEqual(('log',), disk.list())
+        self.assertEqual(b'whole', disk.read('log'))
--- /dev/null
+++ b/tests/bilberry_core/test_journal.py
@@ -0,0 +1,122 @@
+"""Journals: what was synced is read back, damage is never passed over."""
+
+from asyncio import gather, run
+from errno import EIO
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.error import JournalError
+from bilberry_core.journal import Journal
+from tests.bilberry_core.fake_disk import FakeDisk
+
+NAME = 'log'
+RECORDS = st.lists(st.binary(max_size=30), min_size=1, max_size=5)
+
+
+def write(disk: FakeDisk, records: list[bytes]) -> Journal:
+    """Appends and syncs records."""
+    journal, _ = Journal.open(disk, NAME)
+    for record in records:
+        journal.append(record)
+    journal.sync_now()
+    return journal
+
+
+def read(disk: FakeDisk) -> list[bytes]:
+    """Returns the records of the disk."""
+    return Journal.open(disk, NAME)[1]
+
+
+def fail(_name: str) -> None:
+    """Fails a sync."""
+    raise OSError(EIO, 'input/output error')
+
+
+class JournalTest(TestCase):
+    """Journals on a disk that fails."""
+
+    @given(RECORDS, RECORDS, st.integers(0, 200))
+    def test_torn_tail_is_cut_and_nothing_synced_is(self, kept, lost, bytes_):
+        """A crash loses whole records of the unsynced tail only."""
+        disk = FakeDisk()
+        write(disk, kept)
+        end = disk.synced[NAME]
+        write(disk, lost)
+        disk.synced[NAME] = end
+        disk.crash(bytes_)
+        records = read(disk)
+        self.assertEqual(kept, records[: len(kept)])
+        self.assertEqual(lost[: len(records) - len(kept)], records[len(kept) :])
+        write(disk, [b'later'])
+        self.assertEqual([*records, b'later'], read(disk))
+
+    @given(RECORDS, st.integers(0))
+    def test_any_flipped_bit_stops_the_journal(self, records, bit):
+        """Damage to what was synced raises, also in the last record."""
+        disk = FakeDisk()
+        write(disk, records)
+        disk.flip(NAME, bit % (len(disk.files[NAME]) * 8))
+        error = self.assertRaises(JournalError, read, disk)
+        self.assertIn('data folder', str(error))
+
+    @given(RECORDS, st.binary(min_size=1, max_size=30), st.integers(1))
+    def test_zeros_in_place_of_the_end_are_a_torn_tail(self, kept, last, cut):
+        """A file that grew before its bytes arrived is cut."""
+        disk = FakeDisk()
+        write(disk, kept)
+        start = disk.synced[NAME]
+        write(disk, [last])
+        held = disk.files[NAME]
+        zeros = 1 + cut % (len(held) - start)
+        disk.files[NAME] = held[:-zeros] + bytes(zeros)
+        self.assertEqual(kept, read(disk))
+
+    def test_failed_sync_is_final(self):
+        """After a failed sync nothing is taken, though the disk is well."""
+
+        async def scenario() -> None:
+            disk = FakeDisk()
+            journal, _ = Journal.open(disk, NAME)
+            journal.append(b'1')
+            disk.before_sync = fail
+            with self.assertRaisesRegex(JournalError, 'mend the disk'):
+                await journal.sync()
+            disk.before_sync = len
+            with self.assertRaises(JournalError):
+                await journal.sync()
+            self.assertRaises(JournalError, journal.append, b'2')
+            self.assertRaises(JournalError, journal.replace, [])
+
+        run(scenario())
+
+    def test_waiting_callers_share_a_sync(self):
+        """Many callers that wait at once cost few syncs."""
+
+        async def scenario() -> int:
+            disk = FakeDisk()
+            journal, _ = Journal.open(disk, NAME)
+
+            async def write_one(record: int) -> None:
+                journal.append(b'%d' % record)
+                await journal.sync()
+
+            await gather(*map(write_one, range(100)))
+            self.assertEqual(100, len(read(disk)))
+            return disk.syncs
+
+        self.assertLessEqual(run(scenario()), 2)
+
+    @given(RECORDS, RECORDS, RECORDS)
+    def test_replaced_records_are_gone(self, before, records, after):
+        """A replacement covers what was noted before, synced or not."""
+        disk = FakeDisk()
+        journal = write(disk, before)
+        journal.append(b'noted')
+        journal.replace(records)
+        for record in after:
+            journal.append(record)
+        journal.sync_now()
+        self.assertEqual([*records, *after], read(disk))
+        self.assertEqual(len(disk.files[NAME]), journal.size)
