Keep claims with a majority of holders

A non-idempotent request must run at most once, also when it is sent again through another proxy. Each holder gives one durable vote for each key; a majority of votes for one token grants the claim. One round trip and one sync, where agreement by ballots takes two: the value agreed on is the attempt of one proxy, so another proxy that finishes its ballot would learn only that it must not dispatch, which the votes already tell it.

Each round has a token of its own, so a reply that comes late never counts in a later round. A folder that was lost has a new generation that the others note before they hand claims over, so a vote that it gave before does not count beside theirs.

--- /dev/null
+++ b/packages/bilberry_claims/bilberry_claims/broadcast.py
@@ -0,0 +1,120 @@
+"""Telling every holder of an epoch one fact about a token, until they know.
+
+The fact is an answer to store or a withdrawal. A majority confirms it; the
+others are told again as long as the client goes on.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from bilberry_claims.decision import is_confirmed
+from bilberry_claims.process import RESEND_S, Sent, Tools
+from bilberry_claims.quorum import is_epoch_quorum, list_members
+from bilberry_core.board import ClaimEpoch
+from bilberry_core.claim import Attempt, StoredAnswer
+from bilberry_core.messages.claim import (
+    ClaimRefused,
+    ClaimRequest,
+    ClaimSettle,
+    ClaimState,
+    ClaimWithdraw,
+)
+
+
+class Fact(NamedTuple):
+    """What is told: the answer of a token, or its withdrawal if None."""
+
+    attempt: Attempt
+    token: bytes
+    answer: StoredAnswer | None = None
+
+    def build_message(self, request: int, epoch: int) -> ClaimRequest:
+        """Returns the message that tells it."""
+        claim = self.attempt.claim
+        if self.answer is None:
+            return ClaimWithdraw(request, epoch, claim, self.token)
+        return ClaimSettle(
+            request,
+            epoch,
+            claim,
+            self.token,
+            self.attempt.fingerprint,
+            self.attempt.retention_s,
+            self.answer,
+        )
+
+    def is_known(self, state: ClaimState) -> bool:
+        """Returns whether the holder knows it durably."""
+        if self.answer is None:
+            return self.token in state.withdrawn
+        is_settled = state.answer is not None or state.is_dropped
+        return is_settled and state.token == self.token
+
+
+class Broadcast:
+    """One fact on its way to the holders.
+
+    `on_confirmed` is called once, when a majority knows.
+    """
+
+    def __init__(self, fact: Fact, tools: Tools) -> None:
+        """Starts without an epoch; `begin` gives one."""
+        self.request = 0
+        self.wait_s = RESEND_S
+        self.is_confirmed = False
+        self.on_confirmed: Callable[[], None] = _do_nothing
+        self._fact = fact
+        self._tools = tools
+        self._epoch: ClaimEpoch | None = None
+        self._known: dict[str, ClaimState] = {}
+
+    def is_ended(self) -> bool:
+        """Returns whether every holder knows."""
+        if self._epoch is None:
+            return False
+        return self._known.keys() >= list_members(self._epoch).keys()
+
+    def begin(self, epoch: ClaimEpoch) -> tuple[Sent, ...]:
+        """Tells the holders of this epoch."""
+        self._epoch = epoch
+        self._known.clear()
+        self.request = self._tools.next_request()
+        return self.tick()
+
+    def receive(
+        self,
+        instance: str,
+        reply: ClaimState | ClaimRefused,
+    ) -> tuple[Sent, ...]:
+        """Takes a holder's reply."""
+        if not self.request or reply.request != self.request:
+            return ()
+        if isinstance(reply, ClaimState) and self._fact.is_known(reply):
+            self._known[instance] = reply
+            self._confirm()
+        return ()
+
+    def tick(self) -> tuple[Sent, ...]:
+        """Tells those again that have not confirmed."""
+        if self._epoch is None:
+            return ()
+        message = self._fact.build_message(self.request, self._epoch.epoch)
+        return tuple(
+            Sent(name, message)
+            for name in list_members(self._epoch)
+            if name not in self._known
+        )
+
+    def _confirm(self) -> None:
+        if not self.is_confirmed and self._has_majority():
+            self.is_confirmed = True
+            self.on_confirmed()
+
+    def _has_majority(self) -> bool:
+        if self._fact.answer is None:
+            return is_epoch_quorum(self._epoch, self._known, self._known)
+        return is_confirmed(self._epoch, self._known, self._known)
+
+
+def _do_nothing() -> None:
+    """Stands in for a handler that was not set."""
--- /dev/null
+++ b/packages/bilberry_claims/bilberry_claims/client.py
@@ -0,0 +1,165 @@
+"""The proxy's side of claims: asks the holders of the current epoch."""
+
+from asyncio import (
+    CancelledError,
+    Event,
+    create_task,
+    get_running_loop,
+    wait,
+)
+from collections import OrderedDict
+from itertools import count
+from logging import getLogger
+
+from bilberry_claims.broadcast import Broadcast, Fact
+from bilberry_claims.exchange import Exchange, Holders
+from bilberry_claims.limit import MAX_KEY_BYTES
+from bilberry_claims.process import ClaimProcess, Tools
+from bilberry_core.board import Board
+from bilberry_core.claim import (
+    Attempt,
+    ClaimOutcome,
+    Granted,
+    StoredAnswer,
+    Unavailable,
+)
+from bilberry_core.clock import Clock, RandomSource
+from bilberry_core.settings import Settings
+from bilberry_core.stream import Credentials
+
+_log = getLogger(__name__)
+
+#: How long holders that have not confirmed a fact are told it, in seconds.
+_TELL_S = 30.0
+#: Granted tokens remembered; the oldest are forgotten.
+_MAX_GRANTED = 100_000
+
+
+class ClaimClient:
+    """Claims requests with the claim holders."""
+
+    def __init__(
+        self,
+        board: Board,
+        credentials: Credentials,
+        clock: Clock,
+        random: RandomSource,
+    ) -> None:
+        """Opens no stream before the first claim."""
+        self._clock = clock
+        self._holders = Holders(board, credentials)
+        self._tools = Tools(count(1).__next__, random)
+        self._granted: OrderedDict[bytes, bytes] = OrderedDict()
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        board: Board,
+        credentials: Credentials,
+        clock: Clock,
+        random: RandomSource,
+    ) -> 'ClaimClient':
+        """Returns the client of one daemon."""
+        return cls(board, credentials, clock, random)
+
+    async def claim(self, attempt: Attempt, timeout_s: float) -> ClaimOutcome:
+        """Claims a request, waiting for another attempt's answer.
+
+        Each call takes an attempt of its own. After any outcome but
+        `Granted`, and after a cancellation, the attempt is never granted.
+        """
+        if len(attempt.claim.key.encode()) > MAX_KEY_BYTES:
+            return Unavailable(f'a key has at most {MAX_KEY_BYTES} bytes')
+        started = self._clock.now()
+        process = ClaimProcess(attempt, self._tools)
+        await self._decide(process, attempt, timeout_s)
+        if isinstance(process.outcome, Granted):
+            self._remember(attempt.attempt, process.token)
+        _log.info(
+            'claim_decided',
+            extra={
+                'service': attempt.claim.service,
+                'attempt': attempt.attempt.hex(),
+                'outcome': type(process.outcome).__name__,
+                'took_s': self._clock.now() - started,
+            },
+        )
+        return process.outcome
+
+    async def settle(
+        self,
+        attempt: Attempt,
+        answer: StoredAnswer,
+        timeout_s: float,
+    ) -> bool:
+        """Stores the answer; False where no majority confirmed it."""
+        token = self._granted.pop(attempt.attempt, b'')
+        if not token:
+            return False
+        return await self._confirm(Fact(attempt, token, answer), timeout_s)
+
+    async def release(self, attempt: Attempt, timeout_s: float) -> bool:
+        """Frees a claim whose request was proven not run."""
+        token = self._granted.pop(attempt.attempt, b'')
+        if not token:
+            return False
+        return await self._confirm(Fact(attempt, token), timeout_s)
+
+    async def stop(self) -> None:
+        """Ends what is under way and closes every stream."""
+        self._holders.close()
+
+    def _remember(self, attempt: bytes, token: bytes) -> None:
+        self._granted[attempt] = token
+        if len(self._granted) > _MAX_GRANTED:
+            self._granted.popitem(last=False)
+
+    async def _decide(
+        self,
+        process: ClaimProcess,
+        attempt: Attempt,
+        timeout_s: float,
+    ) -> None:
+        exchange = Exchange(self._holders, process)
+        try:
+            await wait([exchange.done], timeout=timeout_s)
+        except CancelledError:
+            exchange.apply(process.give_up('cancelled'))
+            raise
+        finally:
+            self._end(exchange, process, attempt)
+
+    def _end(
+        self,
+        exchange: Exchange,
+        process: ClaimProcess,
+        attempt: Attempt,
+    ) -> None:
+        """Makes sure that a process without a grant never gets one."""
+        if process.outcome is None:
+            detail = 'no majority of the claim holders answered in time'
+            exchange.apply(process.give_up(detail))
+        exchange.close()
+        if process.withdrawn and not process.token:
+            fact = Fact(attempt, process.withdrawn)
+            self._tell(Broadcast(fact, self._tools))
+
+    async def _confirm(self, fact: Fact, timeout_s: float) -> bool:
+        broadcast = Broadcast(fact, self._tools)
+        confirmed = Event()
+        broadcast.on_confirmed = confirmed.set
+        exchange = self._tell(broadcast)
+        ended = create_task(confirmed.wait())
+        exchange.done.add_done_callback(lambda _done: ended.cancel())
+        await wait([ended], timeout=timeout_s)
+        ended.cancel()
+        return broadcast.is_confirmed
+
+    def _tell(self, broadcast: Broadcast) -> Exchange:
+        """Tells every holder, also after the caller has gone on."""
+        exchange = Exchange(self._holders, broadcast)
+        loop = get_running_loop()
+        timer = loop.call_later(_TELL_S, exchange.close)
+        exchange.done.add_done_callback(lambda _done: timer.cancel())
+        return exchange
--- /dev/null
+++ b/packages/bilberry_claims/bilberry_claims/decision.py
@@ -0,0 +1,118 @@
+"""What a proxy concludes from the holders' replies about one key.
+
+Plain functions over the replies of one round in one epoch.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+
+from bilberry_claims.quorum import (
+    find_outdated,
+    is_epoch_quorum,
+    list_members,
+)
+from bilberry_core.board import ClaimEpoch
+from bilberry_core.claim import (
+    Answered,
+    Attempt,
+    ClaimOutcome,
+    Mismatch,
+    Taken,
+)
+from bilberry_core.messages.claim import ClaimState
+
+Replies = Mapping[str, ClaimState]
+
+
+def is_granted(epoch: ClaimEpoch, replies: Replies, token: bytes) -> bool:
+    """Returns whether a majority of the holders voted for the token."""
+    voters = [name for name, one in replies.items() if one.token == token]
+    return bool(token) and is_confirmed(epoch, replies, voters)
+
+
+def is_confirmed(
+    epoch: ClaimEpoch,
+    replies: Replies,
+    agreeing: Collection[str],
+) -> bool:
+    """Returns whether the replies of the agreeing holders are a majority."""
+    standings = {name: one.standing for name, one in replies.items()}
+    valid = frozenset(agreeing) - find_outdated(standings)
+    return is_epoch_quorum(
+        epoch,
+        [name for name in valid if standings[name].counts],
+        [name for name in valid if standings[name].counts_previous],
+    )
+
+
+def find_settled(replies: Replies, attempt: Attempt) -> ClaimOutcome | None:
+    """Returns the outcome where the request is known to have run."""
+    for reply in replies.values():
+        if reply.answer is None and not reply.is_dropped:
+            continue
+        if reply.fingerprint != attempt.fingerprint:
+            return Mismatch()
+        if reply.answer is None:
+            return Taken()
+        return Answered(reply.answer)
+    return None
+
+
+def find_rivals(
+    replies: Replies,
+    own: bytes,
+    dead: Collection[bytes],
+) -> dict[str, ClaimState]:
+    """Returns the replies of holders that voted for another live token."""
+    return {
+        name: reply
+        for name, reply in replies.items()
+        if reply.token and reply.token != own and reply.token not in dead
+    }
+
+
+def is_possible(epoch: ClaimEpoch, without: Iterable[str]) -> bool:
+    """Returns whether the holders left could be a majority."""
+    left = frozenset(list_members(epoch)) - frozenset(without)
+    return is_epoch_quorum(epoch, left, left)
+
+
+def is_full(
+    epoch: ClaimEpoch,
+    replies: Replies,
+    rivals: Collection[str],
+) -> bool:
+    """Returns whether full holders keep everybody from a majority."""
+    refusing = [
+        name
+        for name, reply in replies.items()
+        if reply.is_full_store and not reply.token
+    ]
+    return not is_possible(epoch, {*refusing, *rivals})
+
+
+def find_winner(
+    epoch: ClaimEpoch,
+    rivals: Mapping[str, ClaimState],
+) -> ClaimState | None:
+    """Returns a rival that keeps all others from a majority."""
+    for reply in rivals.values():
+        voters = [
+            name for name, one in rivals.items() if one.token == reply.token
+        ]
+        if not is_possible(epoch, voters):
+            return reply
+    return None
+
+
+def judge_winner(winner: ClaimState, attempt: Attempt) -> ClaimOutcome | None:
+    """Returns the outcome where the rival holds the key for another body."""
+    if winner.fingerprint in {b'', attempt.fingerprint}:
+        return None
+    return Mismatch()
+
+
+def list_withdrawn(replies: Replies) -> frozenset[bytes]:
+    """Returns the tokens that some holder knows to be withdrawn."""
+    return frozenset(
+        token for reply in replies.values() for token in reply.withdrawn
+    )
--- /dev/null
+++ b/packages/bilberry_claims/bilberry_claims/exchange.py
@@ -0,0 +1,159 @@
+"""Drives processes and broadcasts on the event loop, over holders' streams.
+
+`Holders` keeps a link to each holder and hands replies to the exchange whose
+request they repeat. An `Exchange` sends, repeats, and follows the epoch.
+"""
+
+from asyncio import Future, TimerHandle, get_running_loop
+from collections.abc import Iterable
+from typing import Any, Protocol
+
+from bilberry_claims.link import HolderLink
+from bilberry_claims.process import Sent
+from bilberry_claims.quorum import list_members
+from bilberry_core.board import Board, ClaimEpoch
+from bilberry_core.messages.claim import ClaimRefused, ClaimState
+from bilberry_core.stream import Credentials
+
+
+class Exchanged(Protocol):
+    """A process or a broadcast: what is sent, without sockets and timers."""
+
+    request: int
+    wait_s: float
+
+    def begin(self, epoch: ClaimEpoch) -> tuple[Sent, ...]:
+        """Acts in this epoch from now on."""
+
+    def receive(
+        self,
+        instance: str,
+        reply: ClaimState | ClaimRefused,
+    ) -> tuple[Sent, ...]:
+        """Takes a holder's reply."""
+
+    def tick(self) -> tuple[Sent, ...]:
+        """Goes on after `wait_s`."""
+
+    def is_ended(self) -> bool:
+        """Returns whether there is nothing more to do."""
+
+
+class Holders:
+    """The links to all holders."""
+
+    def __init__(self, board: Board, credentials: Credentials) -> None:
+        """Opens no stream before the first message."""
+        self.board = board
+        self._credentials = credentials
+        self._links: dict[str, HolderLink] = {}
+        self._exchanges: dict[int, 'Exchange'] = {}
+
+    def send(self, sends: Iterable[Sent]) -> None:
+        """Sends each message to its holder, if it has an address."""
+        for instance, message in sends:
+            link = self._find_link(instance)
+            if link is not None:
+                link.send(message)
+
+    def expect(self, request: int, exchange: 'Exchange') -> None:
+        """Hands replies to this request to the exchange."""
+        self._exchanges[request] = exchange
+
+    def forget(self, request: int) -> None:
+        """Ignores replies to this request."""
+        self._exchanges.pop(request, None)
+
+    def close(self) -> None:
+        """Ends every exchange and closes every stream."""
+        for exchange in tuple(self._exchanges.values()):
+            exchange.close()
+        for link in self._links.values():
+            link.close()
+
+    def _find_link(self, instance: str) -> HolderLink | None:
+        link = self._links.get(instance)
+        epoch = self.board.claim_epoch.value
+        holder = list_members(epoch).get(instance)
+        if holder is None or (link is not None and link.holder == holder):
+            return link
+        if link is not None:
+            link.close()
+        link = HolderLink(self._credentials, holder, self._receive)
+        self._links[instance] = link
+        return link
+
+    def _receive(self, instance: str, reply: Any) -> None:
+        if not isinstance(reply, (ClaimState, ClaimRefused)):
+            return
+        exchange = self._exchanges.get(reply.request)
+        if exchange is not None:
+            exchange.receive(instance, reply)
+
+
+class Exchange:
+    """One process or broadcast on the event loop.
+
+    `done` has a result once the exchanged has ended or was closed.
+    """
+
+    def __init__(self, holders: Holders, exchanged: Exchanged) -> None:
+        """Begins in the current epoch, or as soon as one is known."""
+        self.done: Future[None] = get_running_loop().create_future()
+        self._holders = holders
+        self._exchanged = exchanged
+        self._request = 0
+        self._timer: TimerHandle | None = None
+        cell = holders.board.claim_epoch
+        self._unwatch = cell.watch(self._begin)
+        self._begin(cell.value)
+
+    def receive(self, instance: str, reply: ClaimState | ClaimRefused) -> None:
+        """Takes a holder's reply."""
+        wait_s = self._exchanged.wait_s
+        request = self._exchanged.request
+        self.apply(self._exchanged.receive(instance, reply))
+        if (wait_s, request) != (
+            self._exchanged.wait_s,
+            self._exchanged.request,
+        ):
+            self._restart_timer()
+
+    def apply(self, sends: tuple[Sent, ...]) -> None:
+        """Sends, and ends if nothing is left to do."""
+        self._holders.send(sends)
+        if self._exchanged.is_ended():
+            self.close()
+        elif self._exchanged.request != self._request:
+            self._holders.forget(self._request)
+            self._request = self._exchanged.request
+            self._holders.expect(self._request, self)
+
+    def close(self) -> None:
+        """Ends the exchange; later replies are ignored."""
+        if self.done.done():
+            return
+        self.done.set_result(None)
+        self._unwatch()
+        self._holders.forget(self._request)
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _begin(self, epoch: ClaimEpoch | None) -> None:
+        if epoch is None:
+            return
+        self.apply(self._exchanged.begin(epoch))
+        self._restart_timer()
+
+    def _tick(self) -> None:
+        self.apply(self._exchanged.tick())
+        self._restart_timer()
+
+    def _restart_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        if not self.done.done():
+            self._timer = get_running_loop().call_later(
+                self._exchanged.wait_s,
+                self._tick,
+            )
--- /dev/null
+++ b/packages/bilberry_claims/bilberry_claims/outbox.py
@@ -0,0 +1,74 @@
+"""Messages that wait until what they tell is durable."""
+
+from asyncio import Task, create_task
+from collections.abc import Callable, Iterable
+from logging import getLogger
+from typing import Any, NamedTuple
+
+from bilberry_core.error import JournalError
+from bilberry_core.journal import Journal
+
+_log = getLogger(__name__)
+
+
+class Posted(NamedTuple):
+    """A message, and what sends it."""
+
+    send: Callable[[Any], None]
+    message: Any
+
+
+class Outbox:
+    """Makes records durable, then sends what was posted with them.
+
+    Everything posted while a sync runs shares the next one. After a failed
+    sync nothing is sent any more.
+    """
+
+    def __init__(
+        self, journal: Journal, after_sync: Callable[[], None]
+    ) -> None:
+        """Calls `after_sync` after each sync, before it sends."""
+        self._journal = journal
+        self._after_sync = after_sync
+        self._posted: list[Posted] = []
+        self._sending: Task[None] | None = None
+
+    def post(
+        self,
+        records: Iterable[bytes],
+        posted: Iterable[Posted] = (),
+    ) -> None:
+        """Notes records, and messages to send once they are durable."""
+        if self._journal.failure:
+            return
+        for record in records:
+            self._journal.append(record)
+        self._posted.extend(posted)
+        if self._sending is None:
+            self._sending = create_task(self._send())
+
+    async def flush(self) -> None:
+        """Waits until everything posted is sent."""
+        while self._sending is not None:
+            await self._sending
+
+    async def _send(self) -> None:
+        try:
+            await self._send_batches()
+        except JournalError as error:
+            self._posted.clear()
+            _log.critical('claim_journal_failed', extra={'cause': str(error)})
+        finally:
+            self._sending = None
+
+    async def _send_batches(self) -> None:
+        while True:
+            batch = self._posted
+            self._posted = []
+            await self._journal.sync()
+            self._after_sync()
+            for one in batch:
+                one.send(one.message)
+            if not self._posted:
+                return
--- /dev/null
+++ b/packages/bilberry_claims/bilberry_claims/table.py
@@ -0,0 +1,167 @@
+"""The claims of one holder: bounded, expiring, encoded in memory.
+
+Each method that changes something returns the encoded record that the caller
+must make durable before it answers; None where nothing changed.
+"""
+
+from collections.abc import Mapping
+from heapq import heappop, heappush
+
+from msgpack import packb
+
+from bilberry_claims.limit import WITHDRAWN_MS, ClaimLimits
+from bilberry_claims.record import (
+    ClaimRecord,
+    decode_record,
+    encode_record,
+    free_record,
+    merge_records,
+)
+from bilberry_core.claim import ClaimKey
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.messages.claim import ClaimSettle, ClaimVote
+
+
+class ClaimTable:
+    """Records by key."""
+
+    def __init__(self, limits: ClaimLimits) -> None:
+        """Starts empty."""
+        self._limits = limits
+        self._encoded: dict[bytes, bytes] = {}
+        self._expiries: list[tuple[int, bytes]] = []
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        """Returns the number of keys."""
+        return len(self._encoded)
+
+    @property
+    def encoded_bytes(self) -> int:
+        """Size of all records, in bytes."""
+        return self._bytes
+
+    @property
+    def stored(self) -> Mapping[bytes, bytes]:
+        """Encoded records by encoded key."""
+        return self._encoded
+
+    def read(self, claim: ClaimKey) -> ClaimRecord:
+        """Returns the record of a key; a free one where there is none."""
+        encoded = self._encoded.get(_encode_key(claim))
+        return ClaimRecord(claim) if encoded is None else decode_record(encoded)
+
+    def is_full(self) -> bool:
+        """Returns whether new keys must be refused."""
+        return (
+            len(self._encoded) >= self._limits.max_claims
+            or self._bytes >= self._limits.max_bytes
+        )
+
+    def vote(self, asked: ClaimVote, now_ms: int) -> bytes | None:
+        """Votes for a token where the key is free and there is room."""
+        record = self.read(asked.claim)
+        if record.token or asked.token in record.withdrawn:
+            return None
+        if not self._has_room(record):
+            return None
+        return self._write(
+            record._replace(
+                token=asked.token,
+                fingerprint=asked.fingerprint,
+                expires_ms=now_ms + asked.retention_s * MS_PER_S,
+            ),
+            now_ms,
+        )
+
+    def settle(self, asked: ClaimSettle, now_ms: int) -> bytes | None:
+        """Stores the answer of a token that was granted."""
+        record = self.read(asked.claim)
+        if record.is_settled or not self._has_room(record):
+            return None
+        size = len(packb(asked.answer))
+        is_dropped = (
+            size > self._limits.max_answer_bytes
+            or self._bytes + size > self._limits.max_bytes
+        )
+        return self._write(
+            record._replace(
+                token=asked.token,
+                fingerprint=asked.fingerprint,
+                expires_ms=now_ms + asked.retention_s * MS_PER_S,
+                answer=None if is_dropped else asked.answer,
+                is_dropped=is_dropped,
+            ),
+            now_ms,
+        )
+
+    def withdraw(
+        self,
+        claim: ClaimKey,
+        token: bytes,
+        now_ms: int,
+    ) -> bytes | None:
+        """Frees the key from a token, which gets no vote later either."""
+        record = self.read(claim)
+        freed = free_record(record, token)
+        if freed is record or not self._has_room(record):
+            return None
+        if not freed.token:
+            freed = freed._replace(expires_ms=now_ms + WITHDRAWN_MS)
+        return self._write(freed, now_ms)
+
+    def merge(self, encoded: bytes, now_ms: int) -> bytes | None:
+        """Takes over what another holder knows of a key."""
+        other = decode_record(encoded)
+        if other.expires_ms <= now_ms:
+            return None
+        own = self.read(other.claim)
+        merged = merge_records(own, other)
+        return None if merged == own else self._write(merged, now_ms)
+
+    def load(self, encoded: bytes, now_ms: int) -> None:
+        """Takes a record from the journal; later ones replace it."""
+        record = decode_record(encoded)
+        self._write(record, now_ms)
+        if record.expires_ms <= now_ms:
+            self._drop(_encode_key(record.claim))
+
+    def expire(self, now_ms: int) -> int:
+        """Drops the records that have expired and returns their number."""
+        before = len(self._encoded)
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, key = heappop(self._expiries)
+            encoded = self._encoded.get(key)
+            if encoded is None:
+                continue
+            expires_ms = decode_record(encoded).expires_ms
+            if expires_ms > now_ms:
+                heappush(self._expiries, (expires_ms, key))
+            else:
+                self._drop(key)
+        return before - len(self._encoded)
+
+    def _has_room(self, record: ClaimRecord) -> bool:
+        return bool(record.expires_ms) or not self.is_full()
+
+    def _write(self, record: ClaimRecord, now_ms: int) -> bytes:
+        check_ms = now_ms + WITHDRAWN_MS
+        key = _encode_key(record.claim)
+        encoded = encode_record(record)
+        held = self._encoded.get(key)
+        if held is None:
+            heappush(self._expiries, (min(record.expires_ms, check_ms), key))
+            self._bytes += len(key)
+        else:
+            self._bytes -= len(held)
+        self._encoded[key] = encoded
+        self._bytes += len(encoded)
+        return encoded
+
+    def _drop(self, key: bytes) -> None:
+        encoded = self._encoded.pop(key)
+        self._bytes -= len(encoded) + len(key)
+
+
+def _encode_key(claim: ClaimKey) -> bytes:
+    return packb(claim)
--- /dev/null
+++ b/tests/bilberry_claims/fleet.py
@@ -0,0 +1,139 @@
+"""Claim holders and clients of one fleet in this process, on loopback."""
+
+from asyncio import create_task, sleep, wait_for
+from random import Random
+
+from bilberry_claims.client import ClaimClient
+from bilberry_claims.holder import HolderController
+from bilberry_core.board import Board, ClaimEpoch, Holder
+from bilberry_core.claim import Attempt, ClaimKey, StoredAnswer
+from bilberry_core.clock import SystemClock
+from bilberry_core.endpoint import Address
+from bilberry_core.settings import ListenSettings, Role, Settings
+from bilberry_core.stream import Credentials, StreamListener
+from tests.bilberry_core.fake_disk import FakeDisk
+
+TIMEOUT_S = 20
+ANSWER = StoredAnswer(201, ((b'location', b'/booking/1'),), b'booked')
+_ANYWHERE = Address('127.0.0.1', 0)
+
+
+def make_attempt(attempt, key='k', body=b'body', retention_s=3600):
+    """Returns an attempt on a booking."""
+    return Attempt(ClaimKey('booking', key), attempt, body, retention_s)
+
+
+def make_settings(instance, domain='a'):
+    """Returns the settings of a replica."""
+    return Settings(
+        'fleet',
+        instance,
+        domain,
+        'north',
+        frozenset((Role.REPLICA,)),
+        ListenSettings(_ANYWHERE),
+        b'secret',
+    )
+
+
+class Replica:
+    """One holder, its listener and its disk."""
+
+    def __init__(self, instance, domain):
+        self.instance = instance
+        self.domain = domain
+        self.disk = FakeDisk()
+        self.address = _ANYWHERE
+        self.board = Board()
+
+    async def start(self, epoch=None):
+        """Listens, on the same port after a restart."""
+        settings = make_settings(self.instance, self.domain)
+        credentials = Credentials('fleet', self.instance, b'secret')
+        self.board = Board()
+        self.listener = StreamListener(credentials)
+        self.controller = HolderController.from_settings(
+            settings,
+            self.board,
+            self.listener,
+            self.disk,
+            SystemClock(),
+        )
+        self.board.claim_epoch.put(epoch)
+        self.address = await self.listener.listen(self.address)
+        self.running = create_task(self.controller.run())
+
+    async def stop(self):
+        """Ends gracefully."""
+        await self.controller.stop()
+        await self.running
+        self.listener.close()
+
+    async def crash(self):
+        """Ends at once and loses what was not synced."""
+        self.running.cancel()
+        self.listener.close()
+        self.controller.close()
+        self.disk.crash()
+
+    @property
+    def holder(self):
+        """Where the holder accepts streams."""
+        return Holder(self.instance, *self.address, self.domain)
+
+
+class Fleet:
+    """Replicas and clients that share an epoch."""
+
+    def __init__(self, size=3):
+        self.replicas = [
+            Replica(f'replica-{index}', f'domain-{index % 3}')
+            for index in range(size)
+        ]
+        self.clients = []
+        self.boards = []
+        self.epoch = None
+
+    async def __aenter__(self):
+        for replica in self.replicas:
+            await replica.start()
+        self.announce(ClaimEpoch(1, tuple(one.holder for one in self.replicas)))
+        return self
+
+    async def __aexit__(self, *_error):
+        for client in self.clients:
+            await client.stop()
+        for replica in self.replicas:
+            await replica.stop()
+
+    def announce(self, epoch):
+        """Tells an epoch to all."""
+        self.epoch = epoch
+        for board in [one.board for one in self.replicas] + self.boards:
+            board.claim_epoch.put(epoch)
+
+    def add_client(self):
+        """Returns a new proxy's client."""
+        instance = f'proxy-{len(self.clients)}'
+        board = Board()
+        board.claim_epoch.put(self.epoch)
+        client = ClaimClient.from_settings(
+            make_settings(instance),
+            board,
+            Credentials('fleet', instance, b'secret'),
+            SystemClock(),
+            Random(len(self.clients)),
+        )
+        self.clients.append(client)
+        self.boards.append(board)
+        return client
+
+
+async def wait_until(condition):
+    """Returns once the condition holds."""
+
+    async def poll():
+        while not condition():
+            await sleep(0.001)
+
+    await wait_for(poll(), TIMEOUT_S)
