--- a/packages/bilberry_core/bilberry_core/messages/spread.py
+++ b/packages/bilberry_core/bilberry_core/messages/spread.py
@@ -12,6 +12,10 @@
 from bilberry_core.policy import CallPolicy
 
 
+#: Stands for the version of an instance that is no longer attached.
+DETACHED = -1
+
+
 @message(30)
 class Subscribe(NamedTuple):
     """A receiver says who it is and what it holds.
@@ -85,18 +89,33 @@
 class Held(NamedTuple):
     """A receiver runs this version; relays report it upwards in batches.
 
-    `versions` maps instances to versions.
+    `versions` maps instances to versions, or to `DETACHED`. `others` is the
+    version of every instance that was named before on this stream and is not
+    named now; 0 for no change.
     """
 
     versions: dict[str, int]
+    others: int = 0
+
+
+class EndpointKey(NamedTuple):
+    """Names one record of one endpoint."""
+
+    instance: str
+    incarnation: int
+    sequence: int
 
 
 @message(37)
 class EndpointUpdate(NamedTuple):
-    """Endpoint records; `complete` lists services whose set is whole."""
+    """Endpoint records; `complete` lists services whose set is whole.
+
+    `lapsed` names records whose lease ended at the sender.
+    """
 
     endpoints: tuple[Endpoint, ...]
     complete: tuple[str, ...] = ()
+    lapsed: tuple[EndpointKey, ...] = ()
 
 
 @message(38)
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/attachment.py
@@ -0,0 +1,251 @@
+"""Keeps a daemon attached to one source that is current.
+
+The sources are relays for a proxy, and replicas for a relay. The daemon stays
+with the first that admits it; where the beacon stands still it tries a source
+in another failure domain beside the one it has, and moves when that one has a
+newer beacon. Configurations and beacons are taken from both, only forward.
+"""
+
+from collections.abc import Callable
+from logging import getLogger
+from typing import Any, Protocol
+
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.messages.spread import (
+    BeaconUpdate,
+    Busy,
+    ConfigurationDelta,
+    ConfigurationSnapshot,
+    EpochUpdate,
+    Subscribe,
+)
+from bilberry_core.settings import Peer, Settings
+from bilberry_spread.edges import Edges, Link, send_if_open
+from bilberry_spread.pacing import DialTimer, SourcePicker
+from bilberry_spread.reception import Reception
+
+_log = getLogger(__name__)
+
+
+class Source:
+    """A source that this daemon is attached to, or tries."""
+
+    def __init__(self, peer: Peer, since: float) -> None:
+        """Starts without a stream, at monotonic time `since`."""
+        self.peer = peer
+        self.since = since
+        self.link: Link | None = None
+
+    def send(self, sent: Any) -> None:
+        """Sends a message if the stream is open."""
+        if self.link is not None:
+            send_if_open(self.link, sent)
+
+    def close(self) -> None:
+        """Ends the stream."""
+        if self.link is not None:
+            self.link.close()
+
+
+class AttachmentUser(Protocol):
+    """What an attachment serves: a proxy's endpoints, a relay's reports."""
+
+    def attached(self, source: Source) -> None:
+        """Called when the daemon is attached to another source."""
+
+    def receive(self, received: Any) -> None:
+        """Called with messages of the source that are not for everyone."""
+
+
+class Attachment:
+    """The streams to the source, and to the one that is tried."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        peers: tuple[Peer, ...],
+        reception: Reception,
+        edges: Edges,
+        user: AttachmentUser,
+    ) -> None:
+        """Prefers the sources in the order of `peers`."""
+        self._settings = settings
+        self._picker = SourcePicker(peers)
+        self._reception = reception
+        self._edges = edges
+        self._user = user
+        self._timer = DialTimer(edges.clock, edges.random)
+        self._main: Source | None = None
+        self._probe: Source | None = None
+
+    @property
+    def main(self) -> Source | None:
+        """The source that this daemon is attached to."""
+        return self._main
+
+    @property
+    def is_attached(self) -> bool:
+        """Whether a stream to a source is open."""
+        return self._main is not None and self._main.link is not None
+
+    def tick(self) -> None:
+        """Dials, probes and gives up what is due now."""
+        self._reception.tick()
+        self._check_behind()
+        self._check_probe()
+        if not self._timer.is_due:
+            return
+        if self._main is None:
+            self._main = self._dial(self._picker.pick(), 'attach')
+        elif self._probe is None and self._wants_probe():
+            peer = self._picker.pick_beside(self._main.peer)
+            self._probe = self._dial(peer, 'probe')
+
+    def stop(self) -> None:
+        """Ends both streams."""
+        sources = (self._main, self._probe)
+        self._main = None
+        self._probe = None
+        for source in sources:
+            if source is not None:
+                source.close()
+
+    def _wants_probe(self) -> bool:
+        return self._reception.is_stale or not self._reception.gate.is_open
+
+    def _check_behind(self) -> None:
+        stale_s = self._settings.timing.stale_ms / MS_PER_S
+        behind_s = self._reception.behind_s
+        if self._main is None or behind_s < stale_s:
+            return
+        self._reception.restart_behind()
+        self._main.close()
+        _log.warning(
+            'source_behind',
+            extra={'source': self._main.peer.instance, 'seconds': behind_s},
+        )
+
+    def _check_probe(self) -> None:
+        probe = self._probe
+        if probe is None:
+            return
+        waited = self._edges.clock.now() - probe.since
+        beacon_s = self._settings.timing.beacon_ms / MS_PER_S
+        if waited > 2 * beacon_s or not self._wants_probe():
+            self._probe = None
+            self._timer.fail()
+            probe.close()
+
+    def _dial(self, peer: Peer | None, why: str) -> Source | None:
+        if peer is None:
+            return None
+        source = Source(peer, self._edges.clock.now())
+        _log.info(
+            'relay_chosen',
+            extra={
+                'chosen': peer.instance,
+                'candidates': [one.instance for one in self._picker.peers],
+                'why': why,
+            },
+        )
+        self._edges.dialer.dial(
+            peer,
+            lambda link: self._opened(source, link),
+            lambda: self._closed(source),
+        )
+        return source
+
+    def _opened(self, source: Source, link: Link) -> None:
+        if source not in {self._main, self._probe}:
+            link.close()
+            return
+        source.link = link
+        link.receiver = lambda received: self._receive(source, received)
+        link.on_close = lambda: self._closed(source)
+        held = self._reception.receiver
+        source.send(
+            Subscribe(
+                self._settings.instance,
+                self._settings.failure_domain,
+                held.version,
+                held.digest,
+            ),
+        )
+        if not link.is_open:
+            self._closed(source)
+        elif source is self._main:
+            self._user.attached(source)
+
+    def _closed(self, source: Source) -> None:
+        if source is self._probe:
+            self._probe = None
+        elif source is self._main:
+            self._main = None
+            if self._probe is not None and self._probe.link is not None:
+                self._promote(self._probe)
+                return
+        else:
+            return
+        self._timer.fail()
+
+    def _promote(self, probe: Source) -> None:
+        before = self._main
+        self._main = probe
+        self._probe = None
+        if before is not None:
+            before.close()
+        _log.info(
+            'relay_moved',
+            extra={
+                'chosen': probe.peer.instance,
+                'before': before.peer.instance if before else '',
+                'why': 'beacon_stale' if before else 'source_closed',
+            },
+        )
+        self._user.attached(probe)
+
+    def _receive(self, source: Source, received: Any) -> None:
+        if source not in {self._main, self._probe}:
+            return
+        handler = self._handlers.get(type(received))
+        if handler is not None:
+            handler(self, source, received)
+        elif isinstance(received, EpochUpdate):
+            self._reception.receive_epoch(received.epoch)
+        elif source is self._main:
+            self._user.receive(received)
+
+    def _receive_busy(self, source: Source, busy: Busy) -> None:
+        self._timer.refuse(busy.retry_after_ms / MS_PER_S)
+        source.close()
+
+    def _receive_configuration(
+        self,
+        source: Source,
+        received: ConfigurationSnapshot | ConfigurationDelta,
+    ) -> None:
+        self._timer.succeed()
+        resend = self._reception.receive_configuration(
+            received,
+            source.peer.failure_domain,
+        )
+        if resend is not None:
+            source.send(resend)
+
+    def _receive_beacon(self, source: Source, update: BeaconUpdate) -> None:
+        was_stale = self._reception.is_stale
+        later = self._reception.receive_beacon(
+            update.beacon,
+            source.peer.failure_domain,
+        )
+        if later:
+            self._timer.succeed()
+        if later and was_stale and source is self._probe:
+            self._promote(source)
+
+    _handlers: dict[type, Callable[..., None]] = {
+        Busy: _receive_busy,
+        ConfigurationSnapshot: _receive_configuration,
+        ConfigurationDelta: _receive_configuration,
+        BeaconUpdate: _receive_beacon,
+    }
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/broadcast.py
@@ -0,0 +1,153 @@
+"""Tells the receivers of a relay what changes on its blackboard.
+
+Changes are gathered for a moment and sent in one flush, encoded once.
+"""
+
+from functools import partial
+
+from bilberry_core.board import Board, Suspect
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.settings import Settings
+from bilberry_spread.content import Content, Told
+from bilberry_spread.directory import RelayDirectory
+from bilberry_spread.edges import Edges
+from bilberry_spread.history import VersionHistory
+from bilberry_spread.mesh_receiver import MeshReceiver
+from bilberry_spread.receiver import Receiver
+from bilberry_spread.receivers import ReceiverSet
+from bilberry_spread.suspects import SuspectKey, merge_suspects
+from bilberry_spread.updates import EndpointUpdates
+
+#: Time in which changes are gathered into one update, in seconds.
+COALESCE_S = 0.01
+
+
+class Broadcast:
+    """What a relay knows, and the receivers that hear of it."""
+
+    def __init__(self, settings: Settings, board: Board, edges: Edges) -> None:
+        """Starts without receivers."""
+        self._board = board
+        self._edges = edges
+        self._directory = RelayDirectory(
+            settings.instance,
+            settings.timing.lease_ms / MS_PER_S,
+            self._endpoint_changed,
+        )
+        self._receivers = ReceiverSet(settings, self._directory, self, edges)
+        self._content = Content(
+            VersionHistory(),
+            EndpointUpdates(self._directory.table, settings.instance),
+            board.suspects.value,
+        )
+        self._is_scheduled = False
+        self._has_new_endpoints = False
+        self._has_new_versions = True
+
+    @property
+    def directory(self) -> RelayDirectory:
+        """The endpoints known."""
+        return self._directory
+
+    @property
+    def receivers(self) -> ReceiverSet:
+        """The receivers attached."""
+        return self._receivers
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether whole services are told."""
+        return self._content.is_complete
+
+    def start(self) -> None:
+        """Watches the blackboard."""
+        board = self._board
+        watched = (
+            (board.accepted, self._take),
+            (board.beacon, self._take),
+            (board.claim_epoch, self._take),
+            (board.own_endpoint, self._take_own_endpoint),
+            (board.suspects, partial(self._put_suspects, is_local=True)),
+        )
+        for cell, watcher in watched:
+            cell.watch(watcher)
+            watcher(cell.value)
+        board.snapshot.watch(lambda _snapshot: self.versions_changed())
+
+    def take_versions(self) -> bool:
+        """Tells whether the versions run have changed since last asked."""
+        changed = self._has_new_versions
+        self._has_new_versions = False
+        return changed
+
+    def complete(self) -> None:
+        """Tells whole services from now on."""
+        self._content = self._content._replace(is_complete=True)
+        self._receivers.mark_complete()
+        self.schedule_flush()
+
+    def joined(self, receiver: Receiver | MeshReceiver) -> None:
+        """Tells a new receiver what it lacks."""
+        receiver.mark_suspects(set(self._content.suspects))
+        self.versions_changed()
+        self.schedule_flush()
+
+    def versions_changed(self) -> None:
+        """Notes that a receiver runs another version."""
+        self._has_new_versions = True
+
+    def take_suspects(
+        self,
+        suspects: tuple[Suspect, ...],
+        *,
+        is_local: bool,
+    ) -> None:
+        """Takes suspects that a receiver or another relay tells."""
+        merged = merge_suspects(
+            self._board.suspects.value,
+            suspects,
+            self._edges.clock.wall_ms(),
+        )
+        self._put_suspects(merged, is_local=is_local)
+        self._board.suspects.put(merged)
+
+    def schedule_flush(self) -> None:
+        """Sends soon what receivers lack."""
+        if not self._is_scheduled:
+            self._is_scheduled = True
+            self._edges.scheduler.call_later(COALESCE_S, self.flush)
+
+    def flush(self) -> None:
+        """Sends what receivers lack, as far as they can take it."""
+        self._is_scheduled = False
+        if self._has_new_endpoints:
+            self._has_new_endpoints = False
+            self._board.endpoints.put(self._directory.table.endpoints)
+        self._receivers.flush(self._content)
+
+    def _take(self, told: Told | None) -> None:
+        if told is not None:
+            self._content = self._content.tell(told)
+            self.schedule_flush()
+
+    def _take_own_endpoint(self, endpoint: Endpoint | None) -> None:
+        if endpoint is not None:
+            self._directory.put_own(endpoint, self._edges.clock.now())
+
+    def _put_suspects(
+        self,
+        suspects: dict[SuspectKey, Suspect],
+        *,
+        is_local: bool,
+    ) -> None:
+        new = suspects.keys() - self._content.suspects.keys()
+        self._content = self._content._replace(suspects=suspects)
+        if new:
+            self._receivers.mark_suspects(new, is_local=is_local)
+            self.schedule_flush()
+
+    def _endpoint_changed(self, endpoint: Endpoint, is_mine: bool) -> None:
+        self._has_new_endpoints = True
+        self._receivers.mark_endpoint(endpoint, is_mine=is_mine)
+        self.schedule_flush()
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/compiler.py
@@ -0,0 +1,86 @@
+"""Compiles the snapshot that the proxy routes by.
+
+Changes of one turn of the event loop give one snapshot. It replaces the one
+before whole, and never by an older version.
+"""
+
+from asyncio import get_running_loop
+from collections.abc import Iterable
+from logging import getLogger
+
+from bilberry_core.board import Board
+from bilberry_core.configuration import AcceptedVersion
+from bilberry_core.endpoint import Endpoint, EndpointState
+from bilberry_core.settings import Settings
+from bilberry_core.snapshot import Snapshot, compile_snapshot
+
+_log = getLogger(__name__)
+
+
+class SnapshotController:
+    """Keeps `board.snapshot` in step with configuration and endpoints."""
+
+    def __init__(self, board: Board) -> None:
+        """Compiles for this board."""
+        self._board = board
+        self._scheduled = False
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        board: Board,
+    ) -> 'SnapshotController':
+        """Returns the controller of one daemon."""
+        return cls(board)
+
+    async def run(self) -> None:
+        """Compiles after each change until the daemon stops."""
+        stops = (
+            self._board.accepted.watch(self._schedule),
+            self._board.endpoints.watch(self._schedule),
+        )
+        self.compile()
+        try:
+            await self._board.stopping.wait()
+        finally:
+            for stop in stops:
+                stop()
+
+    def compile(self) -> None:
+        """Puts the snapshot of what the board holds now."""
+        self._scheduled = False
+        accepted = self._board.accepted.value
+        running = self._board.snapshot.value
+        if accepted is None or not _may_replace(running, accepted):
+            return
+        grouped = group_by_service(self._board.endpoints.value.values())
+        self._board.snapshot.put(compile_snapshot(accepted, grouped))
+        if running is None or running.version != accepted.version:
+            _log.info(
+                'version_running',
+                extra={
+                    'version': accepted.version,
+                    'before': running.version if running else 0,
+                },
+            )
+
+    def _schedule(self, _changed: object) -> None:
+        if not self._scheduled:
+            self._scheduled = True
+            get_running_loop().call_soon(self.compile)
+
+
+def group_by_service(
+    endpoints: Iterable[Endpoint],
+) -> dict[str, tuple[Endpoint, ...]]:
+    """Returns the endpoints that can be routed to, by service."""
+    grouped: dict[str, list[Endpoint]] = {}
+    for endpoint in sorted(endpoints):
+        if endpoint.state is not EndpointState.GONE:
+            grouped.setdefault(endpoint.service, []).append(endpoint)
+    return {service: tuple(found) for service, found in grouped.items()}
+
+
+def _may_replace(running: Snapshot | None, accepted: AcceptedVersion) -> bool:
+    return running is None or accepted.version >= running.version
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/content.py
@@ -0,0 +1,38 @@
+"""What a relay has to tell all its receivers, encoded once."""
+
+from typing import NamedTuple
+
+from bilberry_core.board import Beacon, ClaimEpoch, Suspect
+from bilberry_core.configuration import AcceptedVersion
+from bilberry_core.messages.registry import encode_message
+from bilberry_core.messages.spread import BeaconUpdate, EpochUpdate
+from bilberry_spread.history import VersionHistory
+from bilberry_spread.suspects import SuspectKey
+from bilberry_spread.updates import EndpointUpdates
+
+#: What reaches every receiver.
+Told = AcceptedVersion | Beacon | ClaimEpoch
+
+
+class Content(NamedTuple):
+    """The newest of everything.
+
+    `beacon` and `epoch` are encoded, empty where there is none.
+    `is_complete` tells whether the relay has heard from the other relays.
+    """
+
+    history: VersionHistory
+    updates: EndpointUpdates
+    suspects: dict[SuspectKey, Suspect]
+    is_complete: bool = False
+    beacon: bytes = b''
+    epoch: bytes = b''
+
+    def tell(self, told: Told) -> 'Content':
+        """Returns the content with one part replaced."""
+        if isinstance(told, Beacon):
+            return self._replace(beacon=encode_message(BeaconUpdate(told)))
+        if isinstance(told, ClaimEpoch):
+            return self._replace(epoch=encode_message(EpochUpdate(told)))
+        self.history.add(told)
+        return self
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/delta.py
@@ -0,0 +1,124 @@
+"""The difference between two accepted configurations.
+
+A delta names its base by version and digest, and the digest that must result.
+Whatever does not fit is a `Failure` and nothing of it is applied.
+"""
+
+from collections.abc import Iterable
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from bilberry_core.configuration import (
+    AcceptedVersion,
+    Configuration,
+    compute_digest,
+    decode_configuration,
+    encode_configuration,
+)
+from bilberry_core.error import ConfigurationError
+from bilberry_core.messages.spread import (
+    ConfigurationDelta,
+    ConfigurationSnapshot,
+)
+
+
+def build_snapshot_message(accepted: AcceptedVersion) -> ConfigurationSnapshot:
+    """Returns the message that carries a whole configuration."""
+    return ConfigurationSnapshot(
+        accepted.version,
+        accepted.term,
+        accepted.digest,
+        encode_configuration(accepted.configuration),
+    )
+
+
+def read_snapshot_message(
+    received: ConfigurationSnapshot,
+) -> Result[AcceptedVersion, str]:
+    """Returns the configuration carried, or why it can't be used."""
+    try:
+        configuration = decode_configuration(received.content)
+    except ConfigurationError as error:
+        return Failure(str(error))
+    return _check(received, configuration)
+
+
+def build_delta(
+    base: AcceptedVersion,
+    target: AcceptedVersion,
+) -> ConfigurationDelta:
+    """Returns what turns `base` into `target`."""
+    old = base.configuration
+    new = target.configuration
+    return ConfigurationDelta(
+        base_version=base.version,
+        base_digest=base.digest,
+        version=target.version,
+        term=target.term,
+        digest=target.digest,
+        defaults=None if old.defaults == new.defaults else new.defaults,
+        services=_find_changed(old.services, new.services),
+        services_removed=_find_removed(old.services, new.services),
+        exceptions=_find_changed(old.exceptions, new.exceptions),
+        exceptions_removed=_find_removed(old.exceptions, new.exceptions),
+    )
+
+
+def apply_delta(
+    held: AcceptedVersion | None,
+    delta: ConfigurationDelta,
+) -> Result[AcceptedVersion, str]:
+    """Returns the configuration that results, or why there is none."""
+    if held is None:
+        return Failure('no configuration is held')
+    if (held.version, held.digest) != (delta.base_version, delta.base_digest):
+        return Failure(
+            f'the delta is from version {delta.base_version}, '
+            f'held is {held.version}',
+        )
+    old = held.configuration
+    configuration = Configuration(
+        old.defaults if delta.defaults is None else delta.defaults,
+        _merge(old.services, delta.services, delta.services_removed),
+        _merge(old.exceptions, delta.exceptions, delta.exceptions_removed),
+    )
+    return _check(delta, configuration)
+
+
+def _check(
+    received: ConfigurationDelta | ConfigurationSnapshot,
+    configuration: Configuration,
+) -> Result[AcceptedVersion, str]:
+    if compute_digest(configuration) != received.digest:
+        return Failure(f'digest of version {received.version} does not match')
+    return Success(
+        AcceptedVersion(
+            received.version,
+            received.term,
+            received.digest,
+            configuration,
+        ),
+    )
+
+
+def _find_changed(old: Iterable[Any], new: Iterable[Any]) -> tuple[Any, ...]:
+    known = set(old)
+    return tuple(named for named in new if named not in known)
+
+
+def _find_removed(old: Iterable[Any], new: Iterable[Any]) -> tuple[str, ...]:
+    kept = {named.name for named in new}
+    return tuple(named.name for named in old if named.name not in kept)
+
+
+def _merge(
+    old: Iterable[Any],
+    changed: Iterable[Any],
+    removed: Iterable[str],
+) -> tuple[Any, ...]:
+    by_name = {named.name: named for named in old}
+    by_name.update((named.name, named) for named in changed)
+    for old_name in removed:
+        by_name.pop(old_name, None)
+    return tuple(by_name[name] for name in sorted(by_name))
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/endpoint_feed.py
@@ -0,0 +1,62 @@
+"""The endpoints that a proxy hears of from its relay."""
+
+from logging import getLogger
+
+from bilberry_core.board import Board
+from bilberry_core.clock import Clock
+from bilberry_core.messages.spread import EndpointUpdate
+from bilberry_spread.table import EndpointTable
+
+_log = getLogger(__name__)
+
+#: Every record of a proxy is vouched for by whichever relay it has.
+_HOME = 'relay'
+
+
+class EndpointFeed:
+    """Keeps `board.endpoints` in step with the relay.
+
+    Records end when the relay says so, or when it tells a service as whole
+    without them; the silence of the relay ends none.
+    """
+
+    def __init__(self, board: Board, lease_s: float, clock: Clock) -> None:
+        """Starts empty."""
+        self._board = board
+        self._clock = clock
+        self._table = EndpointTable(lease_s)
+
+    def take(self, update: EndpointUpdate) -> None:
+        """Takes what the relay tells."""
+        now = self._clock.now()
+        changed = [
+            self._table.merge(endpoint, _HOME, now)
+            for endpoint in update.endpoints
+        ]
+        for key in update.lapsed:
+            self._table.lapse(key, _HOME, now)
+        if update.complete:
+            self._table.start_leases(self._find_missing(update), now)
+        if any(changed):
+            self._board.endpoints.put(self._table.endpoints)
+        self.expire()
+
+    def expire(self) -> None:
+        """Removes what leases ended."""
+        removed = self._table.expire(self._clock.now())
+        if not removed:
+            return
+        self._board.endpoints.put(self._table.endpoints)
+        _log.info(
+            'leases_ended',
+            extra={'instances': [one.endpoint.instance for one in removed]},
+        )
+
+    def _find_missing(self, update: EndpointUpdate) -> list[str]:
+        named = {endpoint.instance for endpoint in update.endpoints}
+        return [
+            instance
+            for instance, entry in self._table.entries.items()
+            if entry.endpoint.service in update.complete
+            and instance not in named
+        ]
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/history.py
@@ -0,0 +1,75 @@
+"""The versions that a relay has seen, and their encoded updates.
+
+Each update is encoded once and shared by all receivers that hold the same
+base. Versions before the bound are gone: their holders get a snapshot.
+"""
+
+from collections import OrderedDict
+
+from bilberry_core.configuration import AcceptedVersion
+from bilberry_core.messages.registry import encode_message
+from bilberry_spread.delta import build_delta, build_snapshot_message
+
+#: Versions kept as bases of deltas.
+MAX_VERSIONS = 64
+
+
+class VersionHistory:
+    """The newest accepted versions, and the updates to the newest one."""
+
+    def __init__(self) -> None:
+        """Starts without a version."""
+        self._versions: OrderedDict[int, AcceptedVersion] = OrderedDict()
+        self._updates: dict[tuple[int, bytes], bytes] = {}
+        self._newest: AcceptedVersion | None = None
+
+    @property
+    def newest(self) -> AcceptedVersion | None:
+        """The newest version, if there is any."""
+        return self._newest
+
+    def add(self, accepted: AcceptedVersion) -> None:
+        """Adds a version; one that is not newer changes nothing."""
+        if self._newest and accepted.version <= self._newest.version:
+            return
+        self._newest = accepted
+        self._updates.clear()
+        self._versions[accepted.version] = accepted
+        if len(self._versions) > MAX_VERSIONS:
+            self._versions.popitem(last=False)
+
+    def encode_update(self, version: int, digest: bytes) -> bytes:
+        """Returns the encoded update of a holder of `version`.
+
+        It is empty where the holder lacks nothing.
+        """
+        newest = self._newest
+        if newest is None or version >= newest.version:
+            return b''
+        key = (version, digest)
+        if key not in self._updates:
+            self._updates[key] = self._encode(newest, key)
+        return self._updates[key]
+
+    def encode_snapshot(self) -> bytes:
+        """Returns the newest version, whole and encoded."""
+        if self._newest is None:
+            return b''
+        key = (0, b'')
+        if key not in self._updates:
+            message = build_snapshot_message(self._newest)
+            self._updates[key] = encode_message(message)
+        return self._updates[key]
+
+    def _encode(
+        self,
+        newest: AcceptedVersion,
+        key: tuple[int, bytes],
+    ) -> bytes:
+        base = self._versions.get(key[0])
+        if base is None or base.digest != key[1]:
+            return self.encode_snapshot()
+        delta = encode_message(build_delta(base, newest))
+        if len(delta) < len(self.encode_snapshot()):
+            return delta
+        return self.encode_snapshot()
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/mesh.py
@@ -0,0 +1,114 @@
+"""The streams of a relay to all other relays.
+
+Each relay subscribes to each other one, and hears what that one vouches for:
+the endpoints of the proxies attached there. No relay passes on what another
+one told it, so a record reaches every relay directly.
+"""
+
+from collections.abc import Callable
+from functools import partial
+from logging import getLogger
+from typing import Any
+
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.messages.spread import Subscribe
+from bilberry_core.settings import Peer, Settings
+from bilberry_spread.backoff import Backoff
+from bilberry_spread.edges import Edges, Link, send_if_open
+
+_log = getLogger(__name__)
+
+#: Silence after which a relay is dialed anew, in renewals of a lease.
+SILENT_RENEWALS = 3
+
+
+class MeshPeer:
+    """One other relay, dialed again whenever its stream ends.
+
+    `is_synced` tells whether it has told its whole set of endpoints.
+    """
+
+    def __init__(
+        self,
+        peer: Peer,
+        settings: Settings,
+        edges: Edges,
+        receive: Callable[[Peer, Any], None],
+    ) -> None:
+        """Hands each message to `receive`."""
+        self.peer = peer
+        self.is_synced = False
+        self._settings = settings
+        self._edges = edges
+        self._receive = receive
+        self._backoff = Backoff(edges.random)
+        self._link: Link | None = None
+        self._heard = edges.clock.now()
+        self._lost = self._heard
+        self._next_dial: float | None = self._heard
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the relay has answered on the stream open now."""
+        return self._link is not None
+
+    @property
+    def silent_s(self) -> float:
+        """For how long the relay has been lost, in seconds; 0 if open."""
+        return 0 if self.is_open else self._edges.clock.now() - self._lost
+
+    def tick(self) -> None:
+        """Dials where due, and ends a stream that is silent."""
+        now = self._edges.clock.now()
+        renew_s = self._settings.timing.renew_ms / MS_PER_S
+        if self._link is not None:
+            if now - self._heard > SILENT_RENEWALS * renew_s:
+                self._link.close()
+                self._closed(self._link)
+        elif self._next_dial is not None and now >= self._next_dial:
+            self._next_dial = None
+            self._edges.dialer.dial(self.peer, self._opened, self._failed)
+
+    def stop(self) -> None:
+        """Ends the stream."""
+        self._next_dial = None
+        if self._link is not None:
+            self._link.close()
+
+    def _opened(self, link: Link) -> None:
+        now = self._edges.clock.now()
+        self.is_synced = False
+        self._link = link
+        self._heard = now
+        link.receiver = partial(self._take, link)
+        link.on_close = partial(self._closed, link)
+        settings = self._settings
+        subscribe = Subscribe(
+            settings.instance,
+            settings.failure_domain,
+            0,
+            b'',
+            every_service=True,
+        )
+        send_if_open(link, subscribe)
+        if not link.is_open:
+            self._closed(link)
+
+    def _take(self, link: Link, received: Any) -> None:
+        if link is not self._link:
+            return
+        self._heard = self._edges.clock.now()
+        self._backoff.reset()
+        self._receive(self.peer, received)
+
+    def _closed(self, link: Link) -> None:
+        if link is not self._link:
+            return
+        self._link = None
+        self._lost = self._edges.clock.now()
+        _log.info('relay_lost', extra={'relay': self.peer.instance})
+        self._failed()
+
+    def _failed(self) -> None:
+        now = self._edges.clock.now()
+        self._next_dial = now + self._backoff.next_delay()
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/mesh_receiver.py
@@ -0,0 +1,69 @@
+"""Another relay, attached to hear what this relay vouches for."""
+
+from typing import Any
+
+from bilberry_core.board import Suspect
+from bilberry_core.messages.spread import Held, SuspectUpdate
+from bilberry_spread.edges import Link, send_if_open
+from bilberry_spread.reports import build_report
+from bilberry_spread.suspects import SuspectKey
+from bilberry_spread.updates import EndpointUpdates
+
+
+class MeshReceiver:
+    """Gets endpoints, suspects and reports of this relay's own proxies."""
+
+    def __init__(self, link: Link, instance: str) -> None:
+        """Lacks everything."""
+        self.link = link
+        self.instance = instance
+        self._lacks_all = True
+        self._changed: set[str] = set()
+        self._suspects: set[SuspectKey] = set()
+        self._reported: dict[str, int] = {}
+
+    def mark_endpoint(self, instance: str) -> None:
+        """Notes that an endpoint of this relay has changed."""
+        self._changed.add(instance)
+
+    def mark_suspects(self, keys: set[SuspectKey]) -> None:
+        """Notes suspects that are new."""
+        self._suspects |= keys
+
+    def flush(
+        self,
+        updates: EndpointUpdates,
+        suspects: dict[SuspectKey, Suspect],
+    ) -> None:
+        """Sends what is lacking, as far as the receiver can take it."""
+        if not self.link.is_writable:
+            return
+        if self._lacks_all:
+            self._lacks_all = False
+            self._changed.clear()
+            self._send(updates.build_all_for_relay())
+        if self._changed:
+            changed = self._changed
+            self._changed = set()
+            self._send(updates.build_for_relay(changed))
+        found = self._suspects & suspects.keys()
+        self._suspects = set()
+        if found:
+            self._send(SuspectUpdate(tuple(suspects[key] for key in found)))
+
+    def report(self, versions: dict[str, int]) -> None:
+        """Sends the versions that are not reported yet."""
+        if not self.link.is_writable:
+            return
+        report = build_report(self._reported, versions)
+        if report is not None:
+            self._reported = dict(versions)
+            self._send(report)
+
+    def beat(self) -> None:
+        """Sends a sign of life."""
+        if self.link.is_writable:
+            self._send(Held({}))
+
+    def _send(self, sent: Any) -> None:
+        send_if_open(self.link, sent)
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/pacing.py
@@ -0,0 +1,76 @@
+"""When a daemon may dial next, and whom."""
+
+from bilberry_core.clock import Clock, RandomSource
+from bilberry_core.settings import Peer
+from bilberry_spread.backoff import Backoff
+
+#: Largest factor by which a time to come back is stretched.
+RETRY_STRETCH = 2.0
+
+
+class DialTimer:
+    """Keeps the time of the next dial, by full-jitter backoff."""
+
+    def __init__(self, clock: Clock, random: RandomSource) -> None:
+        """Is due at once."""
+        self._clock = clock
+        self._random = random
+        self._backoff = Backoff(random)
+        self._next = clock.now()
+
+    @property
+    def is_due(self) -> bool:
+        """Whether a dial may begin now."""
+        return self._clock.now() >= self._next
+
+    def succeed(self) -> None:
+        """Notes that a source told something new."""
+        self._backoff.reset()
+
+    def fail(self) -> None:
+        """Notes a failure; the next dial waits longer."""
+        self._wait(self._backoff.next_delay())
+
+    def refuse(self, retry_after_s: float) -> None:
+        """Notes that a source asked to come back after some seconds."""
+        self._wait(retry_after_s * self._random.uniform(1, RETRY_STRETCH))
+
+    def _wait(self, seconds: float) -> None:
+        self._next = max(self._next, self._clock.now() + seconds)
+
+
+class SourcePicker:
+    """Takes turns among sources, in the order of preference."""
+
+    def __init__(self, peers: tuple[Peer, ...]) -> None:
+        """Prefers the first of `peers`."""
+        self._peers = peers
+        self._mains = 0
+        self._probes = 0
+
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """Every source, the preferred one first."""
+        return self._peers
+
+    def pick(self) -> Peer | None:
+        """Returns the next source to attach to."""
+        if not self._peers:
+            return None
+        peer = self._peers[self._mains % len(self._peers)]
+        self._mains += 1
+        return peer
+
+    def pick_beside(self, main: Peer) -> Peer | None:
+        """Returns the next source to try, of another failure domain first."""
+        others = [peer for peer in self._peers if peer != main]
+        if not others:
+            return None
+        others.sort(key=lambda peer: _shares_domain(peer, main))
+        peer = others[self._probes % len(others)]
+        self._probes += 1
+        return peer
+
+
+def _shares_domain(peer: Peer, main: Peer) -> bool:
+    return peer.failure_domain == main.failure_domain
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/receivers.py
@@ -0,0 +1,179 @@
+"""Every receiver attached to a relay: proxies, and other relays.
+
+Streams are admitted at a bounded rate, except those of relays.
+"""
+
+from functools import partial
+from logging import getLogger
+from typing import Any
+
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.messages.spread import Busy, Subscribe
+from bilberry_core.settings import Settings
+from bilberry_spread.admission import JoinAdmission
+from bilberry_spread.content import Content
+from bilberry_spread.directory import RelayDirectory
+from bilberry_spread.edges import Edges, Link, send_if_open
+from bilberry_spread.mesh_receiver import MeshReceiver
+from bilberry_spread.receiver import Receiver
+from bilberry_spread.session import Session, SessionListener
+from bilberry_spread.suspects import SuspectKey
+
+_log = getLogger(__name__)
+
+#: Silence after which a receiver is dropped, in leases.
+SILENT_LEASES = 3
+
+
+class ReceiverSet:
+    """The receivers attached now, by instance."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        directory: RelayDirectory,
+        listener: SessionListener,
+        edges: Edges,
+    ) -> None:
+        """Starts with none."""
+        self._settings = settings
+        self._directory = directory
+        self._listener = listener
+        self._edges = edges
+        self._admission = JoinAdmission(edges.clock.now())
+        self._sessions: dict[str, Session] = {}
+        self._relays: dict[str, MeshReceiver] = {}
+        self._peers = {
+            peer.instance for peer in (*settings.relays, *settings.replicas)
+        }
+
+    @property
+    def versions(self) -> dict[str, int]:
+        """The versions that receivers say are run, by instance."""
+        versions: dict[str, int] = {}
+        for session in self._sessions.values():
+            versions.update(session.versions)
+        return versions
+
+    @property
+    def relays(self) -> tuple[MeshReceiver, ...]:
+        """The relays that hear what this one vouches for."""
+        return tuple(self._relays.values())
+
+    def accept(self, link: Link) -> None:
+        """Takes a stream, whose first message must be a `Subscribe`."""
+        link.receiver = partial(self._join, link)
+
+    def mark_endpoint(self, endpoint: Endpoint, *, is_mine: bool) -> None:
+        """Notes that an endpoint changed, for those that want it."""
+        for session in self._sessions.values():
+            session.receiver.mark_endpoint(
+                endpoint.service,
+                endpoint.instance,
+            )
+        if is_mine:
+            for relay in self._relays.values():
+                relay.mark_endpoint(endpoint.instance)
+
+    def mark_suspects(self, keys: set[SuspectKey], *, is_local: bool) -> None:
+        """Notes suspects that are new."""
+        for session in self._sessions.values():
+            session.receiver.mark_suspects(keys)
+        if is_local:
+            for relay in self._relays.values():
+                relay.mark_suspects(keys)
+
+    def mark_complete(self) -> None:
+        """Notes that whole services can be told from now on."""
+        for session in self._sessions.values():
+            session.receiver.mark_complete()
+
+    def flush(self, content: Content) -> None:
+        """Sends every receiver what it lacks."""
+        content.updates.clear()
+        for session in tuple(self._sessions.values()):
+            session.receiver.flush(content)
+        for relay in self.relays:
+            relay.flush(content.updates, content.suspects)
+
+    def drop_silent(self) -> None:
+        """Ends the streams of receivers that have been silent for long."""
+        silence_s = SILENT_LEASES * self._settings.timing.lease_ms / MS_PER_S
+        oldest = self._edges.clock.now() - silence_s
+        for session in tuple(self._sessions.values()):
+            if session.heard < oldest:
+                session.receiver.link.close()
+
+    def stop(self) -> None:
+        """Ends every stream."""
+        for session in tuple(self._sessions.values()):
+            session.receiver.link.close()
+        for relay in self.relays:
+            relay.link.close()
+
+    def _join(self, link: Link, received: Any) -> None:
+        if not isinstance(received, Subscribe):
+            link.close()
+        elif received.every_service:
+            self._join_relay(link, received)
+        else:
+            self._join_receiver(link, received)
+
+    def _join_relay(self, link: Link, subscribe: Subscribe) -> None:
+        before = self._relays.get(subscribe.instance)
+        relay = MeshReceiver(link, subscribe.instance)
+        self._relays[subscribe.instance] = relay
+        link.receiver = _ignore
+        link.on_close = partial(self._leave_relay, relay)
+        if before is not None:
+            before.link.close()
+        self._listener.joined(relay)
+
+    def _join_receiver(self, link: Link, subscribe: Subscribe) -> None:
+        instance = subscribe.instance
+        if instance not in self._peers:
+            wait_ms = self._admission.admit(self._edges.clock.now())
+            if wait_ms:
+                self._refuse(link, instance, wait_ms)
+                return
+        before = self._sessions.get(instance)
+        session = Session(
+            Receiver(link, subscribe),
+            self._directory,
+            self._listener,
+            self._edges,
+        )
+        self._sessions[instance] = session
+        link.receiver = session.take
+        link.on_close = partial(self._leave, session)
+        if before is not None:
+            before.receiver.link.close()
+        _log.info(
+            'receiver_joined',
+            extra={'receiver': instance, 'version': subscribe.version},
+        )
+        self._listener.joined(session.receiver)
+
+    def _refuse(self, link: Link, instance: str, wait_ms: int) -> None:
+        _log.info(
+            'join_refused',
+            extra={'receiver': instance, 'retry_after_ms': wait_ms},
+        )
+        self._edges.metrics.incr('spread.joins_refused')
+        send_if_open(link, Busy(wait_ms))
+        link.close()
+
+    def _leave(self, session: Session) -> None:
+        instance = session.receiver.instance
+        if self._sessions.get(instance) is session:
+            self._sessions.pop(instance)
+            self._listener.versions_changed()
+
+    def _leave_relay(self, relay: MeshReceiver) -> None:
+        if self._relays.get(relay.instance) is relay:
+            self._relays.pop(relay.instance)
+
+
+def _ignore(_received: Any) -> None:
+    """Discards what a relay says on a stream that it only listens to."""
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/reception.py
@@ -0,0 +1,194 @@
+"""Takes configurations and beacons as they arrive, and only forward.
+
+What arrives twice, late or out of order changes nothing. A delta that does
+not fit, or whose result has another digest, is never applied: the receiver
+asks for a snapshot.
+"""
+
+from logging import getLogger
+
+from returns.result import Success
+
+from bilberry_core.board import Beacon, Board, ClaimEpoch
+from bilberry_core.configuration import AcceptedVersion
+from bilberry_core.messages.spread import (
+    ConfigurationDelta,
+    ConfigurationSnapshot,
+    Resend,
+)
+from bilberry_spread.delta import apply_delta, read_snapshot_message
+from bilberry_spread.edges import Edges
+from bilberry_spread.staleness import put_stale_since
+from bilberry_spread.start import StartGate
+
+_log = getLogger(__name__)
+
+
+class ConfigurationReceiver:
+    """Holds the newest configuration that was received whole."""
+
+    def __init__(self, held: AcceptedVersion | None = None) -> None:
+        """Starts from what is held already."""
+        self._held = held
+
+    @property
+    def held(self) -> AcceptedVersion | None:
+        """The newest configuration received."""
+        return self._held
+
+    @property
+    def version(self) -> int:
+        """The version held; 0 for none."""
+        return self._held.version if self._held else 0
+
+    @property
+    def digest(self) -> bytes:
+        """The digest held; empty for none."""
+        return self._held.digest if self._held else b''
+
+    def receive(
+        self,
+        received: ConfigurationSnapshot | ConfigurationDelta,
+    ) -> Resend | None:
+        """Takes an update; returns what to ask for where it was no use."""
+        if received.version <= self.version:
+            return None
+        if isinstance(received, ConfigurationDelta):
+            outcome = apply_delta(self._held, received)
+        else:
+            outcome = read_snapshot_message(received)
+        if isinstance(outcome, Success):
+            self._held = outcome.unwrap()
+            return None
+        _log.warning(
+            'update_refused',
+            extra={
+                'version': received.version,
+                'held': self.version,
+                'cause': outcome.failure(),
+            },
+        )
+        return Resend(self.version, self.digest)
+
+
+def is_later_beacon(beacon: Beacon, known: Beacon | None) -> bool:
+    """Tells whether a beacon is newer than the newest one known."""
+    if known is None:
+        return True
+    mine = (beacon.term, beacon.sequence)
+    return mine > (known.term, known.sequence)
+
+
+def is_later_epoch(epoch: ClaimEpoch, known: ClaimEpoch | None) -> bool:
+    """Tells whether an epoch, or the end of its handover, is newer."""
+    if known is None:
+        return True
+    mine = (epoch.epoch, not epoch.previous)
+    return mine > (known.epoch, not known.previous)
+
+
+class Reception:
+    """Puts what arrives from any source on the blackboard, only forward."""
+
+    def __init__(
+        self,
+        board: Board,
+        gate: StartGate,
+        stale_s: float,
+        edges: Edges,
+    ) -> None:
+        """Takes the beacon for stale after `stale_s` seconds."""
+        self._board = board
+        self._gate = gate
+        self._stale_s = stale_s
+        self._edges = edges
+        self._receiver = ConfigurationReceiver(board.accepted.value)
+        self._moved = edges.clock.now()
+        self._behind_since: float | None = None
+
+    @property
+    def receiver(self) -> ConfigurationReceiver:
+        """The configuration held."""
+        return self._receiver
+
+    @property
+    def gate(self) -> StartGate:
+        """The start rule of this daemon."""
+        return self._gate
+
+    @property
+    def is_stale(self) -> bool:
+        """Whether the beacon has stood still for too long."""
+        return self._edges.clock.now() - self._moved >= self._stale_s
+
+    @property
+    def behind_s(self) -> float:
+        """For how long the beacon has named a newer version, in seconds."""
+        if self._behind_since is None:
+            return 0
+        return self._edges.clock.now() - self._behind_since
+
+    def receive_configuration(
+        self,
+        received: ConfigurationSnapshot | ConfigurationDelta,
+        failure_domain: str,
+    ) -> Resend | None:
+        """Takes an update; returns what to ask for where it was no use."""
+        resend = self._receiver.receive(received)
+        self._gate.hear(failure_domain, received.version)
+        self.tick()
+        return resend
+
+    def receive_beacon(self, beacon: Beacon, failure_domain: str) -> bool:
+        """Takes a beacon; tells if it is newer than the newest known."""
+        self._gate.hear(failure_domain, beacon.version)
+        later = is_later_beacon(beacon, self._board.beacon.value)
+        if later:
+            self._moved = self._edges.clock.now()
+            self._board.beacon.put(beacon)
+        self.tick()
+        return later
+
+    def receive_epoch(self, epoch: ClaimEpoch) -> None:
+        """Takes the claim holders where they are newer."""
+        if is_later_epoch(epoch, self._board.claim_epoch.value):
+            self._board.claim_epoch.put(epoch)
+
+    def restart_behind(self) -> None:
+        """Measures anew for how long the beacon names a newer version."""
+        self._behind_since = None
+
+    def tick(self) -> None:
+        """Puts what is due: first configuration, staleness."""
+        now = self._edges.clock.now()
+        held = self._receiver.version
+        if self._gate.check(held, now):
+            _log.info(
+                'start_rule_over',
+                extra={
+                    'version': held,
+                    'highest': self._gate.highest,
+                    'heard': sorted(self._gate.heard),
+                    'met': self._gate.is_met(held),
+                },
+            )
+        if self._gate.is_open:
+            self._put_accepted()
+        self._note_behind(now)
+        stale_since = self._moved if self.is_stale else None
+        put_stale_since(self._board, self._edges, stale_since)
+
+    def _put_accepted(self) -> None:
+        accepted = self._receiver.held
+        running = self._board.accepted.value
+        if accepted is None or accepted is running:
+            return
+        if running is None or accepted.version > running.version:
+            self._board.accepted.put(accepted)
+
+    def _note_behind(self, now: float) -> None:
+        beacon = self._board.beacon.value
+        if beacon is None or beacon.version <= self._receiver.version:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -0,0 +1,192 @@
+"""Spreads configurations and endpoints to the proxies attached to a relay.
+
+The controller accepts streams of proxies and of other relays, and keeps a
+stream to each other relay. On a daemon that is no replica it is attached to
+one, as a proxy is to a relay.
+"""
+
+from asyncio import sleep
+from typing import Any
+
+from bilberry_core.board import Board
+from bilberry_core.clock import MS_PER_S, Clock, RandomSource
+from bilberry_core.handshake import Purpose
+from bilberry_core.messages.spread import (
+    EndpointUpdate,
+    Held,
+    SuspectUpdate,
+)
+from bilberry_core.settings import Peer, Role, Settings
+from bilberry_core.stream import Credentials, StreamListener
+from bilberry_spread.broadcast import Broadcast
+from bilberry_spread.edges import Edges, Link, open_edges
+from bilberry_spread.mesh import MeshPeer
+from bilberry_spread.relay_source import RelaySource
+from bilberry_spread.reports import apply_report
+from bilberry_spread.staleness import BeaconWatch
+
+#: Between two looks at what is due, in seconds.
+TICK_S = 0.1
+#: Longest wait for the other relays before services are told as whole.
+SYNC_WAIT_S = 3.0
+
+
+class RelayController:
+    """Keeps the proxies of one relay in step with the fleet.
+
+    A replica runs it too: other relays take their configuration there.
+    """
+
+    def __init__(self, settings: Settings, board: Board, edges: Edges) -> None:
+        """Starts without streams."""
+        self._settings = settings
+        self._board = board
+        self._edges = edges
+        self._broadcast = Broadcast(settings, board, edges)
+        self._mesh = {
+            peer.instance: MeshPeer(peer, settings, edges, self._receive)
+            for peer in find_mesh(settings)
+        }
+        self._source: RelaySource | None = None
+        if Role.REPLICA not in settings.roles:
+            self._source = RelaySource(settings, board, self._broadcast, edges)
+        self._beacons = BeaconWatch(settings, board, edges)
+        self._started = edges.clock.now()
+        self._next_beat = self._started
+        self._reports: dict[str, dict[str, int]] = {}
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        board: Board,
+        listener: StreamListener,
+        credentials: Credentials,
+        clock: Clock,
+        random: RandomSource,
+    ) -> 'RelayController':
+        """Returns the controller of one daemon; it accepts from now on."""
+        edges = open_edges(settings, credentials, clock, random)
+        controller = cls(settings, board, edges)
+        listener.handle(Purpose.SPREAD, controller.accept)
+        return controller
+
+    @property
+    def broadcast(self) -> Broadcast:
+        """What this relay knows and tells."""
+        return self._broadcast
+
+    async def run(self) -> None:
+        """Spreads until the daemon stops."""
+        self.start()
+        while not self._board.stopping.is_set():
+            self.tick()
+            await sleep(TICK_S)
+
+    async def stop(self) -> None:
+        """Ends every stream."""
+        self._edges.dialer.close()
+        self._broadcast.flush()
+        self._broadcast.receivers.stop()
+        for peer in self._mesh.values():
+            peer.stop()
+        if self._source is not None:
+            self._source.attachment.stop()
+
+    def start(self) -> None:
+        """Watches the blackboard."""
+        self._broadcast.start()
+
+    def accept(self, link: Link) -> None:
+        """Takes a stream of a proxy or another relay."""
+        self._broadcast.receivers.accept(link)
+
+    def tick(self) -> None:
+        """Does what is due now."""
+        for peer in self._mesh.values():
+            peer.tick()
+        if self._source is None:
+            self._beacons.tick()
+        else:
+            self._source.tick()
+        self._complete_when_synced()
+        if self._board.stale_since.value is None:
+            self._end_leases()
+        self._report()
+        self._broadcast.receivers.drop_silent()
+        self._broadcast.flush()
+
+    def _receive(self, peer: Peer, received: Any) -> None:
+        if isinstance(received, EndpointUpdate):
+            mesh_peer = self._mesh[peer.instance]
+            is_whole = not mesh_peer.is_synced
+            mesh_peer.is_synced = True
+            self._broadcast.directory.take_from_peer(
+                peer.instance,
+                received,
+                self._edges.clock.now(),
+                is_whole=is_whole,
+            )
+        elif isinstance(received, SuspectUpdate):
+            self._broadcast.take_suspects(received.suspects, is_local=False)
+        elif isinstance(received, Held):
+            known = self._reports.get(peer.instance, {})
+            self._reports[peer.instance] = apply_report(known, received)
+            self._broadcast.versions_changed()
+
+    def _complete_when_synced(self) -> None:
+        if self._broadcast.is_complete:
+            return
+        waited = self._edges.clock.now() - self._started
+        synced = all(peer.is_synced for peer in self._mesh.values())
+        if synced or waited >= SYNC_WAIT_S:
+            self._broadcast.complete()
+
+    def _end_leases(self) -> None:
+        now = self._edges.clock.now()
+        lease_s = self._settings.timing.lease_ms / MS_PER_S
+        for peer in self._mesh.values():
+            if peer.silent_s >= lease_s:
+                self._broadcast.directory.start_leases_of(
+                    peer.peer.instance,
+                    now,
+                )
+        self._broadcast.directory.expire(now)
+
+    def _report(self) -> None:
+        if self._broadcast.take_versions():
+            self._put_proxies()
+        now = self._edges.clock.now()
+        if now < self._next_beat:
+            return
+        self._next_beat = now + self._settings.timing.renew_ms / MS_PER_S
+        for relay in self._broadcast.receivers.relays:
+            relay.beat()
+
+    def _put_proxies(self) -> None:
+        mine = self._broadcast.receivers.versions
+        snapshot = self._board.snapshot.value
+        if snapshot is not None and Role.PROXY in self._settings.roles:
+            mine[self._settings.instance] = snapshot.version
+        if self._source is not None:
+            self._source.report(mine)
+        replicas = {peer.instance for peer in self._settings.replicas}
+        for relay in self._broadcast.receivers.relays:
+            if relay.instance in replicas:
+                relay.report(mine)
+        everyone = dict(mine)
+        for report in self._reports.values():
+            for instance, version in report.items():
+                everyone[instance] = max(version, everyone.get(instance, 0))
+        self._board.proxies.put(everyone)
+
+
+def find_mesh(settings: Settings) -> tuple[Peer, ...]:
+    """Returns the daemons whose endpoints and reports this one hears."""
+    peers: dict[str, Peer] = {}
+    if Role.RELAY in settings.roles:
+        peers.update((peer.instance, peer) for peer in settings.relays)
+    if Role.REPLICA in settings.roles:
+        peers.update((peer.instance, peer) for peer in settings.replicas)
+    peers.pop(settings.instance, None)
+    return tuple(peers.values())
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/relay_source.py
@@ -0,0 +1,108 @@
+"""The attachment of a relay that is no replica, to one that is."""
+
+from typing import Any, Protocol
+
+from bilberry_core.board import Board, Suspect
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.messages.spread import Held, SuspectUpdate
+from bilberry_core.settings import Peer, Settings
+from bilberry_spread.attachment import Attachment, Source
+from bilberry_spread.edges import Edges
+from bilberry_spread.ranking import rank_relays
+from bilberry_spread.reception import Reception
+from bilberry_spread.reports import build_report
+from bilberry_spread.start import START_WAIT_S, StartGate
+
+
+class SuspectListener(Protocol):
+    """Takes the suspects that the source tells."""
+
+    def take_suspects(
+        self,
+        suspects: tuple[Suspect, ...],
+        *,
+        is_local: bool,
+    ) -> None:
+        """Called with suspects as they arrive."""
+
+
+class RelaySource:
+    """Gets the configuration from a replica and reports to it.
+
+    Where no replica can be reached, other relays serve as sources.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        board: Board,
+        listener: SuspectListener,
+        edges: Edges,
+    ) -> None:
+        """Starts detached."""
+        self._settings = settings
+        self._listener = listener
+        self._edges = edges
+        peers = rank_sources(settings)
+        reception = Reception(
+            board,
+            StartGate(peers, edges.clock.now() + START_WAIT_S),
+            settings.timing.stale_ms / MS_PER_S,
+            edges,
+        )
+        self._attachment = Attachment(settings, peers, reception, edges, self)
+        self._reported: dict[str, int] = {}
+        self._next_beat = edges.clock.now()
+
+    @property
+    def attachment(self) -> Attachment:
+        """The streams to replicas."""
+        return self._attachment
+
+    def tick(self) -> None:
+        """Does what is due now."""
+        self._attachment.tick()
+        now = self._edges.clock.now()
+        if now >= self._next_beat:
+            timing = self._settings.timing
+            self._next_beat = now + timing.renew_ms / MS_PER_S
+            self._send(Held({}))
+
+    def report(self, versions: dict[str, int]) -> None:
+        """Reports the versions that attached proxies run."""
+        if not self._attachment.is_attached:
+            return
+        report = build_report(self._reported, versions)
+        if report is not None:
+            self._reported = dict(versions)
+            self._send(report)
+
+    def attached(self, source: Source) -> None:
+        """Starts to report anew."""
+        self._reported = {}
+
+    def receive(self, received: Any) -> None:
+        """Takes suspects."""
+        if isinstance(received, SuspectUpdate):
+            self._listener.take_suspects(received.suspects, is_local=False)
+
+    def _send(self, sent: Any) -> None:
+        main = self._attachment.main
+        if main is not None:
+            main.send(sent)
+
+
+def rank_sources(settings: Settings) -> tuple[Peer, ...]:
+    """Returns the sources of a relay: replicas first, then other relays."""
+    replicas = rank_relays(
+        settings.instance,
+        settings.failure_domain,
+        settings.replicas,
+    )
+    names = {peer.instance for peer in replicas} | {settings.instance}
+    relays = rank_relays(
+        settings.instance,
+        settings.failure_domain,
+        (peer for peer in settings.relays if peer.instance not in names),
+    )
+    return replicas + relays
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/session.py
@@ -0,0 +1,102 @@
+"""What one attached receiver says to its relay."""
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from bilberry_core.board import Suspect
+from bilberry_core.messages.spread import (
+    Announce,
+    EndpointKey,
+    Held,
+    Renew,
+    Resend,
+    SuspectUpdate,
+    Want,
+)
+from bilberry_spread.directory import RelayDirectory
+from bilberry_spread.edges import Edges
+from bilberry_spread.mesh_receiver import MeshReceiver
+from bilberry_spread.receiver import Receiver
+from bilberry_spread.reports import apply_report
+
+
+class SessionListener(Protocol):
+    """What a relay does with what its receivers say."""
+
+    def joined(self, receiver: Receiver | MeshReceiver) -> None:
+        """Called when a receiver was admitted."""
+
+    def schedule_flush(self) -> None:
+        """Called when the receiver lacks something new."""
+
+    def versions_changed(self) -> None:
+        """Called when a receiver runs another version."""
+
+    def take_suspects(
+        self,
+        suspects: tuple[Suspect, ...],
+        *,
+        is_local: bool,
+    ) -> None:
+        """Called with suspects that a receiver tells."""
+
+
+class Session:
+    """One attached receiver; `versions` is what it says is run."""
+
+    def __init__(
+        self,
+        receiver: Receiver,
+        directory: RelayDirectory,
+        listener: SessionListener,
+        edges: Edges,
+    ) -> None:
+        """Hands announcements to the directory, the rest to the listener."""
+        self.receiver = receiver
+        self.versions: dict[str, int] = {}
+        self.heard = edges.clock.now()
+        self._directory = directory
+        self._listener = listener
+        self._edges = edges
+        self._announced: Announce | None = None
+
+    def take(self, received: Any) -> None:
+        """Takes one message; unknown ones are ignored."""
+        self.heard = self._edges.clock.now()
+        handler = self._handlers.get(type(received))
+        if handler is not None:
+            handler(self, received)
+
+    def _announce(self, announce: Announce) -> None:
+        self._announced = announce
+        self._directory.announce(announce.endpoint, self.heard)
+
+    def _renew(self, renew: Renew) -> None:
+        key = EndpointKey(*renew)
+        announced = self._announced
+        if not self._directory.renew(key, self.heard) and announced:
+            self._directory.announce(announced.endpoint, self.heard)
+
+    def _hold(self, held: Held) -> None:
+        self.versions = apply_report(self.versions, held)
+        self._listener.versions_changed()
+
+    def _want(self, want: Want) -> None:
+        self.receiver.want(want.services)
+        self._listener.schedule_flush()
+
+    def _resend(self, _resend: Resend) -> None:
+        self.receiver.need_snapshot()
+        self._listener.schedule_flush()
+
+    def _suspect(self, update: SuspectUpdate) -> None:
+        self._listener.take_suspects(update.suspects, is_local=True)
+
+    _handlers: dict[type, Callable[..., None]] = {
+        Announce: _announce,
+        Renew: _renew,
+        Held: _hold,
+        Want: _want,
+        Resend: _resend,
+        SuspectUpdate: _suspect,
+    }
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -0,0 +1,167 @@
+"""Attaches a daemon that is no relay to one, and speaks for its upstream.
+
+It announces the upstream beside it at once on every change and renews its
+lease, asks for the endpoints of the services that the proxy routes to, and
+keeps the blackboard in step with what the relay tells.
+"""
+
+from asyncio import sleep
+from typing import Any
+
+from bilberry_core.board import Board
+from bilberry_core.clock import MS_PER_S, Clock, RandomSource
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.messages.spread import (
+    Announce,
+    EndpointUpdate,
+    Held,
+    Renew,
+    SuspectUpdate,
+    Want,
+)
+from bilberry_core.settings import Settings
+from bilberry_core.stream import Credentials
+from bilberry_spread.attachment import Attachment, Source
+from bilberry_spread.edges import Edges, open_edges
+from bilberry_spread.endpoint_feed import EndpointFeed
+from bilberry_spread.ranking import rank_relays
+from bilberry_spread.reception import Reception
+from bilberry_spread.start import START_WAIT_S, StartGate
+from bilberry_spread.suspect_feed import SuspectFeed
+
+#: Between two looks at what is due, in seconds.
+TICK_S = 0.1
+
+
+class SubscriberController:
+    """Keeps one daemon attached to a relay."""
+
+    def __init__(self, settings: Settings, board: Board, edges: Edges) -> None:
+        """Starts detached."""
+        self._settings = settings
+        self._board = board
+        self._edges = edges
+        timing = settings.timing
+        relays = rank_relays(
+            settings.instance,
+            settings.failure_domain,
+            settings.relays,
+        )
+        reception = Reception(
+            board,
+            StartGate(relays, edges.clock.now() + START_WAIT_S),
+            timing.stale_ms / MS_PER_S,
+            edges,
+        )
+        self._attachment = Attachment(settings, relays, reception, edges, self)
+        self._endpoints = EndpointFeed(
+            board,
+            timing.lease_ms / MS_PER_S,
+            edges.clock,
+        )
+        self._suspects = SuspectFeed(board, edges.clock)
+        self._next_renewal = edges.clock.now()
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        board: Board,
+        credentials: Credentials,
+        clock: Clock,
+        random: RandomSource,
+    ) -> 'SubscriberController':
+        """Returns the controller of a daemon that is no relay."""
+        edges = open_edges(settings, credentials, clock, random)
+        return cls(settings, board, edges)
+
+    @property
+    def attachment(self) -> Attachment:
+        """The streams to relays."""
+        return self._attachment
+
+    async def run(self) -> None:
+        """Stays attached until the daemon stops."""
+        self.start()
+        while not self._board.stopping.is_set():
+            self.tick()
+            await sleep(TICK_S)
+
+    async def stop(self) -> None:
+        """Ends the streams."""
+        self._edges.dialer.close()
+        self._attachment.stop()
+
+    def start(self) -> None:
+        """Watches the blackboard for what the relay must hear."""
+        board = self._board
+        board.own_endpoint.watch(self._announce)
+        board.wanted_services.watch(lambda _services: self._want())
+        board.snapshot.watch(lambda _snapshot: self._tell_held())
+        board.suspects.watch(lambda _suspects: self._tell_suspects())
+
+    def tick(self) -> None:
+        """Does what is due now."""
+        self._attachment.tick()
+        now = self._edges.clock.now()
+        if self._attachment.is_attached and now >= self._next_renewal:
+            self._renew(now)
+        if self._board.stale_since.value is None:
+            self._endpoints.expire()
+
+    def attached(self, source: Source) -> None:
+        """Tells the relay everything that it must hear."""
+        self._want()
+        self._announce(self._board.own_endpoint.value)
+        self._tell_held()
+        self._suspects.restart()
+        self._tell_suspects()
+
+    def receive(self, received: Any) -> None:
+        """Takes endpoints and suspects."""
+        if isinstance(received, EndpointUpdate):
+            self._endpoints.take(received)
+        elif isinstance(received, SuspectUpdate):
+            self._suspects.take(received)
+
+    def _send(self, sent: Any) -> None:
+        main = self._attachment.main
+        if main is not None:
+            main.send(sent)
+
+    def _announce(self, endpoint: Endpoint | None) -> None:
+        if endpoint is not None:
+            self._send(Announce(endpoint))
+            self._schedule_renewal(self._edges.clock.now())
+
+    def _renew(self, now: float) -> None:
+        endpoint = self._board.own_endpoint.value
+        if endpoint is None:
+            self._send(Held({}))
+        else:
+            self._send(
+                Renew(
+                    endpoint.instance,
+                    endpoint.incarnation,
+                    endpoint.sequence,
+                ),
+            )
+        self._schedule_renewal(now)
+
+    def _schedule_renewal(self, now: float) -> None:
+        self._next_renewal = now + self._settings.timing.renew_ms / MS_PER_S
+
+    def _want(self) -> None:
+        services = self._board.wanted_services.value
+        if services:
+            self._send(Want(tuple(sorted(services))))
+
+    def _tell_held(self) -> None:
+        snapshot = self._board.snapshot.value
+        if snapshot is not None:
+            self._send(Held({self._settings.instance: snapshot.version}))
+
+    def _tell_suspects(self) -> None:
+        new = self._suspects.collect_new()
+        if new:
+            self._send(SuspectUpdate(new))
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/suspects.py
@@ -0,0 +1,54 @@
+"""Suspects known to a daemon: a bounded set in which each entry expires."""
+
+from collections.abc import Iterable
+
+from bilberry_core.board import Suspect
+
+#: Most suspects kept; those that expire first are dropped.
+MAX_SUSPECTS = 1024
+
+SuspectKey = tuple[bytes, str, int]
+
+
+def get_suspect_key(suspect: Suspect) -> SuspectKey:
+    """Returns the key of a suspect on the blackboard."""
+    return suspect.fingerprint, suspect.instance, suspect.incarnation
+
+
+def merge_suspects(
+    known: dict[SuspectKey, Suspect],
+    received: Iterable[Suspect],
+    wall_ms: int,
+) -> dict[SuspectKey, Suspect]:
+    """Returns the suspects known after some arrived.
+
+    The dictionary given is returned where nothing changes.
+    """
+    merged = {
+        key: suspect
+        for key, suspect in known.items()
+        if suspect.expires_ms > wall_ms
+    }
+    for suspect in received:
+        key = get_suspect_key(suspect)
+        if suspect.expires_ms > wall_ms and _is_longer(suspect, merged, key):
+            merged[key] = suspect
+    if len(merged) > MAX_SUSPECTS:
+        latest = sorted(merged.values(), key=_rank)[:MAX_SUSPECTS]
+        merged = {get_suspect_key(kept): kept for kept in latest}
+    if merged == known:
+        return known
+    return merged
+
+
+def _is_longer(
+    suspect: Suspect,
+    merged: dict[SuspectKey, Suspect],
+    key: SuspectKey,
+) -> bool:
+    known = merged.get(key)
+    return known is None or suspect.expires_ms > known.expires_ms
+
+
+def _rank(suspect: Suspect) -> tuple[int, SuspectKey]:
+    return -suspect.expires_ms, get_suspect_key(suspect)
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/table.py
@@ -0,0 +1,201 @@
+"""The endpoints that one daemon knows, with their leases.
+
+Of two records of one endpoint the greatest (incarnation, sequence) wins,
+whatever the order of arrival. A record is vouched for by its home: the relay
+that its writer is attached to. A lease ends records whose writer is silent,
+but on a lease alone only a share of a service is removed at a time, since the
+silence may be the listener's own fault.
+"""
+
+from collections import Counter, defaultdict, deque
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from bilberry_core.endpoint import Endpoint, EndpointState
+from bilberry_core.messages.spread import EndpointKey
+
+#: Share of a service's endpoints that leases alone may remove in a window.
+LEASE_REMOVAL_SHARE = 0.5
+#: Length of that window and life of a tombstone, in leases.
+WINDOW_LEASES = 10
+#: Most tombstones kept; the oldest are dropped first.
+MAX_TOMBSTONES = 4096
+
+
+class Entry(NamedTuple):
+    """A record, who vouches for it, and the end of its lease.
+
+    `expires` is monotonic time in seconds, or None while the home vouches.
+    """
+
+    endpoint: Endpoint
+    home: str
+    expires: float | None = None
+
+
+class _Tombstone(NamedTuple):
+    endpoint: Endpoint
+    ends: float
+
+
+def get_key(endpoint: Endpoint) -> EndpointKey:
+    """Returns the name of this record."""
+    return EndpointKey(
+        endpoint.instance,
+        endpoint.incarnation,
+        endpoint.sequence,
+    )
+
+
+class EndpointTable:
+    """Records by instance; tombstones of those that ended."""
+
+    def __init__(self, lease_s: float) -> None:
+        """Starts empty; a lease lasts `lease_s` seconds."""
+        self._lease_s = lease_s
+        self._window_s = lease_s * WINDOW_LEASES
+        self._entries: dict[str, Entry] = {}
+        self._counts: Counter[str] = Counter()
+        self._leases: set[str] = set()
+        self._tombstones: dict[str, _Tombstone] = {}
+        self._removals: defaultdict[str, deque[float]] = defaultdict(deque)
+
+    @property
+    def entries(self) -> dict[str, Entry]:
+        """The records that have not ended; not to be changed."""
+        return self._entries
+
+    @property
+    def endpoints(self) -> dict[str, Endpoint]:
+        """A new dictionary of the records that have not ended."""
+        return {
+            instance: entry.endpoint
+            for instance, entry in self._entries.items()
+        }
+
+    @property
+    def tombstone_count(self) -> int:
+        """How many tombstones are kept."""
+        return len(self._tombstones)
+
+    def find(self, instance: str) -> Endpoint | None:
+        """Returns the newest record known, ended or not."""
+        entry = self._entries.get(instance)
+        if entry is not None:
+            return entry.endpoint
+        tombstone = self._tombstones.get(instance)
+        return tombstone.endpoint if tombstone else None
+
+    def merge(
+        self,
+        endpoint: Endpoint,
+        home: str,
+        now: float,
+        expires: float | None = None,
+    ) -> bool:
+        """Takes a record that `home` vouches for; tells if anything changed.
+
+        A record that is known already moves to this home and lease.
+        """
+        known = self.find(endpoint.instance)
+        if known is not None and known.is_newer_than(endpoint):
+            return False
+        if known is not None and not endpoint.is_newer_than(known):
+            endpoint = known
+        if endpoint.state is EndpointState.GONE:
+            return self._end(endpoint, now)
+        return self._put(Entry(endpoint, home, expires))
+
+    def lapse(self, key: EndpointKey, home: str, now: float) -> None:
+        """Ends the lease of a record now if `home` is still its home."""
+        entry = self._entries.get(key.instance)
+        if entry is None or entry.home != home:
+            return
+        if get_key(entry.endpoint) == key:
+            self._put(entry._replace(expires=now))
+
+    def start_leases(self, instances: Iterable[str], now: float) -> None:
+        """Starts the leases of records that nobody vouches for."""
+        for instance in tuple(instances):
+            entry = self._entries[instance]
+            if entry.expires is None:
+                expires = now + self._lease_s
+                self._put(entry._replace(expires=expires))
+
+    def find_homed(self, home: str) -> tuple[str, ...]:
+        """Returns the instances that `home` vouches for."""
+        return tuple(
+            instance
+            for instance, entry in self._entries.items()
+            if entry.home == home
+        )
+
+    def find_lapsed(self, now: float) -> tuple[Entry, ...]:
+        """Returns the records whose lease is over, the oldest first."""
+        lapsed = [
+            entry
+            for entry in map(self._entries.__getitem__, self._leases)
+            if entry.expires is not None and entry.expires <= now
+        ]
+        return tuple(sorted(lapsed, key=_rank_lapsed))
+
+    def expire(self, now: float) -> tuple[Entry, ...]:
+        """Removes what leases ended, up to the share of each service."""
+        self._drop_tombstones(now)
+        removed: list[Entry] = []
+        for entry in self.find_lapsed(now):
+            service = entry.endpoint.service
+            if self._allows_removal(service, now):
+                self._removals[service].append(now)
+                self._end(entry.endpoint, now)
+                removed.append(entry)
+        return tuple(removed)
+
+    def _allows_removal(self, service: str, now: float) -> bool:
+        removals = self._removals[service]
+        while removals and removals[0] <= now - self._window_s:
+            removals.popleft()
+        total = self._counts[service] + len(removals)
+        return len(removals) + 1 <= total * LEASE_REMOVAL_SHARE
+
+    def _put(self, entry: Entry) -> bool:
+        instance = entry.endpoint.instance
+        before = self._remove(instance)
+        self._tombstones.pop(instance, None)
+        self._entries[instance] = entry
+        self._counts[entry.endpoint.service] += 1
+        if entry.expires is not None:
+            self._leases.add(instance)
+        if before is None:
+            return True
+        return (before.endpoint, before.home) != (entry.endpoint, entry.home)
+
+    def _end(self, endpoint: Endpoint, now: float) -> bool:
+        instance = endpoint.instance
+        known = self._tombstones.pop(instance, None)
+        ended = self._remove(instance)
+        self._tombstones[instance] = _Tombstone(
+            endpoint,
+            now + self._window_s,
+        )
+        if len(self._tombstones) > MAX_TOMBSTONES:
+            self._tombstones.pop(next(iter(self._tombstones)))
+        return ended is not None or known is None or known.endpoint != endpoint
+
+    def _remove(self, instance: str) -> Entry | None:
+        entry = self._entries.pop(instance, None)
+        self._leases.discard(instance)
+        if entry is not None:
+            self._counts[entry.endpoint.service] -= 1
+        return entry
+
+    def _drop_tombstones(self, now: float) -> None:
+        while self._tombstones:
+            instance = next(iter(self._tombstones))
+            if self._tombstones[instance].ends > now:
+                return
+            self._tombstones.pop(instance)
+
+
+def _rank_lapsed(entry: Entry) -> tuple[float, str]:
+    return entry.expires or 0, entry.endpoint.instance
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/updates.py
@@ -0,0 +1,82 @@
+"""Encoded updates of endpoints, shared by all receivers that need the same."""
+
+from collections.abc import Iterable
+
+from bilberry_core.endpoint import Endpoint, EndpointState
+from bilberry_core.messages.registry import encode_message
+from bilberry_core.messages.spread import EndpointKey, EndpointUpdate
+from bilberry_spread.table import EndpointTable, get_key
+
+
+class EndpointUpdates:
+    """Builds updates from a relay's table, and keeps those of one flush."""
+
+    def __init__(self, table: EndpointTable, home: str) -> None:
+        """Speaks for the relay `home`."""
+        self._table = table
+        self._home = home
+        self._changes: dict[tuple[str, frozenset[str]], bytes] = {}
+        self._services: dict[tuple[str, bool], bytes] = {}
+
+    def clear(self) -> None:
+        """Forgets what was encoded; called when the table has changed."""
+        self._changes.clear()
+        self._services.clear()
+
+    def encode_changes(self, service: str, instances: set[str]) -> bytes:
+        """Returns the update of some endpoints of a service."""
+        key = (service, frozenset(instances))
+        if key not in self._changes:
+            self._changes[key] = encode_message(
+                self._build(sorted(instances), vouched_only=False),
+            )
+        return self._changes[key]
+
+    def encode_service(self, service: str, is_complete: bool) -> bytes:
+        """Returns the update that holds every endpoint of a service."""
+        key = (service, is_complete)
+        if key not in self._services:
+            endpoints = tuple(
+                entry.endpoint
+                for entry in self._table.entries.values()
+                if entry.endpoint.service == service
+            )
+            complete = (service,) if is_complete else ()
+            self._services[key] = encode_message(
+                EndpointUpdate(endpoints, complete),
+            )
+        return self._services[key]
+
+    def build_for_relay(self, instances: Iterable[str]) -> EndpointUpdate:
+        """Returns the update of endpoints that this relay vouches for."""
+        return self._build(sorted(instances), vouched_only=True)
+
+    def build_all_for_relay(self) -> EndpointUpdate:
+        """Returns every endpoint that this relay vouches for."""
+        return self.build_for_relay(self._table.find_homed(self._home))
+
+    def _build(
+        self,
+        instances: Iterable[str],
+        *,
+        vouched_only: bool,
+    ) -> EndpointUpdate:
+        endpoints: list[Endpoint] = []
+        lapsed: list[EndpointKey] = []
+        for instance in instances:
+            known = self._table.find(instance)
+            if known is None:
+                continue
+            if self._is_told(known, vouched_only):
+                endpoints.append(known)
+            else:
+                lapsed.append(get_key(known))
+        return EndpointUpdate(tuple(endpoints), (), tuple(lapsed))
+
+    def _is_told(self, known: Endpoint, vouched_only: bool) -> bool:
+        if known.state is EndpointState.GONE:
+            return True
+        entry = self._table.entries.get(known.instance)
+        if entry is None:
+            return False
+        return not vouched_only or entry.home == self._home
--- /dev/null
+++ b/tests/bilberry_spread/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bilberry_spread."""
--- /dev/null
+++ b/tests/bilberry_spread/test_loopback.py
@@ -0,0 +1,103 @@
+"""The controllers over real streams on loopback."""
+
+from asyncio import create_task, gather, run, wait_for
+from random import Random
+
+from testtools import TestCase
+
+from bilberry_core.board import Beacon, Board
+from bilberry_core.clock import SystemClock
+from bilberry_core.endpoint import Address
+from bilberry_core.settings import ListenSettings, Peer, Role, Settings
+from bilberry_core.stream import Credentials, StreamListener
+from bilberry_spread.compiler import SnapshotController
+from bilberry_spread.relay import RelayController
+from bilberry_spread.subscriber import SubscriberController
+from tests.bilberry_spread.fleet import make_accepted, make_endpoint
+
+LOOPBACK = Address('127.0.0.1', 0)
+#: Bound of a test that would hang, in seconds.
+HANG_S = 30
+
+
+class Daemon:
+    """One daemon's board and controllers in this process."""
+
+    def __init__(self, name: str, roles: frozenset[Role]) -> None:
+        """Starts nothing."""
+        self.board = Board()
+        self.credentials = Credentials('fleet', name, b'secret')
+        self.listener = StreamListener(self.credentials)
+        self.settings = Settings(
+            'fleet',
+            name,
+            'a',
+            'region',
+            roles,
+            ListenSettings(LOOPBACK),
+            b'secret',
+        )
+        self.controllers: list = []
+        self.tasks: list = []
+
+    def start(self, peers: tuple[Peer, ...]) -> None:
+        """Runs the controllers."""
+        settings = self.settings._replace(replicas=peers, relays=peers)
+        clock = SystemClock()
+        if Role.RELAY in settings.roles:
+            spreader = RelayController.from_settings(
+                settings,
+                self.board,
+                self.listener,
+                self.credentials,
+                clock,
+                Random(1),
+            )
+        else:
+            spreader = SubscriberController.from_settings(
+                settings,
+                self.board,
+                self.credentials,
+                clock,
+                Random(1),
+            )
+        compiler = SnapshotController.from_settings(settings, self.board)
+        self.controllers = [spreader]
+        self.tasks = [create_task(one.run()) for one in (spreader, compiler)]
+
+    async def stop(self) -> None:
+        """Ends everything."""
+        self.board.stopping.set()
+        await gather(*self.tasks)
+        await gather(*(one.stop() for one in self.controllers))
+        self.listener.close()
+
+
+async def spread_once() -> tuple[int, set[str]]:
+    """Returns the version and the endpoints that a proxy ends with."""
+    relay = Daemon('r-0', frozenset(Role))
+    proxy = Daemon('p-0', frozenset((Role.PROXY,)))
+    bound = await relay.listener.listen(LOOPBACK)
+    peers = (Peer('r-0', bound, 'a'),)
+    proxy.board.own_endpoint.put(make_endpoint('p-0'))
+    proxy.board.wanted_services.put(frozenset(('s0',)))
+    for daemon in (relay, proxy):
+        daemon.start(peers)
+    relay.board.accepted.put(make_accepted(1))
+    relay.board.beacon.put(Beacon(1, 1, 1))
+    found = await proxy.board.snapshot.wait_for(
+        lambda one: one is not None and one.routes['s0'].endpoints,
+    )
+    await relay.board.proxies.wait_for(lambda one: one.get('p-0') == 1)
+    await gather(relay.stop(), proxy.stop())
+    routed = found.routes['s0'].endpoints
+    return found.version, {endpoint.instance for endpoint in routed}
+
+
+class LoopbackTest(TestCase):
+    """A relay and a proxy in one process."""
+
+    def test_proxy_gets_version_and_endpoint(self):
+        """A proxy runs what is accepted, with the endpoint it announced."""
+        outcome = run(wait_for(spread_once(), HANG_S))
+        self.assertEqual((1, {'p-0'}), outcome)
--- /dev/null
+++ b/tests/bilberry_spread/test_spreading.py
@@ -0,0 +1,51 @@
+"""Spreading with nothing failing: what is accepted and announced arrives."""
+
+from testtools import TestCase
+
+from bilberry_core.endpoint import EndpointState
+from tests.bilberry_spread.fleet import Fleet, make_accepted, make_endpoint
+
+
+class SpreadingTest(TestCase):
+    """Fleets without faults."""
+
+    def test_version_reaches_every_proxy(self):
+        """A version accepted is run by all, with relays or without."""
+        for relays in (0, 3):
+            fleet = Fleet(relays=relays)
+            fleet.run(2)
+            fleet.accept(make_accepted(1))
+            fleet.run(0.2)
+            self.assertEqual(
+                {1},
+                {node.board.snapshot.value.version for node in fleet.proxies},
+            )
+
+    def test_endpoint_reaches_those_that_want_it(self):
+        """An endpoint is told to proxies that want its service, and ends."""
+        for relays in (0, 3):
+            fleet = Fleet(relays=relays)
+            fleet.accept(make_accepted(1))
+            first, second, third = fleet.proxies[:3]
+            second.board.wanted_services.put(frozenset(('s0',)))
+            third.board.wanted_services.put(frozenset(('s1',)))
+            fleet.run(2)
+            first.board.own_endpoint.put(make_endpoint(first.name))
+            fleet.run(0.2)
+            self.assertEqual({first.name}, second.board.endpoints.value.keys())
+            self.assertEqual({}, third.board.endpoints.value)
+            gone = make_endpoint(first.name, 2, EndpointState.GONE)
+            first.board.own_endpoint.put(gone)
+            fleet.run(0.2)
+            self.assertEqual({}, second.board.endpoints.value)
+
+    def test_replicas_know_the_version_of_every_proxy(self):
+        """Reports of relays end on the board of each replica."""
+        for relays in (0, 3):
+            fleet = Fleet(relays=relays)
+            fleet.accept(make_accepted(1))
+            fleet.run(3)
+            proxies = fleet.nodes['r-0'].board.proxies.value
+            names = {node.name for node in fleet.proxies}
+            self.assertEqual(names, names & proxies.keys())
+            self.assertEqual({1}, set(proxies.values()))
