Load settings and configuration files, checked as a whole

A table of readers (schema, scalar) turns a bounded YAML document into typed values and reports every problem with its key at once. The same table checks the canonical encoding for replicas, so no rule stands twice. Aliases, tags, duplicate keys, deep nesting and documents over 1 MiB are refused before a document is built.

--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/configuration_document.py
@@ -0,0 +1,63 @@
+"""A configuration as the mapping that its YAML or JSON holds."""
+
+from typing import Any
+
+from bilberry_core.configuration import Configuration, RouteException
+from bilberry_core.policy import CallPolicy, PolicyChange
+from bilberry_core.scalar import render_duration
+
+_MS_PER_S = 1000
+
+
+def build_document(configuration: Configuration) -> dict[str, Any]:
+    """Returns a configuration as the mapping that its YAML holds."""
+    return {
+        'defaults': _render_policy(configuration.defaults),
+        'services': {
+            service.name: {'hosts': list(service.hosts)}
+            for service in configuration.services
+        },
+        'exceptions': {
+            rule.name: _render_exception(rule)
+            for rule in configuration.exceptions
+        },
+    }
+
+
+def _render_policy(policy: CallPolicy | PolicyChange) -> dict[str, Any]:
+    rendered = {
+        'timeout': _render_ms(policy.timeout_ms),
+        'retries': policy.retries,
+        'retry_budget': _render_percent(policy.retry_budget_percent),
+        'priority': policy.priority and str(policy.priority),
+        'idempotent_methods': _render_list(policy.idempotent_methods),
+        'load_policy': policy.load_policy,
+        'claim_retention': _render_s(policy.claim_retention_s),
+    }
+    return {key: shown for key, shown in rendered.items() if shown is not None}
+
+
+def _render_exception(rule: RouteException) -> dict[str, Any]:
+    return {
+        'service': rule.service,
+        'path_prefix': rule.path_prefix,
+        'methods': list(rule.methods),
+        'set': _render_policy(rule.change),
+        'reason': rule.reason,
+    }
+
+
+def _render_ms(duration_ms: int | None) -> str | None:
+    return None if duration_ms is None else render_duration(duration_ms)
+
+
+def _render_s(duration_s: int | None) -> str | None:
+    return _render_ms(None if duration_s is None else duration_s * _MS_PER_S)
+
+
+def _render_percent(percent: int | None) -> str | None:
+    return None if percent is None else f'{percent}%'
+
+
+def _render_list(names: tuple[str, ...] | None) -> list[str] | None:
+    return None if names is None else list(names)
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/configuration_file.py
@@ -0,0 +1,233 @@
+"""The operators' configuration as YAML, and the rules that it must meet.
+
+One table of readers checks files, HTTP bodies and the canonical encoding that
+replicas keep, so no rule stands twice. Rendering and parsing are inverse.
+"""
+
+from typing import Any
+
+from returns.result import Failure, Result, Success
+from yaml import safe_dump
+
+from bilberry_core.configuration import (
+    Configuration,
+    RouteException,
+    Service,
+    decode_configuration,
+    encode_configuration,
+)
+from bilberry_core.configuration_document import build_document
+from bilberry_core.document import load_document
+from bilberry_core.error import ConfigurationError
+from bilberry_core.policy import CallPolicy, PolicyChange, Priority
+from bilberry_core.problem import Problem, Report
+from bilberry_core.scalar import (
+    parse_choice,
+    parse_duration,
+    parse_host,
+    parse_line,
+    parse_method,
+    parse_name,
+    parse_path_prefix,
+    parse_percent,
+    parse_whole,
+)
+from bilberry_core.schema import (
+    ListOf,
+    MapOf,
+    Option,
+    Scalar,
+    Section,
+    join_key,
+)
+
+_MS_PER_S = 1000
+_HOUR_MS = 3_600_000
+_MAX_RETENTION_MS = 720 * _HOUR_MS
+_MAX_RETRIES = 10
+
+_NAME = Scalar(parse_name)
+_METHODS = ListOf(Scalar(parse_method))
+
+_POLICY = {
+    'timeout': Option('timeout_ms', Scalar(parse_duration(1, _HOUR_MS))),
+    'retries': Option('retries', Scalar(parse_whole(0, _MAX_RETRIES))),
+    'retry_budget': Option('retry_budget_percent', Scalar(parse_percent)),
+    'priority': Option('priority', Scalar(parse_choice(Priority))),
+    'idempotent_methods': Option('idempotent_methods', _METHODS),
+    'load_policy': Option('load_policy', _NAME),
+    'claim_retention': Option(
+        'claim_retention_s',
+        Scalar(parse_duration(_MS_PER_S, _MAX_RETENTION_MS, _MS_PER_S)),
+    ),
+}
+
+#: Everything that a configuration may hold.
+CONFIGURATION = Section(
+    dict,
+    {
+        'defaults': Option('defaults', Section(CallPolicy, _POLICY)),
+        'services': Option(
+            'services',
+            MapOf(
+                _NAME,
+                Section(
+                    dict,
+                    {'hosts': Option('hosts', ListOf(Scalar(parse_host)))},
+                ),
+            ),
+        ),
+        'exceptions': Option(
+            'exceptions',
+            MapOf(
+                _NAME,
+                Section(
+                    dict,
+                    {
+                        'service': Option('service', _NAME, required=True),
+                        'path_prefix': Option(
+                            'path_prefix',
+                            Scalar(parse_path_prefix),
+                        ),
+                        'methods': Option('methods', _METHODS),
+                        'set': Option(
+                            'change',
+                            Section(PolicyChange, _POLICY),
+                            required=True,
+                        ),
+                        'reason': Option(
+                            'reason',
+                            Scalar(parse_line),
+                            required=True,
+                        ),
+                    },
+                ),
+            ),
+        ),
+    },
+)
+
+
+def parse_configuration(
+    text: str,
+    name: str,
+) -> Result[Configuration, tuple[Problem, ...]]:
+    """Returns the configuration in `text`, or everything wrong with it.
+
+    `name` is the file that problems are reported for.
+    """
+    report = Report(name)
+    document = load_document(text)
+    if isinstance(document, Failure):
+        report.add('', document.failure())
+        return Failure(report.problems)
+    return _read_document(document.unwrap(), report)
+
+
+def render_configuration(configuration: Configuration) -> str:
+    """Returns a configuration as YAML."""
+    return safe_dump(
+        build_document(configuration),
+        sort_keys=False,
+        allow_unicode=True,
+    )
+
+
+def validate_content(content: bytes) -> list[str]:
+    """Returns what is wrong with a configuration's canonical encoding."""
+    report = Report('configuration')
+    try:
+        configuration = decode_configuration(content)
+    except ConfigurationError as error:
+        return [str(error)]
+    parsed = _read_document(build_document(configuration), report)
+    if isinstance(parsed, Failure):
+        return [problem.describe() for problem in parsed.failure()]
+    if encode_configuration(parsed.unwrap()) != content:
+        return ['configuration: expected its canonical encoding']
+    return []
+
+
+def _read_document(
+    document: object,
+    report: Report,
+) -> Result[Configuration, tuple[Problem, ...]]:
+    fields = CONFIGURATION.read(document, '', report)
+    services = _read_services(document)
+    _refuse_shared_hosts(services, report)
+    _refuse_undeclared(document, services, report)
+    _refuse_empty_changes(document, report)
+    if report.count:
+        return Failure(report.problems)
+    return Success(_build_configuration(fields))
+
+
+def _build_configuration(fields: dict[str, Any]) -> Configuration:
+    return Configuration(
+        defaults=fields.get('defaults', CallPolicy()),
+        services=tuple(
+            Service(name, **service)
+            for name, service in fields.get('services', {}).items()
+        ),
+        exceptions=tuple(
+            RouteException(name=name, **rule)
+            for name, rule in fields.get('exceptions', {}).items()
+        ),
+    )
+
+
+def _read_services(document: object) -> dict[object, list[object]]:
+    """Returns the hosts by service, as far as a document holds them."""
+    return {
+        name: [host for host in _items(service) if isinstance(host, str)]
+        for name, service in _mapping(document, 'services').items()
+    }
+
+
+def _items(service: object) -> list[object]:
+    hosts = service.get('hosts') if isinstance(service, dict) else None
+    return hosts if isinstance(hosts, list) else []
+
+
+def _mapping(document: object, key: str) -> dict[object, object]:
+    found = document.get(key) if isinstance(document, dict) else None
+    return found if isinstance(found, dict) else {}
+
+
+def _refuse_shared_hosts(
+    services: dict[object, list[object]],
+    report: Report,
+) -> None:
+    owners = {name: name for name in services}
+    for name, hosts in services.items():
+        for host in hosts:
+            owner = owners.setdefault(host, name)
+            if owner != name:
+                report.add(
+                    f'{join_key("services", name)}.hosts',
+                    f'host "{host}" already belongs to service "{owner}"',
+                )
+
+
+def _refuse_undeclared(
+    document: object,
+    services: dict[object, list[object]],
+    report: Report,
+) -> None:
+    for name, rule in _mapping(document, 'exceptions').items():
+        service = rule.get('service') if isinstance(rule, dict) else None
+        if isinstance(service, str) and service not in services:
+            report.add(
+                f'{join_key("exceptions", name)}.service',
+                f'expected a declared service, got "{service}"',
+            )
+
+
+def _refuse_empty_changes(document: object, report: Report) -> None:
+    for name, rule in _mapping(document, 'exceptions').items():
+        changed = rule.get('set') if isinstance(rule, dict) else None
+        if isinstance(changed, dict) and not changed:
+            report.add(
+                f'{join_key("exceptions", name)}.set',
+                'expected at least one option',
+            )
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/document.py
@@ -0,0 +1,99 @@
+"""Loads YAML documents that people wrote, within bounds.
+
+Duplicate keys, aliases, explicit tags, deep nesting and large files are
+refused before a document is built, so its cost is bounded by its length.
+"""
+
+from collections.abc import Iterator
+
+from returns.result import Failure, Result, Success
+from yaml import (
+    AliasEvent,
+    CollectionEndEvent,
+    CollectionStartEvent,
+    MappingNode,
+    ScalarEvent,
+    YAMLError,
+)
+from yaml import load as load_yaml
+from yaml import parse as parse_yaml
+
+try:
+    from yaml import CSafeLoader as SafeLoader
+except ImportError:
+    from yaml import SafeLoader
+
+#: Largest document, in bytes.
+MAX_DOCUMENT_BYTES = 1 << 20
+#: Deepest nesting of mappings and lists.
+MAX_DEPTH = 8
+
+
+class _DocumentError(YAMLError):
+    """A document goes over a bound or repeats a key."""
+
+
+class _Loader(SafeLoader):
+    """Refuses mappings that have a key twice."""
+
+    def construct_mapping(self, node, deep=False):
+        """Builds a mapping whose keys differ."""
+        _refuse_duplicates(node)
+        return super().construct_mapping(node, deep=deep)
+
+
+def load_document(text: str) -> Result[object, str]:
+    """Returns what a YAML document holds, or why it can't be used."""
+    if len(text.encode(errors='replace')) > MAX_DOCUMENT_BYTES:
+        return Failure(f'expected at most {MAX_DOCUMENT_BYTES} bytes')
+    try:
+        _check_events(text)
+        return Success(load_yaml(text, Loader=_Loader))  # noqa: S506
+    except (YAMLError, ValueError, OverflowError) as error:
+        return Failure(f'expected YAML: {_describe(error)}')
+
+
+def _check_events(text: str) -> None:
+    depth = 0
+    for event in parse_yaml(text, Loader=SafeLoader):
+        if isinstance(event, CollectionStartEvent):
+            depth += 1
+        elif isinstance(event, CollectionEndEvent):
+            depth -= 1
+        if depth > MAX_DEPTH:
+            raise _DocumentError(f'nested deeper than {MAX_DEPTH}')
+        _check_event(event)
+
+
+def _check_event(event: object) -> None:
+    if isinstance(event, AliasEvent):
+        raise _DocumentError(f'alias "{event.anchor}" is not allowed')
+    if not isinstance(event, (ScalarEvent, CollectionStartEvent)):
+        return
+    if event.tag is not None:
+        raise _DocumentError(f'tag "{event.tag}" is not allowed')
+
+
+def _refuse_duplicates(node: MappingNode) -> None:
+    seen: set[str] = set()
+    for key in _scalar_keys(node):
+        if key in seen:
+            line = node.start_mark.line + 1
+            raise _DocumentError(
+                f'key "{key}" stands twice in the mapping at line {line}',
+            )
+        seen.add(key)
+
+
+def _scalar_keys(node: MappingNode) -> Iterator[str]:
+    for key_node, _ in node.value:
+        if isinstance(key_node.value, str):
+            yield key_node.value
+
+
+def _describe(error: Exception) -> str:
+    problem = getattr(error, 'problem', None)
+    mark = getattr(error, 'problem_mark', None)
+    if problem and mark:
+        return f'{problem} at line {mark.line + 1}, column {mark.column + 1}'
+    return ' '.join(str(error).split())
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/scalar.py
@@ -0,0 +1,158 @@
+"""Functions that parse single values of settings and configurations.
+
+Each returns the value, or what was expected and what was found instead.
+"""
+
+from collections.abc import Callable
+from enum import StrEnum
+from ipaddress import ip_address
+from re import Pattern
+from re import compile as compile_pattern
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from bilberry_core.endpoint import Address
+from bilberry_core.problem import shorten
+from bilberry_core.unit import parse_duration_ms
+
+#: Highest TCP port.
+MAX_PORT = 65535
+_MAX_HOST_LENGTH = 253
+_NAME = compile_pattern(r'[a-z0-9]([a-z0-9_.-]{0,61}[a-z0-9])?')
+_HOST = compile_pattern(
+    r'[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?'
+    r'(\.[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?)*',
+)
+_METHOD = compile_pattern("[A-Z][A-Z0-9!#$%&'*+.^_`|~-]{0,31}")
+_PATH_PREFIX = compile_pattern(r'(/[!-~]{0,1023})?')
+_PERCENT = compile_pattern('([0-9]{1,3})%')
+_PORT = compile_pattern('[0-9]{1,5}')
+_MAX_PERCENT = 100
+
+ParseFunction = Callable[[Any], Result[Any, str]]
+
+
+def parse_name(found: object) -> Result[str, str]:
+    """Returns a name of a service, an instance, an exception and the like."""
+    expected = 'a name of 1 to 63 characters a-z 0-9 . _ -'
+    return _match(_NAME, found, expected)
+
+
+def parse_host(found: object) -> Result[str, str]:
+    """Returns a host name in lower case."""
+    expected = 'a host name in lower case such as callouts.example'
+    host = _match(_HOST, found, expected)
+    if len(str(found)) > _MAX_HOST_LENGTH:
+        return _expect(expected, found)
+    return host
+
+
+def parse_method(found: object) -> Result[str, str]:
+    """Returns an HTTP method."""
+    return _match(_METHOD, found, 'an HTTP method such as GET')
+
+
+def parse_path_prefix(found: object) -> Result[str, str]:
+    """Returns the beginning of a path."""
+    return _match(_PATH_PREFIX, found, 'a path prefix such as /open')
+
+
+def parse_percent(found: object) -> Result[int, str]:
+    """Returns a percentage between 0% and 100%."""
+    expected = 'a percentage between 0% and 100%'
+    text = _match(_PERCENT, found, expected)
+    percent = text.map(lambda matched: int(matched[:-1]))
+    if percent.value_or(0) > _MAX_PERCENT:
+        return _expect(expected, found)
+    return percent
+
+
+def parse_line(found: object) -> Result[str, str]:
+    """Returns a text that is not blank, without blanks around it."""
+    expected = 'a text that is not blank'
+    if not isinstance(found, str) or not found.strip():
+        return _expect(expected, found)
+    if not found.replace('\n', ' ').strip().isprintable():
+        return _expect('a text of printable characters', found)
+    return Success(found.strip())
+
+
+def parse_address(found: object) -> Result[Address, str]:
+    """Returns an IP address and a TCP port, such as `127.0.0.1:7000`."""
+    expected = f'an IP address and a port up to {MAX_PORT} such as 10.0.0.1:70'
+    host, colon, port = str(found).rpartition(':')
+    if not isinstance(found, str) or not colon:
+        return _expect(expected, found)
+    if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
+        return _expect(expected, found)
+    try:
+        address = ip_address(host.removeprefix('[').removesuffix(']'))
+    except ValueError:
+        return _expect(expected, found)
+    return Success(Address(str(address), int(port)))
+
+
+def parse_whole(low: int, high: int) -> ParseFunction:
+    """Returns a function that parses integers in [low, high]."""
+
+    def parse(found: object) -> Result[int, str]:
+        is_whole = isinstance(found, int) and not isinstance(found, bool)
+        if is_whole and low <= found <= high:
+            return Success(found)
+        return _expect(f'a whole number between {low} and {high}', found)
+
+    return parse
+
+
+def parse_choice(choices: type[StrEnum]) -> ParseFunction:
+    """Returns a function that parses the members of an enumeration."""
+    named = ', '.join(choices)
+
+    def parse(found: object) -> Result[StrEnum, str]:
+        if isinstance(found, str) and found in set(choices):
+            return Success(choices(found))
+        return _expect(f'one of: {named}', found)
+
+    return parse
+
+
+def parse_duration(
+    low_ms: int, high_ms: int, unit_ms: int = 1
+) -> ParseFunction:
+    """Returns a function that parses durations into units of `unit_ms`."""
+    bounds = f'{render_duration(low_ms)} and {render_duration(high_ms)}'
+
+    def parse(found: object) -> Result[int, str]:
+        expected = f'a duration such as 250ms or 7s between {bounds}'
+        duration = parse_duration_ms(found) if isinstance(found, str) else None
+        if not isinstance(duration, Success):
+            return _expect(expected, found)
+        duration_ms = duration.unwrap()
+        if not low_ms <= duration_ms <= high_ms or duration_ms % unit_ms:
+            return _expect(expected, found)
+        return Success(duration_ms // unit_ms)
+
+    return parse
+
+
+def render_duration(duration_ms: int) -> str:
+    """Returns a duration in the greatest unit that divides it."""
+    for name, unit_ms in (('h', 3_600_000), ('m', 60_000), ('s', 1000)):
+        if duration_ms and duration_ms % unit_ms == 0:
+            return f'{duration_ms // unit_ms}{name}'
+    return f'{duration_ms}ms'
+
+
+def _match(
+    pattern: Pattern[str],
+    found: object,
+    expected: str,
+) -> Result[str, str]:
+    if isinstance(found, str) and pattern.fullmatch(found):
+        return Success(found)
+    return _expect(expected, found)
+
+
+def _expect(expected: str, found: object) -> Result[Any, str]:
+    return Failure(f'expected {expected}, got {shorten(found)}')
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/schema.py
@@ -0,0 +1,137 @@
+"""Readers that check a document and turn it into typed values.
+
+A table of readers says what a file may hold. A reader reports each problem
+with its key and goes on, so that all are told at once; what it returns after
+a problem is None.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, Protocol
+
+from returns.result import Failure, Result
+
+from bilberry_core.problem import Report, shorten
+
+
+class Reader(Protocol):
+    """Reads one part of a document."""
+
+    def read(self, found: object, key: str, report: Report) -> Any:
+        """Returns the typed value, or None after reporting problems."""
+
+
+class Scalar(NamedTuple):
+    """Reads a value by a function that tells what it expected."""
+
+    parse: Callable[[Any], Result[Any, str]]
+
+    def read(self, found: object, key: str, report: Report) -> Any:
+        """Returns the parsed value."""
+        parsed = self.parse(found)
+        if isinstance(parsed, Failure):
+            report.add(key, parsed.failure())
+            return None
+        return parsed.unwrap()
+
+
+class ListOf(NamedTuple):
+    """Reads a list whose items differ."""
+
+    item: Reader
+
+    def read(self, found: object, key: str, report: Report) -> Any:
+        """Returns the items as a tuple."""
+        if not isinstance(found, list):
+            report.add(key, f'expected a list, got {shorten(found)}')
+            return None
+        items = [
+            self.item.read(value, f'{key}[{index}]', report)
+            for index, value in enumerate(found)
+        ]
+        seen = set()
+        for index, value in enumerate(items):
+            if value is not None and value in seen:
+                report.add(f'{key}[{index}]', 'expected items that differ')
+            seen.add(value)
+        return tuple(items)
+
+
+class MapOf(NamedTuple):
+    """Reads a mapping from names to values of one kind."""
+
+    name: Scalar
+    value: Reader
+
+    def read(self, found: object, key: str, report: Report) -> Any:
+        """Returns a dict, sorted by name."""
+        if not isinstance(found, dict):
+            report.add(key, f'expected a mapping, got {shorten(found)}')
+            return None
+        entries = {}
+        for name, value in found.items():
+            path = join_key(key, name)
+            parsed = self.name.read(name, path, report)
+            entry = self.value.read(value, path, report)
+            if parsed is not None:
+                entries[parsed] = entry
+        return dict(sorted(entries.items()))
+
+
+class Option(NamedTuple):
+    """A key of a section.
+
+    `field`
+        Name of the field that it fills.
+    `reader`
+        How it is read.
+    `required`
+        Whether it must be there; if not, the field keeps its default.
+    """
+
+    field: str
+    reader: Reader
+    required: bool = False
+
+
+class Section(NamedTuple):
+    """Reads a mapping with a fixed set of keys into a record."""
+
+    build: Callable[..., Any]
+    options: Mapping[str, Option]
+
+    def read(self, found: object, key: str, report: Report) -> Any:
+        """Returns the record."""
+        if not isinstance(found, dict):
+            report.add(key, f'expected a mapping, got {shorten(found)}')
+            return None
+        before = report.count
+        self._refuse_unknown(found, key, report)
+        fields = {}
+        for name, option in self.options.items():
+            path = join_key(key, name)
+            if name in found:
+                fields[option.field] = option.reader.read(
+                    found[name],
+                    path,
+                    report,
+                )
+            elif option.required:
+                report.add(path, 'expected a value, the key is missing')
+        if report.count > before:
+            return None
+        return self.build(**fields)
+
+    def _refuse_unknown(self, found: dict, key: str, report: Report) -> None:
+        known = ', '.join(self.options)
+        for name in found:
+            if name not in self.options:
+                report.add(
+                    join_key(key, name),
+                    f'unknown key, expected one of: {known}',
+                )
+
+
+def join_key(key: str, name: object) -> str:
+    """Returns the path of a key inside another."""
+    shown = name if isinstance(name, str) else shorten(name)
+    return f'{key}.{shown}' if key else str(shown)
--- /dev/null
+++ b/tests/bilberry_core/test_configuration_file.py
@@ -0,0 +1,174 @@
+"""Configuration files: rules, rendering, bounds."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.configuration import (
+    Configuration,
+    RouteException,
+    Service,
+    encode_configuration,
+)
+from bilberry_core.configuration_file import (
+    parse_configuration,
+    render_configuration,
+    validate_content,
+)
+from bilberry_core.policy import CallPolicy, PolicyChange, Priority
+
+GOOD = """
+defaults: {timeout: 4s, retry_budget: 10%, claim_retention: 48h}
+services:
+  stock: {}
+  callouts: {hosts: [callouts.example]}
+exceptions:
+  night:
+    service: callouts
+    path_prefix: /open
+    methods: [GET]
+    set: {timeout: 900ms, priority: urgent}
+    reason: a dispatcher at night cannot wait
+"""
+
+names = st.from_regex('[a-z]{1,6}', fullmatch=True)
+changes = st.builds(
+    PolicyChange,
+    timeout_ms=st.integers(1, 3_600_000),
+    retries=st.none() | st.integers(0, 10),
+    retry_budget_percent=st.none() | st.integers(0, 100),
+    priority=st.none() | st.sampled_from(Priority),
+    idempotent_methods=st.none() | st.just(('GET', 'PUT')),
+    load_policy=st.none() | names,
+    claim_retention_s=st.none() | st.integers(1, 2_592_000),
+)
+
+
+@st.composite
+def configurations(draw):
+    """Draws a configuration that meets every rule."""
+    services = sorted(draw(st.sets(names, min_size=1, max_size=4)))
+    rules = [
+        RouteException(
+            name,
+            draw(st.sampled_from(services)),
+            draw(st.text(min_size=1).map(clean).filter(bool)),
+            draw(changes),
+            draw(st.sampled_from(['', '/', '/open'])),
+            draw(st.sampled_from([(), ('GET',)])),
+        )
+        for name in sorted(draw(st.sets(names, max_size=4)))
+    ]
+    return Configuration(
+        draw(changes).apply(CallPolicy()),
+        tuple(Service(name, (f'{name}.example',)) for name in services),
+        tuple(rules),
+    )
+
+
+def clean(text: str) -> str:
+    """Returns the printable characters of a text."""
+    return ''.join(filter(str.isprintable, text)).strip()
+
+
+def refuse(text: str) -> dict[str, str]:
+    """Returns the problems of a configuration by key."""
+    problems = parse_configuration(text, 'fleet.yaml').failure()
+    return {problem.key: problem.detail for problem in problems}
+
+
+class ConfigurationFileTest(TestCase):
+    """Parsing, rendering and validating."""
+
+    def test_good_file_is_typed_and_sorted(self):
+        """Defaults, services and exceptions reach their records."""
+        parsed = parse_configuration(GOOD, 'fleet.yaml').unwrap()
+        self.assertEqual(4000, parsed.defaults.timeout_ms)
+        self.assertEqual(172_800, parsed.defaults.claim_retention_s)
+        self.assertEqual(
+            ['callouts', 'stock'],
+            [service.name for service in parsed.services],
+        )
+        self.assertEqual(
+            PolicyChange(timeout_ms=900, priority=Priority.URGENT),
+            parsed.exceptions[0].change,
+        )
+
+    def test_everything_wrong_is_told_at_once(self):
+        """Each rule reports its key, whatever else is wrong."""
+        problems = refuse(
+            GOOD.replace('stock: {}', 'stock: {hosts: [callouts.example]}')
+            .replace('service: callouts', 'service: boats')
+            .replace('timeout: 900ms', 'timeout: 2h')
+            .replace('retry_budget: 10%', 'retry_budget: 101%')
+            .replace('reason: a dispatcher at night cannot wait', 'reason: " "')
+            .replace('timeout: 4s', 'timeuot: 4s'),
+        )
+        self.assertEqual(
+            {
+                'defaults.timeuot',
+                'defaults.retry_budget',
+                'services.callouts.hosts',
+                'exceptions.night.service',
+                'exceptions.night.set.timeout',
+                'exceptions.night.reason',
+            },
+            set(problems),
+        )
+
+    def test_missing_reason_is_refused(self):
+        """An exception without its reason is no exception."""
+        problems = refuse(GOOD.replace('    reason: a disp', '#'))
+        self.assertEqual({'exceptions.night.reason'}, set(problems))
+
+    def test_exception_that_changes_nothing_is_refused(self):
+        """An empty `set` is a mistake."""
+        problems = refuse(
+            GOOD.replace('{timeout: 900ms, priority: urgent}', '{}'),
+        )
+        self.assertEqual({'exceptions.night.set'}, set(problems))
+
+    def test_duplicate_service_is_refused(self):
+        """A service that stands twice is not silently dropped."""
+        problems = refuse(GOOD.replace('stock: {}', 'callouts: {}'))
+        self.assertIn('key "callouts" stands twice', problems[''])
+
+    @given(configurations())
+    def test_rendering_is_reversible(self, configuration):
+        """Rendered and parsed, a configuration is unchanged and valid."""
+        rendered = render_configuration(configuration)
+        self.assertEqual(
+            configuration,
+            parse_configuration(rendered, 'rendered').unwrap(),
+        )
+        content = encode_configuration(configuration)
+        self.assertEqual([], validate_content(content))
+
+    def test_content_that_breaks_rules_is_refused(self):
+        """The canonical encoding meets the rules of the file."""
+        service = Service('callouts', ('callouts.example',))
+        for bad in (
+            Configuration(CallPolicy(timeout_ms=0)),
+            Configuration(services=(Service('z'), Service('a'))),
+            Configuration(services=(service, service)),
+            Configuration(
+                services=(service,),
+                exceptions=(
+                    RouteException(
+                        'x', 'callouts', ' ', PolicyChange(retries=1)
+                    ),
+                ),
+            ),
+        ):
+            self.assertNotEqual([], validate_content(encode_configuration(bad)))
+
+    @given(st.binary(max_size=60))
+    def test_garbage_content_is_reported(self, garbage):
+        """Bytes that are no configuration are told as such."""
+        self.assertNotEqual([], validate_content(garbage))
+
+    @given(st.text(alphabet='{}[]:&*!-, \nab0~', max_size=40))
+    def test_garbage_text_gives_a_result(self, garbage):
+        """Any text gives a configuration or problems."""
+        parsed = parse_configuration(garbage, 'fleet.yaml')
+        self.assertIn(type(parsed).__name__, {'Success', 'Failure'})
