Serve the operators' HTTP interface

GET and PUT of the configuration with If-Match on the version, history, rollback, status and explain, over an Acceptor. A daemon without an acceptor tells its status, explains routes and names the replicas. Measured with a fake acceptor on loopback; not yet with the replicated one.

--- a/packages/bilberry_core/bilberry_core/configuration_document.py
+++ b/packages/bilberry_core/bilberry_core/configuration_document.py
@@ -12,7 +12,7 @@
 def build_document(configuration: Configuration) -> dict[str, Any]:
     """Returns a configuration as the mapping that its YAML holds."""
     return {
-        'defaults': _render_policy(configuration.defaults),
+        'defaults': render_policy(configuration.defaults),
         'services': {
             service.name: {'hosts': list(service.hosts)}
             for service in configuration.services
@@ -24,7 +24,7 @@
     }
 
 
-def _render_policy(policy: CallPolicy | PolicyChange) -> dict[str, Any]:
+def render_policy(policy: CallPolicy | PolicyChange) -> dict[str, Any]:
     rendered = {
         'timeout': _render_ms(policy.timeout_ms),
         'retries': policy.retries,
@@ -42,7 +42,7 @@
         'service': rule.service,
         'path_prefix': rule.path_prefix,
         'methods': list(rule.methods),
-        'set': _render_policy(rule.change),
+        'set': render_policy(rule.change),
         'reason': rule.reason,
     }
 
--- /dev/null
+++ b/packages/bilberry_operators/bilberry_operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface: configuration, history, status, explain."""
--- /dev/null
+++ b/packages/bilberry_operators/bilberry_operators/configuration_resource.py
@@ -0,0 +1,189 @@
+"""Reads and changes the accepted configuration through the acceptor."""
+
+from asyncio import to_thread, wait_for
+from http import HTTPStatus
+from logging import getLogger
+
+from returns.result import Failure, Result
+
+from bilberry_core.acceptance import (
+    Accepted,
+    Acceptor,
+    Change,
+    HistoryEntry,
+    NotAccepted,
+    OutcomeUnknown,
+    Refusal,
+)
+from bilberry_core.configuration import (
+    AcceptedVersion,
+    Configuration,
+    decode_configuration,
+    encode_configuration,
+)
+from bilberry_core.configuration_document import build_document
+from bilberry_core.configuration_file import (
+    parse_configuration,
+    render_configuration,
+)
+from bilberry_core.http import Headers, HttpRequest, HttpResponse
+from bilberry_operators.answer import (
+    RefusedError,
+    answer_json,
+    answer_yaml,
+    build_etag,
+)
+from bilberry_operators.outcome import (
+    answer_outcome,
+    describe_entry,
+    refuse_not_accepted,
+)
+from bilberry_operators.precondition import check_token, read_precondition
+from bilberry_operators.router import Call, parse_version
+
+_log = getLogger(__name__)
+
+#: Longest time that a change or a read waits for the replicas, in seconds.
+ACCEPTANCE_TIMEOUT_S = 5.0
+#: Versions listed unless the request says how many.
+DEFAULT_HISTORY = 20
+#: Most versions that are looked through or listed.
+MAX_HISTORY = 10_000
+_GRACE_S = 1.0
+
+
+class ConfigurationResource:
+    """The configuration and its history, on a daemon with an acceptor."""
+
+    def __init__(self, acceptor: Acceptor, token: str) -> None:
+        """Keeps the acceptor and the operators' token."""
+        self._acceptor = acceptor
+        self._token = token
+
+    async def read(self, call: Call) -> HttpResponse:
+        """Answers with the newest accepted configuration."""
+        current = await self._read_current()
+        if current is None:
+            return _render(call.request, Configuration(), build_etag(0))
+        etag = build_etag(current.version)
+        return _render(call.request, current.configuration, etag)
+
+    async def replace(self, call: Call) -> HttpResponse:
+        """Offers the configuration in the body as the next version."""
+        check_token(call.request, self._token)
+        condition = read_precondition(call.request)
+        content = await to_thread(_read_body, call.request)
+        return await self._submit(Change(*_spread(condition), content))
+
+    async def list_history(self, call: Call) -> HttpResponse:
+        """Answers with the newest versions, newest first."""
+        limit = min(call.get_whole('limit', DEFAULT_HISTORY), MAX_HISTORY)
+        entries = self._acceptor.read_history(limit)
+        return answer_json(
+            {'versions': [describe_entry(entry) for entry in entries]},
+        )
+
+    async def read_version(self, call: Call) -> HttpResponse:
+        """Answers with one version of the history."""
+        entry = self._find(parse_version(call.segment, 'version'))
+        configuration = decode_configuration(entry.content)
+        return answer_json(
+            {
+                **describe_entry(entry),
+                'configuration': build_document(configuration),
+            },
+            headers=build_etag(entry.version),
+        )
+
+    async def roll_back(self, call: Call) -> HttpResponse:
+        """Offers the content of an older version as the next one."""
+        check_token(call.request, self._token)
+        condition = read_precondition(call.request)
+        wanted = parse_version(call.query.get('version', ''), 'version')
+        entry = self._find(wanted)
+        note = condition.note or f'roll back to version {wanted}'
+        change = Change(
+            *_spread(condition._replace(note=note)),
+            entry.content,
+        )
+        return await self._submit(change)
+
+    async def _read_current(self) -> AcceptedVersion | None:
+        try:
+            current = await wait_for(
+                self._acceptor.read_current(ACCEPTANCE_TIMEOUT_S),
+                ACCEPTANCE_TIMEOUT_S + _GRACE_S,
+            )
+        except TimeoutError:
+            current = Failure(NotAccepted('no quorum of replicas in time'))
+        if isinstance(current, Failure):
+            raise refuse_not_accepted(current.failure())
+        return current.unwrap()
+
+    async def _submit(self, change: Change) -> HttpResponse:
+        outcome = await self._offer(change)
+        _log.info(
+            'configuration_change',
+            extra={
+                'change_id': change.change_id,
+                'base_version': change.base_version,
+                'author': change.author,
+                'note': change.note,
+                'outcome': _name_outcome(outcome),
+            },
+        )
+        return answer_outcome(outcome)
+
+    async def _offer(self, change: Change) -> Result[Accepted, Refusal]:
+        try:
+            return await wait_for(
+                self._acceptor.submit(change, ACCEPTANCE_TIMEOUT_S),
+                ACCEPTANCE_TIMEOUT_S + _GRACE_S,
+            )
+        except TimeoutError:
+            detail = 'no answer of the replicas in time'
+            return Failure(OutcomeUnknown(change.change_id, detail))
+
+    def _find(self, version: int) -> HistoryEntry:
+        for entry in self._acceptor.read_history(MAX_HISTORY):
+            if entry.version == version:
+                return entry
+        raise RefusedError(
+            HTTPStatus.NOT_FOUND,
+            'unknown_version',
+            f'version {version} is not in the history kept here',
+        )
+
+
+def _read_body(request: HttpRequest) -> bytes:
+    text = request.body.decode('utf-8', errors='replace')
+    parsed = parse_configuration(text, 'configuration')
+    if isinstance(parsed, Failure):
+        problems = parsed.failure()
+        raise RefusedError(
+            HTTPStatus.UNPROCESSABLE_ENTITY,
+            'invalid_configuration',
+            '; '.join(problem.describe() for problem in problems),
+            problems=[problem._asdict() for problem in problems],
+        )
+    return encode_configuration(parsed.unwrap())
+
+
+def _spread(condition: tuple) -> tuple[str, int, str, str]:
+    base_version, change_id, author, note = condition
+    return change_id, base_version, author, note
+
+
+def _render(
+    request: HttpRequest,
+    configuration: Configuration,
+    etag: Headers,
+) -> HttpResponse:
+    if 'json' in request.get_header(b'accept'):
+        return answer_json(build_document(configuration), headers=etag)
+    return answer_yaml(render_configuration(configuration), etag)
+
+
+def _name_outcome(outcome: Result[Accepted, Refusal]) -> str:
+    told = outcome.swap().value_or(None) or outcome.value_or(None)
+    return type(told).__name__
--- /dev/null
+++ b/packages/bilberry_operators/bilberry_operators/controller.py
@@ -0,0 +1,183 @@
+"""Serves the operators' HTTP interface of one daemon."""
+
+from asyncio import Event, Server, wait_for
+from collections.abc import Awaitable
+from http import HTTPMethod, HTTPStatus
+from logging import getLogger
+
+from bilberry_core.acceptance import Acceptor
+from bilberry_core.board import Board, Cell
+from bilberry_core.clock import MS_PER_S, Clock
+from bilberry_core.endpoint import Address
+from bilberry_core.http import HttpRequest, HttpResponse, serve_http
+from bilberry_core.settings import Settings
+from bilberry_operators.answer import RefusedError, answer_json
+from bilberry_operators.configuration_resource import ConfigurationResource
+from bilberry_operators.explain import explain_route
+from bilberry_operators.lag import LagTracker
+from bilberry_operators.router import Call, Router
+from bilberry_operators.status import build_status
+
+_log = getLogger(__name__)
+
+
+class OperatorsController:
+    """The operators' interface, which nothing else of the daemon waits for.
+
+    `acceptor` is None on a daemon that is no replica: it tells its status,
+    explains routes, and names the replicas for everything else.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        board: Board,
+        acceptor: Acceptor | None,
+        clock: Clock,
+    ) -> None:
+        """Builds the table of resources; nothing is served yet."""
+        self._settings = settings
+        self._board = board
+        self._clock = clock
+        self._lag = LagTracker(board, clock)
+        self._router = self._build_router(acceptor)
+        self._bound: Cell[Address | None] = Cell(None)
+        self._active: Cell[int] = Cell(0)
+        self._stopping = Event()
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        board: Board,
+        acceptor: Acceptor | None,
+        clock: Clock,
+    ) -> 'OperatorsController':
+        """Builds the controller of one daemon."""
+        return cls(settings, board, acceptor, clock)
+
+    @property
+    def bound(self) -> Cell[Address | None]:
+        """The address that is served, once it is."""
+        return self._bound
+
+    async def run(self) -> None:
+        """Serves until `stop` is called, if the settings name an address."""
+        address = self._settings.listen.operators
+        if address is None:
+            return
+        server = await serve_http(address, self._handle)
+        self._bound.put(_get_address(server))
+        try:
+            await self._stopping.wait()
+        finally:
+            server.close()
+            self._lag.stop()
+
+    async def stop(self) -> None:
+        """Stops listening and waits for the requests in flight."""
+        self._stopping.set()
+        limit_s = self._settings.timing.drain_ms / MS_PER_S
+        try:
+            await wait_for(self._active.wait_for(_is_idle), limit_s)
+        except TimeoutError:
+            _log.warning('operators_requests_cut')
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        self._active.put(self._active.value + 1)
+        try:
+            return await self._answer(request)
+        except RefusedError as refused:
+            return refused.answer()
+        except Exception:
+            _log.exception('operators_request_failed')
+            return _FAILED.answer()
+        finally:
+            self._active.put(self._active.value - 1)
+
+    def _answer(self, request: HttpRequest) -> Awaitable[HttpResponse]:
+        if self._stopping.is_set():
+            raise RefusedError(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'draining',
+                'this daemon is stopping; nothing was done',
+            )
+        return self._router.answer(request)
+
+    def _build_router(self, acceptor: Acceptor | None) -> Router:
+        router = Router()
+        router.add(HTTPMethod.GET, '/v1/status', self._tell_status)
+        router.add(HTTPMethod.GET, '/v1/explain', self._explain)
+        if acceptor is None:
+            for method, path in _REPLICA_RESOURCES:
+                router.add(method, path, self._name_replicas)
+            return router
+        resource = ConfigurationResource(acceptor, self._settings.token)
+        router.add(HTTPMethod.GET, '/v1/configuration', resource.read)
+        router.add(HTTPMethod.PUT, '/v1/configuration', resource.replace)
+        router.add(HTTPMethod.GET, '/v1/history', resource.list_history)
+        router.add(HTTPMethod.GET, '/v1/history/*', resource.read_version)
+        router.add(HTTPMethod.POST, '/v1/rollback', resource.roll_back)
+        return router
+
+    async def _tell_status(self, _call: Call) -> HttpResponse:
+        return answer_json(
+            build_status(
+                self._settings,
+                self._board,
+                self._lag.behind_since,
+                self._clock.now(),
+            ),
+        )
+
+    async def _explain(self, call: Call) -> HttpResponse:
+        return answer_json(
+            explain_route(
+                self._board.snapshot.value,
+                call.query.get('service', ''),
+                call.query.get('method') or HTTPMethod.GET,
+                call.query.get('path') or '/',
+            ),
+        )
+
+    async def _name_replicas(self, _call: Call) -> HttpResponse:
+        named = [
+            {
+                'instance': peer.instance,
+                'host': peer.address.host,
+                'failure_domain': peer.failure_domain,
+            }
+            for peer in self._settings.replicas
+        ]
+        shown = ', '.join(
+            f'{each["instance"]} ({each["host"]})' for each in named
+        )
+        raise RefusedError(
+            HTTPStatus.MISDIRECTED_REQUEST,
+            'not_a_replica',
+            f'this daemon is no replica; ask one of: {shown or "none known"}',
+            replicas=named,
+        )
+
+
+def _get_address(server: Server) -> Address:
+    host, port, *_ = server.sockets[0].getsockname()
+    return Address(host, port)
+
+
+def _is_idle(active: int) -> bool:
+    return active == 0
+
+
+_REPLICA_RESOURCES = (
+    (HTTPMethod.GET, '/v1/configuration'),
+    (HTTPMethod.PUT, '/v1/configuration'),
+    (HTTPMethod.GET, '/v1/history'),
+    (HTTPMethod.GET, '/v1/history/*'),
+    (HTTPMethod.POST, '/v1/rollback'),
+)
+_FAILED = RefusedError(
+    HTTPStatus.INTERNAL_SERVER_ERROR,
+    'internal_error',
+    'the daemon failed on this request; a change may have been accepted',
+)
--- /dev/null
+++ b/packages/bilberry_operators/bilberry_operators/lag.py
@@ -0,0 +1,54 @@
+"""Since when each proxy runs an older version than the accepted one."""
+
+from collections.abc import Mapping
+
+from bilberry_core.board import Board
+from bilberry_core.clock import Clock
+
+
+def track_lag(
+    behind_since: Mapping[str, float],
+    versions: Mapping[str, int],
+    accepted: int,
+    now: float,
+) -> dict[str, float]:
+    """Returns since when each proxy is behind, given what was known before."""
+    return {
+        instance: behind_since.get(instance, now)
+        for instance, version in versions.items()
+        if version < accepted
+    }
+
+
+class LagTracker:
+    """Follows the blackboard and keeps who is behind since when."""
+
+    def __init__(self, board: Board, clock: Clock) -> None:
+        """Starts to follow the accepted version and the proxies' versions."""
+        self._board = board
+        self._clock = clock
+        self._behind_since: dict[str, float] = {}
+        self._stops = (
+            board.accepted.watch(self._update),
+            board.proxies.watch(self._update),
+        )
+        self._update(None)
+
+    @property
+    def behind_since(self) -> dict[str, float]:
+        """Monotonic time since when a proxy is behind, by instance."""
+        return self._behind_since
+
+    def stop(self) -> None:
+        """Stops following."""
+        for stop in self._stops:
+            stop()
+
+    def _update(self, _changed: object) -> None:
+        accepted = self._board.accepted.value
+        self._behind_since = track_lag(
+            self._behind_since,
+            self._board.proxies.value,
+            accepted.version if accepted else 0,
+            self._clock.now(),
+        )
--- /dev/null
+++ b/packages/bilberry_operators/bilberry_operators/precondition.py
@@ -0,0 +1,93 @@
+"""What a request for a change must carry before it is looked at."""
+
+from hmac import compare_digest
+from http import HTTPStatus
+from re import compile as compile_pattern
+from typing import NamedTuple
+from urllib.parse import unquote
+
+from bilberry_core.http import HttpRequest
+from bilberry_operators.answer import RefusedError
+
+#: Longest author and note, in characters.
+MAX_TEXT_LENGTH = 500
+_BASE = compile_pattern('"([0-9]{1,15})"')
+_CHANGE_ID = compile_pattern('[A-Za-z0-9._:-]{1,128}')
+_BEARER = 'Bearer '
+
+
+class Precondition(NamedTuple):
+    """Base version, change ID, author and note of a change."""
+
+    base_version: int
+    change_id: str
+    author: str
+    note: str
+
+
+def check_token(request: HttpRequest, token: str) -> None:
+    """Raises `RefusedError` unless the request carries the bearer token."""
+    if not token:
+        raise RefusedError(
+            HTTPStatus.FORBIDDEN,
+            'changes_disabled',
+            'this daemon takes no changes: its settings name no token_file',
+        )
+    shown = request.get_header(b'authorization')
+    expected = f'{_BEARER}{token}'
+    if not compare_digest(shown.encode(), expected.encode()):
+        raise RefusedError(
+            HTTPStatus.UNAUTHORIZED,
+            'unauthorized',
+            'expected the operators\' token: "Authorization: Bearer ..."',
+        )
+
+
+def read_precondition(request: HttpRequest) -> Precondition:
+    """Returns the headers of a change, or raises `RefusedError`."""
+    return Precondition(
+        base_version=_read_base(request.get_header(b'if-match')),
+        change_id=_read_change_id(request.get_header(b'bilberry-change-id')),
+        author=_read_text(request, b'bilberry-author'),
+        note=_read_text(request, b'bilberry-note'),
+    )
+
+
+def _read_base(if_match: str) -> int:
+    if not if_match:
+        raise RefusedError(
+            HTTPStatus.PRECONDITION_REQUIRED,
+            'precondition_required',
+            'expected If-Match with the base version, such as "12"',
+        )
+    match = _BASE.fullmatch(if_match)
+    if match is None:
+        raise _refuse_header('If-Match', 'one quoted version such as "12"')
+    return int(match[1])
+
+
+def _read_change_id(change_id: str) -> str:
+    if _CHANGE_ID.fullmatch(change_id):
+        return change_id
+    raise _refuse_header(
+        'Bilberry-Change-Id',
+        '1 to 128 letters, digits or . _ : -',
+    )
+
+
+def _read_text(request: HttpRequest, name: bytes) -> str:
+    text = unquote(request.get_header(name), errors='replace').strip()
+    if len(text) <= MAX_TEXT_LENGTH and text.isprintable():
+        return text
+    raise _refuse_header(
+        name.decode(),
+        f'at most {MAX_TEXT_LENGTH} printable characters, percent-encoded',
+    )
+
+
+def _refuse_header(name: str, expected: str) -> RefusedError:
+    return RefusedError(
+        HTTPStatus.BAD_REQUEST,
+        'bad_request',
+        f'{name}: expected {expected}',
+    )
--- /dev/null
+++ b/packages/bilberry_operators/bilberry_operators/router.py
@@ -0,0 +1,108 @@
+"""Finds what answers a request: a table of methods and path patterns."""
+
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from re import Pattern
+from re import compile as compile_pattern
+from typing import NamedTuple
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+from bilberry_core.http import HttpRequest, HttpResponse
+from bilberry_operators.answer import RefusedError
+
+_MAX_QUERY_FIELDS = 16
+
+
+class Call(NamedTuple):
+    """A request, its decoded query, and the part of its path that varies."""
+
+    request: HttpRequest
+    query: dict[str, str]
+    segment: str = ''
+
+    def get_whole(self, name: str, default: int) -> int:
+        """Returns a query field that must be a whole number."""
+        text = self.query.get(name, str(default))
+        return parse_version(text, name)
+
+
+Action = Callable[[Call], Awaitable[HttpResponse]]
+
+
+class Resource(NamedTuple):
+    """One row of the table."""
+
+    method: str
+    pattern: Pattern[str]
+    action: Action
+
+
+class Router:
+    """Answers requests by a table of resources."""
+
+    def __init__(self) -> None:
+        """Starts with an empty table."""
+        self._resources: list[Resource] = []
+
+    def add(self, method: str, path: str, action: Action) -> None:
+        """Adds a resource; `*` in a path stands for one segment."""
+        pattern = compile_pattern(path.replace('*', '([^/]+)'))
+        self._resources.append(Resource(method, pattern, action))
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Returns the answer to a request.
+
+        Raises `RefusedError` where nothing answers it.
+        """
+        path, query = _split_target(request.target)
+        allowed = []
+        for resource in self._resources:
+            match = resource.pattern.fullmatch(path)
+            if match and resource.method == request.method:
+                segment = unquote(match[1]) if match.lastindex else ''
+                return await resource.action(Call(request, query, segment))
+            if match:
+                allowed.append(resource.method)
+        raise _refuse(request.method, path, allowed)
+
+
+def parse_version(text: str, name: str) -> int:
+    """Returns a version number, or raises `RefusedError`."""
+    if text.isascii() and text.isdecimal() and len(text) < 16:
+        return int(text)
+    raise RefusedError(
+        HTTPStatus.BAD_REQUEST,
+        'bad_request',
+        f'{name}: expected a whole number, got "{text[:40]}"',
+    )
+
+
+def _split_target(target: str) -> tuple[str, dict[str, str]]:
+    try:
+        parts = urlsplit(target)
+        pairs = parse_qsl(
+            parts.query,
+            keep_blank_values=True,
+            max_num_fields=_MAX_QUERY_FIELDS,
+        )
+    except ValueError as error:
+        raise RefusedError(
+            HTTPStatus.BAD_REQUEST,
+            'bad_request',
+            f'target: {error}',
+        ) from error
+    return parts.path, dict(pairs)
+
+
+def _refuse(method: str, path: str, allowed: list[str]) -> RefusedError:
+    if not allowed:
+        return RefusedError(
+            HTTPStatus.NOT_FOUND,
+            'not_found',
+            f'there is nothing at {path[:200]}',
+        )
+    return RefusedError(
+        HTTPStatus.METHOD_NOT_ALLOWED,
+        'method_not_allowed',
+        f'{path} takes {", ".join(allowed)}, not {method}',
+    )
--- /dev/null
+++ b/packages/bilberry_operators/bilberry_operators/status.py
@@ -0,0 +1,64 @@
+"""What a daemon knows of its fleet, as a document for operators."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from bilberry_core.board import Board
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.settings import Settings
+
+
+def build_status(
+    settings: Settings,
+    board: Board,
+    behind_since: Mapping[str, float],
+    now: float,
+) -> dict[str, Any]:
+    """Returns the state of the fleet as this daemon sees it.
+
+    `behind_since` maps the proxies that are behind to monotonic times.
+    """
+    accepted = board.accepted.value
+    snapshot = board.snapshot.value
+    stale_since = board.stale_since.value
+    return {
+        'instance': settings.instance,
+        'failure_domain': settings.failure_domain,
+        'roles': sorted(settings.roles),
+        'phase': board.phase.value,
+        'accepted_version': accepted.version if accepted else 0,
+        'running_version': snapshot.version if snapshot else 0,
+        'stale_s': _elapsed(stale_since, now),
+        'beacon': _describe(board.beacon.value),
+        'replica': _describe(board.replica.value),
+        'proxies': [
+            {
+                'instance': instance,
+                'version': version,
+                'behind_s': _elapsed(behind_since.get(instance), now),
+            }
+            for instance, version in sorted(board.proxies.value.items())
+        ],
+        'services': group_endpoints(board.endpoints.value.values()),
+    }
+
+
+def group_endpoints(endpoints: Any) -> dict[str, dict[str, list[str]]]:
+    """Returns the instances of each service by state."""
+    grouped: dict[str, dict[str, list[str]]] = {}
+    for endpoint in sorted(endpoints, key=_rank):
+        states = grouped.setdefault(endpoint.service, {})
+        states.setdefault(str(endpoint.state), []).append(endpoint.instance)
+    return grouped
+
+
+def _rank(endpoint: Endpoint) -> tuple[str, str]:
+    return endpoint.service, endpoint.instance
+
+
+def _elapsed(since: float | None, now: float) -> float | None:
+    return None if since is None else round(max(now - since, 0), 3)
+
+
+def _describe(record: Any) -> dict[str, Any] | None:
+    return None if record is None else record._asdict()
--- /dev/null
+++ b/tests/bilberry_operators/daemon.py
@@ -0,0 +1,57 @@
+"""The operators' side of a daemon on loopback, with a fake acceptor."""
+
+from asyncio import create_task
+from contextlib import asynccontextmanager
+
+from bilberry_core.board import Board
+from bilberry_core.endpoint import Address
+from bilberry_core.settings import ListenSettings, Peer, Role, Settings
+from bilberry_operators.controller import OperatorsController
+
+TOKEN = 'operators-token-0123456789'
+SECRET = b'fleet-secret-0123456789'
+ANY_PORT = Address('127.0.0.1', 0)
+SETTINGS = Settings(
+    fleet='coldline',
+    instance='van-1',
+    failure_domain='a',
+    region='west',
+    roles=frozenset((Role.PROXY,)),
+    listen=ListenSettings(ANY_PORT, operators=ANY_PORT),
+    secret=SECRET,
+    token=TOKEN,
+    replicas=(Peer('van-7', Address('127.0.0.7', 7000), 'b'),),
+)
+
+
+class FakeClock:
+    """A clock that a test moves."""
+
+    def __init__(self) -> None:
+        """Starts at 100 seconds."""
+        self.seconds = 100.0
+
+    def now(self) -> float:
+        """Returns the time set."""
+        return self.seconds
+
+    def wall_ms(self) -> int:
+        """Returns the time set, in milliseconds."""
+        return int(self.seconds * 1000)
+
+
+@asynccontextmanager
+async def start_daemon(acceptor, board=None, settings=SETTINGS, clock=None):
+    """Serves the operators' interface; gives the address that it bound."""
+    controller = OperatorsController.from_settings(
+        settings,
+        board or Board(),
+        acceptor,
+        clock or FakeClock(),
+    )
+    running = create_task(controller.run())
+    try:
+        yield await controller.bound.wait_for(bool)
+    finally:
+        await controller.stop()
+        await running
--- /dev/null
+++ b/tests/bilberry_operators/test_controller.py
@@ -0,0 +1,296 @@
+"""The operators' HTTP interface: preconditions, outcomes, status, explain."""
+
+from asyncio import gather, run
+from json import loads
+
+from testtools import TestCase
+
+from bilberry_core.board import Board, ReplicaStatus
+from bilberry_core.configuration import (
+    AcceptedVersion,
+    compute_digest,
+)
+from bilberry_core.configuration_file import parse_configuration
+from bilberry_core.endpoint import Address, Endpoint, EndpointState
+from bilberry_core.http import HttpRequest, fetch
+from bilberry_core.snapshot import compile_snapshot
+from tests.bilberry_operators.daemon import (
+    SECRET,
+    SETTINGS,
+    TOKEN,
+    FakeClock,
+    start_daemon,
+)
+from tests.bilberry_operators.fake_acceptor import FakeAcceptor
+
+TEXT = b"""
+services: {callouts: {hosts: [callouts.example]}}
+exceptions:
+  night:
+    {service: callouts, path_prefix: /open, set: {timeout: 2s}, reason: slow}
+"""
+OTHER = TEXT.replace(b'2s', b'3s')
+
+
+def build_put(base, change_id='c-1', body=TEXT, token=TOKEN, **extra):
+    """Returns a request for a change."""
+    headers = {
+        'authorization': f'Bearer {token}',
+        'if_match': f'"{base}"',
+        'bilberry_change_id': change_id,
+        'bilberry_author': '%C5%A1tefan',
+        **extra,
+    }
+    encoded = tuple(
+        (name.replace('_', '-').encode(), text.encode())
+        for name, text in headers.items()
+        if text is not None
+    )
+    return HttpRequest('PUT', '/v1/configuration', encoded, body)
+
+
+def get(target, accept=b'application/json'):
+    """Returns a GET request."""
+    return HttpRequest('GET', target, ((b'accept', accept),))
+
+
+def exchange(requests, acceptor=None, **daemon):
+    """Sends requests one after another; returns the answers."""
+
+    async def send_all():
+        async with start_daemon(acceptor, **daemon) as address:
+            return [await fetch(address, each, 5) for each in requests]
+
+    return run(send_all())
+
+
+def read_error(response):
+    """Returns the error of an answer."""
+    return loads(response.body)['error']
+
+
+class ChangeTest(TestCase):
+    """Changes through the interface."""
+
+    def test_change_is_accepted_and_read_back(self):
+        """A new version gets 201 and its version as entity tag."""
+        acceptor = FakeAcceptor()
+        first, put, read = exchange(
+            [get('/v1/configuration'), build_put(0), get('/v1/configuration')],
+            acceptor,
+        )
+        self.assertEqual('"0"', first.get_header(b'etag'))
+        self.assertEqual((201, {'version': 1, 'resent': False}), parse(put))
+        self.assertEqual('"1"', read.get_header(b'etag'))
+        self.assertIn('callouts', loads(read.body)['services'])
+        self.assertEqual('štefan', acceptor.entries[0].author)
+
+    def test_yaml_read_can_be_sent_back(self):
+        """What GET gives as YAML is what PUT takes."""
+        acceptor = FakeAcceptor()
+        _, read = exchange(
+            [build_put(0), get('/v1/configuration', b'*/*')],
+            acceptor,
+        )
+        self.assertEqual(
+            parse_configuration(TEXT.decode(), 'sent').unwrap(),
+            parse_configuration(read.body.decode(), 'read').unwrap(),
+        )
+
+    def test_refusals_have_their_status(self):
+        """Each missing or wrong part of a change is told by its status."""
+        acceptor = FakeAcceptor()
+        cases = (
+            (401, build_put(0, token='wrong')),
+            (401, build_put(0, authorization=None)),
+            (428, build_put(0, if_match=None)),
+            (400, build_put(0, if_match='*')),
+            (400, build_put(0, bilberry_change_id=None)),
+            (422, build_put(0, body=b'defaults: {timeout: 5}\nnew: 1')),
+            (404, get('/v1/unknown')),
+            (405, HttpRequest('DELETE', '/v1/configuration')),
+            (404, get('/v1/history/9')),
+            (400, get('/v1/history/x')),
+        )
+        answers = exchange([request for _, request in cases], acceptor)
+        self.assertEqual(
+            [status for status, _ in cases],
+            [answer.status for answer in answers],
+        )
+        self.assertEqual(
+            ['new', 'defaults.timeout'],
+            [each['key'] for each in read_error(answers[5])['problems']],
+        )
+        self.assertEqual([], acceptor.entries)
+
+    def test_no_token_file_means_no_changes(self):
+        """Without a token in the settings changes are refused."""
+        settings = SETTINGS._replace(token='')
+        (answer,) = exchange(
+            [build_put(0)],
+            FakeAcceptor(),
+            settings=settings,
+        )
+        self.assertEqual(403, answer.status)
+
+    def test_racing_operators_get_one_version(self):
+        """Of two changes with one base one is accepted, one told why not."""
+
+        async def race():
+            async with start_daemon(FakeAcceptor()) as address:
+                return await gather(
+                    fetch(address, build_put(0, 'a'), 5),
+                    fetch(address, build_put(0, 'b', OTHER), 5),
+                )
+
+        answers = sorted(run(race()), key=lambda answer: answer.status)
+        self.assertEqual([201, 412], [answer.status for answer in answers])
+        newer = read_error(answers[1])['newer']
+        self.assertEqual([1], [entry['version'] for entry in newer])
+
+    def test_resend_after_lost_answer_is_one_version(self):
+        """An unknown outcome is settled by a resend with the same ID."""
+        acceptor = FakeAcceptor()
+        acceptor.lose_answers = 1
+        lost, resent = exchange([build_put(0), build_put(0)], acceptor)
+        self.assertEqual(504, lost.status)
+        self.assertEqual('c-1', read_error(lost)['change_id'])
+        self.assertEqual((200, {'version': 1, 'resent': True}), parse(resent))
+        self.assertEqual(1, len(acceptor.entries))
+
+    def test_change_id_with_other_content_is_refused(self):
+        """A change ID stands for one content."""
+        _, reused = exchange(
+            [build_put(0), build_put(1, body=OTHER)],
+            FakeAcceptor(),
+        )
+        self.assertEqual(409, reused.status)
+
+    def test_no_quorum_is_told(self):
+        """Without a quorum nothing is read or accepted."""
+        acceptor = FakeAcceptor()
+        acceptor.quorum = False
+        answers = exchange([get('/v1/configuration'), build_put(0)], acceptor)
+        self.assertEqual([503, 503], [each.status for each in answers])
+
+    def test_rollback_is_a_new_version(self):
+        """Rolling back accepts the old content as the next version."""
+        acceptor = FakeAcceptor()
+        rollback = build_put(2, 'back', b'')._replace(
+            method='POST',
+            target='/v1/rollback?version=1',
+        )
+        *_, answer, history = exchange(
+            [
+                build_put(0, 'a'),
+                build_put(1, 'b', OTHER),
+                rollback,
+                get('/v1/history?limit=2'),
+            ],
+            acceptor,
+        )
+        self.assertEqual((201, {'version': 3, 'resent': False}), parse(answer))
+        self.assertEqual(
+            acceptor.entries[0].content,
+            acceptor.entries[2].content,
+        )
+        versions = loads(history.body)['versions']
+        self.assertEqual([3, 2], [each['version'] for each in versions])
+        self.assertEqual('roll back to version 1', versions[0]['note'])
+
+
+def parse(response):
+    """Returns status and JSON body of an answer."""
+    return response.status, loads(response.body)
+
+
+def make_endpoint(instance, state):
+    """Returns an endpoint of the service callouts."""
+    address = Address('127.0.0.1', 7000)
+    return Endpoint(instance, 1, 1, 'callouts', address, 'a', state, 12, 110)
+
+
+def make_board():
+    """Returns a blackboard with version 3 and two endpoints."""
+    configuration = parse_configuration(TEXT.decode(), 'text').unwrap()
+    accepted = AcceptedVersion(
+        3,
+        1,
+        compute_digest(configuration),
+        configuration,
+    )
+    endpoints = (
+        make_endpoint('van-1', EndpointState.READY),
+        make_endpoint('van-2', EndpointState.DRAINING),
+    )
+    board = Board()
+    board.accepted.put(accepted)
+    board.endpoints.put({each.instance: each for each in endpoints})
+    board.snapshot.put(compile_snapshot(accepted, {'callouts': endpoints}))
+    board.replica.put(ReplicaStatus('leader', 1, 'van-1', 3, ('van-1',)))
+    return board
+
+
+class StatusTest(TestCase):
+    """Status and explain, on a daemon without an acceptor."""
+
+    def test_status_tells_who_is_behind_for_how_long(self):
+        """A proxy on an older version is listed with its delay."""
+        board = make_board()
+        clock = FakeClock()
+
+        async def read_status():
+            async with start_daemon(None, board=board, clock=clock) as address:
+                board.proxies.put({'van-1': 3, 'van-2': 2})
+                clock.seconds += 4
+                return await fetch(address, get('/v1/status'), 5)
+
+        status = loads(run(read_status()).body)
+        self.assertEqual(
+            [
+                {'instance': 'van-1', 'version': 3, 'behind_s': None},
+                {'instance': 'van-2', 'version': 2, 'behind_s': 4},
+            ],
+            status['proxies'],
+        )
+        self.assertEqual('leader', status['replica']['role'])
+        self.assertEqual(
+            {'callouts': {'ready': ['van-1'], 'draining': ['van-2']}},
+            status['services'],
+        )
+
+    def test_explain_tells_exception_and_endpoints(self):
+        """The route names its exception, its reason and who is eligible."""
+        target = '/v1/explain?service=callouts.example&path=/open/4'
+        (answer,) = exchange([get(target)], board=make_board())
+        told = loads(answer.body)
+        self.assertEqual('night', told['exception'])
+        self.assertEqual('slow', told['reason'])
+        self.assertEqual('2s', told['policy']['timeout'])
+        self.assertEqual(
+            {'van-1': True, 'van-2': False},
+            {each['instance']: each['eligible'] for each in told['endpoints']},
+        )
+
+    def test_plain_proxy_names_the_replicas(self):
+        """A daemon without an acceptor refuses changes and says where to go."""
+        answers = exchange([build_put(0), get('/v1/configuration')])
+        for answer in answers:
+            self.assertEqual(421, answer.status)
+            self.assertEqual(
+                'van-7',
+                read_error(answer)['replicas'][0]['instance'],
+            )
+
+    def test_no_answer_holds_a_secret(self):
+        """Neither the secret nor the token is in any answer."""
+        targets = ('status', 'explain?service=callouts', 'configuration', 'x')
+        answers = exchange(
+            [get(f'/v1/{target}') for target in targets]
+            + [build_put(0, token='wrong')],
+            FakeAcceptor(),
+            board=make_board(),
+        )
+        told = b''.join(str(answer).encode() for answer in answers)
+        self.assertNotIn(SECRET, told)
+        self.assertNotIn(TOKEN.encode(), told)
