Add the command line bilberryctl

validate, apply, show, diff, history, rollback, status and explain over the operators' interface. fire parses the line but every argument stays text (a change ID 1e5 is not a number) and a command runs only after the whole line was understood, so a mistyped option changes nothing. Exit codes 0 to 6 are documented in the help. A daemon that is a proxy counts itself in its status.

--- a/packages/bilberry_core/bilberry_core/problem.py
+++ b/packages/bilberry_core/bilberry_core/problem.py
@@ -62,6 +62,15 @@
             self._problems.append(Problem(self._name, key, detail))
 
 
+def name_kind(found: object) -> str:
+    """Returns what kind of value was found, without its content."""
+    if isinstance(found, str):
+        return 'a text'
+    if found is None or isinstance(found, (dict, list)):
+        return shorten(found)
+    return 'a single value'
+
+
 def shorten(found: object) -> str:
     """Returns what was found, quoted and cut to a readable length."""
     if isinstance(found, dict):
--- a/packages/bilberry_core/bilberry_core/schema.py
+++ b/packages/bilberry_core/bilberry_core/schema.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure, Result
 
-from bilberry_core.problem import Report, shorten
+from bilberry_core.problem import Report, name_kind, shorten
 
 
 class Reader(Protocol):
@@ -42,7 +42,7 @@
     def read(self, found: object, key: str, report: Report) -> Any:
         """Returns the items as a tuple."""
         if not isinstance(found, list):
-            report.add(key, f'expected a list, got {shorten(found)}')
+            report.add(key, f'expected a list, got {name_kind(found)}')
             return None
         items = [
             self.item.read(value, f'{key}[{index}]', report)
@@ -65,7 +65,7 @@
     def read(self, found: object, key: str, report: Report) -> Any:
         """Returns a dict, sorted by name."""
         if not isinstance(found, dict):
-            report.add(key, f'expected a mapping, got {shorten(found)}')
+            report.add(key, f'expected a mapping, got {name_kind(found)}')
             return None
         entries = {}
         for name, value in found.items():
@@ -102,7 +102,7 @@
     def read(self, found: object, key: str, report: Report) -> Any:
         """Returns the record."""
         if not isinstance(found, dict):
-            report.add(key, f'expected a mapping, got {shorten(found)}')
+            report.add(key, f'expected a mapping, got {name_kind(found)}')
             return None
         before = report.count
         self._refuse_unknown(found, key, report)
--- a/packages/bilberry_operators/bilberry_operators/controller.py
+++ b/packages/bilberry_operators/bilberry_operators/controller.py
@@ -39,7 +39,7 @@
         self._settings = settings
         self._board = board
         self._clock = clock
-        self._lag = LagTracker(board, clock)
+        self._lag = LagTracker(settings, board, clock)
         self._router = self._build_router(acceptor)
         self._bound: Cell[Address | None] = Cell(None)
         self._active: Cell[int] = Cell(0)
--- a/packages/bilberry_operators/bilberry_operators/lag.py
+++ b/packages/bilberry_operators/bilberry_operators/lag.py
@@ -4,6 +4,7 @@
 
 from bilberry_core.board import Board
 from bilberry_core.clock import Clock
+from bilberry_core.settings import Role, Settings
 
 
 def track_lag(
@@ -20,17 +21,28 @@
     }
 
 
+def collect_versions(settings: Settings, board: Board) -> dict[str, int]:
+    """Returns the version of each proxy known, this daemon's included."""
+    versions = dict(board.proxies.value)
+    if Role.PROXY in settings.roles:
+        snapshot = board.snapshot.value
+        versions[settings.instance] = snapshot.version if snapshot else 0
+    return versions
+
+
 class LagTracker:
     """Follows the blackboard and keeps who is behind since when."""
 
-    def __init__(self, board: Board, clock: Clock) -> None:
+    def __init__(self, settings: Settings, board: Board, clock: Clock) -> None:
         """Starts to follow the accepted version and the proxies' versions."""
+        self._settings = settings
         self._board = board
         self._clock = clock
         self._behind_since: dict[str, float] = {}
         self._stops = (
             board.accepted.watch(self._update),
             board.proxies.watch(self._update),
+            board.snapshot.watch(self._update),
         )
         self._update(None)
 
@@ -48,7 +60,7 @@
         accepted = self._board.accepted.value
         self._behind_since = track_lag(
             self._behind_since,
-            self._board.proxies.value,
+            collect_versions(self._settings, self._board),
             accepted.version if accepted else 0,
             self._clock.now(),
         )
--- a/packages/bilberry_operators/bilberry_operators/status.py
+++ b/packages/bilberry_operators/bilberry_operators/status.py
@@ -6,6 +6,7 @@
 from bilberry_core.board import Board
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.settings import Settings
+from bilberry_operators.lag import collect_versions
 
 
 def build_status(
@@ -20,6 +21,7 @@
     """
     accepted = board.accepted.value
     snapshot = board.snapshot.value
+    versions = collect_versions(settings, board)
     stale_since = board.stale_since.value
     return {
         'instance': settings.instance,
@@ -37,7 +39,7 @@
                 'version': version,
                 'behind_s': _elapsed(behind_since.get(instance), now),
             }
-            for instance, version in sorted(board.proxies.value.items())
+            for instance, version in sorted(versions.items())
         ],
         'services': group_endpoints(board.endpoints.value.values()),
     }
--- /dev/null
+++ b/packages/bilberryctl/bilberryctl/change.py
@@ -0,0 +1,140 @@
+"""Changes of the configuration: apply and roll back."""
+
+from getpass import getuser
+from typing import NamedTuple
+from urllib.parse import quote
+from uuid import uuid4
+
+from bilberry_core.http import HttpRequest, HttpResponse
+from bilberryctl.exit_code import ExitCode
+from bilberryctl.local_file import read_configuration
+from bilberryctl.outcome import Outcome, fail, read_document, succeed
+from bilberryctl.progress import wait_in_force
+from bilberryctl.session import Session, judge_reply
+
+
+class ChangeOptions(NamedTuple):
+    """How a change is offered.
+
+    `base`
+        The version it was made from; None for the current one.
+    `change_id`
+        Stands for this change in every resend.
+    `wait_s`
+        How long to wait until it is in force everywhere; 0 for not at all.
+    """
+
+    base: int | None
+    change_id: str
+    author: str
+    note: str
+    wait_s: float
+
+
+def pick_change_id() -> str:
+    """Returns a change ID that no other change has."""
+    return uuid4().hex
+
+
+def pick_author() -> str:
+    """Returns the name of whoever runs this command."""
+    try:
+        return getuser()
+    except (OSError, KeyError):
+        return 'unknown'
+
+
+async def apply_file(
+    session: Session,
+    path: str,
+    options: ChangeOptions,
+) -> Outcome:
+    """Offers the configuration in a file as the next version."""
+    configuration = read_configuration(path)
+    if isinstance(configuration, Outcome):
+        return configuration
+    request = HttpRequest(
+        'PUT',
+        '/v1/configuration',
+        ((b'content-type', b'application/yaml'),),
+        configuration.text.encode(),
+    )
+    return await _offer(session, request, options)
+
+
+async def roll_back(
+    session: Session,
+    version: int,
+    options: ChangeOptions,
+) -> Outcome:
+    """Offers the content of an older version as the next one."""
+    request = HttpRequest('POST', f'/v1/rollback?version={version}')
+    return await _offer(session, request, options)
+
+
+async def _offer(
+    session: Session,
+    request: HttpRequest,
+    options: ChangeOptions,
+) -> Outcome:
+    base = options.base
+    if base is None:
+        current = await session.read('/v1/configuration')
+        if isinstance(current, Outcome):
+            return current
+        base = int(current.get_header(b'etag').strip('"') or 0)
+        session.report(f'base version {base}, the current one')
+    session.report(f'change ID {options.change_id}')
+    reply = await session.client.ask(_add_headers(request, base, options))
+    if reply.is_undecided:
+        return _tell_unknown(base, options, reply.detail)
+    answer = judge_reply(reply)
+    if isinstance(answer, Outcome):
+        return answer
+    return await _finish(session, answer, base, options)
+
+
+async def _finish(
+    session: Session,
+    answer: HttpResponse,
+    base: int,
+    options: ChangeOptions,
+) -> Outcome:
+    told = read_document(answer)
+    version = int(told.get('version', 0))
+    document = {
+        'version': version,
+        'base_version': base,
+        'change_id': options.change_id,
+        'resent': bool(told.get('resent')),
+    }
+    text = f'version {version} is accepted'
+    if options.wait_s:
+        return await wait_in_force(session, document, options.wait_s)
+    return succeed(document, text)
+
+
+def _add_headers(
+    request: HttpRequest,
+    base: int,
+    options: ChangeOptions,
+) -> HttpRequest:
+    headers = (
+        (b'if-match', f'"{base}"'.encode()),
+        (b'bilberry-change-id', options.change_id.encode()),
+        (b'bilberry-author', quote(options.author).encode()),
+        (b'bilberry-note', quote(options.note).encode()),
+    )
+    return request._replace(headers=(*request.headers, *headers))
+
+
+def _tell_unknown(base: int, options: ChangeOptions, detail: str) -> Outcome:
+    return fail(
+        ExitCode.UNKNOWN,
+        'outcome_unknown',
+        'the change may be accepted yet; run the same command again with'
+        f' --base {base} --change-id {options.change_id}'
+        f' ({detail or "the replicas did not confirm it in time"})',
+        base_version=base,
+        change_id=options.change_id,
+    )
--- /dev/null
+++ b/packages/bilberryctl/bilberryctl/commands.py
@@ -0,0 +1,225 @@
+"""The commands as `fire` offers them.
+
+A command returns an `Invocation`, which runs only after the whole command
+line was understood: a mistyped option never changes a configuration.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from bilberryctl import change, local_file, view
+from bilberryctl.change import ChangeOptions, pick_author, pick_change_id
+from bilberryctl.outcome import Outcome, UsageError
+from bilberryctl.session import CommonOptions, Session, parse_timeout
+
+Action = Callable[[Session], Awaitable[Outcome]]
+
+_LONGEST_NUMBER = 15
+_NO_WAIT = frozenset(('', 'False'))
+_DEFAULT_WAIT = '60s'
+
+
+class Invocation:
+    """A command with its arguments, ready to run."""
+
+    __slots__ = ('_action', '_options')
+
+    def __init__(self, options: CommonOptions, action: Action) -> None:
+        """Keeps what to run and with which options."""
+        self._options = options
+        self._action = action
+
+
+def open_invocation(invocation: Invocation) -> tuple[CommonOptions, Action]:
+    """Returns the options and the action of an invocation."""
+    return invocation._options, invocation._action  # noqa: WPS437
+
+
+class Commands:
+    """Changes and shows the configuration of a bilberryspread fleet.
+
+    Common options, before or after the command:
+    --server HOST:PORT[,HOST:PORT...] operators' address of a daemon, the next
+    one is tried where one can't answer (default 127.0.0.1:7003);
+    --token-file FILE the operators' bearer token, for apply and rollback;
+    --output text|json (default text);
+    --timeout TIME longest wait for one server, such as 10s (default 10s);
+    --version alone shows the version.
+
+    Exit codes: 0 done; 1 refused or invalid; 2 usage; 3 conflict, another
+    change came first; 4 outcome unknown, run again with the same change ID;
+    5 no server reached; 6 accepted, but not in force everywhere in time.
+    """
+
+    def __init__(
+        self,
+        *,
+        server: str = '127.0.0.1:7003',
+        token_file: str = '',
+        output: str = 'text',
+        timeout: str = '10s',
+    ) -> None:
+        """Keeps the common options.
+
+        Args:
+            server: Operators' address of a daemon, host:port. Several,
+                separated by commas, are tried in turn.
+            token_file: File that holds the operators' bearer token. Needed
+                for apply and rollback.
+            output: text or json.
+            timeout: Longest wait for the answer of one server, such as 10s.
+        """
+        self._options = CommonOptions(server, token_file, output, timeout)
+
+    def validate(self, file: str) -> Invocation:
+        """Checks a configuration file and tells everything wrong with it.
+
+        Args:
+            file: The configuration, in YAML.
+        """
+        return self._invoke(lambda _: local_file.validate_file(file))
+
+    def apply(
+        self,
+        file: str,
+        *,
+        base: str = '',
+        change_id: str = '',
+        author: str = '',
+        note: str = '',
+        wait: str = '',
+    ) -> Invocation:
+        """Offers a configuration file as the next version of the fleet.
+
+        Args:
+            file: The configuration, in YAML.
+            base: Version that the file was made from. The current one if not
+                given.
+            change_id: Stands for this change. To resend after an unknown
+                outcome, give the ID that was shown. A new one if not given.
+            author: Who makes the change. Your user name if not given.
+            note: Why.
+            wait: Wait until every proxy runs the new version, for 60s or for
+                the time given.
+        """
+        options = _read_change(
+            (base, change_id, author, note),
+            wait,
+        )
+        return self._invoke(
+            lambda session: change.apply_file(session, file, options),
+        )
+
+    def show(self) -> Invocation:
+        """Shows the newest accepted configuration, as YAML."""
+        return self._invoke(view.show_configuration)
+
+    def diff(self, file: str) -> Invocation:
+        """Shows how a file differs from the newest accepted configuration.
+
+        Args:
+            file: The configuration, in YAML.
+        """
+        return self._invoke(lambda session: view.diff_file(session, file))
+
+    def history(self, version: str = '', *, limit: str = '20') -> Invocation:
+        """Lists the newest versions, or shows one of them.
+
+        Args:
+            version: Version to show. All are listed if not given.
+            limit: How many to list.
+        """
+        if version:
+            wanted = parse_whole(version, 'version')
+            return self._invoke(
+                lambda session: view.show_version(session, wanted),
+            )
+        count = parse_whole(limit, '--limit')
+        return self._invoke(lambda session: view.list_history(session, count))
+
+    def rollback(
+        self,
+        version: str,
+        *,
+        base: str = '',
+        change_id: str = '',
+        author: str = '',
+        note: str = '',
+        wait: str = '',
+    ) -> Invocation:
+        """Offers the content of an older version as a new version.
+
+        Args:
+            version: The version whose content is wanted back.
+            base: Version that this replaces. The current one if not given.
+            change_id: Stands for this change. To resend after an unknown
+                outcome, give the ID that was shown. A new one if not given.
+            author: Who makes the change. Your user name if not given.
+            note: Why.
+            wait: Wait until every proxy runs the new version, for 60s or for
+                the time given.
+        """
+        wanted = parse_whole(version, 'version')
+        options = _read_change(
+            (base, change_id, author, note),
+            wait,
+        )
+        return self._invoke(
+            lambda session: change.roll_back(session, wanted, options),
+        )
+
+    def status(self) -> Invocation:
+        """Shows versions held, who is behind, replicas and endpoints."""
+        return self._invoke(view.show_status)
+
+    def explain(
+        self,
+        service: str,
+        *,
+        method: str = 'GET',
+        path: str = '/',
+    ) -> Invocation:
+        """Shows what route a request would take on a daemon, and why.
+
+        Args:
+            service: Name of the service, or one of its host names.
+            method: HTTP method of the request.
+            path: Path of the request.
+        """
+        return self._invoke(
+            lambda session: view.explain_service(
+                session,
+                service,
+                method,
+                path,
+            ),
+        )
+
+    def _invoke(self, action: Action) -> Invocation:
+        return Invocation(self._options, action)
+
+
+def parse_whole(text: str, name: str) -> int:
+    """Returns a whole number, or raises `UsageError`."""
+    if text.isascii() and text.isdecimal() and len(text) <= _LONGEST_NUMBER:
+        return int(text)
+    raise UsageError(f'{name}: expected a whole number, got "{text}"')
+
+
+def _read_change(
+    texts: tuple[str, str, str, str],
+    wait: str,
+) -> ChangeOptions:
+    base, change_id, author, note = texts
+    return ChangeOptions(
+        base=parse_whole(base, '--base') if base else None,
+        change_id=change_id or pick_change_id(),
+        author=author or pick_author(),
+        note=note,
+        wait_s=_read_wait(wait),
+    )
+
+
+def _read_wait(wait: str) -> float:
+    if wait in _NO_WAIT:
+        return 0
+    return parse_timeout(_DEFAULT_WAIT if wait == 'True' else wait, '--wait')
--- /dev/null
+++ b/packages/bilberryctl/bilberryctl/local_file.py
@@ -0,0 +1,50 @@
+"""Reads and checks a configuration file of the operator."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+from returns.result import Failure
+
+from bilberry_core.configuration import Configuration
+from bilberry_core.configuration_file import parse_configuration
+from bilberryctl.exit_code import ExitCode
+from bilberryctl.outcome import Outcome, fail, succeed
+
+
+class LocalFile(NamedTuple):
+    """A valid configuration file: its text and what it holds."""
+
+    text: str
+    configuration: Configuration
+
+
+def read_configuration(path: str) -> LocalFile | Outcome:
+    """Returns the file, or the outcome that tells everything wrong."""
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, ValueError) as error:
+        return fail(ExitCode.REFUSED, 'unreadable_file', f'{path}: {error}')
+    parsed = parse_configuration(text, path)
+    if isinstance(parsed, Failure):
+        problems = parsed.failure()
+        lines = '\n'.join(problem.describe() for problem in problems)
+        return fail(
+            ExitCode.REFUSED,
+            'invalid_configuration',
+            f'{len(problems)} problems\n{lines}',
+            problems=[problem._asdict() for problem in problems],
+        )
+    return LocalFile(text, parsed.unwrap())
+
+
+async def validate_file(path: str) -> Outcome:
+    """Checks a file without asking any server."""
+    local = read_configuration(path)
+    if isinstance(local, Outcome):
+        return local
+    services = len(local.configuration.services)
+    exceptions = len(local.configuration.exceptions)
+    return succeed(
+        {'file': path, 'services': services, 'exceptions': exceptions},
+        f'{path}: valid, {services} services, {exceptions} exceptions',
+    )
--- /dev/null
+++ b/packages/bilberryctl/bilberryctl/session.py
@@ -0,0 +1,124 @@
+"""What every command shares: the servers, the client and the output."""
+
+import sys
+from json import dumps
+from pathlib import Path
+from typing import NamedTuple
+
+from returns.result import Failure
+
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.endpoint import Address
+from bilberry_core.http import HttpRequest, HttpResponse
+from bilberry_core.scalar import parse_address
+from bilberry_core.unit import parse_duration_ms
+from bilberryctl.client import OperatorsClient, Reply
+from bilberryctl.exit_code import ExitCode
+from bilberryctl.outcome import Outcome, UsageError, fail, read_document
+
+_CODES = {409: ExitCode.REFUSED, 412: ExitCode.CONFLICT}
+_OUTPUTS = ('text', 'json')
+_FIRST_ERROR = 400
+
+
+class CommonOptions(NamedTuple):
+    """The options of every command, as they stood on the command line."""
+
+    server: str
+    token_file: str
+    output: str
+    timeout: str
+
+
+class Session:
+    """Asks servers and shows outcomes for one command."""
+
+    def __init__(self, client: OperatorsClient, output: str) -> None:
+        """Keeps the client, and whether output is text or json."""
+        self._client = client
+        self._output = output
+
+    @classmethod
+    def from_options(cls, options: CommonOptions) -> 'Session':
+        """Builds a session; raises `UsageError` for options it can't use."""
+        if options.output not in _OUTPUTS:
+            raise UsageError(
+                f'--output: expected text or json, got "{options.output}"',
+            )
+        client = OperatorsClient(
+            parse_servers(options.server),
+            _read_token(options.token_file),
+            parse_timeout(options.timeout, '--timeout'),
+        )
+        return cls(client, options.output)
+
+    @property
+    def client(self) -> OperatorsClient:
+        """The client that asks the servers."""
+        return self._client
+
+    async def read(
+        self,
+        target: str,
+        accept: str = 'application/json',
+    ) -> HttpResponse | Outcome:
+        """Returns the answer to a GET, or the outcome where it failed."""
+        headers = ((b'accept', accept.encode()),)
+        reply = await self._client.ask(HttpRequest('GET', target, headers))
+        return judge_reply(reply)
+
+    def report(self, line: str) -> None:
+        """Shows progress, apart from the command's output."""
+        print(line, file=sys.stderr, flush=True)
+
+    def show(self, outcome: Outcome) -> None:
+        """Shows the outcome of the command."""
+        if self._output == 'json':
+            shown = dumps(outcome.document, ensure_ascii=False, indent=2)
+            print(shown, flush=True)
+            return
+        sink = sys.stderr if 'error' in outcome.document else sys.stdout
+        print(outcome.text.rstrip('\n'), file=sink, flush=True)
+
+
+def judge_reply(reply: Reply) -> HttpResponse | Outcome:
+    """Returns the answer, or the outcome where it is none or an error."""
+    response = reply.response
+    if response is None:
+        return fail(ExitCode.UNREACHABLE, 'unreachable', reply.detail)
+    if response.status < _FIRST_ERROR:
+        return response
+    error = dict(read_document(response).get('error') or {})
+    name = error.pop('code', f'status_{response.status}')
+    detail = error.pop('detail', 'the server gave no reason')
+    code = _CODES.get(response.status, ExitCode.REFUSED)
+    return fail(code, str(name), str(detail), **error)
+
+
+def parse_servers(text: str) -> tuple[Address, ...]:
+    """Returns the addresses in a list such as `127.0.0.1:1,127.0.0.1:2`."""
+    parsed = [parse_address(part.strip()) for part in text.split(',')]
+    for each in parsed:
+        if isinstance(each, Failure):
+            raise UsageError(f'--server: {each.failure()}')
+    return tuple(address.unwrap() for address in parsed)
+
+
+def parse_timeout(text: str, name: str) -> float:
+    """Returns a duration such as `5s`, in seconds."""
+    duration_ms = parse_duration_ms(text)
+    if isinstance(duration_ms, Failure):
+        raise UsageError(f'{name}: {duration_ms.failure()}')
+    return duration_ms.unwrap() / MS_PER_S
+
+
+def _read_token(token_file: str) -> str:
+    if not token_file:
+        return ''
+    try:
+        token = Path(token_file).read_text(encoding='ascii').strip()
+    except (OSError, ValueError) as error:
+        raise UsageError(f'--token-file: {error}') from error
+    if not token.isprintable():
+        raise UsageError(f'--token-file: {token_file} holds no token')
+    return token
--- /dev/null
+++ b/packages/bilberryctl/bilberryctl/text.py
@@ -0,0 +1,94 @@
+"""Renders answers of the operators' interface for a person."""
+
+from yaml import safe_dump
+
+from bilberryctl.outcome import Document
+
+
+def render_history(document: Document) -> str:
+    """Returns a line for each version."""
+    lines = [_render_line(entry) for entry in document.get('versions', [])]
+    return '\n'.join(lines) or 'no version is accepted yet'
+
+
+def render_entry(document: Document) -> str:
+    """Returns one version with its configuration."""
+    configuration = document.get('configuration', {})
+    shown = safe_dump(configuration, sort_keys=False, allow_unicode=True)
+    return f'# {_render_line(document)}\n{shown}'
+
+
+def render_status(document: Document) -> str:
+    """Returns the state of the fleet."""
+    lines = [
+        f'instance   {document["instance"]} ({document["phase"]})',
+        f'accepted   version {document["accepted_version"]}',
+        f'running    version {document["running_version"]}'
+        f'{_render_staleness(document["stale_s"])}',
+        f'replica    {_render_replica(document["replica"])}',
+        'proxies',
+    ]
+    lines += [_render_proxy(proxy) for proxy in document['proxies']]
+    lines.append('services')
+    for service, states in document['services'].items():
+        told = '; '.join(
+            f'{state}: {", ".join(names)}' for state, names in states.items()
+        )
+        lines.append(f'  {service}  {told}')
+    return '\n'.join(lines)
+
+
+def render_explanation(document: Document) -> str:
+    """Returns the route of a request."""
+    lines = [
+        f'{document["method"]} {document["path"]}'
+        f' -> service {document["service"]} (version {document["version"]})',
+        f'exception  {document["exception"] or "none"}',
+        f'reason     {document["reason"]}',
+        'policy',
+    ]
+    lines += [
+        f'  {name}: {_render_option(option)}'
+        for name, option in document['policy'].items()
+    ]
+    lines.append('endpoints')
+    lines += [_render_endpoint(each) for each in document['endpoints']]
+    return '\n'.join(lines)
+
+
+def _render_line(entry: Document) -> str:
+    told = f'{entry["version"]}  {entry["accepted"]}  {entry["author"]}'
+    return f'{told}  {entry["change_id"]}  {entry["note"]}'.rstrip()
+
+
+def _render_staleness(stale_s: float | None) -> str:
+    if stale_s is None:
+        return ''
+    return f', no beacon for {stale_s} s: may be behind'
+
+
+def _render_replica(replica: Document | None) -> str:
+    if replica is None:
+        return 'no'
+    leader = replica['leader'] or 'none known'
+    members = ', '.join(replica['members'])
+    return f'{replica["role"]}, leader {leader}, members {members}'
+
+
+def _render_proxy(proxy: Document) -> str:
+    line = f'  {proxy["instance"]}  version {proxy["version"]}'
+    if proxy['behind_s'] is None:
+        return line
+    return f'{line}  behind for {proxy["behind_s"]} s'
+
+
+def _render_option(option: object) -> str:
+    return ', '.join(option) if isinstance(option, list) else str(option)
+
+
+def _render_endpoint(endpoint: Document) -> str:
+    mark = 'yes' if endpoint['eligible'] else 'no '
+    return (
+        f'  {mark}  {endpoint["instance"]} at {endpoint["address"]}'
+        f' in {endpoint["failure_domain"]}: {endpoint["why"]}'
+    )
--- /dev/null
+++ b/tests/bilberryctl/test_main.py
@@ -0,0 +1,189 @@
+"""The command line against the operators' interface on loopback."""
+
+from asyncio import run, to_thread
+from contextlib import ExitStack, redirect_stderr, redirect_stdout
+from io import StringIO
+from json import loads
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import NamedTuple
+
+from testtools import TestCase
+
+from bilberryctl.main import run_command
+from tests.bilberry_operators.daemon import TOKEN, start_daemon
+from tests.bilberry_operators.fake_acceptor import FakeAcceptor
+from tests.bilberry_operators.test_controller import make_board
+
+TEXT = 'services: {callouts: {hosts: [callouts.example]}}\n'
+OTHER = f'{TEXT}defaults: {{timeout: 9s}}\n'
+
+
+class Ended(NamedTuple):
+    """What a command printed and returned."""
+
+    code: int
+    output: str
+    errors: str
+
+
+def run_quietly(arguments) -> Ended:
+    """Runs a command line and captures what it prints."""
+    output = StringIO()
+    errors = StringIO()
+    with ExitStack() as stack:
+        stack.enter_context(redirect_stdout(output))
+        stack.enter_context(redirect_stderr(errors))
+        try:
+            code = run_command(arguments)
+        except SystemExit as ended:
+            code = ended.code
+    return Ended(int(code), output.getvalue(), errors.getvalue())
+
+
+class CommandTest(TestCase):
+    """Commands, their output and their exit codes."""
+
+    def setUp(self):
+        """Writes two configurations and the token."""
+        super().setUp()
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.text_file = self.write('text.yaml', TEXT)
+        self.other_file = self.write('other.yaml', OTHER)
+        self.token_file = self.write('token', TOKEN)
+        self.acceptor = FakeAcceptor()
+
+    def write(self, name, text) -> str:
+        """Writes a file and returns its path."""
+        path = self.folder / name
+        path.write_text(text)
+        return str(path)
+
+    def run_all(self, *commands, board=None, first='') -> list[Ended]:
+        """Runs commands against one daemon, after server `first`."""
+
+        async def run_each():
+            async with start_daemon(self.acceptor, board=board) as address:
+                common = [
+                    '--server',
+                    f'{first}{address.host}:{address.port}',
+                    '--token-file',
+                    self.token_file,
+                ]
+                return [
+                    await to_thread(run_quietly, [*command, *common])
+                    for command in commands
+                ]
+
+        return run(run_each())
+
+    def test_change_show_diff_history_rollback(self):
+        """An evening's work: each command tells what it did."""
+        ended = self.run_all(
+            ['apply', self.text_file, '--author', 'ann', '--note', '1,2'],
+            ['apply', self.other_file, '--change-id', '1e5'],
+            ['diff', self.text_file],
+            ['rollback', '1'],
+            ['diff', self.text_file],
+            ['show', '--output', 'json'],
+            ['history', '--output', 'json'],
+            ['history', '2'],
+        )
+        self.assertEqual({0}, {each.code for each in ended})
+        self.assertIn('version 1 is accepted', ended[0].output)
+        self.assertIn('base version 0', ended[0].errors)
+        self.assertIn('-  timeout: 9s', ended[2].output)
+        self.assertIn('same as version 3', ended[4].output)
+        self.assertEqual(3, loads(ended[5].output)['version'])
+        versions = loads(ended[6].output)['versions']
+        self.assertEqual([3, 2, 1], [each['version'] for each in versions])
+        self.assertEqual('1e5', versions[1]['change_id'])
+        self.assertEqual('1,2', versions[2]['note'])
+        self.assertIn('timeout: 9s', ended[7].output)
+
+    def test_stale_base_is_a_conflict(self):
+        """A file made from an older version doesn't replace a newer one."""
+        ended = self.run_all(
+            ['apply', self.text_file],
+            ['apply', self.other_file, '--base', '0', '--output', 'json'],
+        )
+        self.assertEqual(3, ended[1].code)
+        error = loads(ended[1].output)['error']
+        self.assertEqual([1], [each['version'] for each in error['newer']])
+
+    def test_unknown_outcome_tells_how_to_resend(self):
+        """After a lost answer the same command with its ID is one version."""
+        self.acceptor.lose_answers = 1
+        command = ['apply', self.text_file, '--change-id', 'c7']
+        lost, resent = self.run_all(command, command)
+        self.assertEqual(4, lost.code)
+        self.assertIn('--base 0 --change-id c7', lost.errors)
+        self.assertEqual(0, resent.code)
+        self.assertEqual(1, len(self.acceptor.entries))
+
+    def test_next_server_is_tried(self):
+        """A server that can't be reached is passed over."""
+        ended = self.run_all(['apply', self.text_file], first='127.0.0.1:1,')
+        self.assertEqual(0, ended[0].code)
+
+    def test_invalid_file_is_refused_with_every_problem(self):
+        """All problems are told, and no server is asked."""
+        bad = self.write('bad.yaml', 'defaults: {timeout: 7}\nmore: 1\n')
+        ended = run_quietly(['validate', bad])
+        self.assertEqual(1, ended.code)
+        self.assertIn(f'{bad}: defaults.timeout: expected', ended.errors)
+        self.assertIn(f'{bad}: more: unknown key', ended.errors)
+        self.assertEqual(0, run_quietly(['validate', self.text_file]).code)
+
+    def test_mistyped_option_changes_nothing(self):
+        """A line that is not understood whole is not run in part."""
+        ended = self.run_all(
+            ['apply', self.text_file, '--bse', '3'],
+            ['apply', self.text_file, 'extra'],
+            ['rollback', 'x'],
+            ['bogus'],
+        )
+        self.assertEqual({2}, {each.code for each in ended})
+        self.assertEqual([], self.acceptor.entries)
+
+    def test_no_server_and_no_quorum(self):
+        """Unreachable and refused have codes of their own."""
+        unreachable = run_quietly(['show', '--server', '127.0.0.1:1'])
+        self.assertEqual(5, unreachable.code)
+        self.acceptor.quorum = False
+        (refused,) = self.run_all(['apply', self.text_file])
+        self.assertEqual(1, refused.code)
+        self.assertIn('no quorum', refused.errors)
+
+    def test_status_and_explain(self):
+        """Both are told as text, for a person."""
+        status, explained = self.run_all(
+            ['status'],
+            ['explain', 'callouts', '--path', '/open/1'],
+            board=make_board(),
+        )
+        self.assertIn('van-1  version 3', status.output)
+        self.assertIn('reason     slow', explained.output)
+        self.assertIn('no   van-2', explained.output)
+
+    def test_wait_ends_when_every_proxy_has_it(self):
+        """Progress is shown; a proxy that stays behind is named."""
+        board = make_board()
+        board.proxies.put({'van-2': 1})
+        command = ['apply', self.text_file, '--wait', '1ms']
+        (done,) = self.run_all(command, board=board)
+        self.assertEqual(0, done.code)
+        self.assertIn('version 1 is in force on 2 proxies', done.output)
+        self.acceptor = FakeAcceptor()
+        board.proxies.put({'van-2': 1, 'van-3': 0})
+        (late,) = self.run_all(command, board=board)
+        self.assertEqual(6, late.code)
+        self.assertIn('version 1: 2 of 3 proxies, behind: van-3', late.errors)
+
+    def test_help_and_version(self):
+        """Help and version go to standard output without a server."""
+        self.assertEqual(0, run_quietly(['--help']).code)
+        self.assertEqual(0, run_quietly(['apply', '--help']).code)
+        self.assertIn('bilberryctl', run_quietly(['--version']).output)
