--- a/demo/caller.py
+++ b/demo/caller.py
@@ -72,7 +72,7 @@
 
     async def send(self, number: int) -> HttpResponse | None:
         """Sends one request and counts its outcome."""
-        request_id = f'{self._name}-{number}'
+        request_id = build_request_id(self._name, number)
         request = build_request(self._service, request_id, number)
         self.tally.outcomes['sent'] += 1
         try:
@@ -99,6 +99,17 @@
             self.tally.not_run_ids.add(request_id)
 
 
+def build_request_id(name: str, number: int) -> str:
+    """Returns the id of a caller's request; each fifth is a booking."""
+    kind = 'read' if number % _BOOKING_SHARE else 'booking'
+    return f'{kind}-{name}-{number}'
+
+
+def is_booking(request_id: str) -> bool:
+    """Tells whether a request must not run twice."""
+    return request_id.startswith('booking-')
+
+
 def build_request(
     service: str,
     request_id: str,
@@ -109,7 +120,7 @@
         (b'host', service.encode()),
         (b'x-request-id', request_id.encode()),
     )
-    if number % _BOOKING_SHARE:
+    if not is_booking(request_id):
         return HttpRequest('GET', f'/open/{number}', headers)
     key = (b'idempotency-key', request_id.encode())
     return HttpRequest('POST', '/bookings', (*headers, key), b'{"job": 1}')
--- a/demo/convergence.py
+++ b/demo/convergence.py
@@ -25,7 +25,7 @@
     """Returns the version that a daemon runs; 0 for none."""
     if status is None:
         return 0
-    return status.get('version') or 0
+    return status['running_version']
 
 
 class ConvergenceWatch:
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from json import loads
 from pathlib import Path
-from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from signal import SIGCONT, SIGKILL, SIGTERM, Signals
 from socket import create_server
 from subprocess import Popen
 from sys import executable
@@ -24,12 +24,17 @@
 
 
 class Ports(NamedTuple):
-    """The TCP ports of one instance on loopback."""
+    """The TCP ports of one instance on loopback.
+
+    `served` is where the stand-in upstream takes requests; the others are
+    where the daemon listens.
+    """
 
     streams: int
     callers: int
     upstream: int
     operators: int
+    served: int
 
 
 class Plan(NamedTuple):
@@ -82,6 +87,8 @@
             daemon,
             '--service',
             member.plan.service,
+            '--port',
+            str(member.ports.served),
             *options,
         ]
         self._upstreams[instance] = self._launch(f'{instance}.up', command)
@@ -99,13 +106,9 @@
         daemon.send_signal(SIGKILL)
         daemon.wait()
 
-    def freeze_daemon(self, instance: str) -> None:
-        """Stops a daemon's execution; `thaw_daemon` lets it go on."""
-        self._daemons[instance].send_signal(SIGSTOP)
-
-    def thaw_daemon(self, instance: str) -> None:
-        """Lets a frozen daemon go on."""
-        self._daemons[instance].send_signal(SIGCONT)
+    def signal_daemon(self, instance: str, signal: Signals) -> None:
+        """Sends a signal to a daemon; SIGSTOP freezes it."""
+        self._daemons[instance].send_signal(signal)
 
     def stop_daemon(self, instance: str) -> int:
         """Ends a daemon gracefully and returns its exit code."""
@@ -199,7 +202,9 @@
         'region': 'local',
         'roles': list(plan.roles),
         'listen': {
-            name: f'{_HOST}:{port}' for name, port in ports._asdict().items()
+            name: f'{_HOST}:{port}'
+            for name, port in ports._asdict().items()
+            if name != 'served'
         },
         'secret_file': 'secret',
         'token_file': 'token',
--- a/demo/story.py
+++ b/demo/story.py
@@ -13,11 +13,11 @@
 from yaml import safe_dump, safe_load
 
 from bilberry_core.endpoint import Address
-from demo.caller import Caller, Tally
+from demo.caller import Caller, Tally, is_booking
 from demo.convergence import Convergence, ConvergenceWatch, get_version
 from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
 from demo.operator import Operator
-from demo.record import RunRecord, read_runs
+from demo.record import read_runs
 
 _START_TIMEOUT_S = 30.0
 _STEP_S = 1.0
@@ -71,7 +71,7 @@
         }
         await self._change('an exception with its reason is added')
 
-    async def _lose_instances(self) -> list[RunRecord]:
+    async def _lose_instances(self) -> Counter[str]:
         _say('the upstream of b-2 leaves gracefully')
         records = await to_thread(self._leave, 'b-2')
         await sleep(_STEP_S)
@@ -107,7 +107,7 @@
         _say(f'{note}: {_describe(convergence)}, {spent} control bytes')
         await sleep(_STEP_S)
 
-    def _leave(self, instance: str) -> list[RunRecord]:
+    def _leave(self, instance: str) -> Counter[str]:
         records = read_runs(self._fleet, (instance,))
         self._fleet.stop_upstream(instance)
         return records
@@ -133,7 +133,8 @@
 
     def _has_endpoints(self) -> bool:
         status = self._fleet.read_status('a-1') or {}
-        ready = status.get('endpoints', {}).get('ready', 0)
+        states = status.get('services', {}).values()
+        ready = sum(len(state.get('ready', ())) for state in states)
         return ready >= len(self._fleet.members)
 
     def _count_control_bytes(self) -> int:
@@ -146,7 +147,7 @@
             )
         return total
 
-    async def _judge(self, records: list[RunRecord]) -> bool:
+    async def _judge(self, records: Counter[str]) -> bool:
         tallies = [await caller.stop() for caller in self._callers]
         left = set(self._fleet.running_upstreams()) - {'c-1'}
         records += await to_thread(read_runs, self._fleet, tuple(left))
@@ -171,7 +172,7 @@
     return 0 if kept else 1
 
 
-def _report(tallies: Iterable[Tally], records: list[RunRecord]) -> bool:
+def _report(tallies: Iterable[Tally], records: Counter[str]) -> bool:
     outcomes: Counter = Counter()
     refused: set[str] = set()
     answered: set[str] = set()
@@ -179,11 +180,10 @@
         outcomes += tally.outcomes
         refused |= tally.not_run_ids
         answered |= tally.answered_ids
-    bookings = Counter(
-        record.request_id for record in records if record.method == 'POST'
+    twice = sum(
+        1 for name, runs in records.items() if is_booking(name) and runs > 1
     )
-    twice = sum(1 for runs in bookings.values() if runs > 1)
-    ran = {record.request_id for record in records}
+    ran = set(records)
     untrue = len(refused & ran)
     _say(f'requests: {dict(outcomes)}')
     _say(f'bookings run twice: {twice}; "not run" but ran: {untrue}')
--- a/packages/bilberry_operators/bilberry_operators/status.py
+++ b/packages/bilberry_operators/bilberry_operators/status.py
@@ -6,6 +6,7 @@
 from bilberry_core.board import Board
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.settings import Settings
+from bilberry_core.traffic import Traffic
 from bilberry_operators.lag import collect_versions
 
 
@@ -41,6 +42,7 @@
             }
             for instance, version in sorted(versions.items())
         ],
+        'traffic': _describe_traffic(board.traffic),
         'services': group_endpoints(board.endpoints.value.values()),
     }
 
@@ -58,6 +60,11 @@
     return endpoint.service, endpoint.instance
 
 
+def _describe_traffic(traffic: Traffic) -> dict[str, dict[str, int]]:
+    readings = traffic.read().items()
+    return {str(purpose): one._asdict() for purpose, one in readings}
+
+
 def _elapsed(since: float | None, now: float) -> float | None:
     return None if since is None else round(max(now - since, 0), 3)
 
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -17,7 +17,7 @@
 from bilberry_operators.controller import OperatorsController
 from bilberry_proxy.announcement import AnnouncementController
 from bilberry_proxy.controller import ProxyController
-from bilberry_replica.controller import ReplicaController
+from bilberry_replica.controller import ReplicaController, ReplicaOptions
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
 from bilberry_spread.subscriber import SubscriberController
@@ -76,7 +76,7 @@
         parts.clock,
         parts.random,
         disk,
-        validate_content,
+        ReplicaOptions(validate=validate_content),
     )
     parts.controllers.append(parts.acceptor)
     parts.controllers.append(
