--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -10,7 +10,7 @@
 from typing import Generic, NamedTuple, TypeVar
 
 from bilberry_core.configuration import AcceptedVersion
-from bilberry_core.endpoint import Endpoint
+from bilberry_core.endpoint import Address, Endpoint
 from bilberry_core.snapshot import Snapshot
 
 Held = TypeVar('Held')
@@ -133,6 +133,8 @@
         controller, or by the subscriber where this is no replica.
     `own_endpoint`
         The endpoint of the upstream beside this daemon.
+    `upstream_address`
+        Where the upstream beside this daemon takes HTTP requests.
     `endpoints`
         All endpoints known, by instance.
     `snapshot`
@@ -159,6 +161,7 @@
         self.phase: Cell[Phase] = Cell(Phase.STARTING)
         self.accepted: Cell[AcceptedVersion | None] = Cell(None)
         self.own_endpoint: Cell[Endpoint | None] = Cell(None)
+        self.upstream_address: Cell[Address | None] = Cell(None)
         self.endpoints: Cell[dict[str, Endpoint]] = Cell({})
         self.snapshot: Cell[Snapshot | None] = Cell(None)
         self.beacon: Cell[Beacon | None] = Cell(None)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/admission.py
@@ -0,0 +1,141 @@
+"""Admission of calls to the upstream beside a daemon, by priority.
+
+Plain functions and a queue over values. No more calls are admitted than the
+upstream has slots and connections. Further calls wait in a short queue, or
+are shed at once with the time after which the caller may come back.
+"""
+
+from collections import deque
+from typing import Generic, NamedTuple, TypeVar
+
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.policy import Priority
+
+Waiting = TypeVar('Waiting')
+
+#: Calls that may wait for each slot.
+QUEUE_PER_SLOT = 4
+#: Every so many admissions from the queue go to the oldest deferrable call.
+DEFERRABLE_SHARE = 16
+#: Shortest time after which a shed caller is asked back, in milliseconds.
+MIN_RETRY_AFTER_MS = 50
+#: Longest time after which a shed caller is asked back, in milliseconds.
+MAX_RETRY_AFTER_MS = 5000
+
+#: Longest wait in the queue, in seconds.
+MAX_AGE_S = {
+    Priority.URGENT: 2.0,
+    Priority.NORMAL: 1.0,
+    Priority.DEFERRABLE: 2.0,
+}
+_BY_RANK = (Priority.URGENT, Priority.NORMAL, Priority.DEFERRABLE)
+_US_PER_S = 1_000_000
+
+
+class Ticket(NamedTuple, Generic[Waiting]):
+    """A call that waits; `expires_at` is monotonic time, in seconds."""
+
+    waiting: Waiting
+    priority: Priority
+    expires_at: float
+
+
+class Occupancy(NamedTuple):
+    """How busy an upstream is; `latency_us` of one call, in microseconds."""
+
+    outstanding: int
+    capacity: int
+    queued: int
+    latency_us: int
+
+
+def estimate_wait_s(occupancy: Occupancy, ahead: int) -> float:
+    """Returns how long a call waits behind `ahead` others, in seconds."""
+    if occupancy.outstanding < occupancy.capacity and not ahead:
+        return 0
+    capacity = max(occupancy.capacity, 1)
+    return (ahead + 1) / capacity * occupancy.latency_us / _US_PER_S
+
+
+def suggest_retry_after_ms(occupancy: Occupancy) -> int:
+    """Returns when the queue of now will have gone, in milliseconds."""
+    wait_s = estimate_wait_s(occupancy, occupancy.queued)
+    bounded = min(int(wait_s * MS_PER_S), MAX_RETRY_AFTER_MS)
+    return max(bounded, MIN_RETRY_AFTER_MS)
+
+
+class AdmissionQueue(Generic[Waiting]):
+    """Calls that wait for a slot: urgent first, deferrable never starved."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._queues: dict[Priority, deque[Ticket[Waiting]]] = {
+            priority: deque() for priority in _BY_RANK
+        }
+        self._admitted = 0
+
+    def __len__(self) -> int:
+        """Returns how many calls wait."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def count_ahead(self, priority: Priority) -> int:
+        """Returns how many calls wait before a new one of `priority`."""
+        rank = _BY_RANK.index(priority) + 1
+        return sum(len(self._queues[each]) for each in _BY_RANK[:rank])
+
+    def push(self, ticket: Ticket[Waiting]) -> None:
+        """Lets a call wait."""
+        self._queues[ticket.priority].append(ticket)
+
+    def evict_below(self, priority: Priority) -> Ticket[Waiting] | None:
+        """Removes the newest call of a lower priority, if there is one."""
+        rank = _BY_RANK.index(priority)
+        for lower in reversed(_BY_RANK[rank + 1 :]):
+            if self._queues[lower]:
+                return self._queues[lower].pop()
+        return None
+
+    def pop(self) -> Ticket[Waiting] | None:
+        """Removes the call that is next for a free slot."""
+        self._admitted += 1
+        if self._admitted % DEFERRABLE_SHARE == 0:
+            if self._queues[Priority.DEFERRABLE]:
+                return self._queues[Priority.DEFERRABLE].popleft()
+        for priority in _BY_RANK:
+            if self._queues[priority]:
+                return self._queues[priority].popleft()
+        return None
+
+    def remove(self, waiting: Waiting) -> bool:
+        """Removes one call, and tells whether it waited."""
+        for queue in self._queues.values():
+            for ticket in queue:
+                if ticket.waiting is waiting:
+                    queue.remove(ticket)
+                    return True
+        return False
+
+    def pop_expired(self, now: float) -> list[Ticket[Waiting]]:
+        """Removes every call that has waited for too long."""
+        expired = []
+        for priority, queue in self._queues.items():
+            late = [ticket for ticket in queue if ticket.expires_at <= now]
+            if late:
+                kept = (one for one in queue if one.expires_at > now)
+                self._queues[priority] = deque(kept)
+            expired += late
+        return expired
+
+
+def is_full(occupancy: Occupancy) -> bool:
+    """Tells whether no further call may wait."""
+    return occupancy.queued >= occupancy.capacity * QUEUE_PER_SLOT
+
+
+def is_hopeless(
+    occupancy: Occupancy,
+    ahead: int,
+    time_left_s: float,
+) -> bool:
+    """Tells whether a call's turn would come after its time has run out."""
+    return estimate_wait_s(occupancy, ahead) >= time_left_s
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -0,0 +1,245 @@
+"""One call on its way through the daemon beside the upstream.
+
+The call waits for a slot, then for a connection, then runs. Whatever ends it
+reports whether the upstream may have run it.
+"""
+
+from enum import IntEnum
+from typing import Protocol
+
+from h11 import LocalProtocolError
+
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.messages.call import (
+    CallFailed,
+    CallStart,
+    Load,
+    ReplyChunk,
+    ReplyStart,
+)
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+from bilberry_proxy.call import CREDIT_STEP_BYTES, WINDOW_BYTES, AnswerReceiver
+from bilberry_proxy.http_headers import DEADLINE, Headers
+from bilberry_proxy.timers import Timer
+from bilberry_proxy.upstream_connection import (
+    UpstreamConnection,
+    UpstreamRequest,
+)
+
+
+class Progress(IntEnum):
+    """How far a call has come."""
+
+    QUEUED = 0
+    CONNECTING = 1
+    SENT = 2
+    ANSWERED = 3
+    ENDED = 4
+
+
+_VERDICTS = {
+    Progress.QUEUED: Verdict.NOT_RUN,
+    Progress.CONNECTING: Verdict.NOT_RUN,
+    Progress.SENT: Verdict.MAY_HAVE_RUN,
+    Progress.ANSWERED: Verdict.RAN,
+}
+_ON_CONNECTION = frozenset((Progress.SENT, Progress.ANSWERED))
+
+
+class CallHost(Protocol):
+    """The admitter of a call: knows the load and counts the slots."""
+
+    def measure_load(self) -> Load:
+        """Returns how busy the upstream is."""
+
+    def leave_queue(self, call: 'AdmittedCall') -> None:
+        """The call no longer waits for a slot."""
+
+    def free_slot(self, call: 'AdmittedCall') -> None:
+        """The call no longer needs its slot."""
+
+    def free_slot_later(self, call: 'AdmittedCall') -> None:
+        """The call's slot is free once its connection has ended."""
+
+    def now(self) -> float:
+        """Returns monotonic time, in seconds."""
+
+
+class AdmittedCall:
+    """A call that was opened; the opener's `OpenCall`."""
+
+    def __init__(
+        self,
+        start: CallStart,
+        answers: AnswerReceiver,
+        host: CallHost,
+        deadline: float,
+    ) -> None:
+        """Starts queued; `deadline` is monotonic time, in seconds."""
+        self.start = start
+        self.progress = Progress.QUEUED
+        self.connection: UpstreamConnection | None = None
+        self.deadline = deadline
+        self.timer: Timer | None = None
+        self.dispatched_at: float = 0
+        self._answers = answers
+        self._host = host
+        self._held: list[tuple[bytes, bool]] = []
+        self._uncredited = 0 if start.last else len(start.body)
+        self._window = WINDOW_BYTES
+
+    # The opener's side.
+
+    def send(self, body: bytes, last: bool) -> None:
+        """Sends more of the request's body."""
+        if self.progress is Progress.ENDED:
+            return
+        if self.connection is None:
+            self._held.append((body, last))
+            return
+        self.connection.send(body, last)
+        self._uncredited += len(body)
+        if not last:
+            self._credit()
+
+    def grant(self, size: int) -> None:
+        """Lets the upstream send this many further bytes."""
+        was_shut = self._window <= 0
+        self._window += size
+        if was_shut and self._window > 0 and self.connection is not None:
+            self.connection.control_reading(wanted=True)
+
+    def cancel(self) -> None:
+        """Ends the call without telling the opener."""
+        if self.progress is not Progress.ENDED:
+            self._give_up()
+
+    # The admitter's side.
+
+    def fail(
+        self,
+        code: FailureCode,
+        detail: str,
+        retry_after_ms: int = 0,
+    ) -> None:
+        """Ends the call and tells the opener why."""
+        if self.progress is Progress.ENDED:
+            return
+        verdict = _VERDICTS[self.progress]
+        self._give_up()
+        failure = Failure(verdict, code, detail, retry_after_ms)
+        load = self._host.measure_load()
+        self._answers.fail(CallFailed(self.start.call, failure, load))
+
+    # The pool's side.
+
+    def take_connection(self, connection: UpstreamConnection) -> bool:
+        """Takes a connection and sends the request."""
+        if self.progress is not Progress.CONNECTING:
+            self._host.free_slot(self)
+            return False
+        self.dispatched_at = self._host.now()
+        try:
+            connection.begin(_build_request(self), self)
+        except LocalProtocolError as error:
+            connection.abort()
+            self.fail(FailureCode.BAD_REQUEST, str(error))
+            self._host.free_slot(self)
+            return True
+        self.connection = connection
+        self.progress = Progress.SENT
+        self._send_held()
+        return True
+
+    def take_unreachable(self, detail: str) -> None:
+        """Fails the call: the upstream takes no connection."""
+        self.fail(FailureCode.UPSTREAM_UNREACHABLE, detail)
+        self._host.free_slot(self)
+
+    # The connection's side.
+
+    def take_response(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        last: bool,
+    ) -> None:
+        """Passes the start of the answer on."""
+        self.progress = Progress.ANSWERED
+        load = self._host.measure_load()
+        self._answers.start_reply(
+            ReplyStart(self.start.call, status, headers, body, last, load),
+        )
+        self._spend(len(body), last)
+
+    def take_body(self, body: bytes, last: bool) -> None:
+        """Passes more of the answer on."""
+        self._answers.continue_reply(ReplyChunk(self.start.call, body, last))
+        self._spend(len(body), last)
+
+    def take_broken(self, code: FailureCode, detail: str) -> None:
+        """Fails the call: the connection ended before the answer did."""
+        if code is FailureCode.UPSTREAM_MALFORMED:
+            self.progress = Progress.ANSWERED
+        self.fail(code, detail)
+
+    def resume_request(self) -> None:
+        """Lets the opener send more."""
+        self._credit()
+
+    def _send_held(self) -> None:
+        held = self._held
+        self._held = []
+        for body, last in held:
+            self.send(body, last)
+        if not self.start.last:
+            self._credit()
+
+    def _credit(self) -> None:
+        connection = self.connection
+        if connection is None or not connection.is_writable:
+            return
+        if self._uncredited >= CREDIT_STEP_BYTES:
+            size = self._uncredited
+            self._uncredited = 0
+            self._answers.credit(size)
+
+    def _spend(self, size: int, last: bool) -> None:
+        if last:
+            self._end()
+            self._host.free_slot(self)
+            return
+        self._window -= size
+        if self._window <= 0 and self.connection is not None:
+            self.connection.control_reading(wanted=False)
+
+    def _end(self) -> Progress:
+        before = self.progress
+        self.progress = Progress.ENDED
+        if self.timer is not None:
+            self.timer.cancel()
+        self._held.clear()
+        return before
+
+    def _give_up(self) -> None:
+        before = self._end()
+        if before is Progress.QUEUED:
+            self._host.leave_queue(self)
+        elif before in _ON_CONNECTION:
+            self._host.free_slot_later(self)
+
+
+def _build_request(call: AdmittedCall) -> UpstreamRequest:
+    start = call.start
+    left_s = call.deadline - call.dispatched_at
+    left_ms = max(1, int(left_s * MS_PER_S))
+    deadline = (DEADLINE, str(left_ms).encode())
+    return UpstreamRequest(
+        start.method,
+        start.target,
+        (*start.headers, deadline),
+        start.body,
+        start.last,
+    )
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -0,0 +1,162 @@
+"""The upstream's interface: it announces itself to the daemon beside it.
+
+`PUT /v1/endpoint` announces an upstream or renews its lease, `DELETE
+/v1/endpoint` ends it. An upstream that falls silent for the length of a lease
+is taken as gone.
+"""
+
+from asyncio import Server, sleep
+from logging import getLogger
+from typing import Self
+
+from msgspec import ValidationError
+from msgspec.json import decode as decode_json
+
+from bilberry_core.board import Board, Phase
+from bilberry_core.clock import MS_PER_S, Clock
+from bilberry_core.endpoint import Address, Endpoint, EndpointState
+from bilberry_core.http import HttpRequest, HttpResponse, serve_http
+from bilberry_core.settings import Settings
+
+from bilberry_proxy.announcement_body import AnnouncementBody, parse_address
+
+_log = getLogger(__name__)
+
+_PATH = '/v1/endpoint'
+_CHECKS_A_LEASE = 10
+
+
+class AnnouncementController:
+    """Keeps `board.own_endpoint` as the upstream announces it."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        board: Board,
+        clock: Clock,
+    ) -> None:
+        """Starts without an upstream."""
+        self._settings = settings
+        self._board = board
+        self._clock = clock
+        self._incarnation = clock.wall_ms()
+        self._heard_at = clock.now()
+        self._server: Server | None = None
+        board.phase.watch(self._follow_phase)
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        board: Board,
+        clock: Clock,
+    ) -> Self:
+        """Builds the controller of one daemon."""
+        return cls(settings, board, clock)
+
+    @property
+    def address(self) -> Address | None:
+        """Where the interface listens, once it does."""
+        if self._server is None or not self._server.sockets:
+            return None
+        bound = self._server.sockets[0].getsockname()
+        return Address(bound[0], bound[1])
+
+    async def start(self) -> Address:
+        """Starts to listen and returns the address bound."""
+        listen = self._settings.listen.upstream
+        self._server = await serve_http(listen, self.handle)
+        return self.address
+
+    async def run(self) -> None:
+        """Listens and ends leases until cancelled."""
+        if self._server is None:
+            await self.start()
+        lease_s = self._settings.timing.lease_ms / MS_PER_S
+        while True:
+            await sleep(lease_s / _CHECKS_A_LEASE)
+            self.check_lease()
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one request of the upstream."""
+        if request.target != _PATH:
+            return HttpResponse(404, body=f'expected {_PATH}\n'.encode())
+        if request.method == 'DELETE':
+            self._put_state(EndpointState.GONE)
+            return HttpResponse(204)
+        if request.method != 'PUT':
+            return HttpResponse(405, ((b'allow', b'PUT, DELETE'),))
+        try:
+            announced = decode_json(request.body, type=AnnouncementBody)
+        except ValidationError as error:
+            return HttpResponse(400, body=f'{error}\n'.encode())
+        except ValueError as error:
+            return HttpResponse(400, body=f'no JSON: {error}\n'.encode())
+        self._announce(announced)
+        return HttpResponse(204)
+
+    def check_lease(self) -> None:
+        """Ends the endpoint where its upstream has fallen silent."""
+        silent_s = self._clock.now() - self._heard_at
+        if silent_s * MS_PER_S > self._settings.timing.lease_ms:
+            self._put_state(EndpointState.GONE)
+
+    def _announce(self, announced: AnnouncementBody) -> None:
+        self._heard_at = self._clock.now()
+        known = self._board.own_endpoint.value
+        state = announced.state
+        if self._board.phase.value in {Phase.DRAINING, Phase.STOPPED}:
+            state = EndpointState.DRAINING
+        record = Endpoint(
+            instance=self._settings.instance,
+            incarnation=self._incarnation,
+            sequence=known.sequence if known else 0,
+            service=announced.service,
+            address=self._settings.listen.streams,
+            failure_domain=self._settings.failure_domain,
+            state=state,
+            slots=announced.slots,
+            connections=announced.connections,
+            since_ms=self._find_since_ms(known, state),
+        )
+        self._board.upstream_address.put(parse_address(announced.address))
+        if record != known:
+            self._put(record._replace(sequence=record.sequence + 1))
+
+    def _find_since_ms(
+        self,
+        known: Endpoint | None,
+        state: EndpointState,
+    ) -> int:
+        if known is not None and known.state is state:
+            return known.since_ms
+        if state is EndpointState.READY:
+            return self._clock.wall_ms()
+        return known.since_ms if known else 0
+
+    def _follow_phase(self, phase: Phase) -> None:
+        if phase in {Phase.DRAINING, Phase.STOPPED}:
+            self._put_state(EndpointState.DRAINING)
+
+    def _put_state(self, state: EndpointState) -> None:
+        known = self._board.own_endpoint.value
+        if known is None or known.state in {state, EndpointState.GONE}:
+            return
+        sequence = known.sequence + 1
+        self._put(known._replace(state=state, sequence=sequence))
+
+    def _put(self, record: Endpoint) -> None:
+        _log.info(
+            'endpoint_announced',
+            extra={
+                'service': record.service,
+                'state': record.state.value,
+                'sequence': record.sequence,
+            },
+        )
+        self._board.own_endpoint.put(record)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement_body.py
@@ -0,0 +1,61 @@
+"""The body of an upstream's announcement, checked as a whole.
+
+Errors name the key of the JSON object that is wrong.
+"""
+
+from ipaddress import ip_address
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from bilberry_core.endpoint import Address, EndpointState
+
+_MAX_COUNT = 65536
+_MAX_PORT = 65535
+
+Count = Annotated[int, Meta(ge=1, le=_MAX_COUNT)]
+
+
+class AnnouncedLoad(Struct, forbid_unknown_fields=True):
+    """The load that an upstream reports of itself; weighed by what is seen."""
+
+    outstanding: Annotated[int, Meta(ge=0)] = 0
+
+
+class AnnouncementBody(Struct, forbid_unknown_fields=True):
+    """What an upstream says of itself.
+
+    `address`
+        IP address and port of its own HTTP server.
+    `slots`, `connections`
+        Requests and connections that it takes at once.
+    """
+
+    service: Annotated[str, Meta(min_length=1, max_length=253)]
+    address: str
+    slots: Count
+    connections: Count
+    state: EndpointState
+    load: AnnouncedLoad | None = None
+
+    def __post_init__(self) -> None:
+        """Checks what the types can't say."""
+        try:
+            parse_address(self.address)
+        except ValueError as error:
+            raise ValueError(
+                f'key "address": expected an IP address and a port such as '
+                f'127.0.0.1:8080, got "{self.address}"',
+            ) from error
+        if self.state is EndpointState.GONE:
+            raise ValueError('key "state": expected starting, ready, draining')
+
+
+def parse_address(text: str) -> Address:
+    """Returns the address that `text` holds; raises `ValueError`."""
+    host, _, port = text.rpartition(':')
+    ip_address(host.strip('[]'))
+    number = int(port)
+    if not 0 < number <= _MAX_PORT:
+        raise ValueError(f'port {number} is out of range')
+    return Address(host.strip('[]'), number)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt.py
@@ -0,0 +1,123 @@
+"""One attempt of a request at one endpoint.
+
+Each attempt has its own receiver, so nothing that an earlier attempt still
+sends can reach the caller.
+"""
+
+from typing import Protocol
+
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.messages.call import (
+    CallFailed,
+    CallStart,
+    ReplyChunk,
+    ReplyStart,
+)
+from bilberry_core.verdict import Failure
+
+from bilberry_proxy.call import CallTarget, OpenCall
+from bilberry_proxy.endpoint_load import EndpointLoad
+
+
+class AttemptOwner(Protocol):
+    """The request that an attempt belongs to."""
+
+    def take_reply(self, attempt: 'Attempt', reply: ReplyStart) -> None:
+        """Takes the start of the answer."""
+
+    def take_chunk(self, chunk: ReplyChunk) -> None:
+        """Takes more of the answer."""
+
+    def take_failure(self, attempt: 'Attempt', failure: Failure) -> None:
+        """Takes the failure that ends the attempt."""
+
+    def take_credit(self, size: int) -> None:
+        """Takes leave to send more of the request."""
+
+
+class Attempt:
+    """The call of one attempt and the receiver of its answer."""
+
+    __slots__ = (
+        '_call',
+        '_load',
+        '_owner',
+        'ended',
+        'endpoint',
+        'began',
+        'started_at',
+    )
+
+    def __init__(
+        self,
+        owner: AttemptOwner,
+        endpoint: Endpoint,
+        load: EndpointLoad,
+        started_at: float,
+    ) -> None:
+        """Starts unopened; `started_at` is monotonic time, in seconds."""
+        self.endpoint = endpoint
+        self.ended = False
+        self.began = False
+        self.started_at = started_at
+        self._owner = owner
+        self._load = load
+        self._call: OpenCall | None = None
+
+    def open(self, target: CallTarget, start: CallStart) -> None:
+        """Opens the call."""
+        self._load.begin()
+        call = target.open(start, self)
+        if not self.ended:
+            self._call = call
+
+    def send(self, body: bytes, last: bool) -> None:
+        """Sends more of the request's body."""
+        if self._call is not None:
+            self._call.send(body, last)
+
+    def grant(self, size: int) -> None:
+        """Lets the answer go on by this many bytes."""
+        if self._call is not None:
+            self._call.grant(size)
+
+    def cancel(self) -> None:
+        """Ends the attempt without an answer."""
+        call = self._call
+        if self._end() and call is not None:
+            call.cancel()
+
+    def start_reply(self, reply: ReplyStart) -> None:
+        """Takes the start of the answer."""
+        if self.ended:
+            return
+        self.began = True
+        if reply.last:
+            self._end()
+        self._owner.take_reply(self, reply)
+
+    def continue_reply(self, chunk: ReplyChunk) -> None:
+        """Takes more of the answer."""
+        if self.ended:
+            return
+        if chunk.last:
+            self._end()
+        self._owner.take_chunk(chunk)
+
+    def fail(self, failed: CallFailed) -> None:
+        """Takes the failure that ends the call."""
+        if self._end():
+            self._owner.take_failure(self, failed.failure)
+
+    def credit(self, size: int) -> None:
+        """Takes leave to send more of the request."""
+        if not self.ended:
+            self._owner.take_credit(size)
+
+    def _end(self) -> bool:
+        if self.ended:
+            return False
+        self.ended = True
+        self._call = None
+        self._load.end()
+        return True
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/balancers/round_robin.py
@@ -0,0 +1,29 @@
+"""The balancer that picks each endpoint in turn."""
+
+from collections.abc import Sequence
+from typing import ClassVar
+
+from bilberry_core.clock import RandomSource
+from bilberry_core.endpoint import Endpoint
+
+from bilberry_proxy.balancers.base import WorkEstimate
+
+
+class RoundRobinBalancer:
+    """Each endpoint in turn, whatever its load. New in version 0.1."""
+
+    name: ClassVar[str] = 'round_robin'
+
+    def __init__(self) -> None:
+        """Starts before the first endpoint."""
+        self._turn = -1
+
+    def pick(
+        self,
+        endpoints: Sequence[Endpoint],
+        _estimate: WorkEstimate,
+        _random: RandomSource,
+    ) -> Endpoint:
+        """Returns the next endpoint."""
+        self._turn = (self._turn + 1) % len(endpoints)
+        return endpoints[self._turn]
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -0,0 +1,140 @@
+"""Takes calls of other daemons from their streams to the admitter."""
+
+from collections.abc import Callable
+from typing import Any
+
+from bilberry_core.messages.call import (
+    CallCancel,
+    CallChunk,
+    CallFailed,
+    CallStart,
+    Credit,
+    Goodbye,
+    ReplyChunk,
+    ReplyStart,
+)
+from bilberry_core.stream import Stream
+
+from bilberry_proxy.call import CallTarget, OpenCall
+
+
+class CallServer:
+    """Serves every stream for calls that other daemons open."""
+
+    def __init__(self, target: CallTarget) -> None:
+        """Opens the calls received at `target`."""
+        self._target = target
+        self._streams: set[_ServedStream] = set()
+
+    @property
+    def open_calls(self) -> int:
+        """How many calls of other daemons are under way."""
+        return sum(len(served.calls) for served in self._streams)
+
+    def accept(self, stream: Stream) -> None:
+        """Serves a stream until it ends."""
+        served = _ServedStream(stream, self._target)
+        self._streams.add(served)
+
+        def end() -> None:
+            self._streams.discard(served)
+            served.end()
+
+        stream.receiver = served.receive
+        stream.on_close = end
+
+    def say_goodbye(self) -> None:
+        """Tells every other daemon that no new call is taken."""
+        for served in tuple(self._streams):
+            served.send(Goodbye())
+
+
+class _ServedStream:
+    """The calls of one stream."""
+
+    def __init__(self, stream: Stream, target: CallTarget) -> None:
+        self.calls: dict[int, OpenCall] = {}
+        self._stream = stream
+        self._target = target
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            CallStart: self._start,
+            CallChunk: self._continue,
+            CallCancel: self._cancel,
+            Credit: self._grant,
+        }
+
+    def receive(self, message: Any) -> None:
+        """Takes one message of the other daemon."""
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
+
+    def send(self, message: Any) -> None:
+        """Sends a message, or nothing where the stream has ended."""
+        if self._stream.is_open:
+            self._stream.send(message)
+
+    def end(self) -> None:
+        """Cancels every call: nobody is left to receive the answers."""
+        calls = self.calls
+        self.calls = {}
+        for call in calls.values():
+            call.cancel()
+
+    def _start(self, start: CallStart) -> None:
+        if start.call in self.calls:
+            return
+        answers = _StreamAnswers(self, start.call)
+        call = self._target.open(start, answers)
+        if not answers.ended:
+            self.calls[start.call] = call
+
+    def _continue(self, chunk: CallChunk) -> None:
+        call = self.calls.get(chunk.call)
+        if call is not None:
+            call.send(chunk.body, chunk.last)
+
+    def _cancel(self, cancel: CallCancel) -> None:
+        call = self.calls.pop(cancel.call, None)
+        if call is not None:
+            call.cancel()
+
+    def _grant(self, credit: Credit) -> None:
+        call = self.calls.get(credit.call)
+        if call is not None:
+            call.grant(credit.size)
+
+
+class _StreamAnswers:
+    """Sends the answer of one call to the daemon that opened it."""
+
+    __slots__ = ('_call', '_served', 'ended')
+
+    def __init__(self, served: _ServedStream, call: int) -> None:
+        self.ended = False
+        self._served = served
+        self._call = call
+
+    def start_reply(self, reply: ReplyStart) -> None:
+        """Sends the start of the answer."""
+        self._served.send(reply)
+        self._end(reply.last)
+
+    def continue_reply(self, chunk: ReplyChunk) -> None:
+        """Sends more of the answer."""
+        self._served.send(chunk)
+        self._end(chunk.last)
+
+    def fail(self, failed: CallFailed) -> None:
+        """Sends the failure that ends the call."""
+        self._served.send(failed)
+        self._end(last=True)
+
+    def credit(self, size: int) -> None:
+        """Sends leave to send more of the request."""
+        self._served.send(Credit(self._call, size))
+
+    def _end(self, last: bool) -> None:
+        if last:
+            self.ended = True
+            self._served.calls.pop(self._call, None)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -0,0 +1,257 @@
+"""Calls to one other daemon, multiplexed on one stream.
+
+The stream is opened with the first call and again after it was lost. A call
+that was never written fails as not run; one that was may have run.
+"""
+
+from asyncio import Task, get_running_loop
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+from bilberry_core.endpoint import Address
+from bilberry_core.error import BilberryError
+from bilberry_core.handshake import Purpose
+from bilberry_core.messages.call import (
+    CallCancel,
+    CallChunk,
+    CallFailed,
+    CallStart,
+    Credit,
+    Goodbye,
+    Load,
+    ReplyChunk,
+    ReplyStart,
+)
+from bilberry_core.stream import Credentials, Receiver, Stream, dial
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+from bilberry_proxy.call import AnswerReceiver
+
+#: When a caller may come back after a daemon could not be reached.
+UNREACHABLE_RETRY_AFTER_MS = 250
+#: Calls that may wait for a stream to open.
+MAX_WAITING_CALLS = 1024
+
+_NO_LOAD = Load(0, 0, 0, 0)
+
+
+class Dialer(Protocol):
+    """Opens a stream to another daemon."""
+
+    def __call__(
+        self,
+        address: Address,
+        receiver: Receiver,
+    ) -> Coroutine[Any, Any, Stream]:
+        """Opens a stream; raises `OSError` or `BilberryError`."""
+
+
+def build_dialer(credentials: Credentials) -> Dialer:
+    """Returns a dialer of streams for calls."""
+
+    def dial_call(
+        address: Address,
+        receiver: Receiver,
+    ) -> Coroutine[Any, Any, Stream]:
+        return dial(credentials, address, Purpose.CALL, receiver)
+
+    return dial_call
+
+
+class RemoteCall:
+    """One call on a `CallStream`; the opener's `OpenCall`."""
+
+    __slots__ = ('_held', '_owner', 'answers', 'began', 'start', 'written')
+
+    def __init__(
+        self,
+        owner: 'CallStream',
+        start: CallStart,
+        answers: AnswerReceiver,
+    ) -> None:
+        """Starts unwritten."""
+        self.start = start
+        self.answers = answers
+        self.written = False
+        self.began = False
+        self._owner = owner
+        self._held: list[CallChunk] = []
+
+    def send(self, body: bytes, last: bool) -> None:
+        """Sends more of the request's body."""
+        chunk = CallChunk(self.start.call, body, last)
+        if self.written:
+            self._owner.send(chunk)
+        else:
+            self._held.append(chunk)
+
+    def grant(self, size: int) -> None:
+        """Lets the other daemon send this many further bytes of answer."""
+        self._owner.send(Credit(self.start.call, size))
+
+    def cancel(self) -> None:
+        """Ends the call; nothing more is received from it."""
+        if self._owner.forget(self) and self.written:
+            self._owner.send(CallCancel(self.start.call))
+
+    def write(self) -> None:
+        """Writes the call and what was held of its body."""
+        self.written = True
+        self._owner.send(self.start)
+        for chunk in self._held:
+            self._owner.send(chunk)
+        self._held.clear()
+
+
+class CallStream:
+    """Takes calls for the upstream beside one other daemon."""
+
+    def __init__(self, address: Address, dialer: Dialer) -> None:
+        """Opens no stream yet."""
+        self._address = address
+        self._dialer = dialer
+        self._stream: Stream | None = None
+        self._dial: Task[None] | None = None
+        self._calls: dict[int, RemoteCall] = {}
+        self._last_call = 0
+        self._leaving = False
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            ReplyStart: self._take_reply,
+            ReplyChunk: self._take_chunk,
+            CallFailed: self._take_failed,
+            Credit: self._take_credit,
+            Goodbye: self._take_goodbye,
+        }
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call is under way."""
+        return not self._calls
+
+    def open(self, start: CallStart, answers: AnswerReceiver) -> RemoteCall:
+        """Opens a call, on a new stream where there is none."""
+        self._last_call += 1
+        numbered = start._replace(call=self._last_call)
+        call = RemoteCall(self, numbered, answers)
+        refusal = self._find_refusal()
+        if refusal is not None:
+            _refuse(call, refusal)
+            return call
+        self._calls[numbered.call] = call
+        if self._stream is not None:
+            call.write()
+        elif self._dial is None:
+            loop = get_running_loop()
+            self._dial = loop.create_task(self._connect())
+        return call
+
+    def send(self, message: Any) -> None:
+        """Sends a message, or nothing where the stream has ended."""
+        stream = self._stream
+        if stream is not None and stream.is_open:
+            stream.send(message)
+
+    def forget(self, call: RemoteCall) -> bool:
+        """Receives nothing more for a call; False where it had ended."""
+        return self._calls.pop(call.start.call, None) is not None
+
+    def close(self) -> None:
+        """Ends the stream; calls under way fail."""
+        if self._dial is not None:
+            self._dial.cancel()
+        if self._stream is not None:
+            self._stream.close()
+
+    def _find_refusal(self) -> Failure | None:
+        if self._leaving:
+            return _not_run(FailureCode.DRAINING, 'the daemon is leaving')
+        if self._stream is None:
+            if len(self._calls) < MAX_WAITING_CALLS:
+                return None
+        elif self._stream.is_writable:
+            return None
+        return _not_run(FailureCode.OVERLOADED, 'the daemon reads too slowly')
+
+    async def _connect(self) -> None:
+        try:
+            stream = await self._dialer(self._address, self._receive)
+        except (OSError, BilberryError) as error:
+            self._dial = None
+            detail = f'daemon {self._address.host}:{self._address.port}'
+            self._fail_all(f'{detail}: {error}')
+            return
+        self._dial = None
+        self._leaving = False
+        self._stream = stream
+        stream.on_close = self._lose
+        if not stream.is_open:
+            self._lose()
+            return
+        for call in tuple(self._calls.values()):
+            call.write()
+
+    def _lose(self) -> None:
+        self._stream = None
+        self._leaving = False
+        self._fail_all('the stream to the daemon was lost')
+
+    def _fail_all(self, detail: str) -> None:
+        calls = self._calls
+        self._calls = {}
+        for call in calls.values():
+            if call.began:
+                verdict = Verdict.RAN
+            elif call.written:
+                verdict = Verdict.MAY_HAVE_RUN
+            else:
+                verdict = Verdict.NOT_RUN
+            failure = Failure(
+                verdict,
+                FailureCode.STREAM_LOST,
+                detail,
+                UNREACHABLE_RETRY_AFTER_MS,
+            )
+            call.answers.fail(CallFailed(call.start.call, failure, _NO_LOAD))
+
+    def _receive(self, message: Any) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
+
+    def _take_reply(self, reply: ReplyStart) -> None:
+        call = self._calls.get(reply.call)
+        if call is None or call.began:
+            return
+        call.began = True
+        if reply.last:
+            del self._calls[reply.call]
+        call.answers.start_reply(reply)
+
+    def _take_chunk(self, chunk: ReplyChunk) -> None:
+        call = self._calls.get(chunk.call)
+        if call is None or not call.began:
+            return
+        if chunk.last:
+            del self._calls[chunk.call]
+        call.answers.continue_reply(chunk)
+
+    def _take_failed(self, failed: CallFailed) -> None:
+        call = self._calls.pop(failed.call, None)
+        if call is not None:
+            call.answers.fail(failed)
+
+    def _take_credit(self, credit: Credit) -> None:
+        call = self._calls.get(credit.call)
+        if call is not None:
+            call.answers.credit(credit.size)
+
+    def _take_goodbye(self, _goodbye: Goodbye) -> None:
+        self._leaving = True
+
+
+def _not_run(code: FailureCode, detail: str) -> Failure:
+    return Failure(Verdict.NOT_RUN, code, detail, UNREACHABLE_RETRY_AFTER_MS)
+
+
+def _refuse(call: RemoteCall, failure: Failure) -> None:
+    call.answers.fail(CallFailed(call.start.call, failure, _NO_LOAD))
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/claim_gate.py
@@ -0,0 +1,158 @@
+"""Claims one request before it is dispatched and settles it afterwards.
+
+A claimed request runs to its end even where its caller has left, so that a
+resend finds the answer. It is freed only where it was proven not run.
+"""
+
+from asyncio import get_running_loop
+from collections.abc import Coroutine
+from logging import getLogger
+from typing import Protocol
+from uuid import uuid4
+
+from bilberry_core.claim import (
+    Answered,
+    Attempt,
+    ClaimKey,
+    ClaimOutcome,
+    Granted,
+    Mismatch,
+    StoredAnswer,
+    Taken,
+    Unavailable,
+)
+from bilberry_core.error import BilberryError
+from bilberry_core.messages.call import ReplyChunk, ReplyStart
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+from bilberry_proxy.context import ProxyContext
+from bilberry_proxy.plan import Plan
+
+_log = getLogger(__name__)
+
+#: Largest body of an answer that is stored for resends, in bytes.
+STORED_BODY_BYTES = 256 << 10
+#: Longest time to store an answer or to free a claim, in seconds.
+SETTLE_TIMEOUT_S = 5.0
+#: When a caller may come back to claim again, in milliseconds.
+CLAIM_RETRY_AFTER_MS = 500
+
+_FAILURES: dict[type, Failure] = {
+    Taken: Failure(
+        Verdict.MAY_HAVE_RUN,
+        FailureCode.CLAIM_TAKEN,
+        'another request with this key has given no answer yet',
+        CLAIM_RETRY_AFTER_MS,
+    ),
+    Mismatch: Failure(
+        Verdict.NOT_RUN,
+        FailureCode.CLAIM_CONFLICT,
+        'the key was used before for another request',
+    ),
+    Unavailable: Failure(
+        Verdict.NOT_RUN,
+        FailureCode.CLAIM_UNAVAILABLE,
+        'no majority of claim holders answered',
+        CLAIM_RETRY_AFTER_MS,
+    ),
+}
+
+
+class GateOwner(Protocol):
+    """The request that is claimed."""
+
+    def take_grant(self) -> None:
+        """The request is claimed and may be dispatched."""
+
+    def take_stored(self, answer: StoredAnswer) -> None:
+        """The request ran before; this was its answer."""
+
+    def take_failure(self, failure: Failure) -> None:
+        """The request may not be dispatched."""
+
+
+class ClaimGate:
+    """The claim of one request."""
+
+    def __init__(
+        self,
+        context: ProxyContext,
+        owner: GateOwner,
+        plan: Plan,
+        fingerprint: bytes,
+    ) -> None:
+        """Starts unclaimed."""
+        self.is_granted = False
+        self._context = context
+        self._owner = owner
+        self._deadline = plan.deadline
+        self._attempt = Attempt(
+            ClaimKey(plan.service, plan.request.key),
+            uuid4().bytes,
+            fingerprint,
+            plan.decision.policy.claim_retention_s,
+        )
+        self._start: ReplyStart | None = None
+        self._body = b''
+
+    def claim(self) -> None:
+        """Begins to claim; the owner hears of the outcome."""
+        self._spawn(self._claim())
+
+    def keep_start(self, reply: ReplyStart) -> None:
+        """Keeps the start of the answer."""
+        self._start = reply
+        self._keep(reply.body, reply.last)
+
+    def keep_chunk(self, chunk: ReplyChunk) -> None:
+        """Keeps more of the answer."""
+        self._keep(chunk.body, chunk.last)
+
+    def release(self) -> None:
+        """Frees the claim: the request was proven not run."""
+        if self.is_granted:
+            self.is_granted = False
+            claims = self._context.claims
+            self._spawn(claims.release(self._attempt, SETTLE_TIMEOUT_S))
+
+    def _keep(self, body: bytes, last: bool) -> None:
+        if len(self._body) <= STORED_BODY_BYTES:
+            self._body += body
+        if last and len(self._body) <= STORED_BODY_BYTES:
+            self._spawn(self._settle())
+
+    async def _claim(self) -> None:
+        left_s = max(self._deadline - self._context.clock.now(), 0)
+        try:
+            outcome = await self._context.claims.claim(self._attempt, left_s)
+        except (BilberryError, OSError, TimeoutError) as error:
+            outcome = Unavailable(str(error))
+        self._take(outcome)
+
+    def _take(self, outcome: ClaimOutcome) -> None:
+        if isinstance(outcome, Granted):
+            self.is_granted = True
+            self._owner.take_grant()
+        elif isinstance(outcome, Answered):
+            self._owner.take_stored(outcome.answer)
+        else:
+            self._owner.take_failure(_FAILURES[type(outcome)])
+
+    async def _settle(self) -> None:
+        reply = self._start
+        answer = StoredAnswer(reply.status, reply.headers, self._body)
+        settled = await self._context.claims.settle(
+            self._attempt,
+            answer,
+            SETTLE_TIMEOUT_S,
+        )
+        if not settled:
+            _log.warning(
+                'claim_not_settled',
+                extra={'service': self._attempt.claim.service},
+            )
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = get_running_loop().create_task(work)
+        self._context.tasks.add(task)
+        task.add_done_callback(self._context.tasks.discard)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/context.py
@@ -0,0 +1,41 @@
+"""What every request of a proxy shares."""
+
+from asyncio import Task
+from typing import NamedTuple, Protocol
+
+from bilberry_core.board import Board
+from bilberry_core.claim import Claims
+from bilberry_core.clock import Clock, RandomSource
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.metric import Metrics
+
+from bilberry_proxy.call import CallTarget
+from bilberry_proxy.router import Router
+from bilberry_proxy.service_interest import ServiceInterest
+from bilberry_proxy.timers import TimerWheel
+
+
+class TargetFinder(Protocol):
+    """Finds where calls to an endpoint are opened."""
+
+    def __call__(self, endpoint: Endpoint) -> CallTarget:
+        """Returns the target of the daemon beside the endpoint."""
+
+
+class ProxyContext(NamedTuple):
+    """The parts of a proxy that a request needs.
+
+    `claims` is None where the settings name no replicas. `tasks` are claims
+    being made, settled or freed, which a graceful stop waits for.
+    """
+
+    board: Board
+    clock: Clock
+    random: RandomSource
+    timers: TimerWheel
+    router: Router
+    interest: ServiceInterest
+    find_target: TargetFinder
+    metrics: Metrics
+    claims: Claims | None
+    tasks: set[Task]
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/decision_log.py
@@ -0,0 +1,94 @@
+"""One log line for each request: what was chosen, from what, and why."""
+
+from logging import getLogger
+from typing import TYPE_CHECKING
+
+from bilberry_core.verdict import Failure, Verdict
+
+from bilberry_proxy.plan import Plan
+from bilberry_proxy.selection import Selection
+
+if TYPE_CHECKING:
+    from bilberry_proxy.context import ProxyContext
+
+_log = getLogger(__name__)
+_MS_PER_S = 1000
+_VERDICT_RANK = {
+    Verdict.NOT_RUN: 0,
+    Verdict.MAY_HAVE_RUN: 1,
+    Verdict.RAN: 2,
+}
+
+
+def join_verdicts(one: Verdict, other: Verdict) -> Verdict:
+    """Returns the verdict on two attempts of one request."""
+    return max(one, other, key=_VERDICT_RANK.__getitem__)
+
+
+class Outcome:
+    """What has become of a request so far.
+
+    `tried` are the instances that attempts went to, in order. `verdict`
+    covers every attempt that has failed.
+    """
+
+    def __init__(self) -> None:
+        """Starts with nothing tried."""
+        self.ended = False
+        self.started_at: float = 0
+        self.verdict = Verdict.NOT_RUN
+        self.status = 0
+        self.plan: Plan | None = None
+        self.selection: Selection | None = None
+        self.failure: Failure | None = None
+        self.tried: list[str] = []
+        self.retry_reasons: list[str] = []
+
+    def note_attempt(self, selection: Selection) -> None:
+        """Adds an attempt."""
+        self.selection = selection
+        self.tried.append(selection.endpoint.instance)
+
+    def note_attempt_failed(self, failure: Failure, reason: str) -> None:
+        """Adds why an attempt failed and what was decided."""
+        self.verdict = join_verdicts(self.verdict, failure.verdict)
+        self.retry_reasons.append(f'{failure.code.value}: {reason}')
+
+    def complete(self, failure: Failure) -> Failure:
+        """Returns the failure of the whole request."""
+        return failure._replace(
+            verdict=join_verdicts(failure.verdict, self.verdict),
+            retried=failure.retried or len(self.tried) > 1,
+        )
+
+    def end(self, failure: Failure | None, status: int) -> None:
+        """Ends the request."""
+        self.ended = True
+        self.failure = failure
+        self.status = status
+
+
+def log_decision(context: 'ProxyContext', outcome: Outcome) -> None:
+    """Writes the line of a request that has ended."""
+    duration_s = context.clock.now() - outcome.started_at
+    fields = {
+        'status': outcome.status,
+        'tried': outcome.tried,
+        'duration_ms': round(duration_s * _MS_PER_S, 3),
+    }
+    plan = outcome.plan
+    if plan is not None:
+        fields['service'] = plan.service
+        fields['method'] = plan.request.method.decode('ascii')
+        fields['version'] = plan.snapshot.version
+        fields['exception'] = plan.decision.exception
+    if outcome.selection is not None:
+        fields['chosen'] = outcome.selection.endpoint.instance
+        fields['candidates'] = outcome.selection.candidates
+        fields['why'] = outcome.selection.reason
+    if outcome.retry_reasons:
+        fields['retries'] = outcome.retry_reasons
+    if outcome.failure is not None:
+        fields['code'] = outcome.failure.code.value
+        fields['verdict'] = outcome.failure.verdict.value
+    _log.info('request_routed', extra=fields)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
@@ -0,0 +1,75 @@
+"""What this proxy has seen of each endpoint, and the work it expects.
+
+Health and load that upstreams report lag or mislead, so they are weighed
+against what was seen: own calls outstanding, latencies and failures.
+"""
+
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.messages.call import Load
+
+_INITIAL_LATENCY_US = 1000.0
+#: Weight of the newest latency in the moving mean.
+_LATENCY_WEIGHT = 0.2
+_US_PER_S = 1_000_000
+#: Time over which an endpoint that became ready grows to its full share.
+SLOW_START_MS = 10_000
+#: Share of its capacity with which an endpoint starts.
+SLOW_START_SHARE = 0.1
+#: Share of its slots from which on an endpoint counts as busy.
+BUSY_SHARE = 0.8
+
+
+class EndpointLoad:
+    """One endpoint as this proxy sees it."""
+
+    __slots__ = (
+        'ejected_until',
+        'ejections',
+        'failures',
+        'latency_us',
+        'outstanding',
+        'reported',
+    )
+
+    def __init__(self) -> None:
+        """Starts with nothing seen."""
+        self.outstanding = 0
+        self.latency_us = _INITIAL_LATENCY_US
+        self.reported = 0
+        self.failures = 0
+        self.ejections = 0
+        self.ejected_until: float = 0
+
+    def begin(self) -> None:
+        """Counts a call that was sent."""
+        self.outstanding += 1
+
+    def end(self) -> None:
+        """Counts a call that ended."""
+        self.outstanding -= 1
+
+    def learn(self, latency_s: float, load: Load) -> None:
+        """Takes in the latency and the load that came with an answer."""
+        newest_us = latency_s * _US_PER_S
+        self.latency_us += (newest_us - self.latency_us) * _LATENCY_WEIGHT
+        self.reported = load.outstanding + load.queued
+
+
+def estimate_work_us(endpoint: Endpoint, load: EndpointLoad) -> float:
+    """Returns the time that one more call would take, in microseconds."""
+    work = max(load.outstanding, load.reported) + 1
+    return load.latency_us * (1 + work / max(endpoint.slots, 1))
+
+
+def is_busy(endpoint: Endpoint, load: EndpointLoad) -> bool:
+    """Tells whether an endpoint has hardly a slot left."""
+    work = max(load.outstanding, load.reported)
+    return work >= endpoint.slots * BUSY_SHARE
+
+
+def find_slow_start(endpoint: Endpoint, wall_ms: int) -> float:
+    """Returns the share of its calls that a cold endpoint may take."""
+    age_ms = wall_ms - endpoint.since_ms
+    if age_ms >= SLOW_START_MS:
+        return 1
+    return max(SLOW_START_SHARE, age_ms / SLOW_START_MS)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -0,0 +1,244 @@
+"""One caller's request from its first byte to the end of its answer.
+
+The request keeps the snapshot that it began with. It ends in exactly one
+answer: the upstream's, or a failure with its verdict.
+"""
+
+from h11 import Request
+from returns.result import Success
+
+from bilberry_core.board import Phase
+from bilberry_core.claim import StoredAnswer
+from bilberry_core.messages.call import ReplyChunk, ReplyStart
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+from bilberry_proxy.answer import Answer, Caller
+from bilberry_proxy.caller_request import (
+    compute_fingerprint,
+    parse_caller_request,
+)
+from bilberry_proxy.claim_gate import ClaimGate
+from bilberry_proxy.context import ProxyContext
+from bilberry_proxy.decision_log import Outcome, log_decision
+from bilberry_proxy.dispatch import Dispatch
+from bilberry_proxy.plan import Plan, plan_request
+from bilberry_proxy.request_body import RequestBody
+from bilberry_proxy.timers import Timer
+
+#: Longest body that is kept for another attempt, in bytes.
+REPLAY_BYTES = 64 << 10
+#: Longest body of a request that is claimed, in bytes.
+CLAIMED_BODY_BYTES = 1 << 20
+#: Time that the daemon beside the upstream has to tell its own verdict.
+DEADLINE_GRACE_S = 0.03
+#: When a caller may come back to a proxy that leaves.
+DRAINING_RETRY_AFTER_MS = 1000
+
+_DRAINING = Failure(
+    Verdict.NOT_RUN,
+    FailureCode.DRAINING,
+    'this proxy is leaving',
+    DRAINING_RETRY_AFTER_MS,
+)
+_LEFT = Failure(
+    Verdict.NOT_RUN,
+    FailureCode.CANCELLED,
+    'the caller left',
+)
+_TOO_LARGE = Failure(
+    Verdict.NOT_RUN,
+    FailureCode.TOO_LARGE,
+    f'a request with a key has at most {CLAIMED_BODY_BYTES} bytes',
+)
+
+
+class Exchange:
+    """One request and its answer."""
+
+    def __init__(self, context: ProxyContext, caller: Caller) -> None:
+        """Starts before the first byte."""
+        self._context = context
+        self._answer = Answer(caller)
+        self._outcome = Outcome()
+        self._plan: Plan | None = None
+        self._body = RequestBody(REPLAY_BYTES)
+        self._dispatch: Dispatch | None = None
+        self._gate: ClaimGate | None = None
+        self._timer: Timer | None = None
+        self._fingerprint = b''
+
+    # The caller's side.
+
+    def begin(self, start: Request) -> None:
+        """Takes the start of the request."""
+        context = self._context
+        now = context.clock.now()
+        self._outcome.started_at = now
+        if context.board.phase.value is Phase.DRAINING:
+            self.take_failure(_DRAINING)
+            return
+        planned = parse_caller_request(start).bind(
+            lambda request: plan_request(
+                request,
+                context.board.snapshot.value,
+                now,
+                context.claims is not None,
+            ),
+        )
+        if isinstance(planned, Success):
+            self._begin_plan(planned.unwrap(), now)
+        else:
+            self.take_failure(planned.failure())
+
+    def feed(self, body: bytes, last: bool) -> None:
+        """Takes more of the request's body."""
+        if self._outcome.ended:
+            return
+        was_ready = self._body.is_ready
+        self._body.feed(body, last)
+        if self._body.is_ready and not was_ready:
+            self._start()
+        self.control_reading()
+
+    def caller_gone(self) -> None:
+        """Cancels the request, unless it is claimed."""
+        self._answer.leave()
+        if self._outcome.ended or self._gate is not None:
+            return
+        verdict = self._dispatch.verdict
+        self._dispatch.cancel()
+        self._end(Failure(verdict, FailureCode.CANCELLED, 'the caller left'))
+
+    def resume_answer(self) -> None:
+        """Lets the answer go on: the caller has caught up."""
+        size = self._answer.collect_credit()
+        if size and self._dispatch is not None:
+            self._dispatch.grant(size)
+
+    # The side of the attempts.
+
+    def take_reply(self, reply: ReplyStart) -> None:
+        """Passes the start of the answer on."""
+        if self._gate is not None:
+            self._gate.keep_start(reply)
+        status, last = reply.status, reply.last
+        if last:
+            self._end(None, status)
+        self._answer.start(status, reply.headers, reply.body, last)
+        if not last:
+            self.resume_answer()
+
+    def take_chunk(self, chunk: ReplyChunk) -> None:
+        """Passes more of the answer on."""
+        if self._gate is not None:
+            self._gate.keep_chunk(chunk)
+        if chunk.last:
+            self._end(None, self._answer.status)
+        self._answer.go_on(chunk.body, chunk.last)
+        if not chunk.last:
+            self.resume_answer()
+
+    def take_failure(self, failure: Failure) -> None:
+        """Ends the request with a failure."""
+        if self._outcome.ended:
+            return
+        final = self._outcome.complete(failure)
+        if self._gate is not None and final.verdict is Verdict.NOT_RUN:
+            self._gate.release()
+        self._end(final, self._answer.status)
+        self._answer.fail(final)
+
+    def control_reading(self) -> None:
+        """Reads as much of the request as its body wants."""
+        if not self._outcome.ended and not self._body.is_complete:
+            self._answer.control_reading(self._body.wants_more)
+
+    # The side of the claim.
+
+    def take_grant(self) -> None:
+        """Dispatches the request, unless nobody waits for it."""
+        if self._outcome.ended or not self._answer.has_caller:
+            self._gate.release()
+            self._end(_LEFT)
+            return
+        plan = self._plan
+        self._dispatch.start(
+            plan._replace(deadline=plan.run_deadline),
+            self._fingerprint,
+        )
+
+    def take_stored(self, answer: StoredAnswer) -> None:
+        """Answers with what the first request of the key was answered."""
+        if self._outcome.ended:
+            return
+        self._end(None, answer.status)
+        self._answer.start(answer.status, answer.headers, answer.body, True)
+
+    def _begin_plan(self, plan: Plan, now: float) -> None:
+        context = self._context
+        self._plan = plan
+        self._outcome.plan = plan
+        if plan.claimed:
+            self._body = RequestBody(CLAIMED_BODY_BYTES)
+        self._dispatch = Dispatch(context, self, self._outcome, self._body)
+        context.interest.want(plan.service, now)
+        context.router.find_budget(plan.service).deposit(
+            plan.decision.policy.retry_budget_percent,
+        )
+        self._timer = context.timers.schedule(
+            plan.deadline + DEADLINE_GRACE_S,
+            self._expire,
+        )
+
+    def _start(self) -> None:
+        plan = self._plan
+        self._fingerprint = compute_fingerprint(
+            plan.service,
+            plan.request.method,
+            plan.request.target,
+            self._body.kept,
+        )
+        if not plan.claimed:
+            self._dispatch.start(plan, self._fingerprint)
+        elif self._body.is_whole:
+            self._gate = ClaimGate(
+                self._context,
+                self,
+                plan,
+                self._fingerprint,
+            )
+            self._gate.claim()
+        else:
+            self.take_failure(_TOO_LARGE)
+
+    def _expire(self) -> None:
+        plan = self._plan
+        context = self._context
+        verdict = self._dispatch.verdict
+        if self._gate is not None:
+            verdict = Verdict.MAY_HAVE_RUN
+        failure = Failure(verdict, FailureCode.DEADLINE, 'the time ran out')
+        if self._goes_on():
+            # A resend with the same key finds the answer.
+            self._answer.fail(failure)
+            self._answer.leave()
+            self._timer = context.timers.schedule(
+                plan.run_deadline + DEADLINE_GRACE_S,
+                self._expire,
+            )
+            return
+        self._dispatch.cancel()
+        self.take_failure(failure)
+
+    def _goes_on(self) -> bool:
+        if self._gate is None or not self._gate.is_granted:
+            return False
+        return self._context.clock.now() < self._plan.run_deadline
+
+    def _end(self, failure: Failure | None, status: int = 0) -> None:
+        if self._outcome.ended:
+            return
+        self._outcome.end(failure, status)
+        if self._timer is not None:
+            self._timer.cancel()
+        log_decision(self._context, self._outcome)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/http_events.py
@@ -0,0 +1,87 @@
+"""Reads the events of an h11 connection in batches.
+
+What one read of the socket brought is handed on in one piece, so that a small
+message costs one step.
+"""
+
+from typing import NamedTuple
+
+from h11 import (
+    NEED_DATA,
+    PAUSED,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    Event,
+    InformationalResponse,
+    Request,
+    Response,
+)
+
+_CONTINUE = 100
+
+
+class EventBatch(NamedTuple):
+    """The events of one message that are at hand; `last` with its end."""
+
+    start: Request | Response | None
+    body: bytes
+    last: bool
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing was at hand."""
+        return self.start is None and not self.body and not self.last
+
+
+def read_batch(connection: Connection) -> EventBatch:
+    """Returns what is at hand of the message that the peer sends.
+
+    Raises `RemoteProtocolError` where the peer broke the protocol.
+    """
+    start: Request | Response | None = None
+    body: list[bytes] = []
+    event = connection.next_event()
+    while not _is_end(event):
+        if isinstance(event, Data):
+            body.append(bytes(event.data))
+        elif isinstance(event, Request | Response):
+            start = event
+        event = connection.next_event()
+    return EventBatch(start, b''.join(body), isinstance(event, EndOfMessage))
+
+
+def encode_message(
+    connection: Connection,
+    start: Request | Response | None,
+    body: bytes,
+    last: bool,
+) -> bytes:
+    """Returns the bytes of a message or of a part of one.
+
+    Raises `LocalProtocolError` where the part breaks the framing.
+    """
+    parts = []
+    if start is not None:
+        parts.append(connection.send(start))
+    if body:
+        parts.append(connection.send(Data(data=body)))
+    if last:
+        parts.append(connection.send(EndOfMessage()))
+    return b''.join(parts)
+
+
+def encode_continue(connection: Connection) -> bytes:
+    """Returns the leave to send a body, where the peer waits for it."""
+    if not connection.they_are_waiting_for_100_continue:
+        return b''
+    return connection.send(
+        InformationalResponse(status_code=_CONTINUE, headers=[]),
+    )
+
+
+def _is_end(event: Event | type) -> bool:
+    if event is NEED_DATA or event is PAUSED:
+        return True
+    return isinstance(event, EndOfMessage | ConnectionClosed)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/http_headers.py
@@ -0,0 +1,59 @@
+"""Header names of requests and answers, and what is passed on.
+
+Headers that concern one connection only are not passed on.
+"""
+
+from collections.abc import Iterable
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+DEADLINE = b'bilberry-deadline-ms'
+IDEMPOTENCY_KEY = b'idempotency-key'
+RETRIED = b'bilberry-retried'
+VERDICT = b'bilberry-verdict'
+CODE = b'bilberry-code'
+RETRY_AFTER = b'retry-after'
+RETRY_AFTER_MS = b'bilberry-retry-after-ms'
+CONTENT_LENGTH = b'content-length'
+TRANSFER_ENCODING = b'transfer-encoding'
+CLOSE = (b'connection', b'close')
+
+_SET_ANEW = frozenset((DEADLINE, RETRIED))
+_ONE_CONNECTION = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        TRANSFER_ENCODING,
+        b'upgrade',
+        b'expect',
+    ),
+)
+
+
+def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
+    """Returns the first header of this lower-case name, or no bytes."""
+    for known, text in headers:
+        if known == name:
+            return text
+    return b''
+
+
+def select_request_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Returns the headers of a request that go to the upstream."""
+    return tuple(
+        header
+        for header in headers
+        if header[0] not in _ONE_CONNECTION and header[0] not in _SET_ANEW
+    )
+
+
+def select_answer_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Returns the headers of an answer that go to the caller."""
+    return tuple(
+        header for header in headers if header[0] not in _ONE_CONNECTION
+    )
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/outlier.py
@@ -0,0 +1,71 @@
+"""Ejects endpoints that fail again and again, and probes them back.
+
+An ejected endpoint gets no calls for a while that grows with each ejection.
+When the while is over it gets calls again; one more failure ejects it again,
+one success clears it. Only a share of a service may be ejected at once.
+"""
+
+from collections.abc import Sequence
+
+from bilberry_core.verdict import Failure, FailureCode
+
+from bilberry_proxy.endpoint_load import EndpointLoad
+
+#: Failures in a row that eject an endpoint.
+FAILURES_TO_EJECT = 3
+#: Length of the first ejection, in seconds.
+EJECTION_S = 1.0
+#: Longest ejection, in seconds.
+MAX_EJECTION_S = 30.0
+#: Largest share of a service's endpoints that may be ejected at once.
+MAX_EJECTED_SHARE = 0.5
+
+#: Failures that speak against the endpoint itself.
+_BLAMED_CODES = frozenset(
+    (
+        FailureCode.UPSTREAM_UNREACHABLE,
+        FailureCode.UPSTREAM_CLOSED,
+        FailureCode.UPSTREAM_MALFORMED,
+        FailureCode.STREAM_LOST,
+        FailureCode.DEADLINE,
+        FailureCode.NO_ENDPOINT,
+    ),
+)
+
+
+def count_success(load: EndpointLoad) -> None:
+    """Clears an endpoint."""
+    load.failures = 0
+    load.ejections = 0
+    load.ejected_until = 0
+
+
+def count_failure(
+    load: EndpointLoad,
+    peers: Sequence[EndpointLoad],
+    failure: Failure,
+    now: float,
+) -> bool:
+    """Counts a failure; True where it ejects the endpoint.
+
+    `peers` are all endpoints of the service, `now` is monotonic time in
+    seconds.
+    """
+    if failure.code not in _BLAMED_CODES or load.ejected_until > now:
+        return False
+    load.failures += 1
+    if load.failures < FAILURES_TO_EJECT and not load.ejections:
+        return False
+    if not may_eject(peers, now):
+        return False
+    length = EJECTION_S * (1 << load.ejections)
+    load.ejected_until = now + min(length, MAX_EJECTION_S)
+    load.ejections = min(load.ejections + 1, 5)
+    load.failures = 0
+    return True
+
+
+def may_eject(peers: Sequence[EndpointLoad], now: float) -> bool:
+    """Tells whether one more of a service's endpoints may be ejected."""
+    ejected = sum(1 for peer in peers if peer.ejected_until > now)
+    return ejected + 1 <= len(peers) * MAX_EJECTED_SHARE
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/plan.py
@@ -0,0 +1,88 @@
+"""Plans a request: which service, under which policy, until when.
+
+A plain function over the request, a snapshot and the time.
+"""
+
+from typing import NamedTuple
+
+from returns.result import Failure as Refused
+from returns.result import Result, Success
+
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.snapshot import Decision, Snapshot, decide_policy
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+from bilberry_proxy.caller_request import CallerRequest
+
+#: When a caller may come back to a proxy without a configuration.
+NO_CONFIGURATION_RETRY_AFTER_MS = 500
+
+
+class Plan(NamedTuple):
+    """How one request is served.
+
+    `deadline` is monotonic time, in seconds; `run_deadline` is when a claimed
+    request is given up on, though its caller no longer waits. `retries` are
+    further attempts after the first. `claimed` requests are claimed before
+    they are dispatched.
+    """
+
+    request: CallerRequest
+    snapshot: Snapshot
+    decision: Decision
+    deadline: float
+    run_deadline: float
+    retries: int
+    idempotent: bool
+    claimed: bool
+
+    @property
+    def service(self) -> str:
+        """The service that is called."""
+        return self.decision.service
+
+
+def plan_request(
+    request: CallerRequest,
+    snapshot: Snapshot | None,
+    now: float,
+    can_claim: bool,
+) -> Result[Plan, Failure]:
+    """Returns the plan of a request that begins at `now`, in seconds.
+
+    `can_claim` tells whether there are claim holders.
+    """
+    if snapshot is None:
+        return Refused(
+            Failure(
+                Verdict.NOT_RUN,
+                FailureCode.NO_CONFIGURATION,
+                'this proxy has no configuration yet',
+                NO_CONFIGURATION_RETRY_AFTER_MS,
+            ),
+        )
+    service = snapshot.services_by_host.get(request.host)
+    if service is None:
+        detail = f'no service has the host "{request.host}"'
+        return Refused(
+            Failure(Verdict.NOT_RUN, FailureCode.UNKNOWN_SERVICE, detail),
+        )
+    method = request.method.decode('ascii')
+    decision = decide_policy(snapshot, service, method, request.path)
+    policy = decision.policy
+    idempotent = method in policy.idempotent_methods
+    timeout_ms = policy.timeout_ms
+    if request.deadline_ms:
+        timeout_ms = min(timeout_ms, request.deadline_ms)
+    return Success(
+        Plan(
+            request,
+            snapshot,
+            decision,
+            now + timeout_ms / MS_PER_S,
+            now + policy.timeout_ms / MS_PER_S,
+            0 if request.retried else policy.retries,
+            idempotent,
+            can_claim and bool(request.key) and not idempotent,
+        ),
+    )
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/retry.py
@@ -0,0 +1,90 @@
+"""Decides whether a failed attempt is followed by another one.
+
+Plain functions over the failure, the request and the budget of its service.
+"""
+
+from typing import NamedTuple
+
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+#: Retries that a budget allows beyond its share, for services with few calls.
+MIN_BUDGET = 10.0
+_PERCENT = 100
+
+#: Failures that another endpoint would give as well.
+_FINAL_CODES = frozenset(
+    (
+        FailureCode.DEADLINE,
+        FailureCode.CANCELLED,
+        FailureCode.QUARANTINED,
+        FailureCode.BAD_REQUEST,
+        FailureCode.TOO_LARGE,
+    ),
+)
+
+
+class RetryBudget:
+    """Retries that a service may still get: a share of its requests."""
+
+    def __init__(self, tokens: float = MIN_BUDGET) -> None:
+        """Starts with a few retries."""
+        self.tokens = tokens
+
+    def deposit(self, percent: int) -> None:
+        """Counts a request, which earns a share of a retry."""
+        self.tokens = min(self.tokens + percent / _PERCENT, MIN_BUDGET)
+
+    def withdraw(self) -> bool:
+        """Takes one retry; False where none is left."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+class AttemptState(NamedTuple):
+    """What a request has been through when an attempt fails.
+
+    `replayable` tells whether its whole body is still at hand, `began`
+    whether its caller has received any of the answer.
+    """
+
+    idempotent: bool
+    replayable: bool
+    began: bool
+    retries_left: int
+    time_left_s: float
+
+
+class RetryDecision(NamedTuple):
+    """Whether to try again, and why."""
+
+    again: bool
+    reason: str
+
+
+def decide_retry(
+    failure: Failure,
+    state: AttemptState,
+    budget: RetryBudget,
+) -> RetryDecision:
+    """Returns whether the request is tried again."""
+    refusal = _find_refusal(failure, state)
+    if refusal:
+        return RetryDecision(again=False, reason=refusal)
+    if not budget.withdraw():
+        return RetryDecision(again=False, reason='retry budget is spent')
+    return RetryDecision(again=True, reason=failure.code.value)
+
+
+def _find_refusal(failure: Failure, state: AttemptState) -> str:
+    may_run_again = state.idempotent or failure.verdict is Verdict.NOT_RUN
+    refusals = (
+        (state.began, 'the answer had begun'),
+        (not may_run_again, 'it may have run and is not idempotent'),
+        (failure.code in _FINAL_CODES, 'another endpoint would fail as well'),
+        (failure.retried or state.retries_left <= 0, 'retries are spent'),
+        (not state.replayable, 'the body is not at hand'),
+        (state.time_left_s <= 0, 'no time is left'),
+    )
+    return next((reason for refused, reason in refusals if refused), '')
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -0,0 +1,129 @@
+"""Chooses endpoints and keeps what was seen of them.
+
+The state behind the plain functions of `selection` and `retry`.
+"""
+
+from bilberry_core.clock import Clock, RandomSource
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.messages.call import Load
+from bilberry_core.snapshot import Decision, Route
+from bilberry_core.verdict import Failure
+
+from bilberry_proxy.balancers import build_balancer
+from bilberry_proxy.balancers.base import Balancer
+from bilberry_proxy.endpoint_load import EndpointLoad
+from bilberry_proxy.outlier import count_failure, count_success
+from bilberry_proxy.retry import RetryBudget
+from bilberry_proxy.selection import (
+    Selection,
+    Viewpoint,
+    select_endpoint,
+    select_ready,
+)
+
+
+class Router:
+    """Chooses the endpoint of each attempt."""
+
+    def __init__(
+        self,
+        instance: str,
+        failure_domain: str,
+        clock: Clock,
+        random: RandomSource,
+    ) -> None:
+        """Starts with nothing seen."""
+        self._instance = instance
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._random = random
+        self._loads: dict[tuple[str, int], EndpointLoad] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+        self._balancers: dict[tuple[str, str], Balancer] = {}
+        self._ready: dict[str, tuple[Route, tuple[Endpoint, ...]]] = {}
+
+    def choose(
+        self,
+        route: Route,
+        decision: Decision,
+        tried: list[str],
+    ) -> Selection | None:
+        """Returns the endpoint of the next attempt, or None."""
+        viewpoint = Viewpoint(
+            self._instance,
+            self._failure_domain,
+            self._clock.now(),
+            self._clock.wall_ms(),
+        )
+        return select_endpoint(
+            self._find_ready(route),
+            tried,
+            self.find_load,
+            viewpoint,
+            self._find_balancer(decision),
+            self._random,
+        )
+
+    def find_load(self, endpoint: Endpoint) -> EndpointLoad:
+        """Returns what was seen of an endpoint."""
+        key = (endpoint.instance, endpoint.incarnation)
+        load = self._loads.get(key)
+        if load is None:
+            load = EndpointLoad()
+            self._loads[key] = load
+        return load
+
+    def find_budget(self, service: str) -> RetryBudget:
+        """Returns the retry budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget()
+            self._budgets[service] = budget
+        return budget
+
+    def note_answer(
+        self,
+        endpoint: Endpoint,
+        latency_s: float,
+        load: Load,
+    ) -> None:
+        """Takes in an answer of an endpoint."""
+        seen = self.find_load(endpoint)
+        seen.learn(latency_s, load)
+        count_success(seen)
+
+    def note_failure(
+        self,
+        endpoint: Endpoint,
+        route: Route,
+        failure: Failure,
+    ) -> None:
+        """Takes in a failure of an endpoint, and ejects an outlier."""
+        ready = self._find_ready(route)
+        now = self._clock.now()
+        peers = [self.find_load(one) for one in ready]
+        count_failure(self.find_load(endpoint), peers, failure, now)
+
+    def forget_gone(self, present: set[tuple[str, int]]) -> None:
+        """Forgets endpoints that no snapshot holds and no call uses."""
+        self._loads = {
+            key: load
+            for key, load in self._loads.items()
+            if key in present or load.outstanding
+        }
+
+    def _find_ready(self, route: Route) -> tuple[Endpoint, ...]:
+        known = self._ready.get(route.service)
+        if known is not None and known[0] is route:
+            return known[1]
+        ready = select_ready(route.endpoints, self._instance)
+        self._ready[route.service] = (route, ready)
+        return ready
+
+    def _find_balancer(self, decision: Decision) -> Balancer:
+        key = (decision.service, decision.policy.load_policy)
+        balancer = self._balancers.get(key)
+        if balancer is None:
+            balancer = build_balancer(key[1])
+            self._balancers[key] = balancer
+        return balancer
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -0,0 +1,164 @@
+"""Selects the endpoint of one attempt: plain functions over values.
+
+Each step narrows the endpoints and never to none: ready, not tried yet, not
+ejected, warm, near and not busy. A balancer picks from what is left.
+"""
+
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from bilberry_core.clock import RandomSource
+from bilberry_core.endpoint import Endpoint, EndpointState
+
+from bilberry_proxy.balancers.base import Balancer
+from bilberry_proxy.endpoint_load import (
+    EndpointLoad,
+    estimate_work_us,
+    find_slow_start,
+    is_busy,
+)
+
+#: Endpoints of a service that one proxy calls, where there are more.
+SUBSET_SIZE = 24
+
+LoadLookup = Callable[[Endpoint], EndpointLoad]
+
+
+class Viewpoint(NamedTuple):
+    """Where a selection is made from, and when.
+
+    `now` is monotonic time in seconds, `wall_ms` wall clock time in
+    milliseconds.
+    """
+
+    instance: str
+    failure_domain: str
+    now: float
+    wall_ms: int
+
+
+class Selection(NamedTuple):
+    """The endpoint chosen, from how many, and why."""
+
+    endpoint: Endpoint
+    candidates: int
+    reason: str
+
+
+def select_ready(
+    endpoints: Sequence[Endpoint],
+    instance: str,
+) -> tuple[Endpoint, ...]:
+    """Returns the endpoints of a route that this proxy may call.
+
+    Of many ready endpoints a proxy calls a subset that changes little when
+    endpoints come and go, so that no upstream hears from the whole fleet.
+    """
+    ready = tuple(
+        endpoint
+        for endpoint in endpoints
+        if endpoint.state is EndpointState.READY
+    )
+    if len(ready) <= SUBSET_SIZE:
+        return ready
+
+    def rank(endpoint: Endpoint) -> int:
+        return xxh3_64_intdigest(f'{instance}\n{endpoint.instance}')
+
+    return tuple(sorted(ready, key=rank)[:SUBSET_SIZE])
+
+
+def select_endpoint(
+    ready: Sequence[Endpoint],
+    tried: Sequence[str],
+    loads: LoadLookup,
+    viewpoint: Viewpoint,
+    balancer: Balancer,
+    random: RandomSource,
+) -> Selection | None:
+    """Returns the endpoint of the next attempt, or None where none is ready.
+
+    `tried` are instances that an earlier attempt went to.
+    """
+    if not ready:
+        return None
+    left: Sequence[Endpoint] = ready
+    reasons = []
+    if tried:
+        left = _prefer(left, lambda one: one.instance not in tried)
+        reasons.append('not tried')
+    left = _skip_ejected(left, loads, viewpoint.now, reasons)
+    left = _skip_cold(left, viewpoint.wall_ms, random, reasons)
+    left = _prefer_near(left, loads, viewpoint.failure_domain, reasons)
+    chosen = balancer.pick(
+        left,
+        lambda one: estimate_work_us(one, loads(one)),
+        random,
+    )
+    reasons.append(balancer.name)
+    return Selection(chosen, len(left), ', '.join(reasons))
+
+
+def _prefer(
+    endpoints: Sequence[Endpoint],
+    condition: Callable[[Endpoint], bool],
+) -> Sequence[Endpoint]:
+    preferred = [one for one in endpoints if condition(one)]
+    return preferred or endpoints
+
+
+def _skip_ejected(
+    endpoints: Sequence[Endpoint],
+    loads: LoadLookup,
+    now: float,
+    reasons: list[str],
+) -> Sequence[Endpoint]:
+    left = [one for one in endpoints if loads(one).ejected_until <= now]
+    if len(left) == len(endpoints):
+        return endpoints
+    if not left:
+        reasons.append('all ejected')
+        return endpoints
+    reasons.append('not ejected')
+    return left
+
+
+def _skip_cold(
+    endpoints: Sequence[Endpoint],
+    wall_ms: int,
+    random: RandomSource,
+    reasons: list[str],
+) -> Sequence[Endpoint]:
+    left = []
+    for endpoint in endpoints:
+        share = find_slow_start(endpoint, wall_ms)
+        if share >= 1 or random.random() < share:
+            left.append(endpoint)
+    if left and len(left) < len(endpoints):
+        reasons.append('warm')
+        return left
+    return endpoints
+
+
+def _prefer_near(
+    endpoints: Sequence[Endpoint],
+    loads: LoadLookup,
+    failure_domain: str,
+    reasons: list[str],
+) -> Sequence[Endpoint]:
+    near = [
+        one
+        for one in endpoints
+        if one.failure_domain == failure_domain and not is_busy(one, loads(one))
+    ]
+    if near:
+        reasons.append('near')
+        return near
+    free = [one for one in endpoints if not is_busy(one, loads(one))]
+    if free:
+        reasons.append('free')
+        return free
+    reasons.append('all busy')
+    return endpoints
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/timers.py
@@ -0,0 +1,58 @@
+"""A coarse timer wheel: many deadlines, few wake-ups.
+
+Deadlines of requests rarely fire, so setting and cancelling one must be
+cheap. A timer fires up to one tick after its time.
+"""
+
+from collections.abc import Callable
+
+#: Time between two ticks, in seconds.
+TICK_S = 0.01
+
+
+class Timer:
+    """One deadline; `cancel` keeps it from firing."""
+
+    __slots__ = ('callback',)
+
+    def __init__(self, callback: Callable[[], None]) -> None:
+        """Starts armed."""
+        self.callback: Callable[[], None] | None = callback
+
+    def cancel(self) -> None:
+        """Keeps the timer from firing."""
+        self.callback = None
+
+
+class TimerWheel:
+    """Timers by the tick in which they fire."""
+
+    def __init__(self, now: float) -> None:
+        """Starts empty at monotonic time `now`, in seconds."""
+        self._slots: dict[int, list[Timer]] = {}
+        self._tick = int(now / TICK_S)
+
+    def schedule(self, when: float, callback: Callable[[], None]) -> Timer:
+        """Calls `callback` soon after monotonic time `when`, in seconds."""
+        timer = Timer(callback)
+        tick = max(int(when / TICK_S) + 1, self._tick + 1)
+        self._slots.setdefault(tick, []).append(timer)
+        return timer
+
+    def advance(self, now: float) -> None:
+        """Fires every timer whose tick has passed."""
+        current = int(now / TICK_S)
+        if current - self._tick > len(self._slots):
+            passed = sorted(tick for tick in self._slots if tick <= current)
+        else:
+            passed = list(range(self._tick + 1, current + 1))
+        self._tick = max(current, self._tick)
+        for tick in passed:
+            for timer in self._slots.pop(tick, ()):
+                self._fire(timer)
+
+    def _fire(self, timer: Timer) -> None:
+        callback = timer.callback
+        if callback is not None:
+            timer.callback = None
+            callback()
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
@@ -0,0 +1,241 @@
+"""One HTTP/1.1 connection to the upstream beside this daemon, by h11.
+
+A connection serves one request at a time. It is reused only if its answer
+ended where its framing says and nothing is unread.
+"""
+
+from asyncio import Protocol, Transport
+from typing import NamedTuple
+from typing import Protocol as Interface
+
+from h11 import (
+    CLIENT,
+    DONE,
+    Connection,
+    LocalProtocolError,
+    RemoteProtocolError,
+    Request,
+    Response,
+)
+
+from bilberry_core.verdict import FailureCode
+
+from bilberry_proxy.http_events import EventBatch, encode_message, read_batch
+from bilberry_proxy.http_headers import (
+    CONTENT_LENGTH,
+    TRANSFER_ENCODING,
+    Headers,
+    find_header,
+    select_answer_headers,
+)
+
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+class UpstreamRequest(NamedTuple):
+    """The start of a request to the upstream; `last` without more body."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    last: bool
+
+
+class ResponseReceiver(Interface):
+    """Receives what a connection reads, or the end of the connection."""
+
+    def take_response(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        last: bool,
+    ) -> None:
+        """Takes the start of the answer."""
+
+    def take_body(self, body: bytes, last: bool) -> None:
+        """Takes more of the answer."""
+
+    def take_broken(self, code: FailureCode, detail: str) -> None:
+        """The connection ended before the answer was whole."""
+
+    def resume_request(self) -> None:
+        """The upstream has read enough to be sent more."""
+
+
+class ConnectionOwner(Interface):
+    """Hears of the ends of requests and of connections."""
+
+    def connection_free(self, connection: 'UpstreamConnection') -> None:
+        """The answer is whole and the connection may be reused."""
+
+    def connection_ended(self, connection: 'UpstreamConnection') -> None:
+        """The connection has ended."""
+
+
+class UpstreamConnection(Protocol):
+    """A connection that the pool hands to one request after the other."""
+
+    def __init__(self, owner: ConnectionOwner) -> None:
+        """Starts unconnected."""
+        self.is_writable = True
+        self._owner = owner
+        self._http = Connection(CLIENT)
+        self._transport: Transport | None = None
+        self._receiver: ResponseReceiver | None = None
+        self._method = b''
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may be sent on this connection."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and self._receiver is None
+        )
+
+    def connection_made(self, transport: Transport) -> None:
+        """Called by the event loop."""
+        self._transport = transport
+
+    def begin(
+        self,
+        request: UpstreamRequest,
+        receiver: ResponseReceiver,
+    ) -> None:
+        """Sends the start of a request, in one write.
+
+        Raises `LocalProtocolError` where h11 refuses it; no byte is sent.
+        """
+        start = Request(
+            method=request.method,
+            target=request.target,
+            headers=_frame_request(request),
+        )
+        raw = encode_message(self._http, start, request.body, request.last)
+        self._receiver = receiver
+        self._method = request.method
+        self._transport.write(raw)
+
+    def send(self, body: bytes, last: bool) -> None:
+        """Sends more of the request's body."""
+        if self._receiver is None:
+            return
+        try:
+            raw = encode_message(self._http, None, body, last)
+        except LocalProtocolError as error:
+            self._break(f'request body: {error}')
+            return
+        self._transport.write(raw)
+
+    def control_reading(self, wanted: bool) -> None:
+        """Reads more of the answer, or waits with that."""
+        if self._transport is None:
+            return
+        if wanted:
+            self._transport.resume_reading()
+        else:
+            self._transport.pause_reading()
+
+    def half_close(self) -> bool:
+        """Tells the upstream that nobody waits; False after the end."""
+        self._receiver = None
+        if self._transport is None or self._transport.is_closing():
+            return False
+        self._transport.resume_reading()
+        self._transport.write_eof()
+        return True
+
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, received: bytes) -> None:
+        """Called by the event loop."""
+        if self._receiver is None:
+            self.abort()
+            return
+        self._http.receive_data(received)
+        try:
+            batch = read_batch(self._http)
+        except RemoteProtocolError as error:
+            self._break(str(error))
+            return
+        self._deliver(batch)
+
+    def pause_writing(self) -> None:
+        """Called by the event loop when the upstream reads too slowly."""
+        self.is_writable = False
+
+    def resume_writing(self) -> None:
+        """Called by the event loop when the upstream has caught up."""
+        self.is_writable = True
+        if self._receiver is not None:
+            self._receiver.resume_request()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Called by the event loop."""
+        self._transport = None
+        receiver = self._receiver
+        self._receiver = None
+        if receiver is not None:
+            detail = str(error or 'closed by the upstream')
+            receiver.take_broken(FailureCode.UPSTREAM_CLOSED, detail)
+        self._owner.connection_ended(self)
+
+    def _deliver(self, batch: EventBatch) -> None:
+        receiver = self._receiver
+        start = batch.start
+        if start is not None and not self._is_framed(start):
+            self._break('the answer has no length')
+            return
+        if batch.last:
+            self._finish()
+        if start is not None:
+            headers = select_answer_headers(start.headers)
+            receiver.take_response(
+                start.status_code,
+                headers,
+                batch.body,
+                batch.last,
+            )
+        elif not batch.is_empty:
+            receiver.take_body(batch.body, batch.last)
+
+    def _is_framed(self, start: Response) -> bool:
+        if self._method == b'HEAD' or start.status_code in _BODILESS_STATUSES:
+            return True
+        return bool(
+            find_header(start.headers, CONTENT_LENGTH)
+            or find_header(start.headers, TRANSFER_ENCODING),
+        )
+
+    def _finish(self) -> None:
+        self._receiver = None
+        http = self._http
+        unread = http.trailing_data[0]
+        if unread or (http.our_state, http.their_state) != (DONE, DONE):
+            self.abort()
+            return
+        http.start_next_cycle()
+        self._owner.connection_free(self)
+
+    def _break(self, detail: str) -> None:
+        receiver = self._receiver
+        self._receiver = None
+        self.abort()
+        if receiver is not None:
+            receiver.take_broken(FailureCode.UPSTREAM_MALFORMED, detail)
+
+
+def _frame_request(request: UpstreamRequest) -> list[tuple[bytes, bytes]]:
+    headers = list(request.headers)
+    if find_header(headers, CONTENT_LENGTH):
+        return headers
+    if not request.last:
+        headers.append((TRANSFER_ENCODING, b'chunked'))
+    elif request.body:
+        headers.append((CONTENT_LENGTH, str(len(request.body)).encode()))
+    return headers
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_pool.py
@@ -0,0 +1,98 @@
+"""Connections to the upstream beside this daemon, reused and bounded."""
+
+from asyncio import Task, get_running_loop, timeout
+from collections.abc import Callable
+from typing import Protocol
+
+from bilberry_core.endpoint import Address
+
+from bilberry_proxy.upstream_connection import UpstreamConnection
+
+#: Longest time to connect to the upstream, in seconds.
+CONNECT_TIMEOUT_S = 1.0
+
+
+class ConnectionSeeker(Protocol):
+    """Receives the connection it asked for, or why there is none."""
+
+    def take_connection(self, connection: UpstreamConnection) -> bool:
+        """Takes a free connection; False where it is no longer wanted."""
+
+    def take_unreachable(self, detail: str) -> None:
+        """The upstream took no connection; nothing was sent."""
+
+
+class UpstreamPool:
+    """Every open connection to one upstream."""
+
+    def __init__(
+        self,
+        on_ended: Callable[[UpstreamConnection], None],
+    ) -> None:
+        """Starts without connections; `on_ended` hears of each end."""
+        self.address: Address | None = None
+        self._on_ended = on_ended
+        self._open: set[UpstreamConnection] = set()
+        self._idle: list[UpstreamConnection] = []
+        self._dials: set[Task[None]] = set()
+
+    @property
+    def size(self) -> int:
+        """How many connections are open or being opened."""
+        return len(self._open) + len(self._dials)
+
+    def move(self, address: Address | None) -> None:
+        """Connects to `address` from now on; idle connections end."""
+        self.address = address
+        self.close_idle()
+
+    def seek(self, seeker: ConnectionSeeker) -> None:
+        """Gives `seeker` a connection, an idle one where there is one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable:
+                self._give(connection, seeker)
+                return
+        task = get_running_loop().create_task(self._dial(seeker))
+        self._dials.add(task)
+        task.add_done_callback(self._dials.discard)
+
+    def close_idle(self) -> None:
+        """Ends every connection that serves no request."""
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    def connection_free(self, connection: UpstreamConnection) -> None:
+        """Keeps a connection for the next request."""
+        self._idle.append(connection)
+
+    def connection_ended(self, connection: UpstreamConnection) -> None:
+        """Forgets a connection."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._on_ended(connection)
+
+    async def _dial(self, seeker: ConnectionSeeker) -> None:
+        connection = UpstreamConnection(self)
+        loop = get_running_loop()
+        try:
+            async with timeout(CONNECT_TIMEOUT_S):
+                await loop.create_connection(
+                    lambda: connection,
+                    *self.address,
+                )
+        except (OSError, TimeoutError) as error:
+            seeker.take_unreachable(str(error) or 'no answer to connect')
+            return
+        self._open.add(connection)
+        self._give(connection, seeker)
+
+    def _give(
+        self,
+        connection: UpstreamConnection,
+        seeker: ConnectionSeeker,
+    ) -> None:
+        if not seeker.take_connection(connection):
+            self._idle.append(connection)
--- /dev/null
+++ b/tests/bilberry_proxy/fleet.py
@@ -0,0 +1,150 @@
+"""A few proxies in one process, with stand-in upstreams, for tests."""
+
+from asyncio import create_task, sleep
+from contextlib import asynccontextmanager
+from random import Random
+from typing import NamedTuple
+
+from bilberry_core.board import Board, Phase
+from bilberry_core.clock import SystemClock
+from bilberry_core.configuration import (
+    AcceptedVersion,
+    Configuration,
+    Service,
+)
+from bilberry_core.endpoint import Address
+from bilberry_core.http import HttpRequest, HttpResponse, fetch
+from bilberry_core.metric import NullMetrics
+from bilberry_core.settings import ListenSettings, Role, Settings
+from bilberry_core.snapshot import compile_snapshot
+from bilberry_core.stream import Credentials, StreamListener
+
+from bilberry_proxy.announcement import AnnouncementController
+from bilberry_proxy.controller import ProxyController
+from tests.standin.upstream import StandinOptions, StandinUpstream
+
+ANY_PORT = Address('127.0.0.1', 0)
+SERVICE = 'callouts'
+DEFAULT = Configuration(services=(Service(SERVICE, ('callouts.test',)),))
+
+
+class Node(NamedTuple):
+    """One daemon's proxy, and the upstream beside it."""
+
+    board: Board
+    proxy: ProxyController
+    announcements: AnnouncementController
+    listener: StreamListener
+    upstream: StandinUpstream | None
+    callers: Address
+
+
+class Fleet:
+    """Nodes that know each other's endpoints at once."""
+
+    def __init__(
+        self,
+        configuration: Configuration = DEFAULT,
+        claims=None,
+    ) -> None:
+        """Starts without nodes."""
+        self.nodes: list[Node] = []
+        self.configuration = configuration
+        self.version = 1
+        self.claims = claims
+        self.tasks = []
+
+    async def add(self, domain: str = 'one', **options) -> Node:
+        """Adds a node; `options` are of its upstream, none for none."""
+        name = f'node-{len(self.nodes) + 1}'
+        credentials = Credentials('fleet', name, b'secret')
+        listener = StreamListener(credentials)
+        streams = await listener.listen(ANY_PORT)
+        settings = Settings(
+            fleet='fleet',
+            instance=name,
+            failure_domain=domain,
+            region='region',
+            roles=frozenset((Role.PROXY,)),
+            listen=ListenSettings(streams, ANY_PORT, ANY_PORT),
+            secret=b'secret',
+        )
+        board = Board()
+        board.phase.put(Phase.SERVING)
+        clock = SystemClock()
+        announcements = AnnouncementController.from_settings(
+            settings, board, clock
+        )
+        daemon = await announcements.start()
+        proxy = ProxyController.from_settings(
+            settings,
+            board,
+            listener,
+            credentials,
+            clock,
+            Random(len(self.nodes)),
+            NullMetrics(),
+            self.claims,
+        )
+        callers = await proxy.start()
+        self.tasks.append(create_task(proxy.run()))
+        upstream = None
+        if options:
+            merged = {'daemon': daemon, 'service': SERVICE, **options}
+            upstream = StandinUpstream(StandinOptions(**merged))
+            await upstream.start()
+        node = Node(board, proxy, announcements, listener, upstream, callers)
+        self.nodes.append(node)
+        board.own_endpoint.watch(lambda _own: self.spread())
+        if upstream is not None:
+            await upstream.announce()
+        self.spread()
+        return node
+
+    def spread(self) -> None:
+        """Gives every node a snapshot of all endpoints."""
+        own = [node.board.own_endpoint.value for node in self.nodes]
+        endpoints = tuple(endpoint for endpoint in own if endpoint)
+        accepted = AcceptedVersion(self.version, 1, b'', self.configuration)
+        snapshot = compile_snapshot(accepted, {SERVICE: endpoints})
+        for node in self.nodes:
+            node.board.snapshot.put(snapshot)
+
+    async def close(self) -> None:
+        """Ends every node."""
+        for task in self.tasks:
+            task.cancel()
+        for node in self.nodes:
+            await node.proxy.stop()
+            await node.announcements.stop()
+            node.listener.close()
+            if node.upstream is not None:
+                node.upstream.close()
+        await sleep(0)
+
+
+@asynccontextmanager
+async def open_fleet(*nodes, **options):
+    """Opens a fleet with these upstreams; ends it afterwards."""
+    fleet = Fleet(**options)
+    try:
+        for node in nodes:
+            await fleet.add(**node)
+        yield fleet
+    finally:
+        await fleet.close()
+
+
+async def call(
+    node: Node,
+    target: str = '/',
+    method: str = 'GET',
+    body: bytes = b'',
+    **headers: str,
+) -> HttpResponse:
+    """Sends one request to a node's proxy."""
+    sent = tuple(
+        (name.replace('_', '-').encode(), text.encode())
+        for name, text in {'host': SERVICE, **headers}.items()
+    )
+    return await fetch(node.callers, HttpRequest(method, target, sent, body), 9)
--- /dev/null
+++ b/tests/bilberry_proxy/test_controller.py
@@ -0,0 +1,60 @@
+"""Requests through real sockets: from a caller to an upstream and back."""
+
+from asyncio import run
+
+from testtools import TestCase
+
+from tests.bilberry_proxy.fleet import call, open_fleet
+
+WITH_UPSTREAM = {'slots': 2}
+WITHOUT_UPSTREAM = {}
+
+
+class RequestTest(TestCase):
+    """One request from end to end."""
+
+    def test_request_reaches_the_upstream_here(self):
+        """A proxy serves its callers from the upstream beside it."""
+
+        async def scenario():
+            async with open_fleet(WITH_UPSTREAM) as fleet:
+                return await call(fleet.nodes[0], '/', 'POST', b'body')
+
+        response = run(scenario())
+        self.assertEqual((200, b'body'), (response.status, response.body))
+
+    def test_request_reaches_the_upstream_of_another_node(self):
+        """A proxy without an upstream sends the call on a stream."""
+
+        async def scenario():
+            async with open_fleet(WITH_UPSTREAM, WITHOUT_UPSTREAM) as fleet:
+                return await call(fleet.nodes[1], '/', 'POST', b'body')
+
+        response = run(scenario())
+        self.assertEqual((200, b'body'), (response.status, response.body))
+
+    def test_large_bodies_go_both_ways(self):
+        """A body of many windows arrives whole, there and back."""
+        body = bytes(range(256)) * 12_000
+
+        async def scenario():
+            async with open_fleet(WITH_UPSTREAM, WITHOUT_UPSTREAM) as fleet:
+                return await call(fleet.nodes[1], '/', 'POST', body)
+
+        response = run(scenario())
+        self.assertEqual(200, response.status)
+        self.assertTrue(body == response.body)
+
+    def test_unknown_service_is_404(self):
+        """A host that no service has is refused as not run."""
+
+        async def scenario():
+            async with open_fleet(WITH_UPSTREAM) as fleet:
+                return await call(fleet.nodes[0], host='nobody')
+
+        response = run(scenario())
+        self.assertEqual(404, response.status)
+        self.assertEqual('not_run', response.get_header(b'bilberry-verdict'))
+        self.assertEqual(
+            'unknown_service', response.get_header(b'bilberry-code')
+        )
--- /dev/null
+++ b/tests/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small programs that stand in for what surrounds the daemons."""
--- /dev/null
+++ b/tests/standin/upstream.py
@@ -0,0 +1,371 @@
+"""A stand-in upstream: announces itself, serves HTTP and records every run.
+
+Paths: `/runs` gives the record, `/crash` ends the process, `/truncate` sends
+less than it declares, `/twice` answers twice, `/early` closes unanswered,
+`/slow` takes a second; all else is answered with the request's own body. Run
+as `python -m tests.standin.upstream --daemon HOST:PORT --service NAME`.
+"""
+
+from argparse import ArgumentParser
+from asyncio import (
+    CancelledError,
+    Event,
+    Protocol,
+    Task,
+    Transport,
+    get_running_loop,
+    run,
+    sleep,
+    wait_for,
+)
+from collections import Counter
+from contextlib import suppress
+from json import dumps
+from os import _exit
+from signal import SIGTERM
+from typing import NamedTuple
+
+from h11 import (
+    DONE,
+    NEED_DATA,
+    PAUSED,
+    SERVER,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    RemoteProtocolError,
+    Request,
+    Response,
+)
+
+from bilberry_core.endpoint import Address
+from bilberry_core.http import HttpError, HttpRequest, fetch
+
+_HOST = '127.0.0.1'
+_MS_PER_S = 1000
+_SLOW_S = 1.0
+_ANNOUNCE_TIMEOUT_S = 2.0
+_RETRY_S = 0.1
+_CRASH_STATUS = 70
+_ID_HEADERS = (b'x-request-id', b'idempotency-key')
+
+
+class StandinOptions(NamedTuple):
+    """How a stand-in upstream behaves; times in milliseconds."""
+
+    daemon: Address | None
+    service: str
+    slots: int = 12
+    connections: int = 110
+    latency_ms: float = 0
+    cold_ms: float = 0
+    renew_ms: float = 2000
+    crash_path: str = '/crash'
+
+
+class Records:
+    """Every run, and the most that went on at once."""
+
+    def __init__(self) -> None:
+        """Starts without runs."""
+        self.runs: Counter[str] = Counter()
+        self.cancelled: Counter[str] = Counter()
+        self.deadlines: list[str] = []
+        self.running = 0
+        self.most_running = 0
+        self.connections = 0
+        self.most_connections = 0
+
+    def begin(self, request_id: str) -> None:
+        """Counts a run that starts."""
+        self.runs[request_id] += 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+
+    def end(self) -> None:
+        """Counts a run that ends."""
+        self.running -= 1
+
+    def connect(self) -> None:
+        """Counts a connection."""
+        self.connections += 1
+        self.most_connections = max(self.most_connections, self.connections)
+
+    def encode(self) -> bytes:
+        """Returns the record as JSON."""
+        return dumps(
+            {
+                'runs': self.runs,
+                'cancelled': self.cancelled,
+                'most_running': self.most_running,
+                'most_connections': self.most_connections,
+            },
+        ).encode()
+
+
+class StandinConnection(Protocol):
+    """One connection of the daemon, served by h11."""
+
+    def __init__(self, upstream: 'StandinUpstream') -> None:
+        """Starts unconnected."""
+        self._upstream = upstream
+        self._http = Connection(SERVER)
+        self._transport: Transport | None = None
+        self._start: Request | None = None
+        self._body: list[bytes] = []
+        self._task: Task[None] | None = None
+
+    def connection_made(self, transport: Transport) -> None:
+        """Called by the event loop."""
+        self._transport = transport
+        self._upstream.open_connections.add(self)
+        self._upstream.records.connect()
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        """Called by the event loop."""
+        self._upstream.open_connections.discard(self)
+        self._upstream.records.connections -= 1
+        if self._task is not None:
+            self._task.cancel()
+
+    def data_received(self, received: bytes) -> None:
+        """Called by the event loop."""
+        self._http.receive_data(received)
+        self._read_events()
+
+    def close_idle(self) -> None:
+        """Ends the connection where it serves nothing."""
+        if self._start is None:
+            self._transport.close()
+
+    def write(self, raw: bytes) -> None:
+        """Sends bytes past h11."""
+        self._transport.write(raw)
+
+    def close(self) -> None:
+        """Ends the connection after what was sent."""
+        self._transport.close()
+
+    def answer(self, status: int, body: bytes) -> None:
+        """Sends a whole answer."""
+        length = (b'content-length', str(len(body)).encode())
+        parts = [
+            self._http.send(Response(status_code=status, headers=[length])),
+            self._http.send(Data(data=body)) if body else b'',
+            self._http.send(EndOfMessage()),
+        ]
+        self._transport.write(b''.join(parts))
+        self._finish()
+
+    def _finish(self) -> None:
+        self._start = None
+        self._body = []
+        self._task = None
+        if self._upstream.is_draining:
+            self._transport.close()
+        elif (self._http.our_state, self._http.their_state) == (DONE, DONE):
+            self._http.start_next_cycle()
+            self._read_events()
+
+    def _read_events(self) -> None:
+        try:
+            event = self._http.next_event()
+            while event is not NEED_DATA and event is not PAUSED:
+                if isinstance(event, ConnectionClosed):
+                    return
+                self._take(event)
+                if isinstance(event, EndOfMessage):
+                    return
+                event = self._http.next_event()
+        except RemoteProtocolError:
+            self._transport.close()
+
+    def _take(self, event: object) -> None:
+        if isinstance(event, Request):
+            self._start = event
+        elif isinstance(event, Data):
+            self._body.append(bytes(event.data))
+        elif isinstance(event, EndOfMessage):
+            self._serve()
+
+    def _serve(self) -> None:
+        path = self._start.target.partition(b'?')[0].decode()
+        body = b''.join(self._body)
+        upstream = self._upstream
+        if path == '/runs':
+            self.answer(200, upstream.records.encode())
+            return
+        request_id = _find_id(self._start)
+        upstream.records.begin(request_id)
+        delay_s = upstream.find_delay_s(path)
+        if delay_s:
+            coroutine = self._serve_later(delay_s, path, body, request_id)
+            self._task = get_running_loop().create_task(coroutine)
+            return
+        upstream.records.end()
+        upstream.behave(self, path, body)
+
+    async def _serve_later(
+        self,
+        delay_s: float,
+        path: str,
+        body: bytes,
+        request_id: str,
+    ) -> None:
+        try:
+            await sleep(delay_s)
+        except CancelledError:
+            self._upstream.records.cancelled[request_id] += 1
+            raise
+        finally:
+            self._upstream.records.end()
+        self._upstream.behave(self, path, body)
+
+
+class StandinUpstream:
+    """The stand-in: its server, its records and its announcements."""
+
+    def __init__(self, options: StandinOptions) -> None:
+        """Starts idle."""
+        self.options = options
+        self.records = Records()
+        self.is_draining = False
+        self.address: Address | None = None
+        self.open_connections: set[StandinConnection] = set()
+        self._server = None
+        self._ready_at: float = 0
+
+    async def start(self, port: int = 0) -> Address:
+        """Listens and returns the address bound."""
+        loop = get_running_loop()
+        self._server = await loop.create_server(
+            lambda: StandinConnection(self),
+            _HOST,
+            port,
+        )
+        self.address = Address(*self._server.sockets[0].getsockname())
+        self._ready_at = loop.time() + self.options.cold_ms / _MS_PER_S
+        return self.address
+
+    def find_delay_s(self, path: str) -> float:
+        """Returns how long an answer on `path` takes, in seconds."""
+        if path == '/slow':
+            return _SLOW_S
+        return self.options.latency_ms / _MS_PER_S
+
+    def behave(
+        self,
+        connection: StandinConnection,
+        path: str,
+        body: bytes,
+    ) -> None:
+        """Answers, or misbehaves as the path asks."""
+        if path == self.options.crash_path:
+            _exit(_CRASH_STATUS)
+        elif path == '/truncate':
+            connection.write(b'HTTP/1.1 200 \r\ncontent-length: 9\r\n\r\nhalf')
+            connection.close()
+        elif path == '/early':
+            connection.close()
+        elif path == '/twice':
+            one = b'HTTP/1.1 200 \r\ncontent-length: 3\r\n\r\none'
+            connection.write(one + one)
+        else:
+            connection.answer(200, body or path.encode())
+
+    async def announce(self, method: str = 'PUT') -> None:
+        """Announces this upstream, or takes it back by DELETE."""
+        options = self.options
+        body = {
+            'service': options.service,
+            'address': f'{self.address.host}:{self.address.port}',
+            'slots': options.slots,
+            'connections': options.connections,
+            'state': self._find_state(),
+        }
+        request = HttpRequest(method, '/v1/endpoint', (), dumps(body).encode())
+        await fetch(options.daemon, request, _ANNOUNCE_TIMEOUT_S)
+
+    async def serve(self) -> None:
+        """Announces and serves until SIGTERM, then drains."""
+        stopping = Event()
+        get_running_loop().add_signal_handler(SIGTERM, stopping.set)
+        while not stopping.is_set():
+            pause_s = await self._renew()
+            with suppress(TimeoutError):
+                await wait_for(stopping.wait(), pause_s)
+        await self.drain()
+
+    async def drain(self) -> None:
+        """Leaves: takes the announcement back and finishes what runs."""
+        self.is_draining = True
+        with suppress(OSError, TimeoutError, HttpError):
+            await self.announce('DELETE')
+        while self.records.running:
+            await sleep(_RETRY_S)
+        self.close()
+
+    def close(self) -> None:
+        """Stops listening and ends idle connections."""
+        self._server.close()
+        for connection in tuple(self.open_connections):
+            connection.close_idle()
+
+    def _find_state(self) -> str:
+        if self.is_draining:
+            return 'draining'
+        cold = get_running_loop().time() < self._ready_at
+        return 'starting' if cold else 'ready'
+
+    async def _renew(self) -> float:
+        try:
+            await self.announce()
+        except (OSError, TimeoutError, HttpError):
+            return _RETRY_S
+        if self._find_state() == 'starting':
+            return _RETRY_S
+        return self.options.renew_ms / _MS_PER_S
+
+
+def _find_id(start: Request) -> str:
+    for name in _ID_HEADERS:
+        for known, text in start.headers:
+            if known == name:
+                return text.decode('latin-1')
+    return ''
+
+
+def _parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(':')
+    return Address(host, int(port))
+
+
+def parse_options(arguments: list[str] | None = None) -> tuple:
+    """Returns the options of the command line and the port."""
+    parser = ArgumentParser(description='A stand-in upstream.')
+    parser.add_argument('--daemon', type=_parse_address, required=True)
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--slots', type=int, default=12)
+    parser.add_argument('--connections', type=int, default=110)
+    parser.add_argument('--latency-ms', type=float, default=0)
+    parser.add_argument('--cold-ms', type=float, default=0)
+    parser.add_argument('--renew-ms', type=float, default=2000)
+    parser.add_argument('--crash-path', default='/crash')
+    parsed = vars(parser.parse_args(arguments))
+    port = parsed.pop('port')
+    return StandinOptions(**parsed), port
+
+
+async def main() -> None:
+    """Runs one stand-in upstream."""
+    options, port = parse_options()
+    upstream = StandinUpstream(options)
+    address = await upstream.start(port)
+    print(f'{address.host}:{address.port}', flush=True)
+    await upstream.serve()
+
+
+if __name__ == '__main__':
+    run(main())
