Judge requests by what the upstreams recorded

Cause: what callers were told must be compared with what ran, in the demonstration and in the tests of real processes alike. Conclusion: one module judges for both.

--- a/demo/story.py
+++ b/demo/story.py
@@ -5,7 +5,6 @@
 
 from asyncio import run, sleep, to_thread
 from collections import Counter
-from collections.abc import Iterable
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
@@ -13,9 +12,10 @@
 from yaml import safe_dump, safe_load
 
 from bilberry_core.endpoint import Address
-from demo.caller import Caller, Tally, is_booking
+from demo.caller import Caller
 from demo.convergence import Convergence, ConvergenceWatch, get_version
 from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
+from demo.judgement import Judgement, judge
 from demo.operator import Operator
 from demo.record import read_runs
 
@@ -156,7 +156,9 @@
             for name in self._fleet.running_daemons()
         }
         _say(f'versions in force: {sorted(versions)}')
-        return _report(tallies, records) and versions == {self._version}
+        judgement = judge(tallies, records)
+        _report(judgement)
+        return judgement.is_kept and versions == {self._version}
 
 
 def main() -> int:
@@ -172,24 +174,11 @@
     return 0 if kept else 1
 
 
-def _report(tallies: Iterable[Tally], records: Counter[str]) -> bool:
-    outcomes: Counter = Counter()
-    refused: set[str] = set()
-    answered: set[str] = set()
-    for tally in tallies:
-        outcomes += tally.outcomes
-        refused |= tally.not_run_ids
-        answered |= tally.answered_ids
-    twice = sum(
-        1 for name, runs in records.items() if is_booking(name) and runs > 1
-    )
-    ran = set(records)
-    untrue = len(refused & ran)
-    _say(f'requests: {dict(outcomes)}')
-    _say(f'bookings run twice: {twice}; "not run" but ran: {untrue}')
-    _say(f'answered without a record of a run: {len(answered - ran)}')
-    broken = outcomes['broken'] + outcomes['no_verdict']
-    return not twice and not untrue and not broken and bool(answered)
+def _report(judgement: Judgement) -> None:
+    _say(f'requests: {dict(judgement.outcomes)}')
+    _say(f'bookings run twice: {len(judgement.twice)}')
+    _say(f'told "not run" but ran: {len(judgement.untrue)}')
+    _say(f'answered without a recorded run: {len(judgement.unrecorded)}')
 
 
 def _describe(convergence: Convergence) -> str:
