--- a/packages/bilberry_core/bilberry_core/journal.py
+++ b/packages/bilberry_core/bilberry_core/journal.py
@@ -76,6 +76,11 @@
         """Why the journal can't be used any more; empty while it can."""
         return self._failure
 
+    @property
+    def has_unsynced(self) -> bool:
+        """Whether something was noted that is not durable yet."""
+        return self._durable < self._noted
+
     def append(self, record: bytes) -> None:
         """Notes a record, which lasts after the next `sync`."""
         self._check_usable()
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/acceptance.py
@@ -0,0 +1,116 @@
+"""Decides changes and confirms reads where this replica leads."""
+
+from asyncio import Future, get_running_loop
+from asyncio import timeout as limit_time
+from typing import Any, NamedTuple
+
+from bilberry_core.acceptance import Change
+from bilberry_core.messages.replica import LoggedChange
+from bilberry_replica.driver import Driver
+from bilberry_replica.leading import (
+    Pending,
+    Validate,
+    is_read_confirmed,
+    offer,
+    start_read,
+)
+from bilberry_replica.machine import Applied
+from bilberry_replica.register import Decision
+
+
+class Unanswered(NamedTuple):
+    """An attempt ended without a decision; `sent` where one may come yet."""
+
+    sent: bool
+
+
+class Reading(NamedTuple):
+    """A read that waits for a quorum to confirm this broadcast."""
+
+    round: int
+    done: Future[int | None]
+
+
+class Acceptance:
+    """Decides changes with the log, where this replica leads."""
+
+    def __init__(self, driver: Driver, validate: Validate) -> None:
+        """Accepts through one replica what `validate` finds no error in."""
+        self._driver = driver
+        self._validate = validate
+        self._pending: dict[int, tuple[int, Future[Decision | None]]] = {}
+        self._reads: list[Reading] = []
+        driver.replica.machine.on_applied = self._resolve
+
+    async def decide(
+        self,
+        change: Change,
+        timeout_s: float,
+    ) -> Decision | Unanswered:
+        """Returns the log's decision on a change."""
+        logged = LoggedChange(change, self._driver.clock.wall_ms())
+        replica = self._driver.replica
+        offered = self._driver.run_event(
+            offer,
+            replica,
+            logged,
+            self._validate,
+        )
+        if offered is None:
+            return Unanswered(sent=False)
+        if not isinstance(offered, Pending):
+            return offered
+        decided: Future[Decision | None] = get_running_loop().create_future()
+        self._pending[offered.index] = (offered.term, decided)
+        self.watch()
+        try:
+            async with limit_time(timeout_s):
+                decision = await decided
+        except TimeoutError:
+            return Unanswered(sent=True)
+        finally:
+            self._pending.pop(offered.index, None)
+        return decision or Unanswered(sent=True)
+
+    async def confirm(self, timeout_s: float) -> int | None:
+        """Returns an index that is no older than now; None without quorum."""
+        replica = self._driver.replica
+        if not replica.node.is_leader:
+            return None
+        done: Future[int | None] = get_running_loop().create_future()
+        round_ = self._driver.run_event(start_read, replica)
+        self._reads.append(Reading(round_, done))
+        self.watch()
+        try:
+            async with limit_time(timeout_s):
+                return await done
+        except TimeoutError:
+            return None
+
+    def watch(self) -> None:
+        """Ends the waits that an event has decided."""
+        replica = self._driver.replica
+        if replica.node.is_leader:
+            for reading in self._reads:
+                if is_read_confirmed(replica, reading.round):
+                    _finish(reading.done, replica.node.commit)
+        else:
+            self._give_up()
+        self._reads = [one for one in self._reads if not one.done.done()]
+
+    def _resolve(self, applied: Applied) -> None:
+        term, decided = self._pending.get(applied.index, (0, None))
+        if decided is not None:
+            same = term == applied.term
+            _finish(decided, applied.decision if same else None)
+
+    def _give_up(self) -> None:
+        for reading in self._reads:
+            _finish(reading.done, None)
+        for _, decided in self._pending.values():
+            _finish(decided, None)
+
+
+def _finish(done: Future[Any], value: Any) -> None:
+    if not done.done():
+        done.set_result(value)
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/building.py
@@ -0,0 +1,100 @@
+"""Builds the parts of a replica from the settings of its daemon."""
+
+from typing import NamedTuple
+
+from bilberry_core.clock import MS_PER_S, Clock, RandomSource
+from bilberry_core.disk import Disk
+from bilberry_core.endpoint import Address
+from bilberry_core.journal import Journal
+from bilberry_core.messages.replica import Member, Membership
+from bilberry_core.settings import Settings
+from bilberry_replica.driver import Driver
+from bilberry_replica.leading import Validate
+from bilberry_replica.links import Links
+from bilberry_replica.node import Moment, Node, Timing
+from bilberry_replica.replica import Limits, Replica
+from bilberry_replica.validation import validate_content
+
+#: File of the data folder.
+JOURNAL_NAME = 'replica.journal'
+_STORES = 1 << 62
+
+
+class ReplicaOptions(NamedTuple):
+    """What a replica may be given besides its settings.
+
+    `limits`
+        Bounds of log and queue.
+    `validate`
+        Returns what is wrong with the content of a change.
+    """
+
+    limits: Limits = Limits()
+    validate: Validate = validate_content
+
+
+def open_driver(
+    settings: Settings,
+    disk: Disk,
+    clock: Clock,
+    random: RandomSource,
+    links: Links,
+    limits: Limits,
+) -> Driver:
+    """Opens the replica that a disk holds.
+
+    Raises `JournalError` where the disk is damaged.
+    """
+    opened = Journal.open(disk, JOURNAL_NAME)
+    replica = Replica.open(
+        opened,
+        _build_node(settings, random.randrange(_STORES) + 1),
+        Moment(clock.now(), random.random()),
+        limits,
+    )
+    return Driver(replica, opened[0], clock, random, links.send)
+
+
+def build_own(settings: Settings, store: int) -> Member:
+    """Returns this replica as a member."""
+    addresses = {peer.instance: peer.address for peer in settings.replicas}
+    address = addresses.get(settings.instance, settings.listen.streams)
+    return Member(
+        settings.instance,
+        address.host,
+        address.port,
+        settings.failure_domain,
+        store,
+    )
+
+
+def list_others(settings: Settings) -> tuple[str, ...]:
+    """Returns the other replicas that the settings name."""
+    return tuple(
+        peer.instance
+        for peer in settings.replicas
+        if peer.instance != settings.instance
+    )
+
+
+def list_addresses(
+    settings: Settings,
+    membership: Membership,
+) -> dict[str, Address]:
+    """Returns where to dial the others; the settings go first."""
+    addresses = {
+        member.instance: Address(member.host, member.port)
+        for member in membership.members
+    }
+    for peer in settings.replicas:
+        addresses[peer.instance] = peer.address
+    addresses.pop(settings.instance, None)
+    return addresses
+
+
+def _build_node(settings: Settings, store: int) -> Node:
+    timing = Timing(
+        settings.timing.heartbeat_ms / MS_PER_S,
+        settings.timing.election_ms / MS_PER_S,
+    )
+    return Node(settings.instance, store, timing)
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/commitment.py
@@ -0,0 +1,59 @@
+"""Commitment: what a quorum holds and whom it follows.
+
+An entry is committed once a quorum holds it durably and it, or a later one
+up to the same point, is of the leader's term.
+"""
+
+from bilberry_replica.member import has_quorum, is_voter
+from bilberry_replica.node import Moment, Node
+
+
+def note_durable(node: Node, index: int) -> Node:
+    """Notes that the own disk holds the log up to `index`."""
+    durable = min(index, node.log.last_index)
+    if durable <= node.durable:
+        return node
+    node = node._replace(durable=durable)
+    return advance_commit(node) if node.is_leader else node
+
+
+def advance_commit(node: Node) -> Node:
+    """Commits the last entry that a quorum holds, in the leader's term."""
+    index = node.log.last_index
+    while index > node.commit and node.log.find_term(index) == node.term:
+        if has_quorum(node.membership, _list_holders(node, index)):
+            return node._replace(commit=index)
+        index -= 1
+    return node
+
+
+def is_round_confirmed(node: Node, round_: int) -> bool:
+    """Tells whether a quorum answered this broadcast or a later one."""
+    answered = [
+        instance
+        for instance, progress in node.peers.items()
+        if progress.round >= round_
+    ]
+    return has_quorum(node.membership, (node.instance, *answered))
+
+
+def has_fresh_quorum(node: Node, moment: Moment, age_s: float) -> bool:
+    """Tells whether a quorum answered something sent in this time."""
+    fresh = [
+        instance
+        for instance, progress in node.peers.items()
+        if moment.now - progress.stamp < age_s
+    ]
+    return has_quorum(node.membership, (node.instance, *fresh))
+
+
+def _list_holders(node: Node, index: int) -> list[str]:
+    holders = [
+        instance
+        for instance, progress in node.peers.items()
+        if progress.match >= index
+        and is_voter(node.membership, instance, progress.store)
+    ]
+    if node.durable >= index:
+        holders.append(node.instance)
+    return holders
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/consensus.py
@@ -0,0 +1,119 @@
+"""Consensus as plain functions: a node and an event give a step.
+
+Time, chance, disk and streams are the caller's.
+"""
+
+from typing import Any
+
+from bilberry_core.messages.replica import (
+    Append,
+    AppendReply,
+    Entry,
+    Membership,
+    VoteReply,
+    VoteRequest,
+)
+from bilberry_replica.commitment import has_fresh_quorum
+from bilberry_replica.election import (
+    receive_vote_reply,
+    receive_vote_request,
+    start_trial,
+)
+from bilberry_replica.following import receive_append
+from bilberry_replica.log import Log
+from bilberry_replica.member import is_voter
+from bilberry_replica.node import Moment, Node, Step, follow
+from bilberry_replica.replication import (
+    broadcast,
+    propose,
+    receive_append_reply,
+)
+
+_RECEIVERS = {
+    VoteRequest: receive_vote_request,
+    VoteReply: receive_vote_reply,
+    Append: receive_append,
+    AppendReply: receive_append_reply,
+}
+
+
+def receive(node: Node, sender: str, message: Any, moment: Moment) -> Step:
+    """Takes a message of consensus from another replica."""
+    return _RECEIVERS[type(message)](node, sender, message, moment)
+
+
+def tick(node: Node, moment: Moment) -> Step:
+    """Does what is due: a broadcast, an election, or stepping down."""
+    if node.is_leader:
+        if _is_deposed(node, moment):
+            return Step(follow(node, moment))
+        if moment.now >= node.heartbeat_at:
+            return broadcast(node, moment)
+        return Step(node)
+    if moment.now >= node.election_at:
+        return start_trial(node, moment)
+    return Step(node)
+
+
+def find_deadline(node: Node) -> float:
+    """Returns when `tick` is due next, in monotonic seconds."""
+    return node.heartbeat_at if node.is_leader else node.election_at
+
+
+def is_settled(node: Node) -> bool:
+    """Tells whether the leader has committed an entry of its own term.
+
+    Until then it does not know whether earlier entries are accepted.
+    """
+    return node.is_leader and node.log.find_term(node.commit) == node.term
+
+
+def change_membership(
+    node: Node,
+    membership: Membership | None,
+    moment: Moment,
+) -> Step:
+    """Proposes a membership, unless another step is under way."""
+    if membership is None or not can_change_membership(node):
+        return Step(node)
+    return propose(node, Entry(node.term, membership=membership), moment)
+
+
+def can_change_membership(node: Node) -> bool:
+    """Tells whether the log agrees on the membership before."""
+    if not is_settled(node):
+        return False
+    return node.log.find_membership(node.commit) == node.membership
+
+
+def find_caught_up(node: Node) -> str:
+    """Returns a learner that holds all that is committed, or nothing."""
+    for member in node.membership.members:
+        progress = node.peers.get(member.instance)
+        if member.voter or progress is None:
+            continue
+        if progress.match >= node.commit and not progress.probing:
+            return member.instance
+    return ''
+
+
+def install(node: Node, log: Log) -> Node:
+    """Starts over from a snapshot, keeping entries that continue it."""
+    known = node.log.find_term(log.base) == log.base_term
+    if known and node.log.base <= log.base:
+        kept = node.log.entries[log.base - node.log.base :]
+        log = log._replace(entries=kept)
+    return node._replace(
+        log=log,
+        membership=log.find_membership(log.last_index),
+        commit=max(node.commit, log.base),
+        durable=log.base,
+    )
+
+
+def _is_deposed(node: Node, moment: Moment) -> bool:
+    if not has_fresh_quorum(node, moment, node.timing.election_s):
+        return True
+    settled = node.log.find_membership(node.commit) == node.membership
+    member = is_voter(node.membership, node.instance, node.store)
+    return settled and not member
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/controller.py
@@ -0,0 +1,190 @@
+"""The controller of a replica: connects it to disk, streams and blackboard."""
+
+from asyncio import Event, create_task, timeout, wait
+from contextlib import suppress
+from logging import getLogger
+
+from returns.result import Failure, Result, Success
+
+from bilberry_core.acceptance import (
+    Accepted,
+    Change,
+    HistoryEntry,
+    NotAccepted,
+    Refusal,
+)
+from bilberry_core.board import Board, ReplicaStatus
+from bilberry_core.clock import Clock, RandomSource
+from bilberry_core.configuration import AcceptedVersion
+from bilberry_core.disk import Disk
+from bilberry_core.error import BilberryError
+from bilberry_core.settings import Settings
+from bilberry_core.stream import Credentials, StreamListener
+from bilberry_replica.building import (
+    ReplicaOptions,
+    build_own,
+    list_addresses,
+    list_others,
+    open_driver,
+)
+from bilberry_replica.dispatch import Dispatch
+from bilberry_replica.driver import Driver
+from bilberry_replica.forwarding import Forwarding
+from bilberry_replica.joining import Joining
+from bilberry_replica.links import Links
+from bilberry_replica.outcome import build_result
+from bilberry_replica.publisher import Publisher
+from bilberry_replica.reconfiguration import Reconfiguration
+
+_log = getLogger(__name__)
+
+
+class ReplicaController:
+    """Runs one replica until it is cancelled, and accepts changes.
+
+    Writes `accepted`, `replica`, `beacon` and `claim_epoch` of the board.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        driver: Driver,
+        board: Board,
+        links: Links,
+        options: ReplicaOptions,
+    ) -> None:
+        """Uses parts that were built; see `from_settings`."""
+        self._settings = settings
+        self._driver = driver
+        self._board = board
+        self._links = links
+        self._publisher = Publisher(driver.replica, board)
+        driver.watchers += (self._publisher.publish, self._follow_members)
+        self._forwarding = Forwarding(driver, options.validate)
+        self._reconfiguration = Reconfiguration(
+            driver,
+            self._forwarding.requests,
+        )
+        self._joining = Joining(
+            driver,
+            build_own(settings, driver.replica.node.store),
+            list_others(settings),
+        )
+        self._stopping = Event()
+
+    @classmethod
+    def from_settings(  # noqa: WPS211 - the daemon passes in every edge
+        cls,
+        settings: Settings,
+        board: Board,
+        listener: StreamListener,
+        credentials: Credentials,
+        clock: Clock,
+        random: RandomSource,
+        disk: Disk,
+        options: ReplicaOptions = ReplicaOptions(),
+    ) -> 'ReplicaController':
+        """Opens the replica that the disk holds.
+
+        Raises `JournalError` where the disk is damaged.
+        """
+        links = Links(credentials, random)
+        limits = options.limits
+        driver = open_driver(settings, disk, clock, random, links, limits)
+        controller = cls(settings, driver, board, links, options)
+        links.accept_from(listener, controller.build_dispatch().receive)
+        return controller
+
+    def build_dispatch(self) -> Dispatch:
+        """Returns what takes the messages of other replicas."""
+        return Dispatch(
+            self._driver,
+            self._joining,
+            self._forwarding,
+            self._reconfiguration,
+        )
+
+    async def run(self) -> None:
+        """Runs until it is cancelled or stopped.
+
+        Raises `BilberryError` where this replica must not go on.
+        """
+        self._publisher.publish()
+        self._follow_members()
+        timing = self._settings.timing
+        tasks = [
+            create_task(self._driver.sync_forever()),
+            create_task(self._driver.tick_forever()),
+            create_task(self._driver.beacon_forever(timing.beacon_ms)),
+            create_task(self._joining.probe_forever()),
+            create_task(self._stopping.wait()),
+        ]
+        try:
+            done, _ = await wait(tasks, return_when='FIRST_COMPLETED')
+            for task in done:
+                task.result()
+        except BilberryError as error:
+            _log.critical('replica_stopped', extra={'cause': str(error)})
+            raise
+        finally:
+            for task in tasks:
+                task.cancel()
+            self._links.close()
+
+    async def stop(self) -> None:
+        """Ends `run`."""
+        self._stopping.set()
+
+    async def submit(
+        self,
+        change: Change,
+        timeout_s: float,
+    ) -> Result[Accepted, Refusal]:
+        """Offers a change, through the leader, and returns its outcome."""
+        decision = await self._forwarding.submit(change, timeout_s)
+        _log.info(
+            'change_decided',
+            extra={
+                'change_id': change.change_id,
+                'base_version': change.base_version,
+                'author': change.author,
+                'outcome': type(decision).__name__,
+            },
+        )
+        return build_result(change, decision)
+
+    async def read_current(
+        self,
+        timeout_s: float,
+    ) -> Result[AcceptedVersion | None, NotAccepted]:
+        """Returns the newest accepted version, confirmed by a quorum."""
+        with suppress(TimeoutError):
+            async with timeout(timeout_s):
+                index = await self._forwarding.confirm(timeout_s)
+                if index is not None:
+                    await self._wait_applied(index)
+                    return Success(self._board.accepted.value)
+        return Failure(NotAccepted('no quorum confirmed the newest version'))
+
+    def read_history(self, limit: int) -> tuple[HistoryEntry, ...]:
+        """Returns the newest versions known here, newest first."""
+        return self._driver.replica.machine.register.read_history(limit)
+
+    async def remove_replica(self, instance: str, timeout_s: float) -> bool:
+        """Has the leader log that a replica is gone for good."""
+        return await self._reconfiguration.remove(instance, timeout_s)
+
+    async def settle_epoch(self, epoch: int, timeout_s: float) -> bool:
+        """Has the leader log that an epoch's claims were handed over."""
+        return await self._reconfiguration.settle(epoch, timeout_s)
+
+    def _follow_members(self) -> None:
+        membership = self._driver.replica.node.membership
+        self._links.keep(list_addresses(self._settings, membership))
+
+    async def _wait_applied(self, index: int) -> None:
+        def is_reached(status: ReplicaStatus | None) -> bool:
+            return status is not None and status.commit >= index
+
+        if self._driver.replica.machine.applied < index:
+            await self._board.replica.wait_for(is_reached)
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/driver.py
@@ -0,0 +1,98 @@
+"""Drives a replica: gives it time, syncs its journal, sends its messages."""
+
+from asyncio import Event, sleep
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from bilberry_core.clock import MS_PER_S, Clock, RandomSource
+from bilberry_core.journal import Journal
+from bilberry_replica.consensus import find_deadline
+from bilberry_replica.leading import make_beacon, promote_caught_up
+from bilberry_replica.node import Moment, Send
+from bilberry_replica.replica import Replica
+
+#: Share of the election timeout in which a quorum must have answered before
+#: a beacon is made.
+_FRESH_SHARE = 2 / 3
+
+Returned = TypeVar('Returned')
+
+
+class Driver:
+    """Runs events of one replica and does what they ask for.
+
+    `send`
+        Sends a message to a replica; False where it could not be sent.
+    `watchers`
+        Called after every event.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        journal: Journal,
+        clock: Clock,
+        random: RandomSource,
+        send: Callable[[str, Any], bool],
+    ) -> None:
+        """Drives a replica that was opened from this journal."""
+        self.replica = replica
+        self.clock = clock
+        self.send = send
+        self.watchers: list[Callable[[], None]] = []
+        self._journal = journal
+        self._random = random
+        self._work = Event()
+        timing = replica.node.timing
+        self._longest_wait_s = min(timing.heartbeat_s, timing.election_s / 4)
+
+    def get_moment(self) -> Moment:
+        """Returns the time, with a new chance."""
+        return Moment(self.clock.now(), self._random.random())
+
+    def run_event(
+        self,
+        event: Callable[..., Returned],
+        *arguments: Any,
+    ) -> Returned:
+        """Calls `event(*arguments, moment)` and sends what came out."""
+        returned = event(*arguments, self.get_moment())
+        self._send_all(self.replica.take_early())
+        if self.replica.has_work:
+            self._work.set()
+        for watcher in self.watchers:
+            watcher()
+        return returned
+
+    async def sync_forever(self) -> None:
+        """Syncs the journal whenever something was noted in it.
+
+        Raises `JournalError` once the journal can't be used.
+        """
+        while True:
+            await self._work.wait()
+            self._work.clear()
+            flush = self.replica.begin_flush()
+            await self._journal.sync()
+            sends = self.run_event(self.replica.end_flush, flush)
+            self._send_all(sends)
+
+    async def tick_forever(self) -> None:
+        """Gives the replica time when something is due."""
+        while True:
+            wait_s = find_deadline(self.replica.node) - self.clock.now()
+            await sleep(min(max(wait_s, 0), self._longest_wait_s))
+            if self.clock.now() >= find_deadline(self.replica.node):
+                self.run_event(self.replica.tick)
+                self.run_event(promote_caught_up, self.replica)
+
+    async def beacon_forever(self, interval_ms: int) -> None:
+        """Has the leader make a beacon in each interval."""
+        age_s = self.replica.node.timing.election_s * _FRESH_SHARE
+        while True:
+            self.run_event(make_beacon, self.replica, age_s)
+            await sleep(interval_ms / MS_PER_S)
+
+    def _send_all(self, sends: list[Send] | tuple[Send, ...]) -> None:
+        for sent in sends:
+            self.send(sent.target, sent.message)
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/election.py
@@ -0,0 +1,168 @@
+"""Elections: a trial vote first, then the vote itself.
+
+A replica that hears its leader refuses both, so neither a flapping link nor
+one that comes back deposes a leader that works. Timeouts are random, so that
+replicas which start together seldom split their votes.
+"""
+
+from bilberry_core.messages.replica import Entry, VoteReply, VoteRequest
+from bilberry_replica.member import has_quorum, is_voter
+from bilberry_replica.node import (
+    Moment,
+    Node,
+    Role,
+    SaveTerm,
+    Send,
+    Step,
+    move_to_term,
+    put_entries,
+    reset_timer,
+)
+from bilberry_replica.replication import broadcast, track_members
+
+
+def start_trial(node: Node, moment: Moment) -> Step:
+    """Asks the voters whether they would vote for this replica."""
+    node = reset_timer(node, moment)
+    if not node.is_voter:
+        return Step(node)
+    node = node._replace(
+        role=Role.TRIAL,
+        leader='',
+        votes=frozenset((node.instance,)),
+    )
+    if has_quorum(node.membership, node.votes):
+        return _start_candidacy(node, moment)
+    return Step(node, _ask_votes(node, node.term + 1))
+
+
+def receive_vote_request(
+    node: Node,
+    sender: str,
+    request: VoteRequest,
+    moment: Moment,
+) -> Step:
+    """Answers a candidate."""
+    if hears_leader(node, moment) or request.term < node.term:
+        return _refuse(node, sender, request)
+    if request.trial:
+        return _answer_trial(node, sender, request)
+    step = move_to_term(node, request.term, moment)
+    node = step.node
+    free = node.vote in {'', sender} and node.role is not Role.LEADER
+    if not free or not _is_up_to_date(node, request):
+        return step.then(_refuse(node, sender, request))
+    node = reset_timer(node._replace(vote=sender), moment)
+    effects = (SaveTerm(node.term, sender), _grant(node, sender, request))
+    return step.then(Step(node, effects))
+
+
+def receive_vote_reply(
+    node: Node,
+    sender: str,
+    reply: VoteReply,
+    moment: Moment,
+) -> Step:
+    """Counts a vote; a quorum moves the election on."""
+    if not reply.granted:
+        return move_to_term(node, reply.term, moment)
+    if not _is_awaited(node, reply):
+        return Step(node)
+    if not is_voter(node.membership, sender, reply.store):
+        return Step(node)
+    node = node._replace(votes=node.votes | {sender})
+    if not has_quorum(node.membership, node.votes):
+        return Step(node)
+    if reply.trial:
+        return _start_candidacy(node, moment)
+    return _lead(node, moment)
+
+
+def confirm_own_vote(node: Node, moment: Moment) -> Step:
+    """Counts the candidate's own vote, which its disk now holds."""
+    if not needs_own_vote(node):
+        return Step(node)
+    node = node._replace(votes=node.votes | {node.instance})
+    if has_quorum(node.membership, node.votes):
+        return _lead(node, moment)
+    return Step(node)
+
+
+def needs_own_vote(node: Node) -> bool:
+    """Tells whether a candidate's own vote is not durable yet."""
+    return node.role is Role.CANDIDATE and node.instance not in node.votes
+
+
+def hears_leader(node: Node, moment: Moment) -> bool:
+    """Tells whether a leader was heard within the election timeout."""
+    if node.is_leader:
+        return True
+    if not node.leader:
+        return False
+    return moment.now - node.heard_at < node.timing.election_s
+
+
+def _start_candidacy(node: Node, moment: Moment) -> Step:
+    node = reset_timer(node, moment)._replace(
+        term=node.term + 1,
+        vote=node.instance,
+        role=Role.CANDIDATE,
+        votes=frozenset(),
+    )
+    save = SaveTerm(node.term, node.vote)
+    return Step(node, (save, *_ask_votes(node, node.term)))
+
+
+def _lead(node: Node, moment: Moment) -> Step:
+    """Starts to lead, with an entry of this term that changes nothing."""
+    first = node.log.last_index + 1
+    node = node._replace(
+        role=Role.LEADER,
+        leader=node.instance,
+        peers={},
+    )
+    node = track_members(node, moment)
+    step = put_entries(node, first, (Entry(node.term),))
+    return step.then(broadcast(step.node, moment))
+
+
+def _ask_votes(node: Node, term: int) -> tuple[Send, ...]:
+    request = VoteRequest(
+        term,
+        node.store,
+        node.log.last_index,
+        node.log.last_term,
+        trial=node.role is Role.TRIAL,
+    )
+    return tuple(
+        Send(member.instance, request)
+        for member in node.membership.members
+        if member.voter and member.instance != node.instance
+    )
+
+
+def _answer_trial(node: Node, sender: str, request: VoteRequest) -> Step:
+    if request.term <= node.term or not _is_up_to_date(node, request):
+        return _refuse(node, sender, request)
+    return Step(node, (_grant(node, sender, request),))
+
+
+def _is_awaited(node: Node, reply: VoteReply) -> bool:
+    if reply.trial:
+        return node.role is Role.TRIAL and reply.term == node.term + 1
+    return node.role is Role.CANDIDATE and reply.term == node.term
+
+
+def _is_up_to_date(node: Node, request: VoteRequest) -> bool:
+    theirs = (request.last_term, request.last_index)
+    return theirs >= (node.log.last_term, node.log.last_index)
+
+
+def _grant(node: Node, sender: str, request: VoteRequest) -> Send:
+    reply = VoteReply(request.term, node.store, True, request.trial)
+    return Send(sender, reply)
+
+
+def _refuse(node: Node, sender: str, request: VoteRequest) -> Step:
+    reply = VoteReply(node.term, node.store, False, request.trial)
+    return Step(node, (Send(sender, reply),))
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/following.py
@@ -0,0 +1,104 @@
+"""Following: how a replica takes the entries of its leader."""
+
+from bilberry_core.messages.replica import Append, AppendReply, Entry
+from bilberry_replica.error import ConsensusError
+from bilberry_replica.node import (
+    Moment,
+    Node,
+    Send,
+    ShowBeacon,
+    Step,
+    follow,
+    move_to_term,
+    put_entries,
+)
+
+
+def receive_append(
+    node: Node,
+    sender: str,
+    append: Append,
+    moment: Moment,
+) -> Step:
+    """Takes the leader's entries where they continue the own log."""
+    if append.term < node.term:
+        return _reply(node, sender, append, False, 0)
+    step = hear_leader(node, sender, append.term, moment)
+    node = step.node
+    previous = append.previous_index
+    if previous > node.log.last_index:
+        hint = node.log.last_index + 1
+        return step.then(_reply(node, sender, append, False, hint))
+    if previous < node.log.base:
+        return step.then(_skip_compacted(node, sender, append))
+    if node.log.find_term(previous) != append.previous_term:
+        hint = _find_term_start(node, previous)
+        return step.then(_reply(node, sender, append, False, hint))
+    step = step.then(_take(node, previous + 1, append.entries))
+    return step.then(_finish_append(step.node, sender, append))
+
+
+def hear_leader(node: Node, sender: str, term: int, moment: Moment) -> Step:
+    """Follows the leader of a term that is not older than the own."""
+    step = move_to_term(node, term, moment)
+    node = follow(step.node, moment, leader=sender)
+    return step.then(Step(node._replace(heard_at=moment.now)))
+
+
+def _take(node: Node, first: int, entries: tuple[Entry, ...]) -> Step:
+    """Writes the entries from the first that differs from the own log."""
+    for offset, entry in enumerate(entries):
+        index = first + offset
+        if node.log.find_term(index) != entry.term:
+            _check_uncommitted(node, index)
+            return put_entries(node, index, entries[offset:])
+    return Step(node)
+
+
+def _check_uncommitted(node: Node, index: int) -> None:
+    if index <= node.commit:
+        raise ConsensusError(
+            f'entry {index} is committed up to {node.commit} and differs '
+            + "from the leader's: keep a copy of the data folder",
+        )
+
+
+def _finish_append(node: Node, sender: str, append: Append) -> Step:
+    last = append.previous_index + len(append.entries)
+    commit = max(node.commit, min(append.commit, last))
+    node = node._replace(commit=commit)
+    step = _reply(node, sender, append, True, last)
+    if append.beacon is None:
+        return step
+    return step.then(Step(node, (ShowBeacon(append.beacon),)))
+
+
+def _skip_compacted(node: Node, sender: str, append: Append) -> Step:
+    """Answers entries that a snapshot covers: those are the leader's too."""
+    return _reply(node, sender, append, True, node.log.base)
+
+
+def _find_term_start(node: Node, index: int) -> int:
+    """Returns the first entry of the term at `index`, above the commit."""
+    term = node.log.find_term(index)
+    while index > node.commit + 1 and node.log.find_term(index - 1) == term:
+        index -= 1
+    return index
+
+
+def _reply(
+    node: Node,
+    sender: str,
+    append: Append,
+    success: bool,
+    index: int,
+) -> Step:
+    reply = AppendReply(
+        node.term,
+        node.store,
+        append.round,
+        append.stamp,
+        success,
+        index,
+    )
+    return Step(node, (Send(sender, reply),))
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/forwarding.py
@@ -0,0 +1,121 @@
+"""Takes changes and reads anywhere, and brings them to the leader.
+
+A change that was sent and got no answer may be accepted yet, so it is sent
+again with its ID until its time is over, and only then called unknown.
+"""
+
+from asyncio import Task, create_task
+from collections.abc import Coroutine
+from typing import Any
+
+from bilberry_core.acceptance import Change
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.messages.replica import (
+    ReadReply,
+    ReadRequest,
+    SubmitRequest,
+)
+from bilberry_replica.acceptance import Acceptance, Unanswered
+from bilberry_replica.driver import Driver
+from bilberry_replica.leading import Validate
+from bilberry_replica.outcome import decode_reply, encode_reply
+from bilberry_replica.register import Decision
+from bilberry_replica.requests import LeaderRequests, repeat_until_answered
+
+_LONGEST_ATTEMPT_S = 5.0
+
+
+class Forwarding:
+    """Brings requests to the leader, and answers those that come to it."""
+
+    def __init__(
+        self,
+        driver: Driver,
+        validate: Validate,
+    ) -> None:
+        """Forwards for one replica what `validate` finds no error in."""
+        self.requests = LeaderRequests(driver)
+        self._driver = driver
+        self._acceptance = Acceptance(driver, validate)
+        self._tasks: set[Task[None]] = set()
+        driver.watchers += (self._acceptance.watch, self.requests.watch)
+
+    async def submit(
+        self,
+        change: Change,
+        timeout_s: float,
+    ) -> Decision | Unanswered:
+        """Returns the decision on a change, from whoever leads."""
+        unanswered = Unanswered(sent=False)
+
+        async def attempt(left_s: float) -> Decision | None:
+            nonlocal unanswered
+            answer = await self._try_submit(change, left_s)
+            if not isinstance(answer, Unanswered):
+                return answer
+            unanswered = max(unanswered, answer)
+            return None
+
+        decision = await repeat_until_answered(
+            self._driver,
+            attempt,
+            timeout_s,
+        )
+        return decision or unanswered
+
+    async def confirm(self, timeout_s: float) -> int | None:
+        """Returns a confirmed index, from whoever leads."""
+        return await repeat_until_answered(
+            self._driver,
+            self._try_confirm,
+            timeout_s,
+        )
+
+    def receive_submit(self, sender: str, request: SubmitRequest) -> None:
+        """Decides a change that a follower forwarded."""
+        self._spawn(self._answer_submit(sender, request))
+
+    def receive_read(self, sender: str, request: ReadRequest) -> None:
+        """Confirms an index for a follower."""
+        self._spawn(self._answer_read(sender, request))
+
+    async def _try_submit(
+        self,
+        change: Change,
+        left_s: float,
+    ) -> Decision | Unanswered:
+        left_s = min(left_s, _LONGEST_ATTEMPT_S)
+        if self._driver.replica.node.is_leader:
+            return await self._acceptance.decide(change, left_s)
+        timeout_ms = int(left_s * MS_PER_S)
+        try:
+            reply = await self.requests.ask(
+                lambda number: SubmitRequest(number, change, timeout_ms),
+                left_s,
+            )
+        except TimeoutError:
+            return Unanswered(sent=True)
+        return decode_reply(change, reply)
+
+    async def _try_confirm(self, left_s: float) -> int | None:
+        if self._driver.replica.node.is_leader:
+            return await self._acceptance.confirm(left_s)
+        try:
+            reply = await self.requests.ask(ReadRequest, left_s)
+        except TimeoutError:
+            return None
+        return reply.index if reply else None
+
+    async def _answer_submit(self, sender: str, request: SubmitRequest) -> None:
+        timeout_s = request.timeout_ms / MS_PER_S
+        decision = await self._acceptance.decide(request.change, timeout_s)
+        self._driver.send(sender, encode_reply(request.request, decision))
+
+    async def _answer_read(self, sender: str, request: ReadRequest) -> None:
+        index = await self._acceptance.confirm(_LONGEST_ATTEMPT_S)
+        self._driver.send(sender, ReadReply(request.request, index))
+
+    def _spawn(self, answering: Coroutine[Any, Any, None]) -> None:
+        task = create_task(answering)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/founding.py
@@ -0,0 +1,53 @@
+"""How a fleet without a log gets its first one.
+
+A replica without a log probes those named in its settings. Only where all of
+them answer that they have no log either does the first by name found the
+fleet; where one has a log, the others wait to be taken in.
+"""
+
+from collections.abc import Collection
+
+from bilberry_core.messages.replica import (
+    Entry,
+    Member,
+    Membership,
+    ProbeReply,
+)
+from bilberry_replica.member import found
+from bilberry_replica.node import Node, SaveTerm, Step, put_entries
+
+_FIRST_TERM = 1
+
+
+def is_empty(node: Node) -> bool:
+    """Tells whether a replica has no log yet."""
+    return node.term == 0 and node.log.last_index == 0
+
+
+def decide_founding(
+    own: Member,
+    expected: Collection[str],
+    replies: dict[str, ProbeReply],
+) -> Membership | None:
+    """Returns the first membership where this replica is to found it."""
+    answered = [replies[name] for name in expected if name in replies]
+    if len(answered) < len(expected):
+        return None
+    if not all(reply.empty for reply in answered):
+        return None
+    members = [own, *(reply.member for reply in answered)]
+    if min(members).instance != own.instance:
+        return None
+    return found(members)
+
+
+def start_log(node: Node, membership: Membership) -> Step:
+    """Writes the first entry of a fleet's log."""
+    node = node._replace(
+        term=_FIRST_TERM,
+        vote=node.instance,
+        election_at=0,
+    )
+    entry = Entry(_FIRST_TERM, membership=membership)
+    saved = Step(node, (SaveTerm(node.term, node.vote),))
+    return saved.then(put_entries(node, 1, (entry,)))
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/joining.py
@@ -0,0 +1,73 @@
+"""How a replica without a log founds a fleet or asks to be taken in."""
+
+from asyncio import sleep
+from logging import getLogger
+
+from bilberry_core.messages.replica import Member, Probe, ProbeReply
+from bilberry_replica.driver import Driver
+from bilberry_replica.founding import decide_founding, is_empty
+from bilberry_replica.leading import admit_member, found_fleet
+
+_log = getLogger(__name__)
+
+
+class Joining:
+    """Probes the replicas of the settings until this one has a log."""
+
+    def __init__(
+        self,
+        driver: Driver,
+        own: Member,
+        expected: tuple[str, ...],
+    ) -> None:
+        """Expects replicas of these names besides the own one."""
+        self._driver = driver
+        self._own = own
+        self._expected = expected
+        self._replies: dict[str, ProbeReply] = {}
+
+    async def probe_forever(self) -> None:
+        """Probes as long as there is no log."""
+        while True:
+            self.probe()
+            await sleep(self._driver.replica.node.timing.election_s / 4)
+
+    def probe(self) -> None:
+        """Probes the others while there is no log."""
+        if self._driver.replica.node.log.last_index:
+            return
+        self._found_if_alone()
+        for instance in self._expected:
+            self._driver.send(instance, Probe(self._own))
+
+    def receive_probe(self, sender: str, probe: Probe) -> None:
+        """Answers a probe, and takes the replica in where this one leads."""
+        node = self._driver.replica.node
+        reply = ProbeReply(self._own, is_empty(node))
+        if sender == probe.member.instance:
+            self._driver.send(sender, reply)
+        if node.is_leader:
+            self._driver.run_event(
+                admit_member,
+                self._driver.replica,
+                probe.member,
+            )
+        elif node.leader and sender == probe.member.instance:
+            self._driver.send(node.leader, probe)
+
+    def receive_reply(self, sender: str, reply: ProbeReply) -> None:
+        """Notes who answered; founds the fleet where all have no log."""
+        self._replies[sender] = reply
+        self._found_if_alone()
+
+    def _found_if_alone(self) -> None:
+        replica = self._driver.replica
+        if not is_empty(replica.node):
+            return
+        membership = decide_founding(self._own, self._expected, self._replies)
+        if membership is not None:
+            _log.info(
+                'fleet_founded',
+                extra={'members': [one.instance for one in membership.members]},
+            )
+            self._driver.run_event(found_fleet, replica, membership)
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/links.py
@@ -0,0 +1,180 @@
+"""Streams to the other replicas: one dialled to each, kept open.
+
+What can't be sent is dropped: consensus repeats it.
+"""
+
+from asyncio import Event, Task, create_task, sleep, wait_for
+from collections.abc import Callable
+from logging import getLogger
+from typing import Any
+
+from bilberry_core.clock import RandomSource
+from bilberry_core.endpoint import Address
+from bilberry_core.error import HandshakeError, StreamClosedError
+from bilberry_core.handshake import Purpose
+from bilberry_core.stream import Credentials, Stream, StreamListener, dial
+
+_log = getLogger(__name__)
+
+_FIRST_WAIT_S = 0.05
+_LONGEST_WAIT_S = 1.0
+#: Silence after which a stream is dialled again, in seconds.
+_SILENCE_S = 5.0
+
+Receive = Callable[[str, Any], None]
+
+
+class Link:
+    """The stream dialled to one replica."""
+
+    def __init__(
+        self,
+        credentials: Credentials,
+        address: Address,
+        random: RandomSource,
+        receive: Receive,
+    ) -> None:
+        """Starts closed; `keep_open` dials."""
+        self.stream: Stream | None = None
+        self._credentials = credentials
+        self._address = address
+        self._random = random
+        self._receive = receive
+
+    async def keep_open(self, instance: str) -> None:
+        """Dials again whenever the stream has ended."""
+        wait_s = _FIRST_WAIT_S
+        while True:
+            try:
+                await self._hold(instance)
+                wait_s = _FIRST_WAIT_S
+            except (OSError, HandshakeError) as error:
+                _log.debug(
+                    'replica_unreachable',
+                    extra={'replica': instance, 'cause': str(error)},
+                )
+            await sleep(self._random.uniform(wait_s / 2, wait_s))
+            wait_s = min(wait_s * 2, _LONGEST_WAIT_S)
+
+    async def _hold(self, instance: str) -> None:
+        closed = Event()
+        stream = await dial(
+            self._credentials,
+            self._address,
+            Purpose.REPLICA,
+            lambda message: self._receive(instance, message),
+        )
+        stream.on_close = closed.set
+        self.stream = stream
+        try:
+            await _wait_silent(stream, closed)
+        finally:
+            self.stream = None
+            stream.close()
+
+
+class Links:
+    """Streams to every replica known."""
+
+    def __init__(
+        self,
+        credentials: Credentials,
+        random: RandomSource,
+    ) -> None:
+        """Knows none yet."""
+        self._credentials = credentials
+        self._random = random
+        self._receive: Receive = _ignore
+        self._dialled: dict[str, tuple[Address, Link, Task]] = {}
+        self._accepted: dict[str, Stream] = {}
+
+    def accept_from(
+        self,
+        listener: StreamListener,
+        receive: Receive,
+    ) -> None:
+        """Takes streams that other replicas dial.
+
+        Calls `receive` with the sender and each message.
+        """
+        self._receive = receive
+        listener.handle(Purpose.REPLICA, self._accept)
+
+    def keep(self, addresses: dict[str, Address]) -> None:
+        """Dials these replicas, and no others."""
+        for instance in self._dialled.keys() - addresses.keys():
+            self._dialled.pop(instance)[2].cancel()
+        for instance, address in addresses.items():
+            self._keep_one(instance, address)
+
+    def send(self, instance: str, message: Any) -> bool:
+        """Sends a message; False where no stream could take it."""
+        for stream in self._find_streams(instance):
+            if stream.is_open and stream.is_writable:
+                return _try_send(stream, message)
+        return False
+
+    def close(self) -> None:
+        """Closes every stream."""
+        self.keep({})
+        for stream in tuple(self._accepted.values()):
+            stream.close()
+
+    def _keep_one(self, instance: str, address: Address) -> None:
+        known = self._dialled.get(instance)
+        if known is not None and known[0] == address:
+            return
+        if known is not None:
+            known[2].cancel()
+        link = Link(
+            self._credentials,
+            address,
+            self._random,
+            self._receive,
+        )
+        task = create_task(link.keep_open(instance))
+        self._dialled[instance] = (address, link, task)
+
+    def _find_streams(self, instance: str) -> list[Stream]:
+        known = self._dialled.get(instance)
+        streams = [known[1].stream if known else None]
+        streams.append(self._accepted.get(instance))
+        return [stream for stream in streams if stream is not None]
+
+    def _accept(self, stream: Stream) -> None:
+        instance = stream.identity.instance
+        self._accepted[instance] = stream
+        stream.receiver = lambda message: self._receive(instance, message)
+        stream.on_close = lambda: self._forget(instance, stream)
+
+    def _forget(self, instance: str, stream: Stream) -> None:
+        if self._accepted.get(instance) is stream:
+            self._accepted.pop(instance)
+
+
+async def _wait_silent(stream: Stream, closed: Event) -> None:
+    """Waits until a stream ends or sends without hearing anything."""
+    while not closed.is_set():
+        before = (stream.bytes_sent, stream.bytes_received)
+        try:
+            await wait_for(closed.wait(), _SILENCE_S)
+        except TimeoutError:
+            if _is_silent(stream, before):
+                return
+
+
+def _is_silent(stream: Stream, before: tuple[int, int]) -> bool:
+    sent, received = before
+    return stream.bytes_sent > sent and stream.bytes_received == received
+
+
+def _try_send(stream: Stream, message: Any) -> bool:
+    try:
+        stream.send(message)
+    except StreamClosedError:
+        return False
+    return True
+
+
+def _ignore(_sender: str, _message: Any) -> None:
+    """Discards what arrives before there is a receiver."""
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/machine.py
@@ -0,0 +1,96 @@
+"""The state machine of a replica: its register, and the snapshots of it."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from bilberry_replica.log import Log
+from bilberry_replica.register import Decision, Register
+from bilberry_replica.storage import SnapshotRecord, encode_snapshot
+
+
+class Applied(NamedTuple):
+    """What became of the change at an index."""
+
+    index: int
+    term: int
+    decision: Decision
+
+
+class Machine:
+    """Applies committed entries in the order of the log.
+
+    `on_applied`
+        Called with each change that was decided.
+    """
+
+    def __init__(self, snapshot: SnapshotRecord) -> None:
+        """Starts from a snapshot."""
+        self.on_applied: Callable[[Applied], None] = _ignore
+        self._snapshot = snapshot
+        self._encoded = b''
+        self._register = _build_register(snapshot)
+        self._applied = snapshot.index
+
+    @property
+    def register(self) -> Register:
+        """The state that committed entries have built."""
+        return self._register
+
+    @property
+    def applied(self) -> int:
+        """Index of the last entry applied."""
+        return self._applied
+
+    @property
+    def snapshot(self) -> SnapshotRecord:
+        """The newest snapshot."""
+        return self._snapshot
+
+    @property
+    def encoded_snapshot(self) -> bytes:
+        """The newest snapshot, as it goes to another replica."""
+        if not self._encoded:
+            self._encoded = encode_snapshot(self._snapshot)
+        return self._encoded
+
+    def apply(self, log: Log, commit: int) -> None:
+        """Applies the entries up to `commit`."""
+        while self._applied < commit:
+            self._applied += 1
+            (entry,) = log.list_entries(self._applied, self._applied)
+            if entry.change is None:
+                continue
+            decision = self._register.apply(entry.term, entry.change)
+            self.on_applied(Applied(self._applied, entry.term, decision))
+
+    def take_snapshot(self, log: Log) -> SnapshotRecord:
+        """Returns a snapshot of what is applied, and keeps it."""
+        self._keep(
+            SnapshotRecord(
+                self._applied,
+                log.find_term(self._applied) or 0,
+                log.find_membership(self._applied),
+                self._register.encode(),
+            ),
+        )
+        return self._snapshot
+
+    def install(self, snapshot: SnapshotRecord) -> None:
+        """Starts over from another replica's snapshot."""
+        self._keep(snapshot)
+        self._register = _build_register(snapshot)
+        self._applied = snapshot.index
+
+    def _keep(self, snapshot: SnapshotRecord) -> None:
+        self._snapshot = snapshot
+        self._encoded = b''
+
+
+def _build_register(snapshot: SnapshotRecord) -> Register:
+    if not snapshot.register:
+        return Register()
+    return Register.decode(snapshot.register)
+
+
+def _ignore(_applied: Any) -> None:
+    """Stands in for a callback that was not set."""
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/member.py
@@ -0,0 +1,137 @@
+"""The set of replicas: who counts towards a quorum, and its single steps.
+
+Each step differs from the set before in one replica, so that quorums of both
+sets share a member.
+"""
+
+from collections.abc import Collection
+
+from bilberry_core.board import ClaimEpoch, Holder
+from bilberry_core.messages.replica import Member, Membership
+
+
+def find_member(membership: Membership, instance: str) -> Member | None:
+    """Returns the replica of this name."""
+    for member in membership.members:
+        if member.instance == instance:
+            return member
+    return None
+
+
+def is_voter(membership: Membership, instance: str, store: int) -> bool:
+    """Tells whether a replica with this store counts towards a quorum."""
+    member = find_member(membership, instance)
+    return member is not None and member.voter and member.store == store
+
+
+def list_voters(membership: Membership) -> tuple[Member, ...]:
+    """Returns the replicas that count towards a quorum."""
+    return tuple(member for member in membership.members if member.voter)
+
+
+def has_quorum(membership: Membership, instances: Collection[str]) -> bool:
+    """Tells whether these replicas can decide.
+
+    That is a majority of the voters, in two failure domains at least where
+    the voters lie in more than one.
+    """
+    voters = list_voters(membership)
+    agreeing = [voter for voter in voters if voter.instance in instances]
+    if len(agreeing) * 2 <= len(voters):
+        return False
+    return _count_domains(agreeing) >= min(2, _count_domains(voters))
+
+
+def found(members: Collection[Member]) -> Membership:
+    """Returns the first membership of a fleet; every member votes."""
+    voters = [member._replace(voter=True) for member in members]
+    return Membership(1, tuple(sorted(voters)))
+
+
+def admit(membership: Membership, fresh: Member) -> Membership | None:
+    """Takes a replica in as a learner; None where nothing changes.
+
+    One that comes back with another store has lost what it had, so it
+    becomes a learner again.
+    """
+    known = find_member(membership, fresh.instance)
+    if known is not None and known.store == fresh.store:
+        return None
+    return _put(membership, fresh._replace(voter=False))
+
+
+def promote(membership: Membership, instance: str) -> Membership | None:
+    """Lets a learner vote; None where it is none."""
+    known = find_member(membership, instance)
+    if known is None or known.voter:
+        return None
+    return _put(membership, known._replace(voter=True))
+
+
+def expel(membership: Membership, instance: str) -> Membership | None:
+    """Removes a replica; None where there is none or none would be left."""
+    left = tuple(
+        member for member in membership.members if member.instance != instance
+    )
+    if len(left) == len(membership.members):
+        return None
+    if not any(member.voter for member in left):
+        return None
+    return _move_epoch(membership, left)
+
+
+def settle(membership: Membership, epoch: int) -> Membership | None:
+    """Ends the handover of claims; None where this epoch has none."""
+    if membership.epoch != epoch or not membership.previous:
+        return None
+    return membership._replace(previous=())
+
+
+def build_epoch(membership: Membership) -> ClaimEpoch:
+    """Returns the claim holders of a membership."""
+    return ClaimEpoch(
+        membership.epoch,
+        tuple(map(_build_holder, list_voters(membership))),
+        tuple(map(_build_holder, membership.previous)),
+    )
+
+
+def _build_holder(member: Member) -> Holder:
+    return Holder(
+        member.instance,
+        member.host,
+        member.port,
+        member.failure_domain,
+    )
+
+
+def _put(membership: Membership, changed: Member) -> Membership:
+    others = [
+        member
+        for member in membership.members
+        if member.instance != changed.instance
+    ]
+    return _move_epoch(membership, tuple(sorted([*others, changed])))
+
+
+def _move_epoch(
+    membership: Membership,
+    members: tuple[Member, ...],
+) -> Membership:
+    """Starts an epoch where the voters change.
+
+    While claims of an earlier handover are open, those of its holders stay
+    the ones to hand over: claims went to both sets until now.
+    """
+    moved = membership._replace(members=members)
+    before = list_voters(membership)
+    if list_voters(moved) == before:
+        return moved
+    return moved._replace(
+        epoch=membership.epoch + 1,
+        previous=membership.previous or before,
+    )
+
+
+def _count_domains(members: Collection[Member]) -> int:
+    return len({member.failure_domain for member in members})
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/node.py
@@ -0,0 +1,213 @@
+"""The consensus state of one replica, and the effects of a step.
+
+A step is a plain function from a node and an event to a `Step`: the node
+after it and what is to be done. The caller saves first, then sends; only a
+`Send` marked early may go before what was saved is durable.
+"""
+
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from bilberry_core.board import Beacon
+from bilberry_core.messages.replica import Entry, Membership
+from bilberry_replica.log import Log
+from bilberry_replica.member import is_voter
+
+_NEVER = float('-inf')
+
+
+class Role(StrEnum):
+    """What a replica does in its term."""
+
+    FOLLOWER = 'follower'
+    TRIAL = 'trial'
+    CANDIDATE = 'candidate'
+    LEADER = 'leader'
+
+
+class Timing(NamedTuple):
+    """Intervals of consensus, in seconds.
+
+    `election_s` is the shortest silence of a leader that starts an election;
+    each replica adds up to as much again by chance.
+    """
+
+    heartbeat_s: float = 0.15
+    election_s: float = 0.9
+
+
+class Moment(NamedTuple):
+    """Monotonic time in seconds, and a chance in [0, 1)."""
+
+    now: float
+    chance: float
+
+
+class Progress(NamedTuple):
+    """What the leader knows of another replica.
+
+    `store`
+        The data folder that this is about.
+    `match`
+        Last entry that it holds durably.
+    `next_index`
+        First entry that was not sent to it yet.
+    `round`, `stamp`
+        Newest broadcast that it answered, and when that was sent.
+    `offset`
+        Bytes of the snapshot that it holds.
+    `probing`
+        Whether it is not known yet where the logs begin to differ.
+    """
+
+    store: int
+    match: int = 0
+    next_index: int = 1
+    round: int = 0
+    stamp: float = _NEVER
+    offset: int = 0
+    probing: bool = True
+
+
+class Node(NamedTuple):
+    """The state of one replica.
+
+    `durable`
+        Last entry that its own disk holds.
+    `membership`
+        The newest membership of the log, committed or not.
+    `heard_at`
+        When the leader was heard last.
+    `round`
+        Number of the leader's newest broadcast.
+    `beacon`
+        The leader's sign of life that broadcasts carry.
+    """
+
+    instance: str
+    store: int
+    timing: Timing = Timing()
+    term: int = 0
+    vote: str = ''
+    log: Log = Log()
+    membership: Membership = Membership()
+    commit: int = 0
+    durable: int = 0
+    role: Role = Role.FOLLOWER
+    leader: str = ''
+    heard_at: float = _NEVER
+    election_at: float = 0
+    heartbeat_at: float = 0
+    votes: frozenset[str] = frozenset()
+    peers: dict[str, Progress] = {}
+    round: int = 0
+    beacon: Beacon | None = None
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads its term."""
+        return self.role is Role.LEADER
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica counts towards a quorum."""
+        return is_voter(self.membership, self.instance, self.store)
+
+
+class SaveTerm(NamedTuple):
+    """Save the term and the vote given in it."""
+
+    term: int
+    vote: str
+
+
+class SaveEntries(NamedTuple):
+    """Save entries from index `first` on, in place of any there."""
+
+    first: int
+    entries: tuple[Entry, ...]
+
+
+class ShowBeacon(NamedTuple):
+    """Show the leader's sign of life to this process."""
+
+    beacon: Beacon
+
+
+class Send(NamedTuple):
+    """Send a message; early ones need not wait for the disk."""
+
+    target: str
+    message: Any
+    early: bool = False
+
+
+class SendSnapshot(NamedTuple):
+    """Send the piece of the snapshot that begins at `offset`."""
+
+    target: str
+    offset: int
+
+
+Effect = SaveTerm | SaveEntries | Send | SendSnapshot | ShowBeacon
+
+
+class Step(NamedTuple):
+    """A node after an event, and what is to be done."""
+
+    node: Node
+    effects: tuple[Effect, ...] = ()
+
+    def then(self, following: 'Step') -> 'Step':
+        """Returns the step with a following one's effects added."""
+        return Step(following.node, self.effects + following.effects)
+
+
+def restore(node: Node, moment: Moment) -> Node:
+    """Returns the node as it starts, from what its disk held."""
+    return reset_timer(
+        node._replace(
+            membership=node.log.find_membership(node.log.last_index),
+            commit=node.log.base,
+            durable=node.log.last_index,
+        ),
+        moment,
+    )
+
+
+def reset_timer(node: Node, moment: Moment) -> Node:
+    """Puts the next election off by a random time."""
+    wait_s = node.timing.election_s * (1 + moment.chance)
+    return node._replace(election_at=moment.now + wait_s)
+
+
+def move_to_term(node: Node, term: int, moment: Moment) -> Step:
+    """Follows in a newer term; nothing where the term is not newer."""
+    if term <= node.term:
+        return Step(node)
+    moved = follow(node, moment)._replace(term=term, vote='')
+    return Step(moved, (SaveTerm(term, ''),))
+
+
+def follow(node: Node, moment: Moment, leader: str = '') -> Node:
+    """Returns the node as a follower."""
+    if leader != node.leader or node.role is not Role.FOLLOWER:
+        node = node._replace(
+            role=Role.FOLLOWER,
+            leader=leader,
+            votes=frozenset(),
+            peers={},
+            beacon=None,
+        )
+    return reset_timer(node, moment)
+
+
+def put_entries(node: Node, first: int, entries: tuple[Entry, ...]) -> Step:
+    """Writes entries to the log from `first` on."""
+    log = node.log.put(first, entries)
+    saved = node._replace(
+        log=log,
+        durable=min(node.durable, first - 1),
+        membership=log.find_membership(log.last_index),
+    )
+    return Step(saved, (SaveEntries(first, entries),))
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/publisher.py
@@ -0,0 +1,86 @@
+"""Writes what the replica knows to the blackboard."""
+
+from logging import getLogger
+
+from bilberry_core.board import Beacon, Board, ReplicaStatus
+from bilberry_core.configuration import AcceptedVersion, decode_configuration
+from bilberry_core.messages.replica import Membership
+from bilberry_replica.member import build_epoch
+from bilberry_replica.replica import Replica
+
+_log = getLogger(__name__)
+
+
+class Publisher:
+    """Keeps `accepted`, `replica`, `beacon` and `claim_epoch` current.
+
+    Only committed versions are shown, and never an older one after a newer.
+    """
+
+    def __init__(self, replica: Replica, board: Board) -> None:
+        """Publishes the state of one replica."""
+        self._replica = replica
+        self._board = board
+        self._agreed = Membership()
+        replica.on_beacon = self._show_beacon
+
+    def publish(self) -> None:
+        """Shows what has changed."""
+        self._show_accepted()
+        self._show_status()
+        self._show_epoch()
+
+    def _show_accepted(self) -> None:
+        newest = self._replica.machine.register.newest
+        shown = self._board.accepted.value
+        if newest is None or (shown and shown.version >= newest.version):
+            return
+        accepted = AcceptedVersion(
+            newest.version,
+            newest.term,
+            newest.digest,
+            decode_configuration(newest.content),
+        )
+        _log.info(
+            'version_accepted',
+            extra={
+                'version': newest.version,
+                'term': newest.term,
+                'change_id': newest.change_id,
+                'author': newest.author,
+            },
+        )
+        self._board.accepted.put(accepted)
+
+    def _show_status(self) -> None:
+        node = self._replica.node
+        status = ReplicaStatus(
+            node.role,
+            node.term,
+            node.leader,
+            node.commit,
+            tuple(member.instance for member in node.membership.members),
+        )
+        if status != self._board.replica.value:
+            self._board.replica.put(status)
+
+    def _show_epoch(self) -> None:
+        agreed = self._replica.agreed
+        if agreed is self._agreed or not agreed.epoch:
+            return
+        self._agreed = agreed
+        epoch = build_epoch(agreed)
+        if epoch != self._board.claim_epoch.value:
+            _log.info(
+                'claim_holders_agreed',
+                extra={
+                    'epoch': epoch.epoch,
+                    'holders': [holder.instance for holder in epoch.holders],
+                },
+            )
+            self._board.claim_epoch.put(epoch)
+
+    def _show_beacon(self, beacon: Beacon) -> None:
+        shown = self._board.beacon.value
+        if shown is None or beacon > shown:
+            self._board.beacon.put(beacon)
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/reconfiguration.py
@@ -0,0 +1,73 @@
+"""Steps of the membership that an operator or the claim holders ask for."""
+
+from bilberry_core.messages.replica import MembershipRequest, ReadReply
+from bilberry_replica.driver import Driver
+from bilberry_replica.leading import step_membership
+from bilberry_replica.member import expel, settle
+from bilberry_replica.requests import LeaderRequests, repeat_until_answered
+
+
+class Reconfiguration:
+    """Has the leader log steps of the membership."""
+
+    def __init__(self, driver: Driver, requests: LeaderRequests) -> None:
+        """Asks in the name of one replica."""
+        self._driver = driver
+        self._requests = requests
+
+    async def remove(self, instance: str, timeout_s: float) -> bool:
+        """Removes a replica; tells whether the leader proposed that."""
+        return await self._request(
+            MembershipRequest(0, remove=instance),
+            timeout_s,
+        )
+
+    async def settle(self, epoch: int, timeout_s: float) -> bool:
+        """Ends a handover of claims; tells whether that was proposed."""
+        return await self._request(
+            MembershipRequest(0, settled=epoch),
+            timeout_s,
+        )
+
+    def receive(self, sender: str, request: MembershipRequest) -> None:
+        """Proposes a step for a follower."""
+        index = self._propose(request)
+        self._driver.send(sender, ReadReply(request.request, index))
+
+    async def _request(
+        self,
+        request: MembershipRequest,
+        timeout_s: float,
+    ) -> bool:
+
+        async def attempt(left_s: float) -> int | None:
+            return await self._try(request, left_s)
+
+        index = await repeat_until_answered(self._driver, attempt, timeout_s)
+        return index is not None
+
+    async def _try(
+        self,
+        request: MembershipRequest,
+        left_s: float,
+    ) -> int | None:
+        if self._driver.replica.node.is_leader:
+            return self._propose(request)
+        try:
+            reply = await self._requests.ask(
+                lambda number: request._replace(request=number),
+                left_s,
+            )
+        except TimeoutError:
+            return None
+        return reply.index if reply else None
+
+    def _propose(self, request: MembershipRequest) -> int | None:
+        replica = self._driver.replica
+        if request.remove:
+            wanted = expel(replica.node.membership, request.remove)
+        else:
+            wanted = settle(replica.node.membership, request.settled)
+        if self._driver.run_event(step_membership, replica, wanted):
+            return replica.node.log.last_index
+        return None
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/register.py
@@ -0,0 +1,170 @@
+"""The register: the state that committed entries build, on every replica.
+
+It holds the accepted configuration, the newest history and the outcomes of
+the newest changes, all bounded by count.
+"""
+
+from hashlib import blake2b
+from typing import NamedTuple
+
+from msgpack import packb, unpackb
+from msgspec import convert
+
+from bilberry_core.acceptance import (
+    Accepted,
+    Change,
+    ChangeIdReused,
+    Conflict,
+    HistoryEntry,
+    NotAccepted,
+)
+from bilberry_core.configuration import DIGEST_BYTES
+from bilberry_core.messages.replica import LoggedChange
+
+#: Versions whose content is kept.
+HISTORY_COUNT = 64
+#: Changes whose outcome is kept, more than a day's.
+OUTCOME_COUNT = 16_384
+#: Most bytes of content that a conflict shows.
+CONFLICT_BYTES = 1 << 20
+
+Decision = Accepted | Conflict | ChangeIdReused | NotAccepted
+
+
+class Outcome(NamedTuple):
+    """What became of a change; `version` is 0 where it was refused."""
+
+    digest: bytes
+    version: int
+
+
+class RegisterState(NamedTuple):
+    """Everything that a snapshot keeps of the register."""
+
+    version: int = 0
+    history: tuple[HistoryEntry, ...] = ()
+    outcomes: dict[str, Outcome] = {}
+
+
+class Register:
+    """Applies committed changes in the order of the log."""
+
+    def __init__(
+        self,
+        state: RegisterState = RegisterState(),
+        history_count: int = HISTORY_COUNT,
+        outcome_count: int = OUTCOME_COUNT,
+    ) -> None:
+        """Continues from a state."""
+        self._version = state.version
+        self._history = list(state.history)
+        self._outcomes = dict(state.outcomes)
+        self._history_count = history_count
+        self._outcome_count = outcome_count
+
+    @classmethod
+    def decode(cls, encoded: bytes) -> 'Register':
+        """Returns the register that a snapshot holds."""
+        return cls(convert(unpackb(encoded, use_list=False), RegisterState))
+
+    @property
+    def version(self) -> int:
+        """The newest accepted version; 0 before the first."""
+        return self._version
+
+    @property
+    def newest(self) -> HistoryEntry | None:
+        """The newest accepted version with its content."""
+        return self._history[-1] if self._history else None
+
+    def encode(self) -> bytes:
+        """Returns the register for a snapshot."""
+        state = RegisterState(
+            self._version,
+            tuple(self._history),
+            self._outcomes,
+        )
+        return packb(state)
+
+    def read_history(self, limit: int) -> tuple[HistoryEntry, ...]:
+        """Returns the newest versions, newest first."""
+        newest = self._history[-limit:] if limit > 0 else []
+        return tuple(reversed(newest))
+
+    def find_decision(self, change: Change) -> Decision | None:
+        """Returns what is decided already; None where the log decides.
+
+        A change whose base is older than the newest version was accepted
+        before, and then its ID is known, or it never will be.
+        """
+        outcome = self._outcomes.get(change.change_id)
+        if outcome is not None:
+            return _repeat(change, outcome)
+        if change.base_version < self._version:
+            return Conflict(change.base_version, self._list_newer(change))
+        return None
+
+    def apply(self, term: int, logged: LoggedChange) -> Decision:
+        """Decides a committed change."""
+        change = logged.change
+        decision = self.find_decision(change)
+        if decision is not None:
+            return decision
+        if change.base_version > self._version:
+            self._remember(change, 0)
+            return _refuse_base(change)
+        self._version += 1
+        self._remember(change, self._version)
+        self._history.append(_build_entry(self._version, term, logged))
+        del self._history[: -self._history_count]
+        return Accepted(self._version)
+
+    def _remember(self, change: Change, version: int) -> None:
+        outcome = Outcome(compute_content_digest(change.content), version)
+        self._outcomes[change.change_id] = outcome
+        if len(self._outcomes) > self._outcome_count:
+            del self._outcomes[next(iter(self._outcomes))]
+
+    def _list_newer(self, change: Change) -> tuple[HistoryEntry, ...]:
+        newer: list[HistoryEntry] = []
+        size = 0
+        for entry in reversed(self._history):
+            size += len(entry.content)
+            if entry.version <= change.base_version or size > CONFLICT_BYTES:
+                break
+            newer.append(entry)
+        return tuple(reversed(newer))
+
+
+def compute_content_digest(content: bytes) -> bytes:
+    """Returns the digest of an encoded configuration."""
+    return blake2b(content, digest_size=DIGEST_BYTES).digest()
+
+
+def _repeat(change: Change, outcome: Outcome) -> Decision:
+    if outcome.digest != compute_content_digest(change.content):
+        return ChangeIdReused(change.change_id, outcome.version)
+    if not outcome.version:
+        return _refuse_base(change)
+    return Accepted(outcome.version, resent=True)
+
+
+def _refuse_base(change: Change) -> NotAccepted:
+    return NotAccepted(
+        f'base version {change.base_version} did not exist when change '
+        + f'"{change.change_id}" came: make it anew from the current version',
+    )
+
+
+def _build_entry(version: int, term: int, logged: LoggedChange) -> HistoryEntry:
+    change = logged.change
+    return HistoryEntry(
+        version,
+        term,
+        compute_content_digest(change.content),
+        change.change_id,
+        change.author,
+        change.note,
+        logged.accepted_ms,
+        change.content,
+    )
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/replica.py
@@ -0,0 +1,293 @@
+"""One replica without its edges: consensus, register and journal together.
+
+Every event goes in with its moment; messages come out by `take_early` and
+`begin_flush`. The caller syncs the journal between `begin_flush` and
+`end_flush`, and so nothing that depends on the disk goes out before.
+"""
+
+from collections.abc import Callable
+from logging import getLogger
+from typing import Any, NamedTuple
+
+from bilberry_core.board import Beacon
+from bilberry_core.journal import Journal
+from bilberry_core.messages.replica import (
+    InstallReply,
+    InstallSnapshot,
+    Membership,
+)
+from bilberry_replica.commitment import note_durable
+from bilberry_replica.consensus import install, receive, tick
+from bilberry_replica.election import confirm_own_vote, needs_own_vote
+from bilberry_replica.log import Log
+from bilberry_replica.machine import Machine
+from bilberry_replica.node import (
+    Moment,
+    Node,
+    Send,
+    SendSnapshot,
+    ShowBeacon,
+    Step,
+    restore,
+)
+from bilberry_replica.storage import (
+    Restored,
+    SnapshotRecord,
+    decode_snapshot,
+    note_effect,
+    note_snapshot,
+    note_store,
+    restore_records,
+)
+from bilberry_replica.transfer import (
+    Transfer,
+    build_piece,
+    receive_install_reply,
+    receive_piece,
+)
+
+_log = getLogger(__name__)
+
+
+class Limits(NamedTuple):
+    """Bounds of a replica.
+
+    `log_bytes`, `log_entries`
+        Growth of the journal after which the log is compacted
+        (default: 8 MiB, 4096).
+    `kept_entries`
+        Entries kept behind a snapshot for replicas that lag (default: 64).
+    `open_entries`
+        Entries that may wait for a quorum (default: 256).
+    """
+
+    log_bytes: int = 8 << 20
+    log_entries: int = 4096
+    kept_entries: int = 64
+    open_entries: int = 256
+
+
+class Flush(NamedTuple):
+    """What a sync makes durable, and what may be sent after it."""
+
+    term: int
+    last_index: int
+    sends: tuple[Send, ...]
+
+
+class Replica:
+    """The state of one replica, driven by events.
+
+    `on_beacon`
+        Called with each beacon of the leader.
+    """
+
+    def __init__(
+        self,
+        journal: Journal,
+        node: Node,
+        machine: Machine,
+        limits: Limits = Limits(),
+    ) -> None:
+        """Continues from what the journal held; see `open`."""
+        self.on_beacon: Callable[[Beacon], None] = _ignore
+        self.limits = limits
+        self._journal = journal
+        self._node = node
+        self._machine = machine
+        self._transfer = Transfer()
+        self._early: list[Send] = []
+        self._late: list[Send] = []
+        self._kept_bytes = journal.size
+
+    @classmethod
+    def open(
+        cls,
+        opened: tuple[Journal, list[bytes]],
+        fresh: Node,
+        moment: Moment,
+        limits: Limits = Limits(),
+    ) -> 'Replica':
+        """Returns the replica that a journal and its records hold.
+
+        `fresh` is the node of a data folder that is new.
+        """
+        journal, records = opened
+        restored = restore_records(records)
+        if not restored.store:
+            restored = restored._replace(store=fresh.store)
+            note_store(journal, fresh.store)
+        node = _restore_node(fresh, restored, moment)
+        machine = Machine(restored.snapshot)
+        machine.apply(node.log, node.commit)
+        return cls(journal, node, machine, limits)
+
+    @property
+    def node(self) -> Node:
+        """The consensus state."""
+        return self._node
+
+    @property
+    def machine(self) -> Machine:
+        """The state that committed entries have built."""
+        return self._machine
+
+    @property
+    def agreed(self) -> Membership:
+        """The newest membership that is committed."""
+        return self._node.log.find_membership(self._node.commit)
+
+    @property
+    def has_work(self) -> bool:
+        """Whether a flush has something to do."""
+        if self._late or self._journal.has_unsynced:
+            return True
+        node = self._node
+        return node.durable < node.log.last_index or needs_own_vote(node)
+
+    def receive(self, sender: str, message: Any, moment: Moment) -> None:
+        """Takes a message of consensus from another replica."""
+        if isinstance(message, InstallSnapshot):
+            self._receive_piece(sender, message, moment)
+        elif isinstance(message, InstallReply):
+            size = len(self._machine.encoded_snapshot)
+            position = (self._machine.snapshot.index, size)
+            node = self._node
+            self.perform(
+                receive_install_reply(node, sender, message, moment, position),
+                moment,
+            )
+        else:
+            self.perform(receive(self._node, sender, message, moment), moment)
+
+    def tick(self, moment: Moment) -> None:
+        """Does what is due."""
+        self.perform(tick(self._node, moment), moment)
+
+    def perform(self, step: Step, moment: Moment) -> None:
+        """Takes a step and queues what is to be saved and sent."""
+        before = self._node
+        self._node = step.node
+        for effect in step.effects:
+            if isinstance(effect, Send):
+                queue = self._early if effect.early else self._late
+                queue.append(effect)
+            elif isinstance(effect, SendSnapshot):
+                piece = _build_piece(self._node, self._machine, effect, moment)
+                self._early.append(piece)
+            elif isinstance(effect, ShowBeacon):
+                self.on_beacon(effect.beacon)
+            else:
+                note_effect(self._journal, self._node, effect)
+        _log_role(before, self._node)
+        self._machine.apply(self._node.log, self._node.commit)
+        self._compact_if_due()
+
+    def take_early(self) -> list[Send]:
+        """Returns the messages that need not wait for the disk."""
+        early = self._early
+        self._early = []
+        return early
+
+    def begin_flush(self) -> Flush:
+        """Returns what the next sync of the journal makes durable."""
+        node = self._node
+        flush = Flush(node.term, node.log.last_index, tuple(self._late))
+        self._late = []
+        return flush
+
+    def end_flush(self, flush: Flush, moment: Moment) -> tuple[Send, ...]:
+        """Returns what may be sent, now that the journal is synced."""
+        if flush.term == self._node.term:
+            node = note_durable(self._node, flush.last_index)
+            self.perform(confirm_own_vote(node, moment), moment)
+        return flush.sends
+
+    def _receive_piece(
+        self,
+        sender: str,
+        piece: InstallSnapshot,
+        moment: Moment,
+    ) -> None:
+        node = self._node
+        step, transfer = receive_piece(
+            node,
+            self._transfer,
+            sender,
+            piece,
+            moment,
+        )
+        self._transfer = transfer
+        self.perform(step, moment)
+        if transfer.is_whole and transfer.index > self._machine.applied:
+            self._install(decode_snapshot(transfer.received))
+            self._transfer = Transfer()
+
+    def _install(self, snapshot: SnapshotRecord) -> None:
+        log = Log(snapshot.index, snapshot.index_term, snapshot.membership)
+        self._node = install(self._node, log)
+        self._machine.install(snapshot)
+        self._save_snapshot(snapshot)
+        _log.info('snapshot_installed', extra={'index': snapshot.index})
+
+    def _compact_if_due(self) -> None:
+        entries = self._machine.applied - self._machine.snapshot.index
+        grown = self._journal.size - self._kept_bytes
+        bound = max(self.limits.log_bytes, self._kept_bytes)
+        if not entries:
+            return
+        if entries < self.limits.log_entries and grown < bound:
+            return
+        log = self._node.log
+        snapshot = self._machine.take_snapshot(log)
+        self._save_snapshot(snapshot)
+        base = max(log.base, snapshot.index - self.limits.kept_entries)
+        self._node = self._node._replace(log=log.compact(base))
+
+    def _save_snapshot(self, snapshot: SnapshotRecord) -> None:
+        note_snapshot(self._journal, self._node, snapshot)
+        self._kept_bytes = self._journal.size
+
+
+def _build_piece(
+    node: Node,
+    machine: Machine,
+    effect: SendSnapshot,
+    moment: Moment,
+) -> Send:
+    piece = build_piece(
+        node,
+        moment,
+        (machine.snapshot.index, machine.snapshot.index_term),
+        machine.encoded_snapshot,
+        effect.offset,
+    )
+    return Send(effect.target, piece, early=True)
+
+
+def _restore_node(fresh: Node, restored: Restored, moment: Moment) -> Node:
+    node = fresh._replace(
+        store=restored.store,
+        term=restored.term,
+        vote=restored.vote,
+        log=restored.log,
+    )
+    return restore(node, moment)._replace(commit=restored.commit)
+
+
+def _log_role(before: Node, after: Node) -> None:
+    if (before.role, before.term) == (after.role, after.term):
+        return
+    _log.info(
+        'role_changed',
+        extra={
+            'role': after.role,
+            'term': after.term,
+            'leader': after.leader,
+            'members': len(after.membership.members),
+        },
+    )
+
+
+def _ignore(_beacon: Any) -> None:
+    """Stands in for a callback that was not set."""
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/replication.py
@@ -0,0 +1,175 @@
+"""Replication: the leader's broadcasts, and the answers to them."""
+
+from bilberry_core.messages.replica import (
+    Append,
+    AppendReply,
+    Entry,
+    Member,
+)
+from bilberry_replica.commitment import advance_commit
+from bilberry_replica.node import (
+    Effect,
+    Moment,
+    Node,
+    Progress,
+    Send,
+    SendSnapshot,
+    Step,
+    move_to_term,
+    put_entries,
+)
+
+#: Most entries in one message.
+MAX_BATCH = 64
+#: Most bytes of content in one message, unless a single entry has more.
+MAX_BATCH_BYTES = 1 << 20
+
+
+def broadcast(node: Node, moment: Moment) -> Step:
+    """Sends every replica what it lacks, or a heartbeat.
+
+    What was sent and not answered within a heartbeat is sent again.
+    """
+    node = node._replace(
+        round=node.round + 1,
+        heartbeat_at=moment.now + node.timing.heartbeat_s,
+    )
+    step = Step(node)
+    for instance in node.peers:
+        step = step.then(_send_entries(step.node, instance, moment, True))
+    return step
+
+
+def propose(node: Node, entry: Entry, moment: Moment) -> Step:
+    """Appends an entry of the leader's term and sends it."""
+    step = put_entries(node, node.log.last_index + 1, (entry,))
+    if entry.membership is not None:
+        step = step.then(Step(track_members(step.node, moment)))
+    for instance in step.node.peers:
+        step = step.then(_send_entries(step.node, instance, moment, False))
+    return step
+
+
+def receive_append_reply(
+    node: Node,
+    sender: str,
+    reply: AppendReply,
+    moment: Moment,
+) -> Step:
+    """Notes what a replica holds and commits what a quorum holds."""
+    if reply.term > node.term:
+        return move_to_term(node, reply.term, moment)
+    progress = node.peers.get(sender)
+    if progress is None or (reply.term, reply.store) != (
+        node.term,
+        progress.store,
+    ):
+        return Step(node)
+    if reply.success:
+        progress = _advance(progress, reply)
+    else:
+        progress = _go_back(progress, reply)
+    node = put_progress(node, sender, progress)
+    step = Step(advance_commit(node))
+    if progress.next_index > node.log.last_index:
+        return step
+    return step.then(_send_entries(step.node, sender, moment, False))
+
+
+def track_members(node: Node, moment: Moment) -> Node:
+    """Starts to track new members and stops for those removed."""
+    peers = {
+        member.instance: _track(node, member, moment)
+        for member in node.membership.members
+        if member.instance != node.instance
+    }
+    return node._replace(peers=peers)
+
+
+def put_progress(node: Node, instance: str, progress: Progress) -> Node:
+    """Notes what the leader knows of a replica."""
+    return node._replace(peers={**node.peers, instance: progress})
+
+
+def _track(node: Node, member: Member, moment: Moment) -> Progress:
+    known = node.peers.get(member.instance)
+    if known is not None and known.store == member.store:
+        return known
+    return Progress(
+        member.store,
+        next_index=node.log.last_index,
+        stamp=moment.now,
+    )
+
+
+def _send_entries(
+    node: Node,
+    instance: str,
+    moment: Moment,
+    repeats: bool,
+) -> Step:
+    progress = node.peers[instance]
+    if progress.probing and not repeats:
+        return Step(node)
+    resumes = repeats and not progress.probing
+    first = progress.match + 1 if resumes else progress.next_index
+    if first <= node.log.base:
+        return _send_snapshot(node, instance, repeats)
+    entries = _cut_batch(node, first)
+    append = Append(
+        node.term,
+        node.round,
+        moment.now,
+        first - 1,
+        node.log.find_term(first - 1) or 0,
+        node.commit,
+        entries,
+        node.beacon if repeats else None,
+    )
+    effect = Send(instance, append, early=True)
+    if progress.probing:
+        return Step(node, (effect,))
+    sent = progress._replace(next_index=first + len(entries))
+    return Step(put_progress(node, instance, sent), (effect,))
+
+
+def _send_snapshot(node: Node, instance: str, repeats: bool) -> Step:
+    """Sends the next piece; between heartbeats only replies ask for it."""
+    effects: tuple[Effect, ...] = ()
+    if repeats:
+        offset = node.peers[instance].offset
+        effects = (SendSnapshot(instance, offset),)
+    return Step(node, effects)
+
+
+def _cut_batch(node: Node, first: int) -> tuple[Entry, ...]:
+    entries = node.log.list_entries(first, first + MAX_BATCH - 1)
+    size = 0
+    for count, entry in enumerate(entries):
+        size += len(entry.change.change.content) if entry.change else 0
+        if count and size > MAX_BATCH_BYTES:
+            return entries[:count]
+    return entries
+
+
+def _advance(progress: Progress, reply: AppendReply) -> Progress:
+    match = max(progress.match, reply.index)
+    return progress._replace(
+        match=match,
+        next_index=max(progress.next_index, match + 1),
+        round=max(progress.round, reply.round),
+        stamp=max(progress.stamp, reply.stamp),
+        probing=False,
+        offset=0,
+    )
+
+
+def _go_back(progress: Progress, reply: AppendReply) -> Progress:
+    """Tries earlier entries, but never before what is known to match."""
+    next_index = max(progress.match + 1, min(progress.next_index, reply.index))
+    return progress._replace(
+        next_index=next_index,
+        probing=True,
+        round=max(progress.round, reply.round),
+        stamp=max(progress.stamp, reply.stamp),
+    )
--- /dev/null
+++ b/packages/bilberry_replica/bilberry_replica/transfer.py
@@ -0,0 +1,134 @@
+"""Transfer of a snapshot to a replica that the log no longer reaches.
+
+The snapshot goes in pieces; the receiver says how many bytes it holds, so a
+lost piece is sent again and a repeated one changes nothing.
+"""
+
+from typing import NamedTuple
+
+from bilberry_core.messages.replica import InstallReply, InstallSnapshot
+from bilberry_replica.following import hear_leader
+from bilberry_replica.node import (
+    Moment,
+    Node,
+    Send,
+    SendSnapshot,
+    Step,
+    move_to_term,
+)
+from bilberry_replica.replication import put_progress
+
+#: Most bytes of a snapshot in one message.
+PIECE_BYTES = 256 << 10
+
+
+class Transfer(NamedTuple):
+    """The part of a snapshot that has arrived."""
+
+    index: int = 0
+    index_term: int = 0
+    size: int = 0
+    received: bytes = b''
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every byte has arrived."""
+        return self.index > 0 and len(self.received) == self.size
+
+
+def build_piece(
+    node: Node,
+    moment: Moment,
+    position: tuple[int, int],
+    snapshot: bytes,
+    offset: int,
+) -> InstallSnapshot:
+    """Returns a piece of the snapshot at `position` (index and term)."""
+    return InstallSnapshot(
+        node.term,
+        node.round,
+        moment.now,
+        *position,
+        len(snapshot),
+        offset,
+        snapshot[offset : offset + PIECE_BYTES],
+    )
+
+
+def receive_piece(
+    node: Node,
+    transfer: Transfer,
+    sender: str,
+    piece: InstallSnapshot,
+    moment: Moment,
+) -> tuple[Step, Transfer]:
+    """Adds a piece; the caller installs a transfer that is whole."""
+    if piece.term < node.term:
+        return _reply(node, sender, piece, 0), transfer
+    step = hear_leader(node, sender, piece.term, moment)
+    if piece.index <= node.commit:
+        return step.then(_reply(step.node, sender, piece, piece.size)), transfer
+    transfer = _add(transfer, piece)
+    held = len(transfer.received)
+    return step.then(_reply(step.node, sender, piece, held)), transfer
+
+
+def receive_install_reply(
+    node: Node,
+    sender: str,
+    reply: InstallReply,
+    moment: Moment,
+    position: tuple[int, int],
+) -> Step:
+    """Sends the next piece, or goes on with the log after the last one."""
+    if reply.term > node.term:
+        return move_to_term(node, reply.term, moment)
+    progress = node.peers.get(sender)
+    if progress is None or (reply.term, reply.store) != (
+        node.term,
+        progress.store,
+    ):
+        return Step(node)
+    index, size = position
+    offset = reply.offset if reply.index == index else 0
+    progress = progress._replace(
+        round=max(progress.round, reply.round),
+        stamp=max(progress.stamp, reply.stamp),
+        offset=offset,
+    )
+    if offset < size:
+        node = put_progress(node, sender, progress)
+        return Step(node, (SendSnapshot(sender, offset),))
+    match = max(progress.match, index)
+    done = progress._replace(
+        match=match,
+        next_index=max(progress.next_index, match + 1),
+        probing=False,
+    )
+    return Step(put_progress(node, sender, done))
+
+
+def _add(transfer: Transfer, piece: InstallSnapshot) -> Transfer:
+    name = (piece.index, piece.index_term, piece.size)
+    if name != transfer[:3]:
+        transfer = Transfer(*name)
+    if piece.offset != len(transfer.received):
+        return transfer
+    return transfer._replace(received=transfer.received + piece.piece)
+
+
+def _reply(
+    node: Node,
+    sender: str,
+    piece: InstallSnapshot,
+    offset: int,
+) -> Step:
+    reply = InstallReply(
+        node.term,
+        node.store,
+        piece.round,
+        piece.stamp,
+        piece.index,
+        offset,
+    )
+    return Step(node, (Send(sender, reply),))
--- /dev/null
+++ b/tests/bilberry_replica/test_controller.py
@@ -0,0 +1,183 @@
+"""Replicas with real streams: acceptance, loss, repair and growth."""
+
+from asyncio import run
+
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from bilberry_core.acceptance import (
+    Accepted,
+    ChangeIdReused,
+    Conflict,
+    NotAccepted,
+    OutcomeUnknown,
+)
+from bilberry_replica.replica import Limits
+from tests.bilberry_core.fake_disk import FakeDisk
+from tests.bilberry_replica.fleet import LONG_S, Fleet, build_change
+
+
+class ControllerTest(TestCase):
+    """Replicas in one process."""
+
+    def test_single_replica_accepts(self):
+        """One replica accepts, and remembers over a restart."""
+
+        async def scenario():
+            fleet = Fleet('a')
+            await fleet.start('a')
+            first = await fleet.submit('a', build_change('1', 0))
+            await fleet.kill('a')
+            await fleet.start('a')
+            again = await fleet.submit('a', build_change('1', 0))
+            await fleet.kill('a')
+            return first, again
+
+        first, again = run(scenario())
+        self.assertEqual(Success(Accepted(1)), first)
+        self.assertEqual(Success(Accepted(1, resent=True)), again)
+
+    def test_three_replicas_decide_alike(self):
+        """Each replica takes changes; all show the accepted version."""
+
+        async def scenario():
+            fleet = Fleet('abc')
+            await fleet.start('abc')
+            outcomes = [
+                await fleet.submit('a', build_change('1', 0)),
+                await fleet.submit('b', build_change('2', 1)),
+                await fleet.submit('c', build_change('3', 2)),
+                await fleet.submit('a', build_change('3', 2)),
+                await fleet.submit('b', build_change('3', 2, 'stock')),
+                await fleet.submit('c', build_change('4', 2)),
+                await fleet.submit('c', build_change('5', 3, ' ')),
+            ]
+            await fleet.wait_version(3)
+            currents = [
+                await member.controller.read_current(LONG_S)
+                for member in fleet.members.values()
+            ]
+            beacons = [
+                await member.board.beacon.wait_for(
+                    lambda beacon: beacon is not None and beacon.version == 3,
+                )
+                for member in fleet.members.values()
+            ]
+            epochs = {
+                member.board.claim_epoch.value
+                for member in fleet.members.values()
+            }
+            await fleet.kill('abc')
+            return outcomes, currents, beacons, epochs
+
+        outcomes, currents, beacons, epochs = run(scenario())
+        self.assertEqual(
+            [Success(Accepted(1)), Success(Accepted(2)), Success(Accepted(3))],
+            outcomes[:3],
+        )
+        self.assertEqual(Success(Accepted(3, resent=True)), outcomes[3])
+        self.assertEqual(Failure(ChangeIdReused('3', 3)), outcomes[4])
+        conflict = outcomes[5].failure()
+        self.assertIsInstance(conflict, Conflict)
+        self.assertEqual([3], [entry.version for entry in conflict.newer])
+        self.assertIsInstance(outcomes[6].failure(), NotAccepted)
+        self.assertEqual({3}, {one.unwrap().version for one in currents})
+        self.assertEqual(1, len({beacon.term for beacon in beacons}))
+        (epoch,) = epochs
+        self.assertEqual(
+            ['a', 'b', 'c'],
+            [holder.instance for holder in epoch.holders],
+        )
+
+    def test_leader_loss_keeps_what_was_accepted(self):
+        """A new leader knows the change that the lost one accepted."""
+
+        async def scenario():
+            fleet = Fleet('abc')
+            await fleet.start('abc')
+            leader = await fleet.find_leader()
+            first = await fleet.submit(leader, build_change('1', 0))
+            await fleet.kill(leader)
+            left = 'abc'.replace(leader, '')
+            again = await fleet.submit(left[0], build_change('1', 0))
+            second = await fleet.submit(left[1], build_change('2', 1))
+            await fleet.start(leader)
+            await fleet.wait_version(2)
+            await fleet.kill('abc')
+            return first, again, second
+
+        first, again, second = run(scenario())
+        self.assertEqual(Success(Accepted(1)), first)
+        self.assertEqual(Success(Accepted(1, resent=True)), again)
+        self.assertEqual(Success(Accepted(2)), second)
+
+    def test_without_quorum_nothing_is_accepted(self):
+        """The last of three says what it knows, and confirms no read."""
+
+        async def scenario():
+            fleet = Fleet('abc')
+            await fleet.start('abc')
+            leader = await fleet.find_leader()
+            await fleet.submit(leader, build_change('1', 0))
+            lost = 'abc'.replace(leader, '')
+            await fleet.kill(lost)
+            controller = fleet.members[leader].controller
+            unknown = await controller.submit(build_change('2', 1), 0.3)
+            refused = await controller.submit(build_change('3', 1), 0.3)
+            read = await controller.read_current(0.3)
+            await fleet.start(lost)
+            resent = await fleet.submit(leader, build_change('2', 1))
+            await fleet.kill('abc')
+            return unknown, refused, read, resent
+
+        unknown, refused, read, resent = run(scenario())
+        self.assertIsInstance(unknown.failure(), OutcomeUnknown)
+        self.assertIsInstance(refused.failure(), NotAccepted)
+        self.assertIsInstance(read.failure(), NotAccepted)
+        self.assertEqual(2, resent.unwrap().version)
+
+    def test_lost_disk_is_taken_in_again(self):
+        """A replica with a new disk votes again once it has caught up."""
+
+        async def scenario():
+            fleet = Fleet('abc', limits=Limits(log_entries=8, kept_entries=2))
+            await fleet.start('abc')
+            leader = await fleet.find_leader()
+            for version in range(20):
+                await fleet.submit(leader, build_change(str(version), version))
+            lost, other = 'abc'.replace(leader, '')
+            await fleet.kill(lost)
+            await fleet.start(lost, FakeDisk())
+            await fleet.wait_version(20)
+            board = fleet.members[lost].board
+            epoch = await board.claim_epoch.wait_for(
+                lambda epoch: epoch is not None and epoch.epoch == 3,
+            )
+            await fleet.kill(other)
+            after = await fleet.submit(lost, build_change('20', 20))
+            await fleet.kill(leader + lost)
+            return epoch, after
+
+        epoch, after = run(scenario())
+        self.assertEqual(3, len(epoch.holders))
+        self.assertEqual(Success(Accepted(21)), after)
+
+    def test_growth_from_three_to_five(self):
+        """New replicas are taken in one by one; two of five may go."""
+
+        async def scenario():
+            fleet = Fleet('abc')
+            await fleet.start('abc')
+            await fleet.submit('a', build_change('1', 0))
+            fleet.extend('de')
+            await fleet.start('de')
+            for name in 'abcde':
+                await fleet.members[name].board.claim_epoch.wait_for(
+                    lambda epoch: epoch is not None and len(epoch.holders) == 5,
+                )
+            await fleet.kill('ab')
+            after = await fleet.submit('e', build_change('2', 1))
+            await fleet.kill('cde')
+            return after
+
+        self.assertEqual(Success(Accepted(2)), run(scenario()))
