Bound documents by nodes, value length and file kind

What is accepted is bounded so that its rendering can be parsed again. Rules between keys of the settings are told together with the problems of single keys; only regular files are read.

--- a/packages/bilberry_core/bilberry_core/configuration_file.py
+++ b/packages/bilberry_core/bilberry_core/configuration_file.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from returns.result import Failure, Result, Success
-from yaml import safe_dump
 
 from bilberry_core.configuration import (
     Configuration,
@@ -17,7 +16,12 @@
     encode_configuration,
 )
 from bilberry_core.configuration_document import build_document
-from bilberry_core.document import load_document
+from bilberry_core.document import (
+    MAX_NODES,
+    count_nodes,
+    load_document,
+    render_document,
+)
 from bilberry_core.error import ConfigurationError
 from bilberry_core.policy import CallPolicy, PolicyChange, Priority
 from bilberry_core.problem import Problem, Report
@@ -41,6 +45,8 @@
     join_key,
 )
 
+#: Largest canonical encoding of a configuration, in bytes.
+MAX_CONTENT_BYTES = 1 << 19
 _MS_PER_S = 1000
 _HOUR_MS = 3_600_000
 _MAX_RETENTION_MS = 720 * _HOUR_MS
@@ -126,11 +132,7 @@
 
 def render_configuration(configuration: Configuration) -> str:
     """Returns a configuration as YAML."""
-    return safe_dump(
-        build_document(configuration),
-        sort_keys=False,
-        allow_unicode=True,
-    )
+    return render_document(build_document(configuration))
 
 
 def validate_content(content: bytes) -> list[str]:
@@ -159,7 +161,11 @@
     _refuse_empty_changes(document, report)
     if report.count:
         return Failure(report.problems)
-    return Success(_build_configuration(fields))
+    configuration = _build_configuration(fields)
+    _check_size(configuration, report)
+    if report.count:
+        return Failure(report.problems)
+    return Success(configuration)
 
 
 def _build_configuration(fields: dict[str, Any]) -> Configuration:
@@ -176,6 +182,18 @@
     )
 
 
+def _check_size(configuration: Configuration, report: Report) -> None:
+    """Makes sure that what is accepted can be rendered and sent again."""
+    nodes = count_nodes(build_document(configuration))
+    if nodes > MAX_NODES:
+        report.add('', f'expected at most {MAX_NODES} values, got {nodes}')
+    size = len(encode_configuration(configuration))
+    if size > MAX_CONTENT_BYTES:
+        report.add(
+            '', f'expected at most {MAX_CONTENT_BYTES} bytes, got {size}'
+        )
+
+
 def _read_services(document: object) -> dict[object, list[object]]:
     """Returns the hosts by service, as far as a document holds them."""
     return {
--- a/packages/bilberry_core/bilberry_core/document.py
+++ b/packages/bilberry_core/bilberry_core/document.py
@@ -1,7 +1,7 @@
-"""Loads YAML documents that people wrote, within bounds.
+"""Loads YAML documents that people wrote, within bounds, and renders them.
 
-Duplicate keys, aliases, explicit tags, deep nesting and large files are
-refused before a document is built, so its cost is bounded by its length.
+Duplicate keys, aliases, explicit tags, deep nesting, long values and large
+files are refused before a document is built, so that its cost is bounded.
 """
 
 from collections.abc import Iterator
@@ -15,16 +15,22 @@
     ScalarEvent,
     YAMLError,
 )
+from yaml import dump as dump_yaml
 from yaml import load as load_yaml
 from yaml import parse as parse_yaml
 
 try:
+    from yaml import CSafeDumper as SafeDumper
     from yaml import CSafeLoader as SafeLoader
 except ImportError:
-    from yaml import SafeLoader
+    from yaml import SafeDumper, SafeLoader
 
 #: Largest document, in bytes.
-MAX_DOCUMENT_BYTES = 1 << 20
+MAX_DOCUMENT_BYTES = 2 << 20
+#: Most keys, values, lists and mappings of a document.
+MAX_NODES = 100_000
+#: Longest key or value, in characters.
+MAX_SCALAR_LENGTH = 1024
 #: Deepest nesting of mappings and lists.
 MAX_DEPTH = 8
 
@@ -53,25 +59,57 @@
         return Failure(f'expected YAML: {_describe(error)}')
 
 
+def render_document(document: object) -> str:
+    """Returns a document as YAML that `load_document` reads back."""
+    return dump_yaml(
+        document,
+        Dumper=SafeDumper,
+        sort_keys=False,
+        allow_unicode=True,
+    )
+
+
+def count_nodes(document: object) -> int:
+    """Returns how many keys, values, lists and mappings a document has."""
+    if isinstance(document, dict):
+        return 1 + len(document) + sum(map(count_nodes, document.values()))
+    if isinstance(document, list):
+        return 1 + sum(map(count_nodes, document))
+    return 1
+
+
 def _check_events(text: str) -> None:
     depth = 0
+    nodes = 0
     for event in parse_yaml(text, Loader=SafeLoader):
-        if isinstance(event, CollectionStartEvent):
-            depth += 1
-        elif isinstance(event, CollectionEndEvent):
+        if isinstance(event, CollectionEndEvent):
             depth -= 1
-        if depth > MAX_DEPTH:
-            raise _DocumentError(f'nested deeper than {MAX_DEPTH}')
-        _check_event(event)
+        elif isinstance(event, AliasEvent):
+            raise _DocumentError(f'alias "{event.anchor}" is not allowed')
+        elif isinstance(event, (ScalarEvent, CollectionStartEvent)):
+            depth += isinstance(event, CollectionStartEvent)
+            nodes += 1
+            _check_node(event)
+            _check_bounds(depth, nodes)
 
 
-def _check_event(event: object) -> None:
-    if isinstance(event, AliasEvent):
-        raise _DocumentError(f'alias "{event.anchor}" is not allowed')
-    if not isinstance(event, (ScalarEvent, CollectionStartEvent)):
-        return
+def _check_bounds(depth: int, nodes: int) -> None:
+    if depth > MAX_DEPTH:
+        raise _DocumentError(f'nested deeper than {MAX_DEPTH}')
+    if nodes > MAX_NODES:
+        raise _DocumentError(f'more than {MAX_NODES} keys and values')
+
+
+def _check_node(event: ScalarEvent | CollectionStartEvent) -> None:
     if event.tag is not None:
         raise _DocumentError(f'tag "{event.tag}" is not allowed')
+    if isinstance(event, CollectionStartEvent):
+        return
+    if len(event.value) > MAX_SCALAR_LENGTH:
+        line = event.start_mark.line + 1
+        raise _DocumentError(
+            f'value of more than {MAX_SCALAR_LENGTH} characters at line {line}',
+        )
 
 
 def _refuse_duplicates(node: MappingNode) -> None:
--- a/packages/bilberry_core/bilberry_core/scalar.py
+++ b/packages/bilberry_core/bilberry_core/scalar.py
@@ -18,6 +18,8 @@
 
 #: Highest TCP port.
 MAX_PORT = 65535
+#: Longest text of a person, in characters.
+MAX_LINE_LENGTH = 500
 _MAX_HOST_LENGTH = 253
 _NAME = compile_pattern(r'[a-z0-9]([a-z0-9_.-]{0,61}[a-z0-9])?')
 _HOST = compile_pattern(
@@ -25,7 +27,7 @@
     r'(\.[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?)*',
 )
 _METHOD = compile_pattern("[A-Z][A-Z0-9!#$%&'*+.^_`|~-]{0,31}")
-_PATH_PREFIX = compile_pattern(r'(/[!-~]{0,1023})?')
+_PATH_PREFIX = compile_pattern(r'(/[!-~]{0,499})?')
 _PERCENT = compile_pattern('([0-9]{1,3})%')
 _PORT = compile_pattern('[0-9]{1,5}')
 _MAX_PERCENT = 100
@@ -70,12 +72,13 @@
 
 def parse_line(found: object) -> Result[str, str]:
     """Returns a text that is not blank, without blanks around it."""
-    expected = 'a text that is not blank'
     if not isinstance(found, str) or not found.strip():
+        return _expect('a text that is not blank', found)
+    text = found.strip()
+    if len(text) > MAX_LINE_LENGTH or not text.isprintable():
+        expected = f'one line of at most {MAX_LINE_LENGTH} printable characters'
         return _expect(expected, found)
-    if not found.replace('\n', ' ').strip().isprintable():
-        return _expect('a text of printable characters', found)
-    return Success(found.strip())
+    return Success(text)
 
 
 def parse_address(found: object) -> Result[Address, str]:
--- a/packages/bilberry_core/bilberry_core/settings_file.py
+++ b/packages/bilberry_core/bilberry_core/settings_file.py
@@ -4,15 +4,13 @@
 read from the files that it names, relative to the settings file.
 """
 
-from collections.abc import Callable
 from enum import StrEnum
 from pathlib import Path
 from typing import Any
 
 from returns.result import Failure, Result, Success
 
-from bilberry_core.document import load_document
-from bilberry_core.endpoint import Address
+from bilberry_core.document import MAX_DOCUMENT_BYTES, load_document
 from bilberry_core.problem import Problem, Report
 from bilberry_core.scalar import (
     parse_address,
@@ -29,11 +27,14 @@
     Settings,
     TimingSettings,
 )
+from bilberry_core.settings_rules import check_rules, collect_facts
+from bilberry_core.text_file import read_text_file
 
 #: Shortest secret of a fleet and shortest token, in characters.
 MIN_SECRET_LENGTH = 16
 _MAX_SECRET_BYTES = 4096
 _LONGEST_TIMING_MS = 3_600_000
+_PATHS = ('data_folder', 'log_file')
 
 
 class LogLevel(StrEnum):
@@ -74,7 +75,8 @@
         'level': Option('log_level', Scalar(parse_choice(LogLevel))),
     },
 )
-_TIMINGS = Section(
+#: The section `timing`.
+TIMINGS = Section(
     TimingSettings,
     {
         name.removesuffix('_ms'): Option(name, _TIMING)
@@ -103,20 +105,17 @@
         'relays': Option('relays', ListOf(_PEER)),
         'statsd': Option('statsd', _ADDRESS),
         'log': Option('log', _LOG),
-        'timing': Option('timing', _TIMINGS),
+        'timing': Option('timing', TIMINGS),
     },
 )
 
 
 def load_settings(path: str) -> Result[Settings, tuple[Problem, ...]]:
     """Returns the settings that a file holds, or everything wrong with it."""
-    report = Report(path)
-    try:
-        text = Path(path).read_text(encoding='utf-8')
-    except (OSError, ValueError) as error:
-        report.add('', f'expected a readable file: {error}')
-        return Failure(report.problems)
-    return parse_settings(text, path)
+    text = read_text_file(Path(path), MAX_DOCUMENT_BYTES)
+    if isinstance(text, Failure):
+        return Failure((Problem(path, '', text.failure()),))
+    return parse_settings(text.unwrap(), path)
 
 
 def parse_settings(
@@ -129,111 +128,57 @@
     if isinstance(document, Failure):
         report.add('', document.failure())
         return Failure(report.problems)
-    fields = SETTINGS.read(document.unwrap(), '', report)
-    if fields is not None:
-        fields.update(fields.pop('log', {}))
-        _check_together(fields, report)
-        _read_files(fields, Path(path).parent, report)
-    if report.problems:
+    content = document.unwrap()
+    fields = SETTINGS.read(content, '', report)
+    if isinstance(content, dict):
+        _check_together(content, report)
+        secrets = _read_secrets(content, Path(path).parent, report)
+    if report.count:
         return Failure(report.problems)
-    fields['roles'] = frozenset(fields['roles'])
-    return Success(Settings(**fields))
+    return Success(_build_settings(fields | secrets, Path(path).parent))
+
 
+def _check_together(content: dict[object, Any], report: Report) -> None:
+    timing = TIMINGS.read(content.get('timing', {}), '', Report(''))
+    check_rules(collect_facts(content, timing), report)
 
-def _check_together(fields: dict[str, Any], report: Report) -> None:
-    for key, expected, is_met in _RULES:
-        if not is_met(fields):
-            report.add(key, f'expected {expected}')
 
+def _read_secrets(
+    content: dict[object, Any],
+    folder: Path,
+    report: Report,
+) -> dict[str, str]:
+    return {
+        field: _read_secret(folder / content[key], key, report)
+        for field, key in (('secret', 'secret_file'), ('token', 'token_file'))
+        if isinstance(content.get(key), str)
+    }
 
-def _read_files(fields: dict[str, Any], folder: Path, report: Report) -> None:
-    if 'data_folder' in fields:
-        fields['data_folder'] = str(folder / fields['data_folder'])
-    if 'log_file' in fields:
-        fields['log_file'] = str(folder / fields['log_file'])
-    secret = _read_secret(folder / fields['secret'], 'secret_file', report)
-    fields['secret'] = secret.encode()
-    if 'token' in fields:
-        token_file = folder / fields['token']
-        fields['token'] = _read_secret(token_file, 'token_file', report)
+
+def _build_settings(fields: dict[str, Any], folder: Path) -> Settings:
+    fields |= fields.pop('log', {})
+    for name in _PATHS:
+        if name in fields:
+            fields[name] = str(folder / fields[name])
+    fields['roles'] = frozenset(fields['roles'])
+    fields['secret'] = fields['secret'].encode()
+    return Settings(**fields)
 
 
 def _read_secret(path: Path, key: str, report: Report) -> str:
-    try:
-        with path.open('rb') as opened:
-            secret = opened.read(_MAX_SECRET_BYTES + 1)
-    except OSError as error:
-        report.add(key, f'expected a readable file: {error}')
+    found = read_text_file(path, _MAX_SECRET_BYTES)
+    if isinstance(found, Failure):
+        report.add(key, f'{path}: {found.failure()}')
         return ''
-    text = secret.decode('ascii', errors='replace').strip()
-    if len(secret) > _MAX_SECRET_BYTES or not text.isascii():
-        report.add(key, f'expected at most {_MAX_SECRET_BYTES} ASCII bytes')
-    elif len(text) < MIN_SECRET_LENGTH or not text.isprintable():
+    secret = found.unwrap().strip()
+    if len(secret) < MIN_SECRET_LENGTH or not _is_plain(secret):
         report.add(
             key,
-            f'expected a file with at least {MIN_SECRET_LENGTH} characters',
+            f'{path}: expected {MIN_SECRET_LENGTH} or more printable ASCII'
+            ' characters on one line',
         )
-    return text
-
-
-def _has_role(fields: dict[str, Any], role: Role) -> bool:
-    return role in fields['roles']
+    return secret
 
 
-def _is_listed(fields: dict[str, Any], role: Role, key: str) -> bool:
-    if not _has_role(fields, role):
-        return True
-    return any(
-        peer.instance == fields['instance'] for peer in fields.get(key, ())
-    )
-
-
-def _listens(fields: dict[str, Any], address: Address | None) -> bool:
-    return not _has_role(fields, Role.PROXY) or address is not None
-
-
-def _differ(fields: dict[str, Any], key: str) -> bool:
-    names = [peer.instance for peer in fields.get(key, ())]
-    return len(names) == len(set(names))
-
-
-_RULES: tuple[tuple[str, str, Callable[[dict[str, Any]], bool]], ...] = (
-    ('roles', 'at least one role', lambda fields: bool(fields['roles'])),
-    (
-        'data_folder',
-        'a folder, which role replica needs',
-        lambda fields: (
-            not _has_role(fields, Role.REPLICA) or 'data_folder' in fields
-        ),
-    ),
-    (
-        'listen.callers',
-        'an address, which role proxy needs',
-        lambda fields: _listens(fields, fields['listen'].callers),
-    ),
-    (
-        'listen.upstream',
-        'an address, which role proxy needs',
-        lambda fields: _listens(fields, fields['listen'].upstream),
-    ),
-    (
-        'replicas',
-        'this instance among them, which has role replica',
-        lambda fields: _is_listed(fields, Role.REPLICA, 'replicas'),
-    ),
-    (
-        'replicas',
-        'instances that differ',
-        lambda fields: _differ(fields, 'replicas'),
-    ),
-    (
-        'relays',
-        'this instance among them, which has role relay',
-        lambda fields: _is_listed(fields, Role.RELAY, 'relays'),
-    ),
-    (
-        'relays',
-        'instances that differ',
-        lambda fields: _differ(fields, 'relays'),
-    ),
-)
+def _is_plain(secret: str) -> bool:
+    return secret.isascii() and secret.isprintable()
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/settings_rules.py
@@ -0,0 +1,146 @@
+"""Rules between the keys of a settings file.
+
+They look at the document itself, so that they are told together with the
+problems of single keys. The table `RULES` lists them.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from bilberry_core.problem import Report
+from bilberry_core.settings import Role, TimingSettings
+
+_REPLICAS = 'replicas'
+_RELAYS = 'relays'
+
+
+class PeerNames(NamedTuple):
+    """The names of a peer, as far as they are given."""
+
+    instance: object
+    failure_domain: object
+
+
+class Facts(NamedTuple):
+    """What the rules look at.
+
+    `given`
+        The keys that are there, with their section, as `listen.callers`.
+    `peers`
+        The peers in `replicas` and `relays`.
+    `timing`
+        None where it has problems of its own.
+    """
+
+    itself: PeerNames
+    roles: tuple[object, ...]
+    given: frozenset[str]
+    peers: dict[str, tuple[PeerNames, ...]]
+    timing: TimingSettings | None
+
+    def has_role(self, role: Role) -> bool:
+        """Tells whether the daemon has a role."""
+        return role in self.roles
+
+
+class Rule(NamedTuple):
+    """One rule: where it is told, what it expects, and its check."""
+
+    key: str
+    expected: str
+    is_met: Callable[[Facts], bool]
+
+
+def check_rules(facts: Facts, report: Report) -> None:
+    """Reports every rule that is not met."""
+    for rule in RULES:
+        if not rule.is_met(facts):
+            report.add(rule.key, f'expected {rule.expected}')
+
+
+def collect_facts(
+    document: dict[object, Any],
+    timing: TimingSettings | None,
+) -> Facts:
+    """Returns the facts of a document whatever else is wrong with it."""
+    roles = document.get('roles')
+    return Facts(
+        itself=_read_names(document),
+        roles=tuple(roles) if isinstance(roles, list) else (),
+        given=_collect_keys(document),
+        peers={
+            key: _read_peers(document.get(key)) for key in (_REPLICAS, _RELAYS)
+        },
+        timing=timing,
+    )
+
+
+def _collect_keys(document: dict[object, Any]) -> frozenset[str]:
+    keys = {str(key) for key in document}
+    listen = document.get('listen')
+    if isinstance(listen, dict):
+        keys |= {f'listen.{key}' for key in listen}
+    return frozenset(keys)
+
+
+def _read_peers(found: object) -> tuple[PeerNames, ...]:
+    peers = found if isinstance(found, list) else []
+    return tuple(_read_names(peer) for peer in peers if isinstance(peer, dict))
+
+
+def _read_names(found: dict[object, Any]) -> PeerNames:
+    return PeerNames(found.get('instance'), found.get('failure_domain'))
+
+
+def _needs(role: Role, key: str) -> Rule:
+    return Rule(
+        key,
+        f'a value, which role {role} needs',
+        lambda facts: not facts.has_role(role) or key in facts.given,
+    )
+
+
+def _lists_itself(role: Role, key: str) -> Rule:
+    return Rule(
+        key,
+        f'this instance and its failure domain, for it has role {role}',
+        lambda facts: (
+            not facts.has_role(role) or facts.itself in facts.peers[key]
+        ),
+    )
+
+
+def _differ(key: str) -> Rule:
+    def check(facts: Facts) -> bool:
+        names = [str(peer.instance) for peer in facts.peers[key]]
+        return len(names) == len(set(names))
+
+    return Rule(key, 'instances that differ', check)
+
+
+def _longer(key: str, other: str) -> Rule:
+    def check(facts: Facts) -> bool:
+        if facts.timing is None:
+            return True
+        longer_ms = getattr(facts.timing, f'{key}_ms')
+        return longer_ms > getattr(facts.timing, f'{other}_ms')
+
+    return Rule(f'timing.{key}', f'a longer time than timing.{other}', check)
+
+
+#: Every rule, in the order in which they are told.
+RULES = (
+    Rule('roles', 'at least one role', lambda facts: bool(facts.roles)),
+    _needs(Role.REPLICA, 'data_folder'),
+    _needs(Role.PROXY, 'listen.callers'),
+    _needs(Role.PROXY, 'listen.upstream'),
+    _needs(Role.PROXY, _RELAYS),
+    _needs(Role.RELAY, _REPLICAS),
+    _lists_itself(Role.REPLICA, _REPLICAS),
+    _lists_itself(Role.RELAY, _RELAYS),
+    _differ(_REPLICAS),
+    _differ(_RELAYS),
+    _longer('election', 'heartbeat'),
+    _longer('stale', 'beacon'),
+    _longer('lease', 'renew'),
+)
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/text_file.py
@@ -0,0 +1,29 @@
+"""Reads small text files that people name, within a bound.
+
+Only regular files are read: opening a named pipe would wait for a writer.
+"""
+
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+
+def read_text_file(path: Path, max_bytes: int) -> Result[str, str]:
+    """Returns the text of a file in UTF-8, or why it can't be used."""
+    try:
+        if not path.is_file():
+            return Failure('expected a regular file, there is none')
+        with path.open('rb') as opened:
+            encoded = opened.read(max_bytes + 1)
+    except (OSError, ValueError) as error:
+        return Failure(f'expected a readable file: {_describe(error)}')
+    if len(encoded) > max_bytes:
+        return Failure(f'expected a file of at most {max_bytes} bytes')
+    try:
+        return Success(encoded.decode())
+    except UnicodeDecodeError as error:
+        return Failure(f'expected UTF-8, found another byte at {error.start}')
+
+
+def _describe(error: Exception) -> str:
+    return getattr(error, 'strerror', None) or str(error)
--- a/packages/bilberry_operators/bilberry_operators/configuration_resource.py
+++ b/packages/bilberry_operators/bilberry_operators/configuration_resource.py
@@ -26,6 +26,7 @@
     parse_configuration,
     render_configuration,
 )
+from bilberry_core.document import MAX_DOCUMENT_BYTES
 from bilberry_core.http import Headers, HttpRequest, HttpResponse
 from bilberry_operators.answer import (
     RefusedError,
@@ -65,8 +66,12 @@
         current = await self._read_current()
         if current is None:
             return _render(call.request, Configuration(), build_etag(0))
-        etag = build_etag(current.version)
-        return _render(call.request, current.configuration, etag)
+        return await to_thread(
+            _render,
+            call.request,
+            current.configuration,
+            build_etag(current.version),
+        )
 
     async def replace(self, call: Call) -> HttpResponse:
         """Offers the configuration in the body as the next version."""
@@ -156,6 +161,12 @@
 
 
 def _read_body(request: HttpRequest) -> bytes:
+    if len(request.body) > MAX_DOCUMENT_BYTES:
+        raise RefusedError(
+            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            'too_large',
+            f'expected at most {MAX_DOCUMENT_BYTES} bytes',
+        )
     text = request.body.decode('utf-8', errors='replace')
     parsed = parse_configuration(text, 'configuration')
     if isinstance(parsed, Failure):
--- a/packages/bilberryctl/bilberryctl/local_file.py
+++ b/packages/bilberryctl/bilberryctl/local_file.py
@@ -7,6 +7,8 @@
 
 from bilberry_core.configuration import Configuration
 from bilberry_core.configuration_file import parse_configuration
+from bilberry_core.document import MAX_DOCUMENT_BYTES
+from bilberry_core.text_file import read_text_file
 from bilberryctl.exit_code import ExitCode
 from bilberryctl.outcome import Outcome, fail, succeed
 
@@ -20,10 +22,11 @@
 
 def read_configuration(path: str) -> LocalFile | Outcome:
     """Returns the file, or the outcome that tells everything wrong."""
-    try:
-        text = Path(path).read_text(encoding='utf-8')
-    except (OSError, ValueError) as error:
-        return fail(ExitCode.REFUSED, 'unreadable_file', f'{path}: {error}')
+    found = read_text_file(Path(path), MAX_DOCUMENT_BYTES)
+    if isinstance(found, Failure):
+        detail = f'{path}: {found.failure()}'
+        return fail(ExitCode.REFUSED, 'unreadable_file', detail)
+    text = found.unwrap()
     parsed = parse_configuration(text, path)
     if isinstance(parsed, Failure):
         problems = parsed.failure()
--- a/packages/bilberryctl/bilberryctl/session.py
+++ b/packages/bilberryctl/bilberryctl/session.py
@@ -11,6 +11,7 @@
 from bilberry_core.endpoint import Address
 from bilberry_core.http import HttpRequest, HttpResponse
 from bilberry_core.scalar import parse_address
+from bilberry_core.text_file import read_text_file
 from bilberry_core.unit import parse_duration_ms
 from bilberryctl.client import OperatorsClient, Reply
 from bilberryctl.exit_code import ExitCode
@@ -19,6 +20,7 @@
 _CODES = {409: ExitCode.REFUSED, 412: ExitCode.CONFLICT}
 _OUTPUTS = ('text', 'json')
 _FIRST_ERROR = 400
+_MAX_TOKEN_BYTES = 4096
 
 
 class CommonOptions(NamedTuple):
@@ -115,10 +117,10 @@
 def _read_token(token_file: str) -> str:
     if not token_file:
         return ''
-    try:
-        token = Path(token_file).read_text(encoding='ascii').strip()
-    except (OSError, ValueError) as error:
-        raise UsageError(f'--token-file: {error}') from error
-    if not token.isprintable():
+    found = read_text_file(Path(token_file), _MAX_TOKEN_BYTES)
+    if isinstance(found, Failure):
+        raise UsageError(f'--token-file: {token_file}: {found.failure()}')
+    token = found.unwrap().strip()
+    if not token.isascii() or not token.isprintable():
         raise UsageError(f'--token-file: {token_file} holds no token')
     return token
--- a/packages/bilberryctl/bilberryctl/text.py
+++ b/packages/bilberryctl/bilberryctl/text.py
@@ -1,7 +1,6 @@
 """Renders answers of the operators' interface for a person."""
 
-from yaml import safe_dump
-
+from bilberry_core.document import render_document
 from bilberryctl.outcome import Document
 
 
@@ -14,7 +13,7 @@
 def render_entry(document: Document) -> str:
     """Returns one version with its configuration."""
     configuration = document.get('configuration', {})
-    shown = safe_dump(configuration, sort_keys=False, allow_unicode=True)
+    shown = render_document(configuration)
     return f'# {_render_line(document)}\n{shown}'
 
 
--- a/tests/bilberry_core/test_settings_file.py
+++ b/tests/bilberry_core/test_settings_file.py
@@ -101,14 +101,24 @@
         self.assertIn('a duration such as 250ms', problems['timing.lease'])
 
     def test_role_needs_its_settings(self):
-        """A replica needs a data folder, a proxy its two listeners."""
+        """Rules between keys are told together with wrong keys."""
         problems = self.refuse(
-            GOOD.replace('data_folder: data', '')
+            GOOD.replace('data_folder: data', 'data_foldre: data')
             .replace('  callers: 127.0.0.1:7001\n', '')
-            .replace('  upstream: 127.0.0.1:7002\n', ''),
+            .replace('  upstream: 127.0.0.1:7002\n', '')
+            .replace('failure_domain: a}', 'failure_domain: b}')
+            .replace('lease: 7s', 'lease: 1s'),
         )
         self.assertEqual(
-            {'data_folder', 'listen.callers', 'listen.upstream'},
+            {
+                'data_folder',
+                'data_foldre',
+                'listen.callers',
+                'listen.upstream',
+                'replicas',
+                'relays',
+                'timing.lease',
+            },
             set(problems),
         )
 
