Judge requests that crash upstreams, and tell every failure's verdict

A crash names the requests in flight as suspects. A suspect runs alone, and is quarantined once two crashes have nothing but it in common. Counting crashes alone was ruled out: an innocent request that was sent again together with the cause is then refused (test_broken_rule_is_caught). Requests that have run without a crash at an upstream are not named there, so popular reads stay free.

Core gains, each at the end or with a default: UpstreamCrash and the board's `upstream_crash`, the failure code `upstream_crashed`, CallStart.suspect.

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -72,6 +72,17 @@
     expires_ms: int
 
 
+class UpstreamCrash(NamedTuple):
+    """The process of the upstream beside this daemon was found gone.
+
+    `address` is where it took requests, `crashed_ms` wall clock time in
+    milliseconds.
+    """
+
+    address: Address
+    crashed_ms: int
+
+
 class ReplicaStatus(NamedTuple):
     """What a replica knows of the replicated log and its role in it."""
 
@@ -135,6 +146,8 @@
         The endpoint of the upstream beside this daemon.
     `upstream_address`
         Where the upstream beside this daemon takes HTTP requests.
+    `upstream_crash`
+        The newest crash of that upstream.
     `endpoints`
         All endpoints known, by instance.
     `snapshot`
@@ -162,6 +175,7 @@
         self.accepted: Cell[AcceptedVersion | None] = Cell(None)
         self.own_endpoint: Cell[Endpoint | None] = Cell(None)
         self.upstream_address: Cell[Address | None] = Cell(None)
+        self.upstream_crash: Cell[UpstreamCrash | None] = Cell(None)
         self.endpoints: Cell[dict[str, Endpoint]] = Cell({})
         self.snapshot: Cell[Snapshot | None] = Cell(None)
         self.beacon: Cell[Beacon | None] = Cell(None)
--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -30,6 +30,7 @@
     """A request begins; `last` where its body is complete.
 
     `deadline_ms` is the time left, in milliseconds, when it was sent.
+    `suspect` requests were in flight at a crash and run alone.
     """
 
     call: int
@@ -42,6 +43,7 @@
     deadline_ms: int
     priority: Priority
     fingerprint: bytes = b''
+    suspect: bool = False
 
 
 @message(51)
--- a/packages/bilberry_core/bilberry_core/verdict.py
+++ b/packages/bilberry_core/bilberry_core/verdict.py
@@ -39,6 +39,7 @@
     CLAIM_TAKEN = 'claim_taken'
     BAD_REQUEST = 'bad_request'
     TOO_LARGE = 'too_large'
+    UPSTREAM_CRASHED = 'upstream_crashed'
 
 
 class Failure(NamedTuple):
--- a/packages/bilberry_proxy/bilberry_proxy/admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admission.py
@@ -115,6 +115,13 @@
                     return True
         return False
 
+    def clear(self) -> list[Ticket[Waiting]]:
+        """Removes and returns every call."""
+        tickets = [each for queue in self._queues.values() for each in queue]
+        for queue in self._queues.values():
+            queue.clear()
+        return tickets
+
     def pop_expired(self, now: float) -> list[Ticket[Waiting]]:
         """Removes every call that has waited for too long."""
         expired = []
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -62,8 +62,8 @@
     def free_slot_later(self, call: 'AdmittedCall') -> None:
         """The call's slot is free once its connection has ended."""
 
-    def now(self) -> float:
-        """Returns monotonic time, in seconds."""
+    def explain_broken(self, call: 'AdmittedCall', detail: str) -> None:
+        """Fails the call once it is known why its connection ended."""
 
 
 class AdmittedCall:
@@ -83,6 +83,7 @@
         self.deadline = deadline
         self.timer: Timer | None = None
         self.dispatched_at: float = 0
+        self.is_answered = False
         self._answers = answers
         self._host = host
         self._held: list[tuple[bytes, bool]] = []
@@ -139,7 +140,6 @@
         if self.progress is not Progress.CONNECTING:
             self._host.free_slot(self)
             return False
-        self.dispatched_at = self._host.now()
         try:
             connection.begin(_build_request(self), self)
         except LocalProtocolError as error:
@@ -183,7 +183,9 @@
         """Fails the call: the connection ended before the answer did."""
         if code is FailureCode.UPSTREAM_MALFORMED:
             self.progress = Progress.ANSWERED
-        self.fail(code, detail)
+            self.fail(code, detail)
+        else:
+            self._host.explain_broken(self, detail)
 
     def resume_request(self) -> None:
         """Lets the opener send more."""
@@ -208,6 +210,7 @@
 
     def _spend(self, size: int, last: bool) -> None:
         if last:
+            self.is_answered = True
             self._end()
             self._host.free_slot(self)
             return
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -5,27 +5,24 @@
 """
 
 from functools import partial
+from logging import getLogger
 
-from bilberry_core.board import Board, Phase
+from bilberry_core.board import Board, Phase, UpstreamCrash
 from bilberry_core.clock import MS_PER_S, Clock
-from bilberry_core.endpoint import Endpoint, EndpointState
+from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.messages.call import CallStart, Load
 from bilberry_core.verdict import FailureCode
 
-from bilberry_proxy.admission import (
-    MAX_AGE_S,
-    AdmissionQueue,
-    Ticket,
-    is_full,
-    is_hopeless,
-    suggest_retry_after_ms,
-)
 from bilberry_proxy.admitted_call import AdmittedCall, Progress
 from bilberry_proxy.call import AnswerReceiver
-from bilberry_proxy.slots import Slots
+from bilberry_proxy.crash_probe import CrashProbe
+from bilberry_proxy.suspicion import Suspicion
 from bilberry_proxy.timers import TimerWheel
 from bilberry_proxy.upstream_connection import UpstreamConnection
 from bilberry_proxy.upstream_pool import UpstreamPool
+from bilberry_proxy.waiting_line import Refused, WaitingLine
+
+_log = getLogger(__name__)
 
 #: Longest time that a call given up on keeps its slot, in seconds, while the
 #: upstream has not ended the connection.
@@ -43,58 +40,68 @@
 class Admitter:
     """Takes calls for the upstream beside this daemon."""
 
-    def __init__(self, board: Board, clock: Clock, timers: TimerWheel) -> None:
+    def __init__(
+        self,
+        board: Board,
+        clock: Clock,
+        timers: TimerWheel,
+        suspicion: Suspicion,
+    ) -> None:
         """Follows the endpoint that the upstream announces."""
         self._board = board
         self._clock = clock
         self._timers = timers
-        self._queue: AdmissionQueue[AdmittedCall] = AdmissionQueue()
+        self._suspicion = suspicion
+        self._line: WaitingLine[AdmittedCall] = WaitingLine()
         self._pool = UpstreamPool(self._connection_ended)
+        self._probe = CrashProbe(self._note_crash)
         self._lingering: dict[UpstreamConnection, AdmittedCall] = {}
-        self.slots = Slots()
         board.upstream_address.watch(self._pool.move)
         board.own_endpoint.watch(self._follow_endpoint)
 
     @property
     def outstanding(self) -> int:
         """How many calls have a slot."""
-        return self.slots.outstanding
-
-    def now(self) -> float:
-        """Returns monotonic time, in seconds."""
-        return self._clock.now()
+        return self._line.slots.outstanding
 
     def open(self, start: CallStart, answers: AnswerReceiver) -> AdmittedCall:
         """Admits a call, lets it wait or refuses it."""
         now = self._clock.now()
-        left_s = start.deadline_ms / MS_PER_S
-        call = AdmittedCall(start, answers, self, now + left_s)
+        deadline = now + start.deadline_ms / MS_PER_S
+        call = AdmittedCall(start, answers, self, deadline)
         refusal = _find_refusal(self._board, start.service)
         if refusal is not None:
             call.fail(*refusal, STATE_RETRY_AFTER_MS)
             return call
         call.timer = self._timers.schedule(
-            call.deadline,
+            deadline,
             partial(call.fail, FailureCode.DEADLINE, 'the time ran out'),
         )
-        if self.slots.has_room and not self._queue:
+        if self._suspicion.is_suspect(start.fingerprint, start.suspect):
+            self._shed(self._line.enter_suspect(call))
+            self._pump()
+        elif self._line.is_free:
+            self._line.slots.take()
             self._admit(call)
-            return call
-        self._enqueue(call, now)
+        else:
+            self._shed(self._line.enter(call, start.priority, now, deadline))
         return call
 
     def measure_load(self) -> Load:
         """Returns how busy the upstream is."""
-        return self.slots.measure_load(len(self._queue))
+        return self._line.slots.measure_load(len(self._line))
 
     def leave_queue(self, call: AdmittedCall) -> None:
         """Takes a call out of the queue."""
-        self._queue.remove(call)
+        self._line.leave(call)
 
     def free_slot(self, call: AdmittedCall) -> None:
         """Gives the slot of a call to the next one."""
-        began_at = call.dispatched_at
-        self.slots.free(self._clock.now() - began_at if began_at else 0)
+        latency_s: float = 0
+        if call.is_answered:
+            latency_s = self._clock.now() - call.dispatched_at
+            self._suspicion.clear(call.start.fingerprint)
+        self._line.end(call, latency_s)
         self._pump()
 
     def free_slot_later(self, call: AdmittedCall) -> None:
@@ -109,48 +116,55 @@
             connection.abort,
         )
 
+    def explain_broken(self, call: AdmittedCall, detail: str) -> None:
+        """Fails a call once it is known whether the upstream crashed."""
+        self._probe.add(call, detail, self._pool.address)
+
     def expire_waiting(self) -> None:
         """Sheds every call that has waited for too long."""
-        for ticket in self._queue.pop_expired(self._clock.now()):
-            self._shed(ticket.waiting, 'the wait for a slot was too long')
+        for refused in self._line.shed_expired(self._clock.now()):
+            self._shed(refused)
 
     def close(self) -> None:
         """Ends every connection that serves no request."""
         self._pool.close_idle()
 
-    def _enqueue(self, call: AdmittedCall, now: float) -> None:
-        priority = call.start.priority
-        occupancy = self.slots.measure_occupancy(len(self._queue))
-        if is_full(occupancy):
-            evicted = self._queue.evict_below(priority)
-            if evicted is None:
-                self._shed(call, 'the queue is full')
-                return
-            self._shed(evicted.waiting, 'a call of higher priority came')
-        age_s = min(MAX_AGE_S[priority], call.deadline - now)
-        ahead = self._queue.count_ahead(priority)
-        if is_hopeless(occupancy, ahead, age_s):
-            self._shed(call, 'the wait for a slot would be too long')
-            return
-        self._queue.push(Ticket(call, priority, now + age_s))
-
-    def _shed(self, call: AdmittedCall, detail: str) -> None:
-        retry_after_ms = suggest_retry_after_ms(
-            self.slots.measure_occupancy(len(self._queue))
-        )
-        call.fail(FailureCode.OVERLOADED, detail, retry_after_ms)
+    def _shed(self, refused: Refused[AdmittedCall] | None) -> None:
+        if refused is not None:
+            refused.call.fail(
+                FailureCode.OVERLOADED,
+                refused.detail,
+                refused.retry_after_ms,
+            )
 
     def _admit(self, call: AdmittedCall) -> None:
-        self.slots.take()
         call.progress = Progress.CONNECTING
+        call.dispatched_at = self._clock.now()
         self._pool.seek(call)
 
     def _pump(self) -> None:
-        while self.slots.has_room:
-            ticket = self._queue.pop()
-            if ticket is None:
-                return
-            self._admit(ticket.waiting)
+        call = self._line.take_next()
+        while call is not None:
+            self._admit(call)
+            call = self._line.take_next()
+
+    def _note_crash(self, address: Address, calls: list[AdmittedCall]) -> None:
+        named = [
+            call
+            for call in calls
+            if not self._suspicion.is_cleared(call.start.fingerprint)
+        ]
+        fingerprints = [call.start.fingerprint for call in named]
+        own = self._board.own_endpoint.value
+        self._suspicion.name(fingerprints, own)
+        crash = UpstreamCrash(address, self._clock.wall_ms())
+        self._board.upstream_crash.put(crash)
+        _log.warning(
+            'upstream_crashed',
+            extra={'in_flight': len(calls), 'suspects': len(named)},
+        )
+        for call in named:
+            call.fail(FailureCode.UPSTREAM_CRASHED, 'the upstream crashed')
 
     def _connection_ended(self, connection: UpstreamConnection) -> None:
         call = self._lingering.pop(connection, None)
@@ -158,18 +172,16 @@
             self.free_slot(call)
 
     def _follow_endpoint(self, own: Endpoint | None) -> None:
-        self.slots.resize(own)
+        self._line.slots.resize(own)
         if own is None or own.state not in _REFUSED_STATES:
             return
         self._pool.close_idle()
-        ticket = self._queue.pop()
-        while ticket is not None:
-            ticket.waiting.fail(
+        for call in self._line.clear():
+            call.fail(
                 _REFUSED_STATES[own.state],
                 f'the upstream is {own.state.value}',
                 STATE_RETRY_AFTER_MS,
             )
-            ticket = self._queue.pop()
 
 
 def _find_refusal(board: Board, service: str) -> tuple[FailureCode, str] | None:
--- a/packages/bilberry_proxy/bilberry_proxy/announcement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -12,7 +12,7 @@
 from msgspec import ValidationError
 from msgspec.json import decode as decode_json
 
-from bilberry_core.board import Board, Phase
+from bilberry_core.board import Board, Phase, UpstreamCrash
 from bilberry_core.clock import MS_PER_S, Clock
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.http import HttpRequest, HttpResponse, serve_http
@@ -43,6 +43,7 @@
         self._heard_at = clock.now()
         self._server: Server | None = None
         board.phase.watch(self._follow_phase)
+        board.upstream_crash.watch(self._follow_crash)
 
     @classmethod
     def from_settings(
@@ -112,6 +113,12 @@
         state = announced.state
         if self._board.phase.value in {Phase.DRAINING, Phase.STOPPED}:
             state = EndpointState.DRAINING
+        if known is not None and known.state is EndpointState.GONE:
+            # Another process of the upstream: a crash of it is another one.
+            self._incarnation = max(
+                self._incarnation + 1,
+                self._clock.wall_ms(),
+            )
         record = Endpoint(
             instance=self._settings.instance,
             incarnation=self._incarnation,
@@ -143,6 +150,11 @@
         if phase in {Phase.DRAINING, Phase.STOPPED}:
             self._put_state(EndpointState.DRAINING)
 
+    def _follow_crash(self, crash: UpstreamCrash | None) -> None:
+        if crash is None or crash.address != self._board.upstream_address.value:
+            return
+        self._put_state(EndpointState.GONE)
+
     def _put_state(self, state: EndpointState) -> None:
         known = self._board.own_endpoint.value
         if known is None or known.state in {state, EndpointState.GONE}:
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/call_streams.py
@@ -0,0 +1,62 @@
+"""The streams for calls to other daemons, one for each."""
+
+from typing import Self
+
+from bilberry_core.endpoint import Address, Endpoint
+from bilberry_core.snapshot import Snapshot
+from bilberry_core.stream import Credentials
+
+from bilberry_proxy.call import CallTarget
+from bilberry_proxy.call_stream import CallStream, Dialer, build_dialer
+
+
+class CallStreams:
+    """Finds where calls to an endpoint are opened."""
+
+    def __init__(
+        self,
+        instance: str,
+        own_target: CallTarget,
+        dialer: Dialer,
+    ) -> None:
+        """Opens calls to `instance` at `own_target`, without a stream."""
+        self._instance = instance
+        self._own_target = own_target
+        self._dialer = dialer
+        self._streams: dict[Address, CallStream] = {}
+
+    @classmethod
+    def from_credentials(
+        cls,
+        credentials: Credentials,
+        own_target: CallTarget,
+    ) -> Self:
+        """Builds the streams of the daemon that the credentials name."""
+        return cls(credentials.instance, own_target, build_dialer(credentials))
+
+    def find_target(self, endpoint: Endpoint) -> CallTarget:
+        """Returns the target of the daemon beside an endpoint."""
+        if endpoint.instance == self._instance:
+            return self._own_target
+        stream = self._streams.get(endpoint.address)
+        if stream is None:
+            stream = CallStream(endpoint.address, self._dialer)
+            self._streams[endpoint.address] = stream
+        return stream
+
+    def close_unused(self, snapshot: Snapshot) -> None:
+        """Ends the idle streams to daemons that no route leads to."""
+        present = {
+            endpoint.address
+            for route in snapshot.routes.values()
+            for endpoint in route.endpoints
+        }
+        for address, stream in tuple(self._streams.items()):
+            if address not in present and stream.is_idle:
+                stream.close()
+                del self._streams[address]
+
+    def close(self) -> None:
+        """Ends every stream."""
+        for stream in self._streams.values():
+            stream.close()
--- a/packages/bilberry_proxy/bilberry_proxy/context.py
+++ b/packages/bilberry_proxy/bilberry_proxy/context.py
@@ -12,6 +12,7 @@
 from bilberry_proxy.call import CallTarget
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
+from bilberry_proxy.suspicion import Suspicion
 from bilberry_proxy.timers import TimerWheel
 
 
@@ -35,6 +36,7 @@
     timers: TimerWheel
     router: Router
     interest: ServiceInterest
+    suspicion: Suspicion
     find_target: TargetFinder
     metrics: Metrics
     claims: Claims | None
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -7,7 +7,7 @@
 from bilberry_core.board import Board, Phase
 from bilberry_core.claim import Claims
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
-from bilberry_core.endpoint import Address, Endpoint
+from bilberry_core.endpoint import Address
 from bilberry_core.handshake import Purpose
 from bilberry_core.metric import Metrics
 from bilberry_core.settings import Settings
@@ -15,14 +15,14 @@
 from bilberry_core.stream import Credentials, StreamListener
 
 from bilberry_proxy.admitter import Admitter
-from bilberry_proxy.call import CallTarget
 from bilberry_proxy.call_server import CallServer
-from bilberry_proxy.call_stream import CallStream, Dialer, build_dialer
+from bilberry_proxy.call_streams import CallStreams
 from bilberry_proxy.caller_connection import CallerConnection
 from bilberry_proxy.context import ProxyContext
 from bilberry_proxy.exchange import Exchange
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
+from bilberry_proxy.suspicion import Suspicion
 from bilberry_proxy.timers import TICK_S, TimerWheel
 
 _log = getLogger(__name__)
@@ -38,14 +38,13 @@
         self,
         settings: Settings,
         board: Board,
-        dialer: Dialer,
+        credentials: Credentials,
         clock: Clock,
         random: RandomSource,
     ) -> None:
         """Starts without listening."""
         self._settings = settings
         self._board = board
-        self._dialer = dialer
         self._clock = clock
         self._timers = TimerWheel(clock.now())
         self._router = Router(
@@ -54,9 +53,18 @@
             clock,
             random,
         )
-        self._admitter = Admitter(board, clock, self._timers)
+        self._suspicion = Suspicion(board, clock)
+        self._admitter = Admitter(
+            board,
+            clock,
+            self._timers,
+            self._suspicion,
+        )
         self._calls = CallServer(self._admitter)
-        self._streams: dict[Address, CallStream] = {}
+        self._streams = CallStreams.from_credentials(
+            credentials,
+            self._admitter,
+        )
         self._connections: set[CallerConnection] = set()
         self._server: Server | None = None
         self._context: ProxyContext | None = None
@@ -75,8 +83,7 @@
         claims: Claims | None,
     ) -> Self:
         """Builds the controller of one daemon."""
-        dialer = build_dialer(credentials)
-        controller = cls(settings, board, dialer, clock, random)
+        controller = cls(settings, board, credentials, clock, random)
         controller._context = ProxyContext(
             board,
             clock,
@@ -84,7 +91,8 @@
             controller._timers,
             controller._router,
             ServiceInterest(board),
-            controller._find_target,
+            controller._suspicion,
+            controller._streams.find_target,
             metrics,
             claims,
             set(),
@@ -147,8 +155,7 @@
             self._server.close()
         for connection in tuple(self._connections):
             connection.cut_answer()
-        for stream in self._streams.values():
-            stream.close()
+        self._streams.close()
         self._admitter.close()
 
     def _accept(self) -> CallerConnection:
@@ -159,15 +166,6 @@
     def _build_exchange(self, connection: CallerConnection) -> Exchange:
         return Exchange(self._context, connection)
 
-    def _find_target(self, endpoint: Endpoint) -> CallTarget:
-        if endpoint.instance == self._settings.instance:
-            return self._admitter
-        stream = self._streams.get(endpoint.address)
-        if stream is None:
-            stream = CallStream(endpoint.address, self._dialer)
-            self._streams[endpoint.address] = stream
-        return stream
-
     def _follow_snapshot(self, snapshot: Snapshot | None) -> None:
         if snapshot is None:
             return
@@ -179,15 +177,7 @@
         self._router.forget_gone(present)
 
     def _sweep(self) -> None:
+        self._suspicion.forget_expired()
         snapshot = self._board.snapshot.value
-        if snapshot is None:
-            return
-        present = {
-            endpoint.address
-            for route in snapshot.routes.values()
-            for endpoint in route.endpoints
-        }
-        for address, stream in tuple(self._streams.items()):
-            if address not in present and stream.is_idle:
-                stream.close()
-                del self._streams[address]
+        if snapshot is not None:
+            self._streams.close_unused(snapshot)
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -17,6 +17,7 @@
 from bilberry_proxy.decision_log import Outcome
 from bilberry_proxy.http_headers import RETRIED
 from bilberry_proxy.plan import Plan
+from bilberry_proxy.poison import Judgement
 from bilberry_proxy.request_body import RequestBody
 from bilberry_proxy.retry import AttemptState, decide_retry
 from bilberry_proxy.selection import Selection
@@ -114,12 +115,17 @@
         self._body.detach()
         route = plan.snapshot.routes[plan.service]
         router.note_failure(attempt.endpoint, route, failure)
+        suspicion = self._context.suspicion
+        if failure.code is FailureCode.UPSTREAM_CRASHED:
+            suspicion.name((self._fingerprint,), attempt.endpoint)
+        finding = suspicion.judge(self._fingerprint)
         state = AttemptState(
             plan.idempotent,
             self._body.is_replayable,
             attempt.began,
             plan.retries + 1 - len(self._outcome.tried),
             plan.deadline - self._context.clock.now(),
+            finding.judgement is Judgement.QUARANTINED,
         )
         budget = router.find_budget(plan.service)
         decision = decide_retry(failure, state, budget)
@@ -160,6 +166,7 @@
         headers = request.headers
         if self._outcome.tried or request.retried:
             headers = (*headers, _RETRIED_HEADER)
+        finding = self._context.suspicion.judge(self._fingerprint)
         left_ms = int((plan.deadline - now) * MS_PER_S)
         return CallStart(
             0,
@@ -172,6 +179,7 @@
             max(left_ms, 1),
             plan.decision.policy.priority,
             self._fingerprint,
+            finding.judgement > Judgement.CLEAR,
         )
 
     def _wait_for_endpoints(self) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -22,6 +22,7 @@
 from bilberry_proxy.decision_log import Outcome, log_decision
 from bilberry_proxy.dispatch import Dispatch
 from bilberry_proxy.plan import Plan, plan_request
+from bilberry_proxy.poison import Judgement, build_quarantined
 from bilberry_proxy.request_body import RequestBody
 from bilberry_proxy.timers import Timer
 
@@ -198,7 +199,11 @@
             plan.request.target,
             self._body.kept,
         )
-        if not plan.claimed:
+        finding = self._context.suspicion.judge(self._fingerprint)
+        if finding.judgement is Judgement.QUARANTINED:
+            now_ms = self._context.clock.wall_ms()
+            self.take_failure(build_quarantined(finding, now_ms))
+        elif not plan.claimed:
             self._dispatch.start(plan, self._fingerprint)
         elif self._body.is_whole:
             self._gate = ClaimGate(
--- a/packages/bilberry_proxy/bilberry_proxy/failure_answer.py
+++ b/packages/bilberry_proxy/bilberry_proxy/failure_answer.py
@@ -29,6 +29,7 @@
     FailureCode.UPSTREAM_UNREACHABLE: 502,
     FailureCode.UPSTREAM_CLOSED: 502,
     FailureCode.UPSTREAM_MALFORMED: 502,
+    FailureCode.UPSTREAM_CRASHED: 502,
     FailureCode.STREAM_LOST: 502,
     FailureCode.QUARANTINED: 429,
     FailureCode.CLAIM_UNAVAILABLE: 503,
--- a/packages/bilberry_proxy/bilberry_proxy/outlier.py
+++ b/packages/bilberry_proxy/bilberry_proxy/outlier.py
@@ -26,6 +26,7 @@
         FailureCode.UPSTREAM_UNREACHABLE,
         FailureCode.UPSTREAM_CLOSED,
         FailureCode.UPSTREAM_MALFORMED,
+        FailureCode.UPSTREAM_CRASHED,
         FailureCode.STREAM_LOST,
         FailureCode.DEADLINE,
         FailureCode.NO_ENDPOINT,
--- a/packages/bilberry_proxy/bilberry_proxy/retry.py
+++ b/packages/bilberry_proxy/bilberry_proxy/retry.py
@@ -54,6 +54,7 @@
     began: bool
     retries_left: int
     time_left_s: float
+    quarantined: bool = False
 
 
 class RetryDecision(NamedTuple):
@@ -83,6 +84,7 @@
         (state.began, 'the answer had begun'),
         (not may_run_again, 'it may have run and is not idempotent'),
         (failure.code in _FINAL_CODES, 'another endpoint would fail as well'),
+        (state.quarantined, 'it crashed two upstreams'),
         (failure.retried or state.retries_left <= 0, 'retries are spent'),
         (not state.replayable, 'the body is not at hand'),
         (state.time_left_s <= 0, 'no time is left'),
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/suspect_lane.py
@@ -0,0 +1,74 @@
+"""Lets suspects run alone at their upstream, one after the other."""
+
+from collections import deque
+from typing import Generic, TypeVar
+
+Waiting = TypeVar('Waiting')
+
+#: Suspects that may wait for their turn.
+MAX_SUSPECTS = 8
+
+
+class SuspectLane(Generic[Waiting]):
+    """Suspects that wait for an empty upstream, and the one that runs.
+
+    Between two suspects the other calls get one turn, so that suspects can't
+    hold an upstream for themselves.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._waiting: deque[Waiting] = deque()
+        self._running: Waiting | None = None
+        self._is_turn = True
+
+    @property
+    def is_active(self) -> bool:
+        """Whether a suspect waits or runs."""
+        return bool(self._waiting) or self._running is not None
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no further suspect may wait."""
+        return len(self._waiting) >= MAX_SUSPECTS
+
+    @property
+    def blocks_others(self) -> bool:
+        """Whether no other call may start now."""
+        if self._running is not None:
+            return True
+        return bool(self._waiting) and self._is_turn
+
+    def push(self, call: Waiting) -> None:
+        """Lets a suspect wait."""
+        self._waiting.append(call)
+
+    def start_next(self, outstanding: int) -> Waiting | None:
+        """Returns the suspect that may run now, if there is one."""
+        if not self.blocks_others or self._running is not None or outstanding:
+            return None
+        self._running = self._waiting.popleft()
+        return self._running
+
+    def end(self, call: Waiting) -> None:
+        """Ends the run of a suspect; other calls have their turn."""
+        if call is self._running:
+            self._running = None
+            self._is_turn = False
+
+    def end_others_turn(self) -> None:
+        """Ends the turn of the other calls."""
+        self._is_turn = True
+
+    def remove(self, call: Waiting) -> bool:
+        """Removes a suspect that waits, and tells whether it did."""
+        if call not in self._waiting:
+            return False
+        self._waiting.remove(call)
+        return True
+
+    def clear(self) -> list[Waiting]:
+        """Removes and returns every suspect that waits."""
+        waiting = list(self._waiting)
+        self._waiting.clear()
+        return waiting
--- a/tests/bilberry_proxy/fleet.py
+++ b/tests/bilberry_proxy/fleet.py
@@ -15,6 +15,7 @@
 from bilberry_core.endpoint import Address
 from bilberry_core.http import HttpRequest, HttpResponse, fetch
 from bilberry_core.metric import NullMetrics
+from bilberry_core.policy import CallPolicy
 from bilberry_core.settings import ListenSettings, Role, Settings
 from bilberry_core.snapshot import compile_snapshot
 from bilberry_core.stream import Credentials, StreamListener
@@ -90,7 +91,12 @@
         self.tasks.append(create_task(proxy.run()))
         upstream = None
         if options:
-            merged = {'daemon': daemon, 'service': SERVICE, **options}
+            merged = {
+                'daemon': daemon,
+                'service': SERVICE,
+                'exits': False,
+                **options,
+            }
             upstream = StandinUpstream(StandinOptions(**merged))
             await upstream.start()
         node = Node(board, proxy, announcements, listener, upstream, callers)
@@ -101,6 +107,14 @@
         self.spread()
         return node
 
+    def spread_suspects(self) -> None:
+        """Gives every node the suspects that any node has named."""
+        suspects = {}
+        for node in self.nodes:
+            suspects.update(node.board.suspects.value)
+        for node in self.nodes:
+            node.board.suspects.put(dict(suspects))
+
     def spread(self) -> None:
         """Gives every node a snapshot of all endpoints."""
         own = [node.board.own_endpoint.value for node in self.nodes]
@@ -148,3 +162,14 @@
         for name, text in {'host': SERVICE, **headers}.items()
     )
     return await fetch(node.callers, HttpRequest(method, target, sent, body), 9)
+
+
+async def until(condition) -> None:
+    """Waits, step by step of the event loop, until the condition holds."""
+    while not condition():
+        await sleep(0.001)
+
+
+def configure(**policy) -> Configuration:
+    """Returns a configuration with this default policy."""
+    return Configuration(CallPolicy(**policy), (Service(SERVICE),))
--- /dev/null
+++ b/tests/bilberry_proxy/test_failures.py
@@ -0,0 +1,292 @@
+"""Failures brought about through real sockets: the verdict is always true."""
+
+from asyncio import create_task, gather, run
+
+from testtools import TestCase
+
+from bilberry_core.board import Phase
+from bilberry_core.configuration import Configuration
+from tests.bilberry_proxy.fleet import call, configure, open_fleet, until
+
+UPSTREAM = {'slots': 2}
+CALLER_ONLY = {}
+
+
+def verdict(response) -> tuple[str, str]:
+    """Returns verdict and code of a failure."""
+    return (
+        response.get_header(b'bilberry-verdict'),
+        response.get_header(b'bilberry-code'),
+    )
+
+
+def count_runs(fleet) -> dict[str, int]:
+    """Returns how often each request ran on all upstreams."""
+    total: dict[str, int] = {}
+    for node in fleet.nodes:
+        if node.upstream is not None:
+            for name, runs in node.upstream.records.runs.items():
+                total[name] = total.get(name, 0) + runs
+    return total
+
+
+class VerdictTest(TestCase):
+    """What a caller is told of a request that failed."""
+
+    def test_post_that_was_cut_off_ran_once(self):
+        """An upstream that closes unanswered is no reason to send again."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, UPSTREAM, CALLER_ONLY) as fleet:
+                response = await call(
+                    fleet.nodes[2], '/early', 'POST', x_request_id='a'
+                )
+                return verdict(response), count_runs(fleet)
+
+        told, runs = run(scenario())
+        self.assertEqual(('may_have_run', 'upstream_closed'), told)
+        self.assertEqual({'a': 1}, runs)
+
+    def test_get_that_was_cut_off_is_sent_elsewhere(self):
+        """An idempotent request goes to another endpoint once."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, UPSTREAM, CALLER_ONLY) as fleet:
+                await call(fleet.nodes[2], '/early', x_request_id='a')
+                return [
+                    dict(node.upstream.records.runs) for node in fleet.nodes[:2]
+                ]
+
+        self.assertEqual([{'a': 1}, {'a': 1}], run(scenario()))
+
+    def test_post_is_sent_elsewhere_where_it_was_not_run(self):
+        """A refused connection proves not run, so a POST is sent again."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, UPSTREAM, CALLER_ONLY) as fleet:
+                fleet.nodes[0].upstream.close()
+                responses = [
+                    await call(fleet.nodes[2], '/', 'POST', b'x')
+                    for _ in range(8)
+                ]
+                return {response.status for response in responses}
+
+        self.assertEqual({200}, run(scenario()))
+
+    def test_cut_answer_is_not_passed_off_as_whole(self):
+        """An answer shorter than declared is told as ran, never as 200."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, CALLER_ONLY) as fleet:
+                try:
+                    response = await call(fleet.nodes[1], '/truncate', 'POST')
+                except Exception as error:
+                    return type(error).__name__
+                return response.status
+
+        self.assertNotEqual(200, run(scenario()))
+
+    def test_second_answer_reaches_nobody(self):
+        """A connection with a second answer on it is not used again."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, CALLER_ONLY) as fleet:
+                first = await call(fleet.nodes[1], '/twice')
+                second = await call(fleet.nodes[1], '/next')
+                return first.body, second.body
+
+        self.assertEqual((b'one', b'/next'), run(scenario()))
+
+    def test_deadline_is_told_at_once_and_cancels(self):
+        """After the caller's deadline the upstream's run is cancelled."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, CALLER_ONLY) as fleet:
+                records = fleet.nodes[0].upstream.records
+                response = await call(
+                    fleet.nodes[1],
+                    '/slow',
+                    'POST',
+                    x_request_id='a',
+                    bilberry_deadline_ms='60',
+                )
+                await until(lambda: records.cancelled['a'])
+                return response.status, verdict(response)
+
+        self.assertEqual(
+            (504, ('may_have_run', 'deadline')),
+            run(scenario()),
+        )
+
+    def test_caller_that_hangs_up_cancels(self):
+        """The upstream's run ends when its caller has gone."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, CALLER_ONLY) as fleet:
+                records = fleet.nodes[0].upstream.records
+                task = create_task(
+                    call(fleet.nodes[1], '/slow', x_request_id='a')
+                )
+                await until(lambda: records.runs['a'])
+                task.cancel()
+                await until(lambda: records.cancelled['a'])
+                return records.running
+
+        self.assertEqual(0, run(scenario()))
+
+    def test_no_endpoint_is_told_after_a_bounded_wait(self):
+        """A service without an upstream is refused as not run."""
+
+        async def scenario():
+            async with open_fleet(CALLER_ONLY) as fleet:
+                return verdict(await call(fleet.nodes[0]))
+
+        self.assertEqual(('not_run', 'no_endpoint'), run(scenario()))
+
+    def test_lost_daemon_leaves_may_have_run(self):
+        """A stream lost under a POST is never told as not run."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, CALLER_ONLY) as fleet:
+                records = fleet.nodes[0].upstream.records
+                task = create_task(
+                    call(fleet.nodes[1], '/slow', 'POST', x_request_id='a')
+                )
+                await until(lambda: records.runs['a'])
+                fleet.nodes[0].listener.close()
+                return verdict(await task)
+
+        self.assertEqual(('may_have_run', 'stream_lost'), run(scenario()))
+
+    def test_unreachable_daemon_is_not_run(self):
+        """A daemon that can't be reached proves not run."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, CALLER_ONLY) as fleet:
+                fleet.nodes[0].listener.close()
+                return verdict(await call(fleet.nodes[1], '/', 'POST'))
+
+        self.assertEqual(('not_run', 'stream_lost'), run(scenario()))
+
+
+class AdmissionLimitTest(TestCase):
+    """The upstream's slots under more calls than it takes."""
+
+    def test_slots_are_never_exceeded(self):
+        """Many calls at once through two proxies keep within the slots."""
+
+        async def scenario():
+            upstream = {'slots': 3, 'latency_ms': 5}
+            async with open_fleet(upstream, CALLER_ONLY) as fleet:
+                answers = await gather(
+                    *(call(fleet.nodes[at % 2]) for at in range(40))
+                )
+                records = fleet.nodes[0].upstream.records
+                statuses = {answer.status for answer in answers}
+                return (
+                    records.most_running,
+                    statuses,
+                    sum(records.runs.values()),
+                    sum(answer.status == 200 for answer in answers),
+                )
+
+        most, statuses, runs, served = run(scenario())
+        self.assertEqual(3, most)
+        self.assertEqual(set(), statuses - {200, 503})
+        self.assertEqual(served, runs)
+
+    def test_shed_call_is_told_when_to_come_back(self):
+        """A call over the queue gets its answer at once."""
+
+        async def scenario():
+            upstream = {'slots': 1, 'latency_ms': 20}
+            async with open_fleet(
+                upstream, CALLER_ONLY, configuration=configure(retries=0)
+            ) as fleet:
+                answers = await gather(
+                    *(call(fleet.nodes[1], '/slow') for _ in range(8))
+                )
+                return [one for one in answers if one.status == 503]
+
+        shed = run(scenario())
+        self.assertGreaterEqual(len(shed), 3)
+        for answer in shed:
+            self.assertEqual(('not_run', 'overloaded'), verdict(answer))
+            self.assertNotEqual('', answer.get_header(b'retry-after'))
+
+
+class LeavingTest(TestCase):
+    """Upstreams and daemons that leave while requests flow."""
+
+    def test_draining_daemon_finishes_what_runs(self):
+        """A drain cuts nothing and refuses what is new as not run."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, CALLER_ONLY) as fleet:
+                node = fleet.nodes[0]
+                running = create_task(call(fleet.nodes[1], '/slow'))
+                await until(lambda: node.upstream.records.running)
+                drain = create_task(node.proxy.drain())
+                await until(lambda: node.board.phase.value is Phase.DRAINING)
+                refused = await call(node)
+                answer = await running
+                await drain
+                return answer.status, refused.status, verdict(refused)
+
+        self.assertEqual((200, 503, ('not_run', 'draining')), run(scenario()))
+
+    def test_upstream_that_leaves_gets_no_new_work(self):
+        """After DELETE nothing new arrives and what runs is finished."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, UPSTREAM, CALLER_ONLY) as fleet:
+                leaving, staying, caller = fleet.nodes
+                running = [
+                    create_task(call(caller, '/slow', x_request_id=name))
+                    for name in ('a', 'b')
+                ]
+                await until(lambda: leaving.upstream.records.running)
+                await leaving.upstream.announce('DELETE')
+                before = sum(leaving.upstream.records.runs.values())
+                later = [await call(caller) for _ in range(6)]
+                answers = await gather(*running)
+                after = sum(leaving.upstream.records.runs.values())
+                statuses = {one.status for one in (*later, *answers)}
+                return before == after, statuses
+
+        self.assertEqual((True, {200}), run(scenario()))
+
+    def test_address_of_a_dead_daemon_is_left(self):
+        """Calls go elsewhere when a stream can't be opened."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, UPSTREAM, CALLER_ONLY) as fleet:
+                fleet.nodes[0].listener.close()
+                answers = [
+                    await call(fleet.nodes[2], '/', 'POST') for _ in range(8)
+                ]
+                return {answer.status for answer in answers}
+
+        self.assertEqual({200}, run(scenario()))
+
+
+class ChangeTest(TestCase):
+    """Configuration changes amid requests."""
+
+    def test_request_keeps_the_snapshot_it_began_with(self):
+        """A change under way neither loses nor doubles a request."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, CALLER_ONLY) as fleet:
+                records = fleet.nodes[0].upstream.records
+                task = create_task(
+                    call(fleet.nodes[1], '/slow', 'POST', x_request_id='a')
+                )
+                await until(lambda: records.runs['a'])
+                fleet.configuration = Configuration()
+                fleet.spread()
+                unknown = await call(fleet.nodes[1])
+                answer = await task
+                return answer.status, unknown.status, records.runs['a']
+
+        self.assertEqual((200, 404, 1), run(scenario()))
--- /dev/null
+++ b/tests/bilberry_proxy/test_poison.py
@@ -0,0 +1,145 @@
+"""Requests that crash upstreams: judged apart from those beside them."""
+
+from asyncio import create_task, gather, run
+from itertools import combinations
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.board import Suspect
+
+from bilberry_proxy.poison import Judgement, judge_suspects
+from tests.bilberry_proxy.fleet import call, configure, open_fleet, until
+from tests.bilberry_proxy.test_failures import verdict
+
+UPSTREAM = {'slots': 8, 'latency_ms': 1}
+CALLER_ONLY = {}
+POISON = b'poison'
+
+
+def suspects_of(crashes: list[set[bytes]]) -> list[Suspect]:
+    """Returns what the daemons beside crashed upstreams name."""
+    return [
+        Suspect(fingerprint, 'callouts', f'node-{at}', 1, 1)
+        for at, crash in enumerate(crashes)
+        for fingerprint in crash
+    ]
+
+
+def judge_pairwise(crashes: list[set[bytes]], fingerprint: bytes) -> bool:
+    """Tells by definition whether two crashes share only this one."""
+    return any(
+        one & other == {fingerprint} for one, other in combinations(crashes, 2)
+    )
+
+
+def judge_by_count(crashes: list[set[bytes]], fingerprint: bytes) -> bool:
+    """The broken rule: two crashes convict, whoever else was there."""
+    return sum(fingerprint in crash for crash in crashes) > 1
+
+
+names = st.sampled_from([b'a', b'b', b'c', b'd', POISON])
+
+
+class JudgementTest(TestCase):
+    """The rule by which a request is quarantined."""
+
+    @given(st.lists(st.sets(names, max_size=5), max_size=5))
+    def test_rule_agrees_with_its_definition(self, crashes):
+        """Two crashes with one request in common convict that request."""
+        findings = judge_suspects(suspects_of(crashes))
+        for fingerprint, finding in findings.items():
+            self.assertEqual(
+                judge_pairwise(crashes, fingerprint),
+                finding.judgement is Judgement.QUARANTINED,
+            )
+
+    @given(st.sets(names, max_size=5))
+    def test_suspects_that_run_alone_never_convict_others(self, beside):
+        """After one shared crash only a crash of its own convicts."""
+        crashes = [beside | {POISON}, {POISON}]
+        findings = judge_suspects(suspects_of(crashes))
+        convicted = {
+            one
+            for one, finding in findings.items()
+            if finding.judgement is Judgement.QUARANTINED
+        }
+        self.assertEqual({POISON}, convicted)
+
+    def test_broken_rule_is_caught(self):
+        """Counting crashes convicts the innocent; the rule does not."""
+        crashes = [{b'a', POISON}, {b'a', POISON}]
+        self.assertTrue(judge_by_count(crashes, b'a'))
+        finding = judge_suspects(suspects_of(crashes))[b'a']
+        self.assertEqual(Judgement.SUSPECT, finding.judgement)
+
+
+async def crash_twice(fleet):
+    """Sends poison beside innocent requests until it is refused."""
+    caller = fleet.nodes[-1]
+    innocent = [
+        create_task(
+            call(caller, f'/slow?{at}', 'GET', x_request_id=f'innocent-{at}')
+        )
+        for at in range(4)
+    ]
+    upstreams = [node.upstream for node in fleet.nodes[:-1]]
+    await until(lambda: sum(one.records.running for one in upstreams) == 4)
+    told = []
+    for _ in range(5):
+        told.append(verdict(await call(caller, '/crash', 'POST', POISON)))
+        fleet.spread_suspects()
+    return told, await gather(*innocent)
+
+
+class PoisonTest(TestCase):
+    """A request that crashes each upstream that runs it."""
+
+    def test_poison_takes_down_at_most_two(self):
+        """The third send is refused, through another proxy as well."""
+
+        async def scenario():
+            nodes = [UPSTREAM] * 4 + [CALLER_ONLY]
+            async with open_fleet(*nodes) as fleet:
+                told, _ = await crash_twice(fleet)
+                other = await call(fleet.nodes[0], '/crash', 'POST', POISON)
+                alive = sum(
+                    node.upstream.is_serving for node in fleet.nodes[:4]
+                )
+                return told, verdict(other), alive
+
+        told, other, alive = run(scenario())
+        crashed = ('may_have_run', 'upstream_crashed')
+        refused = ('may_have_run', 'quarantined')
+        self.assertEqual([crashed] * 2 + [refused] * 3, told)
+        self.assertEqual(refused, other)
+        self.assertEqual(2, alive)
+
+    def test_innocent_requests_are_answered(self):
+        """Requests in flight at the crashes are sent again and answered."""
+
+        async def scenario():
+            nodes = [UPSTREAM] * 4 + [CALLER_ONLY]
+            configuration = configure(retries=3, timeout_ms=20000)
+            async with open_fleet(*nodes, configuration=configuration) as fleet:
+                _, answers = await crash_twice(fleet)
+                again = [
+                    await call(fleet.nodes[-1], f'/slow?{at}')
+                    for at in range(2)
+                ]
+                return {answer.status for answer in (*answers, *again)}
+
+        self.assertEqual({200}, run(scenario()))
+
+    def test_retries_of_one_request_stop_at_two(self):
+        """A proxy that may retry often does not crash a third upstream."""
+
+        async def scenario():
+            nodes = [UPSTREAM] * 4 + [CALLER_ONLY]
+            configuration = configure(retries=9)
+            async with open_fleet(*nodes, configuration=configuration) as fleet:
+                await call(fleet.nodes[-1], '/crash')
+                return sum(node.upstream.is_serving for node in fleet.nodes[:4])
+
+        self.assertEqual(2, run(scenario()))
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -52,7 +52,10 @@
 
 
 class StandinOptions(NamedTuple):
-    """How a stand-in upstream behaves; times in milliseconds."""
+    """How a stand-in upstream behaves; times in milliseconds.
+
+    `exits` tells whether a crash ends the whole process.
+    """
 
     daemon: Address | None
     service: str
@@ -62,6 +65,7 @@
     cold_ms: float = 0
     renew_ms: float = 2000
     crash_path: str = '/crash'
+    exits: bool = True
 
 
 class Records:
@@ -139,6 +143,10 @@
         if self._start is None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        self._transport.abort()
+
     def write(self, raw: bytes) -> None:
         """Sends bytes past h11."""
         self._transport.write(raw)
@@ -236,6 +244,11 @@
         self._server = None
         self._ready_at: float = 0
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether connections are taken."""
+        return self._server is not None and self._server.is_serving()
+
     async def start(self, port: int = 0) -> Address:
         """Listens and returns the address bound."""
         loop = get_running_loop()
@@ -262,7 +275,7 @@
     ) -> None:
         """Answers, or misbehaves as the path asks."""
         if path == self.options.crash_path:
-            _exit(_CRASH_STATUS)
+            self.crash()
         elif path == '/truncate':
             connection.write(b'HTTP/1.1 200 \r\ncontent-length: 9\r\n\r\nhalf')
             connection.close()
@@ -274,6 +287,14 @@
         else:
             connection.answer(200, body or path.encode())
 
+    def crash(self) -> None:
+        """Ends as a crash does: nothing is finished, nobody is told."""
+        if self.options.exits:
+            _exit(_CRASH_STATUS)
+        self.close()
+        for connection in tuple(self.open_connections):
+            connection.abort()
+
     async def announce(self, method: str = 'PUT') -> None:
         """Announces this upstream, or takes it back by DELETE."""
         options = self.options
