Prove routing, retries and admission against naive versions

Differential tests: every retry is one that the naive rule makes too and never one that could run a request twice; the choice of an endpoint keeps its rules over any fleet; no call is lost or doubled in the waiting line. They found that the subset of a service with more than 24 endpoints raised a TypeError (the name was hashed unencoded); mended here.

--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -65,7 +65,7 @@
         return ready
 
     def rank(endpoint: Endpoint) -> int:
-        return xxh3_64_intdigest(f'{instance}\n{endpoint.instance}')
+        return xxh3_64_intdigest(f'{instance}\n{endpoint.instance}'.encode())
 
     return tuple(sorted(ready, key=rank)[:SUBSET_SIZE])
 
--- a/tests/bench/node.py
+++ b/tests/bench/node.py
@@ -7,6 +7,7 @@
 from argparse import ArgumentParser
 from asyncio import StreamReader, StreamReaderProtocol, get_running_loop
 from json import dumps, loads
+from os import environ
 from random import Random
 from sys import stdin
 
@@ -65,7 +66,7 @@
 
 async def main(name: str, log_file: str, timeout_ms: int) -> None:
     """Runs one proxy until standard input ends."""
-    start_logs(name, 'INFO', log_file)
+    start_logs(name, environ.get('LEVEL', 'INFO'), log_file)
     credentials = Credentials('fleet', name, b'secret')
     listener = StreamListener(credentials)
     streams = await listener.listen(ANY_PORT)
--- /dev/null
+++ b/tests/bilberry_proxy/test_admission.py
@@ -0,0 +1,189 @@
+"""Admission: slots, order and shedding, against a naive first-come queue."""
+
+from typing import NamedTuple
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.endpoint import Address, Endpoint, EndpointState
+from bilberry_core.policy import Priority
+
+from bilberry_proxy.admission import DEFERRABLE_SHARE, QUEUE_PER_SLOT
+from bilberry_proxy.waiting_line import WaitingLine
+
+SLOTS = 2
+FAR = 1e9
+
+
+class Call(NamedTuple):
+    """A call of the tests; `at` is the order of its arrival."""
+
+    at: int
+    priority: Priority
+
+
+def build_line(slots: int = SLOTS) -> WaitingLine:
+    """Returns a line before an upstream with few slots."""
+    line = WaitingLine()
+    line.slots.resize(
+        Endpoint(
+            'node',
+            1,
+            1,
+            'callouts',
+            Address('127.0.0.1', 1),
+            'one',
+            EndpointState.READY,
+            slots,
+            110,
+        ),
+    )
+    return line
+
+
+class Upstream:
+    """Offers calls to a line and keeps what becomes of them."""
+
+    def __init__(self) -> None:
+        """Starts idle."""
+        self.line = build_line()
+        self.running: list[Call] = []
+        self.shed: list[Call] = []
+        self.served: list[Call] = []
+        self.most = 0
+
+    def offer(self, call: Call, suspect: bool = False) -> None:
+        """A call arrives."""
+        if suspect:
+            refused = self.line.enter_suspect(call)
+        else:
+            refused = self.line.enter(call, call.priority, 0, FAR)
+        if refused is not None:
+            self.shed.append(refused.call)
+        self._pump()
+
+    def finish(self) -> None:
+        """The oldest running call ends."""
+        if self.running:
+            call = self.running.pop(0)
+            self.served.append(call)
+            self.line.end(call, 0.001)
+            self._pump()
+
+    def _pump(self) -> None:
+        call = self.line.take_next()
+        while call is not None:
+            self.running.append(call)
+            call = self.line.take_next()
+        self.most = max(self.most, len(self.running))
+
+
+steps = st.lists(
+    st.one_of(st.none(), st.tuples(st.sampled_from(Priority), st.booleans())),
+    max_size=80,
+)
+
+
+class WaitingLineTest(TestCase):
+    """Every call is served once or shed once, within the slots."""
+
+    @given(steps)
+    def test_no_call_is_lost_or_doubled(self, script):
+        """Served and shed together are what arrived, and slots hold."""
+        upstream = Upstream()
+        offered = []
+        for at, step in enumerate(script):
+            if step is None:
+                upstream.finish()
+                continue
+            call = Call(at, step[0])
+            offered.append(call)
+            upstream.offer(call, suspect=step[1])
+        while upstream.running:
+            upstream.finish()
+        ended = sorted(upstream.served + upstream.shed)
+        self.assertEqual(sorted(offered), ended)
+        self.assertLessEqual(upstream.most, SLOTS)
+
+    @given(steps)
+    def test_suspects_run_alone(self, script):
+        """While a suspect runs nothing else does."""
+        upstream = Upstream()
+        suspects = set()
+        for at, step in enumerate(script):
+            if step is None:
+                upstream.finish()
+                continue
+            call = Call(at, step[0])
+            if step[1]:
+                suspects.add(call)
+            upstream.offer(call, suspect=step[1])
+            if suspects & set(upstream.running):
+                self.assertEqual(1, len(upstream.running))
+
+    @given(st.lists(st.sampled_from(Priority), max_size=40))
+    def test_urgent_is_never_shed_for_less(self, priorities):
+        """No urgent call is shed while a lesser one waits."""
+        upstream = Upstream()
+        for at, priority in enumerate(priorities):
+            upstream.offer(Call(at, priority))
+        waiting = set(
+            Call(at, priority) for at, priority in enumerate(priorities)
+        ) - set(upstream.shed + upstream.running)
+        if any(call.priority is Priority.URGENT for call in upstream.shed):
+            self.assertEqual(
+                {Priority.URGENT}, {one.priority for one in waiting}
+            )
+
+    def test_urgent_overtakes_where_a_naive_queue_does_not(self):
+        """An urgent call that came last is served next."""
+        upstream = Upstream()
+        arrived = [Call(at, Priority.DEFERRABLE) for at in range(SLOTS + 3)]
+        urgent = Call(99, Priority.URGENT)
+        for call in (*arrived, urgent):
+            upstream.offer(call)
+        naive_next = arrived[SLOTS]
+        upstream.finish()
+        self.assertNotIn(naive_next, upstream.running)
+        self.assertIn(urgent, upstream.running)
+
+    def test_deferrable_is_not_starved(self):
+        """Under urgent calls without end a deferrable one still runs."""
+        upstream = Upstream()
+        deferrable = Call(0, Priority.DEFERRABLE)
+        for at in range(1, SLOTS + 1):
+            upstream.offer(Call(at, Priority.URGENT))
+        upstream.offer(deferrable)
+        for at in range(DEFERRABLE_SHARE + SLOTS):
+            upstream.offer(Call(100 + at, Priority.URGENT))
+            upstream.finish()
+        self.assertIn(deferrable, upstream.served + upstream.running)
+
+    def test_waiting_is_bounded_by_age(self):
+        """A call that waited too long is shed, with a time to come back."""
+        line = build_line(1)
+        for at in range(3):
+            line.enter(Call(at, Priority.NORMAL), Priority.NORMAL, 0, FAR)
+        line.take_next()
+        self.assertEqual([], line.shed_expired(0.5))
+        late = line.shed_expired(30)
+        self.assertEqual([1, 2], [refused.call.at for refused in late])
+        self.assertTrue(all(refused.retry_after_ms > 0 for refused in late))
+
+    def test_hopeless_call_is_shed_at_once(self):
+        """A call whose turn comes after its deadline does not wait."""
+        line = build_line(1)
+        for at in range(3):
+            line.enter(Call(at, Priority.NORMAL), Priority.NORMAL, 0, FAR)
+            line.take_next()
+        late = Call(9, Priority.NORMAL)
+        refused = line.enter(late, Priority.NORMAL, 0, 0.001)
+        self.assertEqual(late, refused.call)
+
+    def test_queue_is_bounded(self):
+        """No more calls wait than the bound for the slots."""
+        upstream = Upstream()
+        for at in range(100):
+            upstream.offer(Call(at, Priority.NORMAL))
+        self.assertEqual(SLOTS * QUEUE_PER_SLOT, len(upstream.line))
--- /dev/null
+++ b/tests/bilberry_proxy/test_retry.py
@@ -0,0 +1,89 @@
+"""Retries: never a second run of what may have run, never without bound."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+from bilberry_proxy.decision_log import join_verdicts
+from bilberry_proxy.retry import (
+    MIN_BUDGET,
+    AttemptState,
+    RetryBudget,
+    decide_retry,
+)
+
+failures = st.builds(
+    Failure,
+    st.sampled_from(Verdict),
+    st.sampled_from(FailureCode),
+    retried=st.booleans(),
+)
+states = st.builds(
+    AttemptState,
+    idempotent=st.booleans(),
+    replayable=st.booleans(),
+    began=st.booleans(),
+    retries_left=st.integers(-1, 3),
+    time_left_s=st.floats(-1, 1),
+    quarantined=st.booleans(),
+)
+
+
+def retry_anything(_failure: Failure, state: AttemptState) -> bool:
+    """The naive proxy's rule: whatever failed is sent again."""
+    return state.retries_left > 0
+
+
+def may_double(failure: Failure, state: AttemptState) -> bool:
+    """Tells whether a second attempt could run a request twice."""
+    return not state.idempotent and failure.verdict is not Verdict.NOT_RUN
+
+
+class RetryTest(TestCase):
+    """The decision on one failure."""
+
+    @given(failures, states)
+    def test_retries_only_what_the_naive_proxy_would(self, failure, state):
+        """Every retry is one the naive rule makes too, and a safe one."""
+        decision = decide_retry(failure, state, RetryBudget())
+        if decision.again:
+            self.assertTrue(retry_anything(failure, state))
+            self.assertFalse(may_double(failure, state))
+            self.assertFalse(state.began)
+            self.assertFalse(failure.retried)
+
+    def test_naive_rule_is_caught(self):
+        """The naive rule sends a booking twice where this one does not."""
+        failure = Failure(Verdict.MAY_HAVE_RUN, FailureCode.STREAM_LOST)
+        state = AttemptState(False, True, False, 1, 1)
+        self.assertTrue(retry_anything(failure, state))
+        self.assertTrue(may_double(failure, state))
+        again = decide_retry(failure, state, RetryBudget()).again
+        self.assertFalse(again)
+
+    def test_read_is_tried_again(self):
+        """An idempotent request with time, body and budget goes on."""
+        failure = Failure(Verdict.MAY_HAVE_RUN, FailureCode.STREAM_LOST)
+        state = AttemptState(True, True, False, 1, 1)
+        self.assertTrue(decide_retry(failure, state, RetryBudget()).again)
+
+    @given(st.integers(0, 100), st.integers(1, 400))
+    def test_budget_bounds_retries(self, percent, requests):
+        """However many fail, retries keep to their share of requests."""
+        budget = RetryBudget()
+        spent = 0
+        for _ in range(requests):
+            budget.deposit(percent)
+            spent += budget.withdraw()
+        self.assertLessEqual(spent, MIN_BUDGET + requests * percent / 100 + 1)
+
+    @given(st.lists(st.sampled_from(Verdict), min_size=1))
+    def test_not_run_means_that_no_attempt_ran(self, verdicts):
+        """A request is not run only where every attempt was not run."""
+        joined = Verdict.NOT_RUN
+        for verdict in verdicts:
+            joined = join_verdicts(joined, verdict)
+        all_not_run = set(verdicts) == {Verdict.NOT_RUN}
+        self.assertEqual(all_not_run, joined is Verdict.NOT_RUN)
--- /dev/null
+++ b/tests/bilberry_proxy/test_selection.py
@@ -0,0 +1,233 @@
+"""Choosing an endpoint: compared with round robin over the same fleet."""
+
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.endpoint import Address, Endpoint, EndpointState
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+from bilberry_proxy.balancers import build_balancer, get_balancer_names
+from bilberry_proxy.endpoint_load import SLOW_START_MS, EndpointLoad
+from bilberry_proxy.outlier import (
+    MAX_EJECTED_SHARE,
+    count_failure,
+    count_success,
+)
+from bilberry_proxy.selection import (
+    SUBSET_SIZE,
+    Viewpoint,
+    select_endpoint,
+    select_ready,
+)
+
+LOST = Failure(Verdict.MAY_HAVE_RUN, FailureCode.STREAM_LOST)
+HERE = Viewpoint('me', 'one', 100.0, 1_000_000)
+
+
+def build_endpoint(at: int, **fields) -> Endpoint:
+    """Returns a ready and warm endpoint."""
+    endpoint = Endpoint(
+        f'node-{at}',
+        1,
+        1,
+        'callouts',
+        Address('127.0.0.1', 1000 + at),
+        'one',
+        EndpointState.READY,
+        12,
+        110,
+    )
+    return endpoint._replace(**fields)
+
+
+def build_load(outstanding: int, ejected: bool = False) -> EndpointLoad:
+    """Returns the load of an endpoint with calls outstanding."""
+    load = EndpointLoad()
+    load.outstanding = outstanding
+    load.ejected_until = HERE.now + 1 if ejected else 0
+    return load
+
+
+def choose(endpoints, loads, tried=(), name='least_work', seed=0):
+    """Returns the selection from `endpoints` with `loads` beside them."""
+    by_name = {
+        endpoint.instance: load
+        for endpoint, load in zip(endpoints, loads, strict=True)
+    }
+    return select_endpoint(
+        select_ready(endpoints, HERE.instance),
+        tried,
+        lambda endpoint: by_name[endpoint.instance],
+        HERE,
+        build_balancer(name),
+        Random(seed),
+    )
+
+
+endpoints_strategy = st.lists(
+    st.tuples(
+        st.sampled_from(EndpointState),
+        st.sampled_from(['one', 'two']),
+        st.integers(0, 14),
+        st.booleans(),
+    ),
+    max_size=6,
+)
+
+
+class SelectionTest(TestCase):
+    """The rules that narrow the choice."""
+
+    @given(
+        endpoints_strategy,
+        st.sets(st.integers(0, 5)),
+        st.sampled_from(get_balancer_names()),
+        st.integers(0, 99),
+    )
+    def test_choice_keeps_every_rule(self, fleet, tried_at, name, seed):
+        """The choice is ready, and untried and not ejected where one is."""
+        endpoints = [
+            build_endpoint(at, state=state, failure_domain=domain)
+            for at, (state, domain, _, _) in enumerate(fleet)
+        ]
+        loads = [build_load(busy, out) for _, _, busy, out in fleet]
+        tried = [f'node-{at}' for at in tried_at]
+        selection = choose(endpoints, loads, tried, name, seed)
+        ready = [
+            (endpoint, load)
+            for endpoint, load in zip(endpoints, loads, strict=True)
+            if endpoint.state is EndpointState.READY
+        ]
+        if not ready:
+            self.assertIsNone(selection)
+            return
+        fresh = [one for one in ready if one[0].instance not in tried] or ready
+        allowed = [one for one in fresh if not one[1].ejected_until] or fresh
+        self.assertIn(selection.endpoint, [one[0] for one in allowed])
+
+    def test_near_is_chosen_until_it_is_busy(self):
+        """The nearest failure domain wins, but not into overload."""
+        near = build_endpoint(0)
+        far = build_endpoint(1, failure_domain='two')
+        free = choose([near, far], [build_load(0), build_load(0)])
+        full = choose([near, far], [build_load(12), build_load(0)])
+        self.assertEqual((near, far), (free.endpoint, full.endpoint))
+
+    def test_all_ejected_is_no_reason_to_panic(self):
+        """Where all look bad the choice is as if none did."""
+        endpoints = [build_endpoint(at) for at in range(3)]
+        loads = [build_load(0, ejected=True) for _ in endpoints]
+        chosen = {
+            choose(endpoints, loads, seed=seed).endpoint.instance
+            for seed in range(40)
+        }
+        self.assertEqual(3, len(chosen))
+
+    def test_cold_endpoint_gets_a_growing_share(self):
+        """An endpoint that became ready just now gets few calls."""
+        counts = []
+        for age_ms in (0, SLOW_START_MS // 2, SLOW_START_MS):
+            cold = build_endpoint(0, since_ms=HERE.wall_ms - age_ms)
+            warm = build_endpoint(1)
+            loads = [build_load(0), build_load(0)]
+            picks = [
+                choose([cold, warm], loads, name='random', seed=seed).endpoint
+                for seed in range(300)
+            ]
+            counts.append(picks.count(cold))
+        self.assertGreater(counts[0], 0)
+        self.assertGreater(counts[1], counts[0])
+        self.assertGreater(counts[2], counts[1])
+
+    def test_subset_is_stable_when_an_endpoint_leaves(self):
+        """Of many endpoints a proxy keeps its own few."""
+        fleet = [build_endpoint(at) for at in range(200)]
+        before = set(select_ready(fleet, 'me'))
+        after = set(select_ready(fleet[1:], 'me'))
+        self.assertEqual(SUBSET_SIZE, len(before))
+        self.assertLessEqual(len(before ^ after), 2)
+
+    def test_subsets_spread_over_the_fleet(self):
+        """Together the proxies' subsets cover every endpoint evenly."""
+        fleet = [build_endpoint(at) for at in range(100)]
+        counts = dict.fromkeys(fleet, 0)
+        for at in range(100):
+            for endpoint in select_ready(fleet, f'proxy-{at}'):
+                counts[endpoint] += 1
+        self.assertGreaterEqual(min(counts.values()), 8)
+        self.assertLessEqual(max(counts.values()), 48)
+
+
+class BalancerTest(TestCase):
+    """Least work against round robin, over a fleet with one slow endpoint."""
+
+    def _serve(self, name: str) -> float:
+        """Returns the mean time of 600 calls; one of four is ten times slow."""
+        endpoints = [build_endpoint(at) for at in range(4)]
+        loads = [EndpointLoad() for _ in endpoints]
+        balancer = build_balancer(name)
+        random = Random(1)
+        finished: list[tuple[float, int]] = []
+        total: float = 0
+        for step in range(600):
+            now = step * 0.001
+            for until, at in [one for one in finished if one[0] <= now]:
+                loads[at].end()
+                finished.remove((until, at))
+            selection = select_endpoint(
+                endpoints,
+                (),
+                lambda one: loads[endpoints.index(one)],
+                HERE,
+                balancer,
+                random,
+            )
+            at = endpoints.index(selection.endpoint)
+            seconds = 0.05 if at == 0 else 0.005
+            loads[at].begin()
+            loads[at].latency_us += (seconds * 1e6 - loads[at].latency_us) / 5
+            finished.append((now + seconds, at))
+            total += seconds
+        return total / 600
+
+    def test_least_work_beats_round_robin(self):
+        """A slow endpoint gets less than its turn."""
+        self.assertLess(
+            self._serve('least_work') * 2, self._serve('round_robin')
+        )
+
+
+class OutlierTest(TestCase):
+    """Ejection up to a bound, and the way back."""
+
+    @given(st.integers(1, 12), st.lists(st.integers(0, 11), max_size=120))
+    def test_never_more_than_the_bound(self, count, failing):
+        """However endpoints fail, the share ejected keeps to its bound."""
+        loads = [EndpointLoad() for _ in range(count)]
+        for at in failing:
+            count_failure(loads[at % count], loads, LOST, 1)
+        ejected = sum(load.ejected_until > 1 for load in loads)
+        self.assertLessEqual(ejected, count * MAX_EJECTED_SHARE)
+
+    def test_ejected_endpoint_is_probed_back(self):
+        """After the ejection one success clears, one failure ejects longer."""
+        loads = [EndpointLoad() for _ in range(3)]
+        bad = loads[0]
+        for _ in range(3):
+            count_failure(bad, loads, LOST, 0)
+        first = bad.ejected_until
+        self.assertTrue(first > 0)
+        self.assertTrue(count_failure(bad, loads, LOST, first))
+        self.assertGreater(bad.ejected_until - first, first)
+        count_success(bad)
+        self.assertFalse(count_failure(bad, loads, LOST, 99))
+
+    def test_overload_is_no_outlier(self):
+        """Shedding says nothing against an endpoint."""
+        loads = [EndpointLoad() for _ in range(3)]
+        shed = Failure(Verdict.NOT_RUN, FailureCode.OVERLOADED)
+        ejected = [count_failure(loads[0], loads, shed, 0) for _ in range(9)]
+        self.assertFalse(any(ejected))
