--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -56,11 +56,6 @@
         self._exchange: Exchange | None = None
         self._reading_events = False
 
-    @property
-    def is_busy(self) -> bool:
-        """Whether a request is being served."""
-        return self._exchange is not None
-
     # The event loop's side.
 
     def connection_made(self, transport: Transport) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/context.py
+++ b/packages/bilberry_proxy/bilberry_proxy/context.py
@@ -27,7 +27,8 @@
     """The parts of a proxy that a request needs.
 
     `claims` is None where the settings name no replicas. `tasks` are claims
-    being made, settled or freed, which a graceful stop waits for.
+    being made, settled or freed, and `running` the requests without a final
+    answer; a graceful stop waits for both.
     """
 
     board: Board
@@ -41,3 +42,4 @@
     metrics: Metrics
     claims: Claims | None
     tasks: set[Task]
+    running: set[object]
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -96,6 +96,7 @@
             metrics,
             claims,
             set(),
+            set(),
         )
         listener.handle(Purpose.CALL, controller._calls.accept)
         return controller
@@ -111,10 +112,13 @@
     @property
     def busy(self) -> int:
         """How many requests and calls are under way."""
-        serving = sum(1 for one in self._connections if one.is_busy)
-        claims = len(self._context.tasks)
-        admitted = self._admitter.outstanding
-        return serving + claims + admitted + self._calls.open_calls
+        own = len(self._context.running) + len(self._context.tasks)
+        return own + self._admitter.outstanding + self._calls.open_calls
+
+    @property
+    def connections(self) -> int:
+        """How many callers' connections are open."""
+        return len(self._connections)
 
     async def start(self) -> Address:
         """Starts to listen for callers and returns the address bound."""
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -179,6 +179,7 @@
         context = self._context
         self._plan = plan
         self._outcome.plan = plan
+        context.running.add(self)
         if plan.claimed:
             self._body = RequestBody(CLAIMED_BODY_BYTES)
         self._dispatch = Dispatch(context, self, self._outcome, self._body)
@@ -244,6 +245,7 @@
         if self._outcome.ended:
             return
         self._outcome.end(failure, status)
+        self._context.running.discard(self)
         if self._timer is not None:
             self._timer.cancel()
         log_decision(self._context, self._outcome)
--- /dev/null
+++ b/tests/bilberry_proxy/fake_claims.py
@@ -0,0 +1,62 @@
+"""Claim holders in memory, for tests: exact, and away when asked to be."""
+
+from asyncio import Event, wait_for
+
+from bilberry_core.claim import (
+    Answered,
+    Attempt,
+    ClaimOutcome,
+    Granted,
+    Mismatch,
+    StoredAnswer,
+    Taken,
+    Unavailable,
+)
+
+
+class FakeClaims:
+    """One agreed record of claims, shared by every proxy of a test."""
+
+    def __init__(self) -> None:
+        """Starts without claims."""
+        self.is_away = False
+        self.attempts: dict = {}
+        self.answers: dict = {}
+        self._changed = Event()
+
+    async def claim(self, attempt: Attempt, timeout_s: float) -> ClaimOutcome:
+        """Grants the first attempt; others wait for its answer."""
+        if self.is_away:
+            return Unavailable('away')
+        first = self.attempts.setdefault(attempt.claim, attempt)
+        if first is attempt:
+            return Granted()
+        if first.fingerprint != attempt.fingerprint:
+            return Mismatch()
+        try:
+            return await wait_for(self._wait(attempt.claim), timeout_s)
+        except TimeoutError:
+            return Taken()
+
+    async def settle(
+        self, attempt: Attempt, answer: StoredAnswer, _timeout_s: float
+    ) -> bool:
+        """Stores an answer."""
+        self.answers[attempt.claim] = answer
+        self._tell()
+        return True
+
+    async def release(self, attempt: Attempt, _timeout_s: float) -> bool:
+        """Frees a claim."""
+        del self.attempts[attempt.claim]
+        self._tell()
+        return True
+
+    async def _wait(self, claim) -> Answered:
+        while claim not in self.answers:
+            await self._changed.wait()
+        return Answered(self.answers[claim])
+
+    def _tell(self) -> None:
+        self._changed.set()
+        self._changed = Event()
--- /dev/null
+++ b/tests/bilberry_proxy/test_call_stream.py
@@ -0,0 +1,264 @@
+"""Calls over a stream that reorders, doubles, cuts and lies."""
+
+from asyncio import run, sleep
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.endpoint import Address
+from bilberry_core.messages.call import (
+    CallCancel,
+    CallFailed,
+    CallStart,
+    Goodbye,
+    Load,
+    ReplyChunk,
+    ReplyStart,
+)
+from bilberry_core.policy import Priority
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+from bilberry_proxy.call_stream import CallStream
+
+NOWHERE = Address('127.0.0.1', 1)
+NO_LOAD = Load(0, 0, 0, 0)
+START = CallStart(
+    0, 'callouts', b'GET', b'/', (), b'', True, 1000, Priority.NORMAL
+)
+
+
+class FakeStream:
+    """A stream that keeps what was sent and never loses its other side."""
+
+    def __init__(self) -> None:
+        """Starts open."""
+        self.is_open = True
+        self.is_writable = True
+        self.sent: list = []
+        self.on_close = None
+
+    def send(self, message) -> None:
+        """Keeps a message."""
+        self.sent.append(message)
+
+    def close(self) -> None:
+        """Ends the stream."""
+        self.is_open = False
+
+
+class Answers:
+    """Keeps what a call received."""
+
+    def __init__(self) -> None:
+        """Starts without an answer."""
+        self.body = b''
+        self.ends: list = []
+
+    def start_reply(self, reply) -> None:
+        """Takes the start."""
+        self.continue_reply(reply)
+
+    def continue_reply(self, chunk) -> None:
+        """Takes more."""
+        self.body += chunk.body
+        if chunk.last:
+            self.ends.append('answered')
+
+    def fail(self, failed) -> None:
+        """Takes the failure."""
+        self.ends.append(failed.failure.verdict)
+
+    def credit(self, _size: int) -> None:
+        """Takes a credit."""
+
+
+class Wire:
+    """A call stream over a fake stream, and the calls on it."""
+
+    def __init__(self, fails: bool = False) -> None:
+        """Starts without calls."""
+        self.fake = FakeStream()
+        self.receive = None
+        self._fails = fails
+        self.stream = CallStream(NOWHERE, self._dial)
+
+    def open(self):
+        """Opens a call and returns it with its answers."""
+        answers = Answers()
+        return self.stream.open(START, answers), answers
+
+    async def _dial(self, _address, receiver):
+        await sleep(0)
+        if self._fails:
+            raise ConnectionRefusedError('refused')
+        self.receive = receiver
+        return self.fake
+
+
+def build_frames(number: int) -> list:
+    """Returns the frames of one whole answer to a call."""
+    text = f'answer {number}'.encode()
+    return [
+        ReplyStart(number, 200, (), text[:3], False, NO_LOAD),
+        ReplyChunk(number, text[3:], True),
+    ]
+
+
+async def settle() -> None:
+    """Lets the stream be opened."""
+    for _ in range(4):
+        await sleep(0)
+
+
+class CallStreamTest(TestCase):
+    """What each call receives, whatever arrives."""
+
+    @given(st.lists(st.integers(0, 7), max_size=40), st.integers(0, 4))
+    def test_answers_reach_their_own_call_only(self, order, lost_after):
+        """Frames doubled, interleaved or late never mix two answers."""
+
+        async def scenario():
+            wire = Wire()
+            calls = [wire.open()[1] for _ in range(3)]
+            await settle()
+            queues = {at: build_frames(at) for at in range(1, 5)}
+            for pick in order:
+                frames = queues[pick % 4 + 1]
+                if pick > 3 and frames:
+                    wire.receive(frames[0])
+                elif frames:
+                    wire.receive(frames.pop(0))
+            if lost_after:
+                wire.fake.on_close()
+            return calls
+
+        for at, answers in enumerate(run(scenario()), start=1):
+            whole = f'answer {at}'.encode()
+            self.assertLessEqual(len(answers.ends), 1)
+            if 'answered' in answers.ends:
+                self.assertEqual(whole, answers.body)
+
+    @given(st.permutations(range(3)))
+    def test_out_of_order_answers_are_whole(self, order):
+        """Answers in any order reach the calls that asked."""
+
+        async def scenario():
+            wire = Wire()
+            calls = [wire.open()[1] for _ in range(3)]
+            await settle()
+            for at in order:
+                for frame in build_frames(at + 1):
+                    wire.receive(frame)
+            return [(one.body, one.ends) for one in calls]
+
+        expected = [(f'answer {at}'.encode(), ['answered']) for at in (1, 2, 3)]
+        self.assertEqual(expected, run(scenario()))
+
+    def test_late_answer_after_cancel_is_dropped(self):
+        """Nothing is received for a call that was cancelled."""
+
+        async def scenario():
+            wire = Wire()
+            call, answers = wire.open()
+            await settle()
+            call.cancel()
+            for frame in build_frames(1):
+                wire.receive(frame)
+            return answers.body, answers.ends, wire.fake.sent[-1]
+
+        self.assertEqual((b'', [], CallCancel(1)), run(scenario()))
+
+    def test_second_answer_is_dropped(self):
+        """An answer sent twice is received once."""
+
+        async def scenario():
+            wire = Wire()
+            _, answers = wire.open()
+            await settle()
+            for frame in build_frames(1) + build_frames(1):
+                wire.receive(frame)
+            return answers.body, answers.ends
+
+        self.assertEqual((b'answer 1', ['answered']), run(scenario()))
+
+    def test_body_before_its_start_is_dropped(self):
+        """A chunk without a start is no answer."""
+
+        async def scenario():
+            wire = Wire()
+            _, answers = wire.open()
+            await settle()
+            wire.receive(ReplyChunk(1, b'stray', True))
+            return answers.body, answers.ends
+
+        self.assertEqual((b'', []), run(scenario()))
+
+    def test_lost_stream_tells_how_far_each_call_came(self):
+        """Unanswered calls may have run, answered ones ran."""
+
+        async def scenario():
+            wire = Wire()
+            _, waiting = wire.open()
+            _, begun = wire.open()
+            await settle()
+            wire.receive(build_frames(2)[0])
+            wire.fake.on_close()
+            return waiting.ends, begun.ends
+
+        self.assertEqual(
+            ([Verdict.MAY_HAVE_RUN], [Verdict.RAN]), run(scenario())
+        )
+
+    def test_stream_that_never_opened_is_not_run(self):
+        """Calls that were never written were not run."""
+
+        async def scenario():
+            wire = Wire(fails=True)
+            _, answers = wire.open()
+            await settle()
+            return answers.ends
+
+        self.assertEqual([Verdict.NOT_RUN], run(scenario()))
+
+    def test_no_call_goes_to_a_daemon_that_said_goodbye(self):
+        """Open calls end, new ones are refused as not run."""
+
+        async def scenario():
+            wire = Wire()
+            _, before = wire.open()
+            await settle()
+            wire.receive(Goodbye())
+            _, after = wire.open()
+            for frame in build_frames(1):
+                wire.receive(frame)
+            return before.ends, after.ends
+
+        self.assertEqual((['answered'], [Verdict.NOT_RUN]), run(scenario()))
+
+    def test_no_call_goes_to_a_daemon_that_reads_too_slowly(self):
+        """A stream that is backed up takes no further call."""
+
+        async def scenario():
+            wire = Wire()
+            wire.open()
+            await settle()
+            wire.fake.is_writable = False
+            _, answers = wire.open()
+            return answers.ends
+
+        self.assertEqual([Verdict.NOT_RUN], run(scenario()))
+
+    def test_failure_is_passed_on(self):
+        """The verdict of the daemon beside the upstream is kept."""
+
+        async def scenario():
+            wire = Wire()
+            _, answers = wire.open()
+            await settle()
+            failure = Failure(Verdict.NOT_RUN, FailureCode.OVERLOADED)
+            wire.receive(CallFailed(1, failure, NO_LOAD))
+            wire.receive(CallFailed(1, failure, NO_LOAD))
+            return answers.ends
+
+        self.assertEqual([Verdict.NOT_RUN], run(scenario()))
