Let what was seen of endpoints fade, and reads leave a frozen upstream

Red first (six tests): a report of load, or a latency, that was seen once kept an endpoint from being chosen for ever; callers' own short deadlines counted as the endpoint's failures; a read spent all its time on an upstream that never answers; an upstream's own `bilberry-verdict: not_run` was passed on as an answer instead of being believed.

Now loads and latencies fade over 5 s, a deadline blames an endpoint only beyond five times its usual latency, an idempotent request goes elsewhere after half its time, and a declined request is tried elsewhere as not run.

--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -20,13 +20,17 @@
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.call import CREDIT_STEP_BYTES, WINDOW_BYTES, AnswerReceiver
-from bilberry_proxy.http_headers import DEADLINE, Headers
+from bilberry_proxy.http_headers import DEADLINE, VERDICT, Headers, find_header
 from bilberry_proxy.timers import Timer
 from bilberry_proxy.upstream_connection import (
     UpstreamConnection,
     UpstreamRequest,
 )
 
+#: When a caller may come back to an upstream that declined its request.
+DECLINED_RETRY_AFTER_MS = 1000
+_DECLINING_STATUSES = frozenset((429, 503))
+
 
 class Progress(IntEnum):
     """How far a call has come."""
@@ -45,6 +49,12 @@
     Progress.ANSWERED: Verdict.RAN,
 }
 _ON_CONNECTION = frozenset((Progress.SENT, Progress.ANSWERED))
+_DECLINED = Failure(
+    Verdict.NOT_RUN,
+    FailureCode.OVERLOADED,
+    'the upstream declined to run the request',
+    DECLINED_RETRY_AFTER_MS,
+)
 
 
 class CallHost(Protocol):
@@ -167,6 +177,15 @@
         last: bool,
     ) -> None:
         """Passes the start of the answer on."""
+        if last and is_declined(status, headers):
+            self._end()
+            self._answers.fail(
+                CallFailed(
+                    self.start.call, _DECLINED, self._host.measure_load()
+                ),
+            )
+            self._host.free_slot(self)
+            return
         self.progress = Progress.ANSWERED
         load = self._host.measure_load()
         self._answers.start_reply(
@@ -246,3 +265,10 @@
         start.body,
         start.last,
     )
+
+
+def is_declined(status: int, headers: Headers) -> bool:
+    """Tells whether an upstream says that it did not run the request."""
+    if status not in _DECLINING_STATUSES:
+        return False
+    return find_header(headers, VERDICT) == Verdict.NOT_RUN.encode()
--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -4,7 +4,7 @@
 that was never written fails as not run; one that was may have run.
 """
 
-from asyncio import Task, get_running_loop
+from asyncio import Task, get_running_loop, timeout
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
@@ -29,6 +29,8 @@
 
 #: When a caller may come back after a daemon could not be reached.
 UNREACHABLE_RETRY_AFTER_MS = 250
+#: Longest time to open a stream, in seconds.
+DIAL_TIMEOUT_S = 1.0
 #: Calls that may wait for a stream to open.
 MAX_WAITING_CALLS = 1024
 
@@ -174,8 +176,9 @@
 
     async def _connect(self) -> None:
         try:
-            stream = await self._dialer(self._address, self._receive)
-        except (OSError, BilberryError) as error:
+            async with timeout(DIAL_TIMEOUT_S):
+                stream = await self._dialer(self._address, self._receive)
+        except (OSError, BilberryError, TimeoutError) as error:
             self._dial = None
             detail = f'daemon {self._address.host}:{self._address.port}'
             self._fail_all(f'{detail}: {error}')
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -4,7 +4,7 @@
 that found no endpoint at all takes over a newer one while it waits.
 """
 
-from collections.abc import Callable
+from functools import partial
 from typing import Protocol
 
 from bilberry_core.clock import MS_PER_S
@@ -15,6 +15,7 @@
 from bilberry_proxy.attempt import Attempt
 from bilberry_proxy.context import ProxyContext
 from bilberry_proxy.decision_log import Outcome
+from bilberry_proxy.endpoint_wait import EndpointWait
 from bilberry_proxy.http_headers import RETRIED
 from bilberry_proxy.plan import Plan
 from bilberry_proxy.poison import Judgement
@@ -24,6 +25,13 @@
 
 #: When a caller may come back to a service without ready endpoints.
 NO_ENDPOINT_RETRY_AFTER_MS = 500
+#: Share of its time after which an idempotent request goes elsewhere.
+ATTEMPT_SHARE = 0.5
+_LATE = Failure(
+    Verdict.MAY_HAVE_RUN,
+    FailureCode.DEADLINE,
+    'the upstream took more than its share of the time',
+)
 _RETRIED_HEADER = (RETRIED, b'1')
 
 
@@ -61,7 +69,11 @@
         self._plan: Plan | None = None
         self._fingerprint = b''
         self._attempt: Attempt | None = None
-        self._stop_waiting: Callable[[], None] | None = None
+        self._wait = EndpointWait(
+            context,
+            self._adopt,
+            self._fail_without_endpoint,
+        )
 
     @property
     def verdict(self) -> Verdict:
@@ -81,7 +93,7 @@
 
     def cancel(self) -> None:
         """Ends the attempt under way; nothing more is received."""
-        self._cancel_waiting()
+        self._wait.stop()
         if self._attempt is not None:
             self._attempt.cancel()
 
@@ -111,23 +123,17 @@
     def take_failure(self, attempt: Attempt, failure: Failure) -> None:
         """Tries again, or ends the request."""
         plan = self._plan
-        router = self._context.router
         self._body.detach()
-        route = plan.snapshot.routes[plan.service]
-        router.note_failure(attempt.endpoint, route, failure)
-        suspicion = self._context.suspicion
-        if failure.code is FailureCode.UPSTREAM_CRASHED:
-            suspicion.name((self._fingerprint,), attempt.endpoint)
-        finding = suspicion.judge(self._fingerprint)
+        quarantined = self._learn(attempt, failure)
         state = AttemptState(
             plan.idempotent,
             self._body.is_replayable,
             attempt.began,
             plan.retries + 1 - len(self._outcome.tried),
             plan.deadline - self._context.clock.now(),
-            finding.judgement is Judgement.QUARANTINED,
+            quarantined,
         )
-        budget = router.find_budget(plan.service)
+        budget = self._context.router.find_budget(plan.service)
         decision = decide_retry(failure, state, budget)
         self._outcome.note_attempt_failed(failure, decision.reason)
         if decision.again:
@@ -135,6 +141,20 @@
         else:
             self._owner.take_failure(failure)
 
+    def _learn(self, attempt: Attempt, failure: Failure) -> bool:
+        context = self._context
+        plan = self._plan
+        context.router.note_failure(
+            attempt.endpoint,
+            plan.snapshot.routes[plan.service],
+            failure,
+            context.clock.now() - attempt.started_at,
+        )
+        if failure.code is FailureCode.UPSTREAM_CRASHED:
+            context.suspicion.name((self._fingerprint,), attempt.endpoint)
+        finding = context.suspicion.judge(self._fingerprint)
+        return finding.judgement is Judgement.QUARANTINED
+
     def _choose(self) -> None:
         plan = self._plan
         selection = self._context.router.choose(
@@ -143,7 +163,8 @@
             self._outcome.tried,
         )
         if selection is None:
-            self._wait_for_endpoints()
+            if self._outcome.tried or not self._wait.start(plan.service):
+                self._fail_without_endpoint()
             return
         self._open(selection)
 
@@ -151,51 +172,41 @@
         context = self._context
         endpoint = selection.endpoint
         now = context.clock.now()
-        start = self._build_start(now)
+        finding = context.suspicion.judge(self._fingerprint)
+        start = _build_start(
+            self._plan,
+            self._body,
+            self._fingerprint,
+            now,
+            bool(self._outcome.tried),
+            finding.judgement > Judgement.CLEAR,
+        )
         self._outcome.note_attempt(selection)
         load = context.router.find_load(endpoint)
         attempt = Attempt(self, endpoint, load, now)
         self._attempt = attempt
         attempt.open(context.find_target(endpoint), start)
-        if not attempt.ended and not start.last:
+        if attempt.ended:
+            return
+        if not start.last:
             self._body.attach(attempt)
+        self._limit(attempt, selection.has_other)
 
-    def _build_start(self, now: float) -> CallStart:
+    def _limit(self, attempt: Attempt, has_other: bool) -> None:
         plan = self._plan
-        request = plan.request
-        headers = request.headers
-        if self._outcome.tried or request.retried:
-            headers = (*headers, _RETRIED_HEADER)
-        finding = self._context.suspicion.judge(self._fingerprint)
-        left_ms = int((plan.deadline - now) * MS_PER_S)
-        return CallStart(
-            0,
-            plan.service,
-            request.method,
-            request.target,
-            headers,
-            self._body.kept,
-            self._body.is_whole,
-            max(left_ms, 1),
-            plan.decision.policy.priority,
-            self._fingerprint,
-            finding.judgement > Judgement.CLEAR,
-        )
-
-    def _wait_for_endpoints(self) -> None:
-        context = self._context
-        until = context.interest.find_wait_until(self._plan.service)
-        if until <= context.clock.now() or self._outcome.tried:
-            self._fail_without_endpoint()
+        retries_left = plan.retries + 1 - len(self._outcome.tried)
+        if not plan.idempotent or not has_other or retries_left <= 0:
             return
-        timer = context.timers.schedule(until, self._fail_without_endpoint)
-        unwatch = context.board.snapshot.watch(self._adopt)
-
-        def stop() -> None:
-            timer.cancel()
-            unwatch()
+        left_s = plan.deadline - attempt.started_at
+        until = attempt.started_at + left_s * ATTEMPT_SHARE
+        timers = self._context.timers
+        timers.schedule(until, partial(self._abandon, attempt))
 
-        self._stop_waiting = stop
+    def _abandon(self, attempt: Attempt) -> None:
+        if attempt.ended or attempt.began:
+            return
+        attempt.cancel()
+        self.take_failure(attempt, _LATE)
 
     def _adopt(self, snapshot: Snapshot) -> None:
         plan = self._plan
@@ -205,13 +216,12 @@
         selection = self._context.router.choose(route, plan.decision, [])
         if selection is None:
             return
+        self._wait.stop()
         self._plan = plan._replace(snapshot=snapshot)
-        self._cancel_waiting()
         self._open(selection)
         self._owner.control_reading()
 
     def _fail_without_endpoint(self) -> None:
-        self._cancel_waiting()
         self._owner.take_failure(
             Failure(
                 self._outcome.verdict,
@@ -221,8 +231,30 @@
             ),
         )
 
-    def _cancel_waiting(self) -> None:
-        stop = self._stop_waiting
-        self._stop_waiting = None
-        if stop is not None:
-            stop()
+
+def _build_start(
+    plan: Plan,
+    body: RequestBody,
+    fingerprint: bytes,
+    now: float,
+    tried: bool,
+    suspect: bool,
+) -> CallStart:
+    request = plan.request
+    headers = request.headers
+    if tried or request.retried:
+        headers = (*headers, _RETRIED_HEADER)
+    left_ms = int((plan.deadline - now) * MS_PER_S)
+    return CallStart(
+        0,
+        plan.service,
+        request.method,
+        request.target,
+        headers,
+        body.kept,
+        body.is_whole,
+        max(left_ms, 1),
+        plan.decision.policy.priority,
+        fingerprint,
+        suspect,
+    )
--- a/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
+++ b/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
@@ -17,6 +17,8 @@
 SLOW_START_SHARE = 0.1
 #: Share of its slots from which on an endpoint counts as busy.
 BUSY_SHARE = 0.8
+#: Time after which nothing is left of what was seen, in seconds.
+FADE_S = 5.0
 
 
 class EndpointLoad:
@@ -29,6 +31,7 @@
         'latency_us',
         'outstanding',
         'reported',
+        'seen_at',
     )
 
     def __init__(self) -> None:
@@ -36,6 +39,7 @@
         self.outstanding = 0
         self.latency_us = _INITIAL_LATENCY_US
         self.reported = 0
+        self.seen_at: float = 0
         self.failures = 0
         self.ejections = 0
         self.ejected_until: float = 0
@@ -48,23 +52,45 @@
         """Counts a call that ended."""
         self.outstanding -= 1
 
-    def learn(self, latency_s: float, load: Load) -> None:
+    def learn(self, latency_s: float, load: Load, now: float) -> None:
         """Takes in the latency and the load that came with an answer."""
         newest_us = latency_s * _US_PER_S
         self.latency_us += (newest_us - self.latency_us) * _LATENCY_WEIGHT
         self.reported = load.outstanding + load.queued
+        self.seen_at = now
 
+    def estimate_latency_us(self, now: float) -> float:
+        """Returns the latency expected, in microseconds.
 
-def estimate_work_us(endpoint: Endpoint, load: EndpointLoad) -> float:
+        What was seen fades, so that an endpoint that was slow once is tried
+        again.
+        """
+        excess_us = self.latency_us - _INITIAL_LATENCY_US
+        return _INITIAL_LATENCY_US + excess_us * self._fade(now)
+
+    def estimate_work(self, now: float) -> float:
+        """Returns the calls under way: own ones, or more where reported."""
+        reported = self.reported * self._fade(now)
+        return max(self.outstanding, reported)
+
+    def _fade(self, now: float) -> float:
+        return max(0, 1 - (now - self.seen_at) / FADE_S)
+
+
+def estimate_work_us(
+    endpoint: Endpoint,
+    load: EndpointLoad,
+    now: float,
+) -> float:
     """Returns the time that one more call would take, in microseconds."""
-    work = max(load.outstanding, load.reported) + 1
-    return load.latency_us * (1 + work / max(endpoint.slots, 1))
+    work = load.estimate_work(now) + 1
+    latency_us = load.estimate_latency_us(now)
+    return latency_us * (1 + work / max(endpoint.slots, 1))
 
 
-def is_busy(endpoint: Endpoint, load: EndpointLoad) -> bool:
+def is_busy(endpoint: Endpoint, load: EndpointLoad, now: float) -> bool:
     """Tells whether an endpoint has hardly a slot left."""
-    work = max(load.outstanding, load.reported)
-    return work >= endpoint.slots * BUSY_SHARE
+    return load.estimate_work(now) >= endpoint.slots * BUSY_SHARE
 
 
 def find_slow_start(endpoint: Endpoint, wall_ms: int) -> float:
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/endpoint_wait.py
@@ -0,0 +1,46 @@
+"""Lets a request wait for the first endpoints of its service."""
+
+from collections.abc import Callable
+
+from bilberry_core.snapshot import Snapshot
+
+from bilberry_proxy.context import ProxyContext
+from bilberry_proxy.timers import Timer
+
+
+class EndpointWait:
+    """Waits until a snapshot serves the request, or the time is over."""
+
+    def __init__(
+        self,
+        context: ProxyContext,
+        on_snapshot: Callable[[Snapshot], None],
+        on_timeout: Callable[[], None],
+    ) -> None:
+        """Starts without waiting."""
+        self._context = context
+        self._on_snapshot = on_snapshot
+        self._on_timeout = on_timeout
+        self._timer: Timer | None = None
+        self._unwatch: Callable[[], None] | None = None
+
+    def start(self, service: str) -> bool:
+        """Begins to wait; False where the service has had its time."""
+        context = self._context
+        until = context.interest.find_wait_until(service)
+        if until <= context.clock.now():
+            return False
+        self._timer = context.timers.schedule(until, self._expire)
+        self._unwatch = context.board.snapshot.watch(self._on_snapshot)
+        return True
+
+    def stop(self) -> None:
+        """Ends the wait."""
+        if self._unwatch is not None:
+            self._unwatch()
+            self._unwatch = None
+            self._timer.cancel()
+
+    def _expire(self) -> None:
+        self.stop()
+        self._on_timeout()
--- a/packages/bilberry_proxy/bilberry_proxy/outlier.py
+++ b/packages/bilberry_proxy/bilberry_proxy/outlier.py
@@ -28,10 +28,12 @@
         FailureCode.UPSTREAM_MALFORMED,
         FailureCode.UPSTREAM_CRASHED,
         FailureCode.STREAM_LOST,
-        FailureCode.DEADLINE,
         FailureCode.NO_ENDPOINT,
     ),
 )
+#: An attempt that took this many times the usual latency speaks against it.
+LATE_FACTOR = 5
+_US_PER_S = 1_000_000
 
 
 def count_success(load: EndpointLoad) -> None:
@@ -46,13 +48,14 @@
     peers: Sequence[EndpointLoad],
     failure: Failure,
     now: float,
+    lasted_s: float = 0,
 ) -> bool:
     """Counts a failure; True where it ejects the endpoint.
 
-    `peers` are all endpoints of the service, `now` is monotonic time in
-    seconds.
+    `peers` are all endpoints of the service, `now` is monotonic time and
+    `lasted_s` the time that the attempt took, in seconds.
     """
-    if failure.code not in _BLAMED_CODES or load.ejected_until > now:
+    if load.ejected_until > now or not _is_blamed(load, failure, lasted_s):
         return False
     load.failures += 1
     if load.failures < FAILURES_TO_EJECT and not load.ejections:
@@ -70,3 +73,9 @@
     """Tells whether one more of a service's endpoints may be ejected."""
     ejected = sum(1 for peer in peers if peer.ejected_until > now)
     return ejected + 1 <= len(peers) * MAX_EJECTED_SHARE
+
+
+def _is_blamed(load: EndpointLoad, failure: Failure, lasted_s: float) -> bool:
+    if failure.code is FailureCode.DEADLINE:
+        return lasted_s * _US_PER_S > load.latency_us * LATE_FACTOR
+    return failure.code in _BLAMED_CODES
--- a/packages/bilberry_proxy/bilberry_proxy/retry.py
+++ b/packages/bilberry_proxy/bilberry_proxy/retry.py
@@ -14,7 +14,6 @@
 #: Failures that another endpoint would give as well.
 _FINAL_CODES = frozenset(
     (
-        FailureCode.DEADLINE,
         FailureCode.CANCELLED,
         FailureCode.QUARANTINED,
         FailureCode.BAD_REQUEST,
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -3,6 +3,8 @@
 The state behind the plain functions of `selection` and `retry`.
 """
 
+from logging import getLogger
+
 from bilberry_core.clock import Clock, RandomSource
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.call import Load
@@ -21,6 +23,8 @@
     select_ready,
 )
 
+_log = getLogger(__name__)
+
 
 class Router:
     """Chooses the endpoint of each attempt."""
@@ -89,7 +93,7 @@
     ) -> None:
         """Takes in an answer of an endpoint."""
         seen = self.find_load(endpoint)
-        seen.learn(latency_s, load)
+        seen.learn(latency_s, load, self._clock.now())
         count_success(seen)
 
     def note_failure(
@@ -97,12 +101,23 @@
         endpoint: Endpoint,
         route: Route,
         failure: Failure,
+        lasted_s: float,
     ) -> None:
         """Takes in a failure of an endpoint, and ejects an outlier."""
         ready = self._find_ready(route)
         now = self._clock.now()
         peers = [self.find_load(one) for one in ready]
-        count_failure(self.find_load(endpoint), peers, failure, now)
+        load = self.find_load(endpoint)
+        if count_failure(load, peers, failure, now, lasted_s):
+            _log.warning(
+                'endpoint_ejected',
+                extra={
+                    'service': endpoint.service,
+                    'ejected': endpoint.instance,
+                    'code': failure.code.value,
+                    'seconds': round(load.ejected_until - now, 3),
+                },
+            )
 
     def forget_gone(self, present: set[tuple[str, int]]) -> None:
         """Forgets endpoints that no snapshot holds and no call uses."""
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -40,11 +40,15 @@
 
 
 class Selection(NamedTuple):
-    """The endpoint chosen, from how many, and why."""
+    """The endpoint chosen, from how many, and why.
+
+    `has_other` tells whether another endpoint is ready and not tried.
+    """
 
     endpoint: Endpoint
     candidates: int
     reason: str
+    has_other: bool
 
 
 def select_ready(
@@ -91,14 +95,16 @@
         reasons.append('not tried')
     left = _skip_ejected(left, loads, viewpoint.now, reasons)
     left = _skip_cold(left, viewpoint.wall_ms, random, reasons)
-    left = _prefer_near(left, loads, viewpoint.failure_domain, reasons)
+    left = _prefer_near(left, loads, viewpoint, reasons)
+    now = viewpoint.now
     chosen = balancer.pick(
         left,
-        lambda one: estimate_work_us(one, loads(one)),
+        lambda one: estimate_work_us(one, loads(one), now),
         random,
     )
     reasons.append(balancer.name)
-    return Selection(chosen, len(left), ', '.join(reasons))
+    has_other = len(ready) > len(tried) + 1
+    return Selection(chosen, len(left), ', '.join(reasons), has_other)
 
 
 def _prefer(
@@ -145,18 +151,16 @@
 def _prefer_near(
     endpoints: Sequence[Endpoint],
     loads: LoadLookup,
-    failure_domain: str,
+    viewpoint: Viewpoint,
     reasons: list[str],
 ) -> Sequence[Endpoint]:
-    near = [
-        one
-        for one in endpoints
-        if one.failure_domain == failure_domain and not is_busy(one, loads(one))
-    ]
+    now = viewpoint.now
+    free = [one for one in endpoints if not is_busy(one, loads(one), now)]
+    domain = viewpoint.failure_domain
+    near = [one for one in free if one.failure_domain == domain]
     if near:
         reasons.append('near')
         return near
-    free = [one for one in endpoints if not is_busy(one, loads(one))]
     if free:
         reasons.append('free')
         return free
--- a/tests/bilberry_proxy/test_failures.py
+++ b/tests/bilberry_proxy/test_failures.py
@@ -169,6 +169,57 @@
         self.assertEqual(('not_run', 'stream_lost'), run(scenario()))
 
 
+class RetryTest(TestCase):
+    """Second attempts: of what may be sent again, and once only."""
+
+    def test_request_that_was_retried_is_not_retried_again(self):
+        """Levels of proxies do not multiply attempts."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, UPSTREAM, CALLER_ONLY) as fleet:
+                answer = await call(
+                    fleet.nodes[2],
+                    '/early',
+                    x_request_id='a',
+                    bilberry_retried='1',
+                )
+                return answer.status, count_runs(fleet)
+
+        self.assertEqual((502, {'a': 1}), run(scenario()))
+
+    def test_upstream_that_says_not_run_is_believed(self):
+        """A POST that an upstream sheds goes to another one."""
+
+        async def scenario():
+            upstream = {'slots': 2, 'sheds': True}
+            async with open_fleet(upstream, UPSTREAM, CALLER_ONLY) as fleet:
+                answers = [
+                    await call(
+                        fleet.nodes[2], '/', 'POST', x_request_id=str(at)
+                    )
+                    for at in range(8)
+                ]
+                return {one.status for one in answers}, count_runs(fleet)
+
+        statuses, runs = run(scenario())
+        self.assertEqual({200}, statuses)
+        self.assertEqual({str(at): 1 for at in range(8)}, runs)
+
+    def test_read_leaves_a_frozen_upstream(self):
+        """An upstream that never answers costs a read part of its time."""
+
+        async def scenario():
+            frozen = {'slots': 2, 'latency_ms': 60000}
+            configuration = configure(timeout_ms=400)
+            async with open_fleet(
+                frozen, UPSTREAM, CALLER_ONLY, configuration=configuration
+            ) as fleet:
+                answers = [await call(fleet.nodes[2]) for _ in range(6)]
+                return {one.status for one in answers}
+
+        self.assertEqual({200}, run(scenario()))
+
+
 class AdmissionLimitTest(TestCase):
     """The upstream's slots under more calls than it takes."""
 
--- a/tests/bilberry_proxy/test_selection.py
+++ b/tests/bilberry_proxy/test_selection.py
@@ -7,10 +7,16 @@
 from testtools import TestCase
 
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
+from bilberry_core.messages.call import Load
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.balancers import build_balancer, get_balancer_names
-from bilberry_proxy.endpoint_load import SLOW_START_MS, EndpointLoad
+from bilberry_proxy.endpoint_load import (
+    SLOW_START_MS,
+    EndpointLoad,
+    estimate_work_us,
+    is_busy,
+)
 from bilberry_proxy.outlier import (
     MAX_EJECTED_SHARE,
     count_failure,
@@ -161,6 +167,37 @@
         self.assertLessEqual(max(counts.values()), 48)
 
 
+class LoadTest(TestCase):
+    """Loads and latencies that were seen lag, so they fade."""
+
+    def test_report_that_misled_fades(self):
+        """An endpoint that once was busy gets calls again."""
+        load = EndpointLoad()
+        load.learn(1, Load(12, 40, 12, 0), 0)
+        endpoint = build_endpoint(0)
+        self.assertTrue(is_busy(endpoint, load, 0))
+        self.assertFalse(is_busy(endpoint, load, 60))
+        fresh = estimate_work_us(endpoint, EndpointLoad(), 60)
+        self.assertEqual(fresh, estimate_work_us(endpoint, load, 60))
+
+    def test_own_calls_count_whatever_is_reported(self):
+        """A report of no load does not hide calls that are outstanding."""
+        load = EndpointLoad()
+        load.learn(0.001, Load(0, 0, 12, 0), 0)
+        load.outstanding = 12
+        self.assertTrue(is_busy(build_endpoint(0), load, 0))
+
+    def test_short_deadlines_are_no_fault_of_the_endpoint(self):
+        """Only an endpoint that is late beyond its own latency is blamed."""
+        loads = [EndpointLoad() for _ in range(3)]
+        late = Failure(Verdict.MAY_HAVE_RUN, FailureCode.DEADLINE)
+        for _ in range(9):
+            count_failure(loads[0], loads, late, 1, lasted_s=0.002)
+            count_failure(loads[1], loads, late, 1, lasted_s=2)
+        ejected = [load.ejected_until > 1 for load in loads]
+        self.assertEqual([False, True, False], ejected)
+
+
 class BalancerTest(TestCase):
     """Least work against round robin, over a fleet with one slow endpoint."""
 
@@ -181,14 +218,14 @@
                 endpoints,
                 (),
                 lambda one: loads[endpoints.index(one)],
-                HERE,
+                HERE._replace(now=now),
                 balancer,
                 random,
             )
             at = endpoints.index(selection.endpoint)
             seconds = 0.05 if at == 0 else 0.005
             loads[at].begin()
-            loads[at].latency_us += (seconds * 1e6 - loads[at].latency_us) / 5
+            loads[at].learn(seconds, Load(0, 0, 12, 0), now)
             finished.append((now + seconds, at))
             total += seconds
         return total / 600
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -48,13 +48,15 @@
 _ANNOUNCE_TIMEOUT_S = 2.0
 _RETRY_S = 0.1
 _CRASH_STATUS = 70
+_SHED_HEADERS = ((b'bilberry-verdict', b'not_run'), (b'retry-after', b'1'))
 _ID_HEADERS = (b'x-request-id', b'idempotency-key')
 
 
 class StandinOptions(NamedTuple):
     """How a stand-in upstream behaves; times in milliseconds.
 
-    `exits` tells whether a crash ends the whole process.
+    `exits` tells whether a crash ends the whole process, `sheds` whether
+    every request is refused before it runs.
     """
 
     daemon: Address | None
@@ -66,6 +68,7 @@
     renew_ms: float = 2000
     crash_path: str = '/crash'
     exits: bool = True
+    sheds: bool = False
 
 
 class Records:
@@ -155,11 +158,17 @@
         """Ends the connection after what was sent."""
         self._transport.close()
 
-    def answer(self, status: int, body: bytes) -> None:
+    def answer(
+        self,
+        status: int,
+        body: bytes,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> None:
         """Sends a whole answer."""
         length = (b'content-length', str(len(body)).encode())
+        framed = [length, *headers]
         parts = [
-            self._http.send(Response(status_code=status, headers=[length])),
+            self._http.send(Response(status_code=status, headers=framed)),
             self._http.send(Data(data=body)) if body else b'',
             self._http.send(EndOfMessage()),
         ]
@@ -204,6 +213,9 @@
         if path == '/runs':
             self.answer(200, upstream.records.encode())
             return
+        if upstream.options.sheds:
+            self.answer(503, b'shed', _SHED_HEADERS)
+            return
         request_id = _find_id(self._start)
         upstream.records.begin(request_id)
         delay_s = upstream.find_delay_s(path)
