--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -31,7 +31,7 @@
 #: Longest body of a request that is claimed, in bytes.
 CLAIMED_BODY_BYTES = 1 << 20
 #: Time that the daemon beside the upstream has to tell its own verdict.
-DEADLINE_GRACE_S = 0.03
+DEADLINE_GRACE_S = 0.05
 #: When a caller may come back to a proxy that leaves.
 DRAINING_RETRY_AFTER_MS = 1000
 
--- a/packages/bilberry_proxy/bilberry_proxy/timers.py
+++ b/packages/bilberry_proxy/bilberry_proxy/timers.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 #: Time between two ticks, in seconds.
-TICK_S = 0.01
+TICK_S = 0.02
 
 
 class Timer:
--- /dev/null
+++ b/tests/bench/call.py
@@ -0,0 +1,217 @@
+"""Measures calls: what the proxy adds, and what overload and faults do.
+
+Real processes on loopback. Each request is sent directly, through the naive
+proxy, through two relays of plain bytes (the floor of two hops on this
+machine) and through two daemons, in turn and in one run. Writes
+docs/measurements/call.json.
+"""
+
+from argparse import ArgumentParser
+from asyncio import gather
+from contextlib import ExitStack
+from json import dumps
+from os import getloadavg
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from numpy import array, percentile
+from uvloop import run
+
+from tests.bench.client import Client, Reply, encode_get, send_steadily
+from tests.bench.faults import measure_faults
+from tests.bench.fleet import SLOTS, BenchFleet
+from tests.bench.processes import BenchProcess
+
+RATES = (50, 200, 370)
+PERCENTILES = {'p50': 50, 'p99': 99, 'p99.9': 99.9}
+WARM_CALLS = 300
+URGENT_SHARE = 5
+LATENCY_MS = 10
+URGENT_DEADLINE_S = 0.5
+REQUEST_HEADERS = {'user_agent': 'van/1.0', 'accept': 'application/json'}
+RESULT = Path('docs/measurements/call.json')
+
+
+def summarize(seconds: list[float]) -> dict[str, float]:
+    """Returns percentiles, in milliseconds."""
+    values = array(seconds) * 1000
+    return {
+        name: round(float(percentile(values, at)), 3)
+        for name, at in PERCENTILES.items()
+    }
+
+
+async def measure_rate(
+    clients: dict[str, Client],
+    nodes: list[BenchProcess],
+    rate: int,
+    seconds: float,
+) -> dict[str, Any]:
+    """Sends at one rate on every way; returns latencies, in milliseconds."""
+    request = encode_get('/lookup', **REQUEST_HEADERS)
+    count = int(rate * seconds)
+    names = list(clients)
+
+    async def send_all(at: int) -> dict[str, float]:
+        shift = at % len(names)
+        taken = {}
+        for name in names[shift:] + names[:shift]:
+            reply: Reply = await clients[name].send(request)
+            taken[name] = reply.seconds if reply.status == 200 else None
+        return taken
+
+    before = [node.cpu_s() for node in nodes]
+    rows = await send_steadily(rate, count, send_all)
+    spent = [
+        node.cpu_s() - start for node, start in zip(nodes, before, strict=True)
+    ]
+    whole = [row for row in rows if None not in row.values()]
+    added = {
+        name: summarize([row[name] - row['direct'] for row in whole])
+        for name in names
+        if name != 'direct'
+    }
+    return {
+        'calls_per_s': rate,
+        'calls': count,
+        'failed': count - len(whole),
+        'latency_ms': {
+            name: summarize([row[name] for row in whole]) for name in names
+        },
+        'added_ms': added,
+        'cpu_us_per_call': [round(one / count * 1e6) for one in spent],
+        'load_average': round(getloadavg()[0], 2),
+    }
+
+
+async def measure_saturation(
+    client: Client, nodes: list[BenchProcess], calls: int, workers: int = 8
+) -> dict[str, Any]:
+    """Sends as fast as answers come; returns the throughput per core."""
+    request = encode_get('/lookup', **REQUEST_HEADERS)
+    before = [node.cpu_s() for node in nodes]
+    seconds: list[float] = []
+
+    async def work() -> int:
+        failed = 0
+        for _ in range(calls // workers):
+            reply = await client.send(request)
+            failed += reply.status != 200
+            seconds.append(reply.seconds)
+        return failed
+
+    failed = sum(await gather(*(work() for _ in range(workers))))
+    spent = [
+        node.cpu_s() - start for node, start in zip(nodes, before, strict=True)
+    ]
+    return {
+        'calls': len(seconds),
+        'failed': failed,
+        'calls_per_s': round(len(seconds) / (sum(seconds) / workers)),
+        'latency_ms': summarize(seconds),
+        'calls_per_core_s': [round(len(seconds) / one) for one in spent],
+    }
+
+
+async def measure_overload(client: Client, factor: int) -> dict[str, Any]:
+    """Offers a multiple of what the upstream serves; one in five urgent."""
+    capacity = SLOTS / LATENCY_MS * 1000
+    urgent = encode_get('/urgent', **REQUEST_HEADERS)
+    deferrable = encode_get('/deferrable', **REQUEST_HEADERS)
+
+    async def send_one(at: int) -> tuple[bool, Reply]:
+        is_urgent = at % URGENT_SHARE == 0
+        return is_urgent, await client.send(urgent if is_urgent else deferrable)
+
+    rate = capacity * factor
+    rows = await send_steadily(rate, int(rate * 3), send_one)
+    result: dict[str, Any] = {'factor': factor, 'calls_per_s': rate}
+    for name, wanted in (('urgent', True), ('deferrable', False)):
+        replies = [reply for is_urgent, reply in rows if is_urgent is wanted]
+        in_time = [
+            reply
+            for reply in replies
+            if reply.status == 200 and reply.seconds < URGENT_DEADLINE_S
+        ]
+        shed = [reply.seconds for reply in replies if reply.status == 503]
+        result[name] = {
+            'calls': len(replies),
+            'in_time_share': round(len(in_time) / len(replies), 4),
+            'shed': len(shed),
+            'shed_latency_ms': summarize(shed) if shed else None,
+            'other': len(replies)
+            - sum(reply.status in {200, 503} for reply in replies),
+        }
+    return result
+
+
+async def warm(clients: dict[str, Client]) -> None:
+    """Opens connections and lets every process warm up."""
+    request = encode_get('/lookup', **REQUEST_HEADERS)
+    for client in clients.values():
+        await client.warm(8)
+        for _ in range(WARM_CALLS):
+            await client.send(request)
+
+
+async def measure_latency(
+    fleet: BenchFleet, upstream: BenchProcess, seconds: float
+) -> dict[str, Any]:
+    """Returns what is added at each rate and at saturation."""
+    text = upstream.first_line
+    inner = fleet.start('tests.bench.relay', text)
+    outer = fleet.start('tests.bench.relay', inner.first_line)
+    naive = fleet.start('tests.bench.naive_proxy', text)
+    clients = {
+        'direct': Client(upstream.address),
+        'naive': Client(naive.address),
+        'relays': Client(outer.address),
+        'proxy': Client(fleet.callers),
+    }
+    await warm(clients)
+    idle_memory = [round(node.memory_mb(), 1) for node in fleet.nodes]
+    rates = [
+        await measure_rate(clients, fleet.nodes, rate, seconds)
+        for rate in RATES
+    ]
+    saturation = {
+        name: await measure_saturation(clients[name], fleet.nodes, 8000)
+        for name in ('naive', 'proxy')
+    }
+    return {
+        'rates': rates,
+        'saturation': saturation,
+        'memory_mb': {
+            'idle': idle_memory,
+            'after': [round(node.memory_mb(), 1) for node in fleet.nodes],
+        },
+    }
+
+
+async def measure(seconds: float) -> dict[str, Any]:
+    """Runs every measurement."""
+    with ExitStack() as stack, TemporaryDirectory() as folder:
+        fleet = BenchFleet(stack, folder)
+        upstream = fleet.start_upstream(1)
+        result = {'reads': await measure_latency(fleet, upstream, seconds)}
+    with ExitStack() as stack, TemporaryDirectory() as folder:
+        fleet = BenchFleet(stack, folder)
+        fleet.start_upstream(1, '--latency-ms', str(LATENCY_MS))
+        client = Client(fleet.callers)
+        await warm({'proxy': client})
+        result['overload'] = [
+            await measure_overload(client, factor) for factor in (2, 5)
+        ]
+    with ExitStack() as stack, TemporaryDirectory() as folder:
+        result['faults'] = await measure_faults(BenchFleet(stack, folder))
+    return result
+
+
+if __name__ == '__main__':
+    parser = ArgumentParser(description='Measures calls.')
+    parser.add_argument('--seconds', type=float, default=10)
+    measured = run(measure(parser.parse_args().seconds))
+    RESULT.parent.mkdir(parents=True, exist_ok=True)
+    RESULT.write_text(f'{dumps(measured, indent=2)}\n')
+    print(dumps(measured, indent=2))
--- /dev/null
+++ b/tests/bench/faults.py
@@ -0,0 +1,118 @@
+"""Counts lost, cut and doubled requests under kills, drains and changes.
+
+Upstreams are drained, killed and restarted and the configuration changes
+while reads and bookings flow. Runs are recorded by the upstreams, never
+inferred. Bookings carry no key here: the proxy itself sends none twice.
+"""
+
+from asyncio import create_task, sleep, to_thread
+from collections import Counter
+from pathlib import Path
+from signal import SIGTERM
+from typing import Any, NamedTuple
+
+from tests.bench.client import Client, Reply, encode_request, send_steadily
+from tests.bench.fleet import BenchFleet
+
+RATE = 200
+SECONDS = 10
+STEP_S = 0.5
+_LATENCY = ('--latency-ms', '5')
+
+
+class Sent(NamedTuple):
+    """One request and what its caller was told."""
+
+    request_id: str
+    is_booking: bool
+    reply: Reply
+
+    @property
+    def verdict(self) -> str:
+        """The verdict that the caller was told."""
+        return self.reply.headers.get('bilberry-verdict', '')
+
+
+class Faults:
+    """Brings one fault after the other about."""
+
+    def __init__(self, fleet: BenchFleet) -> None:
+        """Starts two upstreams."""
+        self.done: Counter[str] = Counter()
+        self._fleet = fleet
+        self._upstreams = [
+            fleet.start_upstream(at, *_LATENCY) for at in range(2)
+        ]
+
+    async def bring_about(self) -> None:
+        """Drains, kills, restarts and changes while requests flow."""
+        for at in (1, 0, 1):
+            await self._end(at, 'drain')
+            await self._end(at, 'kill')
+
+    async def _end(self, at: int, way: str) -> None:
+        await sleep(STEP_S)
+        process = self._upstreams[at].process
+        if way == 'kill':
+            process.kill()
+        else:
+            process.send_signal(SIGTERM)
+        await to_thread(process.wait)
+        self._fleet.tell_endpoints()
+        await sleep(STEP_S)
+        start = self._fleet.start_upstream
+        self._upstreams[at] = await to_thread(start, at, *_LATENCY)
+        self.done[way] += 1
+        self.done['change'] += 1
+
+
+async def measure_faults(fleet: BenchFleet) -> dict[str, Any]:
+    """Returns the counts; lost, cut and doubled must be 0."""
+    faults = Faults(fleet)
+    clients = [Client(fleet.find_callers(at)) for at in range(2)]
+
+    async def send_one(at: int) -> Sent:
+        is_booking = at % 2 == 0
+        request = encode_request(
+            'POST' if is_booking else 'GET',
+            '/lookup',
+            b'cooler' if is_booking else b'',
+            x_request_id=f'r{at}',
+        )
+        reply = await clients[at // 2 % 2].send(request)
+        return Sent(f'r{at}', is_booking, reply)
+
+    task = create_task(faults.bring_about())
+    sent = await send_steadily(RATE, RATE * SECONDS, send_one)
+    await task
+    runs = Counter(Path(fleet.record_file).read_text().split())
+    return count_outcomes(sent, runs) | {'faults': dict(faults.done)}
+
+
+def count_outcomes(sent: list[Sent], runs: Counter[str]) -> dict[str, Any]:
+    """Returns what became of every request."""
+    bookings = [one for one in sent if one.is_booking]
+    return {
+        'requests': len(sent),
+        'answered': sum(one.reply.status == 200 for one in sent),
+        'told_not_run': sum(one.verdict == 'not_run' for one in sent),
+        'told_may_have_run': sum(one.verdict == 'may_have_run' for one in sent),
+        'told_ran': sum(one.verdict == 'ran' for one in sent),
+        'lost_or_cut': sum(one.reply.status == 0 for one in sent),
+        'unexplained': sum(
+            one.reply.status not in {0, 200} and not one.verdict for one in sent
+        ),
+        'wrong_answers': sum(
+            one.reply.status == 200
+            and one.reply.body != (b'cooler' if one.is_booking else b'/lookup')
+            for one in sent
+        ),
+        'bookings_doubled': sum(runs[one.request_id] > 1 for one in bookings),
+        'answered_without_run': sum(
+            one.reply.status == 200 and not runs[one.request_id] for one in sent
+        ),
+        'not_run_was_false': sum(
+            one.verdict == 'not_run' and runs[one.request_id] > 0
+            for one in sent
+        ),
+    }
--- /dev/null
+++ b/tests/bench/fleet.py
@@ -0,0 +1,97 @@
+"""The processes of one bench, and how they hear of each other's endpoints."""
+
+from contextlib import ExitStack
+from json import dumps, loads
+from threading import Condition, Thread
+
+from bilberry_core.endpoint import Address
+from tests.bench.processes import BenchProcess
+
+SLOTS = 12
+_WAIT_S = 10.0
+
+
+class BenchFleet:
+    """Two daemons, their upstreams, and what they are compared with.
+
+    Whatever a daemon announces is given to both at once; how endpoints are
+    spread is measured elsewhere.
+    """
+
+    def __init__(self, stack: ExitStack, folder: str) -> None:
+        """Starts the daemons; `stack` ends every process."""
+        self._stack = stack
+        self._folder = folder
+        self._changed = Condition()
+        self._endpoints: dict[str, list] = {}
+        self.nodes = [self._start_node(name) for name in ('caller', 'beside')]
+        for node in self.nodes:
+            Thread(target=self._follow, args=(node,), daemon=True).start()
+
+    @property
+    def callers(self) -> Address:
+        """Where the first daemon takes callers."""
+        return self.find_callers(0)
+
+    @property
+    def record_file(self) -> str:
+        """Where the upstreams record each run."""
+        return f'{self._folder}/runs'
+
+    def find_callers(self, at: int) -> Address:
+        """Returns where a daemon takes callers."""
+        return Address(*self.nodes[at].addresses['callers'])
+
+    def start_upstream(self, at: int, *options: str) -> BenchProcess:
+        """Starts an upstream beside a daemon and waits until it is ready."""
+        host, port = self.nodes[at].addresses['upstream']
+        upstream = self.start(
+            'tests.standin.upstream',
+            '--daemon',
+            f'{host}:{port}',
+            '--service',
+            'callouts',
+            '--slots',
+            str(SLOTS),
+            '--record-file',
+            self.record_file,
+            *options,
+        )
+        name = self.nodes[at].name
+        with self._changed:
+            self._changed.wait_for(
+                lambda: 'ready' in self._endpoints.get(name, ()),
+                _WAIT_S,
+            )
+        return upstream
+
+    def start(self, *arguments: str) -> BenchProcess:
+        """Starts a process that ends with the bench."""
+        return self._stack.enter_context(BenchProcess(*arguments))
+
+    def tell_endpoints(self) -> None:
+        """Gives every daemon a new version of the configuration."""
+        with self._changed:
+            line = dumps(list(self._endpoints.values()))
+            for node in self.nodes:
+                node.write_line(line)
+
+    def _start_node(self, name: str) -> BenchProcess:
+        log_file = f'{self._folder}/{name}.log'
+        node = self.start(
+            'tests.bench.node', '--name', name, '--log-file', log_file
+        )
+        node.name = name
+        node.addresses = loads(node.first_line)
+        return node
+
+    def _follow(self, node: BenchProcess) -> None:
+        for line in node.process.stdout:
+            endpoint = loads(line)['endpoint']
+            # The bench measures warm endpoints, as if ready for long.
+            endpoint[-1] = 0
+            with self._changed:
+                self._endpoints[node.name] = endpoint
+            self.tell_endpoints()
+            with self._changed:
+                self._changed.notify_all()
--- a/tests/bench/processes.py
+++ b/tests/bench/processes.py
@@ -14,6 +14,8 @@
 
     def __init__(self, *arguments: str) -> None:
         """Starts the module named first with the arguments after it."""
+        self.name = ''
+        self.addresses: dict[str, list] = {}
         self.process = Popen(
             [executable, '-m', *arguments],
             stdin=PIPE,
--- /dev/null
+++ b/tests/bench/relay.py
@@ -0,0 +1,66 @@
+"""Passes bytes on and knows nothing: the floor of one hop on this machine."""
+
+from argparse import ArgumentParser
+from asyncio import Protocol, get_running_loop
+
+from uvloop import run
+
+
+class Pipe(Protocol):
+    """One side of a connection; what it receives goes to the other side."""
+
+    def __init__(self) -> None:
+        """Starts without another side."""
+        self.other: Pipe | None = None
+        self.transport = None
+        self._held: list[bytes] = []
+
+    def connection_made(self, transport) -> None:
+        """Called by the event loop."""
+        self.transport = transport
+
+    def data_received(self, received: bytes) -> None:
+        """Called by the event loop."""
+        if self.other is None:
+            self._held.append(received)
+        else:
+            self.other.transport.write(received)
+
+    def connection_lost(self, _error) -> None:
+        """Called by the event loop."""
+        if self.other is not None and self.other.transport is not None:
+            self.other.transport.close()
+
+    async def join(self, host: str, port: int) -> None:
+        """Connects the other side."""
+        other = Pipe()
+        other.other = self
+        await get_running_loop().create_connection(lambda: other, host, port)
+        self.other = other
+        for held in self._held:
+            other.transport.write(held)
+
+
+async def main(host: str, port: int) -> None:
+    """Relays every connection to one address."""
+    loop = get_running_loop()
+    tasks = set()
+
+    def accept() -> Pipe:
+        pipe = Pipe()
+        task = loop.create_task(pipe.join(host, port))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        return pipe
+
+    server = await loop.create_server(accept, '127.0.0.1', 0)
+    bound = server.sockets[0].getsockname()
+    print(f'{bound[0]}:{bound[1]}', flush=True)
+    await server.serve_forever()
+
+
+if __name__ == '__main__':
+    parser = ArgumentParser(description='A relay of bytes.')
+    parser.add_argument('target')
+    split = parser.parse_args().target.rpartition(':')
+    run(main(split[0], int(split[2])))
--- /dev/null
+++ b/tests/bilberry_core/test_logs.py
@@ -0,0 +1,69 @@
+"""Log lines: JSON with stable field names, none lost at the end."""
+
+from json import loads
+from logging import getLogger
+from pathlib import Path
+from sys import exc_info
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from bilberry_core.logs import start_logs
+from bilberry_core.verdict import Verdict
+
+
+class LogsTest(TestCase):
+    """Lines of one process."""
+
+    def setUp(self):
+        """Keeps the handlers that the test runner set."""
+        super().setUp()
+        root = getLogger()
+        self.addCleanup(setattr, root, 'handlers', root.handlers)
+        self.addCleanup(root.setLevel, root.level)
+
+    def write(self, *lines) -> list[dict]:
+        """Returns what is written of these (event, arguments)."""
+        with TemporaryDirectory() as folder:
+            path = Path(folder, 'log')
+            listener = start_logs('node-1', 'INFO', str(path))
+            for event, arguments in lines:
+                getLogger('bilberry_core.test').info(event, **arguments)
+            listener.stop()
+            return [loads(line) for line in path.read_text().splitlines()]
+
+    def test_line_has_its_fields(self):
+        """A line holds the event, the instance and the extra fields."""
+        extra = {'status': 200, 'verdict': Verdict.RAN, 'tried': ['a']}
+        (line,) = self.write(('request_routed', {'extra': extra}))
+        time = line.pop('time')
+        self.assertRegex(time, r'^\d{4}-\d\d-\d\d \d\d:\d\d:\d\d,\d{3}$')
+        self.assertEqual(
+            {
+                'level': 'INFO',
+                'module': 'bilberry_core.test',
+                'event': 'request_routed',
+                'instance': 'node-1',
+                'status': 200,
+                'verdict': 'ran',
+                'tried': ['a'],
+            },
+            line,
+        )
+
+    def test_no_line_is_lost_at_the_end(self):
+        """Lines that wait are written when the process ends."""
+        lines = self.write(
+            *(('event', {'extra': {'at': at}}) for at in range(99))
+        )
+        self.assertEqual(list(range(99)), [line['at'] for line in lines])
+
+    def test_error_carries_its_traceback(self):
+        """An exception is told, and what can't be encoded is text."""
+        try:
+            raise ValueError('why')
+        except ValueError:
+            details = {'exc_info': exc_info(), 'extra': {'odd': object}}
+        (line,) = self.write(('failed', details))
+        self.assertIn('ValueError: why', line['exc_info'])
+        self.assertIn('object', line['odd'])
