--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 SEED ?= 0
 COUNT ?= 20000
 
-.PHONY: setup format lint unit test demo
+.PHONY: setup format lint unit test demo soak bench bench-acceptance \
+	bench-spread bench-call bench-claim bench-call
 
 setup: $(VENV)/.installed
 
@@ -34,3 +35,20 @@
 
 demo: setup
 	$(BIN)/python -m demo
+
+bench-acceptance: setup
+	$(BIN)/python -m tests.bench.acceptance
+
+bench-spread: setup
+	$(BIN)/python -m tests.bench.spread
+
+bench-call: setup
+	$(BIN)/python -m tests.bench.call
+
+bench-claim: setup
+	$(BIN)/python -m tests.bench.claim
+
+bench: bench-acceptance bench-spread bench-call bench-claim
+
+soak: setup
+	$(BIN)/python -m tests.soak --seed $(SEED) --count $(COUNT)
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -20,13 +20,17 @@
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.call import CREDIT_STEP_BYTES, WINDOW_BYTES, AnswerReceiver
-from bilberry_proxy.http_headers import DEADLINE, Headers
+from bilberry_proxy.http_headers import DEADLINE, VERDICT, Headers, find_header
 from bilberry_proxy.timers import Timer
 from bilberry_proxy.upstream_connection import (
     UpstreamConnection,
     UpstreamRequest,
 )
 
+#: When a caller may come back to an upstream that declined its request.
+DECLINED_RETRY_AFTER_MS = 1000
+_DECLINING_STATUSES = frozenset((429, 503))
+
 
 class Progress(IntEnum):
     """How far a call has come."""
@@ -45,6 +49,12 @@
     Progress.ANSWERED: Verdict.RAN,
 }
 _ON_CONNECTION = frozenset((Progress.SENT, Progress.ANSWERED))
+_DECLINED = Failure(
+    Verdict.NOT_RUN,
+    FailureCode.OVERLOADED,
+    'the upstream declined to run the request',
+    DECLINED_RETRY_AFTER_MS,
+)
 
 
 class CallHost(Protocol):
@@ -62,8 +72,8 @@
     def free_slot_later(self, call: 'AdmittedCall') -> None:
         """The call's slot is free once its connection has ended."""
 
-    def now(self) -> float:
-        """Returns monotonic time, in seconds."""
+    def explain_broken(self, call: 'AdmittedCall', detail: str) -> None:
+        """Fails the call once it is known why its connection ended."""
 
 
 class AdmittedCall:
@@ -83,6 +93,7 @@
         self.deadline = deadline
         self.timer: Timer | None = None
         self.dispatched_at: float = 0
+        self.is_answered = False
         self._answers = answers
         self._host = host
         self._held: list[tuple[bytes, bool]] = []
@@ -139,7 +150,6 @@
         if self.progress is not Progress.CONNECTING:
             self._host.free_slot(self)
             return False
-        self.dispatched_at = self._host.now()
         try:
             connection.begin(_build_request(self), self)
         except LocalProtocolError as error:
@@ -167,6 +177,15 @@
         last: bool,
     ) -> None:
         """Passes the start of the answer on."""
+        if last and is_declined(status, headers):
+            self._end()
+            self._answers.fail(
+                CallFailed(
+                    self.start.call, _DECLINED, self._host.measure_load()
+                ),
+            )
+            self._host.free_slot(self)
+            return
         self.progress = Progress.ANSWERED
         load = self._host.measure_load()
         self._answers.start_reply(
@@ -183,7 +202,9 @@
         """Fails the call: the connection ended before the answer did."""
         if code is FailureCode.UPSTREAM_MALFORMED:
             self.progress = Progress.ANSWERED
-        self.fail(code, detail)
+            self.fail(code, detail)
+        else:
+            self._host.explain_broken(self, detail)
 
     def resume_request(self) -> None:
         """Lets the opener send more."""
@@ -208,6 +229,7 @@
 
     def _spend(self, size: int, last: bool) -> None:
         if last:
+            self.is_answered = True
             self._end()
             self._host.free_slot(self)
             return
@@ -243,3 +265,10 @@
         start.body,
         start.last,
     )
+
+
+def is_declined(status: int, headers: Headers) -> bool:
+    """Tells whether an upstream says that it did not run the request."""
+    if status not in _DECLINING_STATUSES:
+        return False
+    return find_header(headers, VERDICT) == Verdict.NOT_RUN.encode()
--- a/packages/bilberry_proxy/bilberry_proxy/context.py
+++ b/packages/bilberry_proxy/bilberry_proxy/context.py
@@ -12,6 +12,7 @@
 from bilberry_proxy.call import CallTarget
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
+from bilberry_proxy.suspicion import Suspicion
 from bilberry_proxy.timers import TimerWheel
 
 
@@ -26,7 +27,8 @@
     """The parts of a proxy that a request needs.
 
     `claims` is None where the settings name no replicas. `tasks` are claims
-    being made, settled or freed, which a graceful stop waits for.
+    being made, settled or freed, and `running` the requests without a final
+    answer; a graceful stop waits for both.
     """
 
     board: Board
@@ -35,7 +37,9 @@
     timers: TimerWheel
     router: Router
     interest: ServiceInterest
+    suspicion: Suspicion
     find_target: TargetFinder
     metrics: Metrics
     claims: Claims | None
     tasks: set[Task]
+    running: set[object]
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -22,6 +22,7 @@
 from bilberry_proxy.decision_log import Outcome, log_decision
 from bilberry_proxy.dispatch import Dispatch
 from bilberry_proxy.plan import Plan, plan_request
+from bilberry_proxy.poison import Judgement, build_quarantined
 from bilberry_proxy.request_body import RequestBody
 from bilberry_proxy.timers import Timer
 
@@ -30,7 +31,7 @@
 #: Longest body of a request that is claimed, in bytes.
 CLAIMED_BODY_BYTES = 1 << 20
 #: Time that the daemon beside the upstream has to tell its own verdict.
-DEADLINE_GRACE_S = 0.03
+DEADLINE_GRACE_S = 0.05
 #: When a caller may come back to a proxy that leaves.
 DRAINING_RETRY_AFTER_MS = 1000
 
@@ -178,6 +179,7 @@
         context = self._context
         self._plan = plan
         self._outcome.plan = plan
+        context.running.add(self)
         if plan.claimed:
             self._body = RequestBody(CLAIMED_BODY_BYTES)
         self._dispatch = Dispatch(context, self, self._outcome, self._body)
@@ -198,7 +200,11 @@
             plan.request.target,
             self._body.kept,
         )
-        if not plan.claimed:
+        finding = self._context.suspicion.judge(self._fingerprint)
+        if finding.judgement is Judgement.QUARANTINED:
+            now_ms = self._context.clock.wall_ms()
+            self.take_failure(build_quarantined(finding, now_ms))
+        elif not plan.claimed:
             self._dispatch.start(plan, self._fingerprint)
         elif self._body.is_whole:
             self._gate = ClaimGate(
@@ -239,6 +245,7 @@
         if self._outcome.ended:
             return
         self._outcome.end(failure, status)
+        self._context.running.discard(self)
         if self._timer is not None:
             self._timer.cancel()
         log_decision(self._context, self._outcome)
--- a/tests/standin/upstream.py
+++ b/tests/standin/upstream.py
@@ -22,6 +22,7 @@
 from contextlib import suppress
 from json import dumps
 from os import _exit
+from pathlib import Path
 from signal import SIGTERM
 from typing import NamedTuple
 
@@ -48,11 +49,17 @@
 _ANNOUNCE_TIMEOUT_S = 2.0
 _RETRY_S = 0.1
 _CRASH_STATUS = 70
+_SHED_HEADERS = ((b'bilberry-verdict', b'not_run'), (b'retry-after', b'1'))
 _ID_HEADERS = (b'x-request-id', b'idempotency-key')
 
 
 class StandinOptions(NamedTuple):
-    """How a stand-in upstream behaves; times in milliseconds."""
+    """How a stand-in upstream behaves; times in milliseconds.
+
+    `exits` tells whether a crash ends the whole process, `sheds` whether
+    every request is refused before it runs. Each run is added to
+    `record_file`, where there is one, so that a kill does not lose it.
+    """
 
     daemon: Address | None
     service: str
@@ -62,13 +69,17 @@
     cold_ms: float = 0
     renew_ms: float = 2000
     crash_path: str = '/crash'
+    exits: bool = True
+    sheds: bool = False
+    record_file: str = ''
 
 
 class Records:
     """Every run, and the most that went on at once."""
 
-    def __init__(self) -> None:
+    def __init__(self, record_file: str = '') -> None:
         """Starts without runs."""
+        self._file = Path(record_file).open('ab', 0) if record_file else None
         self.runs: Counter[str] = Counter()
         self.cancelled: Counter[str] = Counter()
         self.deadlines: list[str] = []
@@ -79,6 +90,8 @@
 
     def begin(self, request_id: str) -> None:
         """Counts a run that starts."""
+        if self._file:
+            self._file.write(f'{request_id}\n'.encode())
         self.runs[request_id] += 1
         self.running += 1
         self.most_running = max(self.most_running, self.running)
@@ -139,6 +152,10 @@
         if self._start is None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Ends the connection at once."""
+        self._transport.abort()
+
     def write(self, raw: bytes) -> None:
         """Sends bytes past h11."""
         self._transport.write(raw)
@@ -147,11 +164,17 @@
         """Ends the connection after what was sent."""
         self._transport.close()
 
-    def answer(self, status: int, body: bytes) -> None:
+    def answer(
+        self,
+        status: int,
+        body: bytes,
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> None:
         """Sends a whole answer."""
         length = (b'content-length', str(len(body)).encode())
+        framed = [length, *headers]
         parts = [
-            self._http.send(Response(status_code=status, headers=[length])),
+            self._http.send(Response(status_code=status, headers=framed)),
             self._http.send(Data(data=body)) if body else b'',
             self._http.send(EndOfMessage()),
         ]
@@ -196,6 +219,9 @@
         if path == '/runs':
             self.answer(200, upstream.records.encode())
             return
+        if upstream.options.sheds:
+            self.answer(503, b'shed', _SHED_HEADERS)
+            return
         request_id = _find_id(self._start)
         upstream.records.begin(request_id)
         delay_s = upstream.find_delay_s(path)
@@ -229,13 +255,18 @@
     def __init__(self, options: StandinOptions) -> None:
         """Starts idle."""
         self.options = options
-        self.records = Records()
+        self.records = Records(options.record_file)
         self.is_draining = False
         self.address: Address | None = None
         self.open_connections: set[StandinConnection] = set()
         self._server = None
         self._ready_at: float = 0
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether connections are taken."""
+        return self._server is not None and self._server.is_serving()
+
     async def start(self, port: int = 0) -> Address:
         """Listens and returns the address bound."""
         loop = get_running_loop()
@@ -262,7 +293,7 @@
     ) -> None:
         """Answers, or misbehaves as the path asks."""
         if path == self.options.crash_path:
-            _exit(_CRASH_STATUS)
+            self.crash()
         elif path == '/truncate':
             connection.write(b'HTTP/1.1 200 \r\ncontent-length: 9\r\n\r\nhalf')
             connection.close()
@@ -274,6 +305,14 @@
         else:
             connection.answer(200, body or path.encode())
 
+    def crash(self) -> None:
+        """Ends as a crash does: nothing is finished, nobody is told."""
+        if self.options.exits:
+            _exit(_CRASH_STATUS)
+        self.close()
+        for connection in tuple(self.open_connections):
+            connection.abort()
+
     async def announce(self, method: str = 'PUT') -> None:
         """Announces this upstream, or takes it back by DELETE."""
         options = self.options
@@ -353,6 +392,7 @@
     parser.add_argument('--cold-ms', type=float, default=0)
     parser.add_argument('--renew-ms', type=float, default=2000)
     parser.add_argument('--crash-path', default='/crash')
+    parser.add_argument('--record-file', default='')
     parsed = vars(parser.parse_args(arguments))
     port = parsed.pop('port')
     return StandinOptions(**parsed), port
