--- a/packages/bilberry_claims/bilberry_claims/broadcast.py
+++ b/packages/bilberry_claims/bilberry_claims/broadcast.py
@@ -22,22 +22,22 @@
 
 
 class Fact(NamedTuple):
-    """What is told: the answer of a token, or its withdrawal if None."""
+    """What is told: the answer of a token, or the withdrawal of tokens."""
 
     attempt: Attempt
-    token: bytes
+    tokens: tuple[bytes, ...]
     answer: StoredAnswer | None = None
 
     def build_message(self, request: int, epoch: int) -> ClaimRequest:
         """Returns the message that tells it."""
         claim = self.attempt.claim
         if self.answer is None:
-            return ClaimWithdraw(request, epoch, claim, self.token)
+            return ClaimWithdraw(request, epoch, claim, self.tokens)
         return ClaimSettle(
             request,
             epoch,
             claim,
-            self.token,
+            self.tokens[0],
             self.attempt.fingerprint,
             self.attempt.retention_s,
             self.answer,
@@ -46,9 +46,9 @@
     def is_known(self, state: ClaimState) -> bool:
         """Returns whether the holder knows it durably."""
         if self.answer is None:
-            return self.token in state.withdrawn
+            return not set(self.tokens).intersection(state.tokens)
         is_settled = state.answer is not None or state.is_dropped
-        return is_settled and state.token == self.token
+        return is_settled and state.tokens == self.tokens
 
 
 class Broadcast:
--- a/packages/bilberry_claims/bilberry_claims/client.py
+++ b/packages/bilberry_claims/bilberry_claims/client.py
@@ -49,7 +49,7 @@
         self._clock = clock
         self._holders = Holders(board, credentials)
         self._tools = Tools(count(1).__next__, random)
-        self._granted: OrderedDict[bytes, bytes] = OrderedDict()
+        self._granted: OrderedDict[bytes, ClaimProcess] = OrderedDict()
 
     @classmethod
     def from_settings(
@@ -75,7 +75,7 @@
         process = ClaimProcess(attempt, self._tools)
         await self._decide(process, attempt, timeout_s)
         if isinstance(process.outcome, Granted):
-            self._remember(attempt.attempt, process.token)
+            self._remember(attempt.attempt, process)
         _log.info(
             'claim_decided',
             extra={
@@ -94,24 +94,26 @@
         timeout_s: float,
     ) -> bool:
         """Stores the answer; False where no majority confirmed it."""
-        token = self._granted.pop(attempt.attempt, b'')
-        if not token:
+        process = self._granted.pop(attempt.attempt, None)
+        if process is None:
             return False
-        return await self._confirm(Fact(attempt, token, answer), timeout_s)
+        fact = Fact(attempt, (process.token,), answer)
+        return await self._confirm(fact, timeout_s)
 
     async def release(self, attempt: Attempt, timeout_s: float) -> bool:
         """Frees a claim whose request was proven not run."""
-        token = self._granted.pop(attempt.attempt, b'')
-        if not token:
+        process = self._granted.pop(attempt.attempt, None)
+        if process is None:
             return False
-        return await self._confirm(Fact(attempt, token), timeout_s)
+        tokens = (process.token, *process.withdrawn)
+        return await self._confirm(Fact(attempt, tokens), timeout_s)
 
     async def stop(self) -> None:
         """Ends what is under way and closes every stream."""
         self._holders.close()
 
-    def _remember(self, attempt: bytes, token: bytes) -> None:
-        self._granted[attempt] = token
+    def _remember(self, attempt: bytes, process: ClaimProcess) -> None:
+        self._granted[attempt] = process
         if len(self._granted) > _MAX_GRANTED:
             self._granted.popitem(last=False)
 
--- a/packages/bilberry_claims/bilberry_claims/decision.py
+++ b/packages/bilberry_claims/bilberry_claims/decision.py
@@ -25,7 +25,7 @@
 
 def is_granted(epoch: ClaimEpoch, replies: Replies, token: bytes) -> bool:
     """Returns whether a majority of the holders voted for the token."""
-    voters = [name for name, one in replies.items() if one.token == token]
+    voters = [name for name, one in replies.items() if one.tokens == (token,)]
     return bool(token) and is_confirmed(epoch, replies, voters)
 
 
@@ -63,10 +63,11 @@
     dead: Collection[bytes],
 ) -> dict[str, ClaimState]:
     """Returns the replies of holders that voted for another live token."""
+    known = {own, *dead}
     return {
         name: reply
         for name, reply in replies.items()
-        if reply.token and reply.token != own and reply.token not in dead
+        if not known.issuperset(reply.tokens)
     }
 
 
@@ -85,7 +86,7 @@
     refusing = [
         name
         for name, reply in replies.items()
-        if reply.is_full_store and not reply.token
+        if reply.is_full_store and not reply.tokens
     ]
     return not is_possible(epoch, {*refusing, *rivals})
 
@@ -97,7 +98,7 @@
     """Returns a rival that keeps all others from a majority."""
     for reply in rivals.values():
         voters = [
-            name for name, one in rivals.items() if one.token == reply.token
+            name for name, one in rivals.items() if one.tokens == reply.tokens
         ]
         if not is_possible(epoch, voters):
             return reply
--- a/packages/bilberry_claims/bilberry_claims/holder_core.py
+++ b/packages/bilberry_claims/bilberry_claims/holder_core.py
@@ -142,7 +142,7 @@
         return self._tell_state(asked.request, asked.claim, changed)
 
     def _withdraw(self, asked: ClaimWithdraw, now_ms: int) -> Answered:
-        changed = self.table.withdraw(asked.claim, asked.token, now_ms)
+        changed = self.table.withdraw(asked.claim, asked.tokens, now_ms)
         return self._tell_state(asked.request, asked.claim, changed)
 
     def _tell_state(
@@ -156,7 +156,7 @@
             request,
             self.membership.epoch,
             self.standing,
-            record.token,
+            record.tokens,
             record.fingerprint,
             record.answer,
             record.is_dropped,
--- a/packages/bilberry_claims/bilberry_claims/limit.py
+++ b/packages/bilberry_claims/bilberry_claims/limit.py
@@ -27,6 +27,8 @@
 #: Longest idempotency key, in bytes.
 MAX_KEY_BYTES = 256
 #: Withdrawn tokens remembered for a key.
-MAX_WITHDRAWN = 8
+MAX_WITHDRAWN = 16
+#: Conflicting votes remembered for a key; beyond that it stays with nobody.
+MAX_DISPUTED = 8
 #: How long a free key remembers withdrawn tokens, in milliseconds.
 WITHDRAWN_MS = 60_000
--- a/packages/bilberry_claims/bilberry_claims/process.py
+++ b/packages/bilberry_claims/bilberry_claims/process.py
@@ -44,6 +44,8 @@
 #: First and longest pause before the next round, in seconds.
 MIN_PAUSE_S = 0.005
 MAX_PAUSE_S = 0.2
+#: Newest rounds whose tokens are withdrawn again at the end.
+MAX_ROUNDS = 64
 
 
 class Sent(NamedTuple):
@@ -79,8 +81,8 @@
     def look(self, request: int) -> ClaimLook:
         return ClaimLook(request, self.epoch, self.attempt.claim)
 
-    def withdraw(self, token: bytes) -> ClaimWithdraw:
-        return ClaimWithdraw(0, self.epoch, self.attempt.claim, token)
+    def withdraw(self, tokens: tuple[bytes, ...]) -> ClaimWithdraw:
+        return ClaimWithdraw(0, self.epoch, self.attempt.claim, tokens)
 
 
 class _Phase(Enum):
@@ -96,7 +98,7 @@
         """Starts without an epoch; `begin` gives one."""
         self.outcome: ClaimOutcome | None = None
         self.token = b''
-        self.withdrawn = b''
+        self.withdrawn: tuple[bytes, ...] = ()
         self.request = 0
         self.wait_s = RESEND_S
         self._attempt = attempt
@@ -113,7 +115,9 @@
         return self.outcome is not None
 
     def begin(self, epoch: ClaimEpoch) -> tuple[Sent, ...]:
-        """Acts in this epoch from now on."""
+        """Acts in this epoch from now on, unless there is an outcome."""
+        if self.outcome is not None:
+            return ()
         withdrawals = self._withdraw()
         self._epoch = epoch
         self._rivals.clear()
@@ -165,7 +169,7 @@
             name
             for name in list_members(self._epoch)
             if name not in self._replies
-            or self._replies[name].token != self.token
+            or self._replies[name].tokens != (self.token,)
             or not self._replies[name].standing.counts
         ]
         repairs = self._repair()
@@ -227,10 +231,14 @@
 
     def _repair(self) -> tuple[Sent, ...]:
         """Tells holders that missed a withdrawal about it."""
-        return tuple(
-            Sent(name, self._messages().withdraw(reply.token))
+        found = {
+            name: tuple(self._dead.intersection(reply.tokens))
             for name, reply in self._replies.items()
-            if reply.token in self._dead
+        }
+        return tuple(
+            Sent(name, self._messages().withdraw(tokens))
+            for name, tokens in found.items()
+            if tokens
         )
 
     def _messages(self) -> _Messages:
@@ -243,10 +251,10 @@
         token = self.token
         self.token = b''
         self.request = 0
-        self.withdrawn = token
+        self.withdrawn = (*self.withdrawn, token)[-MAX_ROUNDS:]
         self._dead.add(token)
         return _address(
-            self._messages().withdraw(token),
+            self._messages().withdraw(self.withdrawn),
             list_members(self._epoch),
         )
 
--- a/packages/bilberry_claims/bilberry_claims/record.py
+++ b/packages/bilberry_claims/bilberry_claims/record.py
@@ -5,24 +5,33 @@
 from msgpack import packb, unpackb
 from msgspec import ValidationError, convert
 
-from bilberry_claims.limit import MAX_WITHDRAWN
+from bilberry_claims.limit import MAX_DISPUTED, MAX_WITHDRAWN
 from bilberry_core.claim import ClaimKey, StoredAnswer
 from bilberry_core.error import JournalError
 
-#: Stands in a vote's place where votes were lost: never given to anyone.
-UNKNOWN_TOKEN = b'?'
+
+class Vote(NamedTuple):
+    """A live vote for the token of an attempt with this fingerprint."""
+
+    token: bytes
+    fingerprint: bytes
+
+
+#: Stands for votes that found no room; never withdrawn.
+_FOR_UNKNOWN = Vote(b'?', b'')
 
 
 class ClaimRecord(NamedTuple):
     """A holder's vote on a key, and the answer once there is one.
 
-    `token` is empty while the key is free. `expires_ms` is wall clock time
-    in milliseconds. `is_dropped` where the answer was too large to store.
+    `votes` holds one vote, none while the key is free, or several where the
+    holder took over conflicting ones: then it votes for nobody until all but
+    one are withdrawn. `expires_ms` is wall clock time in milliseconds.
+    `is_dropped` where the answer was too large to store.
     """
 
     claim: ClaimKey
-    token: bytes = b''
-    fingerprint: bytes = b''
+    votes: tuple[Vote, ...] = ()
     expires_ms: int = 0
     answer: StoredAnswer | None = None
     is_dropped: bool = False
@@ -33,6 +42,16 @@
         """Whether the request is known to have run."""
         return self.answer is not None or self.is_dropped
 
+    @property
+    def tokens(self) -> tuple[bytes, ...]:
+        """The tokens of the live votes."""
+        return tuple(vote.token for vote in self.votes)
+
+    @property
+    def fingerprint(self) -> bytes:
+        """The fingerprint of the one live vote; empty otherwise."""
+        return self.votes[0].fingerprint if len(self.votes) == 1 else b''
+
 
 def encode_record(record: ClaimRecord) -> bytes:
     """Returns the encoding of a record."""
@@ -53,16 +72,17 @@
         return record
     withdrawn = (*record.withdrawn, token)[-MAX_WITHDRAWN:]
     freed = record._replace(withdrawn=withdrawn)
-    if record.token != token or record.is_settled:
+    if record.is_settled:
         return freed
-    return freed._replace(token=b'', fingerprint=b'')
+    votes = tuple(vote for vote in record.votes if vote.token != token)
+    return freed._replace(votes=votes)
 
 
 def merge_records(own: ClaimRecord, other: ClaimRecord) -> ClaimRecord:
     """Returns what two holders know of one key, on the safe side.
 
-    Two live votes of which neither is settled leave the key to nobody:
-    either may have been granted.
+    Live votes for different tokens are all kept: either may have been
+    granted.
     """
     for token in other.withdrawn:
         own = free_record(own, token)
@@ -74,8 +94,11 @@
 
 
 def _choose(own: ClaimRecord, other: ClaimRecord) -> ClaimRecord:
-    if own.is_settled or not other.token:
+    if own.is_settled:
         return own
-    if other.is_settled or not own.token or own.token == other.token:
+    if other.is_settled:
         return other
-    return own._replace(token=UNKNOWN_TOKEN, fingerprint=b'')
+    votes = sorted({*own.votes, *other.votes})
+    if len(votes) > MAX_DISPUTED:
+        votes = [*votes[: MAX_DISPUTED - 1], _FOR_UNKNOWN]
+    return own._replace(votes=tuple(votes))
--- a/packages/bilberry_claims/bilberry_claims/table.py
+++ b/packages/bilberry_claims/bilberry_claims/table.py
@@ -12,6 +12,7 @@
 from bilberry_claims.limit import WITHDRAWN_MS, ClaimLimits
 from bilberry_claims.record import (
     ClaimRecord,
+    Vote,
     decode_record,
     encode_record,
     free_record,
@@ -61,14 +62,13 @@
     def vote(self, asked: ClaimVote, now_ms: int) -> bytes | None:
         """Votes for a token where the key is free and there is room."""
         record = self.read(asked.claim)
-        if record.token or asked.token in record.withdrawn:
+        if record.votes or asked.token in record.withdrawn:
             return None
         if not self._has_room(record):
             return None
         return self._write(
             record._replace(
-                token=asked.token,
-                fingerprint=asked.fingerprint,
+                votes=(Vote(asked.token, asked.fingerprint),),
                 expires_ms=now_ms + asked.retention_s * MS_PER_S,
             ),
             now_ms,
@@ -86,8 +86,7 @@
         )
         return self._write(
             record._replace(
-                token=asked.token,
-                fingerprint=asked.fingerprint,
+                votes=(Vote(asked.token, asked.fingerprint),),
                 expires_ms=now_ms + asked.retention_s * MS_PER_S,
                 answer=None if is_dropped else asked.answer,
                 is_dropped=is_dropped,
@@ -98,15 +97,17 @@
     def withdraw(
         self,
         claim: ClaimKey,
-        token: bytes,
+        tokens: tuple[bytes, ...],
         now_ms: int,
     ) -> bytes | None:
-        """Frees the key from a token, which gets no vote later either."""
+        """Frees the key from tokens, which get no vote later either."""
         record = self.read(claim)
-        freed = free_record(record, token)
+        freed = record
+        for token in tokens:
+            freed = free_record(freed, token)
         if freed is record or not self._has_room(record):
             return None
-        if not freed.token:
+        if not freed.votes:
             freed = freed._replace(expires_ms=now_ms + WITHDRAWN_MS)
         return self._write(freed, now_ms)
 
--- a/packages/bilberry_core/bilberry_core/messages/claim.py
+++ b/packages/bilberry_core/bilberry_core/messages/claim.py
@@ -74,7 +74,7 @@
 
 @message(73)
 class ClaimWithdraw(NamedTuple):
-    """The token's request was not run and never will be.
+    """The request was not run, and never will be, by these tokens.
 
     Holders take it in any epoch.
     """
@@ -82,22 +82,23 @@
     request: int
     epoch: int
     claim: ClaimKey
-    token: bytes
+    tokens: tuple[bytes, ...]
 
 
 @message(74)
 class ClaimState(NamedTuple):
     """What a holder has durably about a key.
 
-    `token` is the one that it voted for, empty for none. `withdrawn` are
-    the newest tokens withdrawn. `is_dropped` where there was an answer too
-    large to store.
+    `tokens` is the one that it voted for, none, or several where it took
+    over conflicting votes and gives its own to nobody. `withdrawn` are the
+    newest tokens withdrawn. `is_dropped` where there was an answer too large
+    to store.
     """
 
     request: int
     epoch: int
     standing: Standing
-    token: bytes
+    tokens: tuple[bytes, ...]
     fingerprint: bytes
     answer: StoredAnswer | None = None
     is_dropped: bool = False
--- /dev/null
+++ b/tests/bilberry_claims/world.py
@@ -0,0 +1,536 @@
+"""Holders, proxies and a network in one thread, faults drawn from a seed.
+
+Holders and proxies are the real state machines; the disk keeps only what was
+synced, and the network loses, delays, duplicates and reorders. Every grant,
+run and answer is compared with `NaiveClaims`, a single copy in memory.
+"""
+
+from itertools import count
+from random import Random
+from typing import NamedTuple
+
+from bilberry_claims.broadcast import Broadcast, Fact
+from bilberry_claims.catch_up import CatchUp
+from bilberry_claims.holder_core import HolderCore
+from bilberry_claims.limit import ClaimLimits
+from bilberry_claims.process import ClaimProcess, Tools
+from bilberry_claims.quorum import count_majority, list_members
+from bilberry_core.board import ClaimEpoch, Holder
+from bilberry_core.claim import (
+    Answered,
+    Attempt,
+    ClaimKey,
+    Granted,
+    Mismatch,
+    StoredAnswer,
+    Unavailable,
+)
+from bilberry_core.messages.claim import ClaimPage, HolderPhase, HolderStatus
+
+_NOW_MS = 1_000_000
+_RETENTION_S = 3600
+_KEYS = ('a', 'b')
+
+
+class Violation(Exception):
+    """A promise was broken."""
+
+
+class NaiveClaims:
+    """The claim table that the holders together must behave as."""
+
+    def __init__(self):
+        self.granted = {}
+        self.runs = {}
+        self.answers = {}
+
+    def grant(self, key, attempt):
+        """Grants a key that nobody holds."""
+        if key in self.granted:
+            raise Violation(f'{key} granted to {self.granted[key]}, {attempt}')
+        self.granted[key] = attempt
+
+    def release(self, key, attempt):
+        """Frees a key."""
+        if self.granted.pop(key) != attempt:
+            raise Violation(f'{key} released by {attempt}')
+
+    def run(self, key, attempt):
+        """Runs the request: the upstream counts."""
+        if key in self.runs:
+            raise Violation(f'{key} run by {self.runs[key]} and {attempt}')
+        self.runs[key] = attempt
+
+    def check(self, key, outcome):
+        """Checks an outcome other than a grant."""
+        if isinstance(outcome, Answered):
+            if outcome.answer != self.answers.get(key):
+                raise Violation(f'{key} answered {outcome.answer}')
+
+
+class Node:
+    """A holder: its state machine, its disk and what waits for a sync."""
+
+    def __init__(self, name, domain):
+        self.holder = Holder(name, '', 0, domain)
+        self.durable = []
+        self.core = None
+        self.wiped = False
+        self.start()
+
+    def start(self):
+        """Reads what the disk kept."""
+        self.core = HolderCore(self.holder.instance, ClaimLimits())
+        self.core.load(self.durable, _NOW_MS)
+        self.catch_up = None
+        self.unsynced = []
+        self.held = []
+
+    def crash(self, kept):
+        """Loses all but the first records of the unsynced tail."""
+        self.durable.extend(self.unsynced[:kept])
+        self.core = None
+        self.unsynced = []
+        self.held = []
+
+    def wipe(self):
+        """Loses the whole folder."""
+        self.crash(0)
+        self.durable = []
+        self.wiped = True
+
+    def sync(self):
+        """Makes everything durable and returns what may be sent."""
+        self.durable.extend(self.unsynced)
+        self.unsynced = []
+        sends = self.held
+        self.held = []
+        if self.core.is_caught_up:
+            self.wiped = False
+        return sends
+
+    def is_caught_up(self):
+        """Whether it durably knows the claims of its epoch."""
+        return bool(self.core and self.core.is_caught_up and not self.unsynced)
+
+
+class Proxy:
+    """One attempt: claims, runs or releases, tells the holders."""
+
+    def __init__(self, name, attempt, tools):
+        self.name = name
+        self.attempt = attempt
+        self.key = attempt.claim.key
+        self.tools = tools
+        self.process = ClaimProcess(attempt, tools)
+        self.told = None
+        self.epoch = None
+        self.is_up = True
+        self.is_reported = False
+
+    @property
+    def current(self):
+        """What messages go to now."""
+        return self.told or self.process
+
+    def tell(self, fact):
+        """Begins to tell the holders a fact."""
+        self.told = Broadcast(fact, self.tools)
+        return self.told.begin(self.epoch)
+
+
+class Sent(NamedTuple):
+    """A message under way."""
+
+    source: str
+    target: str
+    message: object
+
+
+class World:
+    """One schedule."""
+
+    def __init__(self, seed, size=3, **weights):
+        self.random = Random(seed)
+        self.weights = tuple({**_WEIGHTED, **weights}.values())
+        self.naive = NaiveClaims()
+        self.naming = count(1)
+        self.requests = count(1)
+        self.nodes = {}
+        self.proxies = {}
+        self.network = []
+        self.cut = set()
+        self.outcomes = {}
+        self.abandoned = set()
+        for _ in range(size):
+            self.add_node()
+        holders = tuple(one.holder for one in self.nodes.values())
+        self.epoch = ClaimEpoch(1, holders)
+        self.quiesce()
+
+    def add_node(self):
+        """Adds a holder with an empty folder."""
+        number = next(self.naming)
+        node = Node(f'holder-{number}', f'domain-{number % 3}')
+        self.nodes[node.holder.instance] = node
+        return node
+
+    def add_proxy(self, key=None):
+        """Adds an attempt on a key, now and then with another body."""
+        number = next(self.naming)
+        key = key or self.random.choice(_KEYS)
+        body = b'other' if not self.random.randrange(10) else b'body'
+        attempt = Attempt(
+            ClaimKey('booking', key),
+            number.to_bytes(4, 'big'),
+            body,
+            _RETENTION_S,
+        )
+        tools = Tools(lambda: next(self.requests), self.random)
+        proxy = Proxy(f'proxy-{number}', attempt, tools)
+        self.proxies[proxy.name] = proxy
+        self.tell_epoch_to_proxy(proxy)
+        return proxy
+
+    # The network.
+
+    def send(self, source, sends):
+        """Puts messages on their way."""
+        for target, message in sends:
+            self.network.append(Sent(source, target, message))
+
+    def deliver(self, index):
+        """Delivers one message, unless it is cut off."""
+        sent = self.network.pop(index)
+        if (sent.source in self.cut) != (sent.target in self.cut):
+            return
+        if sent.target in self.nodes:
+            self.deliver_to_node(self.nodes[sent.target], sent)
+        elif sent.target in self.proxies:
+            self.deliver_to_proxy(self.proxies[sent.target], sent)
+
+    def deliver_to_node(self, node, sent):
+        """Lets a holder take a message."""
+        if node.core is None:
+            return
+        if isinstance(sent.message, (HolderStatus, ClaimPage)):
+            if node.catch_up is not None:
+                step = node.catch_up.receive(
+                    sent.source,
+                    sent.message,
+                    _NOW_MS,
+                )
+                self.perform(node, step)
+            return
+        answered = node.core.handle(sent.message, _NOW_MS)
+        if answered is not None:
+            node.unsynced.extend(answered.records)
+            node.held.append((sent.source, answered.reply))
+
+    def perform(self, node, step):
+        """Holds a holder's messages until its records are durable."""
+        node.unsynced.extend(step.records)
+        node.held.extend(step.sends)
+
+    def deliver_to_proxy(self, proxy, sent):
+        """Lets a proxy take a reply."""
+        if proxy.is_up:
+            current = proxy.current
+            self.send(proxy.name, current.receive(sent.source, sent.message))
+            self.report(proxy)
+
+    # The proxies.
+
+    def report(self, proxy):
+        """Compares an outcome with the naive table, once."""
+        outcome = proxy.process.outcome
+        if outcome is None or proxy.is_reported:
+            return
+        proxy.is_reported = True
+        self.outcomes[proxy.name] = outcome
+        if isinstance(outcome, Granted):
+            self.naive.grant(proxy.key, proxy.name)
+            return
+        self.naive.check(proxy.key, outcome)
+        if proxy.process.withdrawn and not proxy.process.token:
+            fact = Fact(proxy.attempt, proxy.process.withdrawn)
+            self.send(proxy.name, proxy.tell(fact))
+
+    def go_on(self, proxy):
+        """Runs a granted request, or finds that it can't be run."""
+        if not isinstance(proxy.process.outcome, Granted) or proxy.told:
+            return
+        answer = None
+        if self.random.randrange(2):
+            self.naive.run(proxy.key, proxy.name)
+            answer = StoredAnswer(200, (), proxy.name.encode())
+            self.naive.answers[proxy.key] = answer
+        else:
+            self.naive.release(proxy.key, proxy.name)
+        tokens = (proxy.process.token,)
+        if answer is None:
+            tokens += proxy.process.withdrawn
+        fact = Fact(proxy.attempt, tokens, answer)
+        self.send(proxy.name, proxy.tell(fact))
+
+    def tick(self, proxy):
+        """Lets a proxy's timer fire."""
+        if proxy.is_up:
+            self.send(proxy.name, proxy.current.tick())
+            self.report(proxy)
+
+    def give_up(self, proxy):
+        """Lets a proxy's time run out."""
+        if proxy.is_up and proxy.process.outcome is None:
+            self.send(proxy.name, proxy.process.give_up('late'))
+            self.report(proxy)
+
+    def crash_proxy(self, proxy):
+        """Ends a proxy; what it holds is known to nobody."""
+        proxy.is_up = False
+        self.abandoned.add(proxy.key)
+
+    # The holders and their epoch.
+
+    def poll(self, node):
+        """Lets a holder's timer fire."""
+        if node.core is not None and node.catch_up is not None:
+            self.perform(node, node.catch_up.poll())
+
+    def restart(self, node):
+        """Starts a holder that is down."""
+        if node.core is None:
+            node.start()
+
+    def tell_epoch_to_node(self, node):
+        """Tells a holder the newest epoch."""
+        if node.core is None or node.core.epoch == self.epoch:
+            return
+        node.unsynced.extend(node.core.adopt(self.epoch))
+        node.catch_up = CatchUp(
+            node.core,
+            self.epoch,
+            lambda: next(self.requests),
+        )
+        self.poll(node)
+
+    def tell_epoch_to_proxy(self, proxy):
+        """Tells a proxy the newest epoch."""
+        if proxy.is_up and proxy.epoch != self.epoch:
+            proxy.epoch = self.epoch
+            self.send(proxy.name, proxy.current.begin(self.epoch))
+            self.report(proxy)
+
+    def change_holders(self):
+        """Replaces one holder by a new one."""
+        if self.epoch.previous:
+            return
+        kept = list(self.epoch.holders)
+        kept.pop(self.random.randrange(len(kept)))
+        holders = (*kept, self.add_node().holder)
+        self.epoch = ClaimEpoch(
+            self.epoch.epoch + 1,
+            holders,
+            self.epoch.holders,
+        )
+
+    def finish_change(self):
+        """Ends a change once a majority of the new holders caught up."""
+        ready = [
+            one
+            for one in self.epoch.holders
+            if self.is_ready(self.nodes[one.instance])
+        ]
+        needed = count_majority(len(self.epoch.holders))
+        if self.epoch.previous and len(ready) >= needed:
+            self.epoch = ClaimEpoch(self.epoch.epoch + 1, self.epoch.holders)
+
+    def is_ready(self, node):
+        """Whether a holder is caught up in the newest epoch."""
+        return node.is_caught_up() and node.core.epoch == self.epoch
+
+    def wipe(self, node):
+        """Loses one folder, when no other is lost or about to be filled."""
+        members = [self.nodes[name] for name in list_members(self.epoch)]
+        is_whole = all(
+            one.core is not None
+            and one.core.membership.phase is HolderPhase.FULL
+            for one in members
+        )
+        if is_whole and not any(one.wiped for one in members):
+            node.wipe()
+
+    # Schedules.
+
+    def step(self):
+        """Does one thing."""
+        name = self.random.choices(_ACTIONS, self.weights)[0]
+        node = self.random.choice(list(self.nodes.values()))
+        proxy = None
+        if self.proxies:
+            proxy = self.random.choice(list(self.proxies.values()))
+        if name in _NODE_ACTIONS:
+            _NODE_ACTIONS[name](self, node)
+        elif name in _PROXY_ACTIONS and proxy is not None:
+            _PROXY_ACTIONS[name](self, proxy)
+        elif name in _WORLD_ACTIONS:
+            _WORLD_ACTIONS[name](self)
+
+    def pick(self):
+        """Returns the index of a message under way, or None."""
+        if not self.network:
+            return None
+        return self.random.randrange(len(self.network))
+
+    def deliver_any(self):
+        """Delivers one message, in no order."""
+        index = self.pick()
+        if index is not None:
+            self.deliver(index)
+
+    def drop_any(self):
+        """Loses one message."""
+        index = self.pick()
+        if index is not None:
+            self.network.pop(index)
+
+    def repeat_any(self):
+        """Doubles one message."""
+        index = self.pick()
+        if index is not None:
+            self.network.append(self.network[index])
+
+    def deliver_between(self, *names):
+        """Delivers what is under way between these, and nothing else."""
+        found = True
+        while found:
+            for name in names:
+                if name in self.nodes:
+                    self.sync(self.nodes[name])
+            found = [
+                index
+                for index, sent in enumerate(self.network)
+                if {sent.source, sent.target} <= set(names)
+            ]
+            if found:
+                self.deliver(found[0])
+
+    def cut_off(self):
+        """Parts some nodes and proxies from the others, or joins all."""
+        names = [*self.nodes, *self.proxies]
+        size = self.random.randrange(3)
+        self.cut = set(self.random.sample(names, min(size, len(names))))
+
+    def sync(self, node):
+        """Lets a holder's sync end."""
+        if node.core is not None:
+            self.send(node.holder.instance, node.sync())
+
+    def crash(self, node):
+        """Ends a holder."""
+        if node.core is not None:
+            node.crash(self.random.randrange(len(node.unsynced) + 1))
+
+    def quiesce(self, rounds=60):
+        """Ends all faults and lets everything finish."""
+        self.cut = set()
+        for _ in range(rounds):
+            for node in tuple(self.nodes.values()):
+                self.restart(node)
+                self.tell_epoch_to_node(node)
+                self.poll(node)
+                self.sync(node)
+            self.finish_change()
+            for proxy in tuple(self.proxies.values()):
+                self.tell_epoch_to_proxy(proxy)
+            for proxy in tuple(self.proxies.values()):
+                self.tick(proxy)
+            while self.network:
+                self.deliver(0)
+            if self.is_quiet():
+                return
+
+    def is_quiet(self):
+        """Whether every holder is ready and every proxy has ended."""
+        nodes = [self.nodes[one.instance] for one in self.epoch.holders]
+        if self.epoch.previous or not all(map(self.is_ready, nodes)):
+            return False
+        return not any(
+            one.is_up and not one.current.is_ended()
+            for one in self.proxies.values()
+        )
+
+    def run(self, steps):
+        """Runs a schedule, then checks that every key is decided."""
+        for _ in range(steps):
+            self.step()
+        for proxy in tuple(self.proxies.values()):
+            self.go_on(proxy)
+        self.quiesce()
+        for proxy in tuple(self.proxies.values()):
+            self.give_up(proxy)
+            self.go_on(proxy)
+        self.quiesce()
+        for key in _KEYS:
+            self.check_last(key)
+
+    def check_last(self, key):
+        """Claims once more, with all up, and checks the outcome."""
+        proxy = self.add_proxy(key)
+        self.quiesce()
+        self.give_up(proxy)
+        outcome = proxy.process.outcome
+        if isinstance(outcome, Unavailable):
+            raise Violation(f'{key} is unavailable: {outcome.detail}')
+        if key in self.abandoned:
+            return
+        expected = Answered if key in self.naive.runs else Granted
+        if not isinstance(outcome, (expected, Mismatch)):
+            raise Violation(f'{key} ends as {outcome}, not {expected}')
+
+
+_NODE_ACTIONS = {
+    'sync': World.sync,
+    'crash': World.crash,
+    'restart': World.restart,
+    'poll': World.poll,
+    'wipe': World.wipe,
+    'tell_node': World.tell_epoch_to_node,
+}
+_PROXY_ACTIONS = {
+    'tick': World.tick,
+    'go_on': World.go_on,
+    'give_up': World.give_up,
+    'crash_proxy': World.crash_proxy,
+    'tell_proxy': World.tell_epoch_to_proxy,
+}
+_WORLD_ACTIONS = {
+    'deliver': World.deliver_any,
+    'drop': World.drop_any,
+    'repeat': World.repeat_any,
+    'cut_off': World.cut_off,
+    'add_proxy': World.add_proxy,
+    'change': World.change_holders,
+    'finish': World.finish_change,
+}
+_WEIGHTED = {
+    'deliver': 120,
+    'sync': 60,
+    'tick': 15,
+    'go_on': 15,
+    'add_proxy': 6,
+    'drop': 6,
+    'repeat': 6,
+    'poll': 6,
+    'restart': 6,
+    'tell_node': 10,
+    'tell_proxy': 8,
+    'finish': 6,
+    'crash': 3,
+    'cut_off': 3,
+    'give_up': 2,
+    'change': 2,
+    'wipe': 2,
+    'crash_proxy': 1,
+}
+_ACTIONS = tuple(_WEIGHTED)
