--- a/tests/bilberry_claims/fleet.py
+++ b/tests/bilberry_claims/fleet.py
@@ -5,10 +5,12 @@
 
 from bilberry_claims.client import ClaimClient
 from bilberry_claims.holder import HolderController
+from bilberry_claims.limit import ClaimLimits
 from bilberry_core.board import Board, ClaimEpoch, Holder
 from bilberry_core.claim import Attempt, ClaimKey, StoredAnswer
 from bilberry_core.clock import SystemClock
 from bilberry_core.endpoint import Address
+from bilberry_core.handshake import Purpose
 from bilberry_core.settings import ListenSettings, Role, Settings
 from bilberry_core.stream import Credentials, StreamListener
 from tests.bilberry_core.fake_disk import FakeDisk
@@ -36,29 +38,42 @@
     )
 
 
+class FakeClock(SystemClock):
+    """The machine's clock, moved ahead as told."""
+
+    def __init__(self):
+        self.ahead_ms = 0
+
+    def wall_ms(self):
+        """Returns wall clock time, in milliseconds."""
+        return super().wall_ms() + self.ahead_ms
+
+
 class Replica:
     """One holder, its listener and its disk."""
 
-    def __init__(self, instance, domain):
+    def __init__(self, instance, domain, limits, clock):
         self.instance = instance
         self.domain = domain
+        self.limits = limits
+        self.clock = clock
         self.disk = FakeDisk()
         self.address = _ANYWHERE
         self.board = Board()
 
     async def start(self, epoch=None):
         """Listens, on the same port after a restart."""
-        settings = make_settings(self.instance, self.domain)
         credentials = Credentials('fleet', self.instance, b'secret')
         self.board = Board()
         self.listener = StreamListener(credentials)
-        self.controller = HolderController.from_settings(
-            settings,
+        self.controller = HolderController(
             self.board,
-            self.listener,
+            credentials,
             self.disk,
-            SystemClock(),
+            self.clock,
+            self.limits,
         )
+        self.listener.handle(Purpose.CLAIM, self.controller.accept)
         self.board.claim_epoch.put(epoch)
         self.address = await self.listener.listen(self.address)
         self.running = create_task(self.controller.run())
@@ -85,11 +100,12 @@
 class Fleet:
     """Replicas and clients that share an epoch."""
 
-    def __init__(self, size=3):
-        self.replicas = [
-            Replica(f'replica-{index}', f'domain-{index % 3}')
-            for index in range(size)
-        ]
+    def __init__(self, size=3, limits=ClaimLimits()):
+        self.clock = FakeClock()
+        self.limits = limits
+        self.replicas = []
+        for _ in range(size):
+            self.add_replica()
         self.clients = []
         self.boards = []
         self.epoch = None
@@ -106,6 +122,33 @@
         for replica in self.replicas:
             await replica.stop()
 
+    def add_replica(self):
+        """Returns a new replica with an empty disk."""
+        number = len(self.replicas)
+        replica = Replica(
+            f'replica-{number}',
+            f'domain-{number % 3}',
+            self.limits,
+            self.clock,
+        )
+        self.replicas.append(replica)
+        return replica
+
+    async def restart(self, *replicas):
+        """Crashes replicas and starts them again."""
+        for replica in replicas:
+            await replica.crash()
+        for replica in replicas:
+            await replica.start(self.epoch)
+
+    async def caught_up(self):
+        """Waits until every holder of the epoch is caught up."""
+        names = {one.instance for one in self.epoch.holders}
+        holders = [one for one in self.replicas if one.instance in names]
+        await wait_until(
+            lambda: all(one.controller.is_caught_up for one in holders),
+        )
+
     def announce(self, epoch):
         """Tells an epoch to all."""
         self.epoch = epoch
