Bound the small HTTP server in time, size and connections

Found by tests: an answer to HEAD with a body ended the connection with a traceback; an answer sent while the client was still sending was lost to a connection reset (seen on the 503 of a full server), so a refused client is now read to its end for at most two seconds; a client that never read its answer was waited for without end. http.py is split by job and keeps its names. Hostile requests to the operators' interface get typed answers.

--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/http_message.py
@@ -0,0 +1,114 @@
+"""The values of small HTTP/1.1 exchanges, and how h11 carries them."""
+
+from asyncio import StreamReader
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from h11 import (
+    NEED_DATA,
+    PAUSED,
+    Connection,
+    Data,
+    EndOfMessage,
+    Request,
+    Response,
+)
+
+from bilberry_core.error import BilberryError
+
+#: Largest body of a request or an answer, in bytes.
+MAX_BODY_BYTES = 4 << 20
+_READ_BYTES = 65536
+_STATUS_BAD_REQUEST = 400
+_STATUS_TOO_LARGE = 413
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+
+class HttpError(BilberryError):
+    """A peer broke the protocol, closed early or sent too much."""
+
+    def __init__(self, detail: str, status: int = _STATUS_BAD_REQUEST) -> None:
+        """Keeps the status that a server answers with."""
+        super().__init__(detail)
+        self.status = status
+
+
+class HttpRequest(NamedTuple):
+    """A whole request; header names in lower case."""
+
+    method: str
+    target: str
+    headers: Headers = ()
+    body: bytes = b''
+
+    def get_header(self, name: bytes) -> str:
+        """Returns the first header of this name, or an empty string."""
+        return _find_header(self.headers, name)
+
+
+class HttpResponse(NamedTuple):
+    """A whole answer; header names in lower case."""
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b''
+
+    def get_header(self, name: bytes) -> str:
+        """Returns the first header of this name, or an empty string."""
+        return _find_header(self.headers, name)
+
+
+HttpHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+def encode_message(
+    connection: Connection,
+    start: Request | Response,
+    body: bytes,
+) -> bytes:
+    """Returns a whole request or answer with its body, encoded."""
+    parts = [connection.send(start)]
+    if body:
+        parts.append(connection.send(Data(data=body)))
+    parts.append(connection.send(EndOfMessage()))
+    return b''.join(part for part in parts if part)
+
+
+async def receive_body(
+    connection: Connection,
+    reader: StreamReader,
+    max_bytes: int = MAX_BODY_BYTES,
+) -> bytes:
+    """Returns the body that follows; raises `HttpError` over the bound."""
+    body = bytearray()
+    event = await next_event(connection, reader)
+    while isinstance(event, Data):
+        body += event.data
+        if len(body) > max_bytes:
+            raise HttpError(
+                f'body is longer than {max_bytes} bytes',
+                _STATUS_TOO_LARGE,
+            )
+        event = await next_event(connection, reader)
+    if not isinstance(event, EndOfMessage):
+        raise HttpError('the connection closed inside a body')
+    return bytes(body)
+
+
+async def next_event(connection: Connection, reader: StreamReader):
+    """Returns the next event of h11, reading what it needs."""
+    event = connection.next_event()
+    while event is NEED_DATA:
+        connection.receive_data(await reader.read(_READ_BYTES))
+        event = connection.next_event()
+    if event is PAUSED:
+        raise HttpError('pipelined requests are not taken')
+    return event
+
+
+def _find_header(headers: Headers, name: bytes) -> str:
+    for known, text in headers:
+        if known == name:
+            return text.decode('latin-1')
+    return ''
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/http_server.py
@@ -0,0 +1,204 @@
+"""Serves whole HTTP requests, bounded in time, size and connections."""
+
+from asyncio import (
+    IncompleteReadError,
+    Server,
+    StreamReader,
+    StreamWriter,
+    start_server,
+    timeout,
+    wait_for,
+)
+from logging import getLogger
+from typing import NamedTuple
+
+from h11 import (
+    DONE,
+    MUST_CLOSE,
+    SERVER,
+    Connection,
+    ConnectionClosed,
+    InformationalResponse,
+    ProtocolError,
+    Response,
+)
+
+from bilberry_core.endpoint import Address
+from bilberry_core.http_message import (
+    MAX_BODY_BYTES,
+    HttpError,
+    HttpHandler,
+    HttpRequest,
+    HttpResponse,
+    encode_message,
+    next_event,
+    receive_body,
+)
+
+_log = getLogger(__name__)
+
+#: Longest time to receive one whole request, in seconds.
+REQUEST_TIMEOUT_S = 10.0
+_LINGER_S = 2.0
+_LINGER_READ_BYTES = 65536
+_STATUS_CONTINUE = 100
+_STATUS_BAD_REQUEST = 400
+_STATUS_UNAVAILABLE = 503
+_CONNECTION_ERRORS = (
+    OSError,
+    TimeoutError,
+    IncompleteReadError,
+    ProtocolError,
+)
+
+
+class HttpLimits(NamedTuple):
+    """What a server takes.
+
+    `max_body_bytes`
+        Largest body of a request (default: 4 MiB).
+    `request_timeout_s`
+        Longest time to receive a request or to send an answer, in seconds
+        (default: 10).
+    `max_connections`
+        Connections at once; further ones are answered 503 (default: 1024).
+    """
+
+    max_body_bytes: int = MAX_BODY_BYTES
+    request_timeout_s: float = REQUEST_TIMEOUT_S
+    max_connections: int = 1024
+
+
+async def serve_http(
+    address: Address,
+    handler: HttpHandler,
+    limits: HttpLimits = HttpLimits(),
+) -> Server:
+    """Serves whole requests on `address` with `handler`."""
+    service = _Service(handler, limits)
+    return await start_server(service.serve, address.host, address.port)
+
+
+class _Service:
+    """The connections of one server."""
+
+    def __init__(self, handler: HttpHandler, limits: HttpLimits) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._connections = 0
+
+    async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Serves one connection and closes it."""
+        self._connections += 1
+        try:
+            await self._serve_or_refuse(reader, writer)
+        except _CONNECTION_ERRORS:
+            _log.info('http_connection_lost')
+        finally:
+            self._connections -= 1
+            writer.close()
+
+    async def _serve_or_refuse(
+        self,
+        reader: StreamReader,
+        writer: StreamWriter,
+    ) -> None:
+        if self._connections <= self._limits.max_connections:
+            await _serve_connection(reader, writer, self._handler, self._limits)
+            return
+        error = HttpError('too many connections', _STATUS_UNAVAILABLE)
+        _send_error(Connection(SERVER), writer, error)
+        if self._connections <= 2 * self._limits.max_connections:
+            await _linger(reader, writer)
+
+
+async def _serve_connection(
+    reader: StreamReader,
+    writer: StreamWriter,
+    handler: HttpHandler,
+    limits: HttpLimits,
+) -> None:
+    connection = Connection(SERVER)
+    while connection.our_state not in {MUST_CLOSE}:
+        try:
+            request = await wait_for(
+                _receive_request(connection, reader, writer, limits),
+                limits.request_timeout_s,
+            )
+        except (HttpError, ProtocolError) as error:
+            _send_error(connection, writer, error)
+            await _linger(reader, writer)
+            return
+        if request is None:
+            return
+        response = await _answer(handler, request)
+        if request.method == 'HEAD':
+            response = response._replace(body=b'')
+        writer.write(_encode_response(connection, response))
+        await wait_for(writer.drain(), limits.request_timeout_s)
+        if (connection.our_state, connection.their_state) != (DONE, DONE):
+            return
+        connection.start_next_cycle()
+
+
+async def _linger(reader: StreamReader, writer: StreamWriter) -> None:
+    """Discards what the client still sends, so that it gets the answer.
+
+    Closing a socket with unread bytes resets the connection, and a reset
+    drops an answer that the client has not read yet.
+    """
+    writer.write_eof()
+    async with timeout(_LINGER_S):
+        block = await reader.read(_LINGER_READ_BYTES)
+        while block:
+            block = await reader.read(_LINGER_READ_BYTES)
+
+
+async def _answer(handler: HttpHandler, request: HttpRequest) -> HttpResponse:
+    try:
+        return await handler(request)
+    except HttpError as error:
+        return HttpResponse(error.status, body=str(error).encode())
+
+
+def _send_error(
+    connection: Connection,
+    writer: StreamWriter,
+    error: Exception,
+) -> None:
+    status = getattr(error, 'status', _STATUS_BAD_REQUEST)
+    response = HttpResponse(status, body=str(error).encode())
+    try:
+        writer.write(_encode_response(connection, response))
+    except ProtocolError:
+        _log.info('http_peer_broke_protocol')
+
+
+def _encode_response(connection: Connection, response: HttpResponse) -> bytes:
+    length = (b'content-length', str(len(response.body)).encode())
+    start = Response(
+        status_code=response.status,
+        headers=[*response.headers, length],
+    )
+    return encode_message(connection, start, response.body)
+
+
+async def _receive_request(
+    connection: Connection,
+    reader: StreamReader,
+    writer: StreamWriter,
+    limits: HttpLimits,
+) -> HttpRequest | None:
+    start = await next_event(connection, reader)
+    if isinstance(start, ConnectionClosed):
+        return None
+    if connection.they_are_waiting_for_100_continue:
+        go_on = InformationalResponse(status_code=_STATUS_CONTINUE, headers=[])
+        writer.write(connection.send(go_on))
+    body = await receive_body(connection, reader, limits.max_body_bytes)
+    return HttpRequest(
+        start.method.decode('ascii'),
+        start.target.decode('ascii'),
+        tuple(start.headers),
+        body,
+    )
--- a/packages/bilberry_operators/bilberry_operators/configuration_resource.py
+++ b/packages/bilberry_operators/bilberry_operators/configuration_resource.py
@@ -26,7 +26,6 @@
     parse_configuration,
     render_configuration,
 )
-from bilberry_core.document import MAX_DOCUMENT_BYTES
 from bilberry_core.http import Headers, HttpRequest, HttpResponse
 from bilberry_operators.answer import (
     RefusedError,
@@ -161,12 +160,6 @@
 
 
 def _read_body(request: HttpRequest) -> bytes:
-    if len(request.body) > MAX_DOCUMENT_BYTES:
-        raise RefusedError(
-            HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-            'too_large',
-            f'expected at most {MAX_DOCUMENT_BYTES} bytes',
-        )
     text = request.body.decode('utf-8', errors='replace')
     parsed = parse_configuration(text, 'configuration')
     if isinstance(parsed, Failure):
--- a/packages/bilberry_operators/bilberry_operators/controller.py
+++ b/packages/bilberry_operators/bilberry_operators/controller.py
@@ -9,7 +9,8 @@
 from bilberry_core.board import Board, Cell
 from bilberry_core.clock import MS_PER_S, Clock
 from bilberry_core.endpoint import Address
-from bilberry_core.http import HttpRequest, HttpResponse, serve_http
+from bilberry_core.document import MAX_DOCUMENT_BYTES
+from bilberry_core.http import HttpLimits, HttpRequest, HttpResponse, serve_http
 from bilberry_core.settings import Settings
 from bilberry_operators.answer import RefusedError, answer_json
 from bilberry_operators.configuration_resource import ConfigurationResource
@@ -20,6 +21,9 @@
 
 _log = getLogger(__name__)
 
+#: Bounds what operators' requests can hold of the daemon's memory.
+_LIMITS = HttpLimits(max_body_bytes=MAX_DOCUMENT_BYTES, max_connections=16)
+
 
 class OperatorsController:
     """The operators' interface, which nothing else of the daemon waits for.
@@ -66,7 +70,7 @@
         address = self._settings.listen.operators
         if address is None:
             return
-        server = await serve_http(address, self._handle)
+        server = await serve_http(address, self._handle, _LIMITS)
         self._bound.put(_get_address(server))
         try:
             await self._stopping.wait()
--- /dev/null
+++ b/tests/bilberry_core/test_http_bounds.py
@@ -0,0 +1,107 @@
+"""Bounds of the small HTTP server: time, size and connections."""
+
+from asyncio import StreamReader, open_connection, run
+
+from testtools import TestCase
+
+from bilberry_core.endpoint import Address
+from bilberry_core.http import HttpLimits, HttpResponse, serve_http
+
+PUT = b'PUT / HTTP/1.1\r\nhost: x\r\n'
+
+
+async def answer_hello(_request) -> HttpResponse:
+    """Answers every request alike."""
+    return HttpResponse(200, (), b'hello')
+
+
+async def exchange(sent: bytes, limits: HttpLimits) -> bytes:
+    """Returns everything that a server sends until it closes."""
+    server = await serve_http(Address('127.0.0.1', 0), answer_hello, limits)
+    reader, writer = await open_connection(*server.sockets[0].getsockname())
+    try:
+        writer.write(sent)
+        return await reader.read()
+    finally:
+        writer.close()
+        server.close()
+
+
+class HttpBoundsTest(TestCase):
+    """What the server does not wait for or hold."""
+
+    def test_head_is_answered_without_a_body(self):
+        """A handler need not know about HEAD."""
+        sent = b'HEAD / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n'
+        received = run(exchange(sent, HttpLimits()))
+        self.assertTrue(received.startswith(b'HTTP/1.1 200'))
+        self.assertTrue(received.endswith(b'\r\n\r\n'))
+
+    def test_expected_continue_is_told(self):
+        """A client that waits before its body is told to go on."""
+        sent = (
+            PUT + b'expect: 100-continue\r\ncontent-length: 2\r\n'
+            b'connection: close\r\n\r\nab'
+        )
+
+        async def go_on():
+            server = await serve_http(Address('127.0.0.1', 0), answer_hello)
+            bound = server.sockets[0].getsockname()
+            reader, writer = await open_connection(*bound)
+            writer.write(sent[:-2])
+            told = await reader.readuntil(b'\r\n\r\n')
+            writer.write(sent[-2:])
+            answered = await reader.read()
+            writer.close()
+            server.close()
+            return told, answered
+
+        told, answered = run(go_on())
+        self.assertTrue(told.startswith(b'HTTP/1.1 100'))
+        self.assertTrue(answered.endswith(b'hello'))
+
+    def test_silent_connection_is_closed(self):
+        """A request that never ends is not waited for."""
+        received = run(exchange(PUT, HttpLimits(request_timeout_s=0.01)))
+        self.assertEqual(b'', received)
+
+    def test_body_over_the_limit_is_refused(self):
+        """A server may take smaller bodies than the default."""
+        sent = PUT + b'content-length: 9\r\n\r\n123456789'
+        received = run(exchange(sent, HttpLimits(max_body_bytes=8)))
+        self.assertTrue(received.startswith(b'HTTP/1.1 413'))
+
+    def test_connections_over_the_limit_are_refused(self):
+        """With all connections taken, one more is closed with 503."""
+
+        async def connect_twice():
+            limits = HttpLimits(max_connections=1)
+            server = await serve_http(
+                Address('127.0.0.1', 0),
+                answer_hello,
+                limits,
+            )
+            bound = server.sockets[0].getsockname()
+            first, writer = await open_connection(*bound)
+            writer.write(b'GET / HTTP/1.1\r\nhost: x\r\n\r\n')
+            await first.readuntil(b'hello')
+            refused = await read_all(bound)
+            writer.close()
+            await first.read()
+            again = await read_all(bound)
+            server.close()
+            return refused, again
+
+        refused, again = run(connect_twice())
+        self.assertTrue(refused.startswith(b'HTTP/1.1 503'))
+        self.assertTrue(again.startswith(b'HTTP/1.1 200'))
+
+
+async def read_all(bound) -> bytes:
+    """Returns the answer to a request on a new connection."""
+    reader: StreamReader
+    reader, writer = await open_connection(*bound)
+    writer.write(b'GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n')
+    received = await reader.read()
+    writer.close()
+    return received
--- /dev/null
+++ b/tests/bilberry_operators/test_hostile.py
@@ -0,0 +1,108 @@
+"""Hostile requests to the operators' interface: typed answers, no failure."""
+
+from json import loads
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.document import MAX_DOCUMENT_BYTES
+from bilberry_core.http import HttpRequest
+from tests.bilberry_operators.fake_acceptor import FakeAcceptor
+from tests.bilberry_operators.test_controller import (
+    build_put,
+    exchange,
+    make_board,
+    read_error,
+)
+
+visible = st.text(
+    st.characters(min_codepoint=33, max_codepoint=126),
+    max_size=30,
+)
+paths = st.sampled_from(
+    [
+        '/v1/configuration',
+        '/v1/history/',
+        '/v1/history?limit=',
+        '/v1/rollback?version=',
+        '/v1/explain?service=callouts&path=',
+        '/v1/explain?',
+        '/v1/status',
+        '//[',
+        '/',
+    ],
+)
+targets = st.builds(str.__add__, paths, visible)
+methods = st.sampled_from(['GET', 'PUT', 'POST', 'DELETE', 'BREW'])
+bodies = st.binary(max_size=40) | st.text(
+    alphabet='{}[]:&*!-, \nab0',
+    max_size=40,
+).map(str.encode)
+headers = st.fixed_dictionaries(
+    {
+        'if_match': visible | st.sampled_from(['"0"', None]),
+        'bilberry_change_id': visible | st.sampled_from(['c', None]),
+        'bilberry_note': visible,
+        'accept': visible,
+    },
+)
+
+
+def build_request(method, target, extra, body):
+    """Returns a request with the token and hostile parts."""
+    request = build_put(0, body=body, **extra)
+    return request._replace(method=method, target=target)
+
+
+class BrokenAcceptor(FakeAcceptor):
+    """Fails on every change."""
+
+    async def submit(self, change, timeout_s):
+        """Raises what nobody expects."""
+        raise RuntimeError('secret detail')
+
+
+class HostileTest(TestCase):
+    """Requests that no tool would send."""
+
+    @settings(max_examples=40)
+    @given(
+        st.lists(
+            st.builds(build_request, methods, targets, headers, bodies),
+            min_size=1,
+            max_size=8,
+        ),
+    )
+    def test_any_request_gets_a_typed_answer(self, requests):
+        """Errors carry a code; nothing fails inside the daemon."""
+        answers = exchange(requests, FakeAcceptor(), board=make_board())
+        for answer in answers:
+            self.assertLess(answer.status, 500, answer.body)
+            if answer.status >= 400:
+                self.assertTrue(read_error(answer)['code'])
+
+    def test_body_over_the_bound_is_refused(self):
+        """A body longer than any configuration gets 413."""
+        (answer,) = exchange(
+            [build_put(0, body=b' ' * (MAX_DOCUMENT_BYTES + 1))],
+            FakeAcceptor(),
+        )
+        self.assertEqual(413, answer.status)
+
+    def test_alias_bomb_is_refused(self):
+        """A document that would grow is refused before it is built."""
+        bomb = b'a: &a [x]\nb: &b [*a, *a]\nc: [*b, *b]\n'
+        (answer,) = exchange([build_put(0, body=bomb)], FakeAcceptor())
+        self.assertEqual(422, answer.status)
+        self.assertIn('alias', str(loads(answer.body)))
+
+    def test_failing_acceptor_is_an_unknown_outcome(self):
+        """A fault behind the interface is told, without its traceback."""
+
+        answers = exchange(
+            [build_put(0), HttpRequest('GET', '/v1/status')],
+            BrokenAcceptor(),
+        )
+        self.assertEqual([500, 200], [each.status for each in answers])
+        self.assertNotIn(b'secret', answers[0].body)
