--- a/packages/bilberry_core/bilberry_core/logs.py
+++ b/packages/bilberry_core/bilberry_core/logs.py
@@ -33,7 +33,7 @@
     root = getLogger()
     root.setLevel(level)
     root.handlers = [_RecordQueueHandler(queue)]
-    listener = QueueListener(queue, sink)
+    listener = _RecordListener(queue, sink)
     listener.start()
     register_exit(listener.stop)
     return listener
@@ -44,3 +44,11 @@
 
     def prepare(self, record):
         return record
+
+
+class _RecordListener(QueueListener):
+    """Writes queued records; stopping it again does nothing."""
+
+    def stop(self):
+        if self._thread is not None:
+            super().stop()
--- /dev/null
+++ b/tests/bilberry_core/test_examples.py
@@ -0,0 +1,46 @@
+"""The examples: settings of each role and an operators' configuration."""
+
+from pathlib import Path
+from shutil import copytree
+from tempfile import TemporaryDirectory
+
+from testtools import TestCase
+
+from bilberry_core.configuration_file import parse_configuration
+from bilberry_core.settings import Role
+from bilberry_core.settings_file import load_settings
+
+EXAMPLES = Path(__file__).parents[2] / 'examples'
+ROLES = {
+    'proxy.yaml': {Role.PROXY},
+    'relay.yaml': {Role.RELAY},
+    'replica-1.yaml': set(Role),
+    'replica-2.yaml': set(Role),
+    'replica-3.yaml': set(Role),
+}
+
+
+class ExamplesTest(TestCase):
+    """Files that an operator starts from."""
+
+    def test_settings_of_each_role_load(self):
+        """Beside a secret and a token every example is complete."""
+        with TemporaryDirectory() as name:
+            folder = Path(name, 'examples')
+            copytree(EXAMPLES, folder)
+            for secret in ('secret', 'token'):
+                folder.joinpath(secret).write_text('0123456789abcdef\n')
+            for file_name, roles in ROLES.items():
+                loaded = load_settings(str(folder / file_name))
+                self.assertEqual(roles, set(loaded.unwrap().roles), file_name)
+
+    def test_configuration_is_valid(self):
+        """The example configuration can be applied as it is."""
+        text = EXAMPLES.joinpath('fleet.yaml').read_text()
+        parsed = parse_configuration(text, 'fleet.yaml').unwrap()
+        self.assertEqual(2, len(parsed.exceptions))
+
+    def test_every_example_is_tested(self):
+        """A new example file must be added to a test."""
+        names = {path.name for path in EXAMPLES.glob('*.yaml')}
+        self.assertEqual({*ROLES, 'fleet.yaml'}, names)
