Check answers of servers before they are shown

A server of another kind or version ended bilberryctl in a traceback (an entity tag that is no number, a missing member). Answers are decoded against typed records; a change whose answer can't be read has an unknown outcome (exit 4). Hypothesis drives every command against arbitrary answers.

--- a/packages/bilberryctl/bilberryctl/change.py
+++ b/packages/bilberryctl/bilberryctl/change.py
@@ -5,12 +5,15 @@
 from urllib.parse import quote
 from uuid import uuid4
 
+from returns.result import Failure
+
 from bilberry_core.http import HttpRequest, HttpResponse
+from bilberryctl.answers import ChangeAnswer, decode_answer, read_etag
 from bilberryctl.exit_code import ExitCode
 from bilberryctl.local_file import read_configuration
-from bilberryctl.outcome import Outcome, fail, read_document, succeed
+from bilberryctl.outcome import Outcome, fail, succeed
 from bilberryctl.progress import wait_in_force
-from bilberryctl.session import Session, judge_reply
+from bilberryctl.session import Session, fail_unreadable, judge_reply
 
 
 class ChangeOptions(NamedTuple):
@@ -79,10 +82,10 @@
 ) -> Outcome:
     base = options.base
     if base is None:
-        current = await session.read('/v1/configuration')
+        current = await _read_base(session)
         if isinstance(current, Outcome):
             return current
-        base = int(current.get_header(b'etag').strip('"') or 0)
+        base = current
         session.report(f'base version {base}, the current one')
     session.report(f'change ID {options.change_id}')
     reply = await session.client.ask(_add_headers(request, base, options))
@@ -94,24 +97,33 @@
     return await _finish(session, answer, base, options)
 
 
+async def _read_base(session: Session) -> int | Outcome:
+    current = await session.get('/v1/configuration', 'application/json')
+    if isinstance(current, Outcome):
+        return current
+    version = read_etag(current)
+    if isinstance(version, Failure):
+        return fail_unreadable(version.failure())
+    return version.unwrap()
+
+
 async def _finish(
     session: Session,
     answer: HttpResponse,
     base: int,
     options: ChangeOptions,
 ) -> Outcome:
-    told = read_document(answer)
-    version = int(told.get('version', 0))
+    told = decode_answer(answer, ChangeAnswer)
+    if isinstance(told, Failure):
+        return _tell_unknown(base, options, told.failure())
     document = {
-        'version': version,
+        **told.unwrap(),
         'base_version': base,
         'change_id': options.change_id,
-        'resent': bool(told.get('resent')),
     }
-    text = f'version {version} is accepted'
     if options.wait_s:
         return await wait_in_force(session, document, options.wait_s)
-    return succeed(document, text)
+    return succeed(document, f'version {document["version"]} is accepted')
 
 
 def _add_headers(
--- a/packages/bilberryctl/bilberryctl/outcome.py
+++ b/packages/bilberryctl/bilberryctl/outcome.py
@@ -1,9 +1,7 @@
 """What a command gives back: an exit code, a document and a text."""
 
-from json import JSONDecodeError, loads
 from typing import Any, NamedTuple
 
-from bilberry_core.http import HttpResponse
 from bilberryctl.exit_code import ExitCode
 
 Document = dict[str, Any]
@@ -31,12 +29,3 @@
     error = {'code': name, 'detail': detail, **extra}
     document = {'error': error, 'exit_code': int(code)}
     return Outcome(code, document, f'{name}: {detail}')
-
-
-def read_document(response: HttpResponse) -> Document:
-    """Returns the JSON object of an answer; empty where there is none."""
-    try:
-        document = loads(response.body)
-    except (JSONDecodeError, UnicodeDecodeError, RecursionError):
-        return {}
-    return document if isinstance(document, dict) else {}
--- a/packages/bilberryctl/bilberryctl/progress.py
+++ b/packages/bilberryctl/bilberryctl/progress.py
@@ -3,8 +3,9 @@
 from asyncio import get_running_loop, sleep
 
 from bilberry_core.http import HttpRequest
+from bilberryctl.answers import StatusAnswer, decode_answer
 from bilberryctl.exit_code import ExitCode
-from bilberryctl.outcome import Document, Outcome, fail, read_document, succeed
+from bilberryctl.outcome import Document, Outcome, fail, succeed
 from bilberryctl.session import Session
 
 _POLL_S = 0.25
@@ -42,7 +43,8 @@
     answers = await session.client.ask_all(HttpRequest('GET', '/v1/status'))
     versions: dict[str, int] = {}
     for answer in answers:
-        for proxy in read_document(answer).get('proxies', []):
+        status = decode_answer(answer, StatusAnswer)
+        for proxy in status.value_or({'proxies': []})['proxies']:
             known = versions.get(proxy['instance'], 0)
             versions[proxy['instance']] = max(known, proxy['version'])
     return dict(sorted(versions.items()))
--- a/packages/bilberryctl/bilberryctl/session.py
+++ b/packages/bilberryctl/bilberryctl/session.py
@@ -1,9 +1,10 @@
 """What every command shares: the servers, the client and the output."""
 
 import sys
+from collections.abc import Callable
 from json import dumps
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from returns.result import Failure
 
@@ -13,11 +14,14 @@
 from bilberry_core.scalar import parse_address
 from bilberry_core.text_file import read_text_file
 from bilberry_core.unit import parse_duration_ms
+from bilberryctl.answers import ErrorAnswer, decode_answer
 from bilberryctl.client import OperatorsClient, Reply
 from bilberryctl.exit_code import ExitCode
-from bilberryctl.outcome import Outcome, UsageError, fail, read_document
+from bilberryctl.outcome import Document, Outcome, UsageError, fail, succeed
 
 _CODES = {409: ExitCode.REFUSED, 412: ExitCode.CONFLICT}
+#: Names of the parameters of `fail`, which no server may set.
+_OWN_MEMBERS = frozenset(('code', 'name', 'detail'))
 _OUTPUTS = ('text', 'json')
 _FIRST_ERROR = 400
 _MAX_TOKEN_BYTES = 4096
@@ -62,8 +66,19 @@
     async def read(
         self,
         target: str,
-        accept: str = 'application/json',
-    ) -> HttpResponse | Outcome:
+        kind: Any,
+        render: Callable[[Document], str],
+    ) -> Outcome:
+        """Shows the JSON answer to a GET; `kind` says what it must hold."""
+        answer = await self.get(target, 'application/json')
+        if isinstance(answer, Outcome):
+            return answer
+        members = decode_answer(answer, kind)
+        if isinstance(members, Failure):
+            return fail_unreadable(members.failure())
+        return succeed(members.unwrap(), render(members.unwrap()))
+
+    async def get(self, target: str, accept: str) -> HttpResponse | Outcome:
         """Returns the answer to a GET, or the outcome where it failed."""
         headers = ((b'accept', accept.encode()),)
         reply = await self._client.ask(HttpRequest('GET', target, headers))
@@ -90,11 +105,23 @@
         return fail(ExitCode.UNREACHABLE, 'unreachable', reply.detail)
     if response.status < _FIRST_ERROR:
         return response
-    error = dict(read_document(response).get('error') or {})
+    answered = decode_answer(response, ErrorAnswer)
+    error = dict(answered.value_or({'error': {}})['error'])
     name = error.pop('code', f'status_{response.status}')
     detail = error.pop('detail', 'the server gave no reason')
     code = _CODES.get(response.status, ExitCode.REFUSED)
-    return fail(code, str(name), str(detail), **error)
+    return fail(code, str(name), str(detail), **_without_own(error))
+
+
+def fail_unreadable(detail: str) -> Outcome:
+    """Returns the outcome of an answer that can't be used."""
+    return fail(ExitCode.UNREACHABLE, 'unreadable_answer', detail)
+
+
+def _without_own(error: Document) -> Document:
+    return {
+        key: member for key, member in error.items() if key not in _OWN_MEMBERS
+    }
 
 
 def parse_servers(text: str) -> tuple[Address, ...]:
--- a/packages/bilberryctl/bilberryctl/view.py
+++ b/packages/bilberryctl/bilberryctl/view.py
@@ -1,19 +1,27 @@
 """Commands that only read: show, diff, history, status, explain."""
 
 from difflib import unified_diff
+from typing import NamedTuple
 from urllib.parse import urlencode
 
 from returns.result import Failure
 
+from bilberry_core.configuration import Configuration
 from bilberry_core.configuration_document import build_document
 from bilberry_core.configuration_file import (
     parse_configuration,
     render_configuration,
 )
-from bilberryctl.exit_code import ExitCode
+from bilberryctl.answers import (
+    ExplainAnswer,
+    HistoryAnswer,
+    StatusAnswer,
+    VersionAnswer,
+    read_etag,
+)
 from bilberryctl.local_file import read_configuration
-from bilberryctl.outcome import Outcome, fail, read_document, succeed
-from bilberryctl.session import Session
+from bilberryctl.outcome import Outcome, succeed
+from bilberryctl.session import Session, fail_unreadable
 from bilberryctl.text import (
     render_entry,
     render_explanation,
@@ -21,25 +29,26 @@
     render_status,
 )
 
-_YAML = 'application/yaml'
+
+class Current(NamedTuple):
+    """The newest accepted configuration, as a server gave it."""
+
+    version: int
+    text: str
+    configuration: Configuration
 
 
 async def show_configuration(session: Session) -> Outcome:
     """Shows the newest accepted configuration."""
-    answer = await session.read('/v1/configuration', _YAML)
-    if isinstance(answer, Outcome):
-        return answer
-    text = answer.body.decode()
-    parsed = parse_configuration(text, 'server')
-    if isinstance(parsed, Failure):
-        details = '; '.join(each.describe() for each in parsed.failure())
-        return fail(ExitCode.REFUSED, 'unreadable_answer', details)
-    version = answer.get_header(b'etag').strip('"')
+    current = await _read_current(session)
+    if isinstance(current, Outcome):
+        return current
     document = {
-        'version': int(version),
-        'configuration': build_document(parsed.unwrap()),
+        'version': current.version,
+        'configuration': build_document(current.configuration),
     }
-    return succeed(document, f'# version {version}\n{text}')
+    text = f'# version {current.version}\n{current.text}'
+    return succeed(document, text)
 
 
 async def diff_file(session: Session, path: str) -> Outcome:
@@ -47,48 +56,38 @@
     local = read_configuration(path)
     if isinstance(local, Outcome):
         return local
-    answer = await session.read('/v1/configuration', _YAML)
-    if isinstance(answer, Outcome):
-        return answer
-    version = answer.get_header(b'etag').strip('"')
+    current = await _read_current(session)
+    if isinstance(current, Outcome):
+        return current
+    version = current.version
     lines = list(
         unified_diff(
-            answer.body.decode().splitlines(),
+            render_configuration(current.configuration).splitlines(),
             render_configuration(local.configuration).splitlines(),
             f'version {version}',
             path,
             lineterm='',
         ),
     )
-    document = {'version': int(version), 'differs': bool(lines), 'diff': lines}
+    document = {'version': version, 'differs': bool(lines), 'diff': lines}
     return succeed(document, '\n'.join(lines) or f'same as version {version}')
 
 
 async def list_history(session: Session, limit: int) -> Outcome:
     """Shows the newest accepted versions."""
-    answer = await session.read(f'/v1/history?limit={limit}')
-    if isinstance(answer, Outcome):
-        return answer
-    document = read_document(answer)
-    return succeed(document, render_history(document))
+    target = f'/v1/history?limit={limit}'
+    return await session.read(target, HistoryAnswer, render_history)
 
 
 async def show_version(session: Session, version: int) -> Outcome:
     """Shows one accepted version."""
-    answer = await session.read(f'/v1/history/{version}')
-    if isinstance(answer, Outcome):
-        return answer
-    document = read_document(answer)
-    return succeed(document, render_entry(document))
+    target = f'/v1/history/{version}'
+    return await session.read(target, VersionAnswer, render_entry)
 
 
 async def show_status(session: Session) -> Outcome:
     """Shows the fleet as the first server that answers sees it."""
-    answer = await session.read('/v1/status')
-    if isinstance(answer, Outcome):
-        return answer
-    document = read_document(answer)
-    return succeed(document, render_status(document))
+    return await session.read('/v1/status', StatusAnswer, render_status)
 
 
 async def explain_service(
@@ -99,8 +98,20 @@
 ) -> Outcome:
     """Shows what route a request would take, and why."""
     query = urlencode({'service': service, 'method': method, 'path': path})
-    answer = await session.read(f'/v1/explain?{query}')
+    target = f'/v1/explain?{query}'
+    return await session.read(target, ExplainAnswer, render_explanation)
+
+
+async def _read_current(session: Session) -> Current | Outcome:
+    answer = await session.get('/v1/configuration', 'application/yaml')
     if isinstance(answer, Outcome):
         return answer
-    document = read_document(answer)
-    return succeed(document, render_explanation(document))
+    version = read_etag(answer)
+    if isinstance(version, Failure):
+        return fail_unreadable(version.failure())
+    text = answer.body.decode(errors='replace')
+    parsed = parse_configuration(text, 'server')
+    if isinstance(parsed, Failure):
+        details = [problem.describe() for problem in parsed.failure()]
+        return fail_unreadable('; '.join(details))
+    return Current(version.unwrap(), text, parsed.unwrap())
--- /dev/null
+++ b/tests/bilberryctl/test_answers.py
@@ -0,0 +1,81 @@
+"""Servers that answer what they should not: no traceback, a typed end."""
+
+from asyncio import run, to_thread
+from json import dumps
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.endpoint import Address
+from bilberry_core.http import HttpResponse, serve_http
+from bilberryctl.exit_code import ExitCode
+from tests.bilberryctl.test_main import run_quietly
+
+documents = st.recursive(
+    st.none() | st.integers() | st.text(max_size=4),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(
+            st.sampled_from(
+                ['error', 'code', 'name', 'version', 'proxies', 'detail'],
+            ),
+            inner,
+            max_size=3,
+        )
+    ),
+    max_leaves=5,
+)
+COMMANDS = (
+    ['status'],
+    ['history'],
+    ['history', '1'],
+    ['explain', 'callouts'],
+    ['show'],
+    ['rollback', '1'],
+    ['rollback', '1', '--base', '1'],
+)
+
+
+def run_against(response: HttpResponse, *commands):
+    """Runs commands against a server that has one answer for all."""
+
+    async def answer(_request) -> HttpResponse:
+        return response
+
+    async def run_each():
+        server = await serve_http(Address('127.0.0.1', 0), answer)
+        host, port = server.sockets[0].getsockname()
+        ended = [
+            await to_thread(
+                run_quietly,
+                [*command, '--server', f'{host}:{port}'],
+            )
+            for command in commands
+        ]
+        server.close()
+        return ended
+
+    return run(run_each())
+
+
+class AnswersTest(TestCase):
+    """Answers of a strange server."""
+
+    @settings(max_examples=30)
+    @given(
+        st.sampled_from([200, 201, 404, 412, 500, 503]),
+        st.binary(max_size=20) | documents.map(dumps).map(str.encode),
+        st.sampled_from([b'"1"', b'x', b'']),
+    )
+    def test_any_answer_gives_an_exit_code(self, status, body, etag):
+        """Whatever is answered, each command ends with a code of its own."""
+        response = HttpResponse(status, ((b'etag', etag),), body)
+        for ended in run_against(response, *COMMANDS):
+            self.assertIn(ended.code, set(ExitCode))
+
+    def test_garbled_acceptance_is_unknown(self):
+        """A change whose answer can't be read may have been accepted."""
+        response = HttpResponse(201, (), b'{')
+        (ended,) = run_against(response, ['rollback', '1', '--base', '1'])
+        self.assertEqual(ExitCode.UNKNOWN, ended.code)
--- a/tests/bilberryctl/test_main.py
+++ b/tests/bilberryctl/test_main.py
@@ -182,6 +182,15 @@
         self.assertEqual(6, late.code)
         self.assertIn('version 1: 2 of 3 proxies, behind: van-3', late.errors)
 
+    def test_no_output_holds_the_token(self):
+        """The token is sent, and shown nowhere."""
+        ended = self.run_all(
+            ['apply', self.text_file],
+            ['validate', self.token_file],
+            ['status', '--output', 'json'],
+        )
+        self.assertNotIn(TOKEN, str(ended))
+
     def test_help_and_version(self):
         """Help and version go to standard output without a server."""
         self.assertEqual(0, run_quietly(['--help']).code)
