Answer operators' requests in flight before a daemon stops

HttpService counts a request as in flight until its answer has left the process; counting inside the handler would have let a daemon exit between an accepted change and its answer.

--- a/packages/bilberry_core/bilberry_core/http.py
+++ b/packages/bilberry_core/bilberry_core/http.py
@@ -16,6 +16,7 @@
 from bilberry_core.http_server import (
     REQUEST_TIMEOUT_S,
     HttpLimits,
+    HttpService,
     serve_http,
 )
 
@@ -28,6 +29,7 @@
     'HttpLimits',
     'HttpRequest',
     'HttpResponse',
+    'HttpService',
     'fetch',
     'serve_http',
 )
--- a/packages/bilberry_core/bilberry_core/http_server.py
+++ b/packages/bilberry_core/bilberry_core/http_server.py
@@ -23,6 +23,7 @@
     Response,
 )
 
+from bilberry_core.board import Cell
 from bilberry_core.endpoint import Address
 from bilberry_core.http_message import (
     MAX_BODY_BYTES,
@@ -75,17 +76,28 @@
     limits: HttpLimits = HttpLimits(),
 ) -> Server:
     """Serves whole requests on `address` with `handler`."""
-    service = _Service(handler, limits)
+    service = HttpService(handler, limits)
     return await start_server(service.serve, address.host, address.port)
 
 
-class _Service:
-    """The connections of one server."""
+class HttpService:
+    """The connections of one server, which can be stopped gracefully."""
 
     def __init__(self, handler: HttpHandler, limits: HttpLimits) -> None:
+        """Serves nothing yet."""
         self._handler = handler
         self._limits = limits
         self._connections = 0
+        self._busy: Cell[frozenset[StreamWriter]] = Cell(frozenset())
+        self._is_stopping = False
+
+    async def drain(self) -> None:
+        """Waits until every request that was received is answered.
+
+        Further requests are for `handler` to refuse.
+        """
+        self._is_stopping = True
+        await self._busy.wait_for(_is_empty)
 
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         """Serves one connection and closes it."""
@@ -96,7 +108,7 @@
             _log.info('http_connection_lost')
         finally:
             self._connections -= 1
-            writer.close()
+            await self._close(writer)
 
     async def _serve_or_refuse(
         self,
@@ -104,41 +116,73 @@
         writer: StreamWriter,
     ) -> None:
         if self._connections <= self._limits.max_connections:
-            await _serve_connection(reader, writer, self._handler, self._limits)
+            await self._serve_requests(reader, writer)
             return
         error = HttpError('too many connections', _STATUS_UNAVAILABLE)
         _send_error(Connection(SERVER), writer, error)
         if self._connections <= 2 * self._limits.max_connections:
             await _linger(reader, writer)
 
-
-async def _serve_connection(
-    reader: StreamReader,
-    writer: StreamWriter,
-    handler: HttpHandler,
-    limits: HttpLimits,
-) -> None:
-    connection = Connection(SERVER)
-    while connection.our_state not in {MUST_CLOSE}:
+    async def _serve_requests(
+        self,
+        reader: StreamReader,
+        writer: StreamWriter,
+    ) -> None:
+        connection = Connection(SERVER)
+        while connection.our_state not in {MUST_CLOSE}:
+            try:
+                request = await wait_for(
+                    _receive_request(connection, reader, writer, self._limits),
+                    self._limits.request_timeout_s,
+                )
+            except (HttpError, ProtocolError) as error:
+                _send_error(connection, writer, error)
+                await _linger(reader, writer)
+                return
+            if request is None:
+                return
+            self._busy.put(self._busy.value | {writer})
+            await self._answer(connection, writer, request)
+            if self._is_stopping or not _is_cycle_done(connection):
+                return
+            self._busy.put(self._busy.value - {writer})
+            connection.start_next_cycle()
+
+    async def _answer(
+        self,
+        connection: Connection,
+        writer: StreamWriter,
+        request: HttpRequest,
+    ) -> None:
         try:
-            request = await wait_for(
-                _receive_request(connection, reader, writer, limits),
-                limits.request_timeout_s,
-            )
-        except (HttpError, ProtocolError) as error:
-            _send_error(connection, writer, error)
-            await _linger(reader, writer)
-            return
-        if request is None:
-            return
-        response = await _answer(handler, request)
+            response = await self._handler(request)
+        except HttpError as error:
+            response = HttpResponse(error.status, body=str(error).encode())
         if request.method == 'HEAD':
             response = response._replace(body=b'')
         writer.write(_encode_response(connection, response))
-        await wait_for(writer.drain(), limits.request_timeout_s)
-        if (connection.our_state, connection.their_state) != (DONE, DONE):
-            return
-        connection.start_next_cycle()
+        await wait_for(writer.drain(), self._limits.request_timeout_s)
+
+    async def _close(self, writer: StreamWriter) -> None:
+        """Closes a connection once what was written has been sent."""
+        writer.close()
+        try:
+            await wait_for(
+                writer.wait_closed(),
+                self._limits.request_timeout_s,
+            )
+        except _CONNECTION_ERRORS:
+            _log.info('http_connection_lost')
+        finally:
+            self._busy.put(self._busy.value - {writer})
+
+
+def _is_empty(busy: frozenset[StreamWriter]) -> bool:
+    return not busy
+
+
+def _is_cycle_done(connection: Connection) -> bool:
+    return (connection.our_state, connection.their_state) == (DONE, DONE)
 
 
 async def _linger(reader: StreamReader, writer: StreamWriter) -> None:
@@ -154,13 +198,6 @@
             block = await reader.read(_LINGER_READ_BYTES)
 
 
-async def _answer(handler: HttpHandler, request: HttpRequest) -> HttpResponse:
-    try:
-        return await handler(request)
-    except HttpError as error:
-        return HttpResponse(error.status, body=str(error).encode())
-
-
 def _send_error(
     connection: Connection,
     writer: StreamWriter,
--- a/packages/bilberry_operators/bilberry_operators/controller.py
+++ b/packages/bilberry_operators/bilberry_operators/controller.py
@@ -1,6 +1,6 @@
 """Serves the operators' HTTP interface of one daemon."""
 
-from asyncio import Event, Server, wait_for
+from asyncio import Event, Server, start_server, wait_for
 from collections.abc import Awaitable
 from http import HTTPMethod, HTTPStatus
 from logging import getLogger
@@ -10,7 +10,12 @@
 from bilberry_core.clock import MS_PER_S, Clock
 from bilberry_core.endpoint import Address
 from bilberry_core.document import MAX_DOCUMENT_BYTES
-from bilberry_core.http import HttpLimits, HttpRequest, HttpResponse, serve_http
+from bilberry_core.http import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpService,
+)
 from bilberry_core.settings import Settings
 from bilberry_operators.answer import RefusedError, answer_json
 from bilberry_operators.configuration_resource import ConfigurationResource
@@ -46,7 +51,7 @@
         self._lag = LagTracker(settings, board, clock)
         self._router = self._build_router(acceptor)
         self._bound: Cell[Address | None] = Cell(None)
-        self._active: Cell[int] = Cell(0)
+        self._service = HttpService(self._handle, _LIMITS)
         self._stopping = Event()
 
     @classmethod
@@ -70,7 +75,11 @@
         address = self._settings.listen.operators
         if address is None:
             return
-        server = await serve_http(address, self._handle, _LIMITS)
+        server = await start_server(
+            self._service.serve,
+            address.host,
+            address.port,
+        )
         self._bound.put(_get_address(server))
         try:
             await self._stopping.wait()
@@ -83,12 +92,11 @@
         self._stopping.set()
         limit_s = self._settings.timing.drain_ms / MS_PER_S
         try:
-            await wait_for(self._active.wait_for(_is_idle), limit_s)
+            await wait_for(self._service.drain(), limit_s)
         except TimeoutError:
             _log.warning('operators_requests_cut')
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
-        self._active.put(self._active.value + 1)
         try:
             return await self._answer(request)
         except RefusedError as refused:
@@ -96,8 +104,6 @@
         except Exception:
             _log.exception('operators_request_failed')
             return _FAILED.answer()
-        finally:
-            self._active.put(self._active.value - 1)
 
     def _answer(self, request: HttpRequest) -> Awaitable[HttpResponse]:
         if self._stopping.is_set():
@@ -169,10 +175,6 @@
     return Address(host, port)
 
 
-def _is_idle(active: int) -> bool:
-    return active == 0
-
-
 _REPLICA_RESOURCES = (
     (HTTPMethod.GET, '/v1/configuration'),
     (HTTPMethod.PUT, '/v1/configuration'),
--- a/tests/bilberry_operators/daemon.py
+++ b/tests/bilberry_operators/daemon.py
@@ -40,15 +40,20 @@
         return int(self.seconds * 1000)
 
 
-@asynccontextmanager
-async def start_daemon(acceptor, board=None, settings=SETTINGS, clock=None):
-    """Serves the operators' interface; gives the address that it bound."""
-    controller = OperatorsController.from_settings(
+def build_controller(acceptor, board=None, settings=SETTINGS, clock=None):
+    """Returns the controller of the operators' interface."""
+    return OperatorsController.from_settings(
         settings,
         board or Board(),
         acceptor,
         clock or FakeClock(),
     )
+
+
+@asynccontextmanager
+async def start_daemon(acceptor, **parts):
+    """Serves the operators' interface; gives the address that it bound."""
+    controller = build_controller(acceptor, **parts)
     running = create_task(controller.run())
     try:
         yield await controller.bound.wait_for(bool)
--- a/tests/bilberry_operators/test_controller.py
+++ b/tests/bilberry_operators/test_controller.py
@@ -1,7 +1,8 @@
 """The operators' HTTP interface: preconditions, outcomes, status, explain."""
 
-from asyncio import gather, run
+from asyncio import Event, create_task, gather, run
 from json import loads
+from socket import create_connection
 
 from testtools import TestCase
 
@@ -19,6 +20,7 @@
     SETTINGS,
     TOKEN,
     FakeClock,
+    build_controller,
     start_daemon,
 )
 from tests.bilberry_operators.fake_acceptor import FakeAcceptor
@@ -69,6 +71,22 @@
     return loads(response.body)['error']
 
 
+class GatedAcceptor(FakeAcceptor):
+    """Holds changes back until its gate is open."""
+
+    def __init__(self):
+        """Starts with the gate closed."""
+        super().__init__()
+        self.entered = Event()
+        self.gate = Event()
+
+    async def submit(self, change, timeout_s):
+        """Accepts a change when the gate is open."""
+        self.entered.set()
+        await self.gate.wait()
+        return await super().submit(change, timeout_s)
+
+
 class ChangeTest(TestCase):
     """Changes through the interface."""
 
@@ -158,6 +176,27 @@
         self.assertEqual((200, {'version': 1, 'resent': True}), parse(resent))
         self.assertEqual(1, len(acceptor.entries))
 
+    def test_graceful_stop_cuts_no_change(self):
+        """A change in flight is answered whole; later ones are refused."""
+        acceptor = GatedAcceptor()
+
+        async def stop_inside_change():
+            controller = build_controller(acceptor)
+            running = create_task(controller.run())
+            address = await controller.bound.wait_for(bool)
+            change = create_task(fetch(address, build_put(0), 5))
+            await acceptor.entered.wait()
+            stopping = create_task(controller.stop())
+            await running
+            self.assertFalse(stopping.done())
+            acceptor.gate.set()
+            await stopping
+            answer = await change
+            self.assertRaises(OSError, create_connection, address)
+            return answer
+
+        self.assertEqual(201, run(stop_inside_change()).status)
+
     def test_change_id_with_other_content_is_refused(self):
         """A change ID stands for one content."""
         _, reused = exchange(
