--- a/packages/bilberry_core/bilberry_core/configuration_document.py
+++ b/packages/bilberry_core/bilberry_core/configuration_document.py
@@ -29,9 +29,9 @@
         'timeout': _render_ms(policy.timeout_ms),
         'retries': policy.retries,
         'retry_budget': _render_percent(policy.retry_budget_percent),
-        'priority': policy.priority and str(policy.priority),
+        'priority': _render_name(policy.priority),
         'idempotent_methods': _render_list(policy.idempotent_methods),
-        'load_policy': policy.load_policy,
+        'load_policy': _render_name(policy.load_policy),
         'claim_retention': _render_s(policy.claim_retention_s),
     }
     return {key: shown for key, shown in rendered.items() if shown is not None}
@@ -61,3 +61,7 @@
 
 def _render_list(names: tuple[str, ...] | None) -> list[str] | None:
     return None if names is None else list(names)
+
+
+def _render_name(name: str | None) -> str | None:
+    return None if name is None else str(name)
--- a/packages/bilberry_core/bilberry_core/configuration_file.py
+++ b/packages/bilberry_core/bilberry_core/configuration_file.py
@@ -23,7 +23,7 @@
     render_document,
 )
 from bilberry_core.error import ConfigurationError
-from bilberry_core.policy import CallPolicy, PolicyChange, Priority
+from bilberry_core.policy import CallPolicy, LoadPolicy, PolicyChange, Priority
 from bilberry_core.problem import Problem, Report
 from bilberry_core.scalar import (
     parse_choice,
@@ -61,7 +61,7 @@
     'retry_budget': Option('retry_budget_percent', Scalar(parse_percent)),
     'priority': Option('priority', Scalar(parse_choice(Priority))),
     'idempotent_methods': Option('idempotent_methods', _METHODS),
-    'load_policy': Option('load_policy', _NAME),
+    'load_policy': Option('load_policy', Scalar(parse_choice(LoadPolicy))),
     'claim_retention': Option(
         'claim_retention_s',
         Scalar(parse_duration(_MS_PER_S, _MAX_RETENTION_MS, _MS_PER_S)),
--- a/packages/bilberry_core/bilberry_core/policy.py
+++ b/packages/bilberry_core/bilberry_core/policy.py
@@ -8,6 +8,14 @@
 from typing import NamedTuple
 
 
+class LoadPolicy(StrEnum):
+    """The balancers that a configuration may name."""
+
+    LEAST_WORK = 'least_work'
+    RANDOM = 'random'
+    ROUND_ROBIN = 'round_robin'
+
+
 class Priority(StrEnum):
     """What is shed last (urgent) and first (deferrable) under overload."""
 
@@ -32,7 +40,8 @@
         HTTP methods that may run more than once
         (default: GET, HEAD, OPTIONS, PUT, DELETE, TRACE).
     `load_policy`
-        Name of the balancer (default: least_work).
+        Name of the balancer, of those in `LoadPolicy`; a proxy that does
+        not know it uses the default (default: least_work).
     `claim_retention_s`
         How long the outcome of a claimed request is kept, in seconds
         (default: 86400).
