--- a/packages/bilberry_operators/bilberry_operators/answer.py
+++ b/packages/bilberry_operators/bilberry_operators/answer.py
@@ -1,9 +1,11 @@
 """Answers of the operators' interface: JSON bodies and typed refusals."""
 
 from http import HTTPStatus
-from json import dumps
 from typing import Any
 
+from msgspec.json import encode as encode_json
+from msgspec.json import format as format_json
+
 from bilberry_core.error import BilberryError
 from bilberry_core.http import Headers, HttpResponse
 
@@ -46,8 +48,8 @@
     headers: Headers = (),
 ) -> HttpResponse:
     """Returns an answer with a JSON body."""
-    body = dumps(document, ensure_ascii=False, indent=2)
-    return HttpResponse(status, (*_JSON, *headers), f'{body}\n'.encode())
+    body = format_json(encode_json(document), indent=2)
+    return HttpResponse(status, (*_JSON, *headers), body + b'\n')
 
 
 def answer_yaml(text: str, headers: Headers = ()) -> HttpResponse:
--- a/packages/bilberryctl/bilberryctl/progress.py
+++ b/packages/bilberryctl/bilberryctl/progress.py
@@ -1,6 +1,7 @@
 """Waits until a version is in force on every proxy, showing progress."""
 
 from asyncio import get_running_loop, sleep
+from typing import NamedTuple
 
 from bilberry_core.http import HttpRequest
 from bilberryctl.answers import StatusAnswer, decode_answer
@@ -8,7 +9,20 @@
 from bilberryctl.outcome import Document, Outcome, fail, succeed
 from bilberryctl.session import Session
 
+#: Shortest pause between two questions, in seconds.
 _POLL_S = 0.25
+#: Pauses are this much longer than what an answer of a large fleet took.
+_PAUSE_FACTOR = 10
+#: Most proxies named in one line.
+_MOST_NAMED = 10
+
+
+class Poll(NamedTuple):
+    """What was heard at one moment, and how long to wait for the next."""
+
+    versions: dict[str, int]
+    behind: list[str]
+    pause_s: float
 
 
 async def wait_in_force(
@@ -18,21 +32,34 @@
 ) -> Outcome:
     """Waits until every proxy known runs the version of `change`."""
     version = change['version']
-    end = get_running_loop().time() + limit_s
+    clock = get_running_loop().time
+    end = clock() + limit_s
     shown = ''
     while True:
-        versions = await read_versions(session)
-        behind = find_behind(versions, version)
-        line = describe_progress(versions, behind, version)
+        poll = await _poll(session, version)
+        line = describe_progress(poll.versions, poll.behind, version)
         if line != shown:
             session.report(line)
             shown = line
-        if versions and not behind:
-            text = f'version {version} is in force on {len(versions)} proxies'
-            return succeed({**change, 'proxies': versions}, text)
-        if get_running_loop().time() >= end:
-            return _tell_late(change, versions, behind)
-        await sleep(_POLL_S)
+        if poll.versions and not poll.behind:
+            text = f'version {version} is in force on {len(poll.versions)}'
+            document = {**change, 'proxies': poll.versions}
+            return succeed(document, f'{text} proxies')
+        if clock() >= end:
+            return _tell_late(change, poll.versions, poll.behind)
+        await sleep(min(poll.pause_s, end - clock()))
+
+
+async def _poll(session: Session, version: int) -> Poll:
+    clock = get_running_loop().time
+    asked = clock()
+    versions = await read_versions(session)
+    took_s = clock() - asked
+    return Poll(
+        versions,
+        find_behind(versions, version),
+        max(_POLL_S, took_s * _PAUSE_FACTOR),
+    )
 
 
 async def read_versions(session: Session) -> dict[str, int]:
@@ -63,7 +90,13 @@
     """Returns the progress as one line."""
     done = len(versions) - len(behind)
     line = f'version {version}: {done} of {len(versions)} proxies'
-    return f'{line}, behind: {", ".join(behind)}' if behind else line
+    return f'{line}, behind: {_shorten(behind)}' if behind else line
+
+
+def _shorten(names: list[str]) -> str:
+    shown = ', '.join(names[:_MOST_NAMED])
+    further = len(names) - _MOST_NAMED
+    return f'{shown} and {further} more' if further > 0 else shown
 
 
 def _tell_late(
@@ -71,7 +104,7 @@
     versions: dict[str, int],
     behind: list[str],
 ) -> Outcome:
-    names = ', '.join(behind) or 'no proxy reported its version'
+    names = _shorten(behind) or 'no proxy reported its version'
     return fail(
         ExitCode.NOT_IN_FORCE,
         'not_in_force',
