Remove replicas and hear the proxy's objections to endpoints

A replica that is gone for good is removed through the log by an operator; one that comes back under its name needs nothing. explain takes the objections of the proxy (ejected, outside its subset) through a small interface; both are optional and not wired to the daemon's other parts yet.

--- a/packages/bilberry_operators/bilberry_operators/controller.py
+++ b/packages/bilberry_operators/bilberry_operators/controller.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from http import HTTPMethod, HTTPStatus
 from logging import getLogger
+from typing import NamedTuple
 
 from bilberry_core.acceptance import Acceptor
 from bilberry_core.board import Board, Cell
@@ -19,8 +20,13 @@
 from bilberry_core.settings import Settings
 from bilberry_operators.answer import RefusedError, answer_json
 from bilberry_operators.configuration_resource import ConfigurationResource
-from bilberry_operators.explain import explain_route
+from bilberry_operators.explain import (
+    EndpointOpinions,
+    Question,
+    explain_route,
+)
 from bilberry_operators.lag import LagTracker
+from bilberry_operators.replica_resource import Membership, ReplicaResource
 from bilberry_operators.router import Call, Router
 from bilberry_operators.status import build_status
 
@@ -30,18 +36,32 @@
 _LIMITS = HttpLimits(max_body_bytes=MAX_DOCUMENT_BYTES, max_connections=16)
 
 
+class OperatorsEdges(NamedTuple):
+    """What the interface asks of the daemon's other parts.
+
+    `acceptor`, `membership`
+        None on a daemon that is no replica.
+    `opinions`
+        None on a daemon that is no proxy.
+    """
+
+    acceptor: Acceptor | None = None
+    membership: Membership | None = None
+    opinions: EndpointOpinions | None = None
+
+
 class OperatorsController:
     """The operators' interface, which nothing else of the daemon waits for.
 
-    `acceptor` is None on a daemon that is no replica: it tells its status,
-    explains routes, and names the replicas for everything else.
+    Without an acceptor it tells the status, explains routes, and names the
+    replicas for everything else.
     """
 
     def __init__(
         self,
         settings: Settings,
         board: Board,
-        acceptor: Acceptor | None,
+        edges: OperatorsEdges,
         clock: Clock,
     ) -> None:
         """Builds the table of resources; nothing is served yet."""
@@ -49,7 +69,8 @@
         self._board = board
         self._clock = clock
         self._lag = LagTracker(settings, board, clock)
-        self._router = self._build_router(acceptor)
+        self._edges = edges
+        self._router = self._build_router()
         self._bound: Cell[Address | None] = Cell(None)
         self._service = HttpService(self._handle, _LIMITS)
         self._stopping = Event()
@@ -61,9 +82,16 @@
         board: Board,
         acceptor: Acceptor | None,
         clock: Clock,
+        membership: Membership | None = None,
+        opinions: EndpointOpinions | None = None,
     ) -> 'OperatorsController':
-        """Builds the controller of one daemon."""
-        return cls(settings, board, acceptor, clock)
+        """Builds the controller of one daemon.
+
+        `acceptor` and `membership` are None on a daemon that is no replica,
+        `opinions` on one that is no proxy.
+        """
+        edges = OperatorsEdges(acceptor, membership, opinions)
+        return cls(settings, board, edges, clock)
 
     @property
     def bound(self) -> Cell[Address | None]:
@@ -114,10 +142,11 @@
             )
         return self._router.answer(request)
 
-    def _build_router(self, acceptor: Acceptor | None) -> Router:
+    def _build_router(self) -> Router:
         router = Router()
         router.add(HTTPMethod.GET, '/v1/status', self._tell_status)
         router.add(HTTPMethod.GET, '/v1/explain', self._explain)
+        acceptor, membership, _ = self._edges
         if acceptor is None:
             for method, path in _REPLICA_RESOURCES:
                 router.add(method, path, self._name_replicas)
@@ -128,6 +157,13 @@
         router.add(HTTPMethod.GET, '/v1/history', resource.list_history)
         router.add(HTTPMethod.GET, '/v1/history/*', resource.read_version)
         router.add(HTTPMethod.POST, '/v1/rollback', resource.roll_back)
+        if membership is not None:
+            replicas = ReplicaResource(
+                membership,
+                self._board,
+                self._settings.token,
+            )
+            router.add(HTTPMethod.DELETE, '/v1/replicas/*', replicas.remove)
         return router
 
     async def _tell_status(self, _call: Call) -> HttpResponse:
@@ -141,14 +177,14 @@
         )
 
     async def _explain(self, call: Call) -> HttpResponse:
-        return answer_json(
-            explain_route(
-                self._board.snapshot.value,
-                call.query.get('service', ''),
-                call.query.get('method') or HTTPMethod.GET,
-                call.query.get('path') or '/',
-            ),
+        question = Question(
+            call.query.get('service', ''),
+            call.query.get('method') or str(HTTPMethod.GET),
+            call.query.get('path') or '/',
         )
+        snapshot = self._board.snapshot.value
+        opinions = self._edges.opinions
+        return answer_json(explain_route(snapshot, question, opinions))
 
     async def _name_replicas(self, _call: Call) -> HttpResponse:
         named = [
@@ -181,6 +217,7 @@
     (HTTPMethod.GET, '/v1/history'),
     (HTTPMethod.GET, '/v1/history/*'),
     (HTTPMethod.POST, '/v1/rollback'),
+    (HTTPMethod.DELETE, '/v1/replicas/*'),
 )
 _FAILED = RefusedError(
     HTTPStatus.INTERNAL_SERVER_ERROR,
--- a/packages/bilberry_operators/bilberry_operators/explain.py
+++ b/packages/bilberry_operators/bilberry_operators/explain.py
@@ -1,7 +1,7 @@
 """Explains what route a request would take through this daemon, and why."""
 
 from http import HTTPStatus
-from typing import Any
+from typing import Any, NamedTuple, Protocol
 
 from bilberry_core.configuration_document import render_policy
 from bilberry_core.endpoint import Endpoint, EndpointState
@@ -16,16 +16,29 @@
 }
 
 
+class EndpointOpinions(Protocol):
+    """What a proxy holds against endpoints that say they are ready."""
+
+    def find_objection(self, endpoint: Endpoint) -> str:
+        """Returns why the proxy passes an endpoint over; empty if not."""
+
+
+class Question(NamedTuple):
+    """A request to explain; `service` is a service's name or a host name."""
+
+    service: str
+    method: str
+    path: str
+
+
 def explain_route(
     snapshot: Snapshot | None,
-    service: str,
-    method: str,
-    path: str,
+    question: Question,
+    opinions: EndpointOpinions | None,
 ) -> dict[str, Any]:
     """Returns route, policy, exception with reason, and every endpoint.
 
-    `service` is a service's name or a host name. Raises `RefusedError` where
-    there is no such route.
+    Raises `RefusedError` where there is no such route.
     """
     if snapshot is None:
         raise RefusedError(
@@ -33,6 +46,7 @@
             'no_configuration',
             'this daemon runs no configuration yet',
         )
+    service, method, path = question
     name = snapshot.services_by_host.get(service)
     if name is None:
         known = ', '.join(sorted(snapshot.routes)) or 'none'
@@ -52,7 +66,7 @@
         'policy': render_policy(decision.policy),
         'exception': decision.exception or None,
         'reason': _give_reason(decision),
-        'endpoints': [_explain_endpoint(endpoint) for endpoint in endpoints],
+        'endpoints': [_explain_endpoint(one, opinions) for one in endpoints],
     }
 
 
@@ -60,13 +74,20 @@
     return decision.reason or 'no exception matches: the defaults hold'
 
 
-def _explain_endpoint(endpoint: Endpoint) -> dict[str, Any]:
+def _explain_endpoint(
+    endpoint: Endpoint,
+    opinions: EndpointOpinions | None,
+) -> dict[str, Any]:
+    is_ready = endpoint.state is EndpointState.READY
+    objection = ''
+    if is_ready and opinions is not None:
+        objection = opinions.find_objection(endpoint)
     return {
         'instance': endpoint.instance,
         'address': f'{endpoint.address.host}:{endpoint.address.port}',
         'failure_domain': endpoint.failure_domain,
         'state': str(endpoint.state),
         'slots': endpoint.slots,
-        'eligible': endpoint.state is EndpointState.READY,
-        'why': _REASONS[endpoint.state],
+        'eligible': is_ready and not objection,
+        'why': objection or _REASONS[endpoint.state],
     }
--- a/packages/bilberryctl/bilberryctl/change.py
+++ b/packages/bilberryctl/bilberryctl/change.py
@@ -75,6 +75,19 @@
     return await _offer(session, request, options)
 
 
+async def remove_replica(session: Session, instance: str) -> Outcome:
+    """Removes a replica that is gone for good from the fleet."""
+    request = HttpRequest('DELETE', f'/v1/replicas/{quote(instance, safe="")}')
+    reply = await session.client.ask(request)
+    answer = judge_reply(reply)
+    if reply.is_undecided:
+        detail = f'run the same command again ({reply.detail})'
+        return fail(ExitCode.UNKNOWN, 'outcome_unknown', detail)
+    if isinstance(answer, Outcome):
+        return answer
+    return succeed({'removing': instance}, f'replica {instance} is removed')
+
+
 async def _offer(
     session: Session,
     request: HttpRequest,
--- a/packages/bilberryctl/bilberryctl/commands.py
+++ b/packages/bilberryctl/bilberryctl/commands.py
@@ -194,6 +194,19 @@
             ),
         )
 
+    def remove_replica(self, instance: str) -> Invocation:
+        """Removes a replica that is gone for good.
+
+        Not needed for a replica that comes back under its name, with or
+        without its data folder.
+
+        Args:
+            instance: The replica, as `status` lists it.
+        """
+        return self._invoke(
+            lambda session: change.remove_replica(session, instance),
+        )
+
     def _invoke(self, action: Action) -> Invocation:
         return Invocation(self._options, action)
 
--- a/tests/bilberry_operators/daemon.py
+++ b/tests/bilberry_operators/daemon.py
@@ -40,13 +40,20 @@
         return int(self.seconds * 1000)
 
 
-def build_controller(acceptor, board=None, settings=SETTINGS, clock=None):
+def build_controller(
+    acceptor,
+    board=None,
+    settings=SETTINGS,
+    clock=None,
+    **edges,
+):
     """Returns the controller of the operators' interface."""
     return OperatorsController.from_settings(
         settings,
         board or Board(),
         acceptor,
         clock or FakeClock(),
+        **edges,
     )
 
 
--- a/tests/bilberry_operators/test_controller.py
+++ b/tests/bilberry_operators/test_controller.py
@@ -270,6 +270,27 @@
     return board
 
 
+class EjectedOpinions:
+    """Holds something against every endpoint."""
+
+    def find_objection(self, endpoint):
+        """Returns the same objection for all."""
+        return 'ejected'
+
+
+class FakeMembership:
+    """Removes every replica that it is asked to."""
+
+    def __init__(self):
+        """Starts with none removed."""
+        self.removed = []
+
+    async def remove_replica(self, instance, timeout_s):
+        """Notes the replica."""
+        self.removed.append(instance)
+        return True
+
+
 class StatusTest(TestCase):
     """Status and explain, on a daemon without an acceptor."""
 
@@ -311,6 +332,36 @@
             {each['instance']: each['eligible'] for each in told['endpoints']},
         )
 
+    def test_explain_tells_what_the_proxy_holds_against_an_endpoint(self):
+        """A ready endpoint that the proxy passes over is not eligible."""
+        (answer,) = exchange(
+            [get('/v1/explain?service=callouts')],
+            board=make_board(),
+            opinions=EjectedOpinions(),
+        )
+        first = loads(answer.body)['endpoints'][0]
+        self.assertEqual((False, 'ejected'), (first['eligible'], first['why']))
+
+    def test_replica_is_removed_by_name(self):
+        """Only members can be removed, and only with the token."""
+        replicas = FakeMembership()
+        authorized = build_put(0)._replace(
+            method='DELETE',
+            target='/v1/replicas/van-1',
+        )
+        answers = exchange(
+            [
+                authorized,
+                authorized._replace(headers=()),
+                authorized._replace(target='/v1/replicas/van-2'),
+            ],
+            FakeAcceptor(),
+            board=make_board(),
+            membership=replicas,
+        )
+        self.assertEqual([202, 401, 404], [each.status for each in answers])
+        self.assertEqual(['van-1'], replicas.removed)
+
     def test_plain_proxy_names_the_replicas(self):
         """A daemon without an acceptor refuses changes and says where to go."""
         answers = exchange([build_put(0), get('/v1/configuration')])
--- a/tests/bilberryctl/test_main.py
+++ b/tests/bilberryctl/test_main.py
@@ -13,7 +13,7 @@
 from bilberryctl.main import run_command
 from tests.bilberry_operators.daemon import TOKEN, start_daemon
 from tests.bilberry_operators.fake_acceptor import FakeAcceptor
-from tests.bilberry_operators.test_controller import make_board
+from tests.bilberry_operators.test_controller import FakeMembership, make_board
 
 TEXT = 'services: {callouts: {hosts: [callouts.example]}}\n'
 OTHER = f'{TEXT}defaults: {{timeout: 9s}}\n'
@@ -61,11 +61,11 @@
         path.write_text(text)
         return str(path)
 
-    def run_all(self, *commands, board=None, first='') -> list[Ended]:
+    def run_all(self, *commands, first='', **parts) -> list[Ended]:
         """Runs commands against one daemon, after server `first`."""
 
         async def run_each():
-            async with start_daemon(self.acceptor, board=board) as address:
+            async with start_daemon(self.acceptor, **parts) as address:
                 common = [
                     '--server',
                     f'{first}{address.host}:{address.port}',
@@ -168,6 +168,18 @@
         self.assertIn('reason     slow', explained.output)
         self.assertIn('no   van-2', explained.output)
 
+    def test_replica_is_removed(self):
+        """The name is checked against the replicas that there are."""
+        replicas = FakeMembership()
+        removed, unknown = self.run_all(
+            ['remove-replica', 'van-1'],
+            ['remove-replica', 'van-9'],
+            board=make_board(),
+            membership=replicas,
+        )
+        self.assertEqual((0, 1), (removed.code, unknown.code))
+        self.assertEqual(['van-1'], replicas.removed)
+
     def test_wait_ends_when_every_proxy_has_it(self):
         """Progress is shown; a proxy that stays behind is named."""
         board = make_board()
