--- a/packages/bilberry_operators/bilberry_operators/configuration_resource.py
+++ b/packages/bilberry_operators/bilberry_operators/configuration_resource.py
@@ -38,7 +38,11 @@
     describe_entry,
     refuse_not_accepted,
 )
-from bilberry_operators.precondition import check_token, read_precondition
+from bilberry_operators.precondition import (
+    Precondition,
+    check_token,
+    read_precondition,
+)
 from bilberry_operators.router import Call, parse_version
 
 _log = getLogger(__name__)
@@ -77,7 +81,7 @@
         check_token(call.request, self._token)
         condition = read_precondition(call.request)
         content = await to_thread(_read_body, call.request)
-        return await self._submit(Change(*_spread(condition), content))
+        return await self._submit(_build_change(condition, content))
 
     async def list_history(self, call: Call) -> HttpResponse:
         """Answers with the newest versions, newest first."""
@@ -106,10 +110,7 @@
         wanted = parse_version(call.query.get('version', ''), 'version')
         entry = self._find(wanted)
         note = condition.note or f'roll back to version {wanted}'
-        change = Change(
-            *_spread(condition._replace(note=note)),
-            entry.content,
-        )
+        change = _build_change(condition._replace(note=note), entry.content)
         return await self._submit(change)
 
     async def _read_current(self) -> AcceptedVersion | None:
@@ -173,9 +174,14 @@
     return encode_configuration(parsed.unwrap())
 
 
-def _spread(condition: tuple) -> tuple[str, int, str, str]:
-    base_version, change_id, author, note = condition
-    return change_id, base_version, author, note
+def _build_change(condition: Precondition, content: bytes) -> Change:
+    return Change(
+        change_id=condition.change_id,
+        base_version=condition.base_version,
+        author=condition.author,
+        note=condition.note,
+        content=content,
+    )
 
 
 def _render(
@@ -189,5 +195,6 @@
 
 
 def _name_outcome(outcome: Result[Accepted, Refusal]) -> str:
-    told = outcome.swap().value_or(None) or outcome.value_or(None)
-    return type(told).__name__
+    if isinstance(outcome, Failure):
+        return type(outcome.failure()).__name__
+    return type(outcome.unwrap()).__name__
--- a/packages/bilberry_operators/bilberry_operators/controller.py
+++ b/packages/bilberry_operators/bilberry_operators/controller.py
@@ -26,6 +26,7 @@
     explain_route,
 )
 from bilberry_operators.lag import LagTracker
+from bilberry_operators.misdirected import add_misdirected
 from bilberry_operators.replica_resource import Membership, ReplicaResource
 from bilberry_operators.router import Call, Router
 from bilberry_operators.status import build_status
@@ -148,8 +149,7 @@
         router.add(HTTPMethod.GET, '/v1/explain', self._explain)
         acceptor, membership, _ = self._edges
         if acceptor is None:
-            for method, path in _REPLICA_RESOURCES:
-                router.add(method, path, self._name_replicas)
+            add_misdirected(router, self._settings.replicas)
             return router
         resource = ConfigurationResource(acceptor, self._settings.token)
         router.add(HTTPMethod.GET, '/v1/configuration', resource.read)
@@ -186,39 +186,12 @@
         opinions = self._edges.opinions
         return answer_json(explain_route(snapshot, question, opinions))
 
-    async def _name_replicas(self, _call: Call) -> HttpResponse:
-        named = [
-            {
-                'instance': peer.instance,
-                'host': peer.address.host,
-                'failure_domain': peer.failure_domain,
-            }
-            for peer in self._settings.replicas
-        ]
-        shown = ', '.join(
-            f'{each["instance"]} ({each["host"]})' for each in named
-        )
-        raise RefusedError(
-            HTTPStatus.MISDIRECTED_REQUEST,
-            'not_a_replica',
-            f'this daemon is no replica; ask one of: {shown or "none known"}',
-            replicas=named,
-        )
-
 
 def _get_address(server: Server) -> Address:
     host, port, *_ = server.sockets[0].getsockname()
     return Address(host, port)
 
 
-_REPLICA_RESOURCES = (
-    (HTTPMethod.GET, '/v1/configuration'),
-    (HTTPMethod.PUT, '/v1/configuration'),
-    (HTTPMethod.GET, '/v1/history'),
-    (HTTPMethod.GET, '/v1/history/*'),
-    (HTTPMethod.POST, '/v1/rollback'),
-    (HTTPMethod.DELETE, '/v1/replicas/*'),
-)
 _FAILED = RefusedError(
     HTTPStatus.INTERNAL_SERVER_ERROR,
     'internal_error',
--- a/packages/bilberryctl/bilberryctl/commands.py
+++ b/packages/bilberryctl/bilberryctl/commands.py
@@ -101,10 +101,7 @@
             wait: Wait until every proxy runs the new version, for 60s or for
                 the time given.
         """
-        options = _read_change(
-            (base, change_id, author, note),
-            wait,
-        )
+        options = _read_change(base, change_id, author, note, wait)
         return self._invoke(
             lambda session: change.apply_file(session, file, options),
         )
@@ -159,10 +156,7 @@
                 the time given.
         """
         wanted = parse_whole(version, 'version')
-        options = _read_change(
-            (base, change_id, author, note),
-            wait,
-        )
+        options = _read_change(base, change_id, author, note, wait)
         return self._invoke(
             lambda session: change.roll_back(session, wanted, options),
         )
@@ -219,10 +213,12 @@
 
 
 def _read_change(
-    texts: tuple[str, str, str, str],
+    base: str,
+    change_id: str,
+    author: str,
+    note: str,
     wait: str,
 ) -> ChangeOptions:
-    base, change_id, author, note = texts
     return ChangeOptions(
         base=parse_whole(base, '--base') if base else None,
         change_id=change_id or pick_change_id(),
