--- a/tests/bilberry_core/test_logs.py
+++ b/tests/bilberry_core/test_logs.py
@@ -67,3 +67,24 @@
         (line,) = self.write(('failed', details))
         self.assertIn('ValueError: why', line['exc_info'])
         self.assertIn('object', line['odd'])
+
+    def test_lines_are_json_from_the_level_on(self):
+        """Each line has stable fields; stopping twice, as at exit, is fine."""
+        with TemporaryDirectory() as folder:
+            path = Path(folder) / 'van.log'
+            listener = start_logs('van-1', 'WARNING', str(path))
+            log = getLogger('tests.logs')
+            log.info('not_shown')
+            log.warning('route_chosen', extra={'endpoint': 'van-2'})
+            listener.stop()
+            listener.stop()
+            lines = [loads(line) for line in path.read_text().splitlines()]
+        self.assertEqual(1, len(lines))
+        self.assertEqual(
+            ('WARNING', 'route_chosen', 'van-2', 'van-1'),
+            tuple(
+                lines[0][name]
+                for name in ('level', 'event', 'endpoint', 'instance')
+            ),
+        )
+        self.assertIn('time', lines[0])
--- a/tests/bilberry_operators/test_controller.py
+++ b/tests/bilberry_operators/test_controller.py
@@ -1,7 +1,8 @@
 """The operators' HTTP interface: preconditions, outcomes, status, explain."""
 
-from asyncio import gather, run
+from asyncio import Event, create_task, gather, run
 from json import loads
+from socket import create_connection
 
 from testtools import TestCase
 
@@ -19,6 +20,7 @@
     SETTINGS,
     TOKEN,
     FakeClock,
+    build_controller,
     start_daemon,
 )
 from tests.bilberry_operators.fake_acceptor import FakeAcceptor
@@ -69,6 +71,22 @@
     return loads(response.body)['error']
 
 
+class GatedAcceptor(FakeAcceptor):
+    """Holds changes back until its gate is open."""
+
+    def __init__(self):
+        """Starts with the gate closed."""
+        super().__init__()
+        self.entered = Event()
+        self.gate = Event()
+
+    async def submit(self, change, timeout_s):
+        """Accepts a change when the gate is open."""
+        self.entered.set()
+        await self.gate.wait()
+        return await super().submit(change, timeout_s)
+
+
 class ChangeTest(TestCase):
     """Changes through the interface."""
 
@@ -158,6 +176,27 @@
         self.assertEqual((200, {'version': 1, 'resent': True}), parse(resent))
         self.assertEqual(1, len(acceptor.entries))
 
+    def test_graceful_stop_cuts_no_change(self):
+        """A change in flight is answered whole; later ones are refused."""
+        acceptor = GatedAcceptor()
+
+        async def stop_inside_change():
+            controller = build_controller(acceptor)
+            running = create_task(controller.run())
+            address = await controller.bound.wait_for(bool)
+            change = create_task(fetch(address, build_put(0), 5))
+            await acceptor.entered.wait()
+            stopping = create_task(controller.stop())
+            await running
+            self.assertFalse(stopping.done())
+            acceptor.gate.set()
+            await stopping
+            answer = await change
+            self.assertRaises(OSError, create_connection, address)
+            return answer
+
+        self.assertEqual(201, run(stop_inside_change()).status)
+
     def test_change_id_with_other_content_is_refused(self):
         """A change ID stands for one content."""
         _, reused = exchange(
@@ -231,6 +270,27 @@
     return board
 
 
+class EjectedOpinions:
+    """Holds something against every endpoint."""
+
+    def find_objection(self, endpoint):
+        """Returns the same objection for all."""
+        return 'ejected'
+
+
+class FakeMembership:
+    """Removes every replica that it is asked to."""
+
+    def __init__(self):
+        """Starts with none removed."""
+        self.removed = []
+
+    async def remove_replica(self, instance, timeout_s):
+        """Notes the replica."""
+        self.removed.append(instance)
+        return True
+
+
 class StatusTest(TestCase):
     """Status and explain, on a daemon without an acceptor."""
 
@@ -272,6 +332,36 @@
             {each['instance']: each['eligible'] for each in told['endpoints']},
         )
 
+    def test_explain_tells_what_the_proxy_holds_against_an_endpoint(self):
+        """A ready endpoint that the proxy passes over is not eligible."""
+        (answer,) = exchange(
+            [get('/v1/explain?service=callouts')],
+            board=make_board(),
+            opinions=EjectedOpinions(),
+        )
+        first = loads(answer.body)['endpoints'][0]
+        self.assertEqual((False, 'ejected'), (first['eligible'], first['why']))
+
+    def test_replica_is_removed_by_name(self):
+        """Only members can be removed, and only with the token."""
+        replicas = FakeMembership()
+        authorized = build_put(0)._replace(
+            method='DELETE',
+            target='/v1/replicas/van-1',
+        )
+        answers = exchange(
+            [
+                authorized,
+                authorized._replace(headers=()),
+                authorized._replace(target='/v1/replicas/van-2'),
+            ],
+            FakeAcceptor(),
+            board=make_board(),
+            membership=replicas,
+        )
+        self.assertEqual([202, 401, 404], [each.status for each in answers])
+        self.assertEqual(['van-1'], replicas.removed)
+
     def test_plain_proxy_names_the_replicas(self):
         """A daemon without an acceptor refuses changes and says where to go."""
         answers = exchange([build_put(0), get('/v1/configuration')])
