Keep the promises of spreading under cuts, deaths, freezes and herds

Causes and changes: - a record whose writer and relay died together stayed for two leases plus the silence of the relay: leases now start when the relay's stream ends; - relays that were all restarted told services as whole while proxies were still backing off, so live endpoints lapsed: a service is told as whole only once the longest backoff and a lease have passed since the start; - no way back to the preferred relay: proxies try it every 30 to 90 s and move when its beacon is as new; - three tests were wrong (last version of a range; refused streams were no longer listed; first naming of the proxies was counted as cost of a change).

--- a/packages/bilberry_spread/bilberry_spread/attachment.py
+++ b/packages/bilberry_spread/bilberry_spread/attachment.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from enum import StrEnum
 from logging import getLogger
 from typing import Any, Protocol
 
@@ -21,21 +22,36 @@
 )
 from bilberry_core.settings import Peer, Settings
 from bilberry_spread.edges import Edges, Link, send_if_open
-from bilberry_spread.pacing import DialTimer, SourcePicker
+from bilberry_spread.pacing import DialTimer, ReturnTimer, SourcePicker
 from bilberry_spread.reception import Reception
 
 _log = getLogger(__name__)
 
 
+class Reason(StrEnum):
+    """Why a source is dialed."""
+
+    ATTACH = 'attach'
+    BEACON_STALE = 'beacon_stale'
+    START_RULE = 'start_rule'
+    RETURN = 'return'
+
+
 class Source:
     """A source that this daemon is attached to, or tries."""
 
-    def __init__(self, peer: Peer, since: float) -> None:
+    def __init__(self, peer: Peer, why: 'Reason', since: float) -> None:
         """Starts without a stream, at monotonic time `since`."""
         self.peer = peer
+        self.why = why
         self.since = since
         self.link: Link | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream is open."""
+        return self.link is not None
+
     def send(self, sent: Any) -> None:
         """Sends a message if the stream is open."""
         if self.link is not None:
@@ -75,6 +91,8 @@
         self._edges = edges
         self._user = user
         self._timer = DialTimer(edges.clock, edges.random)
+        self._probe_timer = DialTimer(edges.clock, edges.random)
+        self._return_timer = ReturnTimer(edges.clock, edges.random)
         self._main: Source | None = None
         self._probe: Source | None = None
 
@@ -83,23 +101,16 @@
         """The source that this daemon is attached to."""
         return self._main
 
-    @property
-    def is_attached(self) -> bool:
-        """Whether a stream to a source is open."""
-        return self._main is not None and self._main.link is not None
-
     def tick(self) -> None:
         """Dials, probes and gives up what is due now."""
         self._reception.tick()
         self._check_behind()
         self._check_probe()
-        if not self._timer.is_due:
-            return
         if self._main is None:
-            self._main = self._dial(self._picker.pick(), 'attach')
-        elif self._probe is None and self._wants_probe():
-            peer = self._picker.pick_beside(self._main.peer)
-            self._probe = self._dial(peer, 'probe')
+            if self._timer.is_due:
+                self._main = self._dial(self._picker.pick(), Reason.ATTACH)
+        elif self._probe is None and self._probe_timer.is_due:
+            self._probe = self._dial_probe(self._main.peer)
 
     def stop(self) -> None:
         """Ends both streams."""
@@ -110,8 +121,19 @@
             if source is not None:
                 source.close()
 
-    def _wants_probe(self) -> bool:
-        return self._reception.is_stale or not self._reception.gate.is_open
+    def _dial_probe(self, main: Peer) -> Source | None:
+        if self._reception.is_stale:
+            beside = self._picker.pick_beside(main)
+            return self._dial(beside, Reason.BEACON_STALE)
+        if not self._reception.gate.is_open:
+            beside = self._picker.pick_beside(main)
+            return self._dial(beside, Reason.START_RULE)
+        if not self._return_timer.is_due:
+            return None
+        self._return_timer.restart()
+        if self._picker.preferred == main:
+            return None
+        return self._dial(self._picker.preferred, Reason.RETURN)
 
     def _check_behind(self) -> None:
         stale_s = self._settings.timing.stale_ms / MS_PER_S
@@ -131,15 +153,22 @@
             return
         waited = self._edges.clock.now() - probe.since
         beacon_s = self._settings.timing.beacon_ms / MS_PER_S
-        if waited > 2 * beacon_s or not self._wants_probe():
-            self._probe = None
-            self._timer.fail()
-            probe.close()
+        if waited > 2 * beacon_s:
+            self._probe_timer.fail()
+        elif not self._is_over(probe):
+            return
+        self._probe = None
+        probe.close()
 
-    def _dial(self, peer: Peer | None, why: str) -> Source | None:
+    def _is_over(self, probe: Source) -> bool:
+        if probe.why is Reason.START_RULE:
+            return self._reception.gate.is_open
+        return probe.why is Reason.BEACON_STALE and not self._reception.is_stale
+
+    def _dial(self, peer: Peer | None, why: Reason) -> Source | None:
         if peer is None:
             return None
-        source = Source(peer, self._edges.clock.now())
+        source = Source(peer, why, self._edges.clock.now())
         _log.info(
             'relay_chosen',
             extra={
@@ -179,14 +208,12 @@
     def _closed(self, source: Source) -> None:
         if source is self._probe:
             self._probe = None
+            self._probe_timer.fail()
         elif source is self._main:
             self._main = None
+            self._timer.fail()
             if self._probe is not None and self._probe.link is not None:
                 self._promote(self._probe)
-                return
-        else:
-            return
-        self._timer.fail()
 
     def _promote(self, probe: Source) -> None:
         before = self._main
@@ -199,7 +226,7 @@
             extra={
                 'chosen': probe.peer.instance,
                 'before': before.peer.instance if before else '',
-                'why': 'beacon_stale' if before else 'source_closed',
+                'why': probe.why if before else 'source_closed',
             },
         )
         self._user.attached(probe)
@@ -216,7 +243,8 @@
             self._user.receive(received)
 
     def _receive_busy(self, source: Source, busy: Busy) -> None:
-        self._timer.refuse(busy.retry_after_ms / MS_PER_S)
+        timer = self._timer if source is self._main else self._probe_timer
+        timer.refuse(busy.retry_after_ms / MS_PER_S)
         source.close()
 
     def _receive_configuration(
@@ -224,7 +252,6 @@
         source: Source,
         received: ConfigurationSnapshot | ConfigurationDelta,
     ) -> None:
-        self._timer.succeed()
         resend = self._reception.receive_configuration(
             received,
             source.peer.failure_domain,
@@ -234,14 +261,20 @@
 
     def _receive_beacon(self, source: Source, update: BeaconUpdate) -> None:
         was_stale = self._reception.is_stale
+        older = self._reception.is_older(update.beacon)
         later = self._reception.receive_beacon(
             update.beacon,
             source.peer.failure_domain,
         )
         if later:
+            self._probe_timer.succeed()
+        if later and source is self._main:
             self._timer.succeed()
-        if later and was_stale and source is self._probe:
-            self._promote(source)
+            self._picker.restart()
+        if source is self._probe:
+            returns = source.why is Reason.RETURN and not older
+            if returns or (later and was_stale):
+                self._promote(source)
 
     _handlers: dict[type, Callable[..., None]] = {
         Busy: _receive_busy,
--- a/packages/bilberry_spread/bilberry_spread/broadcast.py
+++ b/packages/bilberry_spread/bilberry_spread/broadcast.py
@@ -55,11 +55,6 @@
         """The receivers attached."""
         return self._receivers
 
-    @property
-    def is_complete(self) -> bool:
-        """Whether whole services are told."""
-        return self._content.is_complete
-
     def start(self) -> None:
         """Watches the blackboard."""
         board = self._board
@@ -83,6 +78,8 @@
 
     def complete(self) -> None:
         """Tells whole services from now on."""
+        if self._content.is_complete:
+            return
         self._content = self._content._replace(is_complete=True)
         self._receivers.mark_complete()
         self.schedule_flush()
@@ -112,6 +109,11 @@
         self._put_suspects(merged, is_local=is_local)
         self._board.suspects.put(merged)
 
+    def tick(self) -> None:
+        """Does what is due now."""
+        self._receivers.drop_silent()
+        self.flush()
+
     def schedule_flush(self) -> None:
         """Sends soon what receivers lack."""
         if not self._is_scheduled:
--- a/packages/bilberry_spread/bilberry_spread/directory.py
+++ b/packages/bilberry_spread/bilberry_spread/directory.py
@@ -72,15 +72,19 @@
             named = {told.instance for told in update.endpoints}
             missing = set(self._table.find_homed(peer)) - named
             self._table.start_leases(missing, now)
-        self.expire(now)
 
     def start_leases_of(self, peer: str, now: float) -> None:
         """Starts the leases of what a relay that is lost vouched for."""
         self._table.start_leases(self._table.find_homed(peer), now)
 
-    def expire(self, now: float) -> tuple[Endpoint, ...]:
-        """Removes what leases ended."""
-        removed = self._table.expire(now)
+    def expire(
+        self,
+        now: float,
+        *,
+        mine_only: bool = False,
+    ) -> tuple[Endpoint, ...]:
+        """Removes what leases ended, at other homes only if asked."""
+        removed = self._table.expire(now, self._home if mine_only else '')
         for entry in removed:
             self._on_change(entry.endpoint, entry.home == self._home)
         return tuple(ended.endpoint for ended in removed)
--- a/packages/bilberry_spread/bilberry_spread/mesh.py
+++ b/packages/bilberry_spread/bilberry_spread/mesh.py
@@ -44,7 +44,6 @@
         self._backoff = Backoff(edges.random)
         self._link: Link | None = None
         self._heard = edges.clock.now()
-        self._lost = self._heard
         self._next_dial: float | None = self._heard
 
     @property
@@ -52,11 +51,6 @@
         """Whether the relay has answered on the stream open now."""
         return self._link is not None
 
-    @property
-    def silent_s(self) -> float:
-        """For how long the relay has been lost, in seconds; 0 if open."""
-        return 0 if self.is_open else self._edges.clock.now() - self._lost
-
     def tick(self) -> None:
         """Dials where due, and ends a stream that is silent."""
         now = self._edges.clock.now()
@@ -105,7 +99,6 @@
         if link is not self._link:
             return
         self._link = None
-        self._lost = self._edges.clock.now()
         _log.info('relay_lost', extra={'relay': self.peer.instance})
         self._failed()
 
--- a/packages/bilberry_spread/bilberry_spread/pacing.py
+++ b/packages/bilberry_spread/bilberry_spread/pacing.py
@@ -6,6 +6,9 @@
 
 #: Largest factor by which a time to come back is stretched.
 RETRY_STRETCH = 2.0
+#: Shortest and longest time between tries to return to the preferred
+#: source, in seconds.
+RETURN_DELAYS_S = (30.0, 90.0)
 
 
 class DialTimer:
@@ -39,6 +42,26 @@
         self._next = max(self._next, self._clock.now() + seconds)
 
 
+class ReturnTimer:
+    """Spreads over time the tries to return to the preferred source."""
+
+    def __init__(self, clock: Clock, random: RandomSource) -> None:
+        """Is due after a delay."""
+        self._clock = clock
+        self._random = random
+        self._next = clock.now()
+        self.restart()
+
+    @property
+    def is_due(self) -> bool:
+        """Whether to try now."""
+        return self._clock.now() >= self._next
+
+    def restart(self) -> None:
+        """Draws another delay."""
+        self._next = self._clock.now() + self._random.uniform(*RETURN_DELAYS_S)
+
+
 class SourcePicker:
     """Takes turns among sources, in the order of preference."""
 
@@ -53,6 +76,15 @@
         """Every source, the preferred one first."""
         return self._peers
 
+    @property
+    def preferred(self) -> Peer | None:
+        """The source that is preferred to all others."""
+        return self._peers[0] if self._peers else None
+
+    def restart(self) -> None:
+        """Starts again with the preferred source."""
+        self._mains = 0
+
     def pick(self) -> Peer | None:
         """Returns the next source to attach to."""
         if not self._peers:
--- a/packages/bilberry_spread/bilberry_spread/receiver.py
+++ b/packages/bilberry_spread/bilberry_spread/receiver.py
@@ -34,8 +34,9 @@
     def want(self, services: tuple[str, ...]) -> None:
         """Adds services whose endpoints are told from now on."""
         for service in services:
-            self._services.setdefault(service, False)
-            self._changed[service].add('')
+            if service not in self._services:
+                self._services[service] = False
+                self._changed[service].add('')
 
     def mark_endpoint(self, service: str, instance: str) -> None:
         """Notes that an endpoint of a service has changed."""
--- a/packages/bilberry_spread/bilberry_spread/reception.py
+++ b/packages/bilberry_spread/bilberry_spread/reception.py
@@ -50,7 +50,7 @@
         self,
         received: ConfigurationSnapshot | ConfigurationDelta,
     ) -> Resend | None:
-        """Takes an update; returns what to ask for where it was no use."""
+        """Takes an update; returns what to ask for after a useless delta."""
         if received.version <= self.version:
             return None
         if isinstance(received, ConfigurationDelta):
@@ -60,6 +60,7 @@
         if isinstance(outcome, Success):
             self._held = outcome.unwrap()
             return None
+        is_delta = isinstance(received, ConfigurationDelta)
         _log.warning(
             'update_refused',
             extra={
@@ -68,7 +69,7 @@
                 'cause': outcome.failure(),
             },
         )
-        return Resend(self.version, self.digest)
+        return Resend(self.version, self.digest) if is_delta else None
 
 
 def is_later_beacon(beacon: Beacon, known: Beacon | None) -> bool:
@@ -135,10 +136,16 @@
     ) -> Resend | None:
         """Takes an update; returns what to ask for where it was no use."""
         resend = self._receiver.receive(received)
-        self._gate.hear(failure_domain, received.version)
+        if received.version <= self._receiver.version:
+            self._gate.hear(failure_domain, received.version)
         self.tick()
         return resend
 
+    def is_older(self, beacon: Beacon) -> bool:
+        """Tells whether a newer beacon than this one is known."""
+        known = self._board.beacon.value
+        return known is not None and is_later_beacon(known, beacon)
+
     def receive_beacon(self, beacon: Beacon, failure_domain: str) -> bool:
         """Takes a beacon; tells if it is newer than the newest known."""
         self._gate.hear(failure_domain, beacon.version)
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -6,6 +6,7 @@
 """
 
 from asyncio import sleep
+from logging import getLogger
 from typing import Any
 
 from bilberry_core.board import Board
@@ -18,6 +19,7 @@
 )
 from bilberry_core.settings import Peer, Role, Settings
 from bilberry_core.stream import Credentials, StreamListener
+from bilberry_spread.backoff import MAX_DELAY_S
 from bilberry_spread.broadcast import Broadcast
 from bilberry_spread.edges import Edges, Link, open_edges
 from bilberry_spread.mesh import MeshPeer
@@ -27,8 +29,14 @@
 
 #: Between two looks at what is due, in seconds.
 TICK_S = 0.1
-#: Longest wait for the other relays before services are told as whole.
-SYNC_WAIT_S = 3.0
+#: Longer between two ticks this process was paused, in seconds.
+LONGEST_TICK_S = 1.0
+#: Time in which proxies have come back to a relay that was started, in
+#: seconds and without the lease.
+RETURN_S = MAX_DELAY_S
+
+
+_log = getLogger(__name__)
 
 
 class RelayController:
@@ -53,6 +61,7 @@
         self._beacons = BeaconWatch(settings, board, edges)
         self._started = edges.clock.now()
         self._next_beat = self._started
+        self._ticked = self._started
         self._reports: dict[str, dict[str, int]] = {}
 
     @classmethod
@@ -103,18 +112,21 @@
 
     def tick(self) -> None:
         """Does what is due now."""
+        self._note_pause()
         for peer in self._mesh.values():
             peer.tick()
         if self._source is None:
             self._beacons.tick()
         else:
             self._source.tick()
-        self._complete_when_synced()
-        if self._board.stale_since.value is None:
-            self._end_leases()
+        self._complete_when_settled()
+        self._end_leases()
         self._report()
-        self._broadcast.receivers.drop_silent()
-        self._broadcast.flush()
+        self._broadcast.tick()
+
+    @property
+    def _is_stale(self) -> bool:
+        return self._board.stale_since.value is not None
 
     def _receive(self, peer: Peer, received: Any) -> None:
         if isinstance(received, EndpointUpdate):
@@ -134,24 +146,27 @@
             self._reports[peer.instance] = apply_report(known, received)
             self._broadcast.versions_changed()
 
-    def _complete_when_synced(self) -> None:
-        if self._broadcast.is_complete:
-            return
+    def _note_pause(self) -> None:
+        now = self._edges.clock.now()
+        pause_s = now - self._ticked
+        self._ticked = now
+        if pause_s > LONGEST_TICK_S:
+            self._broadcast.directory.table.extend_leases(pause_s)
+            _log.warning('process_paused', extra={'seconds': pause_s})
+
+    def _complete_when_settled(self) -> None:
+        lease_s = self._settings.timing.lease_ms / MS_PER_S
         waited = self._edges.clock.now() - self._started
-        synced = all(peer.is_synced for peer in self._mesh.values())
-        if synced or waited >= SYNC_WAIT_S:
+        if waited >= RETURN_S + lease_s:
             self._broadcast.complete()
 
     def _end_leases(self) -> None:
         now = self._edges.clock.now()
-        lease_s = self._settings.timing.lease_ms / MS_PER_S
+        directory = self._broadcast.directory
         for peer in self._mesh.values():
-            if peer.silent_s >= lease_s:
-                self._broadcast.directory.start_leases_of(
-                    peer.peer.instance,
-                    now,
-                )
-        self._broadcast.directory.expire(now)
+            if not peer.is_open:
+                directory.start_leases_of(peer.peer.instance, now)
+        directory.expire(now, mine_only=self._is_stale)
 
     def _report(self) -> None:
         if self._broadcast.take_versions():
--- a/packages/bilberry_spread/bilberry_spread/relay_source.py
+++ b/packages/bilberry_spread/bilberry_spread/relay_source.py
@@ -51,6 +51,7 @@
             edges,
         )
         self._attachment = Attachment(settings, peers, reception, edges, self)
+        self._versions: dict[str, int] = {}
         self._reported: dict[str, int] = {}
         self._next_beat = edges.clock.now()
 
@@ -70,16 +71,17 @@
 
     def report(self, versions: dict[str, int]) -> None:
         """Reports the versions that attached proxies run."""
-        if not self._attachment.is_attached:
-            return
+        self._versions = versions
         report = build_report(self._reported, versions)
-        if report is not None:
+        main = self._attachment.main
+        if report is not None and main is not None and main.is_open:
             self._reported = dict(versions)
-            self._send(report)
+            main.send(report)
 
     def attached(self, source: Source) -> None:
         """Starts to report anew."""
         self._reported = {}
+        self.report(self._versions)
 
     def receive(self, received: Any) -> None:
         """Takes suspects."""
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -104,7 +104,7 @@
         """Does what is due now."""
         self._attachment.tick()
         now = self._edges.clock.now()
-        if self._attachment.is_attached and now >= self._next_renewal:
+        if now >= self._next_renewal:
             self._renew(now)
         if self._board.stale_since.value is None:
             self._endpoints.expire()
--- a/packages/bilberry_spread/bilberry_spread/table.py
+++ b/packages/bilberry_spread/bilberry_spread/table.py
@@ -13,13 +13,12 @@
 
 from bilberry_core.endpoint import Endpoint, EndpointState
 from bilberry_core.messages.spread import EndpointKey
+from bilberry_spread.tombstones import Tombstones
 
 #: Share of a service's endpoints that leases alone may remove in a window.
 LEASE_REMOVAL_SHARE = 0.5
 #: Length of that window and life of a tombstone, in leases.
 WINDOW_LEASES = 10
-#: Most tombstones kept; the oldest are dropped first.
-MAX_TOMBSTONES = 4096
 
 
 class Entry(NamedTuple):
@@ -33,11 +32,6 @@
     expires: float | None = None
 
 
-class _Tombstone(NamedTuple):
-    endpoint: Endpoint
-    ends: float
-
-
 def get_key(endpoint: Endpoint) -> EndpointKey:
     """Returns the name of this record."""
     return EndpointKey(
@@ -57,7 +51,7 @@
         self._entries: dict[str, Entry] = {}
         self._counts: Counter[str] = Counter()
         self._leases: set[str] = set()
-        self._tombstones: dict[str, _Tombstone] = {}
+        self._tombstones = Tombstones(self._window_s)
         self._removals: defaultdict[str, deque[float]] = defaultdict(deque)
 
     @property
@@ -73,18 +67,12 @@
             for instance, entry in self._entries.items()
         }
 
-    @property
-    def tombstone_count(self) -> int:
-        """How many tombstones are kept."""
-        return len(self._tombstones)
-
     def find(self, instance: str) -> Endpoint | None:
         """Returns the newest record known, ended or not."""
         entry = self._entries.get(instance)
         if entry is not None:
             return entry.endpoint
-        tombstone = self._tombstones.get(instance)
-        return tombstone.endpoint if tombstone else None
+        return self._tombstones.find(instance)
 
     def merge(
         self,
@@ -130,6 +118,13 @@
             if entry.home == home
         )
 
+    def extend_leases(self, seconds: float) -> None:
+        """Lets every lease run longer, after a pause of this process."""
+        for instance in tuple(self._leases):
+            entry = self._entries[instance]
+            expires = (entry.expires or 0) + seconds
+            self._entries[instance] = entry._replace(expires=expires)
+
     def find_lapsed(self, now: float) -> tuple[Entry, ...]:
         """Returns the records whose lease is over, the oldest first."""
         lapsed = [
@@ -139,11 +134,16 @@
         ]
         return tuple(sorted(lapsed, key=_rank_lapsed))
 
-    def expire(self, now: float) -> tuple[Entry, ...]:
-        """Removes what leases ended, up to the share of each service."""
-        self._drop_tombstones(now)
+    def expire(self, now: float, home: str = '') -> tuple[Entry, ...]:
+        """Removes what leases ended, up to the share of each service.
+
+        With `home` only records of that home are removed.
+        """
+        self._tombstones.expire(now)
         removed: list[Entry] = []
         for entry in self.find_lapsed(now):
+            if home not in {'', entry.home}:
+                continue
             service = entry.endpoint.service
             if self._allows_removal(service, now):
                 self._removals[service].append(now)
@@ -161,7 +161,7 @@
     def _put(self, entry: Entry) -> bool:
         instance = entry.endpoint.instance
         before = self._remove(instance)
-        self._tombstones.pop(instance, None)
+        self._tombstones.remove(instance)
         self._entries[instance] = entry
         self._counts[entry.endpoint.service] += 1
         if entry.expires is not None:
@@ -171,16 +171,10 @@
         return (before.endpoint, before.home) != (entry.endpoint, entry.home)
 
     def _end(self, endpoint: Endpoint, now: float) -> bool:
-        instance = endpoint.instance
-        known = self._tombstones.pop(instance, None)
-        ended = self._remove(instance)
-        self._tombstones[instance] = _Tombstone(
-            endpoint,
-            now + self._window_s,
-        )
-        if len(self._tombstones) > MAX_TOMBSTONES:
-            self._tombstones.pop(next(iter(self._tombstones)))
-        return ended is not None or known is None or known.endpoint != endpoint
+        known = self._tombstones.find(endpoint.instance)
+        ended = self._remove(endpoint.instance)
+        self._tombstones.add(endpoint, now)
+        return ended is not None or known != endpoint
 
     def _remove(self, instance: str) -> Entry | None:
         entry = self._entries.pop(instance, None)
@@ -189,13 +183,6 @@
             self._counts[entry.endpoint.service] -= 1
         return entry
 
-    def _drop_tombstones(self, now: float) -> None:
-        while self._tombstones:
-            instance = next(iter(self._tombstones))
-            if self._tombstones[instance].ends > now:
-                return
-            self._tombstones.pop(instance)
-
 
 def _rank_lapsed(entry: Entry) -> tuple[float, str]:
     return entry.expires or 0, entry.endpoint.instance
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/tombstones.py
@@ -0,0 +1,51 @@
+"""Records that ended, kept for a while so that older ones stay out."""
+
+from typing import NamedTuple
+
+from bilberry_core.endpoint import Endpoint
+
+#: Most tombstones kept; the oldest are dropped first.
+MAX_TOMBSTONES = 4096
+
+
+class _Tombstone(NamedTuple):
+    endpoint: Endpoint
+    ends: float
+
+
+class Tombstones:
+    """Ended records by instance, bounded in time and number."""
+
+    def __init__(self, life_s: float) -> None:
+        """Keeps each for `life_s` seconds."""
+        self._life_s = life_s
+        self._tombstones: dict[str, _Tombstone] = {}
+
+    def __len__(self) -> int:
+        """Returns how many are kept."""
+        return len(self._tombstones)
+
+    def find(self, instance: str) -> Endpoint | None:
+        """Returns the record that ended, if it is kept."""
+        tombstone = self._tombstones.get(instance)
+        return tombstone.endpoint if tombstone else None
+
+    def add(self, endpoint: Endpoint, now: float) -> None:
+        """Keeps a record that ended now."""
+        self.remove(endpoint.instance)
+        tombstone = _Tombstone(endpoint, now + self._life_s)
+        self._tombstones[endpoint.instance] = tombstone
+        if len(self._tombstones) > MAX_TOMBSTONES:
+            self._tombstones.pop(next(iter(self._tombstones)))
+
+    def remove(self, instance: str) -> None:
+        """Forgets the record of an instance."""
+        self._tombstones.pop(instance, None)
+
+    def expire(self, now: float) -> None:
+        """Forgets records that ended long ago."""
+        while self._tombstones:
+            instance = next(iter(self._tombstones))
+            if self._tombstones[instance].ends > now:
+                return
+            self._tombstones.pop(instance)
--- a/tests/bilberry_spread/fakes.py
+++ b/tests/bilberry_spread/fakes.py
@@ -80,6 +80,7 @@
             raise StreamClosedError('closed')
         self.bytes_sent += len(encoded) + 4
         self.sent.append(decode_message(encoded))
+        self._network.sent.append(self.sent[-1])
         self._last = self._network.carry(self, self._last, encoded)
 
     def deliver(self, encoded: bytes) -> None:
@@ -119,6 +120,7 @@
         self.loss = 0
         self.duplication = 0
         self.links: list[FakeLink] = []
+        self.sent: list = []
 
     def is_cut(self, one: str, other: str) -> bool:
         """Tells whether no message passes between two nodes."""
--- /dev/null
+++ b/tests/bilberry_spread/test_failures.py
@@ -0,0 +1,371 @@
+"""Spreading under failure: cuts, deaths, freezes, herds, lost tellings."""
+
+from testtools import TestCase
+
+from bilberry_core.endpoint import EndpointState
+from bilberry_core.messages.spread import (
+    Busy,
+    ConfigurationDelta,
+    ConfigurationSnapshot,
+    EndpointUpdate,
+)
+from tests.bilberry_spread.fleet import Fleet, make_accepted, make_endpoint
+
+WANTED = frozenset(('s0',))
+
+
+def get_running(nodes) -> set[int]:
+    """Returns the versions that nodes run."""
+    return {
+        node.board.snapshot.value.version if node.versions else 0
+        for node in nodes
+    }
+
+
+def announce_all(fleet) -> set[str]:
+    """Makes every proxy announce an endpoint and want all; returns names."""
+    for node in fleet.proxies:
+        node.board.own_endpoint.put(make_endpoint(node.name))
+        node.board.wanted_services.put(WANTED)
+    fleet.run(4)
+    return {node.name for node in fleet.proxies}
+
+
+class StalenessTest(TestCase):
+    """Relays and replicas that are cut off but believe they are current."""
+
+    def test_proxies_leave_a_relay_that_is_cut_off(self):
+        """A cut-off relay is left within about two seconds; none goes back."""
+        fleet = Fleet(relays=3, proxies=9)
+        fleet.accept(make_accepted(1))
+        fleet.run(4)
+        others = set(fleet.nodes) | {'leader'}
+        lone = [
+            node
+            for node in fleet.proxies
+            if node.controller.attachment.main.peer.instance == 'l-0'
+        ]
+        self.assertNotEqual([], lone)
+        behind = {node.name for node in fleet.proxies}
+        fleet.network.isolate('l-0', others - behind)
+        fleet.accept(make_accepted(2))
+        fleet.run(2.9)
+        self.assertEqual({2}, get_running(fleet.proxies))
+        self.assertEqual({1}, get_running([fleet.nodes['l-0']]))
+        self.assertIsNotNone(fleet.nodes['l-0'].board.stale_since.value)
+        for node in lone:
+            self.assertEqual(sorted(node.versions), node.versions)
+            self.assertIsNone(node.board.stale_since.value)
+
+    def test_all_cut_off_go_on_and_say_so(self):
+        """Without any current relay all keep what they run, and tell it."""
+        fleet = Fleet(relays=3)
+        fleet.accept(make_accepted(1))
+        names = announce_all(fleet)
+        fleet.leading = False
+        fleet.run(60)
+        for node in fleet.proxies:
+            self.assertEqual(1, node.board.snapshot.value.version)
+            self.assertEqual(names, set(node.board.endpoints.value))
+            self.assertIsNotNone(node.board.stale_since.value)
+        fleet.leading = True
+        fleet.accept(make_accepted(2))
+        fleet.run(2)
+        self.assertEqual({2}, get_running(fleet.proxies))
+        self.assertIsNone(fleet.proxies[0].board.stale_since.value)
+
+    def test_endpoints_move_during_an_outage_of_the_source(self):
+        """Without a leader endpoints are still announced and drained."""
+        fleet = Fleet(relays=3)
+        fleet.accept(make_accepted(1))
+        announce_all(fleet)
+        fleet.leading = False
+        for node in tuple(fleet.nodes.values()):
+            if node.name.startswith('r'):
+                node.kill()
+        fleet.run(10)
+        mover = fleet.proxies[0]
+        gone = make_endpoint(mover.name, 2, EndpointState.GONE)
+        mover.board.own_endpoint.put(gone)
+        fleet.run(0.2)
+        for node in fleet.proxies:
+            self.assertNotIn(mover.name, node.board.endpoints.value)
+
+    def test_relay_that_sends_beacons_but_no_version_is_left(self):
+        """A source that stays behind its own beacons is given up."""
+        fleet = Fleet(relays=0, proxies=3)
+        fleet.accept(make_accepted(1))
+        fleet.run(3)
+        victim = fleet.proxies[0]
+        relay = victim.controller.attachment.main.peer.instance
+        receivers = fleet.nodes[relay].controller.broadcast.receivers
+        link = receivers._sessions[victim.name].receiver.link
+        forward = link.send_encoded
+        link.send_encoded = lambda encoded: (
+            None if encoded[1] in {32, 33} else forward(encoded)
+        )
+        fleet.accept(make_accepted(2))
+        fleet.run(4)
+        self.assertEqual({2}, get_running(fleet.proxies))
+
+    def test_proxy_returns_to_its_preferred_relay(self):
+        """When a relay is back, its proxies come back to it in a while."""
+        fleet = Fleet(relays=3, proxies=6)
+        fleet.run(4)
+        before = self._get_sources(fleet)
+        fleet.nodes['l-0'].kill()
+        fleet.run(5)
+        self.assertNotIn('l-0', self._get_sources(fleet))
+        fleet.start('l-0')
+        fleet.run(200)
+        self.assertEqual(before, self._get_sources(fleet))
+
+    def _get_sources(self, fleet):
+        return [
+            node.controller.attachment.main.peer.instance
+            for node in fleet.proxies
+        ]
+
+
+class StartTest(TestCase):
+    """Daemons that start without a disk."""
+
+    def test_restart_does_not_start_behind(self):
+        """A preferred relay with an older version does not mislead."""
+        fleet = Fleet(relays=3, proxies=3)
+        fleet.accept(make_accepted(1))
+        fleet.run(4)
+        others = {name for name in fleet.nodes if name[0] != 'p'}
+        fleet.network.isolate('l-0', others)
+        fleet.accept(make_accepted(2))
+        fleet.run(6)
+        fleet.nodes['p-0'].kill()
+        restarted = fleet.start('p-0')
+        fleet.run(6)
+        self.assertEqual({2}, set(restarted.versions))
+
+    def test_wait_is_bounded(self):
+        """Where only one failure domain answers, the wait ends."""
+        fleet = Fleet(relays=3, proxies=3)
+        fleet.accept(make_accepted(1))
+        fleet.run(4)
+        fleet.nodes['p-0'].kill()
+        fleet.network.isolate('p-0', ('l-1', 'l-2'))
+        restarted = fleet.start('p-0')
+        fleet.run(4)
+        self.assertEqual([], restarted.versions)
+        fleet.run(2)
+        self.assertEqual({1}, set(restarted.versions))
+
+    def test_one_relay_is_enough_where_one_is_configured(self):
+        """With one relay a proxy starts at once."""
+        fleet = Fleet(replicas=1, proxies=1)
+        fleet.accept(make_accepted(1))
+        fleet.run(1)
+        self.assertEqual({1}, get_running(fleet.proxies))
+
+    def test_catch_up_is_one_message(self):
+        """After hundreds of changes a returning proxy gets one update."""
+        fleet = Fleet(replicas=1, proxies=1)
+        fleet.accept(make_accepted(1))
+        fleet.run(2)
+        fleet.network.isolate('p-0', ('r-0',))
+        for version in range(2, 500):
+            fleet.accept(make_accepted(version))
+            fleet.run(0.02)
+        fleet.network.heal()
+        fleet.run(4)
+        self.assertEqual({499}, get_running(fleet.proxies))
+        links = [link for link in fleet.network.links if link.mine == 'r-0']
+        updates = [
+            sent
+            for link in links
+            for sent in link.sent
+            if isinstance(sent, ConfigurationSnapshot | ConfigurationDelta)
+        ]
+        self.assertEqual([499], [update.version for update in updates])
+
+
+class EndpointTest(TestCase):
+    """Upstreams that leave, fall silent, or seem to."""
+
+    def test_silent_endpoint_ends_by_its_lease(self):
+        """A proxy that dies without a word is dropped everywhere."""
+        fleet = Fleet(relays=3)
+        fleet.accept(make_accepted(1))
+        names = announce_all(fleet)
+        fleet.nodes['p-0'].kill()
+        fleet.run(7)
+        for node in fleet.relays + fleet.proxies:
+            if node.name[0] != 'r':
+                known = set(node.board.endpoints.value)
+                self.assertEqual(names - {'p-0'}, known)
+
+    def test_leaving_is_told_at_once(self):
+        """Draining is known everywhere within a tenth of a second."""
+        fleet = Fleet(relays=3)
+        names = announce_all(fleet)
+        draining = make_endpoint('p-0', 2, EndpointState.DRAINING)
+        fleet.nodes['p-0'].board.own_endpoint.put(draining)
+        fleet.run(0.1)
+        for node in fleet.proxies:
+            self.assertEqual(names, set(node.board.endpoints.value))
+            self.assertEqual(draining, node.board.endpoints.value['p-0'])
+
+    def test_leaving_untold_ends_by_the_lease(self):
+        """Where relay and upstream die before the telling, a lease ends it."""
+        fleet = Fleet(relays=3)
+        names = announce_all(fleet)
+        source = fleet.nodes['p-0'].controller.attachment.main.peer.instance
+        fleet.nodes['p-0'].kill()
+        fleet.nodes[source].kill()
+        fleet.run(9)
+        for node in fleet.proxies:
+            known = set(node.board.endpoints.value)
+            self.assertEqual(names - {'p-0'}, known)
+
+    def test_death_of_a_relay_removes_no_endpoint(self):
+        """The endpoints behind a relay that dies or freezes stay known."""
+        for fault in ('kill', 'freeze'):
+            fleet = Fleet(relays=3, proxies=9)
+            names = announce_all(fleet)
+            if fault == 'kill':
+                fleet.nodes['l-0'].kill()
+            else:
+                fleet.network.frozen.add('l-0')
+
+            def check(fleet=fleet, names=names):
+                for node in fleet.proxies:
+                    known = set(node.board.endpoints.value)
+                    self.assertEqual(names, known)
+
+            fleet.run(30, check)
+            fleet.network.frozen.clear()
+            fleet.run(30, check)
+
+    def test_death_of_all_relays_removes_no_endpoint(self):
+        """All relays die and come back without state; nothing is dropped."""
+        fleet = Fleet(relays=3, proxies=9)
+        fleet.accept(make_accepted(1))
+        names = announce_all(fleet)
+
+        def check():
+            for node in fleet.proxies:
+                known = set(node.board.endpoints.value)
+                self.assertEqual(names, known)
+
+        for relay in ('l-0', 'l-1', 'l-2'):
+            fleet.nodes[relay].kill()
+        fleet.run(20, check)
+        for relay in ('l-0', 'l-1', 'l-2'):
+            fleet.start(relay)
+        fleet.run(30, check)
+        for relay in fleet.relays:
+            if relay.name[0] == 'l':
+                self.assertEqual(names, set(relay.board.endpoints.value))
+
+    def test_cut_relay_drops_only_a_share(self):
+        """A relay that hears no other one keeps most endpoints."""
+        fleet = Fleet(relays=3, proxies=9)
+        names = announce_all(fleet)
+        fleet.network.isolate('l-0', ('l-1', 'l-2'))
+        fleet.run(30)
+        known = fleet.nodes['l-0'].board.endpoints.value
+        self.assertGreaterEqual(len(known), len(names) / 2)
+        fleet.network.heal()
+        fleet.run(15)
+        self.assertEqual(names, set(fleet.nodes['l-0'].board.endpoints.value))
+
+    def test_service_is_asked_for_on_first_use(self):
+        """A service wanted later is told whole."""
+        fleet = Fleet(relays=3)
+        first, second = fleet.proxies[:2]
+        first.board.own_endpoint.put(make_endpoint(first.name, service='s9'))
+        fleet.run(3)
+        self.assertEqual({}, second.board.endpoints.value)
+        second.board.wanted_services.put(frozenset(('s9',)))
+        fleet.run(0.1)
+        self.assertEqual({first.name}, second.board.endpoints.value.keys())
+
+
+class HerdTest(TestCase):
+    """Everything dies at once, and comes back at once."""
+
+    def test_return_of_all_is_paced(self):
+        """Joins over the rate are refused with a time; all arrive."""
+        fleet = Fleet(relays=3, proxies=300)
+        fleet.accept(make_accepted(1))
+        fleet.run(15)
+        self.assertEqual({1}, get_running(fleet.proxies))
+        for name in ('l-0', 'l-1', 'l-2'):
+            fleet.nodes[name].kill()
+        fleet.run(1)
+        for name in ('l-0', 'l-1', 'l-2'):
+            fleet.start(name)
+        fleet.accept(make_accepted(2))
+        fleet.run(7)
+        self.assertEqual({2}, get_running(fleet.proxies))
+
+    def test_refused_join_is_told_when_to_come_back(self):
+        """A storm of joins gets Busy with a time that grows."""
+        fleet = Fleet(relays=1, proxies=0)
+        fleet.accept(make_accepted(1))
+        fleet.run(1)
+        for number in range(100):
+            fleet.start(f'p-{number}')
+        fleet.run(0.3)
+        waits = [
+            sent.retry_after_ms
+            for sent in fleet.network.sent
+            if isinstance(sent, Busy)
+        ]
+        self.assertNotEqual([], waits)
+        self.assertGreater(max(waits), min(waits))
+        fleet.run(10)
+        self.assertEqual({1}, get_running(fleet.proxies))
+
+    def test_slow_receiver_is_coalesced(self):
+        """A receiver that can't take more gets the newest state in one."""
+        fleet = Fleet(replicas=1, proxies=2)
+        fleet.accept(make_accepted(1))
+        fleet.run(4)
+        slow, other = fleet.proxies
+        slow.board.wanted_services.put(WANTED)
+        fleet.run(0.5)
+        link = next(
+            link
+            for link in fleet.network.links
+            if (link.mine, link.other) == ('r-0', slow.name)
+        )
+        link.is_writable = False
+        link.sent.clear()
+        for step in range(2, 200):
+            fleet.accept(make_accepted(step))
+            other.board.own_endpoint.put(make_endpoint(other.name, step))
+            fleet.run(0.02)
+        self.assertEqual([], link.sent)
+        link.is_writable = True
+        fleet.run(0.3)
+        kinds = [type(sent) for sent in link.sent]
+        self.assertEqual(1, kinds.count(EndpointUpdate))
+        self.assertEqual(199, slow.board.snapshot.value.version)
+        known = slow.board.endpoints.value[other.name]
+        self.assertEqual(199, known.sequence)
+
+    def test_bytes_of_the_source_do_not_grow_with_the_fleet(self):
+        """A change costs the replicas the same for 10 and 100 proxies."""
+        self.assertEqual(self._count_bytes(10), self._count_bytes(100))
+
+    def _count_bytes(self, proxies: int) -> int:
+        fleet = Fleet(relays=3, proxies=proxies)
+        fleet.accept(make_accepted(1))
+        fleet.run(20)
+        for link in fleet.network.links:
+            link.bytes_sent = 0
+        fleet.accept(make_accepted(2))
+        fleet.run(4)
+        return sum(
+            link.bytes_sent
+            for link in fleet.network.links
+            if link.mine[0] == 'r'
+        )
