--- a/packages/bilberry_core/bilberry_core/messages/spread.py
+++ b/packages/bilberry_core/bilberry_core/messages/spread.py
@@ -110,22 +110,27 @@
 class EndpointUpdate(NamedTuple):
     """Endpoint records; `complete` lists services whose set is whole.
 
-    `lapsed` names records whose lease ended at the sender.
+    `lapsed` names records whose lease ended at the sender. Between relays
+    `attached` holds, for each record, the time at which its writer attached
+    to the sender, in milliseconds of the writer's wall clock.
     """
 
     endpoints: tuple[Endpoint, ...]
     complete: tuple[str, ...] = ()
     lapsed: tuple[EndpointKey, ...] = ()
+    attached: tuple[int, ...] = ()
 
 
 @message(38)
 class Announce(NamedTuple):
     """The daemon beside an upstream announces it or renews its lease.
 
-    A renewal carries the same record as before.
+    `attached` is the time at which the writer attached to this relay, in
+    milliseconds of its wall clock; it grows from relay to relay.
     """
 
     endpoint: Endpoint
+    attached: int = 0
 
 
 @message(39)
--- a/packages/bilberry_spread/bilberry_spread/attachment.py
+++ b/packages/bilberry_spread/bilberry_spread/attachment.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable
-from enum import StrEnum
 from logging import getLogger
 from typing import Any, Protocol
 
@@ -21,48 +20,15 @@
     Subscribe,
 )
 from bilberry_core.settings import Peer, Settings
-from bilberry_spread.edges import Edges, Link, send_if_open
+from bilberry_spread.edges import Edges, Link
 from bilberry_spread.pacing import DialTimer, ReturnTimer, SourcePicker
 from bilberry_spread.reception import Reception
+from bilberry_spread.source import Reason, Source
+from bilberry_spread.start import StartGate
 
 _log = getLogger(__name__)
 
 
-class Reason(StrEnum):
-    """Why a source is dialed."""
-
-    ATTACH = 'attach'
-    BEACON_STALE = 'beacon_stale'
-    START_RULE = 'start_rule'
-    RETURN = 'return'
-
-
-class Source:
-    """A source that this daemon is attached to, or tries."""
-
-    def __init__(self, peer: Peer, why: 'Reason', since: float) -> None:
-        """Starts without a stream, at monotonic time `since`."""
-        self.peer = peer
-        self.why = why
-        self.since = since
-        self.link: Link | None = None
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the stream is open."""
-        return self.link is not None
-
-    def send(self, sent: Any) -> None:
-        """Sends a message if the stream is open."""
-        if self.link is not None:
-            send_if_open(self.link, sent)
-
-    def close(self) -> None:
-        """Ends the stream."""
-        if self.link is not None:
-            self.link.close()
-
-
 class AttachmentUser(Protocol):
     """What an attachment serves: a proxy's endpoints, a relay's reports."""
 
@@ -101,6 +67,11 @@
         """The source that this daemon is attached to."""
         return self._main
 
+    @property
+    def gate(self) -> StartGate:
+        """The start rule of this daemon."""
+        return self._reception.gate
+
     def tick(self) -> None:
         """Dials, probes and gives up what is due now."""
         self._reception.tick()
@@ -125,7 +96,7 @@
         if self._reception.is_stale:
             beside = self._picker.pick_beside(main)
             return self._dial(beside, Reason.BEACON_STALE)
-        if not self._reception.gate.is_open:
+        if not self.gate.is_open:
             beside = self._picker.pick_beside(main)
             return self._dial(beside, Reason.START_RULE)
         if not self._return_timer.is_due:
@@ -155,16 +126,11 @@
         beacon_s = self._settings.timing.beacon_ms / MS_PER_S
         if waited > 2 * beacon_s:
             self._probe_timer.fail()
-        elif not self._is_over(probe):
+        elif not _is_over(probe.why, self._reception):
             return
         self._probe = None
         probe.close()
 
-    def _is_over(self, probe: Source) -> bool:
-        if probe.why is Reason.START_RULE:
-            return self._reception.gate.is_open
-        return probe.why is Reason.BEACON_STALE and not self._reception.is_stale
-
     def _dial(self, peer: Peer | None, why: Reason) -> Source | None:
         if peer is None:
             return None
@@ -260,6 +226,8 @@
             source.send(resend)
 
     def _receive_beacon(self, source: Source, update: BeaconUpdate) -> None:
+        if source.note_beacon(update.beacon):
+            self.gate.note_move()
         was_stale = self._reception.is_stale
         older = self._reception.is_older(update.beacon)
         later = self._reception.receive_beacon(
@@ -282,3 +250,9 @@
         ConfigurationDelta: _receive_configuration,
         BeaconUpdate: _receive_beacon,
     }
+
+
+def _is_over(why: Reason, reception: Reception) -> bool:
+    if why is Reason.START_RULE:
+        return reception.gate.is_open
+    return why is Reason.BEACON_STALE and not reception.is_stale
--- a/packages/bilberry_spread/bilberry_spread/directory.py
+++ b/packages/bilberry_spread/bilberry_spread/directory.py
@@ -5,10 +5,11 @@
 """
 
 from collections.abc import Callable
+from itertools import zip_longest
 
 from bilberry_core.endpoint import Endpoint
-from bilberry_core.messages.spread import EndpointKey, EndpointUpdate
-from bilberry_spread.table import EndpointTable
+from bilberry_core.messages.spread import Announce, EndpointKey, EndpointUpdate
+from bilberry_spread.table import EndpointTable, Home
 
 #: Called with a record that changed, and whether other relays must hear it.
 ChangeListener = Callable[[Endpoint, bool], None]
@@ -36,21 +37,22 @@
 
     def put_own(self, endpoint: Endpoint, now: float) -> None:
         """Takes the endpoint of this daemon itself, which has no lease."""
-        if self._table.merge(endpoint, self._home, now):
+        if self._table.merge(endpoint, Home(self._home), now):
             self._on_change(endpoint, True)
 
-    def announce(self, endpoint: Endpoint, now: float) -> None:
+    def announce(self, announce: Announce, now: float) -> None:
         """Takes what an attached proxy announces, and starts its lease."""
+        home = Home(self._home, announce.attached)
         expires = now + self._lease_s
-        if self._table.merge(endpoint, self._home, now, expires):
-            self._on_change(endpoint, True)
+        if self._table.merge(announce.endpoint, home, now, expires):
+            self._on_change(announce.endpoint, True)
 
-    def renew(self, key: EndpointKey, now: float) -> bool:
+    def renew(self, key: EndpointKey, attached: int, now: float) -> bool:
         """Renews a lease; False where the record must be announced."""
         known = self._table.find(key.instance)
         if known is None or get_order(known) != get_order(key):
             return known is not None and get_order(known) > get_order(key)
-        self.announce(known, now)
+        self.announce(Announce(known, attached), now)
         return True
 
     def take_from_peer(
@@ -62,9 +64,10 @@
         is_whole: bool,
     ) -> None:
         """Takes what another relay vouches for; `is_whole` if all of it."""
-        for endpoint in update.endpoints:
+        attached = zip_longest(update.endpoints, update.attached, fillvalue=0)
+        for endpoint, since in attached:
             was_home = self._is_home(endpoint.instance)
-            if self._table.merge(endpoint, peer, now):
+            if self._table.merge(endpoint, Home(peer, since), now):
                 self._on_change(endpoint, was_home)
         for key in update.lapsed:
             self._table.lapse(key, peer, now)
@@ -86,12 +89,12 @@
         """Removes what leases ended, at other homes only if asked."""
         removed = self._table.expire(now, self._home if mine_only else '')
         for entry in removed:
-            self._on_change(entry.endpoint, entry.home == self._home)
+            self._on_change(entry.endpoint, entry.home.instance == self._home)
         return tuple(ended.endpoint for ended in removed)
 
     def _is_home(self, instance: str) -> bool:
         entry = self._table.entries.get(instance)
-        return entry is not None and entry.home == self._home
+        return entry is not None and entry.home.instance == self._home
 
 
 def get_order(record: Endpoint | EndpointKey) -> tuple[int, int]:
--- a/packages/bilberry_spread/bilberry_spread/endpoint_feed.py
+++ b/packages/bilberry_spread/bilberry_spread/endpoint_feed.py
@@ -5,12 +5,12 @@
 from bilberry_core.board import Board
 from bilberry_core.clock import Clock
 from bilberry_core.messages.spread import EndpointUpdate
-from bilberry_spread.table import EndpointTable
+from bilberry_spread.table import EndpointTable, Home
 
 _log = getLogger(__name__)
 
 #: Every record of a proxy is vouched for by whichever relay it has.
-_HOME = 'relay'
+_HOME = Home('relay')
 
 
 class EndpointFeed:
@@ -34,7 +34,7 @@
             for endpoint in update.endpoints
         ]
         for key in update.lapsed:
-            self._table.lapse(key, _HOME, now)
+            self._table.lapse(key, _HOME.instance, now)
         if update.complete:
             self._table.start_leases(self._find_missing(update), now)
         if any(changed):
--- a/packages/bilberry_spread/bilberry_spread/relay_source.py
+++ b/packages/bilberry_spread/bilberry_spread/relay_source.py
@@ -6,11 +6,12 @@
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.spread import Held, SuspectUpdate
 from bilberry_core.settings import Peer, Settings
-from bilberry_spread.attachment import Attachment, Source
+from bilberry_spread.attachment import Attachment
 from bilberry_spread.edges import Edges
 from bilberry_spread.ranking import rank_relays
 from bilberry_spread.reception import Reception
 from bilberry_spread.reports import build_report
+from bilberry_spread.source import Source
 from bilberry_spread.start import START_WAIT_S, StartGate
 
 
--- a/packages/bilberry_spread/bilberry_spread/session.py
+++ b/packages/bilberry_spread/bilberry_spread/session.py
@@ -58,7 +58,7 @@
         self._directory = directory
         self._listener = listener
         self._edges = edges
-        self._announced: Announce | None = None
+        self._attached = 0
 
     def take(self, received: Any) -> None:
         """Takes one message; unknown ones are ignored."""
@@ -68,14 +68,13 @@
             handler(self, received)
 
     def _announce(self, announce: Announce) -> None:
-        self._announced = announce
-        self._directory.announce(announce.endpoint, self.heard)
+        self._attached = announce.attached
+        self._directory.announce(announce, self.heard)
 
     def _renew(self, renew: Renew) -> None:
         key = EndpointKey(*renew)
-        announced = self._announced
-        if not self._directory.renew(key, self.heard) and announced:
-            self._directory.announce(announced.endpoint, self.heard)
+        if not self._directory.renew(key, self._attached, self.heard):
+            self.receiver.link.close()
 
     def _hold(self, held: Held) -> None:
         self.versions = apply_report(self.versions, held)
--- a/packages/bilberry_spread/bilberry_spread/start.py
+++ b/packages/bilberry_spread/bilberry_spread/start.py
@@ -1,8 +1,9 @@
 """The start rule of a daemon without a disk.
 
 It does not know what it ran before. So before it puts its first configuration
-it hears from relays in more than one failure domain, and waits until it holds
-the highest version that it heard of. The wait is bounded.
+it hears from relays in more than one failure domain, sees the beacon move, so
+that one of them is current, and waits until it holds the highest version that
+it heard of. The wait is bounded.
 """
 
 from collections.abc import Iterable
@@ -25,6 +26,7 @@
         self._deadline = deadline
         self._heard: set[str] = set()
         self._highest = 0
+        self._has_moved = False
         self._open = False
 
     @property
@@ -47,6 +49,10 @@
         self._heard.add(failure_domain)
         self._highest = max(self._highest, version)
 
+    def note_move(self) -> None:
+        """Notes that a beacon has moved since the start."""
+        self._has_moved = True
+
     def check(self, held: int, now: float) -> bool:
         """Tells whether the gate opens now, with version `held`."""
         opens = not self._open and (self.is_met(held) or now >= self._deadline)
@@ -55,4 +61,5 @@
 
     def is_met(self, held: int) -> bool:
         """Tells whether enough was heard and `held` is the highest."""
-        return len(self._heard) >= self._needed and held >= self._highest
+        heard = len(self._heard) >= self._needed
+        return heard and self._has_moved and held >= self._highest
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -21,11 +21,12 @@
 )
 from bilberry_core.settings import Settings
 from bilberry_core.stream import Credentials
-from bilberry_spread.attachment import Attachment, Source
+from bilberry_spread.attachment import Attachment
 from bilberry_spread.edges import Edges, open_edges
 from bilberry_spread.endpoint_feed import EndpointFeed
 from bilberry_spread.ranking import rank_relays
 from bilberry_spread.reception import Reception
+from bilberry_spread.source import Source
 from bilberry_spread.start import START_WAIT_S, StartGate
 from bilberry_spread.suspect_feed import SuspectFeed
 
@@ -60,6 +61,7 @@
             edges.clock,
         )
         self._suspects = SuspectFeed(board, edges.clock)
+        self._attached = 0
         self._next_renewal = edges.clock.now()
 
     @classmethod
@@ -111,6 +113,8 @@
 
     def attached(self, source: Source) -> None:
         """Tells the relay everything that it must hear."""
+        wall_ms = self._edges.clock.wall_ms()
+        self._attached = max(self._attached + 1, wall_ms)
         self._want()
         self._announce(self._board.own_endpoint.value)
         self._tell_held()
@@ -131,7 +135,7 @@
 
     def _announce(self, endpoint: Endpoint | None) -> None:
         if endpoint is not None:
-            self._send(Announce(endpoint))
+            self._send(Announce(endpoint, self._attached))
             self._schedule_renewal(self._edges.clock.now())
 
     def _renew(self, now: float) -> None:
--- a/packages/bilberry_spread/bilberry_spread/table.py
+++ b/packages/bilberry_spread/bilberry_spread/table.py
@@ -7,18 +7,25 @@
 silence may be the listener's own fault.
 """
 
-from collections import Counter, defaultdict, deque
+from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from bilberry_core.endpoint import Endpoint, EndpointState
 from bilberry_core.messages.spread import EndpointKey
+from bilberry_spread.removal import WINDOW_LEASES, RemovalLimit
 from bilberry_spread.tombstones import Tombstones
 
-#: Share of a service's endpoints that leases alone may remove in a window.
-LEASE_REMOVAL_SHARE = 0.5
-#: Length of that window and life of a tombstone, in leases.
-WINDOW_LEASES = 10
+
+class Home(NamedTuple):
+    """The relay that a writer is attached to, and since when.
+
+    `attached` is in milliseconds of the writer's wall clock; of two homes the
+    one attached to later vouches.
+    """
+
+    instance: str
+    attached: int = 0
 
 
 class Entry(NamedTuple):
@@ -28,7 +35,7 @@
     """
 
     endpoint: Endpoint
-    home: str
+    home: Home
     expires: float | None = None
 
 
@@ -47,12 +54,11 @@
     def __init__(self, lease_s: float) -> None:
         """Starts empty; a lease lasts `lease_s` seconds."""
         self._lease_s = lease_s
-        self._window_s = lease_s * WINDOW_LEASES
         self._entries: dict[str, Entry] = {}
         self._counts: Counter[str] = Counter()
         self._leases: set[str] = set()
-        self._tombstones = Tombstones(self._window_s)
-        self._removals: defaultdict[str, deque[float]] = defaultdict(deque)
+        self._tombstones = Tombstones()
+        self._limit = RemovalLimit(lease_s * WINDOW_LEASES)
 
     @property
     def entries(self) -> dict[str, Entry]:
@@ -67,6 +73,11 @@
             for instance, entry in self._entries.items()
         }
 
+    @property
+    def tombstones(self) -> Tombstones:
+        """The records that have ended."""
+        return self._tombstones
+
     def find(self, instance: str) -> Endpoint | None:
         """Returns the newest record known, ended or not."""
         entry = self._entries.get(instance)
@@ -77,19 +88,22 @@
     def merge(
         self,
         endpoint: Endpoint,
-        home: str,
+        home: Home,
         now: float,
         expires: float | None = None,
     ) -> bool:
         """Takes a record that `home` vouches for; tells if anything changed.
 
-        A record that is known already moves to this home and lease.
+        A record that is known already moves to this home and lease, unless
+        its writer attached elsewhere later.
         """
         known = self.find(endpoint.instance)
         if known is not None and known.is_newer_than(endpoint):
             return False
         if known is not None and not endpoint.is_newer_than(known):
             endpoint = known
+            if home.attached < self._get_attached(endpoint):
+                return False
         if endpoint.state is EndpointState.GONE:
             return self._end(endpoint, now)
         return self._put(Entry(endpoint, home, expires))
@@ -97,7 +111,7 @@
     def lapse(self, key: EndpointKey, home: str, now: float) -> None:
         """Ends the lease of a record now if `home` is still its home."""
         entry = self._entries.get(key.instance)
-        if entry is None or entry.home != home:
+        if entry is None or entry.home.instance != home:
             return
         if get_key(entry.endpoint) == key:
             self._put(entry._replace(expires=now))
@@ -115,7 +129,7 @@
         return tuple(
             instance
             for instance, entry in self._entries.items()
-            if entry.home == home
+            if entry.home.instance == home
         )
 
     def extend_leases(self, seconds: float) -> None:
@@ -142,21 +156,17 @@
         self._tombstones.expire(now)
         removed: list[Entry] = []
         for entry in self.find_lapsed(now):
-            if home not in {'', entry.home}:
+            if home not in {'', entry.home.instance}:
                 continue
             service = entry.endpoint.service
-            if self._allows_removal(service, now):
-                self._removals[service].append(now)
+            if self._limit.allow(service, self._counts[service], now):
                 self._end(entry.endpoint, now)
                 removed.append(entry)
         return tuple(removed)
 
-    def _allows_removal(self, service: str, now: float) -> bool:
-        removals = self._removals[service]
-        while removals and removals[0] <= now - self._window_s:
-            removals.popleft()
-        total = self._counts[service] + len(removals)
-        return len(removals) + 1 <= total * LEASE_REMOVAL_SHARE
+    def _get_attached(self, endpoint: Endpoint) -> int:
+        entry = self._entries.get(endpoint.instance)
+        return entry.home.attached if entry else 0
 
     def _put(self, entry: Entry) -> bool:
         instance = entry.endpoint.instance
--- a/packages/bilberry_spread/bilberry_spread/tombstones.py
+++ b/packages/bilberry_spread/bilberry_spread/tombstones.py
@@ -2,8 +2,10 @@
 
 from typing import NamedTuple
 
-from bilberry_core.endpoint import Endpoint
+from bilberry_core.endpoint import Endpoint, EndpointState
 
+#: Life of a tombstone, in seconds.
+TOMBSTONE_S = 3600.0
 #: Most tombstones kept; the oldest are dropped first.
 MAX_TOMBSTONES = 4096
 
@@ -16,9 +18,8 @@
 class Tombstones:
     """Ended records by instance, bounded in time and number."""
 
-    def __init__(self, life_s: float) -> None:
-        """Keeps each for `life_s` seconds."""
-        self._life_s = life_s
+    def __init__(self) -> None:
+        """Starts empty."""
         self._tombstones: dict[str, _Tombstone] = {}
 
     def __len__(self) -> int:
@@ -30,10 +31,18 @@
         tombstone = self._tombstones.get(instance)
         return tombstone.endpoint if tombstone else None
 
+    def find_gone(self) -> tuple[Endpoint, ...]:
+        """Returns the records whose writers said that they are gone."""
+        return tuple(
+            tombstone.endpoint
+            for tombstone in self._tombstones.values()
+            if tombstone.endpoint.state is EndpointState.GONE
+        )
+
     def add(self, endpoint: Endpoint, now: float) -> None:
         """Keeps a record that ended now."""
         self.remove(endpoint.instance)
-        tombstone = _Tombstone(endpoint, now + self._life_s)
+        tombstone = _Tombstone(endpoint, now + TOMBSTONE_S)
         self._tombstones[endpoint.instance] = tombstone
         if len(self._tombstones) > MAX_TOMBSTONES:
             self._tombstones.pop(next(iter(self._tombstones)))
--- a/packages/bilberry_spread/bilberry_spread/updates.py
+++ b/packages/bilberry_spread/bilberry_spread/updates.py
@@ -41,6 +41,11 @@
                 for entry in self._table.entries.values()
                 if entry.endpoint.service == service
             )
+            endpoints += tuple(
+                endpoint
+                for endpoint in self._table.tombstones.find_gone()
+                if endpoint.service == service
+            )
             complete = (service,) if is_complete else ()
             self._services[key] = encode_message(
                 EndpointUpdate(endpoints, complete),
@@ -53,7 +58,10 @@
 
     def build_all_for_relay(self) -> EndpointUpdate:
         """Returns every endpoint that this relay vouches for."""
-        return self.build_for_relay(self._table.find_homed(self._home))
+        gone = self._table.tombstones.find_gone()
+        instances = {endpoint.instance for endpoint in gone}
+        instances.update(self._table.find_homed(self._home))
+        return self.build_for_relay(instances)
 
     def _build(
         self,
@@ -71,7 +79,14 @@
                 endpoints.append(known)
             else:
                 lapsed.append(get_key(known))
-        return EndpointUpdate(tuple(endpoints), (), tuple(lapsed))
+        attached: tuple[int, ...] = ()
+        if vouched_only:
+            attached = tuple(map(self._get_attached, endpoints))
+        return EndpointUpdate(tuple(endpoints), (), tuple(lapsed), attached)
+
+    def _get_attached(self, endpoint: Endpoint) -> int:
+        entry = self._table.entries.get(endpoint.instance)
+        return entry.home.attached if entry else 0
 
     def _is_told(self, known: Endpoint, vouched_only: bool) -> bool:
         if known.state is EndpointState.GONE:
@@ -79,4 +94,4 @@
         entry = self._table.entries.get(known.instance)
         if entry is None:
             return False
-        return not vouched_only or entry.home == self._home
+        return not vouched_only or entry.home.instance == self._home
--- a/tests/bilberry_spread/fakes.py
+++ b/tests/bilberry_spread/fakes.py
@@ -67,6 +67,7 @@
         self.mine = mine
         self.other = other
         self.end: FakeLink | None = None
+        self._arrived: list[bytes] = []
         self._network = network
         self._last = 0
 
@@ -84,9 +85,18 @@
         self._last = self._network.carry(self, self._last, encoded)
 
     def deliver(self, encoded: bytes) -> None:
-        """Hands over a message that has arrived here."""
-        if self.is_open and self.mine not in self._network.frozen:
-            self.receiver(decode_message(encoded))
+        """Hands over a message that has arrived here, unless frozen."""
+        self._arrived.append(encoded)
+        self.read()
+
+    def read(self) -> None:
+        """Hands over what has arrived, in order."""
+        while self._arrived and self.mine not in self._network.frozen:
+            encoded = self._arrived.pop(0)
+            if self.is_open and encoded:
+                self.receiver(decode_message(encoded))
+            elif self.is_open:
+                self.drop()
 
     def close(self) -> None:
         """Ends the stream; the other side learns of it later."""
@@ -138,6 +148,12 @@
             if frozenset((link.mine, link.other)) in cut:
                 link.drop()
 
+    def thaw(self) -> None:
+        """Lets frozen nodes go on, and read what has arrived."""
+        self.frozen.clear()
+        for link in tuple(self.links):
+            link.read()
+
     def kill(self, node: str) -> None:
         """Ends all streams of a node; it accepts none."""
         self.accepting.pop(node, None)
@@ -165,7 +181,7 @@
         """Tells the other side of an end, unless it is cut off."""
         if not self.is_cut(link.mine, link.other):
             delay = max(0, last - self.time.now()) + self._draw_delay()
-            self.time.call_later(delay, link.end.drop)
+            self.time.call_later(delay, lambda: link.end.deliver(b''))
 
     def make_dialer(self, node: str) -> 'FakeDialer':
         """Returns the dialer of a node."""
--- a/tests/bilberry_spread/test_failures.py
+++ b/tests/bilberry_spread/test_failures.py
@@ -240,7 +240,7 @@
                     self.assertEqual(names, known)
 
             fleet.run(30, check)
-            fleet.network.frozen.clear()
+            fleet.network.thaw()
             fleet.run(30, check)
 
     def test_death_of_all_relays_removes_no_endpoint(self):
--- a/tests/bilberry_spread/test_loopback.py
+++ b/tests/bilberry_spread/test_loopback.py
@@ -1,6 +1,7 @@
 """The controllers over real streams on loopback."""
 
-from asyncio import create_task, gather, run, wait_for
+from asyncio import create_task, gather, run, sleep, wait_for
+from itertools import count
 from random import Random
 
 from testtools import TestCase
@@ -73,6 +74,13 @@
         self.listener.close()
 
 
+async def beat(board: Board) -> None:
+    """Puts beacons as a leader does."""
+    for sequence in count(1):
+        board.beacon.put(Beacon(1, 1, sequence))
+        await sleep(0.05)
+
+
 async def spread_once() -> tuple[int, set[str]]:
     """Returns the version and the endpoints that a proxy ends with."""
     relay = Daemon('r-0', frozenset(Role))
@@ -84,11 +92,12 @@
     for daemon in (relay, proxy):
         daemon.start(peers)
     relay.board.accepted.put(make_accepted(1))
-    relay.board.beacon.put(Beacon(1, 1, 1))
+    beats = create_task(beat(relay.board))
     found = await proxy.board.snapshot.wait_for(
         lambda one: one is not None and one.routes['s0'].endpoints,
     )
     await relay.board.proxies.wait_for(lambda one: one.get('p-0') == 1)
+    beats.cancel()
     await gather(relay.stop(), proxy.stop())
     routed = found.routes['s0'].endpoints
     return found.version, {endpoint.instance for endpoint in routed}
