--- a/packages/bilberry_spread/bilberry_spread/relay_source.py
+++ b/packages/bilberry_spread/bilberry_spread/relay_source.py
@@ -6,11 +6,12 @@
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.spread import Held, SuspectUpdate
 from bilberry_core.settings import Peer, Settings
-from bilberry_spread.attachment import Attachment, Source
+from bilberry_spread.attachment import Attachment
 from bilberry_spread.edges import Edges
 from bilberry_spread.ranking import rank_relays
 from bilberry_spread.reception import Reception
 from bilberry_spread.reports import build_report
+from bilberry_spread.source import Source
 from bilberry_spread.start import START_WAIT_S, StartGate
 
 
@@ -51,6 +52,7 @@
             edges,
         )
         self._attachment = Attachment(settings, peers, reception, edges, self)
+        self._versions: dict[str, int] = {}
         self._reported: dict[str, int] = {}
         self._next_beat = edges.clock.now()
 
@@ -70,16 +72,17 @@
 
     def report(self, versions: dict[str, int]) -> None:
         """Reports the versions that attached proxies run."""
-        if not self._attachment.is_attached:
-            return
+        self._versions = versions
         report = build_report(self._reported, versions)
-        if report is not None:
+        main = self._attachment.main
+        if report is not None and main is not None and main.is_open:
             self._reported = dict(versions)
-            self._send(report)
+            main.send(report)
 
     def attached(self, source: Source) -> None:
         """Starts to report anew."""
         self._reported = {}
+        self.report(self._versions)
 
     def receive(self, received: Any) -> None:
         """Takes suspects."""
--- a/packages/bilberry_spread/bilberry_spread/table.py
+++ b/packages/bilberry_spread/bilberry_spread/table.py
@@ -7,19 +7,25 @@
 silence may be the listener's own fault.
 """
 
-from collections import Counter, defaultdict, deque
+from collections import Counter
 from collections.abc import Iterable
 from typing import NamedTuple
 
 from bilberry_core.endpoint import Endpoint, EndpointState
 from bilberry_core.messages.spread import EndpointKey
+from bilberry_spread.removal import WINDOW_LEASES, RemovalLimit
+from bilberry_spread.tombstones import Tombstones
 
-#: Share of a service's endpoints that leases alone may remove in a window.
-LEASE_REMOVAL_SHARE = 0.5
-#: Length of that window and life of a tombstone, in leases.
-WINDOW_LEASES = 10
-#: Most tombstones kept; the oldest are dropped first.
-MAX_TOMBSTONES = 4096
+
+class Home(NamedTuple):
+    """The relay that a writer is attached to, and since when.
+
+    `attached` is in milliseconds of the writer's wall clock; of two homes the
+    one attached to later vouches.
+    """
+
+    instance: str
+    attached: int = 0
 
 
 class Entry(NamedTuple):
@@ -29,15 +35,10 @@
     """
 
     endpoint: Endpoint
-    home: str
+    home: Home
     expires: float | None = None
 
 
-class _Tombstone(NamedTuple):
-    endpoint: Endpoint
-    ends: float
-
-
 def get_key(endpoint: Endpoint) -> EndpointKey:
     """Returns the name of this record."""
     return EndpointKey(
@@ -53,12 +54,11 @@
     def __init__(self, lease_s: float) -> None:
         """Starts empty; a lease lasts `lease_s` seconds."""
         self._lease_s = lease_s
-        self._window_s = lease_s * WINDOW_LEASES
         self._entries: dict[str, Entry] = {}
         self._counts: Counter[str] = Counter()
         self._leases: set[str] = set()
-        self._tombstones: dict[str, _Tombstone] = {}
-        self._removals: defaultdict[str, deque[float]] = defaultdict(deque)
+        self._tombstones = Tombstones()
+        self._limit = RemovalLimit(lease_s * WINDOW_LEASES)
 
     @property
     def entries(self) -> dict[str, Entry]:
@@ -74,34 +74,36 @@
         }
 
     @property
-    def tombstone_count(self) -> int:
-        """How many tombstones are kept."""
-        return len(self._tombstones)
+    def tombstones(self) -> Tombstones:
+        """The records that have ended."""
+        return self._tombstones
 
     def find(self, instance: str) -> Endpoint | None:
         """Returns the newest record known, ended or not."""
         entry = self._entries.get(instance)
         if entry is not None:
             return entry.endpoint
-        tombstone = self._tombstones.get(instance)
-        return tombstone.endpoint if tombstone else None
+        return self._tombstones.find(instance)
 
     def merge(
         self,
         endpoint: Endpoint,
-        home: str,
+        home: Home,
         now: float,
         expires: float | None = None,
     ) -> bool:
         """Takes a record that `home` vouches for; tells if anything changed.
 
-        A record that is known already moves to this home and lease.
+        A record that is known already moves to this home and lease, unless
+        its writer attached elsewhere later.
         """
         known = self.find(endpoint.instance)
         if known is not None and known.is_newer_than(endpoint):
             return False
         if known is not None and not endpoint.is_newer_than(known):
             endpoint = known
+            if home.attached < self._get_attached(endpoint):
+                return False
         if endpoint.state is EndpointState.GONE:
             return self._end(endpoint, now)
         return self._put(Entry(endpoint, home, expires))
@@ -109,7 +111,7 @@
     def lapse(self, key: EndpointKey, home: str, now: float) -> None:
         """Ends the lease of a record now if `home` is still its home."""
         entry = self._entries.get(key.instance)
-        if entry is None or entry.home != home:
+        if entry is None or entry.home.instance != home:
             return
         if get_key(entry.endpoint) == key:
             self._put(entry._replace(expires=now))
@@ -127,9 +129,16 @@
         return tuple(
             instance
             for instance, entry in self._entries.items()
-            if entry.home == home
+            if entry.home.instance == home
         )
 
+    def extend_leases(self, seconds: float) -> None:
+        """Lets every lease run longer, after a pause of this process."""
+        for instance in tuple(self._leases):
+            entry = self._entries[instance]
+            expires = (entry.expires or 0) + seconds
+            self._entries[instance] = entry._replace(expires=expires)
+
     def find_lapsed(self, now: float) -> tuple[Entry, ...]:
         """Returns the records whose lease is over, the oldest first."""
         lapsed = [
@@ -139,29 +148,30 @@
         ]
         return tuple(sorted(lapsed, key=_rank_lapsed))
 
-    def expire(self, now: float) -> tuple[Entry, ...]:
-        """Removes what leases ended, up to the share of each service."""
-        self._drop_tombstones(now)
+    def expire(self, now: float, home: str = '') -> tuple[Entry, ...]:
+        """Removes what leases ended, up to the share of each service.
+
+        With `home` only records of that home are removed.
+        """
+        self._tombstones.expire(now)
         removed: list[Entry] = []
         for entry in self.find_lapsed(now):
+            if home not in {'', entry.home.instance}:
+                continue
             service = entry.endpoint.service
-            if self._allows_removal(service, now):
-                self._removals[service].append(now)
+            if self._limit.allow(service, self._counts[service], now):
                 self._end(entry.endpoint, now)
                 removed.append(entry)
         return tuple(removed)
 
-    def _allows_removal(self, service: str, now: float) -> bool:
-        removals = self._removals[service]
-        while removals and removals[0] <= now - self._window_s:
-            removals.popleft()
-        total = self._counts[service] + len(removals)
-        return len(removals) + 1 <= total * LEASE_REMOVAL_SHARE
+    def _get_attached(self, endpoint: Endpoint) -> int:
+        entry = self._entries.get(endpoint.instance)
+        return entry.home.attached if entry else 0
 
     def _put(self, entry: Entry) -> bool:
         instance = entry.endpoint.instance
         before = self._remove(instance)
-        self._tombstones.pop(instance, None)
+        self._tombstones.remove(instance)
         self._entries[instance] = entry
         self._counts[entry.endpoint.service] += 1
         if entry.expires is not None:
@@ -171,16 +181,10 @@
         return (before.endpoint, before.home) != (entry.endpoint, entry.home)
 
     def _end(self, endpoint: Endpoint, now: float) -> bool:
-        instance = endpoint.instance
-        known = self._tombstones.pop(instance, None)
-        ended = self._remove(instance)
-        self._tombstones[instance] = _Tombstone(
-            endpoint,
-            now + self._window_s,
-        )
-        if len(self._tombstones) > MAX_TOMBSTONES:
-            self._tombstones.pop(next(iter(self._tombstones)))
-        return ended is not None or known is None or known.endpoint != endpoint
+        known = self._tombstones.find(endpoint.instance)
+        ended = self._remove(endpoint.instance)
+        self._tombstones.add(endpoint, now)
+        return ended is not None or known != endpoint
 
     def _remove(self, instance: str) -> Entry | None:
         entry = self._entries.pop(instance, None)
@@ -189,13 +193,6 @@
             self._counts[entry.endpoint.service] -= 1
         return entry
 
-    def _drop_tombstones(self, now: float) -> None:
-        while self._tombstones:
-            instance = next(iter(self._tombstones))
-            if self._tombstones[instance].ends > now:
-                return
-            self._tombstones.pop(instance)
-
 
 def _rank_lapsed(entry: Entry) -> tuple[float, str]:
     return entry.expires or 0, entry.endpoint.instance
