--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -89,6 +89,8 @@
             member.plan.service,
             '--port',
             str(member.ports.served),
+            '--record-file',
+            f'{self.folder}/{instance}.runs',
             *options,
         ]
         self._upstreams[instance] = self._launch(f'{instance}.up', command)
@@ -149,10 +151,6 @@
         """Returns the instances whose daemon was started and not ended."""
         return tuple(self._daemons)
 
-    def running_upstreams(self) -> tuple[str, ...]:
-        """Returns the instances whose upstream was started and not ended."""
-        return tuple(self._upstreams)
-
     def get_pid(self, instance: str) -> int:
         """Returns the process id of an instance's daemon."""
         return self._daemons[instance].pid
--- a/demo/record.py
+++ b/demo/record.py
@@ -1,21 +1,13 @@
 """The runs that stand-in upstreams recorded, by request id."""
 
 from collections import Counter
-from collections.abc import Iterable
-from json import loads
-from urllib.request import urlopen
 
 from demo.fleet import Fleet
 
-_TIMEOUT_S = 2.0
 
-
-def read_runs(fleet: Fleet, instances: Iterable[str]) -> Counter[str]:
-    """Returns how often each request ran at these instances' upstreams."""
+def read_runs(fleet: Fleet) -> Counter[str]:
+    """Returns how often each request ran, at running and ended upstreams."""
     runs: Counter[str] = Counter()
-    for instance in instances:
-        port = fleet.members[instance].ports.served
-        url = f'http://127.0.0.1:{port}/runs'
-        with urlopen(url, timeout=_TIMEOUT_S) as answer:
-            runs.update(loads(answer.read())['runs'])
+    for path in fleet.folder.glob('*.runs'):
+        runs.update(path.read_text().splitlines())
     return runs
--- a/demo/story.py
+++ b/demo/story.py
@@ -4,7 +4,6 @@
 """
 
 from asyncio import run, sleep, to_thread
-from collections import Counter
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from typing import Any
@@ -24,7 +23,7 @@
 _WORKERS = 4
 _SERVICES = ('callouts', 'stock')
 _EVERY_ROLE = ('proxy', 'relay', 'replica')
-_CONTROL = ('replica', 'spread', 'claim')
+_CONTROL = ('replica', 'spread')
 
 
 def plan_instances() -> tuple[Plan, ...]:
@@ -53,10 +52,10 @@
         """Runs every step; returns whether every promise held."""
         await self._begin()
         await self._change_policies()
-        records = await self._lose_instances()
+        await self._lose_instances()
         self._document['defaults']['timeout'] = '5s'
         await self._change('a change is accepted by the two replicas left')
-        return await self._judge(records)
+        return await self._judge()
 
     async def _change_policies(self) -> None:
         self._document['defaults']['timeout'] = '4s'
@@ -71,15 +70,13 @@
         }
         await self._change('an exception with its reason is added')
 
-    async def _lose_instances(self) -> Counter[str]:
+    async def _lose_instances(self) -> None:
         _say('the upstream of b-2 leaves gracefully')
-        records = await to_thread(self._leave, 'b-2')
+        await to_thread(self._fleet.stop_upstream, 'b-2')
         await sleep(_STEP_S)
         _say('the replica c-1 is killed')
-        records += await to_thread(read_runs, self._fleet, ('c-1',))
         self._fleet.kill_daemon('c-1')
         await sleep(_STEP_S)
-        return records
 
     async def _begin(self) -> None:
         self._fleet.start()
@@ -107,11 +104,6 @@
         _say(f'{note}: {_describe(convergence)}, {spent} control bytes')
         await sleep(_STEP_S)
 
-    def _leave(self, instance: str) -> Counter[str]:
-        records = read_runs(self._fleet, (instance,))
-        self._fleet.stop_upstream(instance)
-        return records
-
     def _wait_for_leader(self) -> None:
         wait_until(
             lambda: any(
@@ -147,16 +139,14 @@
             )
         return total
 
-    async def _judge(self, records: Counter[str]) -> bool:
+    async def _judge(self) -> bool:
         tallies = [await caller.stop() for caller in self._callers]
-        left = set(self._fleet.running_upstreams()) - {'c-1'}
-        records += await to_thread(read_runs, self._fleet, tuple(left))
         versions = {
             get_version(self._fleet.read_status(name))
             for name in self._fleet.running_daemons()
         }
         _say(f'versions in force: {sorted(versions)}')
-        judgement = judge(tallies, records)
+        judgement = judge(tallies, read_runs(self._fleet))
         _report(judgement)
         return judgement.is_kept and versions == {self._version}
 
