Answer the caller before the decision is logged, and read headers once

The decision line and the learning from an answer came before the answer was sent; now they come after it. Endpoints are chosen from candidates that carry what was seen of them, so nothing is looked up per step.

--- a/packages/bilberry_proxy/bilberry_proxy/balancers/base.py
+++ b/packages/bilberry_proxy/bilberry_proxy/balancers/base.py
@@ -4,13 +4,14 @@
 from typing import ClassVar, Protocol
 
 from bilberry_core.clock import RandomSource
-from bilberry_core.endpoint import Endpoint
+
+from bilberry_proxy.endpoint_load import Candidate
 
 
 class WorkEstimate(Protocol):
     """Tells how much work one more call would wait for."""
 
-    def __call__(self, endpoint: Endpoint) -> float:
+    def __call__(self, candidate: Candidate) -> float:
         """Returns the expected time of a call, in microseconds."""
 
 
@@ -21,8 +22,8 @@
 
     def pick(
         self,
-        endpoints: Sequence[Endpoint],
+        candidates: Sequence[Candidate],
         estimate: WorkEstimate,
         random: RandomSource,
-    ) -> Endpoint:
-        """Returns one of `endpoints`, which are never empty."""
+    ) -> Candidate:
+        """Returns one of `candidates`, which are never empty."""
--- a/packages/bilberry_proxy/bilberry_proxy/balancers/least_work.py
+++ b/packages/bilberry_proxy/bilberry_proxy/balancers/least_work.py
@@ -4,9 +4,9 @@
 from typing import ClassVar
 
 from bilberry_core.clock import RandomSource
-from bilberry_core.endpoint import Endpoint
 
 from bilberry_proxy.balancers.base import WorkEstimate
+from bilberry_proxy.endpoint_load import Candidate
 
 
 class LeastWorkBalancer:
@@ -20,17 +20,17 @@
 
     def pick(
         self,
-        endpoints: Sequence[Endpoint],
+        candidates: Sequence[Candidate],
         estimate: WorkEstimate,
         random: RandomSource,
-    ) -> Endpoint:
+    ) -> Candidate:
         """Returns the one of two that expects less work."""
-        count = len(endpoints)
+        count = len(candidates)
         if count == 1:
-            return endpoints[0]
+            return candidates[0]
         first = int(random.random() * count)
         second = int(random.random() * (count - 1))
         if second >= first:
             second += 1
-        one, other = endpoints[first], endpoints[second]
+        one, other = candidates[first], candidates[second]
         return one if estimate(one) <= estimate(other) else other
--- a/packages/bilberry_proxy/bilberry_proxy/balancers/random_choice.py
+++ b/packages/bilberry_proxy/bilberry_proxy/balancers/random_choice.py
@@ -4,9 +4,9 @@
 from typing import ClassVar
 
 from bilberry_core.clock import RandomSource
-from bilberry_core.endpoint import Endpoint
 
 from bilberry_proxy.balancers.base import WorkEstimate
+from bilberry_proxy.endpoint_load import Candidate
 
 
 class RandomBalancer:
@@ -16,9 +16,9 @@
 
     def pick(
         self,
-        endpoints: Sequence[Endpoint],
+        candidates: Sequence[Candidate],
         _estimate: WorkEstimate,
         random: RandomSource,
-    ) -> Endpoint:
+    ) -> Candidate:
         """Returns a random endpoint."""
-        return endpoints[int(random.random() * len(endpoints))]
+        return candidates[int(random.random() * len(candidates))]
--- a/packages/bilberry_proxy/bilberry_proxy/balancers/round_robin.py
+++ b/packages/bilberry_proxy/bilberry_proxy/balancers/round_robin.py
@@ -4,9 +4,9 @@
 from typing import ClassVar
 
 from bilberry_core.clock import RandomSource
-from bilberry_core.endpoint import Endpoint
 
 from bilberry_proxy.balancers.base import WorkEstimate
+from bilberry_proxy.endpoint_load import Candidate
 
 
 class RoundRobinBalancer:
@@ -20,10 +20,10 @@
 
     def pick(
         self,
-        endpoints: Sequence[Endpoint],
+        candidates: Sequence[Candidate],
         _estimate: WorkEstimate,
         _random: RandomSource,
-    ) -> Endpoint:
+    ) -> Candidate:
         """Returns the next endpoint."""
-        self._turn = (self._turn + 1) % len(endpoints)
-        return endpoints[self._turn]
+        self._turn = (self._turn + 1) % len(candidates)
+        return candidates[self._turn]
--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -143,17 +143,17 @@
             return
         http.start_next_cycle()
         self._transport.resume_reading()
-        self._read_events()
+        if http.trailing_data[0]:
+            self._read_events()
 
     def _read_events(self) -> None:
         if self._reading_events:
             return
         self._reading_events = True
         try:
-            batch = read_batch(self._http)
-            while not batch.is_empty:
-                self._hand_on(batch)
-                batch = read_batch(self._http)
+            is_more = True
+            while is_more:
+                is_more = self._hand_on(read_batch(self._http))
         except RemoteProtocolError as error:
             self._refuse(error)
         finally:
@@ -161,7 +161,9 @@
         if len(self._http.trailing_data[0]) > MAX_AHEAD_BYTES:
             self.control_reading(wanted=False)
 
-    def _hand_on(self, batch: EventBatch) -> None:
+    def _hand_on(self, batch: EventBatch) -> bool:
+        if batch.is_empty:
+            return False
         if batch.start is not None:
             self._exchange = self._build_exchange(self)
             if not batch.last:
@@ -170,6 +172,7 @@
         exchange = self._exchange
         if exchange is not None and (batch.body or batch.last):
             exchange.feed(batch.body, batch.last)
+        return self._exchange is None or not batch.last
 
     def _refuse(self, error: RemoteProtocolError) -> None:
         exchange = self._exchange
--- a/packages/bilberry_proxy/bilberry_proxy/caller_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_request.py
@@ -14,7 +14,6 @@
     IDEMPOTENCY_KEY,
     RETRIED,
     Headers,
-    find_header,
     select_request_headers,
 )
 
@@ -43,18 +42,21 @@
 
 
 def parse_caller_request(start: Request) -> Result[CallerRequest, Failure]:
-    """Returns what a caller asks, or why that can't be served."""
-    headers = start.headers
-    deadline = find_header(headers, DEADLINE)
-    if deadline and not _is_deadline(deadline):
-        return _refuse(f'header "bilberry-deadline-ms": {deadline!r}')
-    key = find_header(headers, IDEMPOTENCY_KEY)
-    if len(key) > MAX_KEY_BYTES:
-        return _refuse('header "idempotency-key" is longer than 255 bytes')
-    if start.method == b'CONNECT' or not start.target.startswith(b'/'):
-        return _refuse('expected a request target that begins with "/"')
-    host = find_header(headers, b'host').decode('latin-1').lower()
+    """Returns what a caller asks, or why that can't be served.
+
+    Of a header that is repeated the last one counts.
+    """
+    headers = tuple(start.headers)
+    found = dict(headers)
+    deadline = found.get(DEADLINE, b'')
+    key = found.get(IDEMPOTENCY_KEY, b'')
     target = start.target
+    refusal = _find_refusal(start.method, target, deadline, key)
+    if refusal:
+        return Refused(
+            Failure(Verdict.NOT_RUN, FailureCode.BAD_REQUEST, refusal),
+        )
+    host = found.get(b'host', b'').decode('latin-1').lower()
     return Success(
         CallerRequest(
             start.method,
@@ -64,7 +66,7 @@
             select_request_headers(headers),
             int(deadline or 0),
             key.decode('latin-1'),
-            bool(find_header(headers, RETRIED)),
+            RETRIED in found,
         ),
     )
 
@@ -82,9 +84,23 @@
     return digest.digest()
 
 
-def _is_deadline(text: bytes) -> bool:
-    return text.isdigit() and 0 < int(text[:7]) <= MAX_DEADLINE_MS
+def _find_refusal(
+    method: bytes,
+    target: bytes,
+    deadline: bytes,
+    key: bytes,
+) -> str:
+    if deadline and not _is_deadline(deadline):
+        return (
+            f'header "bilberry-deadline-ms": expected 1 to {MAX_DEADLINE_MS}, '
+            f'got {deadline!r}'
+        )
+    if len(key) > MAX_KEY_BYTES:
+        return f'header "idempotency-key": expected {MAX_KEY_BYTES} bytes'
+    if method == b'CONNECT' or not target.startswith(b'/'):
+        return 'expected a request target that begins with "/"'
+    return ''
 
 
-def _refuse(detail: str) -> Result[CallerRequest, Failure]:
-    return Refused(Failure(Verdict.NOT_RUN, FailureCode.BAD_REQUEST, detail))
+def _is_deadline(text: bytes) -> bool:
+    return text.isdigit() and 0 < int(text[:7]) <= MAX_DEADLINE_MS
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -105,11 +105,11 @@
     # The attempt's side.
 
     def take_reply(self, attempt: Attempt, reply: ReplyStart) -> None:
-        """Learns from the start of an answer and passes it on."""
+        """Passes the start of an answer on and learns from it."""
         context = self._context
         latency_s = context.clock.now() - attempt.started_at
-        context.router.note_answer(attempt.endpoint, latency_s, reply.load)
         self._owner.take_reply(reply)
+        context.router.note_answer(attempt.endpoint, latency_s, reply.load)
 
     def take_chunk(self, chunk: ReplyChunk) -> None:
         """Passes more of the answer on."""
--- a/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
+++ b/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
@@ -4,6 +4,8 @@
 against what was seen: own calls outstanding, latencies and failures.
 """
 
+from typing import NamedTuple
+
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.call import Load
 
@@ -77,19 +79,24 @@
         return max(0, 1 - (now - self.seen_at) / FADE_S)
 
 
-def estimate_work_us(
-    endpoint: Endpoint,
-    load: EndpointLoad,
-    now: float,
-) -> float:
+class Candidate(NamedTuple):
+    """An endpoint that may be chosen, and what was seen of it."""
+
+    endpoint: Endpoint
+    load: EndpointLoad
+
+
+def estimate_work_us(candidate: Candidate, now: float) -> float:
     """Returns the time that one more call would take, in microseconds."""
+    endpoint, load = candidate
     work = load.estimate_work(now) + 1
     latency_us = load.estimate_latency_us(now)
     return latency_us * (1 + work / max(endpoint.slots, 1))
 
 
-def is_busy(endpoint: Endpoint, load: EndpointLoad, now: float) -> bool:
+def is_busy(candidate: Candidate, now: float) -> bool:
     """Tells whether an endpoint has hardly a slot left."""
+    endpoint, load = candidate
     return load.estimate_work(now) >= endpoint.slots * BUSY_SHARE
 
 
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -123,20 +123,20 @@
         if self._gate is not None:
             self._gate.keep_start(reply)
         status, last = reply.status, reply.last
+        self._answer.start(status, reply.headers, reply.body, last)
         if last:
             self._end(None, status)
-        self._answer.start(status, reply.headers, reply.body, last)
-        if not last:
+        else:
             self.resume_answer()
 
     def take_chunk(self, chunk: ReplyChunk) -> None:
         """Passes more of the answer on."""
         if self._gate is not None:
             self._gate.keep_chunk(chunk)
+        self._answer.go_on(chunk.body, chunk.last)
         if chunk.last:
             self._end(None, self._answer.status)
-        self._answer.go_on(chunk.body, chunk.last)
-        if not chunk.last:
+        else:
             self.resume_answer()
 
     def take_failure(self, failure: Failure) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/http_headers.py
+++ b/packages/bilberry_proxy/bilberry_proxy/http_headers.py
@@ -18,7 +18,6 @@
 TRANSFER_ENCODING = b'transfer-encoding'
 CLOSE = (b'connection', b'close')
 
-_SET_ANEW = frozenset((DEADLINE, RETRIED))
 _ONE_CONNECTION = frozenset(
     (
         b'connection',
@@ -33,6 +32,7 @@
         b'expect',
     ),
 )
+_SET_ANEW = _ONE_CONNECTION | {DEADLINE, RETRIED}
 
 
 def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
@@ -45,11 +45,7 @@
 
 def select_request_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """Returns the headers of a request that go to the upstream."""
-    return tuple(
-        header
-        for header in headers
-        if header[0] not in _ONE_CONNECTION and header[0] not in _SET_ANEW
-    )
+    return tuple(header for header in headers if header[0] not in _SET_ANEW)
 
 
 def select_answer_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -13,7 +13,7 @@
 
 from bilberry_proxy.balancers import build_balancer
 from bilberry_proxy.balancers.base import Balancer
-from bilberry_proxy.endpoint_load import EndpointLoad
+from bilberry_proxy.endpoint_load import Candidate, EndpointLoad
 from bilberry_proxy.outlier import count_failure, count_success
 from bilberry_proxy.retry import RetryBudget
 from bilberry_proxy.selection import (
@@ -44,7 +44,7 @@
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._balancers: dict[tuple[str, str], Balancer] = {}
-        self._ready: dict[str, tuple[Route, tuple[Endpoint, ...]]] = {}
+        self._ready: dict[str, tuple[Route, tuple[Candidate, ...]]] = {}
 
     def choose(
         self,
@@ -62,7 +62,6 @@
         return select_endpoint(
             self._find_ready(route),
             tried,
-            self.find_load,
             viewpoint,
             self._find_balancer(decision),
             self._random,
@@ -106,7 +105,7 @@
         """Takes in a failure of an endpoint, and ejects an outlier."""
         ready = self._find_ready(route)
         now = self._clock.now()
-        peers = [self.find_load(one) for one in ready]
+        peers = [candidate.load for candidate in ready]
         load = self.find_load(endpoint)
         if count_failure(load, peers, failure, now, lasted_s):
             _log.warning(
@@ -127,11 +126,14 @@
             if key in present or load.outstanding
         }
 
-    def _find_ready(self, route: Route) -> tuple[Endpoint, ...]:
+    def _find_ready(self, route: Route) -> tuple[Candidate, ...]:
         known = self._ready.get(route.service)
         if known is not None and known[0] is route:
             return known[1]
-        ready = select_ready(route.endpoints, self._instance)
+        ready = tuple(
+            Candidate(endpoint, self.find_load(endpoint))
+            for endpoint in select_ready(route.endpoints, self._instance)
+        )
         self._ready[route.service] = (route, ready)
         return ready
 
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -4,7 +4,7 @@
 ejected, warm, near and not busy. A balancer picks from what is left.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from xxhash import xxh3_64_intdigest
@@ -14,7 +14,8 @@
 
 from bilberry_proxy.balancers.base import Balancer
 from bilberry_proxy.endpoint_load import (
-    EndpointLoad,
+    SLOW_START_MS,
+    Candidate,
     estimate_work_us,
     find_slow_start,
     is_busy,
@@ -23,8 +24,6 @@
 #: Endpoints of a service that one proxy calls, where there are more.
 SUBSET_SIZE = 24
 
-LoadLookup = Callable[[Endpoint], EndpointLoad]
-
 
 class Viewpoint(NamedTuple):
     """Where a selection is made from, and when.
@@ -75,9 +74,8 @@
 
 
 def select_endpoint(
-    ready: Sequence[Endpoint],
+    ready: Sequence[Candidate],
     tried: Sequence[str],
-    loads: LoadLookup,
     viewpoint: Viewpoint,
     balancer: Balancer,
     random: RandomSource,
@@ -88,76 +86,79 @@
     """
     if not ready:
         return None
-    left: Sequence[Endpoint] = ready
-    reasons = []
-    if tried:
-        left = _prefer(left, lambda one: one.instance not in tried)
-        reasons.append('not tried')
-    left = _skip_ejected(left, loads, viewpoint.now, reasons)
-    left = _skip_cold(left, viewpoint.wall_ms, random, reasons)
-    left = _prefer_near(left, loads, viewpoint, reasons)
     now = viewpoint.now
+    reasons: list[str] = []
+    left = _skip_tried(ready, tried, reasons)
+    left = _skip_ejected(left, now, reasons)
+    left = _skip_cold(left, viewpoint.wall_ms, random, reasons)
+    left = _prefer_near(left, viewpoint, reasons)
     chosen = balancer.pick(
         left,
-        lambda one: estimate_work_us(one, loads(one), now),
+        lambda one: estimate_work_us(one, now),
         random,
     )
     reasons.append(balancer.name)
     has_other = len(ready) > len(tried) + 1
-    return Selection(chosen, len(left), ', '.join(reasons), has_other)
+    return Selection(chosen.endpoint, len(left), ', '.join(reasons), has_other)
 
 
-def _prefer(
-    endpoints: Sequence[Endpoint],
-    condition: Callable[[Endpoint], bool],
-) -> Sequence[Endpoint]:
-    preferred = [one for one in endpoints if condition(one)]
-    return preferred or endpoints
+def _skip_tried(
+    candidates: Sequence[Candidate],
+    tried: Sequence[str],
+    reasons: list[str],
+) -> Sequence[Candidate]:
+    if not tried:
+        return candidates
+    left = [one for one in candidates if one.endpoint.instance not in tried]
+    if not left:
+        reasons.append('all tried')
+        return candidates
+    reasons.append('not tried')
+    return left
 
 
 def _skip_ejected(
-    endpoints: Sequence[Endpoint],
-    loads: LoadLookup,
+    candidates: Sequence[Candidate],
     now: float,
     reasons: list[str],
-) -> Sequence[Endpoint]:
-    left = [one for one in endpoints if loads(one).ejected_until <= now]
-    if len(left) == len(endpoints):
-        return endpoints
+) -> Sequence[Candidate]:
+    left = [one for one in candidates if one.load.ejected_until <= now]
+    if len(left) == len(candidates):
+        return candidates
     if not left:
         reasons.append('all ejected')
-        return endpoints
+        return candidates
     reasons.append('not ejected')
     return left
 
 
 def _skip_cold(
-    endpoints: Sequence[Endpoint],
+    candidates: Sequence[Candidate],
     wall_ms: int,
     random: RandomSource,
     reasons: list[str],
-) -> Sequence[Endpoint]:
-    left = []
-    for endpoint in endpoints:
-        share = find_slow_start(endpoint, wall_ms)
-        if share >= 1 or random.random() < share:
-            left.append(endpoint)
-    if left and len(left) < len(endpoints):
+) -> Sequence[Candidate]:
+    left = [
+        one
+        for one in candidates
+        if wall_ms - one.endpoint.since_ms >= SLOW_START_MS
+        or random.random() < find_slow_start(one.endpoint, wall_ms)
+    ]
+    if left and len(left) < len(candidates):
         reasons.append('warm')
         return left
-    return endpoints
+    return candidates
 
 
 def _prefer_near(
-    endpoints: Sequence[Endpoint],
-    loads: LoadLookup,
+    candidates: Sequence[Candidate],
     viewpoint: Viewpoint,
     reasons: list[str],
-) -> Sequence[Endpoint]:
+) -> Sequence[Candidate]:
     now = viewpoint.now
-    free = [one for one in endpoints if not is_busy(one, loads(one), now)]
+    free = [one for one in candidates if not is_busy(one, now)]
     domain = viewpoint.failure_domain
-    near = [one for one in free if one.failure_domain == domain]
+    near = [one for one in free if one.endpoint.failure_domain == domain]
     if near:
         reasons.append('near')
         return near
@@ -165,4 +166,4 @@
         reasons.append('free')
         return free
     reasons.append('all busy')
-    return endpoints
+    return candidates
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
@@ -188,28 +188,28 @@
     def _deliver(self, batch: EventBatch) -> None:
         receiver = self._receiver
         start = batch.start
-        if start is not None and not self._is_framed(start):
+        headers = tuple(start.headers) if start is not None else ()
+        if start is not None and not self._is_framed(start, headers):
             self._break('the answer has no length')
             return
         if batch.last:
             self._finish()
         if start is not None:
-            headers = select_answer_headers(start.headers)
             receiver.take_response(
                 start.status_code,
-                headers,
+                select_answer_headers(headers),
                 batch.body,
                 batch.last,
             )
         elif not batch.is_empty:
             receiver.take_body(batch.body, batch.last)
 
-    def _is_framed(self, start: Response) -> bool:
+    def _is_framed(self, start: Response, headers: Headers) -> bool:
         if self._method == b'HEAD' or start.status_code in _BODILESS_STATUSES:
             return True
         return bool(
-            find_header(start.headers, CONTENT_LENGTH)
-            or find_header(start.headers, TRANSFER_ENCODING),
+            find_header(headers, CONTENT_LENGTH)
+            or find_header(headers, TRANSFER_ENCODING),
         )
 
     def _finish(self) -> None:
--- a/tests/bilberry_proxy/test_selection.py
+++ b/tests/bilberry_proxy/test_selection.py
@@ -13,6 +13,7 @@
 from bilberry_proxy.balancers import build_balancer, get_balancer_names
 from bilberry_proxy.endpoint_load import (
     SLOW_START_MS,
+    Candidate,
     EndpointLoad,
     estimate_work_us,
     is_busy,
@@ -64,9 +65,11 @@
         for endpoint, load in zip(endpoints, loads, strict=True)
     }
     return select_endpoint(
-        select_ready(endpoints, HERE.instance),
+        [
+            Candidate(endpoint, by_name[endpoint.instance])
+            for endpoint in select_ready(endpoints, HERE.instance)
+        ],
         tried,
-        lambda endpoint: by_name[endpoint.instance],
         HERE,
         build_balancer(name),
         Random(seed),
@@ -174,18 +177,21 @@
         """An endpoint that once was busy gets calls again."""
         load = EndpointLoad()
         load.learn(1, Load(12, 40, 12, 0), 0)
-        endpoint = build_endpoint(0)
-        self.assertTrue(is_busy(endpoint, load, 0))
-        self.assertFalse(is_busy(endpoint, load, 60))
-        fresh = estimate_work_us(endpoint, EndpointLoad(), 60)
-        self.assertEqual(fresh, estimate_work_us(endpoint, load, 60))
+        candidate = Candidate(build_endpoint(0), load)
+        self.assertTrue(is_busy(candidate, 0))
+        self.assertFalse(is_busy(candidate, 60))
+        fresh = candidate._replace(load=EndpointLoad())
+        self.assertEqual(
+            estimate_work_us(fresh, 60),
+            estimate_work_us(candidate, 60),
+        )
 
     def test_own_calls_count_whatever_is_reported(self):
         """A report of no load does not hide calls that are outstanding."""
         load = EndpointLoad()
         load.learn(0.001, Load(0, 0, 12, 0), 0)
         load.outstanding = 12
-        self.assertTrue(is_busy(build_endpoint(0), load, 0))
+        self.assertTrue(is_busy(Candidate(build_endpoint(0), load), 0))
 
     def test_short_deadlines_are_no_fault_of_the_endpoint(self):
         """Only an endpoint that is late beyond its own latency is blamed."""
@@ -205,6 +211,10 @@
         """Returns the mean time of 600 calls; one of four is ten times slow."""
         endpoints = [build_endpoint(at) for at in range(4)]
         loads = [EndpointLoad() for _ in endpoints]
+        candidates = [
+            Candidate(endpoint, load)
+            for endpoint, load in zip(endpoints, loads, strict=True)
+        ]
         balancer = build_balancer(name)
         random = Random(1)
         finished: list[tuple[float, int]] = []
@@ -215,9 +225,8 @@
                 loads[at].end()
                 finished.remove((until, at))
             selection = select_endpoint(
-                endpoints,
+                candidates,
                 (),
-                lambda one: loads[endpoints.index(one)],
                 HERE._replace(now=now),
                 balancer,
                 random,
