--- /dev/null
+++ b/tests/bilberry_proxy/test_upstream_connection.py
@@ -0,0 +1,195 @@
+"""One connection to an upstream that misbehaves in every way."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.verdict import FailureCode
+
+from bilberry_proxy.upstream_connection import (
+    UpstreamConnection,
+    UpstreamRequest,
+)
+
+GET = UpstreamRequest(b'GET', b'/', ((b'host', b'a'),), b'', True)
+HEAD = GET._replace(method=b'HEAD')
+UPLOAD = GET._replace(method=b'POST', body=b'some', last=False)
+WHOLE = b'HTTP/1.1 200 \r\ncontent-length: 4\r\n\r\nbody'
+CHUNKED = (
+    b'HTTP/1.1 200 \r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n'
+)
+
+
+class FakeTransport:
+    """A socket that keeps what is written."""
+
+    def __init__(self) -> None:
+        """Starts open."""
+        self.written = b''
+        self.is_aborted = False
+        self.is_reading = True
+
+    def write(self, raw: bytes) -> None:
+        """Keeps bytes."""
+        self.written += raw
+
+    def abort(self) -> None:
+        """Ends the connection."""
+        self.is_aborted = True
+
+    def is_closing(self) -> bool:
+        """Tells whether the connection has ended."""
+        return self.is_aborted
+
+    def write_eof(self) -> None:
+        """Ends what is sent."""
+
+    def pause_reading(self) -> None:
+        """Reads nothing more."""
+        self.is_reading = False
+
+    def resume_reading(self) -> None:
+        """Reads again."""
+        self.is_reading = True
+
+
+class Exchange:
+    """One request on a connection, and what became of it."""
+
+    def __init__(self, request: UpstreamRequest = GET) -> None:
+        """Sends the request."""
+        self.status = 0
+        self.body = b''
+        self.is_whole = False
+        self.code: FailureCode | None = None
+        self.freed = 0
+        self.ended = 0
+        self.transport = FakeTransport()
+        self.connection = UpstreamConnection(self)
+        self.connection.connection_made(self.transport)
+        self.connection.begin(request, self)
+
+    def receive(self, *parts: bytes) -> 'Exchange':
+        """The upstream sends these bytes, then closes where it is aborted."""
+        for part in parts:
+            if part and not self.transport.is_aborted:
+                self.connection.data_received(part)
+        return self
+
+    def close(self) -> 'Exchange':
+        """The upstream closes the connection."""
+        self.connection.connection_lost(None)
+        return self
+
+    def take_response(self, status, _headers, body, last) -> None:
+        """Takes the start of an answer."""
+        self.status = status
+        self.take_body(body, last)
+
+    def take_body(self, body, last) -> None:
+        """Takes more of an answer."""
+        self.body += body
+        self.is_whole = last
+
+    def take_broken(self, code, _detail) -> None:
+        """Takes the end of the connection."""
+        self.code = code
+
+    def resume_request(self) -> None:
+        """Takes leave to send more."""
+
+    def connection_free(self, _connection) -> None:
+        """Counts that the connection may be reused."""
+        self.freed += 1
+
+    def connection_ended(self, _connection) -> None:
+        """Counts that the connection has ended."""
+        self.ended += 1
+
+
+class WholeAnswerTest(TestCase):
+    """Whole answers, however they are cut into reads."""
+
+    @given(st.sampled_from([WHOLE, CHUNKED]), st.integers(1, 80))
+    def test_answer_in_any_pieces(self, raw, step):
+        """The body arrives whole and the connection is free once."""
+        parts = [raw[at : at + step] for at in range(0, len(raw), step)]
+        exchange = Exchange().receive(*parts)
+        self.assertEqual((b'body', True), (exchange.body, exchange.is_whole))
+        self.assertEqual(1, exchange.freed)
+
+    @given(st.sampled_from([WHOLE, CHUNKED]), st.data())
+    def test_cut_answer_is_never_whole(self, raw, data):
+        """An upstream that closes early is told, wherever it closed."""
+        size = data.draw(st.integers(0, len(raw) - 1))
+        exchange = Exchange().receive(raw[:size]).close()
+        self.assertFalse(exchange.is_whole)
+        self.assertEqual(FailureCode.UPSTREAM_CLOSED, exchange.code)
+
+    @given(st.binary(min_size=1, max_size=60))
+    def test_garbage_is_never_an_answer(self, garbage):
+        """Bytes that are no HTTP end the connection."""
+        exchange = Exchange().receive(garbage, b'\r\n\r\n').close()
+        self.assertFalse(exchange.is_whole)
+        self.assertIsNotNone(exchange.code)
+
+    def test_answer_without_length_is_refused(self):
+        """An answer that ends with the connection can't be told from a cut."""
+        exchange = Exchange().receive(b'HTTP/1.1 200 \r\n\r\nbody')
+        self.assertEqual(FailureCode.UPSTREAM_MALFORMED, exchange.code)
+        self.assertTrue(exchange.transport.is_aborted)
+
+    def test_answer_to_head_has_no_body(self):
+        """The declared length of an answer to HEAD is not waited for."""
+        exchange = Exchange(HEAD).receive(
+            b'HTTP/1.1 200 \r\ncontent-length: 4\r\n\r\n'
+        )
+        self.assertEqual((True, 1), (exchange.is_whole, exchange.freed))
+
+    def test_interim_answer_is_skipped(self):
+        """A 1xx answer is not the answer."""
+        interim = b'HTTP/1.1 103 Early\r\n\r\n'
+        exchange = Exchange().receive(interim + WHOLE)
+        self.assertEqual((200, b'body'), (exchange.status, exchange.body))
+
+
+class ReuseTest(TestCase):
+    """A connection with anything unread on it is never used again."""
+
+    def test_unread_bytes_after_the_answer(self):
+        """A second answer in the same read ends the connection."""
+        exchange = Exchange().receive(WHOLE + WHOLE)
+        self.assertEqual((b'body', 0), (exchange.body, exchange.freed))
+        self.assertTrue(exchange.transport.is_aborted)
+
+    def test_unread_bytes_while_idle(self):
+        """A late second answer ends the idle connection."""
+        exchange = Exchange().receive(WHOLE, WHOLE)
+        self.assertTrue(exchange.transport.is_aborted)
+        self.assertFalse(exchange.connection.is_reusable)
+
+    def test_answer_before_the_request_was_sent(self):
+        """An early answer is passed on, the connection ends."""
+        exchange = Exchange(UPLOAD).receive(WHOLE)
+        self.assertEqual((b'body', 0), (exchange.body, exchange.freed))
+        self.assertTrue(exchange.transport.is_aborted)
+
+    def test_upstream_that_wants_to_close(self):
+        """`connection: close` is heeded."""
+        raw = WHOLE.replace(b'\r\n\r\n', b'\r\nconnection: close\r\n\r\n')
+        exchange = Exchange().receive(raw)
+        self.assertEqual((True, 0), (exchange.is_whole, exchange.freed))
+
+    def test_free_connection_serves_the_next_request(self):
+        """After a whole answer the connection is used again."""
+        exchange = Exchange().receive(WHOLE)
+        exchange.connection.begin(GET, exchange)
+        exchange.receive(WHOLE)
+        self.assertEqual((b'bodybody', 2), (exchange.body, exchange.freed))
+
+    def test_nothing_is_received_for_a_call_given_up(self):
+        """After a half close the answer reaches nobody."""
+        exchange = Exchange()
+        self.assertTrue(exchange.connection.half_close())
+        exchange.receive(WHOLE)
+        self.assertEqual((0, b''), (exchange.status, exchange.body))
