Show a version only once a restart would begin with it

Cause: a replica restarted after every daemon had died ran version 1 for about two seconds although it had run version 2: commitment was noted only beside later entries, so the last committed version was not known again until a leader told it. Found by a test that kills and restarts the whole fleet. The cost is one more sync on each replica between commitment and force. Conclusion: no proxy goes back over a restart, also while no quorum is up.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -5,7 +5,10 @@
 """
 
 from collections.abc import Iterable
+from itertools import count as count_up
+from itertools import islice
 from json import loads
+from os import getpid
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGTERM, Signals
 from socket import create_server
@@ -20,6 +23,9 @@
 
 _HOST = '127.0.0.1'
 _POLL_S = 0.02
+_FIRST_PORT = 10_000
+_PORT_BLOCKS = 100
+_BLOCK_PORTS = 200
 _STOP_TIMEOUT_S = 40.0
 
 
@@ -228,13 +234,26 @@
 
 
 def _pick_ports(count: int) -> list[Ports]:
+    """Picks free ports below those that outgoing connections get.
+
+    Each launching process begins at a place of its own, so that fleets that
+    start at the same time do not pick the same.
+    """
     per_instance = len(Ports._fields)
-    sockets = [create_server((_HOST, 0)) for _ in range(count * per_instance)]
-    numbers = [taken.getsockname()[1] for taken in sockets]
-    for taken in sockets:
-        taken.close()
+    start = _FIRST_PORT + getpid() % _PORT_BLOCKS * _BLOCK_PORTS
+    numbers = list(
+        islice(filter(_is_free, count_up(start)), count * per_instance),
+    )
     starts = range(0, len(numbers), per_instance)
-    return [Ports(*numbers[start : start + per_instance]) for start in starts]
+    return [Ports(*numbers[at : at + per_instance]) for at in starts]
+
+
+def _is_free(port: int) -> bool:
+    try:
+        create_server((_HOST, port)).close()
+    except OSError:
+        return False
+    return True
 
 
 def _terminate(process: Popen) -> int:
--- a/packages/bilberry_replica/bilberry_replica/controller.py
+++ b/packages/bilberry_replica/bilberry_replica/controller.py
@@ -33,7 +33,7 @@
 from bilberry_replica.joining import Joining
 from bilberry_replica.links import Links
 from bilberry_replica.outcome import build_result
-from bilberry_replica.publisher import Publisher
+from bilberry_replica.publisher import Publisher, build_version
 from bilberry_replica.reconfiguration import Reconfiguration
 
 _log = getLogger(__name__)
@@ -163,7 +163,7 @@
                 index = await self._forwarding.confirm(timeout_s)
                 if index is not None:
                     await self._wait_applied(index)
-                    return Success(self._board.accepted.value)
+                    return Success(self._read_newest())
         return Failure(NotAccepted('no quorum confirmed the newest version'))
 
     def read_history(self, limit: int) -> tuple[HistoryEntry, ...]:
@@ -178,6 +178,10 @@
         """Has the leader log that an epoch's claims were handed over."""
         return await self._reconfiguration.settle(epoch, timeout_s)
 
+    def _read_newest(self) -> AcceptedVersion | None:
+        newest = self._driver.replica.machine.register.newest
+        return None if newest is None else build_version(newest)
+
     def _follow_members(self) -> None:
         membership = self._driver.replica.node.membership
         self._links.keep(list_addresses(self._settings, membership))
--- a/packages/bilberry_replica/bilberry_replica/machine.py
+++ b/packages/bilberry_replica/bilberry_replica/machine.py
@@ -5,7 +5,8 @@
 
 from bilberry_replica.log import Log
 from bilberry_replica.register import Decision, Register
-from bilberry_replica.storage import SnapshotRecord, encode_snapshot
+from bilberry_replica.record import SnapshotRecord
+from bilberry_replica.storage import encode_snapshot
 
 
 class Applied(NamedTuple):
--- a/packages/bilberry_replica/bilberry_replica/publisher.py
+++ b/packages/bilberry_replica/bilberry_replica/publisher.py
@@ -2,6 +2,7 @@
 
 from logging import getLogger
 
+from bilberry_core.acceptance import HistoryEntry
 from bilberry_core.board import Beacon, Board, ReplicaStatus
 from bilberry_core.configuration import AcceptedVersion, decode_configuration
 from bilberry_core.messages.replica import Membership
@@ -14,7 +15,8 @@
 class Publisher:
     """Keeps `accepted`, `replica`, `beacon` and `claim_epoch` current.
 
-    Only committed versions are shown, and never an older one after a newer.
+    Only committed versions are shown, once the journal says that they are
+    committed, and never an older one after a newer.
     """
 
     def __init__(self, replica: Replica, board: Board) -> None:
@@ -31,16 +33,10 @@
         self._show_epoch()
 
     def _show_accepted(self) -> None:
-        newest = self._replica.machine.register.newest
+        newest = self._replica.durable_newest
         shown = self._board.accepted.value
         if newest is None or (shown and shown.version >= newest.version):
             return
-        accepted = AcceptedVersion(
-            newest.version,
-            newest.term,
-            newest.digest,
-            decode_configuration(newest.content),
-        )
         _log.info(
             'version_accepted',
             extra={
@@ -50,7 +46,7 @@
                 'author': newest.author,
             },
         )
-        self._board.accepted.put(accepted)
+        self._board.accepted.put(build_version(newest))
 
     def _show_status(self) -> None:
         node = self._replica.node
@@ -84,3 +80,13 @@
         shown = self._board.beacon.value
         if shown is None or beacon > shown:
             self._board.beacon.put(beacon)
+
+
+def build_version(entry: HistoryEntry) -> AcceptedVersion:
+    """Returns the accepted version of an entry of the history."""
+    return AcceptedVersion(
+        entry.version,
+        entry.term,
+        entry.digest,
+        decode_configuration(entry.content),
+    )
--- a/packages/bilberry_replica/bilberry_replica/replica.py
+++ b/packages/bilberry_replica/bilberry_replica/replica.py
@@ -9,6 +9,7 @@
 from logging import getLogger
 from typing import Any, NamedTuple
 
+from bilberry_core.acceptance import HistoryEntry
 from bilberry_core.board import Beacon
 from bilberry_core.journal import Journal
 from bilberry_core.messages.replica import (
@@ -34,6 +35,7 @@
     Restored,
     SnapshotRecord,
     decode_snapshot,
+    note_commit,
     note_effect,
     note_snapshot,
     note_store,
@@ -73,6 +75,8 @@
     term: int
     last_index: int
     sends: tuple[Send, ...]
+    commit: int
+    newest: HistoryEntry | None
 
 
 class Replica:
@@ -99,6 +103,8 @@
         self._early: list[Send] = []
         self._late: list[Send] = []
         self._kept_bytes = journal.size
+        self._kept_commit = node.commit
+        self._durable_newest = machine.register.newest
 
     @classmethod
     def open(
@@ -132,6 +138,15 @@
         """The state that committed entries have built."""
         return self._machine
 
+    @property
+    def durable_newest(self) -> HistoryEntry | None:
+        """The newest accepted version that a restart begins with.
+
+        Only this may be shown: a proxy that ran a newer one would go back
+        when the replica beside it restarts.
+        """
+        return self._durable_newest
+
     @property
     def agreed(self) -> Membership:
         """The newest membership that is committed."""
@@ -143,6 +158,8 @@
         if self._late or self._journal.has_unsynced:
             return True
         node = self._node
+        if node.commit > self._kept_commit:
+            return True
         return node.durable < node.log.last_index or needs_own_vote(node)
 
     def receive(self, sender: str, message: Any, moment: Moment) -> None:
@@ -192,12 +209,22 @@
     def begin_flush(self) -> Flush:
         """Returns what the next sync of the journal makes durable."""
         node = self._node
-        flush = Flush(node.term, node.log.last_index, tuple(self._late))
+        if node.commit > self._kept_commit:
+            note_commit(self._journal, node.commit)
+        flush = Flush(
+            node.term,
+            node.log.last_index,
+            tuple(self._late),
+            node.commit,
+            self._machine.register.newest,
+        )
         self._late = []
         return flush
 
     def end_flush(self, flush: Flush, moment: Moment) -> tuple[Send, ...]:
         """Returns what may be sent, now that the journal is synced."""
+        self._kept_commit = max(self._kept_commit, flush.commit)
+        self._durable_newest = flush.newest
         if flush.term == self._node.term:
             node = note_durable(self._node, flush.last_index)
             self.perform(confirm_own_vote(node, moment), moment)
--- a/packages/bilberry_replica/bilberry_replica/storage.py
+++ b/packages/bilberry_replica/bilberry_replica/storage.py
@@ -1,51 +1,24 @@
 """What a replica keeps in its journal, and how it reads that back."""
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from msgpack import packb, unpackb
-from msgspec import ValidationError, convert
+from msgspec import convert
 
 from bilberry_core.error import JournalError
 from bilberry_core.journal import Journal
-from bilberry_core.messages.replica import Entry, Membership
+from bilberry_core.messages.replica import Membership
 from bilberry_replica.log import Log
 from bilberry_replica.node import Effect, Node, SaveEntries, SaveTerm
-
-
-class StoreRecord(NamedTuple):
-    """The name of the data folder, made when it was first used."""
-
-    store: int
-
-
-class TermRecord(NamedTuple):
-    """The term and the vote given in it."""
-
-    term: int
-    vote: str
-
-
-class EntriesRecord(NamedTuple):
-    """Entries from index `first` on, in place of any there.
-
-    `commit` was committed when they were written.
-    """
-
-    first: int
-    entries: tuple[Entry, ...]
-    commit: int
-
-
-class SnapshotRecord(NamedTuple):
-    """The register after entry `index`, in place of everything before."""
-
-    index: int
-    index_term: int
-    membership: Membership
-    register: bytes
-
-
-_KINDS = (StoreRecord, TermRecord, EntriesRecord, SnapshotRecord)
+from bilberry_replica.record import (
+    CommitRecord,
+    EntriesRecord,
+    SnapshotRecord,
+    StoreRecord,
+    TermRecord,
+    decode_record,
+    encode_record,
+)
 
 
 class Restored(NamedTuple):
@@ -65,7 +38,7 @@
     Raises `JournalError` where they contradict each other.
     """
     restored = Restored()
-    for record in map(_decode, records):
+    for record in map(decode_record, records):
         restored = _APPLIERS[type(record)](restored, record)
     return restored
 
@@ -73,15 +46,20 @@
 def note_effect(journal: Journal, node: Node, effect: Effect) -> None:
     """Notes what an effect saves in the journal."""
     if isinstance(effect, SaveTerm):
-        journal.append(_encode(TermRecord(effect.term, effect.vote)))
+        journal.append(encode_record(TermRecord(effect.term, effect.vote)))
     elif isinstance(effect, SaveEntries):
         record = EntriesRecord(effect.first, effect.entries, node.commit)
-        journal.append(_encode(record))
+        journal.append(encode_record(record))
 
 
 def note_store(journal: Journal, store: int) -> None:
     """Notes the name of a new data folder."""
-    journal.append(_encode(StoreRecord(store)))
+    journal.append(encode_record(StoreRecord(store)))
+
+
+def note_commit(journal: Journal, commit: int) -> None:
+    """Notes what is committed, so that a restart does not begin behind it."""
+    journal.append(encode_record(CommitRecord(commit)))
 
 
 def note_snapshot(
@@ -97,7 +75,7 @@
         snapshot,
         EntriesRecord(snapshot.index + 1, kept, node.commit),
     )
-    journal.replace(map(_encode, records))
+    journal.replace(map(encode_record, records))
 
 
 def encode_snapshot(snapshot: SnapshotRecord) -> bytes:
@@ -110,24 +88,6 @@
     return convert(unpackb(encoded, use_list=False), SnapshotRecord)
 
 
-def _encode(record: Any) -> bytes:
-    return packb((_KINDS.index(type(record)), *record))
-
-
-def _decode(encoded: bytes) -> Any:
-    try:
-        return _convert(unpackb(encoded, use_list=False))
-    except (ValueError, ValidationError) as error:
-        raise JournalError(
-            f'the journal has a foreign record: {error}'
-        ) from error
-
-
-def _convert(unpacked: Any) -> Any:
-    number, *fields = convert(unpacked, tuple[Any, ...])
-    return convert(fields, _KINDS[range(len(_KINDS)).index(number)])
-
-
 def _restore_store(restored: Restored, record: StoreRecord) -> Restored:
     return restored._replace(store=record.store)
 
@@ -144,8 +104,16 @@
             + f'{log.last_index}',
         )
     log = log.put(record.first, record.entries)
-    commit = max(restored.commit, min(record.commit, log.last_index))
-    return restored._replace(log=log, commit=commit)
+    return _advance(restored._replace(log=log), record.commit)
+
+
+def _restore_commit(restored: Restored, record: CommitRecord) -> Restored:
+    return _advance(restored, record.commit)
+
+
+def _advance(restored: Restored, commit: int) -> Restored:
+    reached = min(commit, restored.log.last_index)
+    return restored._replace(commit=max(restored.commit, reached))
 
 
 def _restore_snapshot(restored: Restored, record: SnapshotRecord) -> Restored:
@@ -158,4 +126,5 @@
     TermRecord: _restore_term,
     EntriesRecord: _restore_entries,
     SnapshotRecord: _restore_snapshot,
+    CommitRecord: _restore_commit,
 }
--- /dev/null
+++ b/tests/process/case.py
@@ -0,0 +1,208 @@
+"""A test case with a fleet of real daemons and callers that send all along.
+
+Waiting is on conditions. The timeouts only bound a test that has failed.
+"""
+
+from asyncio import run, sleep, to_thread
+from collections.abc import Callable
+from json import loads
+from os import environ
+from pathlib import Path
+from shutil import rmtree
+from tempfile import mkdtemp
+from threading import Event, Thread
+from time import sleep as pause
+from typing import Any
+
+from testtools import TestCase
+from yaml import safe_dump
+
+from bilberry_core.endpoint import Address
+from demo.caller import Caller
+from demo.convergence import get_version
+from demo.fleet import Fleet, prepare_fleet, wait_until
+from demo.judgement import Judgement, judge
+from demo.operator import Operator, Outcome
+from demo.record import read_runs
+from demo.story import plan_instances
+
+TIMEOUT_S = 60.0
+REPLICAS = ('a-1', 'b-1', 'c-1')
+_WATCH_S = 0.05
+_WORKERS = 2
+_AROUND_FAULT_S = 0.3
+
+
+class VersionWatch:
+    """Notes every daemon whose version ever went back."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Starts to poll the daemons that run."""
+        self.reversals: list[str] = []
+        self._fleet = fleet
+        self._highest: dict[str, int] = {}
+        self._stopping = Event()
+        self._thread = Thread(target=self._poll, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the polling."""
+        self._stopping.set()
+        self._thread.join()
+
+    def _poll(self) -> None:
+        while not self._stopping.wait(_WATCH_S):
+            for instance in self._fleet.running_daemons():
+                status = self._fleet.read_status(instance)
+                version = get_version(status)
+                if version:
+                    self._note(instance, version)
+
+    def _note(self, instance: str, version: int) -> None:
+        highest = self._highest.get(instance, 0)
+        if version < highest:
+            self.reversals.append(f'{instance}: {highest} to {version}')
+        self._highest[instance] = max(highest, version)
+
+
+class FleetCase(TestCase):
+    """Launches six daemons, three of them replicas, and version 1."""
+
+    def setUp(self):
+        """Starts the fleet and waits until every upstream is routed to."""
+        super().setUp()
+        self.folder = Path(mkdtemp(prefix='bilberry-test-'))
+        if 'KEEP_FOLDERS' not in environ:
+            self.addCleanup(rmtree, self.folder, ignore_errors=True)
+        self.fleet = prepare_fleet(self.folder, plan_instances())
+        self.addCleanup(self.fleet.close)
+        self.operator = Operator(self.fleet)
+        self.fleet.start()
+        self.wait(lambda: self.find_leader() is not None, 'a leader')
+        self.assertEqual(0, self.apply(1, '5s').code)
+        self.wait_for_version(1)
+        self.wait(self._knows_every_endpoint, 'every endpoint')
+        self.watch = VersionWatch(self.fleet)
+        self.addCleanup(self.watch.stop)
+
+    def wait(self, condition: Callable[[], bool], what: str) -> None:
+        """Waits for a condition; fails naming `what`."""
+        wait_until(condition, TIMEOUT_S, what)
+
+    def write_configuration(self, name: str, timeout: str) -> Path:
+        """Writes a configuration whose default timeout is `timeout`."""
+        path = self.folder / f'{name}.yaml'
+        services = {
+            service: {'hosts': [f'{service}.example']}
+            for service in ('callouts', 'stock')
+        }
+        document = {
+            'defaults': {
+                'timeout': timeout,
+                'retries': 2,
+                'retry_budget': '100%',
+            },
+            'services': services,
+        }
+        path.write_text(safe_dump(document))
+        return path
+
+    def apply(self, number: int, timeout: str, *words: str) -> Outcome:
+        """Applies a configuration with `bilberryctl`."""
+        path = self.write_configuration(f'change-{number}', timeout)
+        return self.operator.run('apply', str(path), *words)
+
+    def read_versions(self) -> dict[str, int]:
+        """Returns the version that each running daemon runs."""
+        return {
+            instance: get_version(self.fleet.read_status(instance))
+            for instance in self.fleet.running_daemons()
+        }
+
+    def wait_for_version(self, version: int, *ignored: str) -> None:
+        """Waits until the running daemons run `version` or a newer one."""
+
+        def is_in_force() -> bool:
+            versions = self.read_versions()
+            return all(
+                held >= version
+                for instance, held in versions.items()
+                if instance not in ignored
+            )
+
+        self.wait(is_in_force, f'version {version} everywhere')
+
+    def find_leader(self, *ignored: str) -> str | None:
+        """Returns the replica that says it leads."""
+        for instance in REPLICAS:
+            if instance in ignored:
+                continue
+            replica = self.read_replica(instance)
+            if replica.get('role') == 'leader':
+                return instance
+        return None
+
+    def read_replica(self, instance: str) -> dict[str, Any]:
+        """Returns what a replica says of the replicated log."""
+        status = self.fleet.read_status(instance) or {}
+        return status.get('replica') or {}
+
+    def call_during(
+        self,
+        entries: tuple[tuple[str, str], ...],
+        fault: Callable[[], None],
+    ) -> Judgement:
+        """Sends requests while `fault` runs and judges what became of them.
+
+        `entries` are pairs of a daemon and a service.
+        """
+        return run(self._call_during(entries, fault))
+
+    def read_events(self, instance: str, event: str) -> list[dict[str, Any]]:
+        """Returns a daemon's log lines of one event."""
+        path = self.folder / f'{instance}.json'
+        lines = [loads(line) for line in path.read_text().splitlines()]
+        return [line for line in lines if line['event'] == event]
+
+    def get_callers_address(self, instance: str) -> Address:
+        """Returns where a daemon takes callers' requests."""
+        ports = self.fleet.members[instance].ports
+        return Address('127.0.0.1', ports.callers)
+
+    async def _call_during(self, entries, fault) -> Judgement:
+        callers = [
+            Caller(
+                instance,
+                self.get_callers_address(instance),
+                f'{service}.example',
+            )
+            for instance, service in entries
+        ]
+        for caller in callers:
+            caller.start(_WORKERS)
+        try:
+            await sleep(_AROUND_FAULT_S)
+            await to_thread(fault)
+            await sleep(_AROUND_FAULT_S)
+        finally:
+            tallies = [await caller.stop() for caller in callers]
+        return judge(tallies, read_runs(self.fleet))
+
+    def _knows_every_endpoint(self) -> bool:
+        for instance in REPLICAS:
+            status = self.fleet.read_status(instance) or {}
+            states = status.get('services', {}).values()
+            ready = sum(len(state.get('ready', ())) for state in states)
+            if ready < len(self.fleet.members):
+                return False
+        return True
+
+
+def lose_folder(folder: Path) -> None:
+    """Removes a data folder, as a lost disk would."""
+    rmtree(folder)
+
+
+def let_pass(seconds: float) -> None:
+    """Lets time pass during which a fault goes on."""
+    pause(seconds)
--- /dev/null
+++ b/tests/process/test_requests.py
@@ -0,0 +1,112 @@
+"""Requests while daemons and upstreams stop, die and change."""
+
+from asyncio import run
+from signal import SIGCONT, SIGSTOP
+
+from bilberry_core.http import HttpRequest, fetch
+from demo.record import read_runs
+from tests.process.case import FleetCase, let_pass
+
+_ENTRIES = (('a-2', 'callouts'), ('b-2', 'callouts'), ('a-1', 'stock'))
+
+
+class RequestFaultTest(FleetCase):
+    """No request is lost, cut, doubled or answered untruthfully."""
+
+    def assert_kept(self, judgement):
+        """Fails where a promise about requests was broken."""
+        self.assertTrue(judgement.is_kept, judgement._replace(answered=()))
+
+    def test_graceful_stop_of_daemon_cuts_nothing(self):
+        """A daemon told to stop finishes what it holds, and exits 0."""
+
+        def stop() -> None:
+            self.assertEqual(0, self.fleet.stop_daemon('c-2'))
+
+        self.assert_kept(self.call_during(_ENTRIES, stop))
+
+    def test_leaving_upstream_cuts_nothing(self):
+        """An upstream that drains gets nothing new and cuts nothing."""
+
+        def leave() -> None:
+            self.assertEqual(0, self.fleet.stop_upstream('c-1'))
+
+        self.assert_kept(self.call_during(_ENTRIES, leave))
+
+    def test_changes_cut_nothing(self):
+        """Changes of the configuration amid requests lose none."""
+
+        def change() -> None:
+            for number, timeout in ((2, '4s'), (3, '6s'), (4, '5s')):
+                self.assertEqual(0, self.apply(number, timeout).code)
+            self.wait_for_version(4)
+
+        self.assert_kept(self.call_during(_ENTRIES, change))
+
+    def test_killed_upstream_doubles_nothing(self):
+        """The death of an upstream is told truthfully, bookings run once."""
+        judgement = self.call_during(
+            _ENTRIES,
+            lambda: self.fleet.kill_upstream('c-1'),
+        )
+        self.assert_kept(judgement)
+
+    def test_killed_daemon_doubles_nothing(self):
+        """The death of a daemon between others is told truthfully."""
+        judgement = self.call_during(
+            _ENTRIES,
+            lambda: self.fleet.kill_daemon('c-1'),
+        )
+        self.assert_kept(judgement)
+
+    def test_frozen_daemon_and_change_together(self):
+        """A daemon frozen through a change catches up and doubles nothing."""
+
+        def freeze() -> None:
+            self.fleet.signal_daemon('c-2', SIGSTOP)
+            self.assertEqual(0, self.apply(2, '4s').code)
+            let_pass(2)
+            self.fleet.signal_daemon('c-2', SIGCONT)
+            self.wait_for_version(2)
+
+        self.assert_kept(self.call_during(_ENTRIES, freeze))
+        self.assertEqual([], self.watch.reversals)
+
+    def test_resend_after_herd_death_runs_once(self):
+        """A booking sent again after every daemon died is not run again."""
+        first = self._book('a-2')
+        daemons = self.fleet.running_daemons()
+        for instance in daemons:
+            self.fleet.kill_daemon(instance)
+        for instance in daemons:
+            self.fleet.start_daemon(instance)
+        self.wait_for_version(1)
+        self.wait(lambda: self._book('b-2').status == 200, 'the answer')
+        self.assertEqual(first.body, self._book('c-2').body)
+        self.assertEqual(1, read_runs(self.fleet)['booking-once'])
+
+    def test_poison_request_takes_two_upstreams_at_most(self):
+        """A request that crashes its upstream is refused after two."""
+        entries = ('a-2', 'b-2', 'c-2') * 2
+        verdicts = [self._send_poison(entry) for entry in entries]
+        self.assertEqual('not_run', verdicts[-1])
+        crashes = read_runs(self.fleet)['poison']
+        self.assertTrue(1 <= crashes <= 2, (crashes, verdicts))
+
+    def _book(self, instance: str):
+        headers = (
+            (b'host', b'callouts.example'),
+            (b'idempotency-key', b'booking-once'),
+            (b'x-request-id', b'booking-once'),
+        )
+        request = HttpRequest('POST', '/bookings', headers, b'{"job": 1}')
+        return run(fetch(self.get_callers_address(instance), request, 20))
+
+    def _send_poison(self, instance: str) -> str:
+        headers = (
+            (b'host', b'callouts.example'),
+            (b'x-request-id', b'poison'),
+        )
+        request = HttpRequest('POST', '/crash', headers, b'x')
+        response = run(fetch(self.get_callers_address(instance), request, 20))
+        return response.get_header(b'bilberry-verdict')
