--- /dev/null
+++ b/tests/bilberry_spread/test_delta.py
@@ -0,0 +1,135 @@
+"""Deltas, snapshots and their reception: whole, checked, only forward."""
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from returns.result import Success
+from testtools import TestCase
+
+from bilberry_core.board import Board
+from bilberry_core.configuration import compute_digest
+from bilberry_core.messages.spread import Resend
+from bilberry_core.metric import NullMetrics
+from bilberry_spread.compiler import SnapshotController
+from bilberry_spread.delta import (
+    apply_delta,
+    build_delta,
+    build_snapshot_message,
+)
+from bilberry_spread.edges import Edges
+from bilberry_spread.history import MAX_VERSIONS, VersionHistory
+from bilberry_spread.reception import Reception
+from bilberry_spread.start import StartGate
+from tests.bilberry_spread.fakes import FakeTime
+from tests.bilberry_spread.fleet import make_accepted
+from tests.bilberry_spread.schedules import make_version
+
+#: The checks of variants run test methods on instances of their own.
+REUSED = (HealthCheck.differing_executors,)
+VERSIONS = st.integers(1, 40)
+
+
+class DeltaTest(TestCase):
+    """Deltas between any two versions."""
+
+    @given(VERSIONS, VERSIONS)
+    def test_delta_gives_the_target(self, base, target):
+        """What a delta gives is the target, whole."""
+        old = make_version(base)
+        new = make_version(target)
+        delta = build_delta(old, new)
+        self.assertEqual(Success(new), apply_delta(old, delta))
+
+    @settings(suppress_health_check=REUSED)
+    @given(VERSIONS, VERSIONS, VERSIONS, st.binary(min_size=8, max_size=8))
+    def test_wrong_delta_is_refused(self, base, target, held, digest):
+        """A delta from another base, or with another digest, is no use."""
+        delta = build_delta(make_version(base), make_version(target))
+        if held != base:
+            outcome = apply_delta(make_version(held), delta)
+            self.assertNotIsInstance(outcome, Success)
+        wrong = delta._replace(digest=digest)
+        outcome = apply_delta(make_version(base), wrong)
+        self.assertNotIsInstance(outcome, Success)
+
+    def test_holder_of_lost_history_gets_a_snapshot(self):
+        """A base that is gone or unknown gives the whole; none is replayed."""
+        history = VersionHistory()
+        for version in range(1, MAX_VERSIONS + 10):
+            history.add(make_accepted(version, services=40))
+        oldest = make_accepted(1, services=40)
+        recent = make_accepted(MAX_VERSIONS, services=40)
+        whole = history.encode_snapshot()
+        self.assertEqual(whole, history.encode_update(1, oldest.digest))
+        self.assertEqual(whole, history.encode_update(recent.version, b'other'))
+        delta = history.encode_update(recent.version, recent.digest)
+        self.assertLess(len(delta), len(whole) / 2)
+        self.assertIs(
+            delta, history.encode_update(recent.version, recent.digest)
+        )
+
+
+class ReceptionTest(TestCase):
+    """What arrives twice, late, out of order or damaged."""
+
+    def setUp(self):
+        """Starts with nothing received."""
+        super().setUp()
+        self._start()
+
+    def _start(self):
+        self.board = Board()
+        time = FakeTime()
+        edges = Edges(None, time, time, None, NullMetrics())
+        gate = StartGate((), time.now())
+        self.reception = Reception(self.board, gate, 2, edges)
+        self.compiler = SnapshotController(self.board)
+        self.board.accepted.watch(lambda _put: self.compiler.compile())
+
+    @given(st.lists(VERSIONS, min_size=1))
+    @settings(suppress_health_check=REUSED)
+    def test_only_forward(self, versions):
+        """Of snapshots in any order each is newer than the one before."""
+        self._start()
+        put = []
+        self.board.snapshot.watch(lambda one: put.append(one.version))
+        for version in versions:
+            self._receive(build_snapshot_message(make_version(version)))
+        self.assertEqual(sorted(set(put)), put)
+        self.assertEqual([max(versions)], put[-1:])
+
+    def test_wrong_delta_asks_for_a_snapshot(self):
+        """A delta that does not fit is repaired, and never applied."""
+        held = make_version(1)
+        self._receive(build_snapshot_message(held))
+        delta = build_delta(make_version(2), make_version(3))
+        self.assertEqual(Resend(1, held.digest), self._receive(delta))
+        damaged = build_delta(held, make_version(5))._replace(services=())
+        self.assertEqual(Resend(1, held.digest), self._receive(damaged))
+        self.assertEqual(1, self.board.snapshot.value.version)
+
+    def test_damaged_snapshot_is_not_asked_for_again(self):
+        """A snapshot with a wrong digest is dropped, without a loop."""
+        message = build_snapshot_message(make_version(1))
+        damaged = message._replace(digest=b'damaged!')
+        self.assertIsNone(self._receive(damaged))
+        garbage = message._replace(content=b'\xc1')
+        self.assertIsNone(self._receive(garbage))
+        self.assertIsNone(self.board.snapshot.value)
+
+    def test_exception_is_never_seen_without_its_service(self):
+        """An exception and its service come in one snapshot."""
+        old = make_version(3)
+        new = make_version(4)
+        self._receive(build_snapshot_message(old))
+        self._receive(build_delta(old, new))
+        snapshot = self.board.snapshot.value
+        named = {
+            rule.service
+            for route in snapshot.routes.values()
+            for rule in route.exceptions
+        }
+        self.assertLessEqual(named, snapshot.routes.keys())
+        self.assertEqual(compute_digest(new.configuration), snapshot.digest)
+
+    def _receive(self, message):
+        return self.reception.receive_configuration(message, 'a')
--- a/tests/bilberry_spread/test_failures.py
+++ b/tests/bilberry_spread/test_failures.py
@@ -144,6 +144,23 @@
         fleet.run(6)
         self.assertEqual({2}, set(restarted.versions))
 
+    def test_two_cut_off_relays_do_not_mislead(self):
+        """Two relays that stand still don't meet the start rule."""
+        for cut_off in (('l-0', 'l-1'), ('l-0', 'l-2')):
+            fleet = Fleet(relays=3, proxies=3)
+            fleet.accept(make_accepted(1))
+            fleet.run(4)
+            others = {name for name in fleet.nodes if name[0] != 'p'}
+            for relay in cut_off:
+                fleet.network.isolate(relay, others - {relay})
+            fleet.run(0.7)
+            fleet.accept(make_accepted(2))
+            fleet.run(3)
+            fleet.nodes['p-0'].kill()
+            restarted = fleet.start('p-0')
+            fleet.run(7)
+            self.assertEqual({2}, set(restarted.versions))
+
     def test_wait_is_bounded(self):
         """Where only one failure domain answers, the wait ends."""
         fleet = Fleet(relays=3, proxies=3)
@@ -245,7 +262,7 @@
 
     def test_death_of_all_relays_removes_no_endpoint(self):
         """All relays die and come back without state; nothing is dropped."""
-        fleet = Fleet(relays=3, proxies=9)
+        fleet = Fleet(relays=3, proxies=30)
         fleet.accept(make_accepted(1))
         names = announce_all(fleet)
 
@@ -256,7 +273,7 @@
 
         for relay in ('l-0', 'l-1', 'l-2'):
             fleet.nodes[relay].kill()
-        fleet.run(20, check)
+        fleet.run(60, check)
         for relay in ('l-0', 'l-1', 'l-2'):
             fleet.start(relay)
         fleet.run(30, check)
@@ -276,6 +293,35 @@
         fleet.run(15)
         self.assertEqual(names, set(fleet.nodes['l-0'].board.endpoints.value))
 
+    def test_cut_off_relay_ends_no_lease_of_others(self):
+        """A relay without beacons does not judge other relays' proxies."""
+        fleet = Fleet(relays=3, proxies=9)
+        names = announce_all(fleet)
+        others = {name for name in fleet.nodes if name[0] != 'p'}
+        fleet.network.isolate('l-0', others)
+        fleet.run(60)
+        known = fleet.nodes['l-0'].board.endpoints.value.keys()
+        lost = names - known
+        for node in fleet.proxies:
+            if node.name in lost:
+                main = node.controller.attachment.main.peer.instance
+                self.assertNotEqual('l-0', main)
+        self.assertGreaterEqual(len(known), len(names) / 2)
+
+    def test_left_during_a_partition(self):
+        """Leaving that one relay did not hear is told after the cut."""
+        fleet = Fleet(relays=3, proxies=1)
+        announce_all(fleet)
+        source = fleet.proxies[0].controller.attachment.main.peer.instance
+        other = 'l-1' if source != 'l-1' else 'l-2'
+        fleet.network.isolate(source, (other,))
+        gone = make_endpoint('p-0', 2, EndpointState.GONE)
+        fleet.proxies[0].board.own_endpoint.put(gone)
+        fleet.run(100)
+        fleet.network.heal()
+        fleet.run(12)
+        self.assertEqual({}, fleet.nodes[other].board.endpoints.value)
+
     def test_service_is_asked_for_on_first_use(self):
         """A service wanted later is told whole."""
         fleet = Fleet(relays=3)
--- /dev/null
+++ b/tests/bilberry_spread/test_table.py
@@ -0,0 +1,106 @@
+"""Endpoint records: the greatest wins, leases end, tombstones are bounded."""
+
+from random import Random
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_core.endpoint import EndpointState
+from bilberry_spread import tombstones
+from bilberry_spread.table import EndpointTable, Home, get_key
+from tests.bilberry_spread.fleet import make_endpoint
+
+RECORDS = st.lists(
+    st.builds(
+        make_endpoint,
+        st.sampled_from(('x', 'y')),
+        st.integers(1, 4),
+        st.just(EndpointState.READY),
+        st.just('s0'),
+        st.integers(1, 3),
+    ),
+    min_size=1,
+)
+#: The checks of variants run test methods on instances of their own.
+REUSED = (HealthCheck.differing_executors,)
+HERE = Home('here')
+
+
+class EndpointTableTest(TestCase):
+    """One table by itself."""
+
+    @settings(suppress_health_check=REUSED)
+    @given(RECORDS, st.randoms(use_true_random=False))
+    def test_order_of_arrival_does_not_matter(self, records, random):
+        """The greatest (incarnation, sequence) wins in any order, twice."""
+        arrivals = records * 2
+        random.shuffle(arrivals)
+        table = EndpointTable(6)
+        for record in arrivals:
+            table.merge(record, HERE, 0)
+        for instance, found in table.endpoints.items():
+            mine = [one for one in records if one.instance == instance]
+            newest = max(mine, key=lambda one: one[1:3])
+            self.assertEqual(get_key(newest), get_key(found))
+
+    @settings(suppress_health_check=REUSED)
+    @given(st.permutations(range(1, 6)))
+    def test_gone_stays_gone(self, sequences):
+        """Older records that arrive after the telling change nothing."""
+        table = EndpointTable(6)
+        gone = make_endpoint('x', 6, EndpointState.GONE)
+        table.merge(gone, HERE, 0)
+        for sequence in sequences:
+            table.merge(make_endpoint('x', sequence), HERE, 50)
+        self.assertEqual({}, table.endpoints)
+
+    def test_later_home_vouches(self):
+        """A claim that crossed a later one, and its end, change nothing."""
+        table = EndpointTable(6)
+        record = make_endpoint('x')
+        table.merge(make_endpoint('y'), HERE, 0)
+        table.merge(record, Home('c', 3), 0)
+        table.merge(record, Home('b', 2), 0)
+        table.lapse(get_key(record), 'b', 0)
+        table.expire(100)
+        self.assertIn('x', table.find_homed('c'))
+
+    def test_share_removed_by_leases_is_bounded(self):
+        """Within a window at most half of a service ends by leases."""
+        table = EndpointTable(6)
+        for number in range(9):
+            table.merge(make_endpoint(f'x-{number}'), HERE, 0, expires=6)
+        removed = [len(table.expire(now)) for now in range(50)]
+        self.assertEqual(4, sum(removed))
+        self.assertEqual(2, len(table.expire(100)))
+
+    def test_tombstones_are_bounded(self):
+        """Old and excess tombstones are dropped."""
+        table = EndpointTable(6)
+        for number in range(tombstones.MAX_TOMBSTONES + 9):
+            gone = make_endpoint(f'x-{number}', 1, EndpointState.GONE)
+            table.merge(gone, HERE, 0)
+        self.assertEqual(tombstones.MAX_TOMBSTONES, len(table.tombstones))
+        table.expire(tombstones.TOMBSTONE_S)
+        self.assertEqual(0, len(table.tombstones))
+
+    def test_pause_extends_leases(self):
+        """A pause of this process does not end the leases it keeps."""
+        table = EndpointTable(6)
+        for name in ('x', 'y'):
+            table.merge(make_endpoint(name), HERE, 0, expires=6)
+        table.extend_leases(20)
+        self.assertEqual((), table.expire(20))
+        self.assertEqual(1, len(table.expire(26)))
+
+    def test_removal_is_fair_over_services(self):
+        """One service's losses don't use up another's share."""
+        table = EndpointTable(6)
+        random = Random(1)
+        for service in ('s0', 's1'):
+            for number in range(4):
+                record = make_endpoint(f'{service}-{number}', service=service)
+                table.merge(record, HERE, 0, expires=random.uniform(1, 6))
+        ended = [entry.endpoint.service for entry in table.expire(6)]
+        self.assertEqual(['s0', 's0', 's1', 's1'], sorted(ended))
--- /dev/null
+++ b/tests/bilberry_spread/test_variants.py
@@ -0,0 +1,277 @@
+"""Deliberately broken variants, each of which a check must catch."""
+
+from typing import NamedTuple
+from unittest.mock import patch
+
+from returns.result import Success
+from testtools import TestCase
+
+from bilberry_core.configuration import AcceptedVersion
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.messages.spread import Held, Renew
+from bilberry_spread import compiler, delta, mesh_receiver, relay, relay_source
+from bilberry_spread.admission import JoinAdmission
+from bilberry_spread.attachment import Attachment
+from bilberry_spread.directory import RelayDirectory
+from bilberry_spread.pacing import ReturnTimer
+from bilberry_spread.receiver import Receiver
+from bilberry_spread.reception import ConfigurationReceiver, Reception
+from bilberry_spread.removal import RemovalLimit
+from bilberry_spread.session import Session
+from bilberry_spread.start import StartGate
+from bilberry_spread.table import EndpointTable
+from bilberry_spread.tombstones import Tombstones
+from tests.bilberry_spread import test_delta, test_failures, test_table
+
+
+INIT_GATE = StartGate.__init__
+
+
+class Variant(NamedTuple):
+    """A rule that is broken, and the check that catches it."""
+
+    name: str
+    broken: tuple
+    check: TestCase
+
+
+def ignore(*_arguments, **_options) -> None:
+    """Does nothing, in place of a rule."""
+
+
+def always(answer):
+    """Returns a function that gives the same answer to everything."""
+    return lambda *_arguments, **_options: answer
+
+
+def take_anything(self, received) -> None:
+    """Takes an older version as if it were newer."""
+    self._held = delta.read_snapshot_message(received).unwrap()
+
+
+def take_unchecked(received, configuration):
+    """Takes a configuration whose digest may be another."""
+    return Success(
+        AcceptedVersion(
+            received.version,
+            received.term,
+            received.digest,
+            configuration,
+        ),
+    )
+
+
+def put_anything(self) -> None:
+    """Puts an older version in place of a newer one."""
+    self._board.accepted.put(self._receiver.held)
+
+
+def flush_anyway(self, content) -> None:
+    """Buffers for a receiver that can't take more."""
+    is_writable = self.link.is_writable
+    self.link.is_writable = True
+    for encoded in self._collect(content):
+        self.link.send_encoded(encoded)
+    self.link.is_writable = is_writable
+
+
+def lapse_at_once(self, instances, now) -> None:
+    """Takes the silence of a relay for the death of its proxies."""
+    for instance in tuple(instances):
+        entry = self._entries[instance]
+        self._put(entry._replace(expires=now))
+
+
+def expire_all(self, now, *, mine_only=False) -> None:
+    """Ends leases of other relays' proxies while cut off."""
+    for entry in self._table.expire(now):
+        self._on_change(entry.endpoint, False)
+
+
+def name_everyone(_reported, current) -> Held:
+    """Reports every proxy by name on every change."""
+    return Held(dict(current))
+
+
+def wait_for_ever(self, held, _now) -> bool:
+    """Opens the gate only when the start rule is met."""
+    self._open = self.is_met(held)
+    return self._open
+
+
+def init_moved(self, relays, deadline) -> None:
+    """Starts a gate for which every beacon counts as moving."""
+    INIT_GATE(self, relays, deadline)
+    self._has_moved = True
+
+
+VARIANTS = (
+    Variant(
+        'an older version is taken',
+        (
+            (ConfigurationReceiver, 'receive', take_anything),
+            (Reception, '_put_accepted', put_anything),
+            (compiler, '_may_replace', always(True)),
+        ),
+        test_delta.ReceptionTest('test_only_forward'),
+    ),
+    Variant(
+        'a damaged snapshot is applied',
+        ((delta, '_check', take_unchecked),),
+        test_delta.ReceptionTest(
+            'test_damaged_snapshot_is_not_asked_for_again',
+        ),
+    ),
+    Variant(
+        'an older record wins',
+        ((Endpoint, 'is_newer_than', always(True)),),
+        test_table.EndpointTableTest('test_order_of_arrival_does_not_matter'),
+    ),
+    Variant(
+        'ended records are forgotten',
+        ((Tombstones, 'find', ignore),),
+        test_table.EndpointTableTest('test_gone_stays_gone'),
+    ),
+    Variant(
+        'the last claim to arrive vouches',
+        ((EndpointTable, '_get_attached', always(0)),),
+        test_table.EndpointTableTest('test_later_home_vouches'),
+    ),
+    Variant(
+        'leases remove everything',
+        ((RemovalLimit, 'allow', always(True)),),
+        test_failures.EndpointTest('test_cut_relay_drops_only_a_share'),
+    ),
+    Variant(
+        'leases remove nothing',
+        ((RemovalLimit, 'allow', always(False)),),
+        test_failures.EndpointTest('test_silent_endpoint_ends_by_its_lease'),
+    ),
+    Variant(
+        'a lost relay takes its proxies with it',
+        ((EndpointTable, 'start_leases', lapse_at_once),),
+        test_failures.EndpointTest('test_death_of_a_relay_removes_no_endpoint'),
+    ),
+    Variant(
+        'a cut-off relay ends leases of others',
+        (
+            (RelayDirectory, 'expire', expire_all),
+            (RemovalLimit, 'allow', always(True)),
+        ),
+        test_failures.EndpointTest(
+            'test_cut_off_relay_ends_no_lease_of_others'
+        ),
+    ),
+    Variant(
+        'a restarted relay tells services as whole',
+        ((relay, 'RETURN_S', -100),),
+        test_failures.EndpointTest(
+            'test_death_of_all_relays_removes_no_endpoint'
+        ),
+    ),
+    Variant(
+        'leaving is told only once',
+        ((Tombstones, 'find_gone', always(())),),
+        test_failures.EndpointTest('test_left_during_a_partition'),
+    ),
+    Variant(
+        'renewals are ignored',
+        ((Session, '_handlers', {**Session._handlers, Renew: ignore}),),
+        test_failures.EndpointTest('test_silent_endpoint_ends_by_its_lease'),
+    ),
+    Variant(
+        'no start rule',
+        ((StartGate, 'is_met', always(True)),),
+        test_failures.StartTest('test_restart_does_not_start_behind'),
+    ),
+    Variant(
+        'relays that stand still meet the start rule',
+        ((StartGate, '__init__', init_moved),),
+        test_failures.StartTest('test_two_cut_off_relays_do_not_mislead'),
+    ),
+    Variant(
+        'the start rule waits for ever',
+        ((StartGate, 'check', wait_for_ever),),
+        test_failures.StartTest('test_wait_is_bounded'),
+    ),
+    Variant(
+        'staleness goes unnoticed',
+        ((Reception, 'is_stale', False),),
+        test_failures.StalenessTest(
+            'test_proxies_leave_a_relay_that_is_cut_off'
+        ),
+    ),
+    Variant(
+        'a source behind its beacons is kept',
+        ((Attachment, '_check_behind', ignore),),
+        test_failures.StalenessTest(
+            'test_relay_that_sends_beacons_but_no_version_is_left',
+        ),
+    ),
+    Variant(
+        'no way back to the preferred relay',
+        ((ReturnTimer, 'is_due', False),),
+        test_failures.StalenessTest(
+            'test_proxy_returns_to_its_preferred_relay'
+        ),
+    ),
+    Variant(
+        'joins are not limited',
+        ((JoinAdmission, 'admit', always(0)),),
+        test_failures.HerdTest('test_refused_join_is_told_when_to_come_back'),
+    ),
+    Variant(
+        'a slow receiver is buffered for',
+        ((Receiver, 'flush', flush_anyway),),
+        test_failures.HerdTest('test_slow_receiver_is_coalesced'),
+    ),
+    Variant(
+        'reports name every proxy',
+        (
+            (relay_source, 'build_report', name_everyone),
+            (mesh_receiver, 'build_report', name_everyone),
+        ),
+        test_failures.HerdTest(
+            'test_bytes_of_the_source_do_not_grow_with_the_fleet'
+        ),
+    ),
+    Variant(
+        'a wrong delta is applied',
+        ((delta, '_check', take_unchecked),),
+        test_delta.DeltaTest('test_wrong_delta_is_refused'),
+    ),
+)
+
+
+def run_check(check: TestCase) -> None:
+    """Runs a check on an instance of its own; raises where it fails."""
+    type(check)(check._testMethodName).debug()
+
+
+class VariantTest(TestCase):
+    """The checks can fail."""
+
+    def test_checks_pass_unbroken(self):
+        """Without a broken rule every check named here passes."""
+        for check in {str(one.check): one.check for one in VARIANTS}.values():
+            run_check(check)
+
+    def test_every_variant_is_caught(self):
+        """Each broken rule fails the check named beside it."""
+        survivors = [
+            variant.name for variant in VARIANTS if not self._is_caught(variant)
+        ]
+        self.assertEqual([], survivors)
+
+    def _is_caught(self, variant: Variant) -> bool:
+        patches = [patch.object(*broken) for broken in variant.broken]
+        for one in patches:
+            one.start()
+        try:
+            run_check(variant.check)
+        except AssertionError:
+            return True
+        finally:
+            for one in patches:
+                one.stop()
+        return False
