Measure spreading with one process a daemon; share unchanged routes

make bench-spread runs a source, six relays and 10, 50 or 150 proxies as processes of their own on loopback, beside the naive version, and through faults. A change of an endpoint used to compile every route anew.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 SEED ?= 0
 COUNT ?= 20000
 
-.PHONY: setup format lint unit test demo
+.PHONY: setup format lint unit test demo bench-spread
 
 setup: $(VENV)/.installed
 
@@ -34,3 +34,6 @@
 
 demo: setup
 	$(BIN)/python -m tests.demo
+
+bench-spread: setup
+	$(BIN)/python -m tests.bench.spread
--- a/packages/bilberry_spread/bilberry_spread/compiler.py
+++ b/packages/bilberry_spread/bilberry_spread/compiler.py
@@ -55,7 +55,11 @@
         if accepted is None or not _may_replace(running, accepted):
             return
         grouped = group_by_service(self._board.endpoints.value.values())
-        self._board.snapshot.put(compile_snapshot(accepted, grouped))
+        if running is None or running.digest != accepted.digest:
+            snapshot = compile_snapshot(accepted, grouped)
+        else:
+            snapshot = replace_endpoints(running, accepted, grouped)
+        self._board.snapshot.put(snapshot)
         if running is None or running.version != accepted.version:
             _log.info(
                 'version_running',
@@ -82,5 +86,26 @@
     return {service: tuple(found) for service, found in grouped.items()}
 
 
+def replace_endpoints(
+    running: Snapshot,
+    accepted: AcceptedVersion,
+    endpoints_by_service: dict[str, tuple[Endpoint, ...]],
+) -> Snapshot:
+    """Returns what `compile_snapshot` would, for the same configuration.
+
+    Routes whose endpoints are the same are shared with `running`.
+    """
+    routes = dict(running.routes)
+    for service, route in running.routes.items():
+        endpoints = endpoints_by_service.get(service, ())
+        if endpoints != route.endpoints:
+            routes[service] = route._replace(endpoints=endpoints)
+    return running._replace(
+        version=accepted.version,
+        term=accepted.term,
+        routes=routes,
+    )
+
+
 def _may_replace(running: Snapshot | None, accepted: AcceptedVersion) -> bool:
     return running is None or accepted.version >= running.version
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches, run by make."""
--- /dev/null
+++ b/tests/bench/spread.py
@@ -0,0 +1,419 @@
+"""Measures spreading with one process for each daemon, on loopback.
+
+Runs fleets of several sizes, with the naive version beside them in the same
+run, prints a table and writes docs/measurements/spread.json.
+"""
+
+from asyncio import create_subprocess_exec, create_task, gather, run, sleep
+from asyncio.subprocess import PIPE
+from json import dumps, loads
+from os import cpu_count, environ
+from pathlib import Path
+from platform import python_version
+from signal import SIGCONT, SIGSTOP
+from statistics import quantiles
+from sys import executable
+from time import monotonic, time
+
+from tests.bench.spread_naive import POLL_S
+
+OUTPUT = Path('docs/measurements/spread.json')
+DOMAINS = ('a', 'b', 'c')
+RELAYS = 6
+FLEETS = tuple(
+    int(size) for size in environ.get('FLEETS', '10,50,150').split(',')
+)
+CHANGES = int(environ.get('CHANGES', '20'))
+SERVICES = 100
+#: Length of the idle measurement, in seconds.
+IDLE_S = 15
+#: Services of one more fleet, of the smallest size; 0 for none.
+WIDE_SERVICES = int(environ.get('WIDE_SERVICES', '970'))
+#: Time in which a fleet settles after a fault, in seconds.
+SETTLE_S = 4
+#: Between two changes, in seconds.
+CHANGE_S = 0.4
+#: Longest wait for anything, in seconds.
+LIMIT_S = 60
+
+
+class Process:
+    """One daemon."""
+
+    def __init__(self, options: dict) -> None:
+        """Remembers how to start it."""
+        self.options = options
+        self.name = options['name']
+        self.port = options.get('port', 0)
+        self.events: list[dict] = []
+        self.process = None
+        self.reader = None
+
+    @property
+    def peer(self) -> tuple:
+        """What others dial."""
+        return self.name, self.port, self.options['domain']
+
+    async def launch(self) -> None:
+        """Starts the process and waits until it listens."""
+        options = {**self.options, 'port': self.port}
+        options['incarnation'] = int(time() * 1000)
+        self.process = await create_subprocess_exec(
+            executable,
+            '-m',
+            'tests.bench.spread_node',
+            dumps(options),
+            stdin=PIPE,
+            stdout=PIPE,
+        )
+        self.events = []
+        self.reader = create_task(self._read())
+        listening = await self.wait('listening')
+        self.port = listening['port']
+
+    def order(self, do: str, **arguments) -> None:
+        """Gives an order."""
+        line = dumps({'do': do, **arguments}) + '\n'
+        self.process.stdin.write(line.encode())
+
+    def find(self, event: str, **fields) -> list[dict]:
+        """Returns the events told that match."""
+        return [
+            told
+            for told in self.events
+            if told['event'] == event and fields.items() <= told.items()
+        ]
+
+    async def wait(self, event: str, **fields) -> dict:
+        """Waits for an event."""
+        end = monotonic() + LIMIT_S
+        while monotonic() < end:
+            found = self.find(event, **fields)
+            if found:
+                return found[0]
+            await sleep(0.01)
+        raise TimeoutError(f'{self.name}: no {event} {fields}')
+
+    async def report(self) -> dict:
+        """Returns bytes, processor time and memory."""
+        before = len(self.find('report'))
+        self.order('report')
+        while len(self.find('report')) == before:
+            await sleep(0.01)
+        return self.find('report')[-1]
+
+    async def end(self) -> None:
+        """Ends the process."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.reader
+
+    async def _read(self) -> None:
+        while line := await self.process.stdout.readline():
+            self.events.append(loads(line))
+
+
+class BenchFleet:
+    """A source, relays and proxies."""
+
+    def __init__(self, proxies: int, naive: bool, services: int) -> None:
+        """Prepares the processes."""
+        self.services = services
+        self.version = 0
+        self.sequence = 1
+        self.source = self._make('source', 0, naive)
+        self.relays = [
+            self._make('relay', number, naive)
+            for number in range(0 if naive else RELAYS)
+        ]
+        self.proxies = [
+            self._make('proxy', number, naive) for number in range(proxies)
+        ]
+
+    @property
+    def processes(self) -> list[Process]:
+        """All of them."""
+        return [self.source, *self.relays, *self.proxies]
+
+    async def start(self) -> None:
+        """Starts all and waits until all run the first version."""
+        await gather(*(one.launch() for one in self.processes))
+        self.start_controllers(self.processes)
+        self.source.order('lead')
+        await self.change()
+        await sleep(2)
+
+    def start_controllers(self, processes: list[Process]) -> None:
+        """Tells processes their peers."""
+        relays = [relay.peer for relay in self.relays] or [self.source.peer]
+        for process in processes:
+            process.order('start', replicas=[self.source.peer], relays=relays)
+
+    async def change(self) -> list[float]:
+        """Accepts a version; returns the delay until each proxy runs it."""
+        self.version += 1
+        version = self.version
+        self.source.order('accept', version=version, services=self.services)
+        accepted = await self.source.wait('accepted', version=version)
+        found = await gather(
+            *(proxy.wait('running', version=version) for proxy in self.proxies)
+        )
+        return [one['at'] - accepted['at'] for one in found]
+
+    async def move(self) -> list[float]:
+        """Announces a change of the first endpoint; returns the delays."""
+        first = self.proxies[0]
+        self.sequence += 1
+        first.order('announce', sequence=self.sequence)
+        announced = await first.wait('announced', sequence=self.sequence)
+        found = await gather(
+            *(
+                proxy.wait(
+                    'endpoint',
+                    instance=first.name,
+                    sequence=self.sequence,
+                )
+                for proxy in self.proxies
+            )
+        )
+        return [one['at'] - announced['at'] for one in found]
+
+    async def end(self) -> None:
+        """Ends all processes, each by its own ID."""
+        await gather(*(one.end() for one in self.processes))
+
+    def _make(self, role: str, number: int, naive: bool) -> Process:
+        return Process(
+            {
+                'name': f'{role}-{number}',
+                'role': role,
+                'domain': DOMAINS[number % len(DOMAINS)],
+                'service': f'service-{number // 10:04}',
+                'naive': naive,
+            },
+        )
+
+
+def summarize(delays: list[float]) -> dict:
+    """Returns percentiles in milliseconds."""
+    cut = quantiles(delays, n=100, method='inclusive')
+    return {
+        'p50_ms': round(cut[49] * 1000, 2),
+        'p99_ms': round(cut[98] * 1000, 2),
+        'worst_ms': round(max(delays) * 1000, 2),
+        'samples': len(delays),
+    }
+
+
+def compare(before: list[dict], after: list[dict]) -> dict:
+    """Returns means per process of what two reports differ by."""
+    size = len(before)
+    seconds = after[0]['at'] - before[0]['at']
+    sums = {
+        field: sum(one[field] for one in after)
+        - sum(one[field] for one in before)
+        for field in ('sent', 'received', 'cpu_s')
+    }
+    return {
+        'sent_bytes': round(sums['sent'] / size, 1),
+        'received_bytes': round(sums['received'] / size, 1),
+        'sent_bytes_per_s': round(sums['sent'] / size / seconds, 1),
+        'received_bytes_per_s': round(sums['received'] / size / seconds, 1),
+        'core_percent': round(100 * sums['cpu_s'] / size / seconds, 3),
+        'rss_mb': round(max(one['rss'] for one in after) / 1e6, 1),
+        'seconds': round(seconds, 2),
+    }
+
+
+async def report_all(fleet: BenchFleet) -> dict[str, list[dict]]:
+    """Returns the reports of each role."""
+    return {
+        role: await gather(*(one.report() for one in processes))
+        for role, processes in (
+            ('source', [fleet.source]),
+            ('relay', fleet.relays),
+            ('proxy', fleet.proxies),
+        )
+        if processes
+    }
+
+
+async def measure(fleet: BenchFleet, work) -> dict:
+    """Returns what each role spends while `work` runs."""
+    before = await report_all(fleet)
+    await work()
+    after = await report_all(fleet)
+    return {role: compare(before[role], after[role]) for role in before}
+
+
+async def measure_fleet(proxies: int, naive: bool, services: int) -> dict:
+    """Measures one fleet with nothing failing."""
+    fleet = BenchFleet(proxies, naive, services)
+    configuration: list[float] = []
+    everywhere: list[float] = []
+    endpoint: list[float] = []
+
+    async def change() -> None:
+        for number in range(CHANGES):
+            delays = await fleet.change()
+            configuration.extend(delays)
+            everywhere.append(max(delays))
+            await sleep(CHANGE_S)
+
+    async def move() -> None:
+        for number in range(CHANGES):
+            endpoint.extend(await fleet.move())
+            await sleep(CHANGE_S)
+
+    try:
+        await fleet.start()
+        return {
+            'proxies': proxies,
+            'naive': naive,
+            'services': services,
+            'relays': len(fleet.relays),
+            'changes': CHANGES,
+            'idle': await measure(fleet, lambda: sleep(IDLE_S)),
+            'changing': await measure(fleet, change),
+            'moving': await measure(fleet, move),
+            'configuration': summarize(configuration),
+            'everywhere': summarize(everywhere),
+            'endpoint': summarize(endpoint),
+        }
+    finally:
+        await fleet.end()
+
+
+async def kill_half(fleet: BenchFleet) -> list[float]:
+    """Kills a relay in each domain; returns the delays of a change."""
+    victims = fleet.relays[: RELAYS // 2]
+    await gather(*(victim.end() for victim in victims))
+    delays = await fleet.change()
+    await gather(*(victim.launch() for victim in victims))
+    fleet.start_controllers(victims)
+    await sleep(SETTLE_S)
+    return delays
+
+
+async def freeze_relay(fleet: BenchFleet) -> list[float]:
+    """Freezes a relay; returns the delays of a change."""
+    victim = fleet.relays[0].process
+    victim.send_signal(SIGSTOP)
+    try:
+        return await fleet.change()
+    finally:
+        victim.send_signal(SIGCONT)
+        await sleep(SETTLE_S)
+
+
+async def return_all(fleet: BenchFleet) -> list[float]:
+    """Restarts all proxies at once after changes that passed them by."""
+    await gather(*(proxy.end() for proxy in fleet.proxies))
+    for number in range(100):
+        fleet.version += 1
+        fleet.source.order(
+            'accept',
+            version=fleet.version,
+            services=fleet.services,
+        )
+    await fleet.source.wait('accepted', version=fleet.version)
+    await gather(*(proxy.launch() for proxy in fleet.proxies))
+    fleet.start_controllers(fleet.proxies)
+    delays = []
+    for proxy in fleet.proxies:
+        started = await proxy.wait('started')
+        running = await proxy.wait('running', version=fleet.version)
+        delays.append(running['at'] - started['at'])
+    return delays
+
+
+async def measure_faults(proxies: int) -> dict:
+    """Measures a fleet through faults, one after the other."""
+    fleet = BenchFleet(proxies, naive=False, services=SERVICES)
+    found: dict = {'proxies': proxies, 'relays': RELAYS}
+    try:
+        await fleet.start()
+        for fault in (kill_half, freeze_relay, return_all):
+            delays: list[float] = []
+
+            async def work(fault=fault, delays=delays) -> None:
+                delays.extend(await fault(fleet))
+
+            if fault is return_all:
+                await work()
+            else:
+                found[f'{fault.__name__}_cost'] = await measure(
+                    fleet,
+                    work,
+                )
+            found[fault.__name__] = summarize(delays)
+        return found
+    finally:
+        await fleet.end()
+
+
+def print_table(rows: list[dict]) -> None:
+    """Prints a line for each fleet."""
+    print('proxies services version  config p50/p99/worst ms   everywhere p99')
+    for row in rows:
+        kind = 'naive' if row['naive'] else 'spread'
+        idle = row['idle']
+        print(
+            f'{row["proxies"]:7} {row["services"]:8} {kind:7}'
+            f' {describe(row["configuration"]):26}'
+            f' {row["everywhere"]["p99_ms"]:9}'
+            f' endpoint {describe(row["endpoint"])}',
+        )
+        for role, spent in idle.items():
+            changing = row['changing'][role]
+            print(
+                f'        {role:6} idle {spent["sent_bytes_per_s"]:9} B/s out'
+                f' {spent["received_bytes_per_s"]:8} B/s in'
+                f' {spent["core_percent"]:6}% core {spent["rss_mb"]:6} MB;'
+                f' a change {changing["sent_bytes"] / CHANGES:9.0f} B out'
+                f' {changing["received_bytes"] / CHANGES:8.0f} B in'
+                f' {changing["core_percent"]:6}% core',
+            )
+
+
+def describe(summary: dict) -> str:
+    """Returns percentiles as text."""
+    fields = ('p50_ms', 'p99_ms', 'worst_ms')
+    return '/'.join(str(summary[field]) for field in fields)
+
+
+async def main() -> None:
+    """Measures everything and writes the JSON."""
+    rows = []
+    for proxies in FLEETS:
+        for naive in (False, True):
+            rows.append(await measure_fleet(proxies, naive, SERVICES))
+            print_table(rows[-1:])
+    if WIDE_SERVICES:
+        rows.append(await measure_fleet(FLEETS[0], False, WIDE_SERVICES))
+        print_table(rows[-1:])
+    faults = await measure_faults(FLEETS[-1])
+    print('faults:')
+    for fault in ('kill_half', 'freeze_relay', 'return_all'):
+        print(f'  {fault:14} p50/p99/worst ms {describe(faults[fault])}')
+    OUTPUT.parent.mkdir(parents=True, exist_ok=True)
+    OUTPUT.write_text(
+        dumps(
+            {
+                'command': 'make bench-spread',
+                'cpus': cpu_count(),
+                'python': python_version(),
+                'daemon': 'controllers in processes of their own',
+                'naive_poll_s': POLL_S,
+                'fleets': rows,
+                'faults': faults,
+            },
+            indent=1,
+        )
+        + '\n',
+    )
+
+
+if __name__ == '__main__':
+    run(main())
--- /dev/null
+++ b/tests/bench/spread_naive.py
@@ -0,0 +1,93 @@
+"""The naive version of spreading: every proxy polls the source for all."""
+
+from asyncio import Event, sleep, wait_for
+
+from bilberry_core.board import Board
+from bilberry_core.handshake import Purpose
+from bilberry_core.messages.spread import (
+    Announce,
+    ConfigurationSnapshot,
+    EndpointUpdate,
+    Held,
+)
+from bilberry_core.settings import Settings
+from bilberry_core.stream import Credentials, Stream, StreamListener, dial
+from bilberry_spread.delta import build_snapshot_message, read_snapshot_message
+
+#: Between two polls of a proxy, in seconds.
+POLL_S = 1.0
+
+
+class NaiveSource:
+    """Answers each poll with the whole state."""
+
+    def __init__(self, board: Board, listener: StreamListener) -> None:
+        """Accepts polls from now on."""
+        self._board = board
+        listener.handle(Purpose.SPREAD, self._accept)
+
+    async def run(self) -> None:
+        """Waits until the daemon stops."""
+        await self._board.stopping.wait()
+
+    def _accept(self, stream: Stream) -> None:
+        stream.receiver = lambda received: self._receive(stream, received)
+
+    def _receive(self, stream: Stream, received) -> None:
+        known = self._board.endpoints.value
+        if isinstance(received, Announce):
+            endpoint = received.endpoint
+            self._board.endpoints.put({**known, endpoint.instance: endpoint})
+            return
+        accepted = self._board.accepted.value
+        if accepted is not None:
+            stream.send(build_snapshot_message(accepted))
+        stream.send(EndpointUpdate(tuple(known.values())))
+
+
+class NaiveProxy:
+    """Polls for the whole state."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        board: Board,
+        credentials: Credentials,
+    ) -> None:
+        """Polls the first replica."""
+        self._peer = settings.replicas[0]
+        self._board = board
+        self._credentials = credentials
+        self._answered = Event()
+
+    async def run(self) -> None:
+        """Polls until the daemon stops."""
+        stream = await dial(
+            self._credentials,
+            self._peer.address,
+            Purpose.SPREAD,
+        )
+        stream.receiver = self._receive
+        self._board.own_endpoint.watch(
+            lambda endpoint: stream.send(Announce(endpoint)),
+        )
+        stream.send(Announce(self._board.own_endpoint.value))
+        while not self._board.stopping.is_set():
+            self._answered.clear()
+            stream.send(Held({}))
+            await wait_for(self._answered.wait(), 60)
+            await sleep(POLL_S)
+
+    def _receive(self, received) -> None:
+        if isinstance(received, ConfigurationSnapshot):
+            self._take(received)
+        elif isinstance(received, EndpointUpdate):
+            endpoints = {one.instance: one for one in received.endpoints}
+            if endpoints != self._board.endpoints.value:
+                self._board.endpoints.put(endpoints)
+            self._answered.set()
+
+    def _take(self, received: ConfigurationSnapshot) -> None:
+        held = self._board.accepted.value
+        if held is None or held.version < received.version:
+            self._board.accepted.put(read_snapshot_message(received).unwrap())
--- /dev/null
+++ b/tests/bench/spread_node.py
@@ -0,0 +1,231 @@
+"""One daemon of the spreading bench: the controllers, without calls.
+
+Takes orders as JSON lines on standard input and tells what it sees as JSON
+lines on standard output.
+"""
+
+from asyncio import (
+    StreamReader,
+    StreamReaderProtocol,
+    create_task,
+    get_running_loop,
+    run,
+    sleep,
+)
+from json import dumps, loads
+from random import Random
+from resource import RUSAGE_SELF, getrusage
+from sys import argv, stdin, stdout
+
+from bilberry_core.board import Beacon, Board
+from bilberry_core.clock import SystemClock
+from bilberry_core.configuration import (
+    AcceptedVersion,
+    Configuration,
+    RouteException,
+    Service,
+    compute_digest,
+)
+from bilberry_core.endpoint import Address, Endpoint, EndpointState
+from bilberry_core.handshake import Purpose
+from bilberry_core.policy import CallPolicy, PolicyChange
+from bilberry_core.settings import ListenSettings, Peer, Role, Settings
+from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.traffic import Traffic
+from bilberry_spread.compiler import SnapshotController
+from bilberry_spread.relay import RelayController
+from bilberry_spread.subscriber import SubscriberController
+from tests.bench.spread_naive import NaiveProxy, NaiveSource
+
+PAGE_BYTES = 4096
+#: The service whose endpoints every proxy wants.
+WANTED = frozenset(('service-0000',))
+ROLES = {
+    'source': frozenset((Role.REPLICA,)),
+    'relay': frozenset((Role.RELAY,)),
+    'proxy': frozenset((Role.PROXY,)),
+}
+
+
+def make_version(version: int, services: int) -> AcceptedVersion:
+    """Returns a version: one default and one exception differ by each."""
+    exceptions = [
+        RouteException(
+            f'exception-{number:04}',
+            f'service-{number:04}',
+            'slow disks in the old building',
+            PolicyChange(timeout_ms=7000),
+        )
+        for number in range(0, services, 5)
+    ]
+    exceptions[0] = exceptions[0]._replace(
+        change=PolicyChange(timeout_ms=version),
+    )
+    configuration = Configuration(
+        CallPolicy(timeout_ms=1000 + version),
+        tuple(
+            Service(f'service-{number:04}', (f'service-{number:04}.example',))
+            for number in range(services)
+        ),
+        tuple(exceptions),
+    )
+    digest = compute_digest(configuration)
+    return AcceptedVersion(version, 1, digest, configuration)
+
+
+class BenchNode:
+    """One daemon and its orders."""
+
+    def __init__(self, options: dict) -> None:
+        """Makes a daemon of one role."""
+        self.options = options
+        self.name = options['name']
+        self.board = Board()
+        self.traffic = Traffic()
+        self.clock = SystemClock()
+        self.credentials = Credentials(
+            'bench', self.name, b'secret', self.traffic
+        )
+        self.listener = StreamListener(self.credentials)
+        self.seen: dict[str, int] = {}
+        self.tasks: list = []
+
+    async def run(self) -> None:
+        """Takes orders until told to stop."""
+        address = Address('127.0.0.1', self.options.get('port', 0))
+        if self.options['role'] != 'proxy':
+            address = await self.listener.listen(address)
+        self.tell(event='listening', port=address.port)
+        reader = StreamReader()
+        await get_running_loop().connect_read_pipe(
+            lambda: StreamReaderProtocol(reader),
+            stdin,
+        )
+        while line := await reader.readline():
+            order = loads(line)
+            getattr(self, f'do_{order.pop("do")}')(**order)
+
+    def tell(self, **told) -> None:
+        """Writes one line."""
+        stdout.write(dumps(told) + '\n')
+        stdout.flush()
+
+    def do_start(self, replicas, relays) -> None:
+        """Starts the controllers."""
+        self.tell(event='started', at=self.clock.now())
+        settings = Settings(
+            'bench',
+            self.name,
+            self.options['domain'],
+            'region',
+            ROLES[self.options['role']],
+            ListenSettings(Address('127.0.0.1', 0)),
+            b'secret',
+            replicas=tuple(make_peer(*peer) for peer in replicas),
+            relays=tuple(make_peer(*peer) for peer in relays),
+        )
+        controllers = [self._make_spreader(settings)]
+        if self.options['role'] == 'proxy':
+            controllers.append(
+                SnapshotController.from_settings(settings, self.board),
+            )
+            self.do_announce(1)
+            self.board.wanted_services.put(WANTED)
+            self.board.snapshot.watch(self._tell_snapshot)
+        self.tasks = [create_task(one.run()) for one in controllers]
+
+    def do_lead(self) -> None:
+        """Starts to send beacons."""
+        self.tasks.append(create_task(self._beat()))
+
+    def do_accept(self, version, services) -> None:
+        """Accepts a version."""
+        accepted = make_version(version, services)
+        self.tell(event='accepted', version=version, at=self.clock.now())
+        self.board.accepted.put(accepted)
+
+    def do_announce(self, sequence) -> None:
+        """Announces the upstream beside it."""
+        self.tell(event='announced', sequence=sequence, at=self.clock.now())
+        self.board.own_endpoint.put(
+            Endpoint(
+                self.name,
+                self.options['incarnation'],
+                sequence,
+                self.options['service'],
+                Address('127.0.0.1', 9),
+                self.options['domain'],
+                EndpointState.READY,
+                12,
+                110,
+            ),
+        )
+
+    def do_report(self) -> None:
+        """Tells bytes, processor time and memory."""
+        usage = getrusage(RUSAGE_SELF)
+        reading = self.traffic.read()[Purpose.SPREAD]
+        with open('/proc/self/statm', encoding='ascii') as statm:
+            pages = int(statm.read().split()[1])
+        self.tell(
+            event='report',
+            at=self.clock.now(),
+            sent=reading.sent,
+            received=reading.received,
+            cpu_s=usage.ru_utime + usage.ru_stime,
+            rss=pages * PAGE_BYTES,
+        )
+
+    def _make_spreader(self, settings):
+        role = self.options['role']
+        if self.options['naive']:
+            if role == 'source':
+                return NaiveSource(self.board, self.listener)
+            return NaiveProxy(settings, self.board, self.credentials)
+        random = Random(self.name)
+        if role == 'proxy':
+            return SubscriberController.from_settings(
+                settings, self.board, self.credentials, self.clock, random
+            )
+        return RelayController.from_settings(
+            settings,
+            self.board,
+            self.listener,
+            self.credentials,
+            self.clock,
+            random,
+        )
+
+    async def _beat(self) -> None:
+        sequence = 0
+        while True:
+            sequence += 1
+            accepted = self.board.accepted.value
+            version = accepted.version if accepted else 0
+            self.board.beacon.put(Beacon(1, version, sequence))
+            await sleep(0.5)
+
+    def _tell_snapshot(self, snapshot) -> None:
+        now = self.clock.now()
+        if self.seen.get('') != snapshot.version:
+            self.seen[''] = snapshot.version
+            self.tell(event='running', version=snapshot.version, at=now)
+        route = snapshot.routes.get(*WANTED)
+        for endpoint in route.endpoints if route else ():
+            if self.seen.get(endpoint.instance) != endpoint.sequence:
+                self.seen[endpoint.instance] = endpoint.sequence
+                self.tell(
+                    event='endpoint',
+                    instance=endpoint.instance,
+                    sequence=endpoint.sequence,
+                    at=now,
+                )
+
+
+def make_peer(name: str, port: int, domain: str) -> Peer:
+    """Returns a peer on loopback."""
+    return Peer(name, Address('127.0.0.1', port), domain)
+
+
+if __name__ == '__main__':
+    run(BenchNode(loads(argv[1])).run())
--- a/tests/bilberry_spread/test_delta.py
+++ b/tests/bilberry_spread/test_delta.py
@@ -9,7 +9,8 @@
 from bilberry_core.configuration import compute_digest
 from bilberry_core.messages.spread import Resend
 from bilberry_core.metric import NullMetrics
-from bilberry_spread.compiler import SnapshotController
+from bilberry_core.snapshot import compile_snapshot
+from bilberry_spread.compiler import SnapshotController, group_by_service
 from bilberry_spread.delta import (
     apply_delta,
     build_delta,
@@ -20,7 +21,7 @@
 from bilberry_spread.reception import Reception
 from bilberry_spread.start import StartGate
 from tests.bilberry_spread.fakes import FakeTime
-from tests.bilberry_spread.fleet import make_accepted
+from tests.bilberry_spread.fleet import make_accepted, make_endpoint
 from tests.bilberry_spread.schedules import make_version
 
 #: The checks of variants run test methods on instances of their own.
@@ -97,6 +98,23 @@
         self.assertEqual(sorted(set(put)), put)
         self.assertEqual([max(versions)], put[-1:])
 
+    @given(VERSIONS, st.lists(st.sets(st.sampled_from('abcdef'))))
+    def test_endpoints_change_as_if_compiled_anew(self, version, changes):
+        """A snapshot with other endpoints equals one compiled anew."""
+        self._start()
+        accepted = make_version(version)
+        self._receive(build_snapshot_message(accepted))
+        for names in changes:
+            endpoints = {
+                name: make_endpoint(name, service=f's{ord(name) % 4}')
+                for name in names
+            }
+            self.board.endpoints.put(endpoints)
+            self.compiler.compile()
+            grouped = group_by_service(endpoints.values())
+            anew = compile_snapshot(accepted, grouped)
+            self.assertEqual(anew, self.board.snapshot.value)
+
     def test_wrong_delta_asks_for_a_snapshot(self):
         """A delta that does not fit is repaired, and never applied."""
         held = make_version(1)
