--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -10,7 +10,7 @@
 from typing import Generic, NamedTuple, TypeVar
 
 from bilberry_core.configuration import AcceptedVersion
-from bilberry_core.endpoint import Endpoint
+from bilberry_core.endpoint import Address, Endpoint
 from bilberry_core.snapshot import Snapshot
 from bilberry_core.traffic import Traffic
 
@@ -73,6 +73,17 @@
     expires_ms: int
 
 
+class UpstreamCrash(NamedTuple):
+    """The process of the upstream beside this daemon was found gone.
+
+    `address` is where it took requests, `crashed_ms` wall clock time in
+    milliseconds.
+    """
+
+    address: Address
+    crashed_ms: int
+
+
 class ReplicaStatus(NamedTuple):
     """What a replica knows of the replicated log and its role in it."""
 
@@ -134,6 +145,10 @@
         controller, or by the subscriber where this is no replica.
     `own_endpoint`
         The endpoint of the upstream beside this daemon.
+    `upstream_address`
+        Where the upstream beside this daemon takes HTTP requests.
+    `upstream_crash`
+        The newest crash of that upstream.
     `endpoints`
         All endpoints known, by instance.
     `snapshot`
@@ -162,6 +177,8 @@
         self.phase: Cell[Phase] = Cell(Phase.STARTING)
         self.accepted: Cell[AcceptedVersion | None] = Cell(None)
         self.own_endpoint: Cell[Endpoint | None] = Cell(None)
+        self.upstream_address: Cell[Address | None] = Cell(None)
+        self.upstream_crash: Cell[UpstreamCrash | None] = Cell(None)
         self.endpoints: Cell[dict[str, Endpoint]] = Cell({})
         self.snapshot: Cell[Snapshot | None] = Cell(None)
         self.beacon: Cell[Beacon | None] = Cell(None)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -0,0 +1,169 @@
+"""Selects the endpoint of one attempt: plain functions over values.
+
+Each step narrows the endpoints and never to none: ready, not tried yet, not
+ejected, warm, near and not busy. A balancer picks from what is left.
+"""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from bilberry_core.clock import RandomSource
+from bilberry_core.endpoint import Endpoint, EndpointState
+
+from bilberry_proxy.balancers.base import Balancer
+from bilberry_proxy.endpoint_load import (
+    SLOW_START_MS,
+    Candidate,
+    estimate_work_us,
+    find_slow_start,
+    is_busy,
+)
+
+#: Endpoints of a service that one proxy calls, where there are more.
+SUBSET_SIZE = 24
+
+
+class Viewpoint(NamedTuple):
+    """Where a selection is made from, and when.
+
+    `now` is monotonic time in seconds, `wall_ms` wall clock time in
+    milliseconds.
+    """
+
+    instance: str
+    failure_domain: str
+    now: float
+    wall_ms: int
+
+
+class Selection(NamedTuple):
+    """The endpoint chosen, from how many, and why.
+
+    `has_other` tells whether another endpoint is ready and not tried.
+    """
+
+    endpoint: Endpoint
+    candidates: int
+    reason: str
+    has_other: bool
+
+
+def select_ready(
+    endpoints: Sequence[Endpoint],
+    instance: str,
+) -> tuple[Endpoint, ...]:
+    """Returns the endpoints of a route that this proxy may call.
+
+    Of many ready endpoints a proxy calls a subset that changes little when
+    endpoints come and go, so that no upstream hears from the whole fleet.
+    """
+    ready = tuple(
+        endpoint
+        for endpoint in endpoints
+        if endpoint.state is EndpointState.READY
+    )
+    if len(ready) <= SUBSET_SIZE:
+        return ready
+
+    def rank(endpoint: Endpoint) -> int:
+        return xxh3_64_intdigest(f'{instance}\n{endpoint.instance}'.encode())
+
+    return tuple(sorted(ready, key=rank)[:SUBSET_SIZE])
+
+
+def select_endpoint(
+    ready: Sequence[Candidate],
+    tried: Sequence[str],
+    viewpoint: Viewpoint,
+    balancer: Balancer,
+    random: RandomSource,
+) -> Selection | None:
+    """Returns the endpoint of the next attempt, or None where none is ready.
+
+    `tried` are instances that an earlier attempt went to.
+    """
+    if not ready:
+        return None
+    now = viewpoint.now
+    reasons: list[str] = []
+    left = _skip_tried(ready, tried, reasons)
+    left = _skip_ejected(left, now, reasons)
+    left = _skip_cold(left, viewpoint.wall_ms, random, reasons)
+    left = _prefer_near(left, viewpoint, reasons)
+    chosen = balancer.pick(
+        left,
+        lambda one: estimate_work_us(one, now),
+        random,
+    )
+    reasons.append(balancer.name)
+    has_other = len(ready) > len(tried) + 1
+    return Selection(chosen.endpoint, len(left), ', '.join(reasons), has_other)
+
+
+def _skip_tried(
+    candidates: Sequence[Candidate],
+    tried: Sequence[str],
+    reasons: list[str],
+) -> Sequence[Candidate]:
+    if not tried:
+        return candidates
+    left = [one for one in candidates if one.endpoint.instance not in tried]
+    if not left:
+        reasons.append('all tried')
+        return candidates
+    reasons.append('not tried')
+    return left
+
+
+def _skip_ejected(
+    candidates: Sequence[Candidate],
+    now: float,
+    reasons: list[str],
+) -> Sequence[Candidate]:
+    left = [one for one in candidates if one.load.ejected_until <= now]
+    if len(left) == len(candidates):
+        return candidates
+    if not left:
+        reasons.append('all ejected')
+        return candidates
+    reasons.append('not ejected')
+    return left
+
+
+def _skip_cold(
+    candidates: Sequence[Candidate],
+    wall_ms: int,
+    random: RandomSource,
+    reasons: list[str],
+) -> Sequence[Candidate]:
+    left = [
+        one
+        for one in candidates
+        if wall_ms - one.endpoint.since_ms >= SLOW_START_MS
+        or random.random() < find_slow_start(one.endpoint, wall_ms)
+    ]
+    if left and len(left) < len(candidates):
+        reasons.append('warm')
+        return left
+    return candidates
+
+
+def _prefer_near(
+    candidates: Sequence[Candidate],
+    viewpoint: Viewpoint,
+    reasons: list[str],
+) -> Sequence[Candidate]:
+    now = viewpoint.now
+    free = [one for one in candidates if not is_busy(one, now)]
+    domain = viewpoint.failure_domain
+    near = [one for one in free if one.endpoint.failure_domain == domain]
+    if near:
+        reasons.append('near')
+        return near
+    if free:
+        reasons.append('free')
+        return free
+    reasons.append('all busy')
+    return candidates
