--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 SEED ?= 0
 COUNT ?= 20000
 
-.PHONY: setup format lint unit test demo bench-spread
+.PHONY: setup format lint unit test demo soak bench bench-acceptance \
+	bench-spread bench-call bench-claim bench-call
 
 setup: $(VENV)/.installed
 
@@ -21,11 +22,11 @@
 	touch $@
 
 format: setup
-	$(BIN)/ruff format packages tests
+	$(BIN)/ruff format packages tests demo
 
 lint: setup
-	$(BIN)/ruff format --check packages tests
-	$(BIN)/flake8 --jobs 4 packages tests
+	$(BIN)/ruff format --check packages tests demo
+	$(BIN)/flake8 --jobs 4 packages tests demo
 
 unit: setup
 	$(BIN)/python -m pytest -n 6
@@ -33,7 +34,21 @@
 test: lint unit
 
 demo: setup
-	$(BIN)/python -m tests.demo
+	$(BIN)/python -m demo
+
+bench-acceptance: setup
+	$(BIN)/python -m tests.bench.acceptance
 
 bench-spread: setup
 	$(BIN)/python -m tests.bench.spread
+
+bench-call: setup
+	$(BIN)/python -m tests.bench.call
+
+bench-claim: setup
+	$(BIN)/python -m tests.bench.claim
+
+bench: bench-acceptance bench-spread bench-call bench-claim
+
+soak: setup
+	$(BIN)/python -m tests.soak --seed $(SEED) --count $(COUNT)
--- /dev/null
+++ b/packages/bilberry_claims/bilberry_claims/record.py
@@ -0,0 +1,104 @@
+"""What a holder keeps of one key, and its encoding in journals and pages."""
+
+from typing import NamedTuple
+
+from msgpack import packb, unpackb
+from msgspec import ValidationError, convert
+
+from bilberry_claims.limit import MAX_DISPUTED, MAX_WITHDRAWN
+from bilberry_core.claim import ClaimKey, StoredAnswer
+from bilberry_core.error import JournalError
+
+
+class Vote(NamedTuple):
+    """A live vote for the token of an attempt with this fingerprint."""
+
+    token: bytes
+    fingerprint: bytes
+
+
+#: Stands for votes that found no room; never withdrawn.
+_FOR_UNKNOWN = Vote(b'?', b'')
+
+
+class ClaimRecord(NamedTuple):
+    """A holder's vote on a key, and the answer once there is one.
+
+    `votes` holds one vote, none while the key is free, or several where the
+    holder took over conflicting ones: then it votes for nobody until all but
+    one are withdrawn. `expires_ms` is wall clock time in milliseconds.
+    `is_dropped` where the answer was too large to store.
+    """
+
+    claim: ClaimKey
+    votes: tuple[Vote, ...] = ()
+    expires_ms: int = 0
+    answer: StoredAnswer | None = None
+    is_dropped: bool = False
+    withdrawn: tuple[bytes, ...] = ()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the request is known to have run."""
+        return self.answer is not None or self.is_dropped
+
+    @property
+    def tokens(self) -> tuple[bytes, ...]:
+        """The tokens of the live votes."""
+        return tuple(vote.token for vote in self.votes)
+
+    @property
+    def fingerprint(self) -> bytes:
+        """The fingerprint of the one live vote; empty otherwise."""
+        return self.votes[0].fingerprint if len(self.votes) == 1 else b''
+
+
+def encode_record(record: ClaimRecord) -> bytes:
+    """Returns the encoding of a record."""
+    return packb(record)
+
+
+def decode_record(encoded: bytes) -> ClaimRecord:
+    """Returns the record; raises `JournalError` where it is none."""
+    try:
+        return convert(unpackb(encoded, use_list=False), ClaimRecord)
+    except (ValueError, ValidationError) as error:
+        raise JournalError(f'no claim: {error}') from error
+
+
+def free_record(record: ClaimRecord, token: bytes) -> ClaimRecord:
+    """Returns the record after the withdrawal of a token."""
+    if token in record.withdrawn:
+        return record
+    withdrawn = (*record.withdrawn, token)[-MAX_WITHDRAWN:]
+    freed = record._replace(withdrawn=withdrawn)
+    if record.is_settled:
+        return freed
+    votes = tuple(vote for vote in record.votes if vote.token != token)
+    return freed._replace(votes=votes)
+
+
+def merge_records(own: ClaimRecord, other: ClaimRecord) -> ClaimRecord:
+    """Returns what two holders know of one key, on the safe side.
+
+    Live votes for different tokens are all kept: either may have been
+    granted.
+    """
+    for token in other.withdrawn:
+        own = free_record(own, token)
+    for token in own.withdrawn:
+        other = free_record(other, token)
+    expires_ms = max(own.expires_ms, other.expires_ms)
+    chosen = _choose(own, other)
+    return chosen._replace(expires_ms=expires_ms, withdrawn=own.withdrawn)
+
+
+def _choose(own: ClaimRecord, other: ClaimRecord) -> ClaimRecord:
+    if own.is_settled:
+        return own
+    if other.is_settled:
+        return other
+    votes = sorted({*own.votes, *other.votes})
+    if len(votes) > MAX_DISPUTED:
+        votes = [*votes[: MAX_DISPUTED - 1], _FOR_UNKNOWN]
+    return own._replace(votes=tuple(votes))
--- a/packages/bilberry_spread/bilberry_spread/compiler.py
+++ b/packages/bilberry_spread/bilberry_spread/compiler.py
@@ -4,7 +4,7 @@
 before whole, and never by an older version.
 """
 
-from asyncio import get_running_loop
+from asyncio import Event, get_running_loop
 from collections.abc import Iterable
 from logging import getLogger
 
@@ -24,6 +24,7 @@
         """Compiles for this board."""
         self._board = board
         self._scheduled = False
+        self._stopped = Event()
 
     @classmethod
     def from_settings(
@@ -35,17 +36,21 @@
         return cls(board)
 
     async def run(self) -> None:
-        """Compiles after each change until the daemon stops."""
-        stops = (
+        """Compiles after each change until `stop`."""
+        watching = (
             self._board.accepted.watch(self._schedule),
             self._board.endpoints.watch(self._schedule),
         )
         self.compile()
         try:
-            await self._board.stopping.wait()
+            await self._stopped.wait()
         finally:
-            for stop in stops:
-                stop()
+            for stop_watching in watching:
+                stop_watching()
+
+    async def stop(self) -> None:
+        """Compiles no more."""
+        self._stopped.set()
 
     def compile(self) -> None:
         """Puts the snapshot of what the board holds now."""
--- a/tests/bench/__init__.py
+++ b/tests/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benches, run by make."""
+"""Benches: real processes on loopback, compared in one run."""
