--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,8 @@
 
 bench-spread: setup
 	$(BIN)/python -m tests.bench.spread
+	$(BIN)/python -m tests.bench.spread_state
+	$(BIN)/python -m tests.bench.spread_daemons
 
 bench-call: setup
 	$(BIN)/python -m tests.bench.call
--- a/packages/bilberry_spread/bilberry_spread/table.py
+++ b/packages/bilberry_spread/bilberry_spread/table.py
@@ -7,7 +7,7 @@
 silence may be the listener's own fault.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -56,6 +56,7 @@
         self._lease_s = lease_s
         self._entries: dict[str, Entry] = {}
         self._counts: Counter[str] = Counter()
+        self._homed: defaultdict[str, set[str]] = defaultdict(set)
         self._leases: set[str] = set()
         self._tombstones = Tombstones()
         self._limit = RemovalLimit(lease_s * WINDOW_LEASES)
@@ -126,11 +127,7 @@
 
     def find_homed(self, home: str) -> tuple[str, ...]:
         """Returns the instances that `home` vouches for."""
-        return tuple(
-            instance
-            for instance, entry in self._entries.items()
-            if entry.home.instance == home
-        )
+        return tuple(self._homed[home])
 
     def extend_leases(self, seconds: float) -> None:
         """Lets every lease run longer, after a pause of this process."""
@@ -174,6 +171,7 @@
         self._tombstones.remove(instance)
         self._entries[instance] = entry
         self._counts[entry.endpoint.service] += 1
+        self._homed[entry.home.instance].add(instance)
         if entry.expires is not None:
             self._leases.add(instance)
         if before is None:
@@ -191,6 +189,7 @@
         self._leases.discard(instance)
         if entry is not None:
             self._counts[entry.endpoint.service] -= 1
+            self._homed[entry.home.instance].discard(instance)
         return entry
 
 
--- a/tests/bench/spread.py
+++ b/tests/bench/spread.py
@@ -6,6 +6,7 @@
 
 from asyncio import create_subprocess_exec, create_task, gather, run, sleep
 from asyncio.subprocess import PIPE
+from enum import StrEnum
 from json import dumps, loads
 from os import cpu_count, environ
 from pathlib import Path
@@ -37,6 +38,17 @@
 LIMIT_S = 60
 
 
+class Kind(StrEnum):
+    """How a fleet spreads."""
+
+    #: Relays between the source and the proxies.
+    TREE = 'tree'
+    #: The same messages, with every proxy attached to the source.
+    STAR = 'star'
+    #: Every proxy polls the source for the whole state.
+    NAIVE = 'naive'
+
+
 class Process:
     """One daemon."""
 
@@ -117,18 +129,18 @@
 class BenchFleet:
     """A source, relays and proxies."""
 
-    def __init__(self, proxies: int, naive: bool, services: int) -> None:
+    def __init__(self, proxies: int, kind: Kind, services: int) -> None:
         """Prepares the processes."""
         self.services = services
         self.version = 0
         self.sequence = 1
-        self.source = self._make('source', 0, naive)
+        self.source = self._make('source', 0, kind)
         self.relays = [
-            self._make('relay', number, naive)
-            for number in range(0 if naive else RELAYS)
+            self._make('relay', number, kind)
+            for number in range(RELAYS if kind is Kind.TREE else 0)
         ]
         self.proxies = [
-            self._make('proxy', number, naive) for number in range(proxies)
+            self._make('proxy', number, kind) for number in range(proxies)
         ]
 
     @property
@@ -183,14 +195,14 @@
         """Ends all processes, each by its own ID."""
         await gather(*(one.end() for one in self.processes))
 
-    def _make(self, role: str, number: int, naive: bool) -> Process:
+    def _make(self, role: str, number: int, kind: Kind) -> Process:
         return Process(
             {
                 'name': f'{role}-{number}',
                 'role': role,
                 'domain': DOMAINS[number % len(DOMAINS)],
                 'service': f'service-{number // 10:04}',
-                'naive': naive,
+                'naive': kind is Kind.NAIVE,
             },
         )
 
@@ -247,9 +259,9 @@
     return {role: compare(before[role], after[role]) for role in before}
 
 
-async def measure_fleet(proxies: int, naive: bool, services: int) -> dict:
+async def measure_fleet(proxies: int, kind: Kind, services: int) -> dict:
     """Measures one fleet with nothing failing."""
-    fleet = BenchFleet(proxies, naive, services)
+    fleet = BenchFleet(proxies, kind, services)
     configuration: list[float] = []
     everywhere: list[float] = []
     endpoint: list[float] = []
@@ -270,7 +282,7 @@
         await fleet.start()
         return {
             'proxies': proxies,
-            'naive': naive,
+            'kind': kind,
             'services': services,
             'relays': len(fleet.relays),
             'changes': CHANGES,
@@ -330,7 +342,7 @@
 
 async def measure_faults(proxies: int) -> dict:
     """Measures a fleet through faults, one after the other."""
-    fleet = BenchFleet(proxies, naive=False, services=SERVICES)
+    fleet = BenchFleet(proxies, Kind.TREE, SERVICES)
     found: dict = {'proxies': proxies, 'relays': RELAYS}
     try:
         await fleet.start()
@@ -357,10 +369,9 @@
     """Prints a line for each fleet."""
     print('proxies services version  config p50/p99/worst ms   everywhere p99')
     for row in rows:
-        kind = 'naive' if row['naive'] else 'spread'
         idle = row['idle']
         print(
-            f'{row["proxies"]:7} {row["services"]:8} {kind:7}'
+            f'{row["proxies"]:7} {row["services"]:8} {row["kind"]:7}'
             f' {describe(row["configuration"]):26}'
             f' {row["everywhere"]["p99_ms"]:9}'
             f' endpoint {describe(row["endpoint"])}',
@@ -387,11 +398,13 @@
     """Measures everything and writes the JSON."""
     rows = []
     for proxies in FLEETS:
-        for naive in (False, True):
-            rows.append(await measure_fleet(proxies, naive, SERVICES))
+        for kind in Kind:
+            rows.append(await measure_fleet(proxies, kind, SERVICES))
             print_table(rows[-1:])
     if WIDE_SERVICES:
-        rows.append(await measure_fleet(FLEETS[0], False, WIDE_SERVICES))
+        rows.append(
+            await measure_fleet(FLEETS[0], Kind.TREE, WIDE_SERVICES),
+        )
         print_table(rows[-1:])
     faults = await measure_faults(FLEETS[-1])
     print('faults:')
--- /dev/null
+++ b/tests/bench/spread_daemons.py
@@ -0,0 +1,227 @@
+"""Measures spreading with real daemons, three of them replicas and relays.
+
+A change is accepted through `bilberryctl`; when it was accepted and when each
+daemon ran it are read from the daemons' own logs.
+"""
+
+from json import dumps, loads
+from os import environ, sysconf
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+
+from yaml import safe_dump
+
+from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
+from demo.operator import Operator
+from tests.bench.spread import DOMAINS, FLEETS, OUTPUT, summarize
+
+DAEMONS_OUTPUT = OUTPUT.with_name('spread_daemons.json')
+CHANGES = int(environ.get('DAEMON_CHANGES', '10'))
+REPLICAS = 3
+SERVICES = 100
+IDLE_S = 15
+LIMIT_S = 90
+TICKS_PER_S = sysconf('SC_CLK_TCK')
+PAGE_BYTES = sysconf('SC_PAGE_SIZE')
+
+
+def plan_fleet(size: int) -> list[Plan]:
+    """Returns the replicas, and proxies up to `size` in all."""
+    roles = ('proxy', 'relay', 'replica')
+    return [
+        Plan(
+            f'node-{number}',
+            DOMAINS[number % len(DOMAINS)],
+            roles if number < REPLICAS else roles[:1],
+            f'service-{number % SERVICES:04}',
+        )
+        for number in range(size)
+    ]
+
+
+def write_configuration(file: Path, version: int) -> None:
+    """Writes the operators' file of a version."""
+    document = {
+        'defaults': {'timeout': f'{1000 + version}ms'},
+        'services': {
+            f'service-{number:04}': {'hosts': [f'{number:04}.example']}
+            for number in range(SERVICES)
+        },
+        'exceptions': {
+            f'exception-{number:04}': {
+                'service': f'service-{number:04}',
+                'set': {'timeout': '7s'},
+                'reason': 'slow disks in the old building',
+            }
+            for number in range(0, SERVICES, 5)
+        },
+    }
+    file.write_text(safe_dump(document))
+
+
+def read_process(pid: int) -> dict:
+    """Returns processor time in seconds and resident memory in bytes."""
+    fields = Path(f'/proc/{pid}/stat').read_text().rsplit(')', 1)[1].split()
+    return {
+        'cpu_s': (int(fields[11]) + int(fields[12])) / TICKS_PER_S,
+        'rss': int(fields[21]) * PAGE_BYTES,
+    }
+
+
+def read_all(fleet: Fleet) -> dict[str, dict]:
+    """Returns bytes, processor time and memory of each daemon."""
+    found = {}
+    for instance in fleet.running_daemons():
+        spread = fleet.read_status(instance)['traffic']['spread']
+        spent = read_process(fleet.get_pid(instance))
+        found[instance] = {**spread, **spent}
+    return found
+
+
+def compare(before: dict, after: dict, seconds: float) -> dict:
+    """Returns what a replica and a proxy spent, on average."""
+    spent = {}
+    for role in ('replica', 'proxy'):
+        names = [
+            name
+            for name in before
+            if (int(name.split('-')[1]) < REPLICAS) == (role == 'replica')
+        ]
+        sums = {
+            field: sum(
+                after[name][field] - before[name][field] for name in names
+            )
+            / len(names)
+            for field in ('sent', 'received', 'cpu_s')
+        }
+        spent[role] = {
+            'sent_bytes': round(sums['sent'], 1),
+            'received_bytes': round(sums['received'], 1),
+            'sent_bytes_per_s': round(sums['sent'] / seconds, 1),
+            'received_bytes_per_s': round(sums['received'] / seconds, 1),
+            'core_percent': round(100 * sums['cpu_s'] / seconds, 3),
+            'rss_mb': round(
+                max(after[name]['rss'] for name in names) / 1e6,
+                1,
+            ),
+        }
+    return spent
+
+
+def read_logs(fleet: Fleet) -> tuple[dict[int, float], dict[int, list[float]]]:
+    """Returns when each version was accepted, and run by each daemon."""
+    accepted: dict[int, float] = {}
+    running: dict[int, list[float]] = {}
+    for instance in fleet.members:
+        log = fleet.folder / f'{instance}.json'
+        for line in log.read_text().splitlines():
+            told = loads(line)
+            if told['event'] == 'version_accepted':
+                at = read_time(told['time'])
+                version = told['version']
+                accepted[version] = min(at, accepted.get(version, at))
+            elif told['event'] == 'version_running':
+                times = running.setdefault(told['version'], [])
+                times.append(read_time(told['time']))
+    return accepted, running
+
+
+def read_time(text: str) -> float:
+    """Returns the seconds of a day at a log line's time."""
+    clock = text.split()[1].replace(',', '.')
+    hours, minutes, seconds = clock.split(':')
+    return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
+
+
+def is_in_force(fleet: Fleet, version: int) -> bool:
+    """Tells whether a replica knows that all run a version."""
+    status = fleet.read_status('node-0')
+    if status is None:
+        return False
+    versions = [proxy['version'] for proxy in status['proxies']]
+    return len(versions) == len(fleet.members) and min(versions) >= version
+
+
+def change(fleet: Fleet, operator: Operator, version: int) -> None:
+    """Makes a version accepted and waits until it is in force."""
+    file = fleet.folder / 'change.yaml'
+    write_configuration(file, version)
+    operator.apply(file, f'change {version}')
+    wait_until(lambda: is_in_force(fleet, version), LIMIT_S, f'{version}')
+
+
+def measure_fleet(size: int) -> dict:
+    """Measures one fleet with nothing failing."""
+    with TemporaryDirectory() as folder:
+        fleet = prepare_fleet(Path(folder), plan_fleet(size))
+        operator = Operator(fleet)
+        try:
+            return measure_running(fleet, operator)
+        finally:
+            fleet.close()
+
+
+def measure_running(fleet: Fleet, operator: Operator) -> dict:
+    """Starts the daemons and measures them idle and through changes."""
+    for instance in fleet.members:
+        fleet.start_daemon(instance)
+    for instance in fleet.members:
+        wait_until(
+            lambda name=instance: fleet.read_status(name) is not None,
+            LIMIT_S,
+            instance,
+        )
+    change(fleet, operator, 1)
+    sleep(2)
+    start = monotonic()
+    before = read_all(fleet)
+    sleep(IDLE_S)
+    after = read_all(fleet)
+    idle = compare(before, after, monotonic() - start)
+    start = monotonic()
+    before = read_all(fleet)
+    for version in range(2, CHANGES + 2):
+        change(fleet, operator, version)
+    after = read_all(fleet)
+    changing = compare(before, after, monotonic() - start)
+    accepted, running = read_logs(fleet)
+    measured = range(2, CHANGES + 2)
+    delays = [
+        at - accepted[version]
+        for version in measured
+        for at in running[version]
+    ]
+    everywhere = [max(running[one]) - accepted[one] for one in measured]
+    return {
+        'daemons': len(fleet.members),
+        'changes': CHANGES,
+        'idle': idle,
+        'changing': changing,
+        'configuration': summarize(delays),
+        'everywhere': summarize(everywhere),
+    }
+
+
+def main() -> None:
+    """Measures every size, prints and writes what was found."""
+    rows = []
+    for size in FLEETS:
+        rows.append(measure_fleet(size))
+        print(dumps(rows[-1], indent=1))
+    DAEMONS_OUTPUT.write_text(
+        dumps(
+            {
+                'command': 'make bench-spread',
+                'daemon': 'bilberryd, 3 replicas that are relays and proxies',
+                'services': SERVICES,
+                'fleets': rows,
+            },
+            indent=1,
+        )
+        + '\n',
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/bench/spread_state.py
@@ -0,0 +1,132 @@
+"""Measures the state of a relay by the number of endpoints in the fleet."""
+
+from gc import collect
+from json import dumps, loads
+from os import sysconf
+from pathlib import Path
+from subprocess import run
+from sys import argv, executable
+from time import perf_counter
+
+from bilberry_core.endpoint import Address, Endpoint, EndpointState
+from bilberry_core.messages.registry import decode_message, encode_message
+from bilberry_core.messages.spread import Announce, EndpointUpdate
+from bilberry_spread.compiler import group_by_service
+from bilberry_spread.directory import RelayDirectory
+from tests.bench.spread import OUTPUT
+
+STATE_OUTPUT = OUTPUT.with_name('spread_state.json')
+SIZES = (1000, 5000, 17_000)
+PER_RELAY = 340
+PER_SERVICE = 17
+PAGE_BYTES = sysconf('SC_PAGE_SIZE')
+MS_PER_S = 1000
+US_PER_S = 1_000_000
+REPEATS = 100
+
+
+def read_rss() -> int:
+    """Returns the resident memory of this process, in bytes."""
+    return int(Path('/proc/self/statm').read_text().split()[1]) * PAGE_BYTES
+
+
+def make_endpoint(number: int, sequence: int = 1) -> Endpoint:
+    """Returns the record of one upstream."""
+    return Endpoint(
+        f'node-{number:05}-region-a',
+        1_700_000_000_000,
+        sequence,
+        f'service-{number // PER_SERVICE:04}',
+        Address('10.200.100.50', 9000),
+        'domain-a',
+        EndpointState.READY,
+        12,
+        110,
+        1_700_000_000_000,
+    )
+
+
+def encode_relays(size: int) -> list[bytes]:
+    """Returns what each relay tells a relay that has just started."""
+    return [
+        encode_message(
+            EndpointUpdate(
+                tuple(map(make_endpoint, range(first, first + PER_RELAY))),
+                (),
+                (),
+                (1_700_000_000_000,) * PER_RELAY,
+            ),
+        )
+        for first in range(0, size, PER_RELAY)
+    ]
+
+
+def measure(size: int) -> dict:
+    """Returns memory and times of a relay's table of this size."""
+    encoded = encode_relays(size)
+    collect()
+    before = read_rss()
+    directory = RelayDirectory('relay-0', 6, lambda *_change: None)
+    start = perf_counter()
+    for number, told in enumerate(encoded):
+        directory.take_from_peer(
+            f'relay-{number}',
+            decode_message(told),
+            0,
+            is_whole=True,
+        )
+    taken = perf_counter() - start
+    collect()
+    rss = read_rss() - before
+    start = perf_counter()
+    for sequence in range(REPEATS):
+        directory.announce(Announce(make_endpoint(0, sequence), 1), 0)
+    announced = perf_counter() - start
+    start = perf_counter()
+    for _number in range(REPEATS):
+        directory.start_leases_of('relay-1', 0)
+        directory.expire(0)
+    ticked = perf_counter() - start
+    start = perf_counter()
+    endpoints = directory.table.endpoints
+    copied = perf_counter() - start
+    start = perf_counter()
+    group_by_service(endpoints.values())
+    grouped = perf_counter() - start
+    return {
+        'endpoints': size,
+        'record_bytes': round(len(encoded[0]) / PER_RELAY, 1),
+        'rss_bytes': rss,
+        'take_all_ms': round(taken * MS_PER_S, 2),
+        'announce_us': round(announced / REPEATS * US_PER_S, 2),
+        'tick_us': round(ticked / REPEATS * US_PER_S, 2),
+        'copy_ms': round(copied * MS_PER_S, 2),
+        'group_ms': round(grouped * MS_PER_S, 2),
+    }
+
+
+def measure_apart(size: int) -> dict:
+    """Measures in a process of its own, so that memory is its alone."""
+    done = run(
+        [executable, '-m', 'tests.bench.spread_state', str(size)],
+        check=True,
+        capture_output=True,
+    )
+    return loads(done.stdout)
+
+
+def main() -> None:
+    """Measures one size that was asked for, or all."""
+    if argv[1:]:
+        print(dumps(measure(int(argv[1]))))
+        return
+    rows = [measure_apart(size) for size in SIZES]
+    for row in rows:
+        print(row)
+    STATE_OUTPUT.write_text(
+        dumps({'command': 'make bench-spread', 'sizes': rows}, indent=1) + '\n',
+    )
+
+
+if __name__ == '__main__':
+    main()
