--- a/packages/bilberry_spread/bilberry_spread/compiler.py
+++ b/packages/bilberry_spread/bilberry_spread/compiler.py
@@ -4,7 +4,7 @@
 before whole, and never by an older version.
 """
 
-from asyncio import get_running_loop
+from asyncio import Event, get_running_loop
 from collections.abc import Iterable
 from logging import getLogger
 
@@ -24,6 +24,7 @@
         """Compiles for this board."""
         self._board = board
         self._scheduled = False
+        self._stopped = Event()
 
     @classmethod
     def from_settings(
@@ -35,17 +36,21 @@
         return cls(board)
 
     async def run(self) -> None:
-        """Compiles after each change until the daemon stops."""
-        stops = (
+        """Compiles after each change until `stop`."""
+        watching = (
             self._board.accepted.watch(self._schedule),
             self._board.endpoints.watch(self._schedule),
         )
         self.compile()
         try:
-            await self._board.stopping.wait()
+            await self._stopped.wait()
         finally:
-            for stop in stops:
-                stop()
+            for stop_watching in watching:
+                stop_watching()
+
+    async def stop(self) -> None:
+        """Compiles no more."""
+        self._stopped.set()
 
     def compile(self) -> None:
         """Puts the snapshot of what the board holds now."""
@@ -55,7 +60,11 @@
         if accepted is None or not _may_replace(running, accepted):
             return
         grouped = group_by_service(self._board.endpoints.value.values())
-        self._board.snapshot.put(compile_snapshot(accepted, grouped))
+        if running is None or running.digest != accepted.digest:
+            snapshot = compile_snapshot(accepted, grouped)
+        else:
+            snapshot = replace_endpoints(running, accepted, grouped)
+        self._board.snapshot.put(snapshot)
         if running is None or running.version != accepted.version:
             _log.info(
                 'version_running',
@@ -82,5 +91,26 @@
     return {service: tuple(found) for service, found in grouped.items()}
 
 
+def replace_endpoints(
+    running: Snapshot,
+    accepted: AcceptedVersion,
+    endpoints_by_service: dict[str, tuple[Endpoint, ...]],
+) -> Snapshot:
+    """Returns what `compile_snapshot` would, for the same configuration.
+
+    Routes whose endpoints are the same are shared with `running`.
+    """
+    routes = dict(running.routes)
+    for service, route in running.routes.items():
+        endpoints = endpoints_by_service.get(service, ())
+        if endpoints != route.endpoints:
+            routes[service] = route._replace(endpoints=endpoints)
+    return running._replace(
+        version=accepted.version,
+        term=accepted.term,
+        routes=routes,
+    )
+
+
 def _may_replace(running: Snapshot | None, accepted: AcceptedVersion) -> bool:
     return running is None or accepted.version >= running.version
--- a/tests/bilberry_spread/test_loopback.py
+++ b/tests/bilberry_spread/test_loopback.py
@@ -63,14 +63,13 @@
                 Random(1),
             )
         compiler = SnapshotController.from_settings(settings, self.board)
-        self.controllers = [spreader]
+        self.controllers = [spreader, compiler]
         self.tasks = [create_task(one.run()) for one in (spreader, compiler)]
 
     async def stop(self) -> None:
         """Ends everything."""
-        self.board.stopping.set()
-        await gather(*self.tasks)
         await gather(*(one.stop() for one in self.controllers))
+        await gather(*self.tasks)
         self.listener.close()
 
 
