--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -35,6 +35,8 @@
 
 #: Bytes of later requests that a caller may send ahead.
 MAX_AHEAD_BYTES = 64 << 10
+#: Longest time without a whole request head, in seconds.
+MAX_IDLE_S = 60.0
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -55,6 +57,7 @@
         self._transport: Transport | None = None
         self._exchange: Exchange | None = None
         self._reading_events = False
+        self._idle_since: float | None = None
 
     # The event loop's side.
 
@@ -87,6 +90,16 @@
         if exchange is not None:
             exchange.caller_gone()
 
+    def expire_idle(self, now: float) -> None:
+        """Ends the connection where no request has come for long.
+
+        `now` is monotonic time, in seconds.
+        """
+        if self._exchange is not None or self._idle_since is None:
+            self._idle_since = now
+        elif now - self._idle_since > MAX_IDLE_S and self._transport:
+            self._transport.close()
+
     # The exchange's side.
 
     def start_answer(
@@ -166,6 +179,7 @@
             return False
         if batch.start is not None:
             self._exchange = self._build_exchange(self)
+            self._idle_since = None
             if not batch.last:
                 self._transport.write(encode_continue(self._http))
             self._exchange.begin(batch.start)
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -182,6 +182,9 @@
 
     def _sweep(self) -> None:
         self._suspicion.forget_expired()
+        now = self._clock.now()
+        for connection in tuple(self._connections):
+            connection.expire_idle(now)
         snapshot = self._board.snapshot.value
         if snapshot is not None:
             self._streams.close_unused(snapshot)
