Shed at the proxy what every upstream sheds, by priority

Now a proxy remembers for at most 250 ms that an endpoint sheds a priority, does not retry a refusal where there is no other endpoint, and sheds deferrable and then normal requests while its own event loop is behind. One call in ten is let through, to notice the end.

--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_server.py
@@ -0,0 +1,70 @@
+"""Accepts callers' connections and ends them."""
+
+from asyncio import Server, get_running_loop
+
+from bilberry_core.board import Phase
+from bilberry_core.endpoint import Address
+
+from bilberry_proxy.caller_connection import CallerConnection
+from bilberry_proxy.context import ProxyContext
+from bilberry_proxy.exchange import Exchange
+
+_BACKLOG = 1024
+
+
+class CallerServer:
+    """Every connection of a caller."""
+
+    def __init__(self, context: ProxyContext) -> None:
+        """Starts without listening."""
+        self._context = context
+        self._connections: set[CallerConnection] = set()
+        self._server: Server | None = None
+
+    @property
+    def address(self) -> Address | None:
+        """Where callers are taken, once the server listens."""
+        if self._server is None or not self._server.sockets:
+            return None
+        bound = self._server.sockets[0].getsockname()
+        return Address(bound[0], bound[1])
+
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return len(self._connections)
+
+    async def start(self, address: Address) -> None:
+        """Starts to listen."""
+        self._server = await get_running_loop().create_server(
+            self._accept,
+            address.host,
+            address.port,
+            backlog=_BACKLOG,
+        )
+
+    def drain(self) -> None:
+        """Tells every caller to close after the answer under way."""
+        for connection in tuple(self._connections):
+            connection.is_draining = True
+
+    def expire_idle(self, now: float) -> None:
+        """Ends the connections that have been idle for long."""
+        for connection in tuple(self._connections):
+            connection.expire_idle(now)
+
+    def close(self) -> None:
+        """Stops listening and ends every connection."""
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self._connections):
+            connection.cut_answer()
+
+    def _accept(self) -> CallerConnection:
+        connection = CallerConnection(self._build_exchange, self._connections)
+        phase = self._context.board.phase.value
+        connection.is_draining = phase is Phase.DRAINING
+        return connection
+
+    def _build_exchange(self, connection: CallerConnection) -> Exchange:
+        return Exchange(self._context, connection)
--- a/packages/bilberry_proxy/bilberry_proxy/context.py
+++ b/packages/bilberry_proxy/bilberry_proxy/context.py
@@ -10,6 +10,7 @@
 from bilberry_core.metric import Metrics
 
 from bilberry_proxy.call import CallTarget
+from bilberry_proxy.pressure import Pressure
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
 from bilberry_proxy.suspicion import Suspicion
@@ -38,6 +39,7 @@
     router: Router
     interest: ServiceInterest
     suspicion: Suspicion
+    pressure: Pressure
     find_target: TargetFinder
     metrics: Metrics
     claims: Claims | None
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -69,6 +69,7 @@
         self._plan: Plan | None = None
         self._fingerprint = b''
         self._attempt: Attempt | None = None
+        self._has_other = False
         self._wait = EndpointWait(
             context,
             self._adopt,
@@ -86,10 +87,17 @@
         return Verdict.MAY_HAVE_RUN
 
     def start(self, plan: Plan, fingerprint: bytes) -> None:
-        """Makes the first attempt."""
+        """Makes the first attempt, unless it would be shed."""
         self._plan = plan
         self._fingerprint = fingerprint
-        self._choose()
+        refusal = self._context.router.find_refusal(
+            plan.snapshot.routes[plan.service],
+            plan.decision.policy.priority,
+        )
+        if refusal is None:
+            self._choose()
+        else:
+            self._owner.take_failure(refusal)
 
     def cancel(self) -> None:
         """Ends the attempt under way; nothing more is received."""
@@ -132,6 +140,7 @@
             plan.retries + 1 - len(self._outcome.tried),
             plan.deadline - self._context.clock.now(),
             quarantined,
+            self._has_other,
         )
         budget = self._context.router.find_budget(plan.service)
         decision = decide_retry(failure, state, budget)
@@ -150,6 +159,12 @@
             failure,
             context.clock.now() - attempt.started_at,
         )
+        if failure.code is FailureCode.OVERLOADED:
+            context.router.note_shed(
+                attempt.endpoint,
+                plan.decision.policy.priority,
+                failure.retry_after_ms,
+            )
         if failure.code is FailureCode.UPSTREAM_CRASHED:
             context.suspicion.name((self._fingerprint,), attempt.endpoint)
         finding = context.suspicion.judge(self._fingerprint)
@@ -185,17 +200,18 @@
         load = context.router.find_load(endpoint)
         attempt = Attempt(self, endpoint, load, now)
         self._attempt = attempt
+        self._has_other = selection.has_other
         attempt.open(context.find_target(endpoint), start)
         if attempt.ended:
             return
         if not start.last:
             self._body.attach(attempt)
-        self._limit(attempt, selection.has_other)
+        self._limit(attempt)
 
-    def _limit(self, attempt: Attempt, has_other: bool) -> None:
+    def _limit(self, attempt: Attempt) -> None:
         plan = self._plan
         retries_left = plan.retries + 1 - len(self._outcome.tried)
-        if not plan.idempotent or not has_other or retries_left <= 0:
+        if not plan.idempotent or not self._has_other or retries_left <= 0:
             return
         left_s = plan.deadline - attempt.started_at
         until = attempt.started_at + left_s * ATTEMPT_SHARE
--- a/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
+++ b/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
@@ -4,10 +4,13 @@
 against what was seen: own calls outstanding, latencies and failures.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.call import Load
+from bilberry_core.policy import Priority
 
 _INITIAL_LATENCY_US = 1000.0
 #: Weight of the newest latency in the moving mean.
@@ -19,6 +22,9 @@
 SLOW_START_SHARE = 0.1
 #: Share of its slots from which on an endpoint counts as busy.
 BUSY_SHARE = 0.8
+#: Longest time for which calls are shed without asking, in seconds.
+MAX_SHED_S = 0.25
+_RANKS = {Priority.URGENT: 0, Priority.NORMAL: 1, Priority.DEFERRABLE: 2}
 #: Time after which nothing is left of what was seen, in seconds.
 FADE_S = 5.0
 
@@ -34,6 +40,8 @@
         'outstanding',
         'reported',
         'seen_at',
+        'shed_rank',
+        'shed_until',
     )
 
     def __init__(self) -> None:
@@ -42,6 +50,8 @@
         self.latency_us = _INITIAL_LATENCY_US
         self.reported = 0
         self.seen_at: float = 0
+        self.shed_rank = 0
+        self.shed_until: float = 0
         self.failures = 0
         self.ejections = 0
         self.ejected_until: float = 0
@@ -61,6 +71,19 @@
         self.reported = load.outstanding + load.queued
         self.seen_at = now
 
+    def note_shed(
+        self,
+        priority: Priority,
+        retry_after_ms: int,
+        now: float,
+    ) -> None:
+        """Takes in that the endpoint sheds calls of this priority."""
+        rank = _RANKS[priority]
+        if self.shed_until > now:
+            rank = min(rank, self.shed_rank)
+        self.shed_rank = rank
+        self.shed_until = now + min(retry_after_ms / MS_PER_S, MAX_SHED_S)
+
     def estimate_latency_us(self, now: float) -> float:
         """Returns the latency expected, in microseconds.
 
@@ -86,6 +109,23 @@
     load: EndpointLoad
 
 
+def find_shed_ms(
+    candidates: Sequence[Candidate],
+    priority: Priority,
+    now: float,
+) -> int:
+    """Returns for how long every candidate sheds calls of this priority.
+
+    0 where one does not, otherwise in milliseconds.
+    """
+    rank = _RANKS[priority]
+    until = min(
+        one.load.shed_until if one.load.shed_rank <= rank else 0
+        for one in candidates
+    )
+    return max(0, int((until - now) * MS_PER_S))
+
+
 def estimate_work_us(candidate: Candidate, now: float) -> float:
     """Returns the time that one more call would take, in microseconds."""
     endpoint, load = candidate
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -200,8 +200,12 @@
             plan.request.target,
             self._body.kept,
         )
+        priority = plan.decision.policy.priority
+        refusal = self._context.pressure.find_refusal(priority)
         finding = self._context.suspicion.judge(self._fingerprint)
-        if finding.judgement is Judgement.QUARANTINED:
+        if refusal is not None:
+            self.take_failure(refusal)
+        elif finding.judgement is Judgement.QUARANTINED:
             now_ms = self._context.clock.wall_ms()
             self.take_failure(build_quarantined(finding, now_ms))
         elif not plan.claimed:
--- a/packages/bilberry_proxy/bilberry_proxy/retry.py
+++ b/packages/bilberry_proxy/bilberry_proxy/retry.py
@@ -20,6 +20,14 @@
         FailureCode.TOO_LARGE,
     ),
 )
+#: Refusals that the same endpoint would repeat.
+_REFUSALS = frozenset(
+    (
+        FailureCode.OVERLOADED,
+        FailureCode.DRAINING,
+        FailureCode.NO_ENDPOINT,
+    ),
+)
 
 
 class RetryBudget:
@@ -45,7 +53,8 @@
     """What a request has been through when an attempt fails.
 
     `replayable` tells whether its whole body is still at hand, `began`
-    whether its caller has received any of the answer.
+    whether its caller has received any of the answer, `has_other` whether
+    another endpoint was ready.
     """
 
     idempotent: bool
@@ -54,6 +63,7 @@
     retries_left: int
     time_left_s: float
     quarantined: bool = False
+    has_other: bool = True
 
 
 class RetryDecision(NamedTuple):
@@ -79,10 +89,12 @@
 
 def _find_refusal(failure: Failure, state: AttemptState) -> str:
     may_run_again = state.idempotent or failure.verdict is Verdict.NOT_RUN
+    refused_alone = failure.code in _REFUSALS and not state.has_other
     refusals = (
         (state.began, 'the answer had begun'),
         (not may_run_again, 'it may have run and is not idempotent'),
         (failure.code in _FINAL_CODES, 'another endpoint would fail as well'),
+        (refused_alone, 'no other endpoint is ready'),
         (state.quarantined, 'it crashed two upstreams'),
         (failure.retried or state.retries_left <= 0, 'retries are spent'),
         (not state.replayable, 'the body is not at hand'),
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -8,12 +8,17 @@
 from bilberry_core.clock import Clock, RandomSource
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.call import Load
+from bilberry_core.policy import Priority
 from bilberry_core.snapshot import Decision, Route
-from bilberry_core.verdict import Failure
+from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.balancers import build_balancer
 from bilberry_proxy.balancers.base import Balancer
-from bilberry_proxy.endpoint_load import Candidate, EndpointLoad
+from bilberry_proxy.endpoint_load import (
+    Candidate,
+    EndpointLoad,
+    find_shed_ms,
+)
 from bilberry_proxy.outlier import count_failure, count_success
 from bilberry_proxy.retry import RetryBudget
 from bilberry_proxy.selection import (
@@ -25,6 +30,9 @@
 
 _log = getLogger(__name__)
 
+#: Share of calls sent to endpoints that shed, to notice when that ends.
+PROBE_SHARE = 0.1
+
 
 class Router:
     """Chooses the endpoint of each attempt."""
@@ -67,6 +75,38 @@
             self._random,
         )
 
+    def find_refusal(
+        self,
+        route: Route,
+        priority: Priority,
+    ) -> Failure | None:
+        """Returns the failure of a call that every endpoint would shed.
+
+        A few calls are let through all the same, to notice the end of it.
+        """
+        ready = self._find_ready(route)
+        if not ready:
+            return None
+        shed_ms = find_shed_ms(ready, priority, self._clock.now())
+        if not shed_ms or self._random.random() < PROBE_SHARE:
+            return None
+        return Failure(
+            Verdict.NOT_RUN,
+            FailureCode.OVERLOADED,
+            'every upstream sheds calls of this priority',
+            shed_ms,
+        )
+
+    def note_shed(
+        self,
+        endpoint: Endpoint,
+        priority: Priority,
+        retry_after_ms: int,
+    ) -> None:
+        """Takes in that an endpoint has shed a call."""
+        load = self.find_load(endpoint)
+        load.note_shed(priority, retry_after_ms, self._clock.now())
+
     def find_load(self, endpoint: Endpoint) -> EndpointLoad:
         """Returns what was seen of an endpoint."""
         key = (endpoint.instance, endpoint.incarnation)
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -90,6 +90,7 @@
     reasons: list[str] = []
     left = _skip_tried(ready, tried, reasons)
     left = _skip_ejected(left, now, reasons)
+    left = _skip_shedding(left, now, reasons)
     left = _skip_cold(left, viewpoint.wall_ms, random, reasons)
     left = _prefer_near(left, viewpoint, reasons)
     chosen = balancer.pick(
@@ -123,15 +124,26 @@
     reasons: list[str],
 ) -> Sequence[Candidate]:
     left = [one for one in candidates if one.load.ejected_until <= now]
-    if len(left) == len(candidates):
-        return candidates
     if not left:
         reasons.append('all ejected')
         return candidates
-    reasons.append('not ejected')
+    if len(left) < len(candidates):
+        reasons.append('not ejected')
     return left
 
 
+def _skip_shedding(
+    candidates: Sequence[Candidate],
+    now: float,
+    reasons: list[str],
+) -> Sequence[Candidate]:
+    left = [one for one in candidates if one.load.shed_until <= now]
+    if left and len(left) < len(candidates):
+        reasons.append('not shedding')
+        return left
+    return candidates
+
+
 def _skip_cold(
     candidates: Sequence[Candidate],
     wall_ms: int,
--- a/tests/bilberry_proxy/test_failures.py
+++ b/tests/bilberry_proxy/test_failures.py
@@ -5,7 +5,8 @@
 from testtools import TestCase
 
 from bilberry_core.board import Phase
-from bilberry_core.configuration import Configuration
+from bilberry_core.configuration import Configuration, RouteException
+from bilberry_core.policy import PolicyChange, Priority
 from tests.bilberry_proxy.fleet import call, configure, open_fleet, until
 
 UPSTREAM = {'slots': 2}
@@ -266,6 +267,46 @@
             self.assertNotEqual('', answer.get_header(b'retry-after'))
 
 
+class PressureTest(TestCase):
+    """A proxy whose event loop falls behind sheds what can wait."""
+
+    def test_deferrable_is_shed_before_urgent(self):
+        """Shedding goes by priority and ends with the pressure."""
+
+        async def scenario():
+            exceptions = tuple(
+                RouteException(
+                    priority.value,
+                    'callouts',
+                    'a test of priorities',
+                    PolicyChange(priority=priority),
+                    f'/{priority.value}',
+                )
+                for priority in Priority
+            )
+            configuration = configure()._replace(exceptions=exceptions)
+            async with open_fleet(
+                UPSTREAM, configuration=configuration
+            ) as fleet:
+                node = fleet.nodes[0]
+                told = []
+                note_lag = node.proxy.pressure.note_lag
+                node.proxy.pressure.note_lag = lambda _lag_s: None
+                for lag_s in (0.3, 3, 0):
+                    note_lag(lag_s)
+                    answers = [
+                        await call(node, f'/{priority.value}')
+                        for priority in Priority
+                    ]
+                    told.append([one.status for one in answers])
+                return told
+
+        self.assertEqual(
+            [[200, 200, 503], [200, 503, 503], [200, 200, 200]],
+            run(scenario()),
+        )
+
+
 class LeavingTest(TestCase):
     """Upstreams and daemons that leave while requests flow."""
 
--- a/tests/bilberry_proxy/test_retry.py
+++ b/tests/bilberry_proxy/test_retry.py
@@ -69,6 +69,14 @@
         state = AttemptState(True, True, False, 1, 1)
         self.assertTrue(decide_retry(failure, state, RetryBudget()).again)
 
+    def test_overload_is_retried_only_elsewhere(self):
+        """What the only endpoint refused, it would refuse again."""
+        shed = Failure(Verdict.NOT_RUN, FailureCode.OVERLOADED)
+        state = AttemptState(True, True, False, 1, 1)
+        self.assertTrue(decide_retry(shed, state, RetryBudget()).again)
+        alone = state._replace(has_other=False)
+        self.assertFalse(decide_retry(shed, alone, RetryBudget()).again)
+
     @given(st.integers(0, 100), st.integers(1, 400))
     def test_budget_bounds_retries(self, percent, requests):
         """However many fail, retries keep to their share of requests."""
--- a/tests/bilberry_proxy/test_selection.py
+++ b/tests/bilberry_proxy/test_selection.py
@@ -8,6 +8,7 @@
 
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.messages.call import Load
+from bilberry_core.policy import Priority
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.balancers import build_balancer, get_balancer_names
@@ -16,6 +17,7 @@
     Candidate,
     EndpointLoad,
     estimate_work_us,
+    find_shed_ms,
     is_busy,
 )
 from bilberry_proxy.outlier import (
@@ -204,6 +206,54 @@
         self.assertEqual([False, True, False], ejected)
 
 
+class SheddingTest(TestCase):
+    """Endpoints that shed get no calls that they would shed again."""
+
+    def shed(self, load: EndpointLoad, priority: Priority) -> None:
+        """An endpoint has shed a call and named a time to come back."""
+        load.note_shed(priority, 200, 100)
+
+    def test_lower_priorities_wait_and_higher_do_not(self):
+        """What was shed, and what comes after it, is shed here at once."""
+        load = EndpointLoad()
+        self.shed(load, Priority.NORMAL)
+        candidates = [Candidate(build_endpoint(0), load)]
+        waits = {
+            priority: find_shed_ms(candidates, priority, 100.1)
+            for priority in Priority
+        }
+        self.assertEqual(0, waits[Priority.URGENT])
+        self.assertAlmostEqual(100, waits[Priority.NORMAL], delta=1)
+        self.assertAlmostEqual(100, waits[Priority.DEFERRABLE], delta=1)
+
+    def test_one_endpoint_that_serves_is_enough(self):
+        """Nothing is shed here while any endpoint takes calls."""
+        loads = [EndpointLoad(), EndpointLoad()]
+        self.shed(loads[0], Priority.URGENT)
+        candidates = [
+            Candidate(build_endpoint(at), load) for at, load in enumerate(loads)
+        ]
+        self.assertEqual(0, find_shed_ms(candidates, Priority.URGENT, 100.1))
+        picks = {
+            select_endpoint(
+                candidates,
+                (),
+                HERE._replace(now=100.1),
+                build_balancer('random'),
+                Random(seed),
+            ).endpoint.instance
+            for seed in range(20)
+        }
+        self.assertEqual({'node-1'}, picks)
+
+    def test_shedding_ends_by_itself(self):
+        """After the time to come back the endpoint is asked again."""
+        load = EndpointLoad()
+        self.shed(load, Priority.URGENT)
+        candidates = [Candidate(build_endpoint(0), load)]
+        self.assertEqual(0, find_shed_ms(candidates, Priority.URGENT, 100.3))
+
+
 class BalancerTest(TestCase):
     """Least work against round robin, over a fleet with one slow endpoint."""
 
