Tell an epoch from the end of its handover, and count only full holders

The replicated log keeps an epoch's number when its handover ends, and may start another change before that. Messages now carry a number for both.

A holder's vote counted where it knew the claims of exactly that set of holders. Only a lost folder must not count: whatever majority votes, one of it took the claims over, because a handover ends only after a majority has.

--- a/packages/bilberry_claims/bilberry_claims/broadcast.py
+++ b/packages/bilberry_claims/bilberry_claims/broadcast.py
@@ -9,7 +9,7 @@
 
 from bilberry_claims.decision import is_confirmed
 from bilberry_claims.process import RESEND_S, Sent, Tools
-from bilberry_claims.quorum import is_epoch_quorum, list_members
+from bilberry_claims.quorum import is_epoch_quorum, list_members, number_epoch
 from bilberry_core.board import ClaimEpoch
 from bilberry_core.claim import Attempt, StoredAnswer
 from bilberry_core.messages.claim import (
@@ -98,7 +98,8 @@
         """Tells those again that have not confirmed."""
         if self._epoch is None:
             return ()
-        message = self._fact.build_message(self.request, self._epoch.epoch)
+        number = number_epoch(self._epoch)
+        message = self._fact.build_message(self.request, number)
         return tuple(
             Sent(name, message)
             for name in list_members(self._epoch)
@@ -112,7 +113,7 @@
 
     def _has_majority(self) -> bool:
         if self._fact.answer is None:
-            return is_epoch_quorum(self._epoch, self._known, self._known)
+            return is_epoch_quorum(self._epoch, self._known)
         return is_confirmed(self._epoch, self._known, self._known)
 
 
--- a/packages/bilberry_claims/bilberry_claims/catch_up.py
+++ b/packages/bilberry_claims/bilberry_claims/catch_up.py
@@ -11,7 +11,12 @@
 
 from bilberry_claims.holder_core import HolderCore
 from bilberry_claims.membership import FIRST_STORE, choose_store
-from bilberry_claims.quorum import count_sources, list_members
+from bilberry_claims.quorum import (
+    count_sources,
+    list_members,
+    list_names,
+    number_epoch,
+)
 from bilberry_core.board import ClaimEpoch, Holder
 from bilberry_core.messages.claim import (
     ClaimPage,
@@ -51,6 +56,7 @@
         """Starts with nothing learned in this epoch."""
         self._core = core
         self._epoch = epoch
+        self._number = number_epoch(epoch)
         self._next_request = next_request
         members = list_members(epoch)
         self._others = tuple(one for one in members if one != core.instance)
@@ -61,8 +67,8 @@
     @property
     def is_done(self) -> bool:
         """Whether this holder has nothing left to learn."""
-        names = {one.instance for one in self._epoch.holders}
-        return self._core.is_caught_up or self._core.instance not in names
+        is_holder = self._core.instance in list_names(self._epoch.holders)
+        return self._core.is_caught_up or not is_holder
 
     def poll(self) -> Step:
         """Asks again for whatever was not answered."""
@@ -70,7 +76,7 @@
             return Step()
         started = self._advance(len(self._others))
         probes = tuple(
-            Sent(one, HolderProbe(0, self._epoch.epoch, self._core.instance))
+            Sent(one, HolderProbe(0, self._number, self._core.instance))
             for one in self._others
             if one not in self._pulls and one not in self._pulled
         )
@@ -84,7 +90,7 @@
         now_ms: int,
     ) -> Step:
         """Takes a reply of another holder."""
-        if self.is_done or reply.epoch != self._epoch.epoch:
+        if self.is_done or reply.epoch != self._number:
             return Step()
         if isinstance(reply, HolderStatus):
             self._standings[instance] = reply.standing
@@ -142,31 +148,28 @@
 
     def _count_needed(self) -> int:
         """Returns how many others must have handed over."""
-        needed = count_sources(len(self._candidates()))
-        if self._epoch.previous and self._core.standing.counts_previous:
+        sources = self._candidates()
+        needed = count_sources(len(sources))
+        is_source = self._core.instance in list_names(sources)
+        if is_source and self._core.membership.is_full:
             return needed - 1
         return needed
 
     def _find_sources(self) -> tuple[str, ...]:
-        names = {one.instance for one in self._candidates()}
+        names = list_names(self._candidates())
         return tuple(
             name
             for name, standing in self._standings.items()
-            if name in names and self._can_hand_over(standing)
+            if name in names and standing.phase is HolderPhase.FULL
         )
 
-    def _can_hand_over(self, standing: Standing) -> bool:
-        if self._epoch.previous:
-            return standing.counts_previous
-        return standing.counts
-
     def _is_started(self, instance: str) -> bool:
         return instance in self._pulls or instance in self._pulled
 
     def _pull(self, instance: str, after: bytes) -> Sent:
         pull = ClaimPull(
             self._next_request(),
-            self._epoch.epoch,
+            self._number,
             self._core.instance,
             self._core.membership.store,
             after,
@@ -178,7 +181,7 @@
         if page.request != self._pulls[instance].request:
             return Step()
         self._standings[instance] = page.standing
-        if not self._can_hand_over(page.standing):
+        if page.standing.phase is not HolderPhase.FULL:
             self._pulls.pop(instance)
             return Step()
         outdated = self._choose_store()
--- a/packages/bilberry_claims/bilberry_claims/decision.py
+++ b/packages/bilberry_claims/bilberry_claims/decision.py
@@ -18,7 +18,7 @@
     Mismatch,
     Taken,
 )
-from bilberry_core.messages.claim import ClaimState
+from bilberry_core.messages.claim import ClaimState, HolderPhase
 
 Replies = Mapping[str, ClaimState]
 
@@ -36,12 +36,10 @@
 ) -> bool:
     """Returns whether the replies of the agreeing holders are a majority."""
     standings = {name: one.standing for name, one in replies.items()}
-    valid = frozenset(agreeing) - find_outdated(standings)
-    return is_epoch_quorum(
-        epoch,
-        [name for name in valid if standings[name].counts],
-        [name for name in valid if standings[name].counts_previous],
-    )
+    full = {
+        name for name in agreeing if standings[name].phase is HolderPhase.FULL
+    }
+    return is_epoch_quorum(epoch, full - find_outdated(standings))
 
 
 def find_settled(replies: Replies, attempt: Attempt) -> ClaimOutcome | None:
@@ -74,7 +72,7 @@
 def is_possible(epoch: ClaimEpoch, without: Iterable[str]) -> bool:
     """Returns whether the holders left could be a majority."""
     left = frozenset(list_members(epoch)) - frozenset(without)
-    return is_epoch_quorum(epoch, left, left)
+    return is_epoch_quorum(epoch, left)
 
 
 def is_full(
--- a/packages/bilberry_claims/bilberry_claims/holder.py
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -12,7 +12,7 @@
 from bilberry_claims.limit import ClaimLimits
 from bilberry_claims.link import HolderLink
 from bilberry_claims.outbox import Outbox, Posted
-from bilberry_claims.quorum import list_members
+from bilberry_claims.quorum import list_members, number_epoch
 from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.clock import Clock
 from bilberry_core.disk import Disk
@@ -87,7 +87,7 @@
         of the new holders says so.
         """
         epoch = self._board.claim_epoch.value
-        return epoch is not None and self._durable_epoch == epoch.epoch
+        return epoch is not None and self._durable_epoch == number_epoch(epoch)
 
     def accept(self, stream: Stream) -> None:
         """Serves a stream of a proxy or of another holder."""
--- a/packages/bilberry_claims/bilberry_claims/holder_core.py
+++ b/packages/bilberry_claims/bilberry_claims/holder_core.py
@@ -11,10 +11,10 @@
 from bilberry_claims.limit import ClaimLimits
 from bilberry_claims.membership import (
     Membership,
-    build_standing,
     decode_membership,
     encode_membership,
 )
+from bilberry_claims.quorum import number_epoch
 from bilberry_claims.table import ClaimTable
 from bilberry_core.board import ClaimEpoch
 from bilberry_core.claim import ClaimKey
@@ -30,7 +30,6 @@
     HolderProbe,
     HolderReply,
     HolderStatus,
-    Standing,
 )
 
 _CLAIM_TAG = b'C'
@@ -58,17 +57,12 @@
         self.table = ClaimTable(limits)
         self._pulled: dict[str, list[bytes]] = {}
 
-    @property
-    def standing(self) -> Standing:
-        """What this holder's replies count for now."""
-        return build_standing(self.membership, self.epoch)
-
     @property
     def is_caught_up(self) -> bool:
-        """Whether this holder knows every claim of its epoch."""
+        """Whether this holder knows what the holders before knew."""
         if self.epoch is None:
             return False
-        return self.membership.is_full_for(self.epoch.holders)
+        return self.membership.is_caught_up(self.epoch)
 
     def load(self, records: Iterable[bytes], now_ms: int) -> None:
         """Takes what the journal holds, in order."""
@@ -86,10 +80,12 @@
 
     def adopt(self, epoch: ClaimEpoch) -> tuple[bytes, ...]:
         """Acts in an epoch from now on, unless it is an older one."""
-        if epoch.epoch < self.membership.epoch:
+        if number_epoch(epoch) < self.membership.epoch:
             return ()
         self.epoch = epoch
-        return self.keep(self.membership._replace(epoch=epoch.epoch))
+        return self.keep(
+            self.membership._replace(epoch=number_epoch(epoch)),
+        )
 
     def keep(self, membership: Membership) -> tuple[bytes, ...]:
         """Changes the membership and returns its record."""
@@ -125,7 +121,7 @@
         return self._change(asked, now_ms)
 
     def _acts_in(self, epoch: int) -> bool:
-        return self.epoch is not None and self.epoch.epoch == epoch
+        return self.epoch is not None and self.membership.epoch == epoch
 
     def _change(
         self,
@@ -133,9 +129,7 @@
         now_ms: int,
     ) -> Answered:
         changed = None
-        standing = self.standing
-        may_vote = standing.counts or standing.counts_previous
-        if isinstance(asked, ClaimVote) and may_vote:
+        if isinstance(asked, ClaimVote) and self.membership.is_full:
             changed = self.table.vote(asked, now_ms)
         if isinstance(asked, ClaimSettle):
             changed = self.table.settle(asked, now_ms)
@@ -155,7 +149,7 @@
         state = ClaimState(
             request,
             self.membership.epoch,
-            self.standing,
+            self.membership.standing,
             record.tokens,
             record.fingerprint,
             record.answer,
@@ -168,7 +162,9 @@
 
     def _tell_status(self, asked: HolderProbe) -> Answered:
         return Answered(
-            HolderStatus(asked.request, self.membership.epoch, self.standing),
+            HolderStatus(
+                asked.request, self.membership.epoch, self.membership.standing
+            ),
         )
 
     def _hand_over(self, asked: ClaimPull) -> Answered:
@@ -182,7 +178,7 @@
         reply = ClaimPage(
             asked.request,
             asked.epoch,
-            self.standing,
+            self.membership.standing,
             page,
             last,
         )
--- a/packages/bilberry_claims/bilberry_claims/membership.py
+++ b/packages/bilberry_claims/bilberry_claims/membership.py
@@ -1,12 +1,14 @@
 """A holder's place in the claim epochs, kept durably beside its claims."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from msgpack import packb, unpackb
 from msgspec import ValidationError, convert
 
-from bilberry_core.board import ClaimEpoch, Holder
+from bilberry_claims.quorum import list_names
+from bilberry_core.board import ClaimEpoch
 from bilberry_core.error import JournalError
 from bilberry_core.messages.claim import HolderPhase, Standing
 
@@ -18,9 +20,11 @@
     """What a holder must not forget in a restart.
 
     `epoch`
-        The newest epoch that it acted in.
-    `phase`, `members`
-        For which set of holders it knows every claim that it has to.
+        The newest epoch that it acted in, as messages number it.
+    `phase`
+        Whether its folder was lost or new.
+    `filled`
+        The last `ClaimEpoch.epoch` in which claims were handed over to it.
     `store`
         Generation of its data folder; 0 until one is chosen.
     `stores`
@@ -29,15 +33,25 @@
 
     epoch: int = 0
     phase: HolderPhase = HolderPhase.EMPTY
-    members: tuple[str, ...] = ()
+    filled: int = 0
     store: int = 0
-    stores: dict[str, int] = {}
+    stores: Mapping[str, int] = MappingProxyType({})
 
-    def is_full_for(self, holders: Collection[Holder]) -> bool:
-        """Returns whether it knows every claim of these holders."""
-        if self.phase is not HolderPhase.FULL:
-            return False
-        return set(self.members) == {one.instance for one in holders}
+    @property
+    def is_full(self) -> bool:
+        """Whether it remembers every vote that it gave."""
+        return self.phase is HolderPhase.FULL
+
+    @property
+    def standing(self) -> Standing:
+        """What its replies count for."""
+        return Standing(self.phase, self.store, dict(self.stores))
+
+    def is_caught_up(self, epoch: ClaimEpoch) -> bool:
+        """Returns whether it knows what the holders before knew."""
+        is_same = list_names(epoch.holders) == list_names(epoch.previous)
+        is_filled = self.filled == epoch.epoch or not epoch.previous
+        return self.is_full and (is_same or is_filled)
 
     def know_store(self, instance: str) -> int:
         """Returns the generation known of another holder's folder."""
@@ -50,31 +64,14 @@
         return self._replace(stores={**self.stores, instance: store})
 
     def fill(self, epoch: ClaimEpoch) -> 'Membership':
-        """Returns the membership that knows the claims of an epoch."""
+        """Returns the membership after the handover of an epoch."""
         return self._replace(
             phase=HolderPhase.FULL,
-            members=tuple(one.instance for one in epoch.holders),
+            filled=epoch.epoch,
             store=max(self.store, FIRST_STORE),
         )
 
 
-def build_standing(held: Membership, epoch: ClaimEpoch | None) -> Standing:
-    """Returns what replies in an epoch count for."""
-    counts = False
-    counts_previous = False
-    if epoch is not None:
-        is_full = held.is_full_for(epoch.holders)
-        counts = is_full or bool(epoch.previous)
-        counts_previous = is_full or held.is_full_for(epoch.previous)
-    return Standing(
-        held.phase,
-        counts,
-        counts_previous,
-        held.store,
-        held.stores,
-    )
-
-
 def choose_store(
     instance: str,
     standings: Mapping[str, Standing],
@@ -88,7 +85,7 @@
 
 def encode_membership(held: Membership) -> bytes:
     """Returns the encoding of a membership."""
-    return packb(held)
+    return packb(held._replace(stores=dict(held.stores)))
 
 
 def decode_membership(encoded: bytes) -> Membership:
--- a/packages/bilberry_claims/bilberry_claims/process.py
+++ b/packages/bilberry_claims/bilberry_claims/process.py
@@ -20,7 +20,7 @@
     judge_winner,
     list_withdrawn,
 )
-from bilberry_claims.quorum import list_members
+from bilberry_claims.quorum import list_members, number_epoch
 from bilberry_core.board import ClaimEpoch
 from bilberry_core.claim import (
     Attempt,
@@ -37,6 +37,7 @@
     ClaimState,
     ClaimVote,
     ClaimWithdraw,
+    HolderPhase,
 )
 
 #: Between repeated votes of one round, in seconds.
@@ -170,7 +171,7 @@
             for name in list_members(self._epoch)
             if name not in self._replies
             or self._replies[name].tokens != (self.token,)
-            or not self._replies[name].standing.counts
+            or self._replies[name].standing.phase is not HolderPhase.FULL
         ]
         repairs = self._repair()
         return (
@@ -242,7 +243,7 @@
         )
 
     def _messages(self) -> _Messages:
-        return _Messages(self._attempt, self._epoch.epoch)
+        return _Messages(self._attempt, number_epoch(self._epoch))
 
     def _withdraw(self) -> tuple[Sent, ...]:
         """Ends the round: its token is never granted after this."""
--- a/packages/bilberry_claims/bilberry_claims/quorum.py
+++ b/packages/bilberry_claims/bilberry_claims/quorum.py
@@ -31,17 +31,25 @@
     return len(domains) > 1 or _share_domain(holders)
 
 
-def is_epoch_quorum(
-    epoch: ClaimEpoch,
-    confirmed: Collection[str],
-    confirmed_previous: Collection[str],
-) -> bool:
+def is_epoch_quorum(epoch: ClaimEpoch, confirmed: Collection[str]) -> bool:
     """Returns whether a majority of the holders and of those before agree."""
     if not is_quorum(epoch.holders, confirmed):
         return False
-    if not epoch.previous:
-        return True
-    return is_quorum(epoch.previous, confirmed_previous)
+    return not epoch.previous or is_quorum(epoch.previous, confirmed)
+
+
+def number_epoch(epoch: ClaimEpoch) -> int:
+    """Returns the number that messages carry; the end of a handover counts.
+
+    The replicated log keeps the epoch's number when a handover has ended,
+    but the majorities that count are others from then on.
+    """
+    return 2 * epoch.epoch + (not epoch.previous)
+
+
+def list_names(holders: Collection[Holder]) -> tuple[str, ...]:
+    """Returns the holders' instances, sorted."""
+    return tuple(sorted(one.instance for one in holders))
 
 
 def list_members(epoch: ClaimEpoch) -> dict[str, Holder]:
--- a/packages/bilberry_core/bilberry_core/messages/claim.py
+++ b/packages/bilberry_core/bilberry_core/messages/claim.py
@@ -1,8 +1,10 @@
 """Messages between a proxy and the claim holders (numbers 70 to 89).
 
 Also between holders while claims are handed over. Each carries the claim
-epoch that its sender acts in; `request` is a number that the sender picks and
-that the reply repeats. A `token` names one round of one attempt.
+epoch that its sender acts in: `epoch` is twice the number of the
+`ClaimEpoch`, and one more once its handover has ended. `request` is a number
+that the sender picks and that the reply repeats. A `token` names one round of
+one attempt.
 """
 
 from enum import IntEnum
@@ -19,21 +21,18 @@
     EMPTY = 0
     #: The fleet is new: no holder has voted yet.
     BORN = 1
-    #: It knows every claim that it has to know.
+    #: It remembers every vote that it gave.
     FULL = 2
 
 
 class Standing(NamedTuple):
-    """What a holder's reply counts for.
+    """What a holder's reply counts for: only a full one's does.
 
-    `counts` and `counts_previous` tell whether it counts among the holders
-    of the epoch and among those before. `store` is the generation of its
-    data folder, and `stores` the generations of others' that it knows.
+    `store` is the generation of its data folder, and `stores` the
+    generations of others' that it knows.
     """
 
     phase: HolderPhase
-    counts: bool
-    counts_previous: bool
     store: int
     stores: dict[str, int]
 
