Tell the replicated log when a handover of claims is complete

`HolderController.is_handed_over` is true once a majority of the holders has durably taken the claims over. Being caught up was judged after a sync by what the holder knew then, which may be newer than what the sync made durable; it is now posted with the records that it rests on.

--- /dev/null
+++ b/packages/bilberry_claims/bilberry_claims/handover.py
@@ -0,0 +1,46 @@
+"""Whether the claims were handed over to the holders of an epoch.
+
+The replicated log may clear `ClaimEpoch.previous` once a majority of the
+holders has durably taken the claims over.
+"""
+
+from bilberry_claims.catch_up import Sent
+from bilberry_claims.quorum import is_quorum, list_names, number_epoch
+from bilberry_core.board import ClaimEpoch
+from bilberry_core.messages.claim import HolderProbe, HolderStatus
+
+
+class Handover:
+    """What one replica has heard of the holders of one epoch."""
+
+    def __init__(self, instance: str, epoch: ClaimEpoch) -> None:
+        """Starts with nothing heard."""
+        self._instance = instance
+        self._epoch = epoch
+        self._number = number_epoch(epoch)
+        self._ready: set[str] = set()
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether a majority of the holders has taken the claims over."""
+        return is_quorum(self._epoch.holders, self._ready)
+
+    def poll(self) -> tuple[Sent, ...]:
+        """Asks the holders that are not known to be ready."""
+        if not self._epoch.previous or self.is_complete:
+            return ()
+        probe = HolderProbe(0, self._number, self._instance)
+        return tuple(
+            Sent(name, probe)
+            for name in list_names(self._epoch.holders)
+            if name not in self._ready and name != self._instance
+        )
+
+    def receive(self, instance: str, status: HolderStatus) -> None:
+        """Takes a holder's status."""
+        if status.epoch == self._number and status.is_caught_up:
+            self._ready.add(instance)
+
+    def note_own(self) -> None:
+        """Notes that this replica has durably taken the claims over."""
+        self._ready.add(self._instance)
--- a/packages/bilberry_claims/bilberry_claims/holder.py
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from bilberry_claims.catch_up import CatchUp, Step
+from bilberry_claims.handover import Handover
 from bilberry_claims.holder_core import HolderCore
 from bilberry_claims.limit import ClaimLimits
 from bilberry_claims.link import HolderLink
@@ -56,6 +57,7 @@
         self._links: dict[str, HolderLink] = {}
         self._next_request = count(1).__next__
         self._catch_up: CatchUp | None = None
+        self._handover: Handover | None = None
         self._durable_epoch = 0
         self._stopping = Event()
 
@@ -81,13 +83,21 @@
 
     @property
     def is_caught_up(self) -> bool:
-        """Whether this holder durably knows the claims of the epoch.
+        """Whether this holder durably knows the claims of the epoch."""
+        epoch = self._board.claim_epoch.value
+        return epoch is not None and self._durable_epoch == number_epoch(epoch)
+
+    @property
+    def is_handed_over(self) -> bool:
+        """Whether the replicated log may clear `ClaimEpoch.previous`.
 
-        The replicated log may clear `ClaimEpoch.previous` once a majority
-        of the new holders says so.
+        That is once a majority of the holders has durably taken the claims
+        over.
         """
         epoch = self._board.claim_epoch.value
-        return epoch is not None and self._durable_epoch == number_epoch(epoch)
+        if self._handover is None or epoch != self._core.epoch:
+            return False
+        return self._handover.is_complete
 
     def accept(self, stream: Stream) -> None:
         """Serves a stream of a proxy or of another holder."""
@@ -101,7 +111,7 @@
             JOURNAL_NAME,
         )
         await to_thread(self._core.load, records, self._clock.wall_ms())
-        self._outbox = Outbox(journal, partial(self._after_sync, journal))
+        self._outbox = Outbox(journal, partial(self._compact, journal))
         unwatch = self._board.claim_epoch.watch(self._adopt)
         self._adopt(self._board.claim_epoch.value)
         while not self._stopping.is_set():
@@ -140,22 +150,29 @@
         _log.info('claim_epoch_adopted', extra={'epoch': epoch.epoch})
         self._outbox.post(records)
         self._catch_up = CatchUp(self._core, epoch, self._next_request)
+        self._handover = Handover(self._core.instance, epoch)
         self._poll()
 
     def _poll(self) -> None:
         if self._catch_up is not None:
             self._perform(self._catch_up.poll())
+            self._perform(Step(sends=self._handover.poll()))
 
     def _take_reply(self, instance: str, reply: Any) -> None:
+        if isinstance(reply, HolderStatus):
+            self._handover.receive(instance, reply)
         if isinstance(reply, (HolderStatus, ClaimPage)):
             now_ms = self._clock.wall_ms()
             self._perform(self._catch_up.receive(instance, reply, now_ms))
 
     def _perform(self, step: Step) -> None:
-        posted = tuple(
+        posted = [
             Posted(self._find_link(sent.instance).send, sent.message)
             for sent in step.sends
-        )
+        ]
+        number = self._core.membership.epoch
+        if self._core.is_caught_up and self._durable_epoch != number:
+            posted.append(Posted(self._note_durable, number))
         if posted or step.records:
             self._outbox.post(step.records, posted)
 
@@ -169,14 +186,14 @@
             self._links[instance] = link
         return link
 
-    def _after_sync(self, journal: Journal) -> None:
-        self._compact(journal)
-        epoch = self._core.membership.epoch
-        if self._core.is_caught_up and self._durable_epoch != epoch:
-            self._durable_epoch = epoch
+    def _note_durable(self, number: int) -> None:
+        """Goes on once the holder is durably caught up in an epoch."""
+        if number == self._core.membership.epoch:
+            self._handover.note_own()
+            self._durable_epoch = number
             _log.info(
                 'claims_caught_up',
-                extra={'epoch': epoch, 'claims': len(self._core.table)},
+                extra={'epoch': number, 'claims': len(self._core.table)},
             )
 
     def _compact(self, journal: Journal) -> None:
--- a/packages/bilberry_claims/bilberry_claims/holder_core.py
+++ b/packages/bilberry_claims/bilberry_claims/holder_core.py
@@ -161,11 +161,13 @@
         return Answered(state, records)
 
     def _tell_status(self, asked: HolderProbe) -> Answered:
-        return Answered(
-            HolderStatus(
-                asked.request, self.membership.epoch, self.membership.standing
-            ),
+        status = HolderStatus(
+            asked.request,
+            self.membership.epoch,
+            self.membership.standing,
+            self.is_caught_up,
         )
+        return Answered(status)
 
     def _hand_over(self, asked: ClaimPull) -> Answered:
         noted = self.membership.note_store(asked.instance, asked.store)
--- a/packages/bilberry_core/bilberry_core/messages/claim.py
+++ b/packages/bilberry_core/bilberry_core/messages/claim.py
@@ -124,11 +124,12 @@
 
 @message(77)
 class HolderStatus(NamedTuple):
-    """A holder's standing."""
+    """A holder's standing, and whether claims were handed over to it."""
 
     request: int
     epoch: int
     standing: Standing
+    is_caught_up: bool
 
 
 @message(78)
--- a/tests/bilberry_claims/test_holder.py
+++ b/tests/bilberry_claims/test_holder.py
@@ -7,7 +7,7 @@
 
 from bilberry_claims.holder import JOURNAL_NAME, HolderController
 from bilberry_claims.limit import ClaimLimits
-from bilberry_core.board import Board, ClaimEpoch
+from bilberry_core.board import Board, ClaimEpoch, Holder
 from bilberry_core.claim import Answered, Granted, Taken, Unavailable
 from bilberry_core.clock import MS_PER_S, SystemClock
 from bilberry_core.endpoint import Address
@@ -175,6 +175,7 @@
             holders = tuple(replica.holder for replica in fresh)
             fleet.announce(ClaimEpoch(2, holders, before))
             await fleet.caught_up()
+            await wait_until(lambda: fresh[0].controller.is_handed_over)
             fleet.announce(ClaimEpoch(2, holders))
             await fleet.caught_up()
             for replica in fleet.replicas[:3]:
@@ -190,6 +191,21 @@
         self.assertEqual(Answered(ANSWER), answered)
         self.assertIsInstance(taken, Taken)
 
+    def test_handover_waits_for_a_majority_of_the_holders(self):
+        async def scenario(fleet):
+            before = fleet.epoch.holders
+            fresh = [fleet.add_replica() for _ in range(2)]
+            await fresh[0].start(fleet.epoch)
+            missing = Holder('replica-4', '127.0.0.1', 9, 'domain-1')
+            holders = (before[0], fresh[0].holder, missing)
+            await fleet.replicas[0].crash()
+            fleet.replicas = fleet.replicas[1:4]
+            fleet.announce(ClaimEpoch(2, holders, before))
+            await wait_until(lambda: fresh[0].controller.is_caught_up)
+            return fresh[0].controller.is_handed_over
+
+        self.assertFalse(play(scenario))
+
     def test_proxy_of_an_older_epoch_is_refused_until_it_knows(self):
         async def scenario(fleet):
             client = fleet.add_client()
