--- /dev/null
+++ b/demo/story.py
@@ -0,0 +1,183 @@
+"""The demonstration: changes, a leaving upstream, a killed replica.
+
+Prints what was measured and tells whether a promise was broken.
+"""
+
+from asyncio import run, sleep, to_thread
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from yaml import safe_dump, safe_load
+
+from bilberry_core.endpoint import Address
+from demo.caller import Caller
+from demo.convergence import Convergence, ConvergenceWatch, get_version
+from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
+from demo.judgement import Judgement, judge
+from demo.operator import Operator
+from demo.record import read_runs
+
+_START_TIMEOUT_S = 30.0
+_STEP_S = 1.0
+_WORKERS = 4
+_SERVICES = ('callouts', 'stock')
+_EVERY_ROLE = ('proxy', 'relay', 'replica')
+_CONTROL = ('replica', 'spread')
+
+
+def plan_instances() -> tuple[Plan, ...]:
+    """Returns three failure domains with one instance of each service."""
+    plans = []
+    for domain in ('a', 'b', 'c'):
+        plans.append(Plan(f'{domain}-1', domain, _EVERY_ROLE, 'callouts'))
+        plans.append(Plan(f'{domain}-2', domain, ('proxy',), 'stock'))
+    return tuple(plans)
+
+
+class Story:
+    """Runs the steps against one fleet."""
+
+    def __init__(self, fleet: Fleet, folder: Path) -> None:
+        """Starts with the configuration beside this module."""
+        self._fleet = fleet
+        self._operator = Operator(fleet)
+        self._file = folder / 'configuration.yaml'
+        source = Path(__file__).with_name('configuration.yaml')
+        self._document: dict[str, Any] = safe_load(source.read_text())
+        self._version = 0
+        self._callers: list[Caller] = []
+
+    async def tell(self) -> bool:
+        """Runs every step; returns whether every promise held."""
+        await self._begin()
+        await self._change_policies()
+        await self._lose_instances()
+        self._document['defaults']['timeout'] = '5s'
+        await self._change('a change is accepted by the two replicas left')
+        return await self._judge()
+
+    async def _change_policies(self) -> None:
+        self._document['defaults']['timeout'] = '4s'
+        await self._change('the default timeout is changed to 4s')
+        self._document['exceptions'] = {
+            'open-callouts': {
+                'service': 'callouts',
+                'path_prefix': '/open',
+                'set': {'priority': 'urgent', 'timeout': '2s'},
+                'reason': 'a dispatcher at night can not wait',
+            },
+        }
+        await self._change('an exception with its reason is added')
+
+    async def _lose_instances(self) -> None:
+        _say('the upstream of b-2 leaves gracefully')
+        await to_thread(self._fleet.stop_upstream, 'b-2')
+        await sleep(_STEP_S)
+        _say('the replica c-1 is killed')
+        self._fleet.kill_daemon('c-1')
+        await sleep(_STEP_S)
+
+    async def _begin(self) -> None:
+        self._fleet.start()
+        _say('waiting for six daemons and their upstreams')
+        await to_thread(self._wait_for_leader)
+        await self._change('the first configuration is accepted')
+        await to_thread(self._wait_for_endpoints)
+        for instance, service in (('a-2', 'callouts'), ('b-1', 'stock')):
+            ports = self._fleet.members[instance].ports
+            address = Address('127.0.0.1', ports.callers)
+            caller = Caller(instance, address, f'{service}.example')
+            caller.start(_WORKERS)
+            self._callers.append(caller)
+        await sleep(_STEP_S)
+
+    async def _change(self, note: str) -> None:
+        self._version += 1
+        self._file.write_text(safe_dump(self._document))
+        watch = ConvergenceWatch(self._fleet, self._version)
+        before = self._count_control_bytes()
+        watch.start()
+        await to_thread(self._operator.apply, self._file, note)
+        convergence = await to_thread(watch.wait)
+        spent = self._count_control_bytes() - before
+        _say(f'{note}: {_describe(convergence)}, {spent} control bytes')
+        await sleep(_STEP_S)
+
+    def _wait_for_leader(self) -> None:
+        wait_until(
+            lambda: any(
+                (
+                    (self._fleet.read_status(name) or {}).get('replica') or {}
+                ).get(
+                    'leader',
+                )
+                for name in ('a-1', 'b-1', 'c-1')
+            ),
+            _START_TIMEOUT_S,
+            'a leader is elected',
+        )
+
+    def _wait_for_endpoints(self) -> None:
+        wait_until(
+            self._has_endpoints, _START_TIMEOUT_S, 'every upstream is known'
+        )
+
+    def _has_endpoints(self) -> bool:
+        status = self._fleet.read_status('a-1') or {}
+        states = status.get('services', {}).values()
+        ready = sum(len(state.get('ready', ())) for state in states)
+        return ready >= len(self._fleet.members)
+
+    def _count_control_bytes(self) -> int:
+        total = 0
+        for instance in self._fleet.running_daemons():
+            status = self._fleet.read_status(instance) or {}
+            traffic = status.get('traffic', {})
+            total += sum(
+                traffic.get(one, {}).get('sent', 0) for one in _CONTROL
+            )
+        return total
+
+    async def _judge(self) -> bool:
+        tallies = [await caller.stop() for caller in self._callers]
+        versions = {
+            get_version(self._fleet.read_status(name))
+            for name in self._fleet.running_daemons()
+        }
+        _say(f'versions in force: {sorted(versions)}')
+        judgement = judge(tallies, read_runs(self._fleet))
+        _report(judgement)
+        return judgement.is_kept and versions == {self._version}
+
+
+def main() -> int:
+    """Runs the demonstration; returns the exit code."""
+    with TemporaryDirectory(prefix='bilberry-') as name:
+        folder = Path(name)
+        fleet = prepare_fleet(folder, plan_instances())
+        try:
+            kept = run(Story(fleet, folder).tell())
+        finally:
+            fleet.close()
+    _say('every promise held' if kept else 'A PROMISE WAS BROKEN')
+    return 0 if kept else 1
+
+
+def _report(judgement: Judgement) -> None:
+    _say(f'requests: {dict(judgement.outcomes)}')
+    _say(f'bookings run twice: {len(judgement.twice)}')
+    _say(f'told "not run" but ran: {len(judgement.untrue)}')
+    _say(f'answered without a recorded run: {len(judgement.unrecorded)}')
+
+
+def _describe(convergence: Convergence) -> str:
+    milliseconds = convergence.seconds * 1000
+    return (
+        f'version {convergence.version} in force on '
+        f'{convergence.daemons} daemons after {milliseconds:.0f} ms'
+    )
+
+
+def _say(text: str) -> None:
+    print(f'demo: {text}', flush=True)
--- a/packages/bilberry_core/bilberry_core/stream.py
+++ b/packages/bilberry_core/bilberry_core/stream.py
@@ -78,6 +78,8 @@
         self.identity: Identity | None = None
         self.receiver: Receiver = _ignore
         self.on_close: Callable[[], None] = _do_nothing
+        self.bytes_sent = 0
+        self.bytes_received = 0
         self._counter = TrafficCounter()
         self._reader = FrameReader(MAX_HANDSHAKE_BYTES)
         self._transport: Transport | None = None
@@ -104,6 +106,7 @@
         if not self.is_open:
             raise StreamClosedError('the stream is closed')
         payload = frame(encoded)
+        self.bytes_sent += len(payload)
         self._counter.sent += len(payload)
         self._transport.write(payload)
 
@@ -122,6 +125,7 @@
 
     def data_received(self, received: bytes) -> None:
         """Called by the event loop."""
+        self.bytes_received += len(received)
         self._counter.received += len(received)
         try:
             for payload in self._reader.feed(received):
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -0,0 +1,196 @@
+"""Admits calls to the upstream beside this daemon.
+
+The only place that knows the upstream's free slots, its state and its queue,
+and so the only one that can tell whether a request was run.
+"""
+
+from functools import partial
+from logging import getLogger
+
+from bilberry_core.board import Board, Phase, UpstreamCrash
+from bilberry_core.clock import MS_PER_S, Clock
+from bilberry_core.endpoint import Address, Endpoint, EndpointState
+from bilberry_core.messages.call import CallStart, Load
+from bilberry_core.verdict import FailureCode
+
+from bilberry_proxy.admitted_call import AdmittedCall, Progress
+from bilberry_proxy.call import AnswerReceiver
+from bilberry_proxy.crash_probe import CrashProbe
+from bilberry_proxy.suspicion import Suspicion
+from bilberry_proxy.timers import TimerWheel
+from bilberry_proxy.upstream_connection import UpstreamConnection
+from bilberry_proxy.upstream_pool import UpstreamPool
+from bilberry_proxy.waiting_line import Refused, WaitingLine
+
+_log = getLogger(__name__)
+
+#: Longest time that a call given up on keeps its slot, in seconds, while the
+#: upstream has not ended the connection.
+CANCEL_LINGER_S = 1.0
+#: When a caller may come back to an upstream that is starting or leaving.
+STATE_RETRY_AFTER_MS = 500
+
+_REFUSED_STATES = {
+    EndpointState.STARTING: FailureCode.NO_ENDPOINT,
+    EndpointState.DRAINING: FailureCode.DRAINING,
+    EndpointState.GONE: FailureCode.NO_ENDPOINT,
+}
+
+
+class Admitter:
+    """Takes calls for the upstream beside this daemon."""
+
+    def __init__(
+        self,
+        board: Board,
+        clock: Clock,
+        timers: TimerWheel,
+        suspicion: Suspicion,
+    ) -> None:
+        """Follows the endpoint that the upstream announces."""
+        self._board = board
+        self._clock = clock
+        self._timers = timers
+        self._suspicion = suspicion
+        self._line: WaitingLine[AdmittedCall] = WaitingLine()
+        self._pool = UpstreamPool(self._connection_ended)
+        self._probe = CrashProbe(self._note_crash)
+        self._lingering: dict[UpstreamConnection, AdmittedCall] = {}
+        board.upstream_address.watch(self._pool.move)
+        board.own_endpoint.watch(self._follow_endpoint)
+
+    @property
+    def outstanding(self) -> int:
+        """How many calls have a slot."""
+        return self._line.slots.outstanding
+
+    def open(self, start: CallStart, answers: AnswerReceiver) -> AdmittedCall:
+        """Admits a call, lets it wait or refuses it."""
+        now = self._clock.now()
+        deadline = now + start.deadline_ms / MS_PER_S
+        call = AdmittedCall(start, answers, self, deadline)
+        refusal = _find_refusal(self._board, start.service)
+        if refusal is not None:
+            call.fail(*refusal, STATE_RETRY_AFTER_MS)
+            return call
+        call.timer = self._timers.schedule(
+            deadline,
+            partial(call.fail, FailureCode.DEADLINE, 'the time ran out'),
+        )
+        if self._suspicion.is_suspect(start.fingerprint, start.suspect):
+            self._shed(self._line.enter_suspect(call))
+            self._pump()
+        elif self._line.is_free:
+            self._line.slots.take()
+            self._admit(call)
+        else:
+            self._shed(self._line.enter(call, start.priority, now, deadline))
+        return call
+
+    def measure_load(self) -> Load:
+        """Returns how busy the upstream is."""
+        return self._line.slots.measure_load(len(self._line))
+
+    def leave_queue(self, call: AdmittedCall) -> None:
+        """Takes a call out of the queue."""
+        self._line.leave(call)
+
+    def free_slot(self, call: AdmittedCall) -> None:
+        """Gives the slot of a call to the next one."""
+        latency_s: float = 0
+        if call.is_answered:
+            latency_s = self._clock.now() - call.dispatched_at
+            self._suspicion.clear(call.start.fingerprint)
+        self._line.end(call, latency_s)
+        self._pump()
+
+    def free_slot_later(self, call: AdmittedCall) -> None:
+        """Cancels a call at the upstream and waits for it to let go."""
+        connection = call.connection
+        if not connection.half_close():
+            self.free_slot(call)
+            return
+        self._lingering[connection] = call
+        self._timers.schedule(
+            self._clock.now() + CANCEL_LINGER_S,
+            connection.abort,
+        )
+
+    def explain_broken(self, call: AdmittedCall, detail: str) -> None:
+        """Fails a call once it is known whether the upstream crashed."""
+        self._probe.add(call, detail, self._pool.address)
+
+    def expire_waiting(self) -> None:
+        """Sheds every call that has waited for too long."""
+        for refused in self._line.shed_expired(self._clock.now()):
+            self._shed(refused)
+
+    def close(self) -> None:
+        """Ends every connection that serves no request."""
+        self._pool.close_idle()
+
+    def _shed(self, refused: Refused[AdmittedCall] | None) -> None:
+        if refused is not None:
+            refused.call.fail(
+                FailureCode.OVERLOADED,
+                refused.detail,
+                refused.retry_after_ms,
+            )
+
+    def _admit(self, call: AdmittedCall) -> None:
+        call.progress = Progress.CONNECTING
+        call.dispatched_at = self._clock.now()
+        self._pool.seek(call)
+
+    def _pump(self) -> None:
+        call = self._line.take_next()
+        while call is not None:
+            self._admit(call)
+            call = self._line.take_next()
+
+    def _note_crash(self, address: Address, calls: list[AdmittedCall]) -> None:
+        named = [
+            call
+            for call in calls
+            if not self._suspicion.is_cleared(call.start.fingerprint)
+        ]
+        fingerprints = [call.start.fingerprint for call in named]
+        own = self._board.own_endpoint.value
+        self._suspicion.name(fingerprints, own)
+        crash = UpstreamCrash(address, self._clock.wall_ms())
+        self._board.upstream_crash.put(crash)
+        _log.warning(
+            'upstream_crashed',
+            extra={'in_flight': len(calls), 'suspects': len(named)},
+        )
+        for call in named:
+            call.fail(FailureCode.UPSTREAM_CRASHED, 'the upstream crashed')
+
+    def _connection_ended(self, connection: UpstreamConnection) -> None:
+        call = self._lingering.pop(connection, None)
+        if call is not None:
+            self.free_slot(call)
+
+    def _follow_endpoint(self, own: Endpoint | None) -> None:
+        self._line.slots.resize(own)
+        if own is None or own.state not in _REFUSED_STATES:
+            return
+        self._pool.close_idle()
+        for call in self._line.clear():
+            call.fail(
+                _REFUSED_STATES[own.state],
+                f'the upstream is {own.state.value}',
+                STATE_RETRY_AFTER_MS,
+            )
+
+
+def _find_refusal(board: Board, service: str) -> tuple[FailureCode, str] | None:
+    if board.phase.value in {Phase.DRAINING, Phase.STOPPED}:
+        return FailureCode.DRAINING, 'the daemon is leaving'
+    own = board.own_endpoint.value
+    if own is None or own.service != service:
+        return FailureCode.NO_ENDPOINT, f'no upstream of "{service}" here'
+    code = _REFUSED_STATES.get(own.state)
+    if code is None:
+        return None
+    return code, f'the upstream is {own.state.value}'
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_request.py
@@ -0,0 +1,106 @@
+"""What a caller asks: the parts of an HTTP request that routing reads."""
+
+from hashlib import blake2b
+from typing import NamedTuple
+
+from h11 import Request
+from returns.result import Failure as Refused
+from returns.result import Result, Success
+
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+from bilberry_proxy.http_headers import (
+    DEADLINE,
+    IDEMPOTENCY_KEY,
+    RETRIED,
+    Headers,
+    select_request_headers,
+)
+
+#: Longest `Idempotency-Key`, in bytes.
+MAX_KEY_BYTES = 255
+#: Longest deadline that a caller may ask for, in milliseconds.
+MAX_DEADLINE_MS = 600_000
+_FINGERPRINT_BYTES = 16
+
+
+class CallerRequest(NamedTuple):
+    """One request as its caller sent it, without its body.
+
+    `deadline_ms` is 0 where the caller set none. `retried` tells that a
+    daemon nearer to the caller has spent retries on it already.
+    """
+
+    method: bytes
+    target: bytes
+    host: str
+    path: str
+    headers: Headers
+    deadline_ms: int
+    key: str
+    retried: bool
+
+
+def parse_caller_request(start: Request) -> Result[CallerRequest, Failure]:
+    """Returns what a caller asks, or why that can't be served.
+
+    Of a header that is repeated the last one counts.
+    """
+    headers = tuple(start.headers)
+    found = dict(headers)
+    deadline = found.get(DEADLINE, b'')
+    key = found.get(IDEMPOTENCY_KEY, b'')
+    target = start.target
+    refusal = _find_refusal(start.method, target, deadline, key)
+    if refusal:
+        return Refused(
+            Failure(Verdict.NOT_RUN, FailureCode.BAD_REQUEST, refusal),
+        )
+    host = found.get(b'host', b'').decode('latin-1').lower()
+    return Success(
+        CallerRequest(
+            start.method,
+            target,
+            host.partition(':')[0],
+            target.partition(b'?')[0].decode('latin-1'),
+            select_request_headers(headers),
+            int(deadline or 0),
+            key.decode('latin-1'),
+            RETRIED in found,
+        ),
+    )
+
+
+def compute_fingerprint(
+    service: str,
+    method: bytes,
+    target: bytes,
+    body: bytes,
+) -> bytes:
+    """Returns the digest by which equal requests are known again."""
+    head = b'%b\n%b\n%b\n' % (service.encode(), method, target)
+    digest = blake2b(head, digest_size=_FINGERPRINT_BYTES)
+    digest.update(body)
+    return digest.digest()
+
+
+def _find_refusal(
+    method: bytes,
+    target: bytes,
+    deadline: bytes,
+    key: bytes,
+) -> str:
+    if deadline and not _is_deadline(deadline):
+        return (
+            f'header "bilberry-deadline-ms": expected 1 to {MAX_DEADLINE_MS}, '
+            f'got {deadline!r}'
+        )
+    if len(key) > MAX_KEY_BYTES:
+        return f'header "idempotency-key": expected {MAX_KEY_BYTES} bytes'
+    if method == b'CONNECT' or not target.startswith(b'/'):
+        return 'expected a request target that begins with "/"'
+    return ''
+
+
+def _is_deadline(text: bytes) -> bool:
+    return text.isdigit() and 0 < int(text[:7]) <= MAX_DEADLINE_MS
