Expire suspects on every daemon, and test a failure domain that returns

Suspects whose time was over stayed on the blackboard until another arrived; now each daemon removes them. Adds tests that suspects and claim epochs reach everyone, and that a failure domain that dies and returns at once converges.

--- a/packages/bilberry_spread/bilberry_spread/broadcast.py
+++ b/packages/bilberry_spread/bilberry_spread/broadcast.py
@@ -112,6 +112,8 @@
     def tick(self) -> None:
         """Does what is due now."""
         self._receivers.drop_silent()
+        if self._content.suspects:
+            self.take_suspects((), is_local=False)
         self.flush()
 
     def schedule_flush(self) -> None:
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -110,6 +110,7 @@
         now = self._edges.clock.now()
         if now >= self._next_renewal:
             self._renew(now)
+        self._suspects.expire()
         if self._board.stale_since.value is None:
             self._endpoints.expire()
 
--- a/packages/bilberry_spread/bilberry_spread/suspect_feed.py
+++ b/packages/bilberry_spread/bilberry_spread/suspect_feed.py
@@ -26,6 +26,11 @@
         self._told = known
         return new
 
+    def expire(self) -> None:
+        """Removes suspects whose time is over."""
+        if self._board.suspects.value:
+            self.take(SuspectUpdate(()))
+
     def take(self, update: SuspectUpdate) -> None:
         """Takes suspects that the relay tells."""
         merged = merge_suspects(
--- a/tests/bilberry_spread/test_failures.py
+++ b/tests/bilberry_spread/test_failures.py
@@ -352,6 +352,32 @@
         fleet.run(7)
         self.assertEqual({2}, get_running(fleet.proxies))
 
+    def test_failure_domain_dies_and_comes_back(self):
+        """Relay and proxies of a domain die at once, and return at once."""
+        fleet = Fleet(relays=3, proxies=9)
+        fleet.accept(make_accepted(1))
+        names = announce_all(fleet)
+        dead = {'p-0', 'p-3', 'p-6'}
+        for name in ('l-0', *dead):
+            fleet.nodes[name].kill()
+        fleet.accept(make_accepted(2))
+        fleet.run(0.5)
+        self.assertEqual({2}, get_running(fleet.proxies))
+        fleet.run(9)
+        for node in fleet.proxies:
+            self.assertEqual(names - dead, set(node.board.endpoints.value))
+        for name in ('l-0', *dead):
+            fleet.start(name)
+        for name in dead:
+            node = fleet.nodes[name]
+            node.board.wanted_services.put(WANTED)
+            endpoint = make_endpoint(name, incarnation=2)
+            node.board.own_endpoint.put(endpoint)
+        fleet.run(5)
+        self.assertEqual({2}, get_running(fleet.proxies))
+        for node in fleet.proxies:
+            self.assertEqual(names, set(node.board.endpoints.value))
+
     def test_refused_join_is_told_when_to_come_back(self):
         """A storm of joins gets Busy with a time that grows."""
         fleet = Fleet(relays=1, proxies=0)
--- a/tests/bilberry_spread/test_spreading.py
+++ b/tests/bilberry_spread/test_spreading.py
@@ -2,6 +2,7 @@
 
 from testtools import TestCase
 
+from bilberry_core.board import ClaimEpoch, Holder, Suspect
 from bilberry_core.endpoint import EndpointState
 from tests.bilberry_spread.fleet import Fleet, make_accepted, make_endpoint
 
@@ -49,3 +50,39 @@
             names = {node.name for node in fleet.proxies}
             self.assertEqual(names, names & proxies.keys())
             self.assertEqual({1}, set(proxies.values()))
+
+    def test_suspect_reaches_everyone_and_expires(self):
+        """A suspect told by one proxy is known to all, until it expires."""
+        for relays in (0, 3):
+            fleet = Fleet(relays=relays)
+            fleet.run(3)
+            expires_ms = fleet.time.wall_ms() + 60_000
+            suspect = Suspect(b'f', 's0', 'x', 1, expires_ms)
+            first = fleet.proxies[0]
+            first.board.suspects.put({(b'f', 'x', 1): suspect})
+            fleet.run(0.2)
+            for node in fleet.proxies + fleet.relays[-3:]:
+                known = tuple(node.board.suspects.value.values())
+                self.assertEqual((suspect,), known)
+            fleet.run(61)
+            for node in fleet.nodes.values():
+                self.assertEqual({}, node.board.suspects.value)
+
+    def test_claim_epoch_reaches_everyone(self):
+        """Claim holders reach every proxy; an older epoch changes nothing."""
+        for relays in (0, 3):
+            fleet = Fleet(relays=relays)
+            fleet.run(3)
+            holders = (Holder('r-0', '127.0.0.1', 1, 'a'),)
+            moving = ClaimEpoch(2, holders, holders)
+            settled = ClaimEpoch(2, holders)
+            old = ClaimEpoch(1, holders)
+            replicas = [fleet.nodes[f'r-{number}'] for number in range(3)]
+            for epoch in (moving, settled):
+                for replica in replicas:
+                    replica.board.claim_epoch.put(epoch)
+                fleet.run(0.2)
+            replicas[0].board.claim_epoch.put(old)
+            fleet.run(0.2)
+            for node in fleet.proxies:
+                self.assertEqual(settled, node.board.claim_epoch.value)
