End streams of a leaving daemon from the calling side

Ruled out: waiting a fixed time. Now the calling side ends the stream once its last call has ended, calls no daemon for 2 s after its goodbye, and the leaving daemon waits for that, 2 s at most.

--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -25,12 +25,18 @@
         """Opens the calls received at `target`."""
         self._target = target
         self._streams: set[_ServedStream] = set()
+        self._is_leaving = False
 
     @property
     def open_calls(self) -> int:
         """How many calls of other daemons are under way."""
         return sum(len(served.calls) for served in self._streams)
 
+    @property
+    def open_streams(self) -> int:
+        """How many streams other daemons have open."""
+        return len(self._streams)
+
     def accept(self, stream: Stream) -> None:
         """Serves a stream until it ends."""
         served = _ServedStream(stream, self._target)
@@ -42,9 +48,15 @@
 
         stream.receiver = served.receive
         stream.on_close = end
+        if self._is_leaving:
+            served.send(Goodbye())
 
     def say_goodbye(self) -> None:
-        """Tells every other daemon that no new call is taken."""
+        """Tells every other daemon that no new call is taken.
+
+        Each of them ends its stream once its calls have ended.
+        """
+        self._is_leaving = True
         for served in tuple(self._streams):
             served.send(Goodbye())
 
--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -5,7 +5,7 @@
 """
 
 from asyncio import Task, get_running_loop, timeout
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
 from bilberry_core.endpoint import Address
@@ -31,6 +31,8 @@
 UNREACHABLE_RETRY_AFTER_MS = 250
 #: Longest time to open a stream, in seconds.
 DIAL_TIMEOUT_S = 1.0
+#: Time for which no call goes to a daemon that said goodbye, in seconds.
+GOODBYE_HOLD_S = 2.0
 #: Calls that may wait for a stream to open.
 MAX_WAITING_CALLS = 1024
 
@@ -135,7 +137,11 @@
         self._last_call += 1
         numbered = start._replace(call=self._last_call)
         call = RemoteCall(self, numbered, answers)
-        refusal = self._find_refusal()
+        refusal = _find_refusal(
+            self._stream,
+            len(self._calls),
+            self._leaving,
+        )
         if refusal is not None:
             _refuse(call, refusal)
             return call
@@ -155,7 +161,7 @@
 
     def forget(self, call: RemoteCall) -> bool:
         """Receives nothing more for a call; False where it had ended."""
-        return self._calls.pop(call.start.call, None) is not None
+        return self._pop(call.start.call) is not None
 
     def close(self) -> None:
         """Ends the stream; calls under way fail."""
@@ -164,16 +170,6 @@
         if self._stream is not None:
             self._stream.close()
 
-    def _find_refusal(self) -> Failure | None:
-        if self._leaving:
-            return _not_run(FailureCode.DRAINING, 'the daemon is leaving')
-        if self._stream is None:
-            if len(self._calls) < MAX_WAITING_CALLS:
-                return None
-        elif self._stream.is_writable:
-            return None
-        return _not_run(FailureCode.OVERLOADED, 'the daemon reads too slowly')
-
     async def _connect(self) -> None:
         try:
             async with timeout(DIAL_TIMEOUT_S):
@@ -181,10 +177,11 @@
         except (OSError, BilberryError, TimeoutError) as error:
             self._dial = None
             detail = f'daemon {self._address.host}:{self._address.port}'
-            self._fail_all(f'{detail}: {error}')
+            calls = self._calls
+            self._calls = {}
+            _fail_calls(calls.values(), f'{detail}: {error}')
             return
         self._dial = None
-        self._leaving = False
         self._stream = stream
         stream.on_close = self._lose
         if not stream.is_open:
@@ -195,26 +192,9 @@
 
     def _lose(self) -> None:
         self._stream = None
-        self._leaving = False
-        self._fail_all('the stream to the daemon was lost')
-
-    def _fail_all(self, detail: str) -> None:
         calls = self._calls
         self._calls = {}
-        for call in calls.values():
-            if call.began:
-                verdict = Verdict.RAN
-            elif call.written:
-                verdict = Verdict.MAY_HAVE_RUN
-            else:
-                verdict = Verdict.NOT_RUN
-            failure = Failure(
-                verdict,
-                FailureCode.STREAM_LOST,
-                detail,
-                UNREACHABLE_RETRY_AFTER_MS,
-            )
-            call.answers.fail(CallFailed(call.start.call, failure, _NO_LOAD))
+        _fail_calls(calls.values(), 'the stream to the daemon was lost')
 
     def _receive(self, message: Any) -> None:
         handler = self._handlers.get(type(message))
@@ -227,7 +207,7 @@
             return
         call.began = True
         if reply.last:
-            del self._calls[reply.call]
+            self._pop(reply.call)
         call.answers.start_reply(reply)
 
     def _take_chunk(self, chunk: ReplyChunk) -> None:
@@ -235,11 +215,11 @@
         if call is None or not call.began:
             return
         if chunk.last:
-            del self._calls[chunk.call]
+            self._pop(chunk.call)
         call.answers.continue_reply(chunk)
 
     def _take_failed(self, failed: CallFailed) -> None:
-        call = self._calls.pop(failed.call, None)
+        call = self._pop(failed.call)
         if call is not None:
             call.answers.fail(failed)
 
@@ -250,6 +230,50 @@
 
     def _take_goodbye(self, _goodbye: Goodbye) -> None:
         self._leaving = True
+        get_running_loop().call_later(GOODBYE_HOLD_S, self._forget_goodbye)
+        self._pop(0)
+
+    def _forget_goodbye(self) -> None:
+        self._leaving = False
+
+    def _pop(self, number: int) -> RemoteCall | None:
+        call = self._calls.pop(number, None)
+        if self._leaving and not self._calls and self._stream is not None:
+            # The daemon that leaves waits for this end, so that nothing is
+            # under way on the stream.
+            self._stream.close()
+        return call
+
+
+def _find_refusal(
+    stream: Stream | None,
+    waiting: int,
+    leaving: bool,
+) -> Failure | None:
+    if leaving:
+        return _not_run(FailureCode.DRAINING, 'the daemon is leaving')
+    if stream is None and waiting < MAX_WAITING_CALLS:
+        return None
+    if stream is not None and stream.is_writable:
+        return None
+    return _not_run(FailureCode.OVERLOADED, 'the daemon reads too slowly')
+
+
+def _fail_calls(calls: Iterable[RemoteCall], detail: str) -> None:
+    for call in calls:
+        if call.began:
+            verdict = Verdict.RAN
+        elif call.written:
+            verdict = Verdict.MAY_HAVE_RUN
+        else:
+            verdict = Verdict.NOT_RUN
+        failure = Failure(
+            verdict,
+            FailureCode.STREAM_LOST,
+            detail,
+            UNREACHABLE_RETRY_AFTER_MS,
+        )
+        call.answers.fail(CallFailed(call.start.call, failure, _NO_LOAD))
 
 
 def _not_run(code: FailureCode, detail: str) -> Failure:
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -27,6 +27,8 @@
 
 _log = getLogger(__name__)
 
+#: Longest wait for other daemons to end their streams, in seconds.
+GOODBYE_S = 2.0
 _SWEEP_TICKS = 50
 
 
@@ -134,6 +136,9 @@
         self._callers.drain()
         while self.busy and clock.now() < until:
             await sleep(TICK_S)
+        until = clock.now() + GOODBYE_S
+        while self._calls.open_streams and clock.now() < until:
+            await sleep(TICK_S)
         _log.info('proxy_drained', extra={'left': self.busy})
 
     async def stop(self) -> None:
--- a/tests/bilberry_proxy/fleet.py
+++ b/tests/bilberry_proxy/fleet.py
@@ -54,6 +54,7 @@
         self.version = 1
         self.claims = claims
         self.tasks = []
+        self.is_lagging = False
 
     async def add(self, domain: str = 'one', **options) -> Node:
         """Adds a node; `options` are of its upstream, none for none."""
@@ -116,7 +117,9 @@
             node.board.suspects.put(dict(suspects))
 
     def spread(self) -> None:
-        """Gives every node a snapshot of all endpoints."""
+        """Gives every node a snapshot of all endpoints, unless it lags."""
+        if self.is_lagging:
+            return
         own = [node.board.own_endpoint.value for node in self.nodes]
         endpoints = tuple(endpoint for endpoint in own if endpoint)
         accepted = AcceptedVersion(self.version, 1, b'', self.configuration)
--- a/tests/bilberry_proxy/test_call_stream.py
+++ b/tests/bilberry_proxy/test_call_stream.py
@@ -236,6 +236,21 @@
 
         self.assertEqual((['answered'], [Verdict.NOT_RUN]), run(scenario()))
 
+    def test_stream_ends_after_goodbye_and_the_last_answer(self):
+        """The stream is ended by the side that calls, never under a call."""
+
+        async def scenario():
+            wire = Wire()
+            wire.open()
+            await settle()
+            wire.receive(Goodbye())
+            during = wire.fake.is_open
+            for frame in build_frames(1):
+                wire.receive(frame)
+            return during, wire.fake.is_open
+
+        self.assertEqual((True, False), run(scenario()))
+
     def test_no_call_goes_to_a_daemon_that_reads_too_slowly(self):
         """A stream that is backed up takes no further call."""
 
--- a/tests/bilberry_proxy/test_failures.py
+++ b/tests/bilberry_proxy/test_failures.py
@@ -1,6 +1,6 @@
 """Failures brought about through real sockets: the verdict is always true."""
 
-from asyncio import create_task, gather, run
+from asyncio import Event, create_task, gather, run
 
 from testtools import TestCase
 
@@ -327,6 +327,42 @@
 
         self.assertEqual((200, 503, ('not_run', 'draining')), run(scenario()))
 
+    def test_graceful_stop_cuts_no_call_of_another_daemon(self):
+        """Calls that cross the stop are answered, or were not run."""
+
+        async def scenario():
+            upstream = {'slots': 8, 'latency_ms': 1}
+            async with open_fleet(upstream, upstream, CALLER_ONLY) as fleet:
+                leaving, _, caller = fleet.nodes
+                fleet.is_lagging = True
+                told = []
+                stopped = Event()
+
+                async def work(name):
+                    at = 0
+                    while not stopped.is_set():
+                        at += 1
+                        answer = await call(
+                            caller, '/', 'POST', x_request_id=f'{name}-{at}'
+                        )
+                        told.append((answer.status, verdict(answer)[0]))
+
+                workers = [create_task(work(name)) for name in range(6)]
+                await until(lambda: leaving.upstream.records.runs)
+                await leaving.proxy.drain()
+                await leaving.proxy.stop()
+                leaving.listener.close()
+                before = len(told)
+                await until(lambda: len(told) > before + 50)
+                stopped.set()
+                await gather(*workers)
+                runs = count_runs(fleet)
+                return set(told), max(runs.values())
+
+        told, most = run(scenario())
+        self.assertEqual(set(), told - {(200, ''), (503, 'not_run')})
+        self.assertEqual(1, most)
+
     def test_upstream_that_leaves_gets_no_new_work(self):
         """After DELETE nothing new arrives and what runs is finished."""
 
