Let no earlier success hide a request that turns into poison

Now a success speaks for a request for 10 s, only against what was held against it before, and never where all requests in flight had one. Popular reads are still not named (test_popular_reads_are_not_suspects).

--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -149,22 +149,19 @@
             call = self._line.take_next()
 
     def _note_crash(self, address: Address, calls: list[AdmittedCall]) -> None:
-        named = [
-            call
-            for call in calls
-            if not self._suspicion.is_cleared(call.start.fingerprint)
-        ]
-        fingerprints = [call.start.fingerprint for call in named]
-        own = self._board.own_endpoint.value
-        self._suspicion.name(fingerprints, own)
+        suspects = self._suspicion.pick_suspects(
+            [call.start.fingerprint for call in calls],
+        )
+        self._suspicion.name(suspects, self._board.own_endpoint.value)
         crash = UpstreamCrash(address, self._clock.wall_ms())
         self._board.upstream_crash.put(crash)
         _log.warning(
             'upstream_crashed',
-            extra={'in_flight': len(calls), 'suspects': len(named)},
+            extra={'in_flight': len(calls), 'suspects': len(suspects)},
         )
-        for call in named:
-            call.fail(FailureCode.UPSTREAM_CRASHED, 'the upstream crashed')
+        for call in calls:
+            if call.start.fingerprint in suspects:
+                call.fail(FailureCode.UPSTREAM_CRASHED, 'the upstream crashed')
 
     def _connection_ended(self, connection: UpstreamConnection) -> None:
         call = self._lingering.pop(connection, None)
--- a/packages/bilberry_proxy/bilberry_proxy/suspicion.py
+++ b/packages/bilberry_proxy/bilberry_proxy/suspicion.py
@@ -1,6 +1,6 @@
 """What this daemon holds against requests, from its own and others' crashes."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from bilberry_core.board import Board, Suspect
 from bilberry_core.clock import Clock
@@ -16,6 +16,8 @@
 
 #: Requests remembered to have run without a crash.
 MAX_CLEARED = 4096
+#: Time for which a run that went well speaks for a request, in seconds.
+CLEARED_S = 10.0
 
 
 class Suspicion:
@@ -26,7 +28,9 @@
         self._board = board
         self._clock = clock
         self._findings: dict[bytes, Finding] = {}
-        self._cleared: dict[bytes, None] = {}
+        self._cleared_at: dict[bytes, float] = {}
+        self._named_at: dict[bytes, float] = {}
+        self._known: frozenset[tuple[bytes, str, int]] = frozenset()
         board.suspects.watch(self._follow)
 
     def judge(self, fingerprint: bytes) -> Finding:
@@ -42,21 +46,34 @@
         """Tells whether a request must run alone here.
 
         `told` says that the daemon that sent it holds something against it.
+        A run that went well clears a request only of what was held against
+        it before.
         """
-        if fingerprint in self._cleared:
-            return False
-        return told or self.judge(fingerprint).judgement > Judgement.CLEAR
+        if self.judge(fingerprint).judgement is Judgement.CLEAR:
+            return told
+        cleared_at = self._cleared_at.get(fingerprint, 0)
+        return cleared_at <= self._named_at[fingerprint]
 
     def clear(self, fingerprint: bytes) -> None:
         """Remembers that a request ran here and nothing crashed."""
-        self._cleared.pop(fingerprint, None)
-        self._cleared[fingerprint] = None
-        if len(self._cleared) > MAX_CLEARED:
-            del self._cleared[next(iter(self._cleared))]
+        self._cleared_at.pop(fingerprint, None)
+        self._cleared_at[fingerprint] = self._clock.now()
+        if len(self._cleared_at) > MAX_CLEARED:
+            del self._cleared_at[next(iter(self._cleared_at))]
 
-    def is_cleared(self, fingerprint: bytes) -> bool:
-        """Tells whether a request has run here without a crash."""
-        return fingerprint in self._cleared
+    def pick_suspects(self, fingerprints: Sequence[bytes]) -> set[bytes]:
+        """Returns which of the requests in flight at a crash are suspects.
+
+        Those that ran well here a moment ago are not, unless all did.
+        """
+        since = self._clock.now() - CLEARED_S
+        suspects = {
+            fingerprint
+            for fingerprint in fingerprints
+            if self._cleared_at.get(fingerprint, 0) < since
+        }
+        self._cleared_at.clear()
+        return suspects or set(fingerprints)
 
     def name(self, fingerprints: Iterable[bytes], endpoint: Endpoint) -> None:
         """Names the requests in flight when an endpoint crashed."""
@@ -88,4 +105,12 @@
             self._board.suspects.put(left)
 
     def _follow(self, suspects: dict[tuple[bytes, str, int], Suspect]) -> None:
+        now = self._clock.now()
+        for key in suspects.keys() - self._known:
+            self._named_at[key[0]] = now
+        self._known = frozenset(suspects)
         self._findings = judge_suspects(suspects.values())
+        self._named_at = {
+            fingerprint: self._named_at[fingerprint]
+            for fingerprint in self._findings
+        }
--- /dev/null
+++ b/tests/bench/bookings.py
@@ -0,0 +1,240 @@
+"""Measures claimed bookings on real daemons, at rest and under faults.
+
+Six daemons in three failure domains, three of them replicas that hold claims.
+Under faults each booking is resent with its key until it is answered; how
+often it ran is read from the upstreams' records.
+"""
+
+from asyncio import create_task, sleep, to_thread
+from collections import Counter
+from contextlib import contextmanager
+from pathlib import Path
+from signal import SIGCONT, SIGSTOP
+from tempfile import TemporaryDirectory
+from typing import Any, NamedTuple
+
+from bilberry_core.endpoint import Address
+from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
+from demo.operator import Operator
+from demo.record import read_runs
+from tests.bench.client import Client, Reply, encode_request, send_steadily
+
+RATES = (50, 200)
+FAULT_RATE = 60
+MAX_SENDS = 60
+RESEND_S = 0.25
+_HOST = 'callouts.example'
+_EVERY_ROLE = ('proxy', 'relay', 'replica')
+_START_S = 30.0
+_STEP_S = 1.5
+#: Upstreams take their time under faults, so that requests are in flight.
+_SLOW = ('--latency-ms', '40')
+_CONFIGURATION = """
+defaults: {{timeout: 3s, retries: 1, priority: normal}}
+services: {{callouts: {{hosts: [callouts.example]}}}}
+exceptions:
+  bench:
+    service: callouts
+    path_prefix: /change-{number}
+    set: {{priority: urgent}}
+    reason: a change amid requests
+"""
+
+
+class Resent(NamedTuple):
+    """What became of a booking, and how often it was sent."""
+
+    key: str
+    reply: Reply
+    sends: int
+
+
+@contextmanager
+def open_fleet(*options: str):
+    """Starts daemons, and upstreams with options; ends them by their id."""
+    plans = [
+        Plan(f'{domain}-{at}', domain, roles, 'callouts')
+        for domain in ('a', 'b', 'c')
+        for at, roles in ((1, _EVERY_ROLE), (2, ('proxy',)))
+    ]
+    with TemporaryDirectory(prefix='bilberry-') as folder:
+        fleet = prepare_fleet(Path(folder), plans)
+        try:
+            for plan in plans:
+                fleet.start_daemon(plan.instance)
+                fleet.start_upstream(plan.instance, *options)
+            yield fleet
+        finally:
+            fleet.close()
+
+
+def apply_configuration(fleet: Fleet, number: int) -> None:
+    """Applies a configuration that differs from the one before."""
+    file = fleet.folder / 'bench.yaml'
+    file.write_text(_CONFIGURATION.format(number=number))
+    Operator(fleet).apply(file, f'change {number}')
+
+
+def prepare(fleet: Fleet) -> None:
+    """Waits until the fleet serves its first configuration."""
+
+    def has_leader() -> bool:
+        status = fleet.read_status('a-1') or {}
+        return bool((status.get('replica') or {}).get('leader'))
+
+    def has_endpoints() -> bool:
+        status = fleet.read_status('a-1') or {}
+        states = status.get('services', {}).get('callouts', {})
+        return len(states.get('ready', ())) == len(fleet.members)
+
+    wait_until(has_leader, _START_S, 'a leader is elected')
+    apply_configuration(fleet, 0)
+    wait_until(has_endpoints, _START_S, 'every upstream is known')
+
+
+def build_client(fleet: Fleet, instance: str, port: str = 'callers') -> Client:
+    """Returns a client of a daemon, or of its upstream for `served`."""
+    ports = fleet.members[instance].ports
+    return Client(Address('127.0.0.1', getattr(ports, port)))
+
+
+def encode_booking(key: str) -> bytes:
+    """Returns a booking that carries its key."""
+    return encode_request(
+        'POST', '/book', b'cooler', host=_HOST, idempotency_key=key
+    )
+
+
+async def measure_at_rest(fleet: Fleet, rate: int, summarize) -> dict:
+    """Returns latencies of reads and bookings at one rate."""
+    daemon = build_client(fleet, 'a-2')
+    direct = build_client(fleet, 'a-2', 'served')
+    read = encode_request('GET', '/lookup', b'', host=_HOST)
+    seconds: dict[str, list[float]] = {'direct': [], 'read': [], 'booking': []}
+
+    async def send_one(at: int) -> int:
+        booking = encode_booking(f'rest-{rate}-{at}')
+        failed = 0
+        for name, client, request in (
+            ('direct', direct, read),
+            ('read', daemon, read),
+            ('booking', daemon, booking),
+        ):
+            reply = await client.send(request)
+            failed += reply.status != 200
+            seconds[name].append(reply.seconds)
+        return failed
+
+    failed = await send_steadily(rate, rate * 5, send_one)
+    added = {
+        name: summarize(
+            [
+                one - base
+                for one, base in zip(
+                    seconds[name], seconds['direct'], strict=True
+                )
+            ]
+        )
+        for name in ('read', 'booking')
+    }
+    return {
+        'calls_per_s': rate,
+        'failed': sum(failed),
+        'latency_ms': {name: summarize(one) for name, one in seconds.items()},
+        'added_ms': added,
+    }
+
+
+async def send_until_answered(clients: list[Client], key: str) -> Resent:
+    """Resends a booking, through one daemon after the other."""
+    request = encode_booking(key)
+    reply = Reply(0, b'', 0)
+    for sends in range(1, MAX_SENDS + 1):
+        reply = await clients[sends % len(clients)].send(request)
+        if reply.status == 200:
+            return Resent(key, reply, sends)
+        await sleep(RESEND_S)
+    return Resent(key, reply, MAX_SENDS)
+
+
+async def bring_about(fleet: Fleet) -> list[str]:
+    """Brings one fault after the other about; returns what was done."""
+    start_upstream = fleet.start_upstream
+    start_upstream = fleet.start_upstream
+    steps = (
+        ('daemon drained', fleet.stop_daemon, 'c-1'),
+        ('daemon restarted', fleet.start_daemon, 'c-1'),
+        ('upstream drained', fleet.stop_upstream, 'a-1'),
+        ('upstream restarted', start_upstream, 'a-1', *_SLOW),
+        ('daemon killed', fleet.kill_daemon, 'b-1'),
+        ('daemon restarted', fleet.start_daemon, 'b-1'),
+        ('upstream killed', fleet.kill_upstream, 'c-2'),
+        ('upstream restarted', start_upstream, 'c-2', *_SLOW),
+        ('daemon frozen', fleet.signal_daemon, 'c-1', SIGSTOP),
+        ('daemon thawed', fleet.signal_daemon, 'c-1', SIGCONT),
+    )
+    done = []
+    for number, (name, act, *arguments) in enumerate(steps, start=1):
+        await sleep(_STEP_S)
+        await to_thread(act, *arguments)
+        done.append(name)
+        if number % 2 == 0:
+            await sleep(_STEP_S)
+            await to_thread(apply_configuration, fleet, number)
+            done.append('configuration changed')
+    await sleep(_STEP_S)
+    return done
+
+
+async def measure_under_faults(fleet: Fleet) -> dict[str, Any]:
+    """Returns the counts; lost and doubled bookings must be 0."""
+    clients = [build_client(fleet, name) for name in ('a-2', 'b-2')]
+    faults = create_task(bring_about(fleet))
+    sent: list[Resent] = []
+    batch = 0
+    while not faults.done():
+        batch += 1
+        sent += await send_steadily(
+            FAULT_RATE,
+            FAULT_RATE,
+            lambda at, of=batch: send_until_answered(clients, f'f-{of}-{at}'),
+        )
+    runs = read_runs(fleet)
+    unanswered = [one for one in sent if one.reply.status != 200]
+    causes = Counter(
+        one.reply.headers.get('bilberry-code', str(one.reply.status))
+        for one in unanswered
+    )
+    return {
+        'bookings': len(sent),
+        'answered': len(sent) - len(unanswered),
+        'answered_at_first': sum(one.sends == 1 for one in sent),
+        'not_answered': dict(causes),
+        'lost': sum(runs[one.key] == 0 for one in sent),
+        'doubled': sum(runs[one.key] > 1 for one in sent),
+        'wrong_answers': sum(
+            one.reply.status == 200 and one.reply.body != b'cooler'
+            for one in sent
+        ),
+        'faults': await faults,
+    }
+
+
+async def warm(fleet: Fleet) -> None:
+    """Waits until bookings are answered through both callers' daemons."""
+    await to_thread(prepare, fleet)
+    for name in ('a-2', 'b-2'):
+        await send_until_answered([build_client(fleet, name)], f'w-{name}')
+
+
+async def measure_bookings(summarize) -> dict[str, Any]:
+    """Measures a fleet at rest and one under faults."""
+    with open_fleet() as fleet:
+        await warm(fleet)
+        at_rest = [
+            await measure_at_rest(fleet, rate, summarize) for rate in RATES
+        ]
+    with open_fleet(*_SLOW) as fleet:
+        await warm(fleet)
+        under_faults = await measure_under_faults(fleet)
+    return {'at_rest': at_rest, 'under_faults': under_faults}
--- a/tests/bilberry_proxy/test_poison.py
+++ b/tests/bilberry_proxy/test_poison.py
@@ -132,6 +132,46 @@
 
         self.assertEqual({200}, run(scenario()))
 
+    def test_request_that_turns_into_poison_is_refused(self):
+        """Runs that went well before are no proof for what follows."""
+
+        async def scenario():
+            nodes = (*repeat(UPSTREAM, 4), CALLER_ONLY)
+            async with open_fleet(*nodes) as fleet:
+                caller = fleet.nodes[-1]
+                well = [
+                    (await call(caller, '/lookup', 'POST')).status
+                    for _ in range(12)
+                ]
+                for node in fleet.nodes[:4]:
+                    options = node.upstream.options
+                    node.upstream.options = options._replace(
+                        crash_path='/lookup'
+                    )
+                for _ in range(5):
+                    await call(caller, '/lookup', 'POST')
+                    fleet.spread_suspects()
+                return set(well), sum(
+                    node.upstream.is_serving for node in fleet.nodes[:4]
+                )
+
+        self.assertEqual(({200}, 2), run(scenario()))
+
+    def test_popular_reads_are_not_suspects(self):
+        """What runs well all the time is not named beside a crash."""
+
+        async def scenario():
+            async with open_fleet(UPSTREAM, CALLER_ONLY) as fleet:
+                beside, caller = fleet.nodes
+                await call(caller, '/slow')
+                popular = create_task(call(caller, '/slow'))
+                await until(lambda: beside.upstream.records.running)
+                await call(caller, '/crash', 'POST', POISON)
+                await popular
+                return len(beside.board.suspects.value)
+
+        self.assertEqual(1, run(scenario()))
+
     def test_retries_of_one_request_stop_at_two(self):
         """A proxy that may retry often does not crash a third upstream."""
 
