Keep a holder that is down from costing the others

Telling now ends with the majority; what a straggler misses is repaired by the next attempt that meets it. A link waits between attempts to open its stream, logs the first failure of an outage only, and opens a stream anew that has given no reply for 3 s while some were due.

The holder's part in the epochs has a module of its own, and has the log note the end of a handover where `settle_epoch` is set.

--- a/packages/bilberry_claims/bilberry_claims/broadcast.py
+++ b/packages/bilberry_claims/bilberry_claims/broadcast.py
@@ -1,10 +1,9 @@
-"""Telling every holder of an epoch one fact about a token, until they know.
+"""Telling the holders of an epoch one fact about a token.
 
-The fact is an answer to store or a withdrawal. A majority confirms it; the
-others are told again as long as the client goes on.
+The fact is an answer to store or a withdrawal. Every holder is told once, and
+those that do not confirm it again until a majority has.
 """
 
-from collections.abc import Callable
 from typing import NamedTuple
 
 from bilberry_claims.decision import is_confirmed
@@ -20,6 +19,9 @@
     ClaimWithdraw,
 )
 
+#: Longest time between two times that a holder is told, in seconds.
+_MAX_WAIT_S = 4.0
+
 
 class Fact(NamedTuple):
     """What is told: the answer of a token, or the withdrawal of tokens."""
@@ -52,34 +54,29 @@
 
 
 class Broadcast:
-    """One fact on its way to the holders.
-
-    `on_confirmed` is called once, when a majority knows.
-    """
+    """One fact on its way to the holders."""
 
     def __init__(self, fact: Fact, tools: Tools) -> None:
         """Starts without an epoch; `begin` gives one."""
         self.request = 0
         self.wait_s = RESEND_S
         self.is_confirmed = False
-        self.on_confirmed: Callable[[], None] = _do_nothing
         self._fact = fact
         self._tools = tools
         self._epoch: ClaimEpoch | None = None
         self._known: dict[str, ClaimState] = {}
 
     def is_ended(self) -> bool:
-        """Returns whether every holder knows."""
-        if self._epoch is None:
-            return False
-        return self._known.keys() >= list_members(self._epoch).keys()
+        """Returns whether a majority knows."""
+        return self.is_confirmed
 
     def begin(self, epoch: ClaimEpoch) -> tuple[Sent, ...]:
         """Tells the holders of this epoch."""
         self._epoch = epoch
         self._known.clear()
         self.request = self._tools.next_request()
-        return self.tick()
+        self.wait_s = RESEND_S
+        return self._tell()
 
     def receive(
         self,
@@ -91,13 +88,17 @@
             return ()
         if isinstance(reply, ClaimState) and self._fact.is_known(reply):
             self._known[instance] = reply
-            self._confirm()
+            self.is_confirmed = self._has_majority()
         return ()
 
     def tick(self) -> tuple[Sent, ...]:
         """Tells those again that have not confirmed."""
         if self._epoch is None:
             return ()
+        self.wait_s = min(2 * self.wait_s, _MAX_WAIT_S)
+        return self._tell()
+
+    def _tell(self) -> tuple[Sent, ...]:
         number = number_epoch(self._epoch)
         message = self._fact.build_message(self.request, number)
         return tuple(
@@ -106,16 +107,7 @@
             if name not in self._known
         )
 
-    def _confirm(self) -> None:
-        if not self.is_confirmed and self._has_majority():
-            self.is_confirmed = True
-            self.on_confirmed()
-
     def _has_majority(self) -> bool:
         if self._fact.answer is None:
             return is_epoch_quorum(self._epoch, self._known)
         return is_confirmed(self._epoch, self._known, self._known)
-
-
-def _do_nothing() -> None:
-    """Stands in for a handler that was not set."""
--- a/packages/bilberry_claims/bilberry_claims/client.py
+++ b/packages/bilberry_claims/bilberry_claims/client.py
@@ -1,12 +1,6 @@
 """The proxy's side of claims: asks the holders of the current epoch."""
 
-from asyncio import (
-    CancelledError,
-    Event,
-    create_task,
-    get_running_loop,
-    wait,
-)
+from asyncio import CancelledError, wait
 from collections import OrderedDict
 from itertools import count
 from logging import getLogger
@@ -29,8 +23,8 @@
 
 _log = getLogger(__name__)
 
-#: How long holders that have not confirmed a fact are told it, in seconds.
-_TELL_S = 30.0
+#: Facts on their way that no majority knows; the oldest are given up.
+_MAX_TELLING = 4096
 #: Granted tokens remembered; the oldest are forgotten.
 _MAX_GRANTED = 100_000
 
@@ -49,6 +43,7 @@
         self._clock = clock
         self._holders = Holders(board, credentials)
         self._tools = Tools(count(1).__next__, random)
+        self._telling: OrderedDict[Exchange, None] = OrderedDict()
         self._granted: OrderedDict[bytes, ClaimProcess] = OrderedDict()
 
     @classmethod
@@ -149,19 +144,18 @@
 
     async def _confirm(self, fact: Fact, timeout_s: float) -> bool:
         broadcast = Broadcast(fact, self._tools)
-        confirmed = Event()
-        broadcast.on_confirmed = confirmed.set
         exchange = self._tell(broadcast)
-        ended = create_task(confirmed.wait())
-        exchange.done.add_done_callback(lambda _done: ended.cancel())
-        await wait([ended], timeout=timeout_s)
-        ended.cancel()
+        await wait([exchange.done], timeout=timeout_s)
         return broadcast.is_confirmed
 
     def _tell(self, broadcast: Broadcast) -> Exchange:
-        """Tells every holder, also after the caller has gone on."""
+        """Tells the holders, also after the caller has gone on."""
         exchange = Exchange(self._holders, broadcast)
-        loop = get_running_loop()
-        timer = loop.call_later(_TELL_S, exchange.close)
-        exchange.done.add_done_callback(lambda _done: timer.cancel())
+        self._telling[exchange] = None
+        exchange.done.add_done_callback(
+            lambda _done: self._telling.pop(exchange, None),
+        )
+        if len(self._telling) > _MAX_TELLING:
+            oldest, _ = self._telling.popitem(last=False)
+            oldest.close()
         return exchange
--- a/packages/bilberry_claims/bilberry_claims/exchange.py
+++ b/packages/bilberry_claims/bilberry_claims/exchange.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from typing import Any, Protocol
 
-from bilberry_claims.link import HolderLink
+from bilberry_claims.link import HolderLinks
 from bilberry_claims.process import Sent
 from bilberry_claims.quorum import list_members
 from bilberry_core.board import Board, ClaimEpoch
@@ -45,16 +45,14 @@
     def __init__(self, board: Board, credentials: Credentials) -> None:
         """Opens no stream before the first message."""
         self.board = board
-        self._credentials = credentials
-        self._links: dict[str, HolderLink] = {}
+        self._links = HolderLinks(credentials, self._receive)
         self._exchanges: dict[int, 'Exchange'] = {}
 
     def send(self, sends: Iterable[Sent]) -> None:
         """Sends each message to its holder, if it has an address."""
+        members = list_members(self.board.claim_epoch.value)
         for instance, message in sends:
-            link = self._find_link(instance)
-            if link is not None:
-                link.send(message)
+            self._links.send(instance, members.get(instance), message)
 
     def expect(self, request: int, exchange: 'Exchange') -> None:
         """Hands replies to this request to the exchange."""
@@ -68,20 +66,7 @@
         """Ends every exchange and closes every stream."""
         for exchange in tuple(self._exchanges.values()):
             exchange.close()
-        for link in self._links.values():
-            link.close()
-
-    def _find_link(self, instance: str) -> HolderLink | None:
-        link = self._links.get(instance)
-        epoch = self.board.claim_epoch.value
-        holder = list_members(epoch).get(instance)
-        if holder is None or (link is not None and link.holder == holder):
-            return link
-        if link is not None:
-            link.close()
-        link = HolderLink(self._credentials, holder, self._receive)
-        self._links[instance] = link
-        return link
+        self._links.close()
 
     def _receive(self, instance: str, reply: Any) -> None:
         if not isinstance(reply, (ClaimState, ClaimRefused)):
@@ -140,7 +125,7 @@
             self._timer.cancel()
 
     def _begin(self, epoch: ClaimEpoch | None) -> None:
-        if epoch is None:
+        if epoch is None or self.done.done():
             return
         self.apply(self._exchanged.begin(epoch))
         self._restart_timer()
--- a/packages/bilberry_claims/bilberry_claims/holder.py
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -1,30 +1,23 @@
-"""The controller of a replica's claims: streams, journal and catching up."""
+"""The controller of a replica's claims: streams, journal and epochs."""
 
 from asyncio import Event, to_thread, wait_for
 from contextlib import suppress
 from functools import partial
-from itertools import count
-from logging import getLogger
 from typing import Any
 
-from bilberry_claims.catch_up import CatchUp, Step
-from bilberry_claims.handover import Handover
+from bilberry_claims.follower import EpochFollower, SettleEpoch
 from bilberry_claims.holder_core import HolderCore
 from bilberry_claims.limit import ClaimLimits
-from bilberry_claims.link import HolderLink
 from bilberry_claims.outbox import Outbox, Posted
-from bilberry_claims.quorum import list_members, number_epoch
-from bilberry_core.board import Board, ClaimEpoch
+from bilberry_claims.quorum import number_epoch
+from bilberry_core.board import Board
 from bilberry_core.clock import Clock
 from bilberry_core.disk import Disk
 from bilberry_core.handshake import Purpose
 from bilberry_core.journal import Journal
-from bilberry_core.messages.claim import ClaimPage, HolderStatus
 from bilberry_core.settings import Settings
 from bilberry_core.stream import Credentials, Stream, StreamListener
 
-_log = getLogger(__name__)
-
 #: Name of the journal in the data folder.
 JOURNAL_NAME = 'claims'
 #: Between attempts to catch up, in seconds.
@@ -35,7 +28,8 @@
     """Keeps claims durably and answers for them.
 
     Every reply waits until all that it tells is durable; replies that wait
-    at the same time share one sync.
+    at the same time share one sync. `settle_epoch` may be set to what has
+    the replicated log note that the claims of an epoch were handed over.
     """
 
     def __init__(
@@ -47,6 +41,7 @@
         limits: ClaimLimits,
     ) -> None:
         """Answers nothing before `run`."""
+        self.settle_epoch: SettleEpoch = _settle_nothing
         self._board = board
         self._credentials = credentials
         self._disk = disk
@@ -54,11 +49,7 @@
         self._limits = limits
         self._core = HolderCore(credentials.instance, limits)
         self._outbox: Outbox | None = None
-        self._links: dict[str, HolderLink] = {}
-        self._next_request = count(1).__next__
-        self._catch_up: CatchUp | None = None
-        self._handover: Handover | None = None
-        self._durable_epoch = 0
+        self._follower: EpochFollower | None = None
         self._stopping = Event()
 
     @classmethod
@@ -85,7 +76,9 @@
     def is_caught_up(self) -> bool:
         """Whether this holder durably knows the claims of the epoch."""
         epoch = self._board.claim_epoch.value
-        return epoch is not None and self._durable_epoch == number_epoch(epoch)
+        if epoch is None or self._follower is None:
+            return False
+        return self._follower.durable_epoch == number_epoch(epoch)
 
     @property
     def is_handed_over(self) -> bool:
@@ -94,10 +87,9 @@
         That is once a majority of the holders has durably taken the claims
         over.
         """
-        epoch = self._board.claim_epoch.value
-        if self._handover is None or epoch != self._core.epoch:
+        if self._board.claim_epoch.value != self._core.epoch:
             return False
-        return self._handover.is_complete
+        return self._follower is not None and self._follower.is_handed_over
 
     def accept(self, stream: Stream) -> None:
         """Serves a stream of a proxy or of another holder."""
@@ -105,20 +97,11 @@
 
     async def run(self) -> None:
         """Reads the journal, then keeps claims until `stop`."""
-        journal, records = await to_thread(
-            Journal.open,
-            self._disk,
-            JOURNAL_NAME,
-        )
-        await to_thread(self._core.load, records, self._clock.wall_ms())
-        self._outbox = Outbox(journal, partial(self._compact, journal))
-        unwatch = self._board.claim_epoch.watch(self._adopt)
-        self._adopt(self._board.claim_epoch.value)
-        while not self._stopping.is_set():
-            self._core.table.expire(self._clock.wall_ms())
-            self._poll()
-            with suppress(TimeoutError):
-                await wait_for(self._stopping.wait(), _POLL_S)
+        await self._open()
+        cell = self._board.claim_epoch
+        unwatch = cell.watch(self._follower.adopt)
+        self._follower.adopt(cell.value)
+        await self._follow()
         unwatch()
         await self._outbox.flush()
         self.close()
@@ -126,13 +109,33 @@
     def close(self) -> None:
         """Ends at once: answers under way are not sent."""
         self._stopping.set()
-        for link in self._links.values():
-            link.close()
+        if self._follower is not None:
+            self._follower.close()
 
     async def stop(self) -> None:
         """Ends `run` after the answers under way."""
         self._stopping.set()
 
+    async def _follow(self) -> None:
+        while not self._stopping.is_set():
+            self._core.table.expire(self._clock.wall_ms())
+            self._follower.poll()
+            await self._follower.settle(self.settle_epoch)
+            with suppress(TimeoutError):
+                await wait_for(self._stopping.wait(), _POLL_S)
+
+    async def _open(self) -> None:
+        opened = await to_thread(Journal.open, self._disk, JOURNAL_NAME)
+        journal, records = opened
+        await to_thread(self._core.load, records, self._clock.wall_ms())
+        self._outbox = Outbox(journal, partial(self._compact, journal))
+        self._follower = EpochFollower(
+            self._core,
+            self._outbox,
+            self._credentials,
+            self._clock,
+        )
+
     def _receive(self, stream: Stream, asked: Any) -> None:
         if self._outbox is None:
             return
@@ -141,61 +144,6 @@
             reply = Posted(partial(_send, stream), answered.reply)
             self._outbox.post(answered.records, (reply,))
 
-    def _adopt(self, epoch: ClaimEpoch | None) -> None:
-        if epoch is None:
-            return
-        records = self._core.adopt(epoch)
-        if self._core.epoch != epoch:
-            return
-        _log.info('claim_epoch_adopted', extra={'epoch': epoch.epoch})
-        self._outbox.post(records)
-        self._catch_up = CatchUp(self._core, epoch, self._next_request)
-        self._handover = Handover(self._core.instance, epoch)
-        self._poll()
-
-    def _poll(self) -> None:
-        if self._catch_up is not None:
-            self._perform(self._catch_up.poll())
-            self._perform(Step(sends=self._handover.poll()))
-
-    def _take_reply(self, instance: str, reply: Any) -> None:
-        if isinstance(reply, HolderStatus):
-            self._handover.receive(instance, reply)
-        if isinstance(reply, (HolderStatus, ClaimPage)):
-            now_ms = self._clock.wall_ms()
-            self._perform(self._catch_up.receive(instance, reply, now_ms))
-
-    def _perform(self, step: Step) -> None:
-        posted = [
-            Posted(self._find_link(sent.instance).send, sent.message)
-            for sent in step.sends
-        ]
-        number = self._core.membership.epoch
-        if self._core.is_caught_up and self._durable_epoch != number:
-            posted.append(Posted(self._note_durable, number))
-        if posted or step.records:
-            self._outbox.post(step.records, posted)
-
-    def _find_link(self, instance: str) -> HolderLink:
-        holder = list_members(self._core.epoch)[instance]
-        link = self._links.get(instance)
-        if link is None or link.holder != holder:
-            if link is not None:
-                link.close()
-            link = HolderLink(self._credentials, holder, self._take_reply)
-            self._links[instance] = link
-        return link
-
-    def _note_durable(self, number: int) -> None:
-        """Goes on once the holder is durably caught up in an epoch."""
-        if number == self._core.membership.epoch:
-            self._handover.note_own()
-            self._durable_epoch = number
-            _log.info(
-                'claims_caught_up',
-                extra={'epoch': number, 'claims': len(self._core.table)},
-            )
-
     def _compact(self, journal: Journal) -> None:
         if journal.size < self._limits.compact_bytes:
             return
@@ -206,3 +154,8 @@
 def _send(stream: Stream, reply: Any) -> None:
     if stream.is_open and stream.is_writable:
         stream.send(reply)
+
+
+async def _settle_nothing(_epoch: int, _timeout_s: float) -> bool:
+    """Stands in where nobody notes the end of a handover."""
+    return False
--- a/packages/bilberry_claims/bilberry_claims/link.py
+++ b/packages/bilberry_claims/bilberry_claims/link.py
@@ -4,7 +4,7 @@
 whoever sends them repeats them.
 """
 
-from asyncio import Task, create_task
+from asyncio import Task, create_task, get_running_loop, sleep
 from collections import deque
 from collections.abc import Callable
 from logging import getLogger
@@ -20,6 +20,10 @@
 
 #: Messages that wait for the stream to open; older ones are dropped.
 _MAX_WAITING = 1024
+#: Between attempts to open a stream, in seconds.
+_REDIAL_S = 0.2
+#: Time without a reply after which the stream is opened anew, in seconds.
+_SILENT_S = 3.0
 
 HolderReceiver = Callable[[str, Any], None]
 
@@ -41,11 +45,15 @@
         self._opening: Task[None] | None = None
         self._waiting: deque[Any] = deque(maxlen=_MAX_WAITING)
         self._is_closed = False
+        self._is_reported = False
+        self._asked_at: float | None = None
 
     def send(self, message: Any) -> None:
         """Sends a message, now or once the stream is open."""
         if self._is_closed:
             return
+        if self._is_silent():
+            self._stream.close()
         if self._stream is not None and self._stream.is_open:
             self._stream.send(message)
             return
@@ -62,8 +70,18 @@
         if self._stream is not None:
             self._stream.close()
 
+    def _is_silent(self) -> bool:
+        """Returns whether replies are due for long on an open stream."""
+        if self._stream is None or not self._stream.is_open:
+            return False
+        now = get_running_loop().time()
+        if self._asked_at is None:
+            self._asked_at = now
+        return now - self._asked_at > _SILENT_S
+
     async def _open(self) -> None:
         address = Address(self.holder.host, self.holder.port)
+        self._asked_at = None
         try:
             self._stream = await dial(
                 self._credentials,
@@ -72,16 +90,61 @@
                 self._receive,
             )
         except (OSError, BilberryError) as error:
-            _log.warning(
-                'claim_holder_unreachable',
-                extra={'holder': self.holder.instance, 'cause': str(error)},
-            )
+            self._report(str(error))
+            await sleep(_REDIAL_S)
             self._waiting.clear()
             return
         finally:
             self._opening = None
+        self._is_reported = False
         while self._waiting and self._stream.is_open:
             self._stream.send(self._waiting.popleft())
 
+    def _report(self, cause: str) -> None:
+        """Logs the first failure of an outage."""
+        if self._is_reported:
+            return
+        self._is_reported = True
+        _log.warning(
+            'claim_holder_unreachable',
+            extra={'holder': self.holder.instance, 'cause': cause},
+        )
+
     def _receive(self, message: Any) -> None:
+        self._asked_at = None
         self._receiver(self.holder.instance, message)
+
+
+class HolderLinks:
+    """The links to several holders, by instance."""
+
+    def __init__(
+        self,
+        credentials: Credentials,
+        receiver: HolderReceiver,
+    ) -> None:
+        """Opens no stream before the first message."""
+        self._credentials = credentials
+        self._receiver = receiver
+        self._links: dict[str, HolderLink] = {}
+
+    def send(self, instance: str, holder: Holder | None, message: Any) -> None:
+        """Sends to a holder, where it is now if that is known."""
+        link = self._links.get(instance)
+        if holder is not None and (link is None or link.holder != holder):
+            link = self._replace(holder)
+        if link is not None:
+            link.send(message)
+
+    def close(self) -> None:
+        """Closes every link, for good."""
+        for link in self._links.values():
+            link.close()
+
+    def _replace(self, holder: Holder) -> HolderLink:
+        outdated = self._links.get(holder.instance)
+        if outdated is not None:
+            outdated.close()
+        link = HolderLink(self._credentials, holder, self._receiver)
+        self._links[holder.instance] = link
+        return link
--- a/packages/bilberry_claims/bilberry_claims/outbox.py
+++ b/packages/bilberry_claims/bilberry_claims/outbox.py
@@ -10,6 +10,9 @@
 
 _log = getLogger(__name__)
 
+#: Messages that wait; beyond that they are dropped, and asked for again.
+_MAX_POSTED = 10_000
+
 
 class Posted(NamedTuple):
     """A message, and what sends it."""
@@ -44,7 +47,8 @@
             return
         for record in records:
             self._journal.append(record)
-        self._posted.extend(posted)
+        if len(self._posted) < _MAX_POSTED:
+            self._posted.extend(posted)
         if self._sending is None:
             self._sending = create_task(self._send())
 
--- a/packages/bilberry_claims/bilberry_claims/process.py
+++ b/packages/bilberry_claims/bilberry_claims/process.py
@@ -41,7 +41,7 @@
 )
 
 #: Between repeated votes of one round, in seconds.
-RESEND_S = 0.1
+RESEND_S = 0.25
 #: First and longest pause before the next round, in seconds.
 MIN_PAUSE_S = 0.005
 MAX_PAUSE_S = 0.2
--- a/packages/bilberry_claims/bilberry_claims/quorum.py
+++ b/packages/bilberry_claims/bilberry_claims/quorum.py
@@ -52,8 +52,10 @@
     return tuple(sorted(one.instance for one in holders))
 
 
-def list_members(epoch: ClaimEpoch) -> dict[str, Holder]:
+def list_members(epoch: ClaimEpoch | None) -> dict[str, Holder]:
     """Returns the holders of an epoch and those before, by instance."""
+    if epoch is None:
+        return {}
     return {one.instance: one for one in (*epoch.previous, *epoch.holders)}
 
 
--- a/tests/bilberry_claims/test_holder.py
+++ b/tests/bilberry_claims/test_holder.py
@@ -1,6 +1,6 @@
 """Holders on loopback streams that crash, lose folders, change and fill up."""
 
-from asyncio import create_task, run
+from asyncio import Event, create_task, run
 from errno import EIO
 
 from testtools import TestCase
@@ -174,8 +174,14 @@
                 await replica.start(fleet.epoch)
             holders = tuple(replica.holder for replica in fresh)
             fleet.announce(ClaimEpoch(2, holders, before))
-            await fleet.caught_up()
-            await wait_until(lambda: fresh[0].controller.is_handed_over)
+            settled = Event()
+
+            async def settle_epoch(_epoch, _timeout_s):
+                settled.set()
+                return True
+
+            fresh[0].controller.settle_epoch = settle_epoch
+            await settled.wait()
             fleet.announce(ClaimEpoch(2, holders))
             await fleet.caught_up()
             for replica in fleet.replicas[:3]:
