--- a/packages/bilberry_operators/bilberry_operators/configuration_resource.py
+++ b/packages/bilberry_operators/bilberry_operators/configuration_resource.py
@@ -84,16 +84,19 @@
         return await self._submit(_build_change(condition, content))
 
     async def list_history(self, call: Call) -> HttpResponse:
-        """Answers with the newest versions, newest first."""
+        """Answers with the newest versions, newest first.
+
+        `confirmed` is false where no quorum told which the newest one is.
+        """
         limit = min(call.get_whole('limit', DEFAULT_HISTORY), MAX_HISTORY)
+        confirmed = await self._catch_up()
         entries = self._acceptor.read_history(limit)
-        return answer_json(
-            {'versions': [describe_entry(entry) for entry in entries]},
-        )
+        versions = [describe_entry(entry) for entry in entries]
+        return answer_json({'confirmed': confirmed, 'versions': versions})
 
     async def read_version(self, call: Call) -> HttpResponse:
         """Answers with one version of the history."""
-        entry = self._find(parse_version(call.segment, 'version'))
+        entry = await self._find(parse_version(call.segment, 'version'))
         configuration = decode_configuration(entry.content)
         return answer_json(
             {
@@ -108,11 +111,19 @@
         check_token(call.request, self._token)
         condition = read_precondition(call.request)
         wanted = parse_version(call.query.get('version', ''), 'version')
-        entry = self._find(wanted)
+        entry = await self._find(wanted)
         note = condition.note or f'roll back to version {wanted}'
         change = _build_change(condition._replace(note=note), entry.content)
         return await self._submit(change)
 
+    async def _catch_up(self) -> bool:
+        """Waits until the history here holds the newest version."""
+        try:
+            await self._read_current()
+        except RefusedError:
+            return False
+        return True
+
     async def _read_current(self) -> AcceptedVersion | None:
         try:
             current = await wait_for(
@@ -149,7 +160,8 @@
             detail = 'no answer of the replicas in time'
             return Failure(OutcomeUnknown(change.change_id, detail))
 
-    def _find(self, version: int) -> HistoryEntry:
+    async def _find(self, version: int) -> HistoryEntry:
+        await self._catch_up()
         for entry in self._acceptor.read_history(MAX_HISTORY):
             if entry.version == version:
                 return entry
--- a/packages/bilberry_operators/bilberry_operators/controller.py
+++ b/packages/bilberry_operators/bilberry_operators/controller.py
@@ -25,6 +25,7 @@
     Question,
     explain_route,
 )
+from bilberry_operators.interest import want_endpoints
 from bilberry_operators.lag import LagTracker
 from bilberry_operators.misdirected import add_misdirected
 from bilberry_operators.replica_resource import Membership, ReplicaResource
@@ -182,6 +183,7 @@
             call.query.get('method') or str(HTTPMethod.GET),
             call.query.get('path') or '/',
         )
+        await want_endpoints(self._board, question.service)
         snapshot = self._board.snapshot.value
         opinions = self._edges.opinions
         return answer_json(explain_route(snapshot, question, opinions))
--- a/packages/bilberry_operators/bilberry_operators/explain.py
+++ b/packages/bilberry_operators/bilberry_operators/explain.py
@@ -44,7 +44,8 @@
         raise RefusedError(
             HTTPStatus.SERVICE_UNAVAILABLE,
             'no_configuration',
-            'this daemon runs no configuration yet',
+            'this daemon routes nothing: it runs no configuration yet, or it'
+            ' has no role proxy',
         )
     service, method, path = question
     name = snapshot.services_by_host.get(service)
--- /dev/null
+++ b/packages/bilberry_operators/bilberry_operators/interest.py
@@ -0,0 +1,35 @@
+"""Asks for the endpoints of a service that this proxy has not called yet."""
+
+from asyncio import wait_for
+
+from bilberry_core.board import Board
+from bilberry_core.snapshot import Snapshot
+
+#: Longest wait for the endpoints of a service, in seconds.
+ENDPOINTS_WAIT_S = 1.0
+
+
+async def want_endpoints(board: Board, host: str) -> None:
+    """Asks for the endpoints behind a host, and waits a bounded time.
+
+    Proxies only hold the endpoints of services that they are asked for. A
+    service that is wanted already is not waited for.
+    """
+    snapshot = board.snapshot.value
+    service = snapshot.services_by_host.get(host) if snapshot else None
+    wanted = board.wanted_services
+    if service is None or service in wanted.value:
+        return
+
+    def has_endpoints(found: Snapshot | None) -> bool:
+        route = found.routes.get(service) if found else None
+        return route is None or bool(route.endpoints)
+
+    wanted.put(wanted.value | {service})
+    try:
+        await wait_for(
+            board.snapshot.wait_for(has_endpoints),
+            ENDPOINTS_WAIT_S,
+        )
+    except TimeoutError:
+        return
--- a/packages/bilberryctl/bilberryctl/progress.py
+++ b/packages/bilberryctl/bilberryctl/progress.py
@@ -35,21 +35,33 @@
     clock = get_running_loop().time
     end = clock() + limit_s
     shown = ''
+    confirmed: dict[str, int] = {}
     while True:
         poll = await _poll(session, version)
         line = describe_progress(poll.versions, poll.behind, version)
         if line != shown:
             session.report(line)
             shown = line
-        if poll.versions and not poll.behind:
+        if is_in_force(poll, confirmed):
             text = f'version {version} is in force on {len(poll.versions)}'
             document = {**change, 'proxies': poll.versions}
             return succeed(document, f'{text} proxies')
+        confirmed = {} if poll.behind else poll.versions
         if clock() >= end:
             return _tell_late(change, poll.versions, poll.behind)
         await sleep(min(poll.pause_s, end - clock()))
 
 
+def is_in_force(poll: Poll, confirmed: dict[str, int]) -> bool:
+    """Tells whether two polls in a row found the same proxies, none behind.
+
+    Right after the start of a fleet proxies are still being heard of.
+    """
+    if poll.behind or not poll.versions:
+        return False
+    return poll.versions.keys() == confirmed.keys()
+
+
 async def _poll(session: Session, version: int) -> Poll:
     clock = get_running_loop().time
     asked = clock()
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -154,6 +154,7 @@
             parts.board,
             parts.acceptor,
             parts.clock,
+            membership=parts.acceptor,
         ),
     )
 
--- a/packages/bilberryd/bilberryd/main.py
+++ b/packages/bilberryd/bilberryd/main.py
@@ -78,7 +78,7 @@
     if isinstance(outcome, Success):
         return outcome.unwrap()
     for problem in outcome.failure():
-        stderr.write(f'{problem}\n')
+        stderr.write(f'{problem.describe()}\n')
     return exit(_EXIT_SETTINGS)
 
 
--- a/tests/bilberry_operators/test_controller.py
+++ b/tests/bilberry_operators/test_controller.py
@@ -176,6 +176,22 @@
         self.assertEqual((200, {'version': 1, 'resent': True}), parse(resent))
         self.assertEqual(1, len(acceptor.entries))
 
+    def test_history_holds_what_was_just_accepted(self):
+        """A follower that lags asks for the newest version first."""
+        acceptor = FakeAcceptor()
+        exchange([build_put(0)], acceptor)
+        acceptor.unheard = 1
+        history, version = exchange(
+            [get('/v1/history'), get('/v1/history/1')],
+            acceptor,
+        )
+        self.assertEqual(1, len(loads(history.body)['versions']))
+        self.assertTrue(loads(history.body)['confirmed'])
+        self.assertEqual(200, version.status)
+        acceptor.quorum = False
+        (unconfirmed,) = exchange([get('/v1/history')], acceptor)
+        self.assertFalse(loads(unconfirmed.body)['confirmed'])
+
     def test_graceful_stop_cuts_no_change(self):
         """A change in flight is answered whole; later ones are refused."""
         acceptor = GatedAcceptor()
@@ -362,6 +378,21 @@
         self.assertEqual([202, 401, 404], [each.status for each in answers])
         self.assertEqual(['van-1'], replicas.removed)
 
+    def test_explain_asks_for_endpoints_that_the_proxy_lacks(self):
+        """A service that no request went to yet is explained with them."""
+        board = make_board()
+        whole = board.snapshot.value
+        route = whole.routes['callouts']._replace(endpoints=())
+        board.snapshot.put(whole._replace(routes={'callouts': route}))
+
+        def deliver(wanted):
+            self.assertEqual({'callouts'}, wanted)
+            board.snapshot.put(whole)
+
+        board.wanted_services.watch(deliver)
+        (answer,) = exchange([get('/v1/explain?service=callouts')], board=board)
+        self.assertEqual(2, len(loads(answer.body)['endpoints']))
+
     def test_plain_proxy_names_the_replicas(self):
         """A daemon without an acceptor refuses changes and says where to go."""
         answers = exchange([build_put(0), get('/v1/configuration')])
--- a/tests/bilberryctl/test_main.py
+++ b/tests/bilberryctl/test_main.py
@@ -184,13 +184,13 @@
         """Progress is shown; a proxy that stays behind is named."""
         board = make_board()
         board.proxies.put({'van-2': 1})
-        command = ['apply', self.text_file, '--wait', '1ms']
+        command = ['apply', self.text_file, '--wait']
         (done,) = self.run_all(command, board=board)
         self.assertEqual(0, done.code)
         self.assertIn('version 1 is in force on 2 proxies', done.output)
         self.acceptor = FakeAcceptor()
         board.proxies.put({'van-2': 1, 'van-3': 0})
-        (late,) = self.run_all(command, board=board)
+        (late,) = self.run_all([*command, '1ms'], board=board)
         self.assertEqual(6, late.code)
         self.assertIn('version 1: 2 of 3 proxies, behind: van-3', late.errors)
 
