Hand claims over when a replica is replaced, and say why endpoints are passed over

Cause: the end of a handover of claims never reached the replicated log, so a replaced replica kept the fleet in a joint epoch; nothing let operators remove a replica or told them why a ready endpoint got no calls. Ruled out: the holders' own catching up (it completed). Before: the new test waits 60 s for the end of the handover in vain. After: a booking is answered from its claim after two holders lost their disks. Conclusion: the log ends each handover; status shows the claim epoch.

--- a/packages/bilberry_claims/bilberry_claims/holder.py
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -60,11 +60,13 @@
         listener: StreamListener,
         disk: Disk,
         clock: Clock,
+        credentials: Credentials | None = None,
     ) -> 'HolderController':
         """Returns the controller of one replica, with the default limits."""
         controller = cls(
             board,
-            Credentials(settings.fleet, settings.instance, settings.secret),
+            credentials
+            or Credentials(settings.fleet, settings.instance, settings.secret),
             disk,
             clock,
             ClaimLimits(),
--- a/packages/bilberry_operators/bilberry_operators/status.py
+++ b/packages/bilberry_operators/bilberry_operators/status.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from bilberry_core.board import Board
+from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.settings import Settings
 from bilberry_core.traffic import Traffic
@@ -34,6 +34,7 @@
         'stale_s': _elapsed(stale_since, now),
         'beacon': _describe(board.beacon.value),
         'replica': _describe(board.replica.value),
+        'claim_epoch': _describe_epoch(board.claim_epoch.value),
         'proxies': [
             {
                 'instance': instance,
@@ -60,6 +61,16 @@
     return endpoint.service, endpoint.instance
 
 
+def _describe_epoch(epoch: ClaimEpoch | None) -> dict[str, Any] | None:
+    if epoch is None:
+        return None
+    return {
+        'epoch': epoch.epoch,
+        'holders': [holder.instance for holder in epoch.holders],
+        'handing_over': [holder.instance for holder in epoch.previous],
+    }
+
+
 def _describe_traffic(traffic: Traffic) -> dict[str, dict[str, int]]:
     readings = traffic.read().items()
     return {str(purpose): one._asdict() for purpose, one in readings}
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -7,7 +7,7 @@
 from bilberry_core.board import Board, Phase
 from bilberry_core.claim import Claims
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
-from bilberry_core.endpoint import Address
+from bilberry_core.endpoint import Address, Endpoint
 from bilberry_core.handshake import Purpose
 from bilberry_core.metric import Metrics
 from bilberry_core.settings import Settings
@@ -19,6 +19,7 @@
 from bilberry_proxy.call_streams import CallStreams
 from bilberry_proxy.caller_server import CallerServer
 from bilberry_proxy.context import ProxyContext
+from bilberry_proxy.objection import find_objection
 from bilberry_proxy.pressure import Pressure
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
@@ -113,6 +114,17 @@
         """How far the event loop is behind."""
         return self._context.pressure
 
+    def find_objection(self, endpoint: Endpoint) -> str:
+        """Returns why an endpoint is passed over; empty if it is not."""
+        context = self._context
+        return find_objection(
+            context.board.snapshot.value,
+            self._settings.instance,
+            endpoint,
+            context.router.find_load(endpoint),
+            context.clock,
+        )
+
     async def start(self) -> Address:
         """Starts to listen for callers and returns the address bound."""
         await self._callers.start(self._settings.listen.callers)
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -79,15 +79,16 @@
         ReplicaOptions(validate=validate_content),
     )
     parts.controllers.append(parts.acceptor)
-    parts.controllers.append(
-        HolderController.from_settings(
-            settings,
-            parts.board,
-            parts.listener,
-            disk,
-            parts.clock,
-        ),
+    holder = HolderController.from_settings(
+        settings,
+        parts.board,
+        parts.listener,
+        disk,
+        parts.clock,
+        parts.credentials,
     )
+    holder.settle_epoch = parts.acceptor.settle_epoch
+    parts.controllers.append(holder)
 
 
 def _add_relay(parts: _Parts) -> None:
--- a/tests/process/test_replicas.py
+++ b/tests/process/test_replicas.py
@@ -1,9 +1,19 @@
 """Replicas that die, freeze, lose their disk, and operators who race."""
 
+from asyncio import run
 from concurrent.futures import ThreadPoolExecutor
 from signal import SIGCONT, SIGSTOP
 
-from tests.process.case import REPLICAS, FleetCase, let_pass, lose_folder
+from bilberry_core.http import fetch
+from demo.caller import build_request
+from demo.record import read_runs
+from tests.process.case import (
+    REPLICAS,
+    TIMEOUT_S,
+    FleetCase,
+    let_pass,
+    lose_folder,
+)
 
 #: Longer than an election, so that a frozen leader is replaced.
 _FREEZE_S = 4.0
@@ -109,3 +119,58 @@
         self.wait(lambda: self.find_leader() is not None, 'a leader again')
         self.wait_for_version(1)
         self.assertEqual([], self.watch.reversals)
+
+    def test_claims_survive_the_replacement_of_disks(self):
+        """A booking is not run again after two holders lost their disks.
+
+        The second is lost after the claims were handed over to the first.
+        """
+        self.book('booking-kept')
+        self.replace_disk('b-1')
+        self.replace_disk('c-1')
+        self.book('booking-kept')
+        self.assertEqual(1, read_runs(self.fleet)['booking-kept'])
+
+    def test_replica_that_is_gone_for_good_is_removed(self):
+        """Two replicas are left after a removal, and accept changes."""
+        leader = self.find_leader()
+        lost = next(name for name in REPLICAS if name != leader)
+        self.fleet.kill_daemon(lost)
+        self.wait(lambda: self.remove(lost), 'the removal')
+        self.wait(
+            lambda: lost not in self.read_replica(leader)['members'],
+            'a membership without it',
+        )
+        self.assertEqual(0, self.apply(2, '4s').code)
+        self.wait_for_version(2)
+
+    def remove(self, instance: str) -> bool:
+        """Has a replica removed with `bilberryctl`."""
+        return not self.operator.run('remove_replica', instance).code
+
+    def replace_disk(self, instance: str) -> None:
+        """Restarts a replica without its data; waits for its claims."""
+        self.fleet.kill_daemon(instance)
+        lose_folder(self.folder / f'data-{instance}')
+        self.fleet.start_daemon(instance)
+        self.wait(
+            lambda: self._holds_claims(instance),
+            f'{instance} holds the claims again',
+        )
+
+    def book(self, request_id: str) -> None:
+        """Sends a booking until it is answered."""
+        address = self.get_callers_address('a-2')
+        request = build_request('callouts.example', request_id, 1)
+        self.wait(
+            lambda: run(fetch(address, request, TIMEOUT_S)).status == 200,
+            'the answer of a booking',
+        )
+
+    def _holds_claims(self, instance: str) -> bool:
+        members = self.read_replica(instance).get('members', ())
+        status = self.fleet.read_status(instance) or {}
+        epoch = status.get('claim_epoch') or {}
+        is_holder = instance in epoch.get('holders', ())
+        settled = not epoch.get('handing_over', ('unknown',))
+        return instance in members and is_holder and settled
