--- a/packages/bilberry_proxy/bilberry_proxy/decision_log.py
+++ b/packages/bilberry_proxy/bilberry_proxy/decision_log.py
@@ -1,18 +1,15 @@
-"""One log line for each request: what was chosen, from what, and why."""
+"""What became of a request: one log line for each, and its metrics."""
 
 from logging import getLogger
-from typing import TYPE_CHECKING
 
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.metric import Metrics
 from bilberry_core.verdict import Failure, Verdict
 
 from bilberry_proxy.plan import Plan
 from bilberry_proxy.selection import Selection
 
-if TYPE_CHECKING:
-    from bilberry_proxy.context import ProxyContext
-
 _log = getLogger(__name__)
-_MS_PER_S = 1000
 _VERDICT_RANK = {
     Verdict.NOT_RUN: 0,
     Verdict.MAY_HAVE_RUN: 1,
@@ -68,13 +65,13 @@
         self.status = status
 
 
-def log_decision(context: 'ProxyContext', outcome: Outcome) -> None:
-    """Writes the line of a request that has ended."""
-    duration_s = context.clock.now() - outcome.started_at
+def log_decision(outcome: Outcome, now: float) -> None:
+    """Writes the line of a request that has ended at `now`, in seconds."""
+    duration_s = now - outcome.started_at
     fields = {
         'status': outcome.status,
         'tried': outcome.tried,
-        'duration_ms': round(duration_s * _MS_PER_S, 3),
+        'duration_ms': round(duration_s * MS_PER_S, 3),
     }
     plan = outcome.plan
     if plan is not None:
@@ -91,4 +88,17 @@
     if outcome.failure is not None:
         fields['code'] = outcome.failure.code.value
         fields['verdict'] = outcome.failure.verdict.value
+        fields['detail'] = outcome.failure.detail
     _log.info('request_routed', extra=fields)
+
+
+def count_outcome(metrics: Metrics, outcome: Outcome, now: float) -> None:
+    """Counts a request that has ended at `now`, monotonic time in seconds."""
+    if outcome.failure is None:
+        metrics.incr('request.answered')
+    else:
+        metrics.incr(f'request.failed.{outcome.failure.code.value}')
+    if len(outcome.tried) > 1:
+        metrics.incr('request.retried', len(outcome.tried) - 1)
+    duration_s = now - outcome.started_at
+    metrics.timing('request.duration', duration_s * MS_PER_S)
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -19,7 +19,7 @@
 )
 from bilberry_proxy.claim_gate import ClaimGate
 from bilberry_proxy.context import ProxyContext
-from bilberry_proxy.decision_log import Outcome, log_decision
+from bilberry_proxy.decision_log import Outcome, count_outcome, log_decision
 from bilberry_proxy.dispatch import Dispatch
 from bilberry_proxy.plan import Plan, plan_request
 from bilberry_proxy.poison import Judgement, build_quarantined
@@ -146,8 +146,8 @@
         final = self._outcome.complete(failure)
         if self._gate is not None and final.verdict is Verdict.NOT_RUN:
             self._gate.release()
-        self._end(final, self._answer.status)
         self._answer.fail(final)
+        self._end(final, self._answer.status)
 
     def control_reading(self) -> None:
         """Reads as much of the request as its body wants."""
@@ -252,4 +252,6 @@
         self._context.running.discard(self)
         if self._timer is not None:
             self._timer.cancel()
-        log_decision(self._context, self._outcome)
+        now = self._context.clock.now()
+        log_decision(self._outcome, now)
+        count_outcome(self._context.metrics, self._outcome, now)
