--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -22,6 +22,7 @@
 from bilberry_proxy.request_body import RequestBody
 from bilberry_proxy.retry import AttemptState, decide_retry
 from bilberry_proxy.selection import Selection
+from bilberry_proxy.timers import Timer
 
 #: When a caller may come back to a service without ready endpoints.
 NO_ENDPOINT_RETRY_AFTER_MS = 500
@@ -70,6 +71,7 @@
         self._fingerprint = b''
         self._attempt: Attempt | None = None
         self._has_other = False
+        self._limit_timer: Timer | None = None
         self._wait = EndpointWait(
             context,
             self._adopt,
@@ -116,6 +118,8 @@
         """Passes the start of an answer on and learns from it."""
         context = self._context
         latency_s = context.clock.now() - attempt.started_at
+        if self._limit_timer is not None:
+            self._limit_timer.cancel()
         self._owner.take_reply(reply)
         context.router.note_answer(attempt.endpoint, latency_s, reply.load)
 
@@ -216,7 +220,8 @@
         left_s = plan.deadline - attempt.started_at
         until = attempt.started_at + left_s * ATTEMPT_SHARE
         timers = self._context.timers
-        timers.schedule(until, partial(self._abandon, attempt))
+        abandon = partial(self._abandon, attempt)
+        self._limit_timer = timers.schedule(until, abandon)
 
     def _abandon(self, attempt: Attempt) -> None:
         if attempt.ended or attempt.began:
