--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -9,7 +9,6 @@
 
 from h11 import LocalProtocolError
 
-from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.call import (
     CallFailed,
     CallStart,
@@ -20,16 +19,16 @@
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.call import CREDIT_STEP_BYTES, WINDOW_BYTES, AnswerReceiver
-from bilberry_proxy.http_headers import DEADLINE, VERDICT, Headers, find_header
+from bilberry_proxy.http_headers import Headers
 from bilberry_proxy.timers import Timer
-from bilberry_proxy.upstream_connection import (
-    UpstreamConnection,
-    UpstreamRequest,
+from bilberry_proxy.upstream_connection import UpstreamConnection
+from bilberry_proxy.upstream_request import (
+    build_upstream_request,
+    is_declined,
 )
 
 #: When a caller may come back to an upstream that declined its request.
 DECLINED_RETRY_AFTER_MS = 1000
-_DECLINING_STATUSES = frozenset((429, 503))
 
 
 class Progress(IntEnum):
@@ -150,8 +149,12 @@
         if self.progress is not Progress.CONNECTING:
             self._host.free_slot(self)
             return False
+        request = build_upstream_request(
+            self.start,
+            self.deadline - self.dispatched_at,
+        )
         try:
-            connection.begin(_build_request(self), self)
+            connection.begin(request, self)
         except LocalProtocolError as error:
             connection.abort()
             self.fail(FailureCode.BAD_REQUEST, str(error))
@@ -251,24 +254,3 @@
             self._host.leave_queue(self)
         elif before in _ON_CONNECTION:
             self._host.free_slot_later(self)
-
-
-def _build_request(call: AdmittedCall) -> UpstreamRequest:
-    start = call.start
-    left_s = call.deadline - call.dispatched_at
-    left_ms = max(1, int(left_s * MS_PER_S))
-    deadline = (DEADLINE, str(left_ms).encode())
-    return UpstreamRequest(
-        start.method,
-        start.target,
-        (*start.headers, deadline),
-        start.body,
-        start.last,
-    )
-
-
-def is_declined(status: int, headers: Headers) -> bool:
-    """Tells whether an upstream says that it did not run the request."""
-    if status not in _DECLINING_STATUSES:
-        return False
-    return find_header(headers, VERDICT) == Verdict.NOT_RUN.encode()
--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -12,8 +12,6 @@
 from bilberry_core.error import BilberryError
 from bilberry_core.handshake import Purpose
 from bilberry_core.messages.call import (
-    CallCancel,
-    CallChunk,
     CallFailed,
     CallStart,
     Credit,
@@ -26,6 +24,7 @@
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.call import AnswerReceiver
+from bilberry_proxy.remote_call import RemoteCall
 
 #: When a caller may come back after a daemon could not be reached.
 UNREACHABLE_RETRY_AFTER_MS = 250
@@ -62,51 +61,6 @@
     return dial_call
 
 
-class RemoteCall:
-    """One call on a `CallStream`; the opener's `OpenCall`."""
-
-    __slots__ = ('_held', '_owner', 'answers', 'began', 'start', 'written')
-
-    def __init__(
-        self,
-        owner: 'CallStream',
-        start: CallStart,
-        answers: AnswerReceiver,
-    ) -> None:
-        """Starts unwritten."""
-        self.start = start
-        self.answers = answers
-        self.written = False
-        self.began = False
-        self._owner = owner
-        self._held: list[CallChunk] = []
-
-    def send(self, body: bytes, last: bool) -> None:
-        """Sends more of the request's body."""
-        chunk = CallChunk(self.start.call, body, last)
-        if self.written:
-            self._owner.send(chunk)
-        else:
-            self._held.append(chunk)
-
-    def grant(self, size: int) -> None:
-        """Lets the other daemon send this many further bytes of answer."""
-        self._owner.send(Credit(self.start.call, size))
-
-    def cancel(self) -> None:
-        """Ends the call; nothing more is received from it."""
-        if self._owner.forget(self) and self.written:
-            self._owner.send(CallCancel(self.start.call))
-
-    def write(self) -> None:
-        """Writes the call and what was held of its body."""
-        self.written = True
-        self._owner.send(self.start)
-        for chunk in self._held:
-            self._owner.send(chunk)
-        self._held.clear()
-
-
 class CallStream:
     """Takes calls for the upstream beside one other daemon."""
 
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -7,16 +7,15 @@
 from functools import partial
 from typing import Protocol
 
-from bilberry_core.clock import MS_PER_S
-from bilberry_core.messages.call import CallStart, ReplyChunk, ReplyStart
+from bilberry_core.messages.call import ReplyChunk, ReplyStart
 from bilberry_core.snapshot import Snapshot
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.attempt import Attempt
+from bilberry_proxy.call_start import build_call_start
 from bilberry_proxy.context import ProxyContext
 from bilberry_proxy.decision_log import Outcome
 from bilberry_proxy.endpoint_wait import EndpointWait
-from bilberry_proxy.http_headers import RETRIED
 from bilberry_proxy.plan import Plan
 from bilberry_proxy.poison import Judgement
 from bilberry_proxy.request_body import RequestBody
@@ -33,7 +32,6 @@
     FailureCode.DEADLINE,
     'the upstream took more than its share of the time',
 )
-_RETRIED_HEADER = (RETRIED, b'1')
 
 
 class DispatchOwner(Protocol):
@@ -192,7 +190,7 @@
         endpoint = selection.endpoint
         now = context.clock.now()
         finding = context.suspicion.judge(self._fingerprint)
-        start = _build_start(
+        start = build_call_start(
             self._plan,
             self._body,
             self._fingerprint,
@@ -251,31 +249,3 @@
                 NO_ENDPOINT_RETRY_AFTER_MS,
             ),
         )
-
-
-def _build_start(
-    plan: Plan,
-    body: RequestBody,
-    fingerprint: bytes,
-    now: float,
-    tried: bool,
-    suspect: bool,
-) -> CallStart:
-    request = plan.request
-    headers = request.headers
-    if tried or request.retried:
-        headers = (*headers, _RETRIED_HEADER)
-    left_ms = int((plan.deadline - now) * MS_PER_S)
-    return CallStart(
-        0,
-        plan.service,
-        request.method,
-        request.target,
-        headers,
-        body.kept,
-        body.is_whole,
-        max(left_ms, 1),
-        plan.decision.policy.priority,
-        fingerprint,
-        suspect,
-    )
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/remote_call.py
@@ -0,0 +1,67 @@
+"""One call to another daemon, as its opener sees it."""
+
+from typing import Any, Protocol
+
+from bilberry_core.messages.call import (
+    CallCancel,
+    CallChunk,
+    CallStart,
+    Credit,
+)
+
+from bilberry_proxy.call import AnswerReceiver
+
+
+class CallOwner(Protocol):
+    """The stream that a call is on."""
+
+    def send(self, message: Any) -> None:
+        """Sends a message, or nothing where the stream has ended."""
+
+    def forget(self, call: 'RemoteCall') -> bool:
+        """Receives nothing more for a call; False where it had ended."""
+
+
+class RemoteCall:
+    """One call on a stream; the opener's `OpenCall`."""
+
+    __slots__ = ('_held', '_owner', 'answers', 'began', 'start', 'written')
+
+    def __init__(
+        self,
+        owner: CallOwner,
+        start: CallStart,
+        answers: AnswerReceiver,
+    ) -> None:
+        """Starts unwritten."""
+        self.start = start
+        self.answers = answers
+        self.written = False
+        self.began = False
+        self._owner = owner
+        self._held: list[CallChunk] = []
+
+    def send(self, body: bytes, last: bool) -> None:
+        """Sends more of the request's body."""
+        chunk = CallChunk(self.start.call, body, last)
+        if self.written:
+            self._owner.send(chunk)
+        else:
+            self._held.append(chunk)
+
+    def grant(self, size: int) -> None:
+        """Lets the other daemon send this many further bytes of answer."""
+        self._owner.send(Credit(self.start.call, size))
+
+    def cancel(self) -> None:
+        """Ends the call; nothing more is received from it."""
+        if self._owner.forget(self) and self.written:
+            self._owner.send(CallCancel(self.start.call))
+
+    def write(self) -> None:
+        """Writes the call and what was held of its body."""
+        self.written = True
+        self._owner.send(self.start)
+        for chunk in self._held:
+            self._owner.send(chunk)
+        self._held.clear()
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
@@ -5,7 +5,6 @@
 """
 
 from asyncio import Protocol, Transport
-from typing import NamedTuple
 from typing import Protocol as Interface
 
 from h11 import (
@@ -28,18 +27,10 @@
     find_header,
     select_answer_headers,
 )
+from bilberry_proxy.upstream_request import UpstreamRequest, frame_request
 
-_BODILESS_STATUSES = frozenset((204, 304))
-
-
-class UpstreamRequest(NamedTuple):
-    """The start of a request to the upstream; `last` without more body."""
 
-    method: bytes
-    target: bytes
-    headers: Headers
-    body: bytes
-    last: bool
+_BODILESS_STATUSES = frozenset((204, 304))
 
 
 class ResponseReceiver(Interface):
@@ -111,7 +102,7 @@
         start = Request(
             method=request.method,
             target=request.target,
-            headers=_frame_request(request),
+            headers=frame_request(request),
         )
         raw = encode_message(self._http, start, request.body, request.last)
         self._receiver = receiver
@@ -228,14 +219,3 @@
         self.abort()
         if receiver is not None:
             receiver.take_broken(FailureCode.UPSTREAM_MALFORMED, detail)
-
-
-def _frame_request(request: UpstreamRequest) -> list[tuple[bytes, bytes]]:
-    headers = list(request.headers)
-    if find_header(headers, CONTENT_LENGTH):
-        return headers
-    if not request.last:
-        headers.append((TRANSFER_ENCODING, b'chunked'))
-    elif request.body:
-        headers.append((CONTENT_LENGTH, str(len(request.body)).encode()))
-    return headers
--- a/tests/bilberry_proxy/test_upstream_connection.py
+++ b/tests/bilberry_proxy/test_upstream_connection.py
@@ -6,10 +6,8 @@
 
 from bilberry_core.verdict import FailureCode
 
-from bilberry_proxy.upstream_connection import (
-    UpstreamConnection,
-    UpstreamRequest,
-)
+from bilberry_proxy.upstream_connection import UpstreamConnection
+from bilberry_proxy.upstream_request import UpstreamRequest
 
 GET = UpstreamRequest(b'GET', b'/', ((b'host', b'a'),), b'', True)
 HEAD = GET._replace(method=b'HEAD')
