--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -62,6 +62,7 @@
         )
         self._suspects = SuspectFeed(board, edges.clock)
         self._attached = 0
+        self._is_stopped = False
         self._next_renewal = edges.clock.now()
 
     @classmethod
@@ -83,14 +84,15 @@
         return self._attachment
 
     async def run(self) -> None:
-        """Stays attached until the daemon stops."""
+        """Stays attached until `stop`, also while the daemon drains."""
         self.start()
-        while not self._board.stopping.is_set():
+        while not self._is_stopped:
             self.tick()
             await sleep(TICK_S)
 
     async def stop(self) -> None:
         """Ends the streams."""
+        self._is_stopped = True
         self._edges.dialer.close()
         self._attachment.stop()
 
@@ -108,6 +110,7 @@
         now = self._edges.clock.now()
         if now >= self._next_renewal:
             self._renew(now)
+        self._suspects.expire()
         if self._board.stale_since.value is None:
             self._endpoints.expire()
 
