--- a/packages/bilberry_claims/bilberry_claims/broadcast.py
+++ b/packages/bilberry_claims/bilberry_claims/broadcast.py
@@ -6,6 +6,7 @@
 
 from typing import NamedTuple
 
+from bilberry_claims.attempt_messages import AttemptMessages
 from bilberry_claims.decision import is_confirmed
 from bilberry_claims.process import RESEND_S, Sent, Tools
 from bilberry_claims.quorum import is_epoch_quorum, list_members, number_epoch
@@ -14,9 +15,7 @@
 from bilberry_core.messages.claim import (
     ClaimRefused,
     ClaimRequest,
-    ClaimSettle,
     ClaimState,
-    ClaimWithdraw,
 )
 
 #: Longest time between two times that a holder is told, in seconds.
@@ -32,18 +31,10 @@
 
     def build_message(self, request: int, epoch: int) -> ClaimRequest:
         """Returns the message that tells it."""
-        claim = self.attempt.claim
+        messages = AttemptMessages(self.attempt, epoch)
         if self.answer is None:
-            return ClaimWithdraw(request, epoch, claim, self.tokens)
-        return ClaimSettle(
-            request,
-            epoch,
-            claim,
-            self.tokens[0],
-            self.attempt.fingerprint,
-            self.attempt.retention_s,
-            self.answer,
-        )
+            return messages.withdraw(request, self.tokens)
+        return messages.settle(request, self.tokens[0], self.answer)
 
     def is_known(self, state: ClaimState) -> bool:
         """Returns whether the holder knows it durably."""
--- a/packages/bilberry_claims/bilberry_claims/process.py
+++ b/packages/bilberry_claims/bilberry_claims/process.py
@@ -10,6 +10,7 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
+from bilberry_claims.attempt_messages import AttemptMessages
 from bilberry_claims.decision import (
     find_rivals,
     find_settled,
@@ -31,12 +32,9 @@
 )
 from bilberry_core.clock import RandomSource
 from bilberry_core.messages.claim import (
-    ClaimLook,
     ClaimRefused,
     ClaimRequest,
     ClaimState,
-    ClaimVote,
-    ClaimWithdraw,
     HolderPhase,
 )
 
@@ -63,29 +61,6 @@
     random: RandomSource
 
 
-class _Messages(NamedTuple):
-    """Builds the messages of an attempt in an epoch."""
-
-    attempt: Attempt
-    epoch: int
-
-    def vote(self, request: int, token: bytes) -> ClaimVote:
-        return ClaimVote(
-            request,
-            self.epoch,
-            self.attempt.claim,
-            token,
-            self.attempt.fingerprint,
-            self.attempt.retention_s,
-        )
-
-    def look(self, request: int) -> ClaimLook:
-        return ClaimLook(request, self.epoch, self.attempt.claim)
-
-    def withdraw(self, tokens: tuple[bytes, ...]) -> ClaimWithdraw:
-        return ClaimWithdraw(0, self.epoch, self.attempt.claim, tokens)
-
-
 class _Phase(Enum):
     VOTING = auto()
     PAUSED = auto()
@@ -237,13 +212,13 @@
             for name, reply in self._replies.items()
         }
         return tuple(
-            Sent(name, self._messages().withdraw(tokens))
+            Sent(name, self._messages().withdraw(0, tokens))
             for name, tokens in found.items()
             if tokens
         )
 
-    def _messages(self) -> _Messages:
-        return _Messages(self._attempt, number_epoch(self._epoch))
+    def _messages(self) -> AttemptMessages:
+        return AttemptMessages(self._attempt, number_epoch(self._epoch))
 
     def _withdraw(self) -> tuple[Sent, ...]:
         """Ends the round: its token is never granted after this."""
@@ -255,7 +230,7 @@
         self.withdrawn = (*self.withdrawn, token)[-MAX_ROUNDS:]
         self._dead.add(token)
         return _address(
-            self._messages().withdraw(self.withdrawn),
+            self._messages().withdraw(0, self.withdrawn),
             list_members(self._epoch),
         )
 
--- a/tests/bilberry_claims/fleet.py
+++ b/tests/bilberry_claims/fleet.py
@@ -91,6 +91,10 @@
         self.controller.close()
         self.disk.crash()
 
+    def reads(self, claim):
+        """Returns what the holder knows of a key."""
+        return self.controller._core.table.read(claim)
+
     @property
     def holder(self):
         """Where the holder accepts streams."""
--- a/tests/bilberry_claims/test_client.py
+++ b/tests/bilberry_claims/test_client.py
@@ -1,9 +1,11 @@
 """Clients and holders on loopback streams, under faults."""
 
-from asyncio import gather, run
+from asyncio import create_task, gather, run, wait
+from unittest.mock import patch
 
 from testtools import TestCase
 
+from bilberry_claims.exchange import Exchange
 from bilberry_core.claim import (
     Answered,
     Granted,
@@ -16,6 +18,7 @@
     TIMEOUT_S,
     Fleet,
     make_attempt,
+    wait_until,
 )
 
 
@@ -105,3 +108,46 @@
             return await client.claim(make_attempt(b'1'), 0.01)
 
         self.assertIsInstance(run(scenario()), Unavailable)
+
+
+class LeftTest(TestCase):
+    """Callers that leave, and proxies that can't tell the holders so."""
+
+    def test_claim_cancelled_as_it_is_granted_frees_the_key(self):
+        async def scenario():
+            async with Fleet() as fleet:
+                first, second = fleet.add_client(), fleet.add_client()
+                claim = create_task(first.claim(make_attempt(b'1'), TIMEOUT_S))
+                close = Exchange.close
+
+                def close_and_leave(exchange):
+                    close(exchange)
+                    claim.cancel()
+
+                with patch.object(Exchange, 'close', close_and_leave):
+                    await wait([claim])
+                outcome = await second.claim(make_attempt(b'2'), TIMEOUT_S)
+                return claim.cancelled(), outcome
+
+        cancelled, outcome = run(scenario())
+        self.assertTrue(cancelled)
+        self.assertIsInstance(outcome, Granted)
+
+    def test_vote_of_a_lost_withdrawal_is_withdrawn_later(self):
+        async def scenario():
+            async with Fleet() as fleet:
+                await fleet.caught_up()
+                voter, *others = fleet.replicas
+                for replica in others:
+                    await replica.crash()
+                one = make_attempt(b'1')
+                claim = create_task(fleet.add_client().claim(one, 0.5))
+                await wait_until(lambda: voter.reads(one.claim).votes)
+                await voter.crash()
+                outcome = await claim
+                for replica in fleet.replicas:
+                    await replica.start(fleet.epoch)
+                await wait_until(lambda: not voter.reads(one.claim).votes)
+                return outcome
+
+        self.assertIsInstance(run(scenario()), Unavailable)
--- a/tests/bilberry_claims/test_holder.py
+++ b/tests/bilberry_claims/test_holder.py
@@ -272,12 +272,12 @@
     def test_journal_is_rewritten_and_keeps_the_claims(self):
         async def scenario(fleet):
             client = fleet.add_client()
+            await client.claim(ONE, TIMEOUT_S)
+            await client.settle(ONE, ANSWER, TIMEOUT_S)
             for index in range(100):
-                attempt = make_attempt(index.to_bytes(2, 'big'))
+                attempt = make_attempt(index.to_bytes(2, 'big'), 'other')
                 await client.claim(attempt, TIMEOUT_S)
                 await client.release(attempt, TIMEOUT_S)
-            await client.claim(ONE, TIMEOUT_S)
-            await client.settle(ONE, ANSWER, TIMEOUT_S)
             sizes = [
                 len(one.disk.files[JOURNAL_NAME]) for one in fleet.replicas
             ]
--- /dev/null
+++ b/tests/bilberry_claims/test_outbox.py
@@ -0,0 +1,64 @@
+"""Outboxes: nothing is sent before all that it tells is durable."""
+
+from asyncio import run
+from errno import EIO
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from bilberry_claims.outbox import Outbox, Posted
+from bilberry_core.journal import Journal
+from tests.bilberry_core.fake_disk import FakeDisk
+
+_NAME = 'claims'
+
+
+def _read_synced(disk):
+    """Returns the records that a crash would leave."""
+    left = FakeDisk()
+    left.files[_NAME] = bytearray(disk.files[_NAME][: disk.synced[_NAME]])
+    return Journal.open(left, _NAME)[1]
+
+
+class OutboxTest(TestCase):
+    """Records and the messages that tell them."""
+
+    @given(st.lists(st.integers(0, 2), min_size=1, max_size=6))
+    def test_message_follows_its_records(self, sizes):
+        async def scenario():
+            disk = FakeDisk()
+            journal, _ = Journal.open(disk, _NAME)
+            outbox = Outbox(journal, lambda: None)
+            sent = []
+
+            def send(records):
+                synced = _read_synced(disk)
+                sent.append(all(one in synced for one in records))
+
+            for number, size in enumerate(sizes):
+                records = [bytes([number, index]) for index in range(size)]
+                outbox.post(records, [Posted(send, records)])
+            await outbox.flush()
+            return sent
+
+        sent = run(scenario())
+        self.assertEqual(len(sizes), len(sent))
+        self.assertTrue(all(sent))
+
+    def test_nothing_is_sent_after_a_failed_sync(self):
+        def fail(_name):
+            raise OSError(EIO, 'input/output error')
+
+        async def scenario():
+            disk = FakeDisk()
+            journal, _ = Journal.open(disk, _NAME)
+            outbox = Outbox(journal, lambda: None)
+            sent = []
+            disk.before_sync = fail
+            for record in (b'one', b'two'):
+                outbox.post([record], [Posted(sent.append, record)])
+                await outbox.flush()
+            return sent
+
+        self.assertEqual([], run(scenario()))
--- a/tests/bilberry_claims/test_world.py
+++ b/tests/bilberry_claims/test_world.py
@@ -53,6 +53,12 @@
     def test_holders_that_change_often(self, seed):
         World(seed, 3, **_OFTEN_CHANGED).run(_STEPS)
 
+    @settings(max_examples=100)
+    @given(_SEEDS)
+    def test_pages_of_one_claim(self, seed):
+        with patch(f'{_CLAIMS}.holder_core._PAGE_CLAIMS', 1):
+            World(seed, 3, **_OFTEN_CHANGED).run(_STEPS)
+
     @settings(max_examples=200)
     @given(_SEEDS)
     def test_holders_that_never_change(self, seed):
