Prove the replicas by schedules of faults against a naive register

Seeded schedules drive replicas through lost, doubled and reordered messages, cut links, crashes with torn tails, failing syncs, flipped bits, lost disks, frozen processes, clocks at different rates and membership steps. Each decision is compared with a naive single copy register; each acceptance with the disks; reads and beacons with what was acknowledged before.

Found and mended on the way: - a new disk that the leader filled before it was admitted was never taken in. Now a reply from another data folder makes the leader log that step. - an operator could remove healthy replicas while another's disk was lost, and leave a set that can't decide. A step of the membership now needs a quorum of the new set that answers. - a restarted replica forgot that the leader counts on it; it now refuses votes for one election timeout, so beacons of a deposed leader are never older than what was acknowledged. - cancelling a link while its stream closed could lose the cancellation (wait_for of this Python), and the process did not end. Links now have an end of their own. A test run hung on this.

Ruled out as a rule of safety: holding a learner back until it has caught up; an early voter acknowledges nothing that it does not hold, so this serves availability alone.

--- a/packages/bilberry_replica/bilberry_replica/commitment.py
+++ b/packages/bilberry_replica/bilberry_replica/commitment.py
@@ -4,6 +4,7 @@
 up to the same point, is of the leader's term.
 """
 
+from bilberry_core.messages.replica import Membership
 from bilberry_replica.member import has_quorum, is_voter
 from bilberry_replica.node import Moment, Node
 
@@ -39,12 +40,29 @@
 
 def has_fresh_quorum(node: Node, moment: Moment, age_s: float) -> bool:
     """Tells whether a quorum answered something sent in this time."""
+    return has_quorum(node.membership, _list_fresh(node, moment, age_s))
+
+
+def can_go_on_with(
+    node: Node,
+    membership: Membership,
+    moment: Moment,
+) -> bool:
+    """Tells whether a quorum of another membership answers now.
+
+    Without that a step of the membership could never be committed.
+    """
+    fresh = _list_fresh(node, moment, node.timing.election_s)
+    return has_quorum(membership, fresh)
+
+
+def _list_fresh(node: Node, moment: Moment, age_s: float) -> list[str]:
     fresh = [
         instance
         for instance, progress in node.peers.items()
         if moment.now - progress.stamp < age_s
     ]
-    return has_quorum(node.membership, (node.instance, *fresh))
+    return [node.instance, *fresh]
 
 
 def _list_holders(node: Node, index: int) -> list[str]:
--- a/packages/bilberry_replica/bilberry_replica/consensus.py
+++ b/packages/bilberry_replica/bilberry_replica/consensus.py
@@ -9,11 +9,12 @@
     Append,
     AppendReply,
     Entry,
+    Member,
     Membership,
     VoteReply,
     VoteRequest,
 )
-from bilberry_replica.commitment import has_fresh_quorum
+from bilberry_replica.commitment import can_go_on_with, has_fresh_quorum
 from bilberry_replica.election import (
     receive_vote_reply,
     receive_vote_request,
@@ -73,9 +74,15 @@
     membership: Membership | None,
     moment: Moment,
 ) -> Step:
-    """Proposes a membership, unless another step is under way."""
+    """Proposes a membership.
+
+    Does nothing while another step is under way, or where no quorum of the
+    new membership answers.
+    """
     if membership is None or not can_change_membership(node):
         return Step(node)
+    if not can_go_on_with(node, membership, moment):
+        return Step(node)
     return propose(node, Entry(node.term, membership=membership), moment)
 
 
@@ -86,6 +93,15 @@
     return node.log.find_membership(node.commit) == node.membership
 
 
+def find_replaced(node: Node) -> Member | None:
+    """Returns a member that answers from another data folder, with that."""
+    for member in node.membership.members:
+        progress = node.peers.get(member.instance)
+        if progress is not None and progress.seen_store:
+            return member._replace(store=progress.seen_store)
+    return None
+
+
 def find_caught_up(node: Node) -> str:
     """Returns a learner that holds all that is committed, or nothing."""
     for member in node.membership.members:
--- a/packages/bilberry_replica/bilberry_replica/driver.py
+++ b/packages/bilberry_replica/bilberry_replica/driver.py
@@ -7,7 +7,7 @@
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
 from bilberry_core.journal import Journal
 from bilberry_replica.consensus import find_deadline
-from bilberry_replica.leading import make_beacon, promote_caught_up
+from bilberry_replica.leading import make_beacon, tend_members
 from bilberry_replica.node import Moment, Send
 from bilberry_replica.replica import Replica
 
@@ -84,7 +84,7 @@
             await sleep(min(max(wait_s, 0), self._longest_wait_s))
             if self.clock.now() >= find_deadline(self.replica.node):
                 self.run_event(self.replica.tick)
-                self.run_event(promote_caught_up, self.replica)
+                self.run_event(tend_members, self.replica)
 
     async def beacon_forever(self, interval_ms: int) -> None:
         """Has the leader make a beacon in each interval."""
--- a/packages/bilberry_replica/bilberry_replica/election.py
+++ b/packages/bilberry_replica/bilberry_replica/election.py
@@ -94,11 +94,13 @@
 
 
 def hears_leader(node: Node, moment: Moment) -> bool:
-    """Tells whether a leader was heard within the election timeout."""
+    """Tells whether a leader was heard within the election timeout.
+
+    After a start that is so too: what was heard before it is not known, and
+    the leader may still count on it.
+    """
     if node.is_leader:
         return True
-    if not node.leader:
-        return False
     return moment.now - node.heard_at < node.timing.election_s
 
 
--- a/packages/bilberry_replica/bilberry_replica/joining.py
+++ b/packages/bilberry_replica/bilberry_replica/joining.py
@@ -27,13 +27,13 @@
         self._replies: dict[str, ProbeReply] = {}
 
     async def probe_forever(self) -> None:
-        """Probes as long as there is no log."""
+        """Probes for as long as it is needed."""
         while True:
             self.probe()
             await sleep(self._driver.replica.node.timing.election_s / 4)
 
     def probe(self) -> None:
-        """Probes the others while there is no log."""
+        """Probes the others while this replica has no log."""
         if self._driver.replica.node.log.last_index:
             return
         self._found_if_alone()
--- a/packages/bilberry_replica/bilberry_replica/leading.py
+++ b/packages/bilberry_replica/bilberry_replica/leading.py
@@ -19,6 +19,7 @@
 from bilberry_replica.consensus import (
     change_membership,
     find_caught_up,
+    find_replaced,
     is_settled,
 )
 from bilberry_replica.founding import is_empty, start_log
@@ -91,11 +92,16 @@
     step_membership(replica, membership, moment)
 
 
-def promote_caught_up(replica: Replica, moment: Moment) -> None:
-    """Lets a learner vote that has caught up."""
-    learner = find_caught_up(replica.node)
+def tend_members(replica: Replica, moment: Moment) -> None:
+    """Takes lost disks out of the quorum, and in what has caught up."""
+    node = replica.node
+    replaced = find_replaced(node)
+    if replaced is not None:
+        admit_member(replica, replaced, moment)
+        return
+    learner = find_caught_up(node)
     if learner:
-        membership = promote(replica.node.membership, learner)
+        membership = promote(node.membership, learner)
         step_membership(replica, membership, moment)
 
 
--- a/packages/bilberry_replica/bilberry_replica/links.py
+++ b/packages/bilberry_replica/bilberry_replica/links.py
@@ -3,7 +3,8 @@
 What can't be sent is dropped: consensus repeats it.
 """
 
-from asyncio import Event, Task, create_task, sleep, wait_for
+from asyncio import Event, Task, create_task, sleep
+from asyncio import timeout as limit_time
 from collections.abc import Callable
 from logging import getLogger
 from typing import Any
@@ -40,11 +41,18 @@
         self._address = address
         self._random = random
         self._receive = receive
+        self._is_over = False
+
+    def end(self) -> None:
+        """Dials no more, also where a cancellation got lost on the way."""
+        self._is_over = True
+        if self.stream is not None:
+            self.stream.close()
 
     async def keep_open(self, instance: str) -> None:
         """Dials again whenever the stream has ended."""
         wait_s = _FIRST_WAIT_S
-        while True:
+        while not self._is_over:
             try:
                 await self._hold(instance)
                 wait_s = _FIRST_WAIT_S
@@ -65,6 +73,9 @@
             lambda message: self._receive(instance, message),
         )
         stream.on_close = closed.set
+        if self._is_over or not stream.is_open:
+            stream.close()
+            return
         self.stream = stream
         try:
             await _wait_silent(stream, closed)
@@ -103,7 +114,7 @@
     def keep(self, addresses: dict[str, Address]) -> None:
         """Dials these replicas, and no others."""
         for instance in self._dialled.keys() - addresses.keys():
-            self._dialled.pop(instance)[2].cancel()
+            self._end(instance)
         for instance, address in addresses.items():
             self._keep_one(instance, address)
 
@@ -125,7 +136,7 @@
         if known is not None and known[0] == address:
             return
         if known is not None:
-            known[2].cancel()
+            self._end(instance)
         link = Link(
             self._credentials,
             address,
@@ -135,6 +146,11 @@
         task = create_task(link.keep_open(instance))
         self._dialled[instance] = (address, link, task)
 
+    def _end(self, instance: str) -> None:
+        _, link, task = self._dialled.pop(instance)
+        link.end()
+        task.cancel()
+
     def _find_streams(self, instance: str) -> list[Stream]:
         known = self._dialled.get(instance)
         streams = [known[1].stream if known else None]
@@ -157,7 +173,8 @@
     while not closed.is_set():
         before = (stream.bytes_sent, stream.bytes_received)
         try:
-            await wait_for(closed.wait(), _SILENCE_S)
+            async with limit_time(_SILENCE_S):
+                await closed.wait()
         except TimeoutError:
             if _is_silent(stream, before):
                 return
--- a/packages/bilberry_replica/bilberry_replica/node.py
+++ b/packages/bilberry_replica/bilberry_replica/node.py
@@ -56,6 +56,8 @@
         Newest broadcast that it answered, and when that was sent.
     `offset`
         Bytes of the snapshot that it holds.
+    `seen_store`
+        Another data folder that it answered with lately; 0 for none.
     `probing`
         Whether it is not known yet where the logs begin to differ.
     """
@@ -66,6 +68,7 @@
     round: int = 0
     stamp: float = _NEVER
     offset: int = 0
+    seen_store: int = 0
     probing: bool = True
 
 
@@ -77,7 +80,7 @@
     `membership`
         The newest membership of the log, committed or not.
     `heard_at`
-        When the leader was heard last.
+        When the leader was heard last; the start of a replica with a log.
     `round`
         Number of the leader's newest broadcast.
     `beacon`
@@ -165,8 +168,10 @@
 
 def restore(node: Node, moment: Moment) -> Node:
     """Returns the node as it starts, from what its disk held."""
+    heard_at = moment.now if node.log.last_index else _NEVER
     return reset_timer(
         node._replace(
+            heard_at=heard_at,
             membership=node.log.find_membership(node.log.last_index),
             commit=node.log.base,
             durable=node.log.last_index,
--- a/packages/bilberry_replica/bilberry_replica/replication.py
+++ b/packages/bilberry_replica/bilberry_replica/replication.py
@@ -4,6 +4,7 @@
     Append,
     AppendReply,
     Entry,
+    InstallReply,
     Member,
 )
 from bilberry_replica.commitment import advance_commit
@@ -59,12 +60,9 @@
     """Notes what a replica holds and commits what a quorum holds."""
     if reply.term > node.term:
         return move_to_term(node, reply.term, moment)
-    progress = node.peers.get(sender)
-    if progress is None or (reply.term, reply.store) != (
-        node.term,
-        progress.store,
-    ):
-        return Step(node)
+    if not is_answer(node, sender, reply):
+        return Step(note_store(node, sender, reply))
+    progress = node.peers[sender]
     if reply.success:
         progress = _advance(progress, reply)
     else:
@@ -86,6 +84,35 @@
     return node._replace(peers=peers)
 
 
+def is_answer(
+    node: Node,
+    sender: str,
+    reply: AppendReply | InstallReply,
+) -> bool:
+    """Tells whether a reply is to this leader, from a known data folder."""
+    progress = node.peers.get(sender)
+    if progress is None or reply.term != node.term:
+        return False
+    return reply.store == progress.store
+
+
+def note_store(
+    node: Node,
+    sender: str,
+    reply: AppendReply | InstallReply,
+) -> Node:
+    """Notes that a replica answers from another data folder.
+
+    A reply to an older broadcast may be from a disk that is lost since.
+    """
+    progress = node.peers.get(sender)
+    is_recent = reply.term == node.term and reply.round >= node.round - 1
+    if progress is None or not is_recent:
+        return node
+    seen = progress._replace(seen_store=reply.store)
+    return put_progress(node, sender, seen)
+
+
 def put_progress(node: Node, instance: str, progress: Progress) -> Node:
     """Notes what the leader knows of a replica."""
     return node._replace(peers={**node.peers, instance: progress})
--- a/packages/bilberry_replica/bilberry_replica/transfer.py
+++ b/packages/bilberry_replica/bilberry_replica/transfer.py
@@ -16,7 +16,11 @@
     Step,
     move_to_term,
 )
-from bilberry_replica.replication import put_progress
+from bilberry_replica.replication import (
+    is_answer,
+    note_store,
+    put_progress,
+)
 
 #: Most bytes of a snapshot in one message.
 PIECE_BYTES = 256 << 10
@@ -83,12 +87,9 @@
     """Sends the next piece, or goes on with the log after the last one."""
     if reply.term > node.term:
         return move_to_term(node, reply.term, moment)
-    progress = node.peers.get(sender)
-    if progress is None or (reply.term, reply.store) != (
-        node.term,
-        progress.store,
-    ):
-        return Step(node)
+    if not is_answer(node, sender, reply):
+        return Step(note_store(node, sender, reply))
+    progress = node.peers[sender]
     index, size = position
     offset = reply.offset if reply.index == index else 0
     progress = progress._replace(
--- /dev/null
+++ b/tests/bilberry_replica/checker.py
@@ -0,0 +1,166 @@
+"""Checks what replicas say against the naive register and the disks."""
+
+from collections.abc import Collection
+from typing import Any, NamedTuple
+
+from bilberry_core.acceptance import Accepted, Change, Conflict, NotAccepted
+from bilberry_core.board import Beacon
+from bilberry_core.journal import Journal
+from bilberry_core.messages.replica import Membership
+from bilberry_replica.leading import Pending
+from bilberry_replica.machine import Applied
+from bilberry_replica.register import Register
+from bilberry_replica.replica import Replica
+from bilberry_replica.storage import restore_records
+from tests.bilberry_core.fake_disk import FakeDisk
+from tests.bilberry_replica.naive import NaiveRegister
+
+NAME = 'replica.journal'
+
+
+class ScheduleError(AssertionError):
+    """A schedule brought about what must never happen."""
+
+
+class Operation(NamedTuple):
+    """An offer or read that waits, and what was acknowledged before it."""
+
+    acknowledged: int
+    change: Change | None = None
+    pending: Pending | None = None
+    round: int = 0
+
+
+class Checker:
+    """Knows everything that was decided and acknowledged."""
+
+    def __init__(self) -> None:
+        """Starts before the first change."""
+        self.naive = NaiveRegister()
+        self.acknowledged = 0
+        self._decided: dict[int, tuple[int, Any]] = {}
+
+    def watch(self, replica: Replica) -> None:
+        """Checks each decision and beacon of a replica."""
+        shown = replica.machine.register.version
+
+        def check_applied(applied: Applied) -> None:
+            nonlocal shown
+            self._check_decision(replica, applied)
+            version = replica.machine.register.version
+            require(version >= shown, 'a replica went back')
+            shown = version
+
+        replica.machine.on_applied = check_applied
+        replica.on_beacon = self._check_beacon
+
+    def check_answer(self, operation: Operation, answer: Any) -> None:
+        """Checks what a client is told."""
+        change = operation.change
+        accepted = [one.change_id for one in self.naive.changes]
+        if isinstance(answer, Accepted):
+            require(
+                accepted[answer.version - 1 : answer.version]
+                == [change.change_id],
+                f'version {answer.version} is not of this change',
+            )
+            require(
+                answer.resent or answer.version > operation.acknowledged,
+                'accepted below what was acknowledged before',
+            )
+            self.acknowledged = max(self.acknowledged, answer.version)
+        elif isinstance(answer, Conflict):
+            require(change.change_id not in accepted, 'conflict, but accepted')
+            require(
+                change.base_version < self.naive.version,
+                'conflict with nothing',
+            )
+            self._check_newer(change, answer)
+
+    def check_read(self, operation: Operation, version: int) -> None:
+        """Checks a confirmed read."""
+        require(version >= operation.acknowledged, 'a read was stale')
+        require(version <= self.naive.version, 'a read was not accepted')
+
+    def check_end(self, replicas: Collection[Replica]) -> None:
+        """Checks that all hold what the naive register holds."""
+        contents = [change.content for change in self.naive.changes]
+        for replica in replicas:
+            history = replica.machine.register.read_history(len(contents))
+            held = [entry.content for entry in reversed(history)]
+            require(held == contents, 'a replica ended with another history')
+
+    def _check_decision(self, replica: Replica, applied: Applied) -> None:
+        decision = _simplify(applied.decision)
+        known = self._decided.get(applied.index)
+        if known is None:
+            log = replica.node.log
+            (entry,) = log.list_entries(applied.index, applied.index)
+            expected = self.naive.submit(entry.change.change)
+            require(decision == expected, f'{decision} and not {expected}')
+            self._decided[applied.index] = (applied.term, decision)
+        else:
+            require(
+                known == (applied.term, decision),
+                f'entry {applied.index} was decided differently',
+            )
+
+    def _check_newer(self, change: Change, answer: Conflict) -> None:
+        versions = [entry.version for entry in answer.newer]
+        first = change.base_version + 1
+        require(
+            versions == list(range(first, first + len(versions))),
+            'a conflict left out a version',
+        )
+        for entry in answer.newer:
+            accepted = self.naive.changes[entry.version - 1]
+            require(
+                entry.content == accepted.content,
+                'a conflict showed what was not accepted',
+            )
+
+    def _check_beacon(self, beacon: Beacon) -> None:
+        require(
+            beacon.version <= self.naive.version,
+            'a beacon of what was not accepted',
+        )
+
+    def check_made_beacon(self, beacon: Beacon) -> None:
+        """Checks a beacon at the leader that makes it."""
+        require(beacon.version >= self.acknowledged, 'a beacon was stale')
+
+
+def holds_change(disk: FakeDisk, change: Change, version: int) -> bool:
+    """Tells whether a disk would still hold a change after a crash."""
+    survivor = FakeDisk()
+    survivor.files[NAME] = disk.files[NAME][: disk.synced.get(NAME, 0)]
+    restored = restore_records(Journal.open(survivor, NAME)[1])
+    if restored.snapshot.register:
+        if Register.decode(restored.snapshot.register).version >= version:
+            return True
+    return any(
+        entry.change is not None and entry.change.change == change
+        for entry in restored.log.entries
+    )
+
+
+def is_enough(membership: Membership, names: Collection[str]) -> bool:
+    """Tells whether these are a majority, in two failure domains."""
+    voters = [member for member in membership.members if member.voter]
+    domains = {voter.failure_domain for voter in voters}
+    found = [voter for voter in voters if voter.instance in names]
+    spread = {voter.failure_domain for voter in found}
+    return len(found) > len(voters) / 2 and len(spread) >= min(2, len(domains))
+
+
+def require(condition: bool, broken: str) -> None:
+    """Raises where a condition does not hold."""
+    if not condition:
+        raise ScheduleError(broken)
+
+
+def _simplify(decision: Any) -> Any:
+    """Returns the type alone of a conflict or refusal."""
+    if isinstance(decision, Conflict | NotAccepted):
+        return type(decision)
+    return decision
--- /dev/null
+++ b/tests/bilberry_replica/events.py
@@ -0,0 +1,327 @@
+"""The events that a schedule draws from, with their weights."""
+
+from collections.abc import Callable
+from errno import EIO
+
+from bilberry_core.acceptance import Change
+from bilberry_core.error import JournalError
+from bilberry_core.journal import Journal
+from bilberry_core.messages.replica import LoggedChange
+from bilberry_replica.leading import (
+    Pending,
+    make_beacon,
+    offer,
+    start_read,
+    step_membership,
+)
+from bilberry_replica.member import expel
+from tests.bilberry_replica.checker import NAME, Operation, require
+from tests.bilberry_replica.schedule import Host, Schedule
+
+FRESH_S = 0.6
+CONTENTS = (b'1', b'2', b'3')
+
+Event = Callable[[Schedule], None]
+
+
+def run_schedule(
+    seed: int,
+    domains: str,
+    steps: int,
+    profile: str = 'mixed',
+) -> Schedule:
+    """Runs one schedule and checks it."""
+    schedule = Schedule(seed, domains)
+    events = tuple(PROFILES[profile])
+    weights = tuple(PROFILES[profile].values())
+    for event in schedule.random.choices(events, weights, k=steps):
+        event(schedule)
+    schedule.settle()
+    return schedule
+
+
+def deliver(schedule: Schedule) -> None:
+    """Delivers some messages, in any order."""
+    for _ in range(schedule.random.randrange(1, 6)):
+        if schedule.in_flight:
+            position = schedule.random.randrange(len(schedule.in_flight))
+            schedule.deliver(position)
+
+
+def double(schedule: Schedule) -> None:
+    """Delivers a message that will be delivered again."""
+    if schedule.in_flight:
+        position = schedule.random.randrange(len(schedule.in_flight))
+        schedule.deliver(position, keeps=True)
+
+
+def lose(schedule: Schedule) -> None:
+    """Loses a message."""
+    if schedule.in_flight:
+        schedule.in_flight.pop(
+            schedule.random.randrange(len(schedule.in_flight))
+        )
+
+
+def tick(schedule: Schedule) -> None:
+    """Lets some time pass."""
+    schedule.tick(schedule.random.choice((0.01, 0.05, 0.15, 0.5)))
+
+
+def flush(schedule: Schedule) -> None:
+    """Syncs a disk."""
+    host = _pick_up(schedule)
+    if host and host.replica.has_work:
+        schedule.flush(host)
+
+
+def calm(schedule: Schedule) -> None:
+    """Runs some rounds without new faults."""
+    for _ in range(schedule.random.randrange(1, 20)):
+        schedule.run_calm()
+
+
+def submit(schedule: Schedule) -> None:
+    """Offers a new change, mostly made from the newest version."""
+    random = schedule.random
+    base = schedule.checker.naive.version + random.choice((0, 0, 0, 0, -1, 1))
+    change = Change(
+        str(len(schedule.changes)),
+        max(base, 0),
+        'ann',
+        'because',
+        random.choice(CONTENTS),
+    )
+    schedule.changes.append(change)
+    _offer(schedule, change)
+
+
+def resend(schedule: Schedule) -> None:
+    """Offers an earlier change again, sometimes with other content."""
+    if schedule.changes:
+        change = schedule.random.choice(schedule.changes[-8:])
+        if schedule.random.randrange(10) == 0:
+            change = change._replace(content=b'other')
+        _offer(schedule, change)
+
+
+def read(schedule: Schedule) -> None:
+    """Reads at a replica that believes it leads."""
+    host = _pick_leader(schedule)
+    if host:
+        _read(schedule, host)
+
+
+def beacon(schedule: Schedule) -> None:
+    """Has a replica that believes it leads make a beacon."""
+    host = _pick_leader(schedule)
+    if host:
+        _make_beacon(schedule, host)
+
+
+def cut(schedule: Schedule) -> None:
+    """Cuts some links, in one direction or both, or heals all."""
+    random = schedule.random
+    names = list(schedule.hosts)
+    schedule.cut.clear()
+    kind = random.randrange(4) if len(names) > 1 else 3
+    if kind == 0:
+        alone = random.choice(names)
+        schedule.cut.update((alone, name) for name in names)
+        schedule.cut.update((name, alone) for name in names)
+    elif kind == 1:
+        schedule.cut.add(tuple(random.sample(names, 2)))
+    elif kind == 2:
+        side = set(random.sample(names, len(names) // 2))
+        schedule.cut.update(
+            (one, other)
+            for one in names
+            for other in names
+            if (one in side) != (other in side)
+        )
+
+
+def crash(schedule: Schedule) -> None:
+    """Ends a replica; part of what it had not synced may be kept."""
+    host = _pick_up(schedule)
+    if host:
+        schedule.crash(host, schedule.random.choice((0, 0, 5, 17, 60, 10_000)))
+
+
+def crash_all(schedule: Schedule) -> None:
+    """Ends every replica at once."""
+    if schedule.random.randrange(3) == 0:
+        for host in schedule.list_up():
+            schedule.crash(host)
+
+
+def freeze(schedule: Schedule) -> None:
+    """Stops a replica that does not notice; mostly one that leads."""
+    host = _pick_leader(schedule) or _pick_up(schedule)
+    if host:
+        host.frozen = True
+
+
+def thaw(schedule: Schedule) -> None:
+    """Lets a frozen replica go on, with a beacon or a read first."""
+    frozen = [host for host in schedule.hosts.values() if host.frozen]
+    for host in frozen:
+        host.frozen = False
+        if host.replica.node.is_leader:
+            _make_beacon(schedule, host)
+            _read(schedule, host)
+
+
+def start(schedule: Schedule) -> None:
+    """Starts a replica that is down."""
+    down = [host for host in schedule.hosts.values() if not host.replica]
+    if down:
+        schedule.start(schedule.random.choice(down))
+
+
+def lose_disk(schedule: Schedule) -> None:
+    """Ends a replica and its disk, where the others may go on."""
+    host = schedule.random.choice(list(schedule.hosts.values()))
+    if schedule.may_lose(host):
+        schedule.crash(host)
+        schedule.wipe(host)
+
+
+def damage_disk(schedule: Schedule) -> None:
+    """Flips a bit of a synced file; the replica must refuse to start."""
+    host = schedule.random.choice(list(schedule.hosts.values()))
+    if not schedule.may_lose(host):
+        return
+    schedule.crash(host)
+    if not host.disk.files.get(NAME):
+        return
+    bits = len(host.disk.files[NAME]) * 8
+    host.disk.flip(NAME, schedule.random.randrange(bits))
+    refused = False
+    try:
+        Journal.open(host.disk, NAME)
+    except JournalError:
+        refused = True
+    require(refused, 'a damaged journal was opened')
+    schedule.wipe(host)
+
+
+def fail_sync(schedule: Schedule) -> None:
+    """Has the next sync of a replica fail."""
+    host = _pick_up(schedule)
+    if host:
+        host.disk.before_sync = _fail
+
+
+def remove(schedule: Schedule) -> None:
+    """Removes a replica from the membership."""
+    host = _pick_leader(schedule)
+    others = [name for name in schedule.hosts if host and name != host.name]
+    if len(others) > 2 and schedule.random.randrange(3) == 0:
+        name = schedule.random.choice(others)
+        membership = expel(host.replica.node.membership, name)
+        schedule.do(host, step_membership, membership)
+
+
+#: Some of everything.
+MIXED: dict[Event, float] = {
+    deliver: 44,
+    double: 4,
+    lose: 4,
+    tick: 18,
+    flush: 24,
+    calm: 4,
+    submit: 12,
+    resend: 4,
+    read: 4,
+    beacon: 3,
+    cut: 1.5,
+    crash: 0.8,
+    crash_all: 0.2,
+    freeze: 0.5,
+    thaw: 1.5,
+    start: 2.5,
+    lose_disk: 0.7,
+    damage_disk: 0.3,
+    fail_sync: 0.4,
+    remove: 0.4,
+}
+#: Many short terms, whose leaders get few entries out.
+ELECTIONS: dict[Event, float] = {
+    **MIXED,
+    tick: 24,
+    calm: 6,
+    lose: 8,
+    cut: 4,
+    crash: 2,
+    freeze: 1.5,
+    thaw: 4,
+    start: 8,
+    lose_disk: 0,
+    damage_disk: 0,
+    remove: 0,
+}
+#: Many steps of the membership.
+MEMBERSHIP: dict[Event, float] = {
+    **MIXED,
+    cut: 3,
+    lose_disk: 4,
+    remove: 4,
+    start: 6,
+}
+PROFILES = {
+    'mixed': MIXED,
+    'elections': ELECTIONS,
+    'membership': MEMBERSHIP,
+}
+
+
+def _offer(schedule: Schedule, change: Change) -> None:
+    host = _pick_leader(schedule) or _pick_up(schedule)
+    if host is None:
+        return
+    operation = Operation(schedule.checker.acknowledged, change)
+    logged = LoggedChange(change, int(schedule.now * 1000))
+    offered = schedule.do(host, offer, logged, _accept_any)
+    if isinstance(offered, Pending):
+        if host.replica:
+            host.offers[offered.index] = operation._replace(pending=offered)
+    elif offered is not None:
+        schedule.answer(host, operation, offered)
+
+
+def _read(schedule: Schedule, host: Host) -> None:
+    operation = Operation(schedule.checker.acknowledged)
+    round_ = schedule.do(host, start_read)
+    if host.replica:
+        host.reads.append(operation._replace(round=round_))
+        schedule.finish_operations(host)
+
+
+def _make_beacon(schedule: Schedule, host: Host) -> None:
+    before = host.replica.node.beacon
+    schedule.do(host, make_beacon, FRESH_S)
+    made = host.replica.node.beacon if host.replica else before
+    if made is not before:
+        schedule.checker.check_made_beacon(made)
+
+
+def _accept_any(_content: bytes) -> list[str]:
+    return []
+
+
+def _fail(_name: str) -> None:
+    raise OSError(EIO, 'input/output error')
+
+
+def _pick_up(schedule: Schedule) -> Host | None:
+    up = schedule.list_up()
+    return schedule.random.choice(up) if up else None
+
+
+def _pick_leader(schedule: Schedule) -> Host | None:
+    """Returns a replica that believes it leads; there may be several."""
+    leaders = [
+        host for host in schedule.list_up() if host.replica.node.is_leader
+    ]
+    return schedule.random.choice(leaders) if leaders else None
--- /dev/null
+++ b/tests/bilberry_replica/scenarios.py
@@ -0,0 +1,91 @@
+"""Scenarios of elections and commitment that chance seldom brings about."""
+
+from bilberry_core.messages.replica import (
+    AppendReply,
+    Entry,
+    Member,
+    VoteReply,
+    VoteRequest,
+)
+from bilberry_replica.consensus import receive
+from bilberry_replica.log import Log
+from bilberry_replica.member import found
+from bilberry_replica.node import Moment, Node, Progress, Role
+from bilberry_replica.replica import Replica
+from tests.bilberry_replica.checker import require
+from tests.bilberry_replica.schedule import Schedule
+
+LONG_S = 3.0
+MEMBERS = tuple(
+    Member(name, '127.0.0.1', 1, name, store)
+    for store, name in enumerate('abc', start=1)
+)
+
+
+def check_one_vote() -> None:
+    """A replica votes once in a term, also over a crash."""
+    schedule = Schedule(0, 'abc')
+    first, voter, second = schedule.hosts.values()
+    term = voter.replica.node.term + 1
+    schedule.now += LONG_S
+    granted = []
+    for candidate in (first, second):
+        request = VoteRequest(term, candidate.store, 99, term, trial=False)
+        schedule.do(voter, Replica.receive, candidate.name, request)
+        flush = voter.replica.begin_flush()
+        voter.journal.sync_now()
+        granted += [
+            sent.target
+            for sent in flush.sends
+            if isinstance(sent.message, VoteReply) and sent.message.granted
+        ]
+        schedule.crash(voter)
+        schedule.start(voter)
+        schedule.now += LONG_S
+    require(granted == [first.name], f'votes for {granted} in one term')
+
+
+def check_leader_stays() -> None:
+    """A replica that lost its link to a working leader deposes it not."""
+    schedule = Schedule(0, 'abc')
+    (leader,) = (
+        host for host in schedule.list_up() if host.replica.node.is_leader
+    )
+    lost = next(host for host in schedule.list_up() if host is not leader)
+    term = leader.replica.node.term
+    schedule.cut = {(leader.name, lost.name), (lost.name, leader.name)}
+    for _ in range(200):
+        schedule.run_calm()
+    node = leader.replica.node
+    require(node.is_leader and node.term == term, 'the leader was deposed')
+    schedule.cut.clear()
+    for _ in range(20):
+        schedule.run_calm()
+    require(leader.replica.node.term == term, 'the return deposed the leader')
+
+
+def check_earlier_term() -> None:
+    """An entry of an earlier term is not committed by its count alone."""
+    entries = (Entry(1, membership=found(MEMBERS)), Entry(2), Entry(4))
+    log = Log(entries=entries)
+    node = Node(
+        'a',
+        1,
+        term=4,
+        vote='a',
+        log=log,
+        membership=log.find_membership(3),
+        durable=3,
+        role=Role.LEADER,
+        leader='a',
+        peers={
+            'b': Progress(2, next_index=3, probing=False),
+            'c': Progress(3, next_index=3),
+        },
+    )
+    moment = Moment(1, 0)
+    held_old = AppendReply(4, 2, 1, 1, success=True, index=2)
+    node = receive(node, 'b', held_old, moment).node
+    require(node.commit == 0, 'an entry of an earlier term was committed')
+    node = receive(node, 'b', held_old._replace(index=3), moment).node
+    require(node.commit == 3, 'an entry of the own term was not committed')
--- /dev/null
+++ b/tests/bilberry_replica/schedule.py
@@ -0,0 +1,310 @@
+"""Seeded schedules of faults over replicas, checked as they run.
+
+A schedule draws one event after another: messages delivered in any order,
+lost or doubled, links cut, crashes, lost and damaged disks, clocks that run
+at different rates.
+"""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from bilberry_core.acceptance import Accepted, Change
+from bilberry_core.error import JournalError
+from bilberry_core.journal import Journal
+from bilberry_core.messages.replica import Member, Membership
+from bilberry_replica.leading import (
+    admit_member,
+    found_fleet,
+    is_read_confirmed,
+    tend_members,
+)
+from bilberry_replica.machine import Applied
+from bilberry_replica.member import find_member, found, list_voters
+from bilberry_replica.node import Moment, Node, Timing
+from bilberry_replica.replica import Limits, Replica
+from tests.bilberry_core.fake_disk import FakeDisk
+from tests.bilberry_replica.checker import (
+    NAME,
+    Checker,
+    Operation,
+    holds_change,
+    is_enough,
+    require,
+)
+
+TIMING = Timing(heartbeat_s=0.15, election_s=0.9)
+LIMITS = Limits(log_entries=8, kept_entries=2, open_entries=8)
+MAX_IN_FLIGHT = 120
+SETTLE_ROUNDS = 400
+
+
+class Host:
+    """One replica with its disk and clock; `replica` is None while down."""
+
+    def __init__(self, name: str, domain: str, store: int) -> None:
+        """Starts down with an empty disk."""
+        self.name = name
+        self.domain = domain
+        self.store = store
+        self.disk = FakeDisk()
+        self.rate = 1.0
+        self.frozen = False
+        self.replica: Replica | None = None
+        self.journal: Journal | None = None
+        self.offers: dict[int, Operation] = {}
+        self.reads: list[Operation] = []
+
+    @property
+    def member(self) -> Member:
+        """How this replica names itself."""
+        return Member(self.name, '127.0.0.1', 1, self.domain, self.store)
+
+
+class Schedule:
+    """A fleet, its network and its clients, driven from one seed."""
+
+    def __init__(self, seed: int, domains: str) -> None:
+        """Founds a fleet with a replica in each of these domains."""
+        self.random = Random(seed)
+        self.now = float()
+        self.checker = Checker()
+        self.cut: set[tuple[str, str]] = set()
+        self.in_flight: list[tuple[str, str, Any]] = []
+        self.changes: list[Change] = []
+        self.hosts: dict[str, Host] = {}
+        self._stores = 0
+        for position, domain in enumerate(domains):
+            host = Host(f'{position}{domain}', domain, self.next_store())
+            self.hosts[host.name] = host
+            self.start(host)
+        membership = found([host.member for host in self.hosts.values()])
+        self.do(self.hosts[min(self.hosts)], found_fleet, membership)
+        self.settle()
+
+    def next_store(self) -> int:
+        """Returns a name for a new data folder."""
+        self._stores += 1
+        return self._stores
+
+    def start(self, host: Host) -> None:
+        """Starts a replica from its disk."""
+        host.disk.before_sync = len
+        host.rate = self.random.uniform(0.93, 1.07)
+        opened = Journal.open(host.disk, NAME)
+        fresh = Node(host.name, host.store, TIMING)
+        moment = self._get_moment(host)
+        host.replica = Replica.open(opened, fresh, moment, LIMITS)
+        host.journal = opened[0]
+        self.checker.watch(host.replica)
+        host.replica.machine.on_applied = self._follow(host)
+
+    def crash(self, host: Host, kept: int = 0) -> None:
+        """Ends a replica; it loses what was not synced but `kept` bytes."""
+        host.replica = None
+        host.frozen = False
+        host.offers = {}
+        host.reads = []
+        host.disk.crash(kept)
+
+    def wipe(self, host: Host) -> None:
+        """Gives a replica that is down a new disk."""
+        host.disk = FakeDisk()
+        host.store = self.next_store()
+
+    def do(self, host: Host, event: Callable, *arguments: Any) -> Any:
+        """Runs an event of a replica and takes its early messages."""
+        replica = host.replica
+        try:
+            returned = event(replica, *arguments, self._get_moment(host))
+        except JournalError:
+            self.crash(host)
+            return None
+        self._post(host, replica.take_early())
+        self.finish_operations(host)
+        return returned
+
+    def flush(self, host: Host) -> None:
+        """Syncs the journal and sends what waited for that."""
+        flush = host.replica.begin_flush()
+        try:
+            host.journal.sync_now()
+        except JournalError:
+            self.crash(host)
+            return
+        self._post(host, flush.sends)
+        self.do(host, Replica.end_flush, flush)
+
+    def deliver(self, position: int, keeps: bool = False) -> None:
+        """Delivers a message in flight, unless it is lost on the way."""
+        sender, target, message = self.in_flight[position]
+        host = self.hosts[target]
+        if host.frozen:
+            return
+        if not keeps:
+            self.in_flight[position] = self.in_flight[-1]
+            self.in_flight.pop()
+        if host.replica and (sender, target) not in self.cut:
+            self.do(host, Replica.receive, sender, message)
+
+    def tick(self, seconds: float) -> None:
+        """Lets time pass for all, and takes in replicas without a log."""
+        self.now += seconds
+        for host in self.list_up():
+            self.do(host, Replica.tick)
+            if host.replica and host.replica.node.is_leader:
+                self.do(host, tend_members)
+                self._admit(host)
+
+    def list_up(self) -> list[Host]:
+        """Returns the replicas that run and are not frozen."""
+        return [
+            host
+            for host in self.hosts.values()
+            if host.replica and not host.frozen
+        ]
+
+    def may_lose(self, host: Host) -> bool:
+        """Tells whether the others hold enough without this one's disk."""
+        others = [other for other in self.hosts.values() if other is not host]
+        if host.frozen or not others:
+            return False
+        return all(
+            other.replica
+            and _survives(other.replica.node.membership, self.hosts, host)
+            for other in others
+        )
+
+    def settle(self) -> None:
+        """Ends all faults; then the fleet must agree."""
+        self.cut.clear()
+        for host in self.hosts.values():
+            host.frozen = False
+        for round_ in range(SETTLE_ROUNDS):
+            self._repair()
+            self.run_calm()
+            if round_ % 20 == 0 and self._is_settled():
+                break
+        require(self._is_settled(), 'the fleet did not settle')
+        self.checker.check_end([host.replica for host in self.list_up()])
+
+    def _repair(self) -> None:
+        """Starts what is down, with a new disk where it was removed."""
+        for host in self.hosts.values():
+            if host.replica is None:
+                self.start(host)
+            elif self._was_removed(host):
+                self.crash(host)
+                self.wipe(host)
+
+    def _was_removed(self, host: Host) -> bool:
+        if not host.replica.node.log.last_index:
+            return False
+        _, newest = max(
+            (one.replica.node.commit, one.replica.agreed)
+            for one in self.list_up()
+        )
+        return newest.epoch > 0 and find_member(newest, host.name) is None
+
+    def run_calm(self) -> None:
+        """Runs one round without new faults."""
+        self.tick(0.05)
+        for _ in range(2):
+            for position in range(len(self.in_flight) - 1, -1, -1):
+                self.deliver(position)
+            for host in self.list_up():
+                if host.replica.has_work:
+                    self.flush(host)
+
+    def _is_settled(self) -> bool:
+        replicas = [host.replica for host in self.list_up()]
+        commits = {replica.node.commit for replica in replicas}
+        leaders = [one for one in replicas if one.node.is_leader]
+        voters = [len(list_voters(replica.agreed)) for replica in replicas]
+        return (
+            len(replicas) == len(self.hosts)
+            and len(commits) == 1
+            and len(leaders) == 1
+            and set(voters) == {len(self.hosts)}
+            and leaders[0].node.log.last_index == leaders[0].node.commit
+        )
+
+    def _get_moment(self, host: Host) -> Moment:
+        return Moment(self.now * host.rate, self.random.random())
+
+    def _post(self, host: Host, sends: Any) -> None:
+        for sent in sends:
+            if sent.target in self.hosts:
+                self.in_flight.append((host.name, sent.target, sent.message))
+        if len(self.in_flight) > MAX_IN_FLIGHT:
+            del self.in_flight[: len(self.in_flight) - MAX_IN_FLIGHT]
+
+    def _admit(self, leader: Host) -> None:
+        for host in self.list_up():
+            linked = (host.name, leader.name) not in self.cut
+            if linked and host.replica.node.log.last_index == 0:
+                self.do(leader, admit_member, host.member)
+
+    def _follow(self, host: Host) -> Callable[[Applied], None]:
+        """Answers the offer that an applied change decides."""
+        check = host.replica.machine.on_applied
+
+        def follow(applied: Applied) -> None:
+            check(applied)
+            operation = host.offers.pop(applied.index, None)
+            if operation and operation.pending.term == applied.term:
+                self.answer(host, operation, applied.decision)
+
+        return follow
+
+    def answer(self, host: Host, operation: Operation, decision: Any) -> None:
+        """Tells a client the decision on its change."""
+        self.checker.check_answer(operation, decision)
+        if isinstance(decision, Accepted) and not decision.resent:
+            self._check_disks(host, operation.change, decision.version)
+
+    def _check_disks(self, host: Host, change: Change, version: int) -> None:
+        """Requires a version on enough disks, but for those lost since.
+
+        The newest membership of the log counts, committed or not.
+        """
+        membership = host.replica.node.membership
+        holders = [
+            member.instance
+            for member in membership.members
+            if self._has_held(member, change, version)
+        ]
+        require(is_enough(membership, holders), 'acknowledged before synced')
+
+    def _has_held(self, member: Member, change: Change, version: int) -> bool:
+        host = self.hosts[member.instance]
+        if host.store != member.store:
+            return True
+        return holds_change(host.disk, change, version)
+
+    def finish_operations(self, host: Host) -> None:
+        """Ends reads that are confirmed, and what a lost lead leaves."""
+        replica = host.replica
+        if not replica.node.is_leader:
+            host.offers.clear()
+            host.reads.clear()
+        for read in tuple(host.reads):
+            if is_read_confirmed(replica, read.round):
+                host.reads.remove(read)
+                version = replica.machine.register.version
+                self.checker.check_read(read, version)
+
+
+def _survives(
+    membership: Membership,
+    hosts: dict[str, Host],
+    lost: Host,
+) -> bool:
+    """Tells whether a quorum keeps its disks without the lost one."""
+    intact = [
+        member.instance
+        for member in membership.members
+        if member.store == hosts[member.instance].store
+        and member.instance != lost.name
+    ]
+    return is_enough(membership, intact)
--- /dev/null
+++ b/tests/bilberry_replica/variants.py
@@ -0,0 +1,256 @@
+"""Replicas with one rule broken each; the schedules must catch every one."""
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Any, NamedTuple
+from unittest.mock import patch
+
+from bilberry_core.acceptance import Change, Conflict
+from bilberry_core.journal import Journal
+from bilberry_core.messages.replica import Membership
+from bilberry_replica.commitment import has_quorum
+from bilberry_replica.log import Log
+from bilberry_replica.machine import Machine
+from bilberry_replica.node import Node, SaveTerm, Send
+from bilberry_replica.register import Register
+from bilberry_replica.replica import Replica
+from bilberry_replica.storage import note_effect
+from tests.bilberry_replica.events import run_schedule
+from tests.bilberry_replica.scenarios import (
+    check_earlier_term,
+    check_leader_stays,
+    check_one_vote,
+)
+
+STEPS = 400
+
+
+def run_mixed() -> None:
+    """Runs schedules of three replicas."""
+    for seed in range(80):
+        run_schedule(seed, 'abc', STEPS)
+
+
+def run_two_domains() -> None:
+    """Runs schedules of replicas of which two share a failure domain."""
+    for seed in range(20):
+        run_schedule(seed, 'aab', STEPS)
+
+
+def run_membership() -> None:
+    """Runs schedules of five replicas that come and go."""
+    for seed in range(60):
+        run_schedule(seed, 'abcde', STEPS, 'membership')
+
+
+class Variant(NamedTuple):
+    """A broken rule: what is replaced, by what, and where it shows.
+
+    `check` raises an `AssertionError` or `BilberryError` where it does.
+    """
+
+    broken: Callable[..., Any]
+    targets: tuple[str, ...]
+    check: Callable[[], None] = run_mixed
+
+
+@contextmanager
+def break_rule(variant: Variant) -> Iterator[None]:
+    """Breaks a rule for a while."""
+    with ExitStack() as stack:
+        for target in variant.targets:
+            stack.enter_context(patch(target, variant.broken))
+        yield
+
+
+def skip_sync(journal: Journal) -> None:
+    """Says that the journal is synced before it is written."""
+    journal._durable = journal._noted
+
+
+def pass_over_failed_sync(journal: Journal) -> None:
+    """Takes a failed sync for a good one."""
+    noted = journal._noted
+    journal._perform(journal._take_writes())
+    journal._failure = ''
+    journal._durable = noted
+
+
+def answer_before_sync(replica: Replica) -> list[Send]:
+    """Sends at once what must wait for the disk."""
+    sends = replica._early + replica._late
+    replica._early = []
+    replica._late = []
+    return sends
+
+
+def forget_vote(journal: Journal, node: Node, effect: Any) -> None:
+    """Saves the term without the vote given in it."""
+    if isinstance(effect, SaveTerm):
+        effect = effect._replace(vote='')
+    note_effect(journal, node, effect)
+
+
+def agree(*_arguments: Any) -> bool:
+    """Finds that a condition holds."""
+    return True
+
+
+def disagree(*_arguments: Any) -> bool:
+    """Finds that a condition does not hold."""
+    return False
+
+
+def count_learners(membership: Membership, *names: Any) -> bool:
+    """Counts every member towards a quorum."""
+    if isinstance(names[0], str):
+        return True
+    found = [one for one in membership.members if one.instance in names[0]]
+    return len(found) * 2 > len(membership.members)
+
+
+def ignore_domains(membership: Membership, names: Any) -> bool:
+    """Takes a majority in one failure domain for a quorum."""
+    voters = [one for one in membership.members if one.voter]
+    found = [one for one in voters if one.instance in names]
+    return len(found) * 2 > len(voters)
+
+
+def ignore_store(membership: Membership, name: str, _store: int) -> bool:
+    """Counts a replica that has lost its disk."""
+    found = [one for one in membership.members if one.instance == name]
+    return bool(found) and found[0].voter
+
+
+def commit_earlier_terms(node: Node) -> Node:
+    """Commits entries of earlier terms by their count alone."""
+    for index in range(node.log.last_index, node.commit, -1):
+        holders = [
+            name
+            for name, progress in node.peers.items()
+            if progress.match >= index
+        ]
+        if node.durable >= index:
+            holders.append(node.instance)
+        if has_quorum(node.membership, holders):
+            return node._replace(commit=index)
+    return node
+
+
+def keep_differing(log: Log, _first: int, entries: tuple) -> Log:
+    """Adds entries after those that they should replace."""
+    return log._replace(entries=log.entries + entries)
+
+
+def build_uncommitted_apply() -> Callable[..., None]:
+    """Returns an `apply` that does not wait for the commit."""
+    apply = Machine.apply
+
+    def apply_uncommitted(machine: Machine, log: Log, _commit: int) -> None:
+        apply(machine, log, log.last_index)
+
+    return apply_uncommitted
+
+
+def build_forgetful_decode() -> Callable[..., Register]:
+    """Returns a `decode` that loses the outcomes of a snapshot."""
+    decode = Register.decode
+
+    def decode_without_outcomes(encoded: bytes) -> Register:
+        register = decode(encoded)
+        register._outcomes.clear()
+        return register
+
+    return decode_without_outcomes
+
+
+def build_blind_decision() -> Callable[..., Any]:
+    """Returns a `find_decision` that takes any base version."""
+    find_decision = Register.find_decision
+
+    def find_without_base(register: Register, change: Change) -> Any:
+        decision = find_decision(register, change)
+        return None if isinstance(decision, Conflict) else decision
+
+    return find_without_base
+
+
+_QUORUMS = (
+    'bilberry_replica.election.has_quorum',
+    'bilberry_replica.commitment.has_quorum',
+)
+_VOTERS = (
+    'bilberry_replica.election.is_voter',
+    'bilberry_replica.commitment.is_voter',
+)
+_SYNC = ('bilberry_core.journal.Journal.sync_now',)
+
+VARIANTS: dict[str, Variant] = {
+    'sync skipped': Variant(skip_sync, _SYNC),
+    'failed sync passed over': Variant(pass_over_failed_sync, _SYNC),
+    'answered before the sync': Variant(
+        answer_before_sync,
+        ('bilberry_replica.replica.Replica.take_early',),
+    ),
+    'vote not saved': Variant(
+        forget_vote,
+        ('bilberry_replica.replica.note_effect',),
+        check_one_vote,
+    ),
+    'quorum of one': Variant(agree, _QUORUMS),
+    'learner counted': Variant(
+        count_learners,
+        (*_QUORUMS, *_VOTERS),
+        run_membership,
+    ),
+    'failure domains ignored': Variant(
+        ignore_domains, _QUORUMS, run_two_domains
+    ),
+    'lost disk counted': Variant(ignore_store, _VOTERS),
+    'several membership steps at once': Variant(
+        agree,
+        ('bilberry_replica.consensus.can_change_membership',),
+        run_membership,
+    ),
+    'stale read': Variant(
+        agree,
+        ('bilberry_replica.leading.is_round_confirmed',),
+    ),
+    'beacon without a quorum': Variant(
+        agree,
+        ('bilberry_replica.leading.has_fresh_quorum',),
+    ),
+    'vote in spite of a leader': Variant(
+        disagree,
+        ('bilberry_replica.election.hears_leader',),
+        check_leader_stays,
+    ),
+    'vote for a shorter log': Variant(
+        agree,
+        ('bilberry_replica.election._is_up_to_date',),
+    ),
+    'earlier terms committed by count': Variant(
+        commit_earlier_terms,
+        (
+            'bilberry_replica.replication.advance_commit',
+            'bilberry_replica.commitment.advance_commit',
+        ),
+        check_earlier_term,
+    ),
+    'differing entries kept': Variant(
+        keep_differing,
+        ('bilberry_replica.log.Log.put',),
+    ),
+    'uncommitted entries applied': Variant(
+        build_uncommitted_apply(),
+        ('bilberry_replica.machine.Machine.apply',),
+    ),
+    'outcomes lost in a snapshot': Variant(
+        build_forgetful_decode(),
+        ('bilberry_replica.register.Register.decode',),
+    ),
+    'base version not checked': Variant(
+        build_blind_decision(),
+        ('bilberry_replica.register.Register.find_decision',),
+    ),
+}
