--- /dev/null
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -0,0 +1,161 @@
+"""The controller of a replica's claims: streams, journal and epochs."""
+
+from asyncio import Event, to_thread, wait_for
+from contextlib import suppress
+from functools import partial
+from typing import Any
+
+from bilberry_claims.follower import EpochFollower, SettleEpoch
+from bilberry_claims.holder_core import HolderCore
+from bilberry_claims.limit import ClaimLimits
+from bilberry_claims.outbox import Outbox, Posted
+from bilberry_claims.quorum import number_epoch
+from bilberry_core.board import Board
+from bilberry_core.clock import Clock
+from bilberry_core.disk import Disk
+from bilberry_core.handshake import Purpose
+from bilberry_core.journal import Journal
+from bilberry_core.settings import Settings
+from bilberry_core.stream import Credentials, Stream, StreamListener
+
+#: Name of the journal in the data folder.
+JOURNAL_NAME = 'claims'
+#: Between attempts to catch up, in seconds.
+_POLL_S = 0.2
+
+
+class HolderController:
+    """Keeps claims durably and answers for them.
+
+    Every reply waits until all that it tells is durable; replies that wait
+    at the same time share one sync. `settle_epoch` may be set to what has
+    the replicated log note that the claims of an epoch were handed over.
+    """
+
+    def __init__(
+        self,
+        board: Board,
+        credentials: Credentials,
+        disk: Disk,
+        clock: Clock,
+        limits: ClaimLimits,
+    ) -> None:
+        """Answers nothing before `run`."""
+        self.settle_epoch: SettleEpoch = _settle_nothing
+        self._board = board
+        self._credentials = credentials
+        self._disk = disk
+        self._clock = clock
+        self._limits = limits
+        self._core = HolderCore(credentials.instance, limits)
+        self._outbox: Outbox | None = None
+        self._follower: EpochFollower | None = None
+        self._stopping = Event()
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        board: Board,
+        listener: StreamListener,
+        disk: Disk,
+        clock: Clock,
+    ) -> 'HolderController':
+        """Returns the controller of one replica, with the default limits."""
+        controller = cls(
+            board,
+            Credentials(settings.fleet, settings.instance, settings.secret),
+            disk,
+            clock,
+            ClaimLimits(),
+        )
+        listener.handle(Purpose.CLAIM, controller.accept)
+        return controller
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether this holder durably knows the claims of the epoch."""
+        epoch = self._board.claim_epoch.value
+        if epoch is None or self._follower is None:
+            return False
+        return self._follower.durable_epoch == number_epoch(epoch)
+
+    @property
+    def is_handed_over(self) -> bool:
+        """Whether the replicated log may clear `ClaimEpoch.previous`.
+
+        That is once a majority of the holders has durably taken the claims
+        over.
+        """
+        if self._board.claim_epoch.value != self._core.epoch:
+            return False
+        return self._follower is not None and self._follower.is_handed_over
+
+    def accept(self, stream: Stream) -> None:
+        """Serves a stream of a proxy or of another holder."""
+        stream.receiver = partial(self._receive, stream)
+
+    async def run(self) -> None:
+        """Reads the journal, then keeps claims until `stop`."""
+        await self._open()
+        cell = self._board.claim_epoch
+        unwatch = cell.watch(self._follower.adopt)
+        self._follower.adopt(cell.value)
+        await self._follow()
+        unwatch()
+        await self._outbox.flush()
+        self.close()
+
+    def close(self) -> None:
+        """Ends at once: answers under way are not sent."""
+        self._stopping.set()
+        if self._follower is not None:
+            self._follower.close()
+
+    async def stop(self) -> None:
+        """Ends `run` after the answers under way."""
+        self._stopping.set()
+
+    async def _follow(self) -> None:
+        while not self._stopping.is_set():
+            self._core.table.expire(self._clock.wall_ms())
+            self._follower.poll()
+            await self._follower.settle(self.settle_epoch)
+            with suppress(TimeoutError):
+                await wait_for(self._stopping.wait(), _POLL_S)
+
+    async def _open(self) -> None:
+        opened = await to_thread(Journal.open, self._disk, JOURNAL_NAME)
+        journal, records = opened
+        await to_thread(self._core.load, records, self._clock.wall_ms())
+        self._outbox = Outbox(journal, partial(self._compact, journal))
+        self._follower = EpochFollower(
+            self._core,
+            self._outbox,
+            self._credentials,
+            self._clock,
+        )
+
+    def _receive(self, stream: Stream, asked: Any) -> None:
+        if self._outbox is None:
+            return
+        answered = self._core.handle(asked, self._clock.wall_ms())
+        if answered is not None:
+            reply = Posted(partial(_send, stream), answered.reply)
+            self._outbox.post(answered.records, (reply,))
+
+    def _compact(self, journal: Journal) -> None:
+        if journal.size < self._limits.compact_bytes:
+            return
+        if journal.size > 2 * self._core.table.encoded_bytes:
+            journal.replace(self._core.dump())
+
+
+def _send(stream: Stream, reply: Any) -> None:
+    if stream.is_open and stream.is_writable:
+        stream.send(reply)
+
+
+async def _settle_nothing(_epoch: int, _timeout_s: float) -> bool:
+    """Stands in where nobody notes the end of a handover."""
+    return False
--- a/packages/bilberry_core/bilberry_core/messages/spread.py
+++ b/packages/bilberry_core/bilberry_core/messages/spread.py
@@ -12,6 +12,10 @@
 from bilberry_core.policy import CallPolicy
 
 
+#: Stands for the version of an instance that is no longer attached.
+DETACHED = -1
+
+
 @message(30)
 class Subscribe(NamedTuple):
     """A receiver says who it is and what it holds.
@@ -85,28 +89,48 @@
 class Held(NamedTuple):
     """A receiver runs this version; relays report it upwards in batches.
 
-    `versions` maps instances to versions.
+    `versions` maps instances to versions, or to `DETACHED`. `others` is the
+    version of every instance that was named before on this stream and is not
+    named now; 0 for no change.
     """
 
     versions: dict[str, int]
+    others: int = 0
+
+
+class EndpointKey(NamedTuple):
+    """Names one record of one endpoint."""
+
+    instance: str
+    incarnation: int
+    sequence: int
 
 
 @message(37)
 class EndpointUpdate(NamedTuple):
-    """Endpoint records; `complete` lists services whose set is whole."""
+    """Endpoint records; `complete` lists services whose set is whole.
+
+    `lapsed` names records whose lease ended at the sender. Between relays
+    `attached` holds, for each record, the time at which its writer attached
+    to the sender, in milliseconds of the writer's wall clock.
+    """
 
     endpoints: tuple[Endpoint, ...]
     complete: tuple[str, ...] = ()
+    lapsed: tuple[EndpointKey, ...] = ()
+    attached: tuple[int, ...] = ()
 
 
 @message(38)
 class Announce(NamedTuple):
     """The daemon beside an upstream announces it or renews its lease.
 
-    A renewal carries the same record as before.
+    `attached` is the time at which the writer attached to this relay, in
+    milliseconds of its wall clock; it grows from relay to relay.
     """
 
     endpoint: Endpoint
+    attached: int = 0
 
 
 @message(39)
--- /dev/null
+++ b/packages/bilberry_operators/bilberry_operators/controller.py
@@ -0,0 +1,201 @@
+"""Serves the operators' HTTP interface of one daemon."""
+
+from asyncio import Event, Server, start_server, wait_for
+from collections.abc import Awaitable
+from http import HTTPMethod, HTTPStatus
+from logging import getLogger
+from typing import NamedTuple
+
+from bilberry_core.acceptance import Acceptor
+from bilberry_core.board import Board, Cell
+from bilberry_core.clock import MS_PER_S, Clock
+from bilberry_core.endpoint import Address
+from bilberry_core.document import MAX_DOCUMENT_BYTES
+from bilberry_core.http import (
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpService,
+)
+from bilberry_core.settings import Settings
+from bilberry_operators.answer import RefusedError, answer_json
+from bilberry_operators.configuration_resource import ConfigurationResource
+from bilberry_operators.explain import (
+    EndpointOpinions,
+    Question,
+    explain_route,
+)
+from bilberry_operators.interest import want_endpoints
+from bilberry_operators.lag import LagTracker
+from bilberry_operators.misdirected import add_misdirected
+from bilberry_operators.replica_resource import Membership, ReplicaResource
+from bilberry_operators.router import Call, Router
+from bilberry_operators.status import build_status
+
+_log = getLogger(__name__)
+
+#: Bounds what operators' requests can hold of the daemon's memory.
+_LIMITS = HttpLimits(max_body_bytes=MAX_DOCUMENT_BYTES, max_connections=16)
+
+
+class OperatorsEdges(NamedTuple):
+    """What the interface asks of the daemon's other parts.
+
+    `acceptor`, `membership`
+        None on a daemon that is no replica.
+    `opinions`
+        None on a daemon that is no proxy.
+    """
+
+    acceptor: Acceptor | None = None
+    membership: Membership | None = None
+    opinions: EndpointOpinions | None = None
+
+
+class OperatorsController:
+    """The operators' interface, which nothing else of the daemon waits for.
+
+    Without an acceptor it tells the status, explains routes, and names the
+    replicas for everything else.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        board: Board,
+        edges: OperatorsEdges,
+        clock: Clock,
+    ) -> None:
+        """Builds the table of resources; nothing is served yet."""
+        self._settings = settings
+        self._board = board
+        self._clock = clock
+        self._lag = LagTracker(settings, board, clock)
+        self._edges = edges
+        self._router = self._build_router()
+        self._bound: Cell[Address | None] = Cell(None)
+        self._service = HttpService(self._handle, _LIMITS)
+        self._stopping = Event()
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: Settings,
+        board: Board,
+        acceptor: Acceptor | None,
+        clock: Clock,
+        membership: Membership | None = None,
+        opinions: EndpointOpinions | None = None,
+    ) -> 'OperatorsController':
+        """Builds the controller of one daemon.
+
+        `acceptor` and `membership` are None on a daemon that is no replica,
+        `opinions` on one that is no proxy.
+        """
+        edges = OperatorsEdges(acceptor, membership, opinions)
+        return cls(settings, board, edges, clock)
+
+    @property
+    def bound(self) -> Cell[Address | None]:
+        """The address that is served, once it is."""
+        return self._bound
+
+    async def run(self) -> None:
+        """Serves until `stop` is called, if the settings name an address."""
+        address = self._settings.listen.operators
+        if address is None:
+            return
+        server = await start_server(
+            self._service.serve,
+            address.host,
+            address.port,
+        )
+        self._bound.put(_get_address(server))
+        try:
+            await self._stopping.wait()
+        finally:
+            server.close()
+            self._lag.stop()
+
+    async def stop(self) -> None:
+        """Stops listening and waits for the requests in flight."""
+        self._stopping.set()
+        limit_s = self._settings.timing.drain_ms / MS_PER_S
+        try:
+            await wait_for(self._service.drain(), limit_s)
+        except TimeoutError:
+            _log.warning('operators_requests_cut')
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._answer(request)
+        except RefusedError as refused:
+            return refused.answer()
+        except Exception:
+            _log.exception('operators_request_failed')
+            return _FAILED.answer()
+
+    def _answer(self, request: HttpRequest) -> Awaitable[HttpResponse]:
+        if self._stopping.is_set():
+            raise RefusedError(
+                HTTPStatus.SERVICE_UNAVAILABLE,
+                'draining',
+                'this daemon is stopping; nothing was done',
+            )
+        return self._router.answer(request)
+
+    def _build_router(self) -> Router:
+        router = Router()
+        router.add(HTTPMethod.GET, '/v1/status', self._tell_status)
+        router.add(HTTPMethod.GET, '/v1/explain', self._explain)
+        acceptor, membership, _ = self._edges
+        if acceptor is None:
+            add_misdirected(router, self._settings.replicas)
+            return router
+        resource = ConfigurationResource(acceptor, self._settings.token)
+        router.add(HTTPMethod.GET, '/v1/configuration', resource.read)
+        router.add(HTTPMethod.PUT, '/v1/configuration', resource.replace)
+        router.add(HTTPMethod.GET, '/v1/history', resource.list_history)
+        router.add(HTTPMethod.GET, '/v1/history/*', resource.read_version)
+        router.add(HTTPMethod.POST, '/v1/rollback', resource.roll_back)
+        if membership is not None:
+            replicas = ReplicaResource(
+                membership,
+                self._board,
+                self._settings.token,
+            )
+            router.add(HTTPMethod.DELETE, '/v1/replicas/*', replicas.remove)
+        return router
+
+    async def _tell_status(self, _call: Call) -> HttpResponse:
+        return answer_json(
+            build_status(
+                self._settings,
+                self._board,
+                self._lag.behind_since,
+                self._clock.now(),
+            ),
+        )
+
+    async def _explain(self, call: Call) -> HttpResponse:
+        question = Question(
+            call.query.get('service', ''),
+            call.query.get('method') or str(HTTPMethod.GET),
+            call.query.get('path') or '/',
+        )
+        await want_endpoints(self._board, question.service)
+        snapshot = self._board.snapshot.value
+        opinions = self._edges.opinions
+        return answer_json(explain_route(snapshot, question, opinions))
+
+
+def _get_address(server: Server) -> Address:
+    host, port, *_ = server.sockets[0].getsockname()
+    return Address(host, port)
+
+
+_FAILED = RefusedError(
+    HTTPStatus.INTERNAL_SERVER_ERROR,
+    'internal_error',
+    'the daemon failed on this request; a change may have been accepted',
+)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -0,0 +1,174 @@
+"""The proxy of one daemon: takes callers' requests and other daemons' calls."""
+
+from asyncio import sleep
+from logging import getLogger
+from typing import Self
+
+from bilberry_core.board import Board, Phase
+from bilberry_core.claim import Claims
+from bilberry_core.clock import MS_PER_S, Clock, RandomSource
+from bilberry_core.endpoint import Address
+from bilberry_core.handshake import Purpose
+from bilberry_core.metric import Metrics
+from bilberry_core.settings import Settings
+from bilberry_core.snapshot import Snapshot
+from bilberry_core.stream import Credentials, StreamListener
+
+from bilberry_proxy.admitter import Admitter
+from bilberry_proxy.call_server import CallServer
+from bilberry_proxy.call_streams import CallStreams
+from bilberry_proxy.caller_server import CallerServer
+from bilberry_proxy.context import ProxyContext
+from bilberry_proxy.pressure import Pressure
+from bilberry_proxy.router import Router
+from bilberry_proxy.service_interest import ServiceInterest
+from bilberry_proxy.suspicion import Suspicion
+from bilberry_proxy.timers import TICK_S, TimerWheel
+
+_log = getLogger(__name__)
+
+#: Longest wait for other daemons to end their streams, in seconds.
+GOODBYE_S = 2.0
+_SWEEP_TICKS = 50
+
+
+class ProxyController:
+    """Routes callers' requests and admits calls to the upstream here."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        context: ProxyContext,
+        admitter: Admitter,
+        streams: CallStreams,
+    ) -> None:
+        """Starts without listening."""
+        self._settings = settings
+        self._context = context
+        self._admitter = admitter
+        self._streams = streams
+        self._calls = CallServer(admitter)
+        self._callers = CallerServer(context)
+        context.board.snapshot.watch(self._follow_snapshot)
+
+    @classmethod
+    def from_settings(  # noqa: WPS211 - every part of the daemon it needs
+        cls,
+        settings: Settings,
+        board: Board,
+        listener: StreamListener,
+        credentials: Credentials,
+        clock: Clock,
+        random: RandomSource,
+        metrics: Metrics,
+        claims: Claims | None,
+    ) -> Self:
+        """Builds the controller of one daemon."""
+        timers = TimerWheel(clock.now())
+        suspicion = Suspicion(board, clock)
+        admitter = Admitter(board, clock, timers, suspicion)
+        streams = CallStreams.from_credentials(credentials, admitter)
+        context = ProxyContext(
+            board=board,
+            clock=clock,
+            random=random,
+            timers=timers,
+            router=Router(
+                settings.instance,
+                settings.failure_domain,
+                clock,
+                random,
+            ),
+            interest=ServiceInterest(board),
+            suspicion=suspicion,
+            pressure=Pressure(),
+            find_target=streams.find_target,
+            metrics=metrics,
+            claims=claims,
+            tasks=set(),
+            running=set(),
+        )
+        controller = cls(settings, context, admitter, streams)
+        listener.handle(Purpose.CALL, controller._calls.accept)
+        return controller
+
+    @property
+    def address(self) -> Address | None:
+        """Where callers are taken, once the controller listens."""
+        return self._callers.address
+
+    @property
+    def busy(self) -> int:
+        """How many requests and calls are under way."""
+        own = len(self._context.running) + len(self._context.tasks)
+        return own + self._admitter.outstanding + self._calls.open_calls
+
+    @property
+    def connections(self) -> int:
+        """How many callers' connections are open."""
+        return self._callers.connections
+
+    @property
+    def pressure(self) -> Pressure:
+        """How far the event loop is behind."""
+        return self._context.pressure
+
+    async def start(self) -> Address:
+        """Starts to listen for callers and returns the address bound."""
+        await self._callers.start(self._settings.listen.callers)
+        return self._callers.address
+
+    async def run(self) -> None:
+        """Listens and drives the timers until cancelled."""
+        if self._callers.address is None:
+            await self.start()
+        while True:
+            for _ in range(_SWEEP_TICKS):
+                await self._tick()
+            self._sweep()
+
+    async def drain(self) -> None:
+        """Refuses what is new and finishes what is in flight."""
+        clock = self._context.clock
+        until = clock.now() + self._settings.timing.drain_ms / MS_PER_S
+        self._context.board.phase.put(Phase.DRAINING)
+        self._calls.say_goodbye()
+        self._callers.drain()
+        while self.busy and clock.now() < until:
+            await sleep(TICK_S)
+        until = clock.now() + GOODBYE_S
+        while self._calls.open_streams and clock.now() < until:
+            await sleep(TICK_S)
+        _log.info('proxy_drained', extra={'left': self.busy})
+
+    async def stop(self) -> None:
+        """Ends every connection and stream."""
+        self._callers.close()
+        self._streams.close()
+        self._admitter.close()
+
+    async def _tick(self) -> None:
+        clock = self._context.clock
+        due = clock.now() + TICK_S
+        await sleep(TICK_S)
+        now = clock.now()
+        self.pressure.note_lag(now - due)
+        self._context.timers.advance(now)
+        self._admitter.expire_waiting()
+
+    def _follow_snapshot(self, snapshot: Snapshot | None) -> None:
+        if snapshot is None:
+            return
+        present = {
+            (endpoint.instance, endpoint.incarnation)
+            for route in snapshot.routes.values()
+            for endpoint in route.endpoints
+        }
+        self._context.router.forget_gone(present)
+
+    def _sweep(self) -> None:
+        self._context.suspicion.forget_expired()
+        self._callers.expire_idle(self._context.clock.now())
+        snapshot = self._context.board.snapshot.value
+        if snapshot is not None:
+            self._streams.close_unused(snapshot)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/crash_probe.py
@@ -0,0 +1,121 @@
+"""Tells a crashed upstream from one that only closed a connection.
+
+Requests whose connection ended wait for a try to connect: a refusal says that
+the upstream's process is gone.
+"""
+
+from asyncio import (
+    Event,
+    Protocol,
+    Transport,
+    get_running_loop,
+    timeout,
+)
+from collections.abc import Callable
+from enum import Enum
+
+from bilberry_core.endpoint import Address
+from bilberry_core.verdict import FailureCode
+from bilberry_proxy.admitted_call import AdmittedCall
+
+#: Longest time to find out whether the upstream is gone, in seconds.
+PROBE_TIMEOUT_S = 0.5
+#: Time that a connection must last to be a sign of life, in seconds.
+SETTLE_S = 0.05
+_PROBES = 3
+
+
+class CrashProbe:
+    """Collects the calls whose connection ended, until it is known why."""
+
+    def __init__(
+        self,
+        on_crash: Callable[[Address, list[AdmittedCall]], None],
+    ) -> None:
+        """Starts with no call; `on_crash` hears of each crash."""
+        self._on_crash = on_crash
+        self._broken: list[tuple[AdmittedCall, str]] = []
+        self._is_probing = False
+        self._tasks = set()
+
+    def add(self, call: AdmittedCall, detail: str, address: Address) -> None:
+        """Finds out why a call's connection ended, then fails the call."""
+        self._broken.append((call, detail))
+        if not self._is_probing:
+            self._is_probing = True
+            task = get_running_loop().create_task(self._probe(address))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _probe(self, address: Address) -> None:
+        gone = await is_gone(address)
+        self._is_probing = False
+        broken = self._broken
+        self._broken = []
+        if gone:
+            self._on_crash(address, [call for call, _ in broken])
+        for call, detail in broken:
+            call.fail(FailureCode.UPSTREAM_CLOSED, detail)
+
+
+async def is_gone(address: Address, settle_s: float = SETTLE_S) -> bool:
+    """Tells whether the process that listened on `address` has ended.
+
+    The kernel of a process that is ending may still take a connection, so one
+    that is closed again within `settle_s` seconds is no sign of life.
+    """
+    for _ in range(_PROBES):
+        connection = _ProbeConnection()
+        outcome = await _connect(connection, address)
+        if outcome is not _Outcome.CONNECTED:
+            return outcome is _Outcome.REFUSED
+        if await connection.lasts(settle_s):
+            return False
+    return False
+
+
+class _Outcome(Enum):
+    """What became of a try to connect."""
+
+    CONNECTED = 1
+    REFUSED = 2
+    UNKNOWN = 3
+
+
+class _ProbeConnection(Protocol):
+    """A connection that only waits for its end."""
+
+    def __init__(self) -> None:
+        self._ended = Event()
+        self._transport: Transport | None = None
+
+    def connection_made(self, transport: Transport) -> None:
+        self._transport = transport
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        self._ended.set()
+
+    async def lasts(self, settle_s: float) -> bool:
+        """Tells whether the connection is open after `settle_s` seconds."""
+        try:
+            async with timeout(settle_s):
+                await self._ended.wait()
+        except TimeoutError:
+            self._transport.abort()
+            return True
+        return False
+
+
+async def _connect(
+    connection: _ProbeConnection,
+    address: Address,
+) -> _Outcome:
+    loop = get_running_loop()
+    try:
+        async with timeout(PROBE_TIMEOUT_S):
+            await loop.create_connection(lambda: connection, *address)
+    except ConnectionRefusedError:
+        return _Outcome.REFUSED
+    except (OSError, TimeoutError):
+        return _Outcome.UNKNOWN
+    return _Outcome.CONNECTED
