--- a/tests/process/test_requests.py
+++ b/tests/process/test_requests.py
@@ -74,6 +74,7 @@
 
     def test_resend_after_herd_death_runs_once(self):
         """A booking sent again after every daemon died is not run again."""
+        self.wait(lambda: self._book('a-2').status == 200, 'the booking')
         first = self._book('a-2')
         daemons = self.fleet.running_daemons()
         for instance in daemons:
