--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 COUNT ?= 20000
 
 .PHONY: setup format lint unit test demo soak bench bench-acceptance \
-	bench-spread bench-call bench-claim bench-call
+	bench-spread bench-call bench-claim capacity
 
 setup: $(VENV)/.installed
 
@@ -50,7 +50,10 @@
 bench-claim: setup
 	$(BIN)/python -m tests.bench.claim
 
-bench: bench-acceptance bench-spread bench-call bench-claim
+bench: bench-acceptance bench-spread bench-call bench-claim capacity
+
+capacity: setup
+	$(BIN)/python -m tests.bench.capacity
 
 soak: setup
 	$(BIN)/python -m tests.soak --seed $(SEED) --count $(COUNT)
--- /dev/null
+++ b/tests/bench/capacity.py
@@ -0,0 +1,78 @@
+"""Recomputes the tables of docs/CAPACITY.md from recorded measurements.
+
+Each table stands between two markers on the page; all else is prose and is
+left alone. Run as `make capacity`.
+"""
+
+from pathlib import Path
+from re import DOTALL, Match
+from re import compile as compile_pattern
+
+from tests.bench.capacity_model import (
+    Budget,
+    Figure,
+    Measurements,
+    PlannedSize,
+    compute_calls,
+    compute_claims,
+    compute_faults,
+    compute_proxy,
+    compute_relay,
+    compute_source,
+)
+
+PAGE = Path(__file__).parents[2] / 'docs' / 'CAPACITY.md'
+_TABLE = compile_pattern(r'<!-- table: (\w+) -->\n.*?<!-- end -->', DOTALL)
+_HEAD = (
+    '| quantity | value | bound | fits | from |\n'
+    + '| --- | --- | --- | --- | --- |\n'
+)
+
+
+def render_page(page: str, measured: Measurements) -> str:
+    """Returns the page with every table computed anew."""
+    size = PlannedSize()
+    tables = {
+        'proxy': compute_proxy(measured, size, Budget()),
+        'relay': compute_relay(measured, size),
+        'source': compute_source(measured, size),
+        'calls': compute_calls(measured, size),
+        'claims': compute_claims(measured, size),
+        'faults': compute_faults(measured, size),
+    }
+
+    def replace(match: Match[str]) -> str:
+        rows = ''.join(map(_render_row, tables[match[1]]))
+        return f'<!-- table: {match[1]} -->\n{_HEAD}{rows}<!-- end -->'
+
+    return _TABLE.sub(replace, page)
+
+
+def main() -> None:
+    """Writes the page with its tables computed anew."""
+    page = PAGE.read_text()
+    PAGE.write_text(render_page(page, Measurements.from_folder()))
+
+
+def _render_row(figure: Figure) -> str:
+    bound = '' if figure.bound is None else _render(figure.bound, figure.unit)
+    cells = (
+        figure.name,
+        _render(figure.value, figure.unit),
+        bound,
+        figure.fits,
+        figure.source,
+    )
+    return f'| {" | ".join(cells)} |\n'
+
+
+def _render(value: float, unit: str) -> str:
+    return (
+        f'{value:,.3g} {unit}'.strip()
+        if value < 1000
+        else (f'{value:,.0f} {unit}'.strip())
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/bench/capacity_model.py
@@ -0,0 +1,431 @@
+"""What each role takes at the planned size: measured slopes times sizes."""
+
+from json import loads
+from pathlib import Path
+from statistics import linear_regression
+from typing import Any, NamedTuple
+
+MEASUREMENTS = Path(__file__).parents[2] / 'docs' / 'measurements'
+_SECONDS_PER_DAY = 86_400
+_US_PER_S = 1_000_000
+_MIB = 1 << 20
+
+
+class PlannedSize(NamedTuple):
+    """The size to design towards, and what this design adds to it.
+
+    `relays`, `holders`
+        Instances set aside.
+    `records_per_restart`
+        Endpoint records of one restart: draining, gone, starting, ready.
+    `services_per_proxy`
+        Services whose endpoints one proxy follows.
+    """
+
+    nodes: int = 17_000
+    services: int = 970
+    calls_per_s: float = 6_300_000
+    changes_per_day: int = 14_000
+    failures_per_day: int = 44
+    restarts_per_day: int = 970
+    domains: int = 13
+    relays: int = 50
+    holders: int = 5
+    records_per_restart: int = 4
+    services_per_proxy: int = 20
+    return_jitter_s: float = 10
+
+
+class Budget(NamedTuple):
+    """What control may take on one node."""
+
+    core_percent: float = 4.5
+    memory_mb: float = 64
+    bytes_per_s: float = 2048
+    instances: int = 56
+
+
+class Line(NamedTuple):
+    """A fitted line and the largest distance of a point from it."""
+
+    slope: float
+    intercept: float
+    spread: float
+
+    def at(self, size: float) -> float:
+        """Returns the line's value at a size."""
+        return self.intercept + self.slope * size
+
+
+class Figure(NamedTuple):
+    """One row of a table: a quantity, its bound and how it came about."""
+
+    name: str
+    value: float
+    unit: str
+    bound: float | None
+    source: str
+
+    @property
+    def fits(self) -> str:
+        """Whether the value is within the bound."""
+        if self.bound is None:
+            return ''
+        return 'yes' if self.value <= self.bound else 'no'
+
+
+class Measurements(NamedTuple):
+    """The recorded measurements, as their benches wrote them."""
+
+    spread: dict[str, Any]
+    state: dict[str, Any]
+    claim: dict[str, Any]
+    call: dict[str, Any]
+
+    @classmethod
+    def from_folder(cls, folder: Path = MEASUREMENTS) -> 'Measurements':
+        """Reads the files of a folder."""
+        names = ('spread', 'spread_state', 'claim', 'call')
+        return cls(*(_read(folder, name) for name in names))
+
+
+def fit_line(points: list[tuple[float, float]]) -> Line:
+    """Returns the least squares line through (size, value) points."""
+    sizes, values = zip(*points, strict=True)
+    if len(set(sizes)) == 1:
+        return Line(0, values[0], 0)
+    slope, intercept = linear_regression(sizes, values)
+    line = Line(slope, intercept, 0)
+    spread = max(abs(line.at(size) - found) for size, found in points)
+    return line._replace(spread=spread)
+
+
+def fit_role(
+    measured: Measurements,
+    phase: str,
+    role: str,
+    quantity: str,
+) -> Line:
+    """Fits a role's quantity in a phase over the proxies of the fleet."""
+    return fit_line(
+        [
+            (fleet['proxies'], fleet[phase][role][quantity])
+            for fleet in measured.spread['fleets']
+            if not fleet['naive'] and role in fleet[phase]
+        ],
+    )
+
+
+def get_records_per_s(size: PlannedSize) -> float:
+    """Returns the endpoint records a second on an ordinary day."""
+    restarts = size.restarts_per_day + size.failures_per_day
+    return restarts * size.records_per_restart / _SECONDS_PER_DAY
+
+
+def get_bytes_per_change(
+    measured: Measurements,
+    role: str,
+    direction: str,
+) -> float:
+    """Returns a role's bytes for each change, of the largest fleet."""
+    fleet = _get_largest(measured)
+    changing = fleet['changing'][role][f'{direction}_bytes']
+    idle = fleet['idle'][role][f'{direction}_bytes_per_s']
+    seconds = fleet['changing'][role]['seconds']
+    return max(changing - idle * seconds, 0) / fleet['changes']
+
+
+def compute_proxy(
+    measured: Measurements,
+    size: PlannedSize,
+    budget: Budget,
+) -> list[Figure]:
+    """Returns what control takes on a node with the role proxy alone."""
+    idle = _get_largest(measured)['idle']['proxy']
+    idle_bytes = idle['sent_bytes_per_s'] + idle['received_bytes_per_s']
+    changes = size.changes_per_day / _SECONDS_PER_DAY
+    change_bytes = changes * get_bytes_per_change(measured, 'proxy', 'received')
+    record_bytes = measured.state['sizes'][-1]['record_bytes']
+    share = size.services_per_proxy / size.services
+    moves = get_records_per_s(size) * share * record_bytes
+    followed = size.nodes * share
+    rss = _get_largest(measured)['idle']['proxy']['rss_mb']
+    held = followed * _get_rss_per_endpoint(measured) / _MIB
+    core = fit_role(measured, 'idle', 'proxy', 'core_percent')
+    return [
+        Figure(
+            'bytes, idle',
+            idle_bytes,
+            'B/s',
+            None,
+            'spread idle: beacons, renewals',
+        ),
+        Figure(
+            'bytes, idle, changes and moves',
+            idle_bytes + change_bytes + moves,
+            'B/s',
+            budget.bytes_per_s,
+            'plus changes a second times bytes a change, plus records',
+        ),
+        Figure(
+            'processor, idle',
+            core.at(0),
+            '% of a core',
+            budget.core_percent,
+            f'spread idle over fleet size, spread {core.spread:.3f}',
+        ),
+        Figure(
+            'memory',
+            rss + held,
+            'MB',
+            budget.memory_mb,
+            'spread idle resident size, plus endpoints followed',
+        ),
+    ]
+
+
+def compute_relay(
+    measured: Measurements,
+    size: PlannedSize,
+) -> list[Figure]:
+    """Returns what a relay takes with its share of the fleet attached."""
+    attached = size.nodes / size.relays
+    per_relay = _get_relays(measured)
+    sent = _fit_attached(measured, 'idle', 'sent_bytes_per_s', per_relay)
+    core = _fit_attached(measured, 'idle', 'core_percent', per_relay)
+    record = measured.state['sizes'][-1]
+    mesh = get_records_per_s(size) / size.relays * record['record_bytes']
+    share = size.services_per_proxy / size.services
+    down = get_records_per_s(size) * share * attached * record['record_bytes']
+    change = get_bytes_per_change(measured, 'proxy', 'received') * attached
+    rss = _get_largest(measured)['idle']['relay']['rss_mb']
+    return [
+        Figure('proxies attached', attached, '', None, 'nodes over relays'),
+        Figure(
+            'bytes sent, idle',
+            sent.at(attached),
+            'B/s',
+            None,
+            f'slope {sent.slope:.1f} B/s a proxy, spread {sent.spread:.0f}',
+        ),
+        Figure(
+            'bytes sent for a change',
+            change,
+            'B',
+            None,
+            'bytes a change into a proxy times proxies attached',
+        ),
+        Figure(
+            'bytes sent for endpoints',
+            mesh * (size.relays - 1) + down,
+            'B/s',
+            None,
+            'records of its own proxies to the mesh, all to its proxies',
+        ),
+        Figure(
+            'processor, idle',
+            core.at(attached),
+            '% of a core',
+            100,
+            f'slope {core.slope:.3f} a proxy, spread {core.spread:.2f}',
+        ),
+        Figure(
+            'memory',
+            rss + record['rss_bytes'] / _MIB,
+            'MB',
+            None,
+            'idle resident size plus the measured 17,000 endpoints',
+        ),
+    ]
+
+
+def compute_source(
+    measured: Measurements,
+    size: PlannedSize,
+) -> list[Figure]:
+    """Returns what a replica takes with the relays attached to it."""
+    relays = _get_relays(measured)
+    fleet = _get_largest(measured)
+    idle = fleet['idle']['source']['sent_bytes_per_s'] / relays
+    change = get_bytes_per_change(measured, 'source', 'sent') / relays
+    attached = size.relays / size.holders
+    changes = size.changes_per_day / _SECONDS_PER_DAY
+    grown = fit_role(measured, 'changing', 'source', 'sent_bytes')
+    return [
+        Figure('relays attached', attached, '', None, 'relays over replicas'),
+        Figure(
+            'bytes sent, idle',
+            idle * attached,
+            'B/s',
+            None,
+            f'{idle:.1f} B/s a relay',
+        ),
+        Figure(
+            'bytes sent, changes',
+            changes * change * attached,
+            'B/s',
+            None,
+            f'{change:.0f} B a change and relay',
+        ),
+        Figure(
+            'growth with the fleet',
+            grown.slope,
+            'B a proxy',
+            None,
+            'slope over fleet size with the relays fixed',
+        ),
+    ]
+
+
+def compute_calls(
+    measured: Measurements,
+    size: PlannedSize,
+) -> list[Figure]:
+    """Returns what requests take on one node."""
+    calls = size.calls_per_s / size.nodes
+    rate = measured.call['reads']['rates'][-1]
+    entry, beside = rate['cpu_us_per_call']
+    return [
+        Figure('calls a node', calls, '1/s', None, 'calls over nodes'),
+        Figure(
+            'processor, calls',
+            calls * (entry + beside) / _US_PER_S * 100,
+            '% of a core',
+            100,
+            f'{entry} us where a call enters, {beside} us beside its upstream',
+        ),
+        Figure(
+            'latency added, median',
+            rate['added_ms']['proxy']['p50'],
+            'ms',
+            None,
+            f'reads at {rate["calls_per_s"]} calls/s',
+        ),
+        Figure(
+            'latency added, 99th percentile',
+            rate['added_ms']['proxy']['p99'],
+            'ms',
+            0.45,
+            f'reads at {rate["calls_per_s"]} calls/s',
+        ),
+    ]
+
+
+def compute_claims(
+    measured: Measurements,
+    size: PlannedSize,
+) -> list[Figure]:
+    """Returns what claims take on a holder."""
+    saturated = [
+        one['saturation']['claims_per_s'] for one in measured.claim['holders']
+    ]
+    most = saturated[-1]
+    store = measured.claim['store']
+    day = _SECONDS_PER_DAY * most / 2
+    return [
+        Figure(
+            'claims, saturated',
+            most,
+            '1/s',
+            None,
+            f'{size.holders} holders of one fleet',
+        ),
+        Figure(
+            'share of calls that may be claimed',
+            100 * most / size.calls_per_s,
+            '%',
+            None,
+            'saturated claims over all calls',
+        ),
+        Figure(
+            'memory of a day at half that rate',
+            day * store['memory_bytes_per_claim'] / _MIB,
+            'MB',
+            None,
+            f'{store["memory_bytes_per_claim"]} B a claim, kept for a day',
+        ),
+        Figure(
+            'disk of a day at half that rate',
+            day * store['compacted_bytes_per_claim'] / _MIB,
+            'MB',
+            None,
+            f'{store["compacted_bytes_per_claim"]} B a claim, compacted',
+        ),
+    ]
+
+
+def compute_faults(
+    measured: Measurements,
+    size: PlannedSize,
+) -> list[Figure]:
+    """Returns what losses and returns take of a relay."""
+    record = measured.state['sizes'][-1]
+    domain = size.nodes / size.domains
+    take_ms = record['take_all_ms'] / size.nodes * domain
+    joins = domain / (size.relays * (size.domains - 1) / size.domains)
+    return [
+        Figure(
+            'nodes in a failure domain',
+            domain,
+            '',
+            None,
+            'nodes over domains',
+        ),
+        Figure(
+            'records of its loss, time in each relay',
+            take_ms,
+            'ms',
+            None,
+            'time to take all records, by share',
+        ),
+        Figure(
+            'joins at each relay left',
+            joins,
+            '',
+            None,
+            'its nodes over the relays of the other domains',
+        ),
+        Figure(
+            'joins a second at each relay left',
+            joins / size.return_jitter_s,
+            '1/s',
+            100,
+            'over the longest backoff; relays admit 100 a second',
+        ),
+    ]
+
+
+def _read(folder: Path, name: str) -> dict[str, Any]:
+    return loads((folder / f'{name}.json').read_text())
+
+
+def _get_largest(measured: Measurements) -> dict[str, Any]:
+    fleets = [one for one in measured.spread['fleets'] if not one['naive']]
+    return max(fleets, key=_get_proxies)
+
+
+def _get_proxies(fleet: dict[str, Any]) -> int:
+    return fleet['proxies']
+
+
+def _get_relays(measured: Measurements) -> int:
+    return _get_largest(measured)['relays']
+
+
+def _get_rss_per_endpoint(measured: Measurements) -> float:
+    return fit_line(
+        [
+            (one['endpoints'], one['rss_bytes'])
+            for one in measured.state['sizes']
+        ],
+    ).slope
+
+
+def _fit_attached(
+    measured: Measurements,
+    phase: str,
+    quantity: str,
+    relays: int,
+) -> Line:
+    line = fit_role(measured, phase, 'relay', quantity)
+    return line._replace(slope=line.slope * relays)
