--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 
 bench-spread: setup
 	$(BIN)/python -m tests.bench.spread
+	$(BIN)/python -m tests.bench.spread_faults
 	$(BIN)/python -m tests.bench.spread_state
 	$(BIN)/python -m tests.bench.spread_daemons
 
--- a/packages/bilberry_spread/bilberry_spread/reception.py
+++ b/packages/bilberry_spread/bilberry_spread/reception.py
@@ -192,6 +192,7 @@
             return
         if running is None or accepted.version > running.version:
             self._board.accepted.put(accepted)
+            self._edges.metrics.gauge('spread.version', accepted.version)
 
     def _note_behind(self, now: float) -> None:
         beacon = self._board.beacon.value
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -168,7 +168,11 @@
         for peer in self._mesh.values():
             if not peer.is_open:
                 directory.start_leases_of(peer.peer.instance, now)
-        directory.expire(now, mine_only=self._is_stale)
+        ended = directory.expire(now, mine_only=self._is_stale)
+        if ended:
+            self._edges.metrics.incr('spread.leases_ended', len(ended))
+            instances = [endpoint.instance for endpoint in ended]
+            _log.info('leases_ended', extra={'instances': instances})
 
     def _report(self) -> None:
         if self._broadcast.take_versions():
@@ -182,6 +186,7 @@
 
     def _put_proxies(self) -> None:
         mine = self._broadcast.receivers.versions
+        self._edges.metrics.gauge('spread.receivers', len(mine))
         snapshot = self._board.snapshot.value
         if snapshot is not None and Role.PROXY in self._settings.roles:
             mine[self._settings.instance] = snapshot.version
--- a/tests/bench/spread.py
+++ b/tests/bench/spread.py
@@ -11,7 +11,6 @@
 from os import cpu_count, environ
 from pathlib import Path
 from platform import python_version
-from signal import SIGCONT, SIGSTOP
 from statistics import quantiles
 from sys import executable
 from time import monotonic, time
@@ -30,8 +29,6 @@
 IDLE_S = 15
 #: Services of one more fleet, of the smallest size; 0 for none.
 WIDE_SERVICES = int(environ.get('WIDE_SERVICES', '970'))
-#: Time in which a fleet settles after a fault, in seconds.
-SETTLE_S = 4
 #: Between two changes, in seconds.
 CHANGE_S = 0.4
 #: Longest wait for anything, in seconds.
@@ -297,74 +294,6 @@
         await fleet.end()
 
 
-async def kill_half(fleet: BenchFleet) -> list[float]:
-    """Kills a relay in each domain; returns the delays of a change."""
-    victims = fleet.relays[: RELAYS // 2]
-    await gather(*(victim.end() for victim in victims))
-    delays = await fleet.change()
-    await gather(*(victim.launch() for victim in victims))
-    fleet.start_controllers(victims)
-    await sleep(SETTLE_S)
-    return delays
-
-
-async def freeze_relay(fleet: BenchFleet) -> list[float]:
-    """Freezes a relay; returns the delays of a change."""
-    victim = fleet.relays[0].process
-    victim.send_signal(SIGSTOP)
-    try:
-        return await fleet.change()
-    finally:
-        victim.send_signal(SIGCONT)
-        await sleep(SETTLE_S)
-
-
-async def return_all(fleet: BenchFleet) -> list[float]:
-    """Restarts all proxies at once after changes that passed them by."""
-    await gather(*(proxy.end() for proxy in fleet.proxies))
-    for number in range(100):
-        fleet.version += 1
-        fleet.source.order(
-            'accept',
-            version=fleet.version,
-            services=fleet.services,
-        )
-    await fleet.source.wait('accepted', version=fleet.version)
-    await gather(*(proxy.launch() for proxy in fleet.proxies))
-    fleet.start_controllers(fleet.proxies)
-    delays = []
-    for proxy in fleet.proxies:
-        started = await proxy.wait('started')
-        running = await proxy.wait('running', version=fleet.version)
-        delays.append(running['at'] - started['at'])
-    return delays
-
-
-async def measure_faults(proxies: int) -> dict:
-    """Measures a fleet through faults, one after the other."""
-    fleet = BenchFleet(proxies, Kind.TREE, SERVICES)
-    found: dict = {'proxies': proxies, 'relays': RELAYS}
-    try:
-        await fleet.start()
-        for fault in (kill_half, freeze_relay, return_all):
-            delays: list[float] = []
-
-            async def work(fault=fault, delays=delays) -> None:
-                delays.extend(await fault(fleet))
-
-            if fault is return_all:
-                await work()
-            else:
-                found[f'{fault.__name__}_cost'] = await measure(
-                    fleet,
-                    work,
-                )
-            found[fault.__name__] = summarize(delays)
-        return found
-    finally:
-        await fleet.end()
-
-
 def print_table(rows: list[dict]) -> None:
     """Prints a line for each fleet."""
     print('proxies services version  config p50/p99/worst ms   everywhere p99')
@@ -406,10 +335,6 @@
             await measure_fleet(FLEETS[0], Kind.TREE, WIDE_SERVICES),
         )
         print_table(rows[-1:])
-    faults = await measure_faults(FLEETS[-1])
-    print('faults:')
-    for fault in ('kill_half', 'freeze_relay', 'return_all'):
-        print(f'  {fault:14} p50/p99/worst ms {describe(faults[fault])}')
     OUTPUT.parent.mkdir(parents=True, exist_ok=True)
     OUTPUT.write_text(
         dumps(
@@ -420,7 +345,6 @@
                 'daemon': 'controllers in processes of their own',
                 'naive_poll_s': POLL_S,
                 'fleets': rows,
-                'faults': faults,
             },
             indent=1,
         )
--- /dev/null
+++ b/tests/bench/spread_faults.py
@@ -0,0 +1,109 @@
+"""Measures spreading through faults, one after the other in one fleet.
+
+Each figure is the delay from acceptance, or for `return_all` from the start of
+each proxy's controllers, until a proxy runs the version. `kill_half` and
+`cut_off_relay` accept a version right after the fault.
+"""
+
+from asyncio import gather, run, sleep
+from json import dumps
+from signal import SIGCONT, SIGSTOP
+
+from tests.bench.spread import (
+    FLEETS,
+    OUTPUT,
+    RELAYS,
+    SERVICES,
+    BenchFleet,
+    Kind,
+    summarize,
+)
+
+FAULTS_OUTPUT = OUTPUT.with_name('spread_faults.json')
+COMMAND = 'python -m tests.bench.spread_faults'
+#: Time in which a fleet settles after a fault, in seconds.
+SETTLE_S = 4
+
+
+async def kill_half(fleet: BenchFleet) -> list[float]:
+    """Kills a relay in each domain; returns the delays of a change."""
+    victims = fleet.relays[: RELAYS // 2]
+    await gather(*(victim.end() for victim in victims))
+    delays = await fleet.change()
+    await gather(*(victim.launch() for victim in victims))
+    fleet.start_controllers(victims)
+    await sleep(SETTLE_S)
+    return delays
+
+
+async def freeze_relay(fleet: BenchFleet) -> list[float]:
+    """Freezes a relay; returns the delays of a change."""
+    victim = fleet.relays[-1].process
+    victim.send_signal(SIGSTOP)
+    try:
+        return await fleet.change()
+    finally:
+        victim.send_signal(SIGCONT)
+        await sleep(SETTLE_S)
+
+
+async def cut_off_relay(fleet: BenchFleet) -> list[float]:
+    """Cuts a relay off from source and relays, but not from its proxies."""
+    victim = fleet.relays[-2]
+    victim.order('cut_off')
+    delays = await fleet.change()
+    await victim.end()
+    await victim.launch()
+    fleet.start_controllers([victim])
+    await sleep(SETTLE_S)
+    return delays
+
+
+async def return_all(fleet: BenchFleet) -> list[float]:
+    """Restarts all proxies at once after changes that passed them by."""
+    await gather(*(proxy.end() for proxy in fleet.proxies))
+    for number in range(100):
+        fleet.version += 1
+        fleet.source.order(
+            'accept',
+            version=fleet.version,
+            services=fleet.services,
+        )
+    await fleet.source.wait('accepted', version=fleet.version)
+    await gather(*(proxy.launch() for proxy in fleet.proxies))
+    fleet.start_controllers(fleet.proxies)
+    delays = []
+    for proxy in fleet.proxies:
+        started = await proxy.wait('started')
+        running = await proxy.wait('running', version=fleet.version)
+        delays.append(running['at'] - started['at'])
+    return delays
+
+
+FAULTS = (freeze_relay, cut_off_relay, kill_half, return_all)
+
+
+async def measure_faults(proxies: int) -> dict:
+    """Measures a fleet through faults, one after the other."""
+    fleet = BenchFleet(proxies, Kind.TREE, SERVICES)
+    found: dict = {'proxies': proxies, 'relays': RELAYS}
+    try:
+        await fleet.start()
+        for fault in FAULTS:
+            found[fault.__name__] = summarize(await fault(fleet))
+            print(fault.__name__, found[fault.__name__])
+        return found
+    finally:
+        await fleet.end()
+
+
+async def main() -> None:
+    """Measures every size and writes the JSON."""
+    rows = [await measure_faults(proxies) for proxies in FLEETS]
+    FAULTS_OUTPUT.write_text(
+        dumps({'command': COMMAND, 'fleets': rows}, indent=1) + '\n',
+    )
+
+
+if __name__ == '__main__':
+    run(main())
--- a/tests/bench/spread_node.py
+++ b/tests/bench/spread_node.py
@@ -89,6 +89,7 @@
         self.listener = StreamListener(self.credentials)
         self.seen: dict[str, int] = {}
         self.tasks: list = []
+        self.spreader = None
 
     async def run(self) -> None:
         """Takes orders until told to stop."""
@@ -124,7 +125,8 @@
             replicas=tuple(make_peer(*peer) for peer in replicas),
             relays=tuple(make_peer(*peer) for peer in relays),
         )
-        controllers = [self._make_spreader(settings)]
+        self.spreader = self._make_spreader(settings)
+        controllers = [self.spreader]
         if self.options['role'] == 'proxy':
             controllers.append(
                 SnapshotController.from_settings(settings, self.board),
@@ -161,6 +163,14 @@
             ),
         )
 
+    def do_cut_off(self) -> None:
+        """Ends the streams to source and relays; dials get no answer."""
+        spreader = self.spreader
+        spreader._edges.dialer.dial = lambda *_arguments: None
+        spreader._source.attachment.main.close()
+        for peer in spreader._mesh.values():
+            peer.stop()
+
     def do_report(self) -> None:
         """Tells bytes, processor time and memory."""
         usage = getrusage(RUSAGE_SELF)
