--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -22,6 +22,10 @@
 from bilberry_proxy.upstream_pool import UpstreamPool
 from bilberry_proxy.waiting_line import Refused, WaitingLine
 
+#: When a caller whose request was in flight at a crash may come back, in
+#: milliseconds; by then every proxy knows of the crash.
+CRASH_RETRY_AFTER_MS = 1000
+
 _log = getLogger(__name__)
 
 #: Longest time that a call given up on keeps its slot, in seconds, while the
@@ -149,22 +153,23 @@
             call = self._line.take_next()
 
     def _note_crash(self, address: Address, calls: list[AdmittedCall]) -> None:
-        named = [
-            call
-            for call in calls
-            if not self._suspicion.is_cleared(call.start.fingerprint)
-        ]
-        fingerprints = [call.start.fingerprint for call in named]
-        own = self._board.own_endpoint.value
-        self._suspicion.name(fingerprints, own)
+        suspects = self._suspicion.pick_suspects(
+            [call.start.fingerprint for call in calls],
+        )
+        self._suspicion.name(suspects, self._board.own_endpoint.value)
         crash = UpstreamCrash(address, self._clock.wall_ms())
         self._board.upstream_crash.put(crash)
         _log.warning(
             'upstream_crashed',
-            extra={'in_flight': len(calls), 'suspects': len(named)},
+            extra={'in_flight': len(calls), 'suspects': len(suspects)},
         )
-        for call in named:
-            call.fail(FailureCode.UPSTREAM_CRASHED, 'the upstream crashed')
+        for call in calls:
+            if call.start.fingerprint in suspects:
+                call.fail(
+                    FailureCode.UPSTREAM_CRASHED,
+                    'the upstream crashed',
+                    CRASH_RETRY_AFTER_MS,
+                )
 
     def _connection_ended(self, connection: UpstreamConnection) -> None:
         call = self._lingering.pop(connection, None)
--- a/tests/bench/call.py
+++ b/tests/bench/call.py
@@ -18,6 +18,7 @@
 from numpy import array, percentile
 from uvloop import run
 
+from tests.bench.bookings import measure_bookings
 from tests.bench.client import Client, Reply, encode_get, send_steadily
 from tests.bench.faults import measure_faults
 from tests.bench.fleet import SLOTS, BenchFleet
@@ -26,8 +27,8 @@
 RATES = (50, 200, 370)
 PERCENTILES = {'p50': 50, 'p99': 99, 'p99.9': 99.9}
 WARM_CALLS = 300
-URGENT_SHARE = 5
-LATENCY_MS = 10
+URGENT_SHARE = 10
+LATENCY_MS = 40
 URGENT_DEADLINE_S = 0.5
 REQUEST_HEADERS = {'user_agent': 'van/1.0', 'accept': 'application/json'}
 RESULT = Path('docs/measurements/call.json')
@@ -115,7 +116,7 @@
 
 
 async def measure_overload(client: Client, factor: int) -> dict[str, Any]:
-    """Offers a multiple of what the upstream serves; one in five urgent."""
+    """Offers a multiple of what the upstream serves; one in ten urgent."""
     capacity = SLOTS / LATENCY_MS * 1000
     urgent = encode_get('/urgent', **REQUEST_HEADERS)
     deferrable = encode_get('/deferrable', **REQUEST_HEADERS)
@@ -125,7 +126,7 @@
         return is_urgent, await client.send(urgent if is_urgent else deferrable)
 
     rate = capacity * factor
-    rows = await send_steadily(rate, int(rate * 3), send_one)
+    rows = await send_steadily(rate, int(rate * 6), send_one)
     result: dict[str, Any] = {'factor': factor, 'calls_per_s': rate}
     for name, wanted in (('urgent', True), ('deferrable', False)):
         replies = [reply for is_urgent, reply in rows if is_urgent is wanted]
@@ -205,6 +206,7 @@
         ]
     with ExitStack() as stack, TemporaryDirectory() as folder:
         result['faults'] = await measure_faults(BenchFleet(stack, folder))
+    result['bookings'] = await measure_bookings(summarize)
     return result
 
 
--- a/tests/bilberry_proxy/test_failures.py
+++ b/tests/bilberry_proxy/test_failures.py
@@ -1,11 +1,12 @@
 """Failures brought about through real sockets: the verdict is always true."""
 
-from asyncio import create_task, gather, run
+from asyncio import Event, create_task, gather, run
 
 from testtools import TestCase
 
 from bilberry_core.board import Phase
-from bilberry_core.configuration import Configuration
+from bilberry_core.configuration import Configuration, RouteException
+from bilberry_core.policy import PolicyChange, Priority
 from tests.bilberry_proxy.fleet import call, configure, open_fleet, until
 
 UPSTREAM = {'slots': 2}
@@ -266,6 +267,46 @@
             self.assertNotEqual('', answer.get_header(b'retry-after'))
 
 
+class PressureTest(TestCase):
+    """A proxy whose event loop falls behind sheds what can wait."""
+
+    def test_deferrable_is_shed_before_urgent(self):
+        """Shedding goes by priority and ends with the pressure."""
+
+        async def scenario():
+            exceptions = tuple(
+                RouteException(
+                    priority.value,
+                    'callouts',
+                    'a test of priorities',
+                    PolicyChange(priority=priority),
+                    f'/{priority.value}',
+                )
+                for priority in Priority
+            )
+            configuration = configure()._replace(exceptions=exceptions)
+            async with open_fleet(
+                UPSTREAM, configuration=configuration
+            ) as fleet:
+                node = fleet.nodes[0]
+                told = []
+                note_lag = node.proxy.pressure.note_lag
+                node.proxy.pressure.note_lag = lambda _lag_s: None
+                for lag_s in (0.3, 3, 0):
+                    note_lag(lag_s)
+                    answers = [
+                        await call(node, f'/{priority.value}')
+                        for priority in Priority
+                    ]
+                    told.append([one.status for one in answers])
+                return told
+
+        self.assertEqual(
+            [[200, 200, 503], [200, 503, 503], [200, 200, 200]],
+            run(scenario()),
+        )
+
+
 class LeavingTest(TestCase):
     """Upstreams and daemons that leave while requests flow."""
 
@@ -286,6 +327,42 @@
 
         self.assertEqual((200, 503, ('not_run', 'draining')), run(scenario()))
 
+    def test_graceful_stop_cuts_no_call_of_another_daemon(self):
+        """Calls that cross the stop are answered, or were not run."""
+
+        async def scenario():
+            upstream = {'slots': 8, 'latency_ms': 1}
+            async with open_fleet(upstream, upstream, CALLER_ONLY) as fleet:
+                leaving, _, caller = fleet.nodes
+                fleet.is_lagging = True
+                told = []
+                stopped = Event()
+
+                async def work(name):
+                    at = 0
+                    while not stopped.is_set():
+                        at += 1
+                        answer = await call(
+                            caller, '/', 'POST', x_request_id=f'{name}-{at}'
+                        )
+                        told.append((answer.status, verdict(answer)[0]))
+
+                workers = [create_task(work(name)) for name in range(6)]
+                await until(lambda: leaving.upstream.records.runs)
+                await leaving.proxy.drain()
+                await leaving.proxy.stop()
+                leaving.listener.close()
+                before = len(told)
+                await until(lambda: len(told) > before + 50)
+                stopped.set()
+                await gather(*workers)
+                runs = count_runs(fleet)
+                return set(told), max(runs.values())
+
+        told, most = run(scenario())
+        self.assertEqual(set(), told - {(200, ''), (503, 'not_run')})
+        self.assertEqual(1, most)
+
     def test_upstream_that_leaves_gets_no_new_work(self):
         """After DELETE nothing new arrives and what runs is finished."""
 
