Test what broken copies of the claims passed

Answers to another body, an epoch that changes during a claim, the own part in a handover and the status of holders that are not ready had no test that failed without them. The drawn schedules now also check that an answer and a mismatch belong to the bodies sent.

--- a/tests/bilberry_claims/test_client.py
+++ b/tests/bilberry_claims/test_client.py
@@ -86,6 +86,18 @@
 
         self.assertIsInstance(run(scenario()), Mismatch)
 
+    def test_answer_is_not_given_to_another_body(self):
+        async def scenario():
+            async with Fleet() as fleet:
+                client = fleet.add_client()
+                one = make_attempt(b'1')
+                await client.claim(one, TIMEOUT_S)
+                await client.settle(one, ANSWER, TIMEOUT_S)
+                other = make_attempt(b'2', body=b'other')
+                return await client.claim(other, TIMEOUT_S)
+
+        self.assertIsInstance(run(scenario()), Mismatch)
+
     def test_racing_clients_get_exactly_one_grant(self):
         async def scenario(size, racers):
             async with Fleet(size) as fleet:
--- /dev/null
+++ b/tests/bilberry_claims/test_handover.py
@@ -0,0 +1,41 @@
+"""Handovers: complete once a majority of the holders says so."""
+
+from testtools import TestCase
+
+from bilberry_claims.handover import Handover
+from bilberry_core.board import ClaimEpoch, Holder
+from bilberry_core.messages.claim import HolderPhase, HolderStatus, Standing
+
+_HOLDERS = tuple(Holder(name, '', 0, name) for name in 'abc')
+_EPOCH = ClaimEpoch(2, _HOLDERS, _HOLDERS[:1])
+_NUMBER = 4
+
+
+def _status(epoch=_NUMBER, is_caught_up=True):
+    standing = Standing(HolderPhase.FULL, 1, {})
+    return HolderStatus(0, epoch, standing, is_caught_up)
+
+
+class HandoverTest(TestCase):
+    """What one replica hears of the others."""
+
+    def test_own_and_one_other_are_enough(self):
+        handover = Handover('a', _EPOCH)
+        handover.receive('b', _status())
+        self.assertFalse(handover.is_complete)
+        handover.note_own()
+        self.assertTrue(handover.is_complete)
+        self.assertEqual((), handover.poll())
+
+    def test_others_do_not_count(self):
+        handover = Handover('a', _EPOCH)
+        handover.note_own()
+        handover.receive('b', _status(is_caught_up=False))
+        handover.receive('b', _status(_NUMBER - 1))
+        handover.receive('d', _status())
+        self.assertFalse(handover.is_complete)
+        self.assertEqual(['b', 'c'], [one.instance for one in handover.poll()])
+
+    def test_nobody_is_asked_without_a_handover(self):
+        handover = Handover('a', ClaimEpoch(2, _HOLDERS))
+        self.assertEqual((), handover.poll())
--- a/tests/bilberry_claims/test_holder.py
+++ b/tests/bilberry_claims/test_holder.py
@@ -7,7 +7,7 @@
 
 from bilberry_claims.holder import JOURNAL_NAME, HolderController
 from bilberry_claims.limit import ClaimLimits
-from bilberry_core.board import Board, ClaimEpoch, Holder
+from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.claim import Answered, Granted, Taken, Unavailable
 from bilberry_core.clock import MS_PER_S, SystemClock
 from bilberry_core.endpoint import Address
@@ -200,15 +200,20 @@
     def test_handover_waits_for_a_majority_of_the_holders(self):
         async def scenario(fleet):
             before = fleet.epoch.holders
-            fresh = [fleet.add_replica() for _ in range(2)]
-            await fresh[0].start(fleet.epoch)
-            missing = Holder('replica-4', '127.0.0.1', 9, 'domain-1')
-            holders = (before[0], fresh[0].holder, missing)
-            await fleet.replicas[0].crash()
-            fleet.replicas = fleet.replicas[1:4]
+            down = fleet.replicas[0]
+            one, two = fleet.add_replica(), fleet.add_replica()
+            for replica in (one, two):
+                await replica.start(fleet.epoch)
+            await two.crash()
+            await down.crash()
+            holders = (before[0], one.holder, two.holder)
             fleet.announce(ClaimEpoch(2, holders, before))
-            await wait_until(lambda: fresh[0].controller.is_caught_up)
-            return fresh[0].controller.is_handed_over
+            await wait_until(lambda: one.controller.is_caught_up)
+            is_early = one.controller.is_handed_over
+            await two.start(fleet.epoch)
+            await wait_until(lambda: one.controller.is_handed_over)
+            await down.start(fleet.epoch)
+            return is_early
 
         self.assertFalse(play(scenario))
 
@@ -221,6 +226,7 @@
             await fleet.caught_up()
             refused = await client.claim(ONE, 0.3)
             claim = create_task(client.claim(TWO, TIMEOUT_S))
+            await wait_until(lambda: client._holders._exchanges)
             board.claim_epoch.put(fleet.epoch)
             return refused, await claim
 
--- a/tests/bilberry_claims/world.py
+++ b/tests/bilberry_claims/world.py
@@ -43,6 +43,7 @@
         self.granted = {}
         self.runs = {}
         self.answers = {}
+        self.bodies = {}
 
     def grant(self, key, attempt):
         """Grants a key that nobody holds."""
@@ -61,11 +62,13 @@
             raise Violation(f'{key} run by {self.runs[key]} and {attempt}')
         self.runs[key] = attempt
 
-    def check(self, key, outcome):
+    def check(self, key, body, outcome):
         """Checks an outcome other than a grant."""
         if isinstance(outcome, Answered):
-            if outcome.answer != self.answers.get(key):
+            if (body, outcome.answer) != self.answers.get(key):
                 raise Violation(f'{key} answered {outcome.answer}')
+        if isinstance(outcome, Mismatch) and self.bodies[key] == {body}:
+            raise Violation(f'{key} refused, its only body is {body}')
 
 
 class Node:
@@ -191,6 +194,7 @@
         tools = Tools(lambda: next(self.requests), self.random)
         proxy = Proxy(f'proxy-{number}', attempt, tools)
         self.proxies[proxy.name] = proxy
+        self.naive.bodies.setdefault(key, set()).add(body)
         proxy.epoch = self.random.choice(self.history[-2:])
         self.send(proxy.name, proxy.process.begin(proxy.epoch))
         return proxy
@@ -254,7 +258,7 @@
         if isinstance(outcome, Granted):
             self.naive.grant(proxy.key, proxy.name)
             return
-        self.naive.check(proxy.key, outcome)
+        self.naive.check(proxy.key, proxy.attempt.fingerprint, outcome)
         if proxy.process.withdrawn and not proxy.process.token:
             fact = Fact(proxy.attempt, proxy.process.withdrawn)
             self.send(proxy.name, proxy.tell(fact))
@@ -267,7 +271,7 @@
         if self.random.randrange(2):
             self.naive.run(proxy.key, proxy.name)
             answer = StoredAnswer(200, (), proxy.name.encode())
-            self.naive.answers[proxy.key] = answer
+            self.naive.answers[proxy.key] = proxy.attempt.fingerprint, answer
         else:
             self.naive.release(proxy.key, proxy.name)
         tokens = (proxy.process.token,)
