--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -62,6 +62,7 @@
         self._started = edges.clock.now()
         self._next_beat = self._started
         self._ticked = self._started
+        self._is_stopped = False
         self._reports: dict[str, dict[str, int]] = {}
 
     @classmethod
@@ -86,14 +87,15 @@
         return self._broadcast
 
     async def run(self) -> None:
-        """Spreads until the daemon stops."""
+        """Spreads until `stop`, also while the daemon drains."""
         self.start()
-        while not self._board.stopping.is_set():
+        while not self._is_stopped:
             self.tick()
             await sleep(TICK_S)
 
     async def stop(self) -> None:
         """Ends every stream."""
+        self._is_stopped = True
         self._edges.dialer.close()
         self._broadcast.flush()
         self._broadcast.receivers.stop()
