--- a/packages/bilberry_operators/bilberry_operators/configuration_resource.py
+++ b/packages/bilberry_operators/bilberry_operators/configuration_resource.py
@@ -113,7 +113,11 @@
         wanted = parse_version(call.query.get('version', ''), 'version')
         entry = await self._find(wanted)
         note = condition.note or f'roll back to version {wanted}'
-        change = _build_change(condition._replace(note=note), entry.content)
+        configuration = decode_configuration(entry.content)
+        change = _build_change(
+            condition._replace(note=note),
+            encode_configuration(configuration),
+        )
         return await self._submit(change)
 
     async def _catch_up(self) -> bool:
--- a/tests/bilberry_operators/test_controller.py
+++ b/tests/bilberry_operators/test_controller.py
@@ -4,6 +4,7 @@
 from json import loads
 from socket import create_connection
 
+from msgpack import packb, unpackb
 from testtools import TestCase
 
 from bilberry_core.board import Board, ReplicaStatus
@@ -176,6 +177,21 @@
         self.assertEqual((200, {'version': 1, 'resent': True}), parse(resent))
         self.assertEqual(1, len(acceptor.entries))
 
+    def test_rollback_encodes_content_of_an_older_daemon_anew(self):
+        """Content from before an option was added is canonical again."""
+        acceptor = FakeAcceptor()
+        exchange([build_put(0)], acceptor)
+        (entry,) = acceptor.entries
+        defaults, *others = unpackb(entry.content, use_list=False)
+        older = packb((defaults[:-1], *others))
+        acceptor.entries = [entry._replace(content=older)]
+        rollback = build_put(1, 'back', b'')._replace(
+            method='POST',
+            target='/v1/rollback?version=1',
+        )
+        exchange([rollback], acceptor)
+        self.assertEqual(entry.content, acceptor.entries[1].content)
+
     def test_history_holds_what_was_just_accepted(self):
         """A follower that lags asks for the newest version first."""
         acceptor = FakeAcceptor()
