Call a change unknown until the log decided on it

After one server's answer was lost, a refusal of the next one (a wrong token, a plain proxy, an older daemon) was told as 'nothing was changed' with exit 1. Only an acceptance, a conflict or a reused change ID settle what a lost answer left open.

--- a/packages/bilberryctl/bilberryctl/client.py
+++ b/packages/bilberryctl/bilberryctl/client.py
@@ -14,6 +14,16 @@
 _UNDECIDED = frozenset(
     (HTTPStatus.GATEWAY_TIMEOUT, HTTPStatus.INTERNAL_SERVER_ERROR),
 )
+#: Answers that tell what became of a change, whoever else was asked before.
+_DECISIONS = frozenset(
+    (
+        HTTPStatus.OK,
+        HTTPStatus.CREATED,
+        HTTPStatus.ACCEPTED,
+        HTTPStatus.CONFLICT,
+        HTTPStatus.PRECONDITION_FAILED,
+    ),
+)
 _TRY_NEXT = _UNDECIDED | {
     HTTPStatus.MISDIRECTED_REQUEST,
     HTTPStatus.SERVICE_UNAVAILABLE,
@@ -47,7 +57,7 @@
     def is_undecided(self) -> bool:
         """Whether a request for a change may have been carried out."""
         last = self.attempts[-1].response
-        if last is not None and last.status not in _TRY_NEXT:
+        if last is not None and last.status in _DECISIONS:
             return False
         return any(attempt.undecided for attempt in self.attempts)
 
--- /dev/null
+++ b/tests/bilberryctl/test_client.py
@@ -0,0 +1,39 @@
+"""What several servers' answers to one change come to."""
+
+from testtools import TestCase
+
+from bilberry_core.endpoint import Address
+from bilberry_core.http import HttpResponse
+from bilberryctl.client import Attempt, Reply
+
+SERVER = Address('127.0.0.1', 7003)
+
+
+def build_reply(*statuses: int) -> Reply:
+    """Returns a reply; status 0 stands for an answer that was lost."""
+    return Reply(
+        tuple(
+            Attempt(SERVER, HttpResponse(status), '', status in {500, 504})
+            if status
+            else Attempt(SERVER, None, 'no answer', undecided=True)
+            for status in statuses
+        ),
+    )
+
+
+class ReplyTest(TestCase):
+    """Whether a change may have been accepted."""
+
+    def test_only_a_decision_settles_a_lost_answer(self):
+        """After a lost answer no refusal but the log's own is final."""
+        for settling in (200, 201, 409, 412):
+            for lost in (0, 500, 504):
+                self.assertFalse(build_reply(lost, settling).is_undecided)
+        for other in (400, 401, 403, 404, 421, 422, 428, 503):
+            self.assertTrue(build_reply(0, other).is_undecided, other)
+            self.assertTrue(build_reply(504, other).is_undecided, other)
+
+    def test_refusals_alone_are_decided(self):
+        """Where every server refused, nothing was changed."""
+        for status in (400, 401, 403, 421, 422, 503):
+            self.assertFalse(build_reply(421, status).is_undecided)
