--- a/packages/bilberry_spread/bilberry_spread/suspects.py
+++ b/packages/bilberry_spread/bilberry_spread/suspects.py
@@ -6,6 +6,8 @@
 
 #: Most suspects kept; those that expire first are dropped.
 MAX_SUSPECTS = 1024
+#: Longest time that a suspicion lasts from now, in milliseconds.
+MAX_SUSPICION_MS = 3_600_000
 
 SuspectKey = tuple[bytes, str, int]
 
@@ -29,7 +31,9 @@
         for key, suspect in known.items()
         if suspect.expires_ms > wall_ms
     }
-    for suspect in received:
+    latest_ms = wall_ms + MAX_SUSPICION_MS
+    for told in received:
+        suspect = _cap(told, latest_ms)
         key = get_suspect_key(suspect)
         if suspect.expires_ms > wall_ms and _is_longer(suspect, merged, key):
             merged[key] = suspect
@@ -41,6 +45,12 @@
     return merged
 
 
+def _cap(suspect: Suspect, latest_ms: int) -> Suspect:
+    if suspect.expires_ms <= latest_ms:
+        return suspect
+    return suspect._replace(expires_ms=latest_ms)
+
+
 def _is_longer(
     suspect: Suspect,
     merged: dict[SuspectKey, Suspect],
