--- a/packages/bilberry_claims/bilberry_claims/__init__.py
+++ b/packages/bilberry_claims/bilberry_claims/__init__.py
@@ -1,7 +1,5 @@
-"""Claims and quarantine: a non-idempotent request runs at most once.
+"""Claims: a non-idempotent request runs at most once.
 
-The holders keep claims durably, the client asks a majority of them, and the
-quarantine tells requests that crash upstreams from those beside them.
+Holders on the replicas keep claims durably; a client in each proxy claims a
+request with a majority of them before it is dispatched.
 """
-
-__version__ = '0.1.0'
