Draw the plots, and fit the page to the relay tree's runs

Cause: the records of spreading now tell star, tree and naive apart. Conclusion: curves over fleet size for each, drawn by an optional extra; the slopes of the page come from the tree.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 COUNT ?= 20000
 
 .PHONY: setup format lint unit test demo soak bench bench-acceptance \
-	bench-spread bench-call bench-claim capacity
+	bench-spread bench-call bench-claim capacity plots
 
 setup: $(VENV)/.installed
 
@@ -56,5 +56,9 @@
 capacity: setup
 	$(BIN)/python -m tests.bench.capacity
 
+plots: setup
+	$(BIN)/python -m pip install -q -r requirements-plots.txt
+	$(BIN)/python -m tests.bench.plots
+
 soak: setup
 	$(BIN)/python -m tests.soak --seed $(SEED) --count $(COUNT)
--- a/tests/bench/capacity_model.py
+++ b/tests/bench/capacity_model.py
@@ -9,6 +9,8 @@
 _SECONDS_PER_DAY = 86_400
 _US_PER_S = 1_000_000
 _MIB = 1 << 20
+#: Services of the fleets that slopes over fleet size are fitted to.
+_FITTED_SERVICES = 100
 
 
 class PlannedSize(NamedTuple):
@@ -110,8 +112,8 @@
     return fit_line(
         [
             (fleet['proxies'], fleet[phase][role][quantity])
-            for fleet in measured.spread['fleets']
-            if not fleet['naive'] and role in fleet[phase]
+            for fleet in _list_trees(measured)
+            if role in fleet[phase]
         ],
     )
 
@@ -272,7 +274,7 @@
             grown.slope,
             'B a proxy',
             None,
-            'slope over fleet size with the relays fixed',
+            'slope over fleet size of the bytes of 20 changes',
         ),
     ]
 
@@ -400,8 +402,15 @@
 
 
 def _get_largest(measured: Measurements) -> dict[str, Any]:
-    fleets = [one for one in measured.spread['fleets'] if not one['naive']]
-    return max(fleets, key=_get_proxies)
+    return max(_list_trees(measured), key=_get_proxies)
+
+
+def _list_trees(measured: Measurements) -> list[dict[str, Any]]:
+    return [
+        fleet
+        for fleet in measured.spread['fleets']
+        if fleet['kind'] == 'tree' and fleet['services'] == _FITTED_SERVICES
+    ]
 
 
 def _get_proxies(fleet: dict[str, Any]) -> int:
