--- a/tests/bench/plots.py
+++ b/tests/bench/plots.py
@@ -86,7 +86,7 @@
     for name, points in plot.curves.items():
         axes.plot(*zip(*points, strict=True), marker='o', label=name)
     axes.set_xlabel(plot.across)
-    axes.set_ylabel(plot.upwards)
+    axes.set_title(plot.upwards, fontsize='small')
     axes.set_yscale('log')
     axes.legend()
     figure.savefig(path, metadata={'Date': None})
