--- a/packages/bilberry_replica/bilberry_replica/controller.py
+++ b/packages/bilberry_replica/bilberry_replica/controller.py
@@ -1,6 +1,6 @@
 """The controller of a replica: connects it to disk, streams and blackboard."""
 
-from asyncio import Event, create_task, timeout, wait
+from asyncio import Event, Task, create_task, timeout, wait
 from contextlib import suppress
 from logging import getLogger
 
@@ -38,6 +38,8 @@
 
 _log = getLogger(__name__)
 
+_STOPPED = 'this replica has stopped: send it to another one'
+
 
 class ReplicaController:
     """Runs one replica until it is cancelled, and accepts changes.
@@ -71,6 +73,7 @@
             list_others(settings),
         )
         self._stopping = Event()
+        self._has_stopped = False
 
     @classmethod
     def from_settings(  # noqa: WPS211 - the daemon passes in every edge
@@ -113,6 +116,7 @@
         self._follow_members()
         timing = self._settings.timing
         tasks = [
+            create_task(self._driver.watch_failure()),
             create_task(self._driver.sync_forever()),
             create_task(self._driver.tick_forever()),
             create_task(self._driver.beacon_forever(timing.beacon_ms)),
@@ -127,9 +131,7 @@
             _log.critical('replica_stopped', extra={'cause': str(error)})
             raise
         finally:
-            for task in tasks:
-                task.cancel()
-            self._links.close()
+            self._end(tasks)
 
     async def stop(self) -> None:
         """Ends `run`."""
@@ -141,6 +143,8 @@
         timeout_s: float,
     ) -> Result[Accepted, Refusal]:
         """Offers a change, through the leader, and returns its outcome."""
+        if self._has_stopped:
+            return Failure(NotAccepted(_STOPPED))
         decision = await self._forwarding.submit(change, timeout_s)
         _log.info(
             'change_decided',
@@ -158,6 +162,8 @@
         timeout_s: float,
     ) -> Result[AcceptedVersion | None, NotAccepted]:
         """Returns the newest accepted version, confirmed by a quorum."""
+        if self._has_stopped:
+            return Failure(NotAccepted(_STOPPED))
         with suppress(TimeoutError):
             async with timeout(timeout_s):
                 index = await self._forwarding.confirm(timeout_s)
@@ -178,6 +184,12 @@
         """Has the leader log that an epoch's claims were handed over."""
         return await self._reconfiguration.settle(epoch, timeout_s)
 
+    def _end(self, tasks: list[Task]) -> None:
+        self._has_stopped = True
+        for task in tasks:
+            task.cancel()
+        self._links.close()
+
     def _read_newest(self) -> AcceptedVersion | None:
         newest = self._driver.replica.machine.register.newest
         return None if newest is None else build_version(newest)
--- a/packages/bilberry_replica/bilberry_replica/driver.py
+++ b/packages/bilberry_replica/bilberry_replica/driver.py
@@ -5,6 +5,7 @@
 from typing import Any, TypeVar
 
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
+from bilberry_core.error import BilberryError
 from bilberry_core.journal import Journal
 from bilberry_replica.consensus import find_deadline
 from bilberry_replica.leading import make_beacon, tend_members
@@ -43,6 +44,8 @@
         self._journal = journal
         self._random = random
         self._work = Event()
+        self._failed = Event()
+        self._failure: BilberryError | None = None
         timing = replica.node.timing
         self._longest_wait_s = min(timing.heartbeat_s, timing.election_s / 4)
 
@@ -55,8 +58,17 @@
         event: Callable[..., Returned],
         *arguments: Any,
     ) -> Returned:
-        """Calls `event(*arguments, moment)` and sends what came out."""
-        returned = event(*arguments, self.get_moment())
+        """Calls `event(*arguments, moment)` and sends what came out.
+
+        An error means that this replica must not go on: `watch_failure`
+        raises it too, whoever called here.
+        """
+        try:
+            returned = event(*arguments, self.get_moment())
+        except BilberryError as error:
+            self._failure = error
+            self._failed.set()
+            raise
         self._send_all(self.replica.take_early())
         if self.replica.has_work:
             self._work.set()
@@ -64,6 +76,12 @@
             watcher()
         return returned
 
+    async def watch_failure(self) -> None:
+        """Waits until an event has failed, and raises its error."""
+        await self._failed.wait()
+        if self._failure is not None:
+            raise self._failure
+
     async def sync_forever(self) -> None:
         """Syncs the journal whenever something was noted in it.
 
--- a/packages/bilberry_replica/bilberry_replica/validation.py
+++ b/packages/bilberry_replica/bilberry_replica/validation.py
@@ -1,5 +1,7 @@
 """Checks of a configuration's content before it is proposed."""
 
+from collections import Counter
+
 from bilberry_core.configuration import (
     Configuration,
     decode_configuration,
@@ -66,8 +68,8 @@
 def _check_order(kind: str, names: list[str]) -> list[str]:
     errors = [
         f'{kind} "{name}" is declared more than once'
-        for name in sorted(set(names))
-        if names.count(name) > 1
+        for name, count in sorted(Counter(names).items())
+        if count > 1
     ]
     if names != sorted(names):
         errors.append(f'each {kind} must be sorted by name')
--- a/tests/bilberry_replica/test_controller.py
+++ b/tests/bilberry_replica/test_controller.py
@@ -1,6 +1,7 @@
 """Replicas with real streams: acceptance, loss, repair and growth."""
 
-from asyncio import run
+from asyncio import gather, run
+from errno import EIO
 
 from returns.result import Failure, Success
 from testtools import TestCase
@@ -12,11 +13,17 @@
     NotAccepted,
     OutcomeUnknown,
 )
+from bilberry_core.error import JournalError
 from bilberry_replica.replica import Limits
 from tests.bilberry_core.fake_disk import FakeDisk
 from tests.bilberry_replica.fleet import LONG_S, Fleet, build_change
 
 
+def fail_sync(_name: str) -> None:
+    """Fails a sync."""
+    raise OSError(EIO, 'input/output error')
+
+
 class ControllerTest(TestCase):
     """Replicas in one process."""
 
@@ -136,6 +143,73 @@
         self.assertIsInstance(read.failure(), NotAccepted)
         self.assertEqual(2, resent.unwrap().version)
 
+    def test_failed_sync_stops_one_replica(self):
+        """A leader whose disk fails stops; the others accept without it."""
+
+        async def scenario():
+            fleet = Fleet('abc')
+            await fleet.start('abc')
+            leader = await fleet.find_leader()
+            await fleet.submit(leader, build_change('1', 0))
+            member = fleet.members[leader]
+            member.disk.before_sync = fail_sync
+            left = 'abc'.replace(leader, '')
+            first = await member.controller.submit(build_change('2', 1), 0.5)
+            stopped = await gather(member.task, return_exceptions=True)
+            later = await member.controller.submit(build_change('3', 2), 0.5)
+            resent = await fleet.submit(left[0], build_change('2', 1))
+            await fleet.kill('abc')
+            return first, stopped, later, resent
+
+        first, stopped, later, resent = run(scenario())
+        # The two others are a quorum, so the change may be accepted.
+        truths = {Success: Accepted, Failure: OutcomeUnknown}
+        self.assertIsInstance(first._inner_value, truths[type(first)])
+        self.assertIsInstance(stopped[0], JournalError)
+        self.assertIn('mend the disk', str(stopped[0]))
+        self.assertIsInstance(later.failure(), NotAccepted)
+        self.assertEqual(2, resent.unwrap().version)
+
+    def test_damaged_journal_stops_one_replica(self):
+        """A flipped bit refuses the start and says what to do."""
+
+        async def scenario():
+            fleet = Fleet('abc')
+            await fleet.start('abc')
+            await fleet.submit('a', build_change('1', 0))
+            await fleet.wait_version(1)
+            await fleet.kill('c')
+            fleet.members['c'].disk.flip('replica.journal', 999)
+            refused = await gather(fleet.start('c'), return_exceptions=True)
+            after = await fleet.submit('a', build_change('2', 1))
+            await fleet.kill('ab')
+            return refused, after
+
+        refused, after = run(scenario())
+        self.assertIsInstance(refused[0], JournalError)
+        self.assertIn('empty it', str(refused[0]))
+        self.assertEqual(Success(Accepted(2)), after)
+
+    def test_removed_replica_counts_no_more(self):
+        """Of three, one is removed; the two left accept on their own."""
+
+        async def scenario():
+            fleet = Fleet('abc')
+            await fleet.start('abc')
+            leader = await fleet.find_leader()
+            removed, other = 'abc'.replace(leader, '')
+            controller = fleet.members[other].controller
+            done = await controller.remove_replica(removed, LONG_S)
+            await fleet.members[leader].board.claim_epoch.wait_for(
+                lambda epoch: epoch is not None and len(epoch.holders) == 2,
+            )
+            await fleet.kill(removed)
+            after = await fleet.submit(other, build_change('1', 0))
+            await fleet.kill(leader + other)
+            return done, after
+
+        self.assertEqual((True, Success(Accepted(1))), run(scenario()))
+
     def test_lost_disk_is_taken_in_again(self):
         """A replica with a new disk votes again once it has caught up."""
 
