--- a/tests/bench/spread_daemons.py
+++ b/tests/bench/spread_daemons.py
@@ -4,18 +4,15 @@
 daemon ran it are read from the daemons' own logs.
 """
 
-from itertools import islice
 from json import dumps, loads
 from os import environ, sysconf
 from pathlib import Path
-from socket import create_server
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
-from unittest.mock import patch
 
 from yaml import safe_dump
 
-from demo.fleet import Fleet, Plan, Ports, prepare_fleet, wait_until
+from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
 from demo.operator import Operator
 from tests.bench.spread import DOMAINS, FLEETS, OUTPUT, summarize
 
@@ -24,34 +21,11 @@
 REPLICAS = 3
 SERVICES = 100
 IDLE_S = 15
-FIRST_PORT = 20_000
-LAST_PORT = 32_000
 LIMIT_S = 90
 TICKS_PER_S = sysconf('SC_CLK_TCK')
 PAGE_BYTES = sysconf('SC_PAGE_SIZE')
 
 
-def pick_ports(count: int) -> list[Ports]:
-    """Returns ports below those that outgoing connections take.
-
-    With many daemons a port that was free when it was picked is often that of
-    a connection by the time a daemon listens.
-    """
-    free = filter(is_free, range(FIRST_PORT, LAST_PORT))
-    return [
-        Ports(*islice(free, len(Ports._fields))) for _number in range(count)
-    ]
-
-
-def is_free(port: int) -> bool:
-    """Tells whether a port on loopback can be listened on."""
-    try:
-        create_server(('127.0.0.1', port)).close()
-    except OSError:
-        return False
-    return True
-
-
 def plan_fleet(size: int) -> list[Plan]:
     """Returns the replicas, and proxies up to `size` in all."""
     roles = ('proxy', 'relay', 'replica')
@@ -180,8 +154,7 @@
 def measure_fleet(size: int) -> dict:
     """Measures one fleet with nothing failing."""
     with TemporaryDirectory() as folder:
-        with patch('demo.fleet._pick_ports', pick_ports):
-            fleet = prepare_fleet(Path(folder), plan_fleet(size))
+        fleet = prepare_fleet(Path(folder), plan_fleet(size))
         operator = Operator(fleet)
         try:
             return measure_running(fleet, operator)
