Keep a claim for a minute at least

With a retention shorter than a request runs, a holder forgot the claim while its request was still running, and a resend was granted: the test fails so without the bound.

--- a/packages/bilberry_claims/bilberry_claims/limit.py
+++ b/packages/bilberry_claims/bilberry_claims/limit.py
@@ -24,6 +24,8 @@
     compact_bytes: int = 16 << 20
 
 
+#: Shortest retention, in seconds: a claim must outlive its request.
+MIN_RETENTION_S = 60
 #: Longest idempotency key, in bytes.
 MAX_KEY_BYTES = 256
 #: Withdrawn tokens remembered for a key.
--- a/packages/bilberry_claims/bilberry_claims/table.py
+++ b/packages/bilberry_claims/bilberry_claims/table.py
@@ -9,7 +9,11 @@
 
 from msgpack import packb
 
-from bilberry_claims.limit import WITHDRAWN_MS, ClaimLimits
+from bilberry_claims.limit import (
+    MIN_RETENTION_S,
+    WITHDRAWN_MS,
+    ClaimLimits,
+)
 from bilberry_claims.record import (
     ClaimRecord,
     Vote,
@@ -69,7 +73,7 @@
         return self._write(
             record._replace(
                 votes=(Vote(asked.token, asked.fingerprint),),
-                expires_ms=now_ms + asked.retention_s * MS_PER_S,
+                expires_ms=now_ms + _get_retention_ms(asked),
             ),
             now_ms,
         )
@@ -87,7 +91,7 @@
         return self._write(
             record._replace(
                 votes=(Vote(asked.token, asked.fingerprint),),
-                expires_ms=now_ms + asked.retention_s * MS_PER_S,
+                expires_ms=now_ms + _get_retention_ms(asked),
                 answer=None if is_dropped else asked.answer,
                 is_dropped=is_dropped,
             ),
@@ -164,5 +168,9 @@
         self._bytes -= len(encoded) + len(key)
 
 
+def _get_retention_ms(asked: ClaimVote | ClaimSettle) -> int:
+    return max(asked.retention_s, MIN_RETENTION_S) * MS_PER_S
+
+
 def _encode_key(claim: ClaimKey) -> bytes:
     return packb(claim)
--- a/tests/bilberry_claims/test_holder.py
+++ b/tests/bilberry_claims/test_holder.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from bilberry_claims.holder import JOURNAL_NAME, HolderController
-from bilberry_claims.limit import ClaimLimits
+from bilberry_claims.limit import MIN_RETENTION_S, ClaimLimits
 from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.claim import Answered, Granted, Taken, Unavailable
 from bilberry_core.clock import MS_PER_S, SystemClock
@@ -275,6 +275,16 @@
 
         self.assertIsInstance(play(scenario), Granted)
 
+    def test_claim_outlives_its_request_whatever_the_retention(self):
+        async def scenario(fleet):
+            client = fleet.add_client()
+            brief = [make_attempt(name, retention_s=0) for name in (b'1', b'2')]
+            await client.claim(brief[0], TIMEOUT_S)
+            fleet.clock.ahead_ms = (MIN_RETENTION_S - 20) * MS_PER_S
+            return await client.claim(brief[1], 0.3)
+
+        self.assertIsInstance(play(scenario), Taken)
+
     def test_journal_is_rewritten_and_keeps_the_claims(self):
         async def scenario(fleet):
             client = fleet.add_client()
