Store answers of one size on both sides of a claim

Cause: a proxy kept answers of up to 256 KiB for resends and holders stored up to 64 KiB, so answers between were sent to the holders for nothing. Conclusion: one bound, in the interface that both share.

--- a/packages/bilberry_claims/bilberry_claims/limit.py
+++ b/packages/bilberry_claims/bilberry_claims/limit.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from bilberry_core.claim import MAX_ANSWER_BYTES
+
 
 class ClaimLimits(NamedTuple):
     """Bounds of one holder. New in version 0.1.
@@ -20,7 +22,7 @@
 
     max_claims: int = 500_000
     max_bytes: int = 256 << 20
-    max_answer_bytes: int = 64 << 10
+    max_answer_bytes: int = MAX_ANSWER_BYTES
     compact_bytes: int = 16 << 20
 
 
--- a/packages/bilberry_core/bilberry_core/claim.py
+++ b/packages/bilberry_core/bilberry_core/claim.py
@@ -6,6 +6,9 @@
 
 from typing import NamedTuple, Protocol
 
+#: Largest answer that is stored for resends, in bytes.
+MAX_ANSWER_BYTES = 64 << 10
+
 
 class ClaimKey(NamedTuple):
     """A service and the value of the request's `Idempotency-Key`."""
--- a/packages/bilberry_proxy/bilberry_proxy/claim_gate.py
+++ b/packages/bilberry_proxy/bilberry_proxy/claim_gate.py
@@ -11,6 +11,7 @@
 from uuid import uuid4
 
 from bilberry_core.claim import (
+    MAX_ANSWER_BYTES,
     Answered,
     Attempt,
     ClaimKey,
@@ -30,8 +31,6 @@
 
 _log = getLogger(__name__)
 
-#: Largest body of an answer that is stored for resends, in bytes.
-STORED_BODY_BYTES = 256 << 10
 #: Longest time to store an answer or to free a claim, in seconds.
 SETTLE_TIMEOUT_S = 5.0
 #: When a caller may come back to claim again, in milliseconds.
@@ -116,9 +115,9 @@
             self._spawn(claims.release(self._attempt, SETTLE_TIMEOUT_S))
 
     def _keep(self, body: bytes, last: bool) -> None:
-        if len(self._body) <= STORED_BODY_BYTES:
+        if len(self._body) <= MAX_ANSWER_BYTES:
             self._body += body
-        if last and len(self._body) <= STORED_BODY_BYTES:
+        if last and len(self._body) <= MAX_ANSWER_BYTES:
             self._spawn(self._settle())
 
     async def _claim(self) -> None:
