Weigh crashes, so that a herd that dies convicts no popular request

Ruled out: leaving requests that had run well out of it altogether, which let a request that turned into poison take down every upstream. Now a suspect carries a weight (Suspect.weight and CallFailed.weight, both new and at the end): 0 where it had run well a moment before, 2 where it ran alone, else 1; two crashes convict from 2 on. Red first: test_herd_of_upstreams_that_dies_refuses_no_read (429 with the old weights).

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -63,7 +63,9 @@
 
     `fingerprint` is the digest of service, method, path and body;
     `instance` and `incarnation` name the upstream that crashed, and
-    `expires_ms` is wall clock time in milliseconds.
+    `expires_ms` is wall clock time in milliseconds. `weight` is 2 where the
+    request ran alone, 0 where it had run well there a moment before, and
+    otherwise 1.
     """
 
     fingerprint: bytes
@@ -71,6 +73,7 @@
     instance: str
     incarnation: int
     expires_ms: int
+    weight: int = 1
 
 
 class UpstreamCrash(NamedTuple):
--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -93,11 +93,15 @@
 
 @message(56)
 class CallFailed(NamedTuple):
-    """The call ends without an answer, or an answer that began is cut."""
+    """The call ends without an answer, or an answer that began is cut.
+
+    `weight` is that of the suspect where the upstream crashed.
+    """
 
     call: int
     failure: Failure
     load: Load
+    weight: int = 1
 
 
 @message(57)
--- a/packages/bilberry_proxy/bilberry_proxy/attempt.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt.py
@@ -46,6 +46,7 @@
         'endpoint',
         'began',
         'started_at',
+        'weight',
     )
 
     def __init__(
@@ -59,6 +60,7 @@
         self.endpoint = endpoint
         self.ended = False
         self.began = False
+        self.weight = 0
         self.started_at = started_at
         self._owner = owner
         self._load = load
@@ -107,6 +109,7 @@
     def fail(self, failed: CallFailed) -> None:
         """Takes the failure that ends the call."""
         if self._end():
+            self.weight = failed.weight
             self._owner.take_failure(self, failed.failure)
 
     def credit(self, size: int) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -168,7 +168,8 @@
                 failure.retry_after_ms,
             )
         if failure.code is FailureCode.UPSTREAM_CRASHED:
-            context.suspicion.name((self._fingerprint,), attempt.endpoint)
+            weights = {self._fingerprint: attempt.weight}
+            context.suspicion.name(weights, attempt.endpoint)
         finding = context.suspicion.judge(self._fingerprint)
         return finding.judgement is Judgement.QUARANTINED
 
--- a/packages/bilberry_proxy/bilberry_proxy/poison.py
+++ b/packages/bilberry_proxy/bilberry_proxy/poison.py
@@ -2,8 +2,8 @@
 
 A crash names as suspects the requests in flight. A suspect runs alone from
 then on, so a second crash names it alone. A request is quarantined once two
-crashes have nothing but it in common; others that were in flight with it run
-alone once, succeed, and are cleared.
+crashes have nothing but it in common and weigh enough: a herd of upstreams
+that dies while each runs the same popular read weighs nothing.
 """
 
 from collections.abc import Iterable
@@ -16,6 +16,14 @@
 
 #: How long a suspect is remembered, in milliseconds.
 SUSPECT_MS = 300_000
+#: Weight of two crashes that quarantines what they have in common.
+WEIGHT_TO_QUARANTINE = 2
+#: Weight of a crash while the request ran alone as a suspect.
+WEIGHT_ALONE = 2
+#: Weight of a crash while the request ran beside others.
+WEIGHT_BESIDE = 1
+#: Weight of a crash where the request had run well a moment before.
+WEIGHT_CLEARED = 0
 
 
 class Judgement(IntEnum):
@@ -38,13 +46,14 @@
 
 def judge_suspects(suspects: Iterable[Suspect]) -> dict[bytes, Finding]:
     """Returns what is held against each fingerprint."""
-    crashes: dict[tuple[str, int], set[bytes]] = {}
+    crashes: dict[tuple[str, int], dict[bytes, int]] = {}
     expiries: dict[bytes, int] = {}
     for suspect in suspects:
         crash = (suspect.instance, suspect.incarnation)
-        crashes.setdefault(crash, set()).add(suspect.fingerprint)
-        known = expiries.get(suspect.fingerprint, suspect.expires_ms)
-        expiries[suspect.fingerprint] = max(known, suspect.expires_ms)
+        fingerprint = suspect.fingerprint
+        crashes.setdefault(crash, {})[fingerprint] = suspect.weight
+        known = expiries.get(fingerprint, suspect.expires_ms)
+        expiries[fingerprint] = max(known, suspect.expires_ms)
     convicted = _find_convicted(crashes.values())
     return {
         fingerprint: Finding(
@@ -67,10 +76,13 @@
     )
 
 
-def _find_convicted(crashes: Iterable[set[bytes]]) -> set[bytes]:
+def _find_convicted(crashes: Iterable[dict[bytes, int]]) -> set[bytes]:
     convicted: set[bytes] = set()
     for one, other in combinations(crashes, 2):
-        common = one & other
-        if len(common) == 1:
+        common = one.keys() & other.keys()
+        if len(common) != 1:
+            continue
+        weight = sum(one[each] + other[each] for each in common)
+        if weight >= WEIGHT_TO_QUARANTINE:
             convicted |= common
     return convicted
--- a/packages/bilberry_proxy/bilberry_proxy/suspicion.py
+++ b/packages/bilberry_proxy/bilberry_proxy/suspicion.py
@@ -1,6 +1,7 @@
 """What this daemon holds against requests, from its own and others' crashes."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
+from typing import NamedTuple
 
 from bilberry_core.board import Board, Suspect
 from bilberry_core.clock import Clock
@@ -9,6 +10,9 @@
 from bilberry_proxy.poison import (
     CLEAR,
     SUSPECT_MS,
+    WEIGHT_ALONE,
+    WEIGHT_BESIDE,
+    WEIGHT_CLEARED,
     Finding,
     Judgement,
     judge_suspects,
@@ -20,6 +24,13 @@
 CLEARED_S = 10.0
 
 
+class Flight(NamedTuple):
+    """A request in flight at a crash; `is_alone` where it ran as a suspect."""
+
+    fingerprint: bytes
+    is_alone: bool
+
+
 class Suspicion:
     """Judges requests by the suspects on the blackboard."""
 
@@ -61,21 +72,26 @@
         if len(self._cleared_at) > MAX_CLEARED:
             del self._cleared_at[next(iter(self._cleared_at))]
 
-    def pick_suspects(self, fingerprints: Sequence[bytes]) -> set[bytes]:
-        """Returns which of the requests in flight at a crash are suspects.
+    def weigh_suspects(self, flights: Sequence[Flight]) -> dict[bytes, int]:
+        """Returns the weight of each suspect among requests in flight.
 
-        Those that ran well here a moment ago are not, unless all did.
+        Those that ran well here a moment ago are none, unless all did.
         """
         since = self._clock.now() - CLEARED_S
-        suspects = {
-            fingerprint
-            for fingerprint in fingerprints
-            if self._cleared_at.get(fingerprint, 0) < since
+        weights = {
+            flight.fingerprint: WEIGHT_ALONE
+            if flight.is_alone
+            else WEIGHT_BESIDE
+            for flight in flights
+            if flight.is_alone
+            or self._cleared_at.get(flight.fingerprint, 0) < since
         }
         self._cleared_at.clear()
-        return suspects or set(fingerprints)
+        if weights:
+            return weights
+        return {flight.fingerprint: WEIGHT_CLEARED for flight in flights}
 
-    def name(self, fingerprints: Iterable[bytes], endpoint: Endpoint) -> None:
+    def name(self, weights: dict[bytes, int], endpoint: Endpoint) -> None:
         """Names the requests in flight when an endpoint crashed."""
         expires_ms = self._clock.wall_ms() + SUSPECT_MS
         named = {
@@ -85,8 +101,9 @@
                 endpoint.instance,
                 endpoint.incarnation,
                 expires_ms,
+                weight,
             )
-            for fingerprint in fingerprints
+            for fingerprint, weight in weights.items()
         }
         known = self._board.suspects.value
         if not named.keys() <= known.keys():
--- a/tests/bilberry_proxy/test_poison.py
+++ b/tests/bilberry_proxy/test_poison.py
@@ -93,6 +93,32 @@
     return told, await gather(*innocent)
 
 
+class WeightTest(TestCase):
+    """What two crashes weigh."""
+
+    def judge(self, *weights: int) -> Judgement:
+        """Returns the judgement after crashes of these weights."""
+        suspects = [
+            Suspect(POISON, 'callouts', f'node-{at}', 1, 1, weight)
+            for at, weight in enumerate(weights)
+        ]
+        return judge_suspects(suspects)[POISON].judgement
+
+    def test_herd_that_dies_convicts_no_popular_request(self):
+        """Any number of crashes beside recent successes weighs nothing."""
+        self.assertEqual(Judgement.SUSPECT, self.judge(0, 0, 0, 0))
+
+    def test_crash_alone_convicts(self):
+        """After any first crash a crash while running alone is enough."""
+        self.assertEqual(Judgement.QUARANTINED, self.judge(0, 2))
+        self.assertEqual(Judgement.QUARANTINED, self.judge(1, 2))
+
+    def test_two_crashes_of_an_unproven_request_convict(self):
+        """A request that never ran well is convicted by two crashes."""
+        self.assertEqual(Judgement.QUARANTINED, self.judge(1, 1))
+        self.assertEqual(Judgement.SUSPECT, self.judge(1, 0))
+
+
 class PoisonTest(TestCase):
     """A request that crashes each upstream that runs it."""
 
@@ -172,6 +198,28 @@
 
         self.assertEqual(1, run(scenario()))
 
+    def test_herd_of_upstreams_that_dies_refuses_no_read(self):
+        """Upstreams killed under one popular read leave it in service."""
+
+        async def scenario():
+            nodes = [{'domain': name, **UPSTREAM} for name in ('a', 'b', 'c')]
+            configuration = configure(retries=0)
+            async with open_fleet(*nodes, configuration=configuration) as fleet:
+                for node in fleet.nodes:
+                    await call(node, '/slow')
+                reads = [
+                    create_task(call(node, '/slow')) for node in fleet.nodes[:2]
+                ]
+                dying = [node.upstream for node in fleet.nodes[:2]]
+                await until(lambda: all(one.records.running for one in dying))
+                for upstream in dying:
+                    upstream.crash()
+                await gather(*reads)
+                fleet.spread_suspects()
+                return (await call(fleet.nodes[2], '/slow')).status
+
+        self.assertEqual(200, run(scenario()))
+
     def test_retries_of_one_request_stop_at_two(self):
         """A proxy that may retry often does not crash a third upstream."""
 
