Remove no replica while another one's lost disk is being filled

Ruled out: a fault of elections (the two left in one domain may not decide). A learner that never catches up can itself be removed first. Conclusion: one repair or removal at a time, as the steps of the log are.

--- a/packages/bilberry_replica/bilberry_replica/member.py
+++ b/packages/bilberry_replica/bilberry_replica/member.py
@@ -69,13 +69,17 @@
 
 
 def expel(membership: Membership, instance: str) -> Membership | None:
-    """Removes a replica; None where there is none or none would be left."""
+    """Removes a replica; None where that can't be done now.
+
+    That is where there is none of this name, none would be left, or another
+    one is a learner: while a lost disk is being filled, each voter counts.
+    """
     left = tuple(
         member for member in membership.members if member.instance != instance
     )
     if len(left) == len(membership.members):
         return None
-    if not any(member.voter for member in left):
+    if not left or not all(member.voter for member in left):
         return None
     return _move_epoch(membership, left)
 
--- /dev/null
+++ b/tests/bilberry_replica/test_removal.py
@@ -0,0 +1,41 @@
+"""Removing a replica: never while another one's lost disk is being filled."""
+
+from testtools import TestCase
+
+from bilberry_core.messages.replica import Member
+from bilberry_replica.member import admit, expel, found
+from tests.bilberry_replica.events import run_schedule
+
+
+def make_member(instance: str, store: int = 1) -> Member:
+    """Returns a replica in the failure domain of its first letter."""
+    return Member(instance, '127.0.0.1', 1, instance[0], store, False)
+
+
+class RemovalTest(TestCase):
+    """Steps that an operator asks for."""
+
+    def setUp(self):
+        """Founds a fleet of five replicas in three failure domains."""
+        super().setUp()
+        names = ('a1', 'a2', 'b1', 'b2', 'c1')
+        self.membership = found([make_member(name) for name in names])
+
+    def test_healthy_fleet_lets_one_go(self):
+        """A replica is removed where all others vote."""
+        left = expel(self.membership, 'c1')
+        self.assertEqual(4, len(left.members))
+
+    def test_no_removal_beside_a_learner(self):
+        """While one is being filled again, no other one is removed."""
+        filling = admit(self.membership, make_member('a2', store=2))
+        self.assertIsNone(expel(filling, 'c1'))
+
+    def test_learner_itself_may_go(self):
+        """One that will never catch up can be removed."""
+        filling = admit(self.membership, make_member('a2', store=2))
+        self.assertEqual(4, len(expel(filling, 'a2').members))
+
+    def test_schedule_that_ended_without_a_quorum(self):
+        """A removal beside a learner, and then a lost disk, left no quorum."""
+        run_schedule(957578235, 'aabbc', 196, 'membership')
