Race two operators while the leader dies

Cause: races and the death of a leader were tested alone only. Conclusion: the outcome of a race holds over the death of the leader.

--- a/tests/process/test_replicas.py
+++ b/tests/process/test_replicas.py
@@ -74,6 +74,26 @@
         self.wait_for_version(2)
         self.assertEqual({2}, set(self.read_versions().values()))
 
+    def test_race_while_the_leader_dies(self):
+        """Resends after the leader died tell one winner, and the same one."""
+        leader = self.find_leader()
+        with ThreadPoolExecutor(3) as pool:
+            races = [
+                pool.submit(self._race, number, timeout)
+                for number, timeout in ((2, '4s'), (3, '3s'))
+            ]
+            pool.submit(self.fleet.kill_daemon, leader)
+        first = [race.result() for race in races]
+        self.wait(lambda: self.find_leader() is not None, 'a new leader')
+        resent = [self._race(2, '4s'), self._race(3, '3s')]
+        self.assertEqual([0, 3], sorted(resent))
+        # Not accepted, unknown and unreachable leave the decision open; an
+        # acceptance or a conflict is final.
+        for before, after in zip(first, resent, strict=True):
+            self.assertIn(before, (after, 1, 4, 5))
+        self.wait_for_version(2)
+        self.assertEqual({2}, set(self.read_versions().values()))
+
     def test_resent_change_is_accepted_once(self):
         """The same change ID gives the first outcome, after a leader died."""
         words = ('--base', '1', '--change-id', 'once')
@@ -167,6 +187,10 @@
             'the answer of a booking',
         )
 
+    def _race(self, number: int, timeout: str) -> int:
+        words = ('--base', '1', '--change-id', f'race-{number}')
+        return self.apply(number, timeout, *words).code
+
     def _holds_claims(self, instance: str) -> bool:
         members = self.read_replica(instance).get('members', ())
         status = self.fleet.read_status(instance) or {}
