--- a/tests/bilberry_replica/test_schedule.py
+++ b/tests/bilberry_replica/test_schedule.py
@@ -8,6 +8,7 @@
 from testtools import TestCase
 
 from tests.bilberry_replica.events import run_schedule
+from tests.bilberry_replica.schedule import TIMING, Schedule
 
 SEEDS = st.integers(0, 1 << 32)
 STEPS = st.integers(100, 400)
@@ -18,6 +19,23 @@
 class ScheduleTest(TestCase):
     """Replicas and the naive register decide alike, whatever happens."""
 
+    @settings(max_examples=100)
+    @given(SEEDS, DOMAINS)
+    def test_leader_soon_after_a_herd_death(self, seed, domains):
+        """All die and return at once; one leads within five timeouts."""
+        schedule = Schedule(seed, domains)
+        for host in schedule.list_up():
+            schedule.crash(host)
+        for host in schedule.hosts.values():
+            schedule.start(host)
+        began = schedule.now
+        while not any(
+            host.replica.node.is_leader for host in schedule.list_up()
+        ):
+            schedule.run_calm()
+            waited_s = schedule.now - began
+            self.assertLess(waited_s, 5 * TIMING.election_s)
+
     @EXAMPLES
     @given(SEEDS, DOMAINS, STEPS)
     def test_mixed_faults(self, seed, domains, steps):
