--- a/packages/bilberry_core/bilberry_core/configuration_file.py
+++ b/packages/bilberry_core/bilberry_core/configuration_file.py
@@ -24,7 +24,7 @@
 )
 from bilberry_core.error import ConfigurationError
 from bilberry_core.policy import CallPolicy, LoadPolicy, PolicyChange, Priority
-from bilberry_core.problem import Problem, Report
+from bilberry_core.problem import Problem, Report, shorten
 from bilberry_core.scalar import (
     parse_choice,
     parse_duration,
@@ -223,7 +223,8 @@
             if owner != name:
                 report.add(
                     f'{join_key("services", name)}.hosts',
-                    f'host "{host}" already belongs to service "{owner}"',
+                    f'host {shorten(host)} already belongs to service'
+                    f' {shorten(owner)}',
                 )
 
 
@@ -237,7 +238,7 @@
         if isinstance(service, str) and service not in services:
             report.add(
                 f'{join_key("exceptions", name)}.service',
-                f'expected a declared service, got "{service}"',
+                f'expected a declared service, got {shorten(service)}',
             )
 
 
--- a/packages/bilberry_core/bilberry_core/schema.py
+++ b/packages/bilberry_core/bilberry_core/schema.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Mapping
+from re import compile as compile_pattern
 from typing import Any, NamedTuple, Protocol
 
 from returns.result import Failure, Result
@@ -13,6 +14,9 @@
 from bilberry_core.problem import Report, name_kind, shorten
 
 
+_PLAIN_KEY = compile_pattern('[!-~]{1,63}')
+
+
 class Reader(Protocol):
     """Reads one part of a document."""
 
@@ -132,6 +136,7 @@
 
 
 def join_key(key: str, name: object) -> str:
-    """Returns the path of a key inside another."""
-    shown = name if isinstance(name, str) else shorten(name)
+    """Returns the path of a key inside another, as one line."""
+    is_plain = isinstance(name, str) and _PLAIN_KEY.fullmatch(name)
+    shown = name if is_plain else shorten(name)
     return f'{key}.{shown}' if key else str(shown)
