--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 COUNT ?= 20000
 
 .PHONY: setup format lint unit test demo soak bench bench-acceptance \
-	bench-spread bench-call bench-claim bench-call
+	bench-spread bench-call bench-claim capacity plots
 
 setup: $(VENV)/.installed
 
@@ -41,6 +41,7 @@
 
 bench-spread: setup
 	$(BIN)/python -m tests.bench.spread
+	$(BIN)/python -m tests.bench.spread_faults
 	$(BIN)/python -m tests.bench.spread_state
 	$(BIN)/python -m tests.bench.spread_daemons
 
@@ -50,7 +51,14 @@
 bench-claim: setup
 	$(BIN)/python -m tests.bench.claim
 
-bench: bench-acceptance bench-spread bench-call bench-claim
+bench: bench-acceptance bench-spread bench-call bench-claim capacity
+
+capacity: setup
+	$(BIN)/python -m tests.bench.capacity
+
+plots: setup
+	$(BIN)/python -m pip install -q -r requirements-plots.txt
+	$(BIN)/python -m tests.bench.plots
 
 soak: setup
 	$(BIN)/python -m tests.soak --seed $(SEED) --count $(COUNT)
