Own ports by block, so that fleets launched together never share one

Blocks were picked by process id alone. The other known failure had its cause in the test: it took the answer of c-2 before c-2 knew an endpoint. Conclusion: a block belongs to the process that holds its first port open.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -5,13 +5,9 @@
 """
 
 from collections.abc import Iterable
-from itertools import count as count_up
-from itertools import islice
 from json import loads
-from os import getpid
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGTERM, Signals
-from socket import create_server
 from subprocess import Popen
 from sys import executable
 from time import monotonic, sleep
@@ -21,11 +17,10 @@
 
 from yaml import safe_dump
 
+from demo.ports import pick_ports
+
 _HOST = '127.0.0.1'
 _POLL_S = 0.02
-_FIRST_PORT = 10_000
-_PORT_BLOCKS = 100
-_BLOCK_PORTS = 200
 _STOP_TIMEOUT_S = 40.0
 
 
@@ -234,28 +229,12 @@
 
 
 def _pick_ports(count: int) -> list[Ports]:
-    """Picks free ports below those that outgoing connections get.
-
-    Each launching process begins at a place of its own, so that fleets that
-    start at the same time do not pick the same.
-    """
     per_instance = len(Ports._fields)
-    start = _FIRST_PORT + getpid() % _PORT_BLOCKS * _BLOCK_PORTS
-    numbers = list(
-        islice(filter(_is_free, count_up(start)), count * per_instance),
-    )
+    numbers = pick_ports(count * per_instance)
     starts = range(0, len(numbers), per_instance)
     return [Ports(*numbers[at : at + per_instance]) for at in starts]
 
 
-def _is_free(port: int) -> bool:
-    try:
-        create_server((_HOST, port)).close()
-    except OSError:
-        return False
-    return True
-
-
 def _terminate(process: Popen) -> int:
     process.send_signal(SIGTERM)
     return process.wait(_STOP_TIMEOUT_S)
--- /dev/null
+++ b/demo/ports.py
@@ -0,0 +1,57 @@
+"""Picks TCP ports on loopback that no other launching process picks.
+
+Ports are handed out by blocks. A process owns a block while it holds the
+block's first port open, so fleets launched at the same time never share one.
+The blocks lie below the ports that the kernel gives to outgoing connections.
+"""
+
+from collections.abc import Iterator
+from itertools import islice
+from socket import create_server, socket
+
+_HOST = '127.0.0.1'
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+_BLOCK_PORTS = 200
+
+_guards: dict[int, socket] = {}
+
+
+def pick_ports(count: int) -> list[int]:
+    """Returns free ports of the blocks that this process owns.
+
+    Raises `OSError` where every block is taken.
+    """
+    picked = list(islice(filter(_is_free, _list_ports()), count))
+    if len(picked) < count:
+        raise OSError(f'{count} free ports are not to be had')
+    return picked
+
+
+def _list_ports() -> Iterator[int]:
+    """Yields the ports of owned blocks, then of blocks that are free."""
+    yield from _expand(tuple(_guards))
+    for start in range(_FIRST_PORT, _LAST_PORT, _BLOCK_PORTS):
+        if start not in _guards and _claim(start):
+            yield from _expand((start,))
+
+
+def _expand(starts: tuple[int, ...]) -> Iterator[int]:
+    for start in starts:
+        yield from range(start + 1, start + _BLOCK_PORTS)
+
+
+def _claim(start: int) -> bool:
+    try:
+        _guards[start] = create_server((_HOST, start))
+    except OSError:
+        return False
+    return True
+
+
+def _is_free(port: int) -> bool:
+    try:
+        create_server((_HOST, port)).close()
+    except OSError:
+        return False
+    return True
--- a/tests/process/test_requests.py
+++ b/tests/process/test_requests.py
@@ -82,7 +82,8 @@
         for instance in daemons:
             self.fleet.start_daemon(instance)
         self.wait_for_version(1)
-        self.wait(lambda: self._book('b-2').status == 200, 'the answer')
+        for entry in ('b-2', 'c-2'):
+            self.wait(lambda: self._book(entry).status == 200, entry)
         self.assertEqual(first.body, self._book('c-2').body)
         self.assertEqual(1, read_runs(self.fleet)['booking-once'])
 
