Dial a returned relay at once, and let replicas that are no relays take part

Red first: a replica with the role proxy but not relay was heard by no relay, so the endpoint beside it reached nobody. Relays now keep a stream to every replica, and such a replica hears all relays. The same test run showed that a relay that was back after a long death was dialed by the others only when their backoff was over, up to ten seconds. A relay that joins is now dialed back at once; a broken variant is caught.

--- a/packages/bilberry_spread/bilberry_spread/broadcast.py
+++ b/packages/bilberry_spread/bilberry_spread/broadcast.py
@@ -3,6 +3,7 @@
 Changes are gathered for a moment and sent in one flush, encoded once.
 """
 
+from collections.abc import Callable
 from functools import partial
 
 from bilberry_core.board import Board, Suspect
@@ -26,8 +27,15 @@
 class Broadcast:
     """What a relay knows, and the receivers that hear of it."""
 
-    def __init__(self, settings: Settings, board: Board, edges: Edges) -> None:
-        """Starts without receivers."""
+    def __init__(
+        self,
+        settings: Settings,
+        board: Board,
+        edges: Edges,
+        on_relay: Callable[[str], None],
+    ) -> None:
+        """Starts without receivers; calls `on_relay` when a relay joins."""
+        self._on_relay = on_relay
         self._board = board
         self._edges = edges
         self._directory = RelayDirectory(
@@ -86,6 +94,8 @@
 
     def joined(self, receiver: Receiver | MeshReceiver) -> None:
         """Tells a new receiver what it lacks."""
+        if isinstance(receiver, MeshReceiver):
+            self._on_relay(receiver.instance)
         receiver.mark_suspects(set(self._content.suspects))
         self.versions_changed()
         self.schedule_flush()
--- a/packages/bilberry_spread/bilberry_spread/mesh.py
+++ b/packages/bilberry_spread/bilberry_spread/mesh.py
@@ -63,6 +63,11 @@
             self._next_dial = None
             self._edges.dialer.dial(self.peer, self._opened, self._failed)
 
+    def wake(self) -> None:
+        """Dials at once if the relay is lost, since it is back."""
+        if self._next_dial is not None:
+            self._next_dial = self._edges.clock.now()
+
     def stop(self) -> None:
         """Ends the stream."""
         self._next_dial = None
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -50,7 +50,7 @@
         self._settings = settings
         self._board = board
         self._edges = edges
-        self._broadcast = Broadcast(settings, board, edges)
+        self._broadcast = Broadcast(settings, board, edges, self._wake)
         self._mesh = {
             peer.instance: MeshPeer(peer, settings, edges, self._receive)
             for peer in find_mesh(settings)
@@ -130,6 +130,11 @@
     def _is_stale(self) -> bool:
         return self._board.stale_since.value is not None
 
+    def _wake(self, instance: str) -> None:
+        peer = self._mesh.get(instance)
+        if peer is not None:
+            peer.wake()
+
     def _receive(self, peer: Peer, received: Any) -> None:
         if isinstance(received, EndpointUpdate):
             mesh_peer = self._mesh[peer.instance]
@@ -204,11 +209,12 @@
 
 
 def find_mesh(settings: Settings) -> tuple[Peer, ...]:
-    """Returns the daemons whose endpoints and reports this one hears."""
-    peers: dict[str, Peer] = {}
-    if Role.RELAY in settings.roles:
+    """Returns the daemons whose endpoints and reports this one hears.
+
+    A replica that neither relays nor routes hears of other replicas only.
+    """
+    peers = {peer.instance: peer for peer in settings.replicas}
+    if settings.roles & {Role.RELAY, Role.PROXY}:
         peers.update((peer.instance, peer) for peer in settings.relays)
-    if Role.REPLICA in settings.roles:
-        peers.update((peer.instance, peer) for peer in settings.replicas)
     peers.pop(settings.instance, None)
     return tuple(peers.values())
--- a/tests/bilberry_spread/fleet.py
+++ b/tests/bilberry_spread/fleet.py
@@ -152,7 +152,7 @@
             'p': {Role.PROXY},
         }[name[0]]
         if self.relay_peers and name[0] == 'r':
-            roles = {Role.REPLICA}
+            roles = {Role.REPLICA, Role.PROXY}
         settings = Settings(
             'fleet',
             name,
--- a/tests/bilberry_spread/test_failures.py
+++ b/tests/bilberry_spread/test_failures.py
@@ -366,6 +366,7 @@
         fleet.run(9)
         for node in fleet.proxies:
             self.assertEqual(names - dead, set(node.board.endpoints.value))
+        fleet.run(50)
         for name in ('l-0', *dead):
             fleet.start(name)
         for name in dead:
@@ -373,7 +374,7 @@
             node.board.wanted_services.put(WANTED)
             endpoint = make_endpoint(name, incarnation=2)
             node.board.own_endpoint.put(endpoint)
-        fleet.run(5)
+        fleet.run(2)
         self.assertEqual({2}, get_running(fleet.proxies))
         for node in fleet.proxies:
             self.assertEqual(names, set(node.board.endpoints.value))
--- a/tests/bilberry_spread/test_spreading.py
+++ b/tests/bilberry_spread/test_spreading.py
@@ -51,6 +51,20 @@
             self.assertEqual(names, names & proxies.keys())
             self.assertEqual({1}, set(proxies.values()))
 
+    def test_replica_that_is_no_relay_takes_part(self):
+        """The endpoint beside a replica is told, and it hears of others."""
+        for relays in (0, 3):
+            fleet = Fleet(relays=relays)
+            replica = fleet.nodes['r-0']
+            first, second = fleet.proxies[:2]
+            first.board.wanted_services.put(frozenset(('s0',)))
+            second.board.own_endpoint.put(make_endpoint(second.name))
+            replica.board.own_endpoint.put(make_endpoint('r-0'))
+            fleet.run(4)
+            names = {'r-0', second.name}
+            self.assertEqual(names, first.board.endpoints.value.keys())
+            self.assertEqual(names, replica.board.endpoints.value.keys())
+
     def test_suspect_reaches_everyone_and_expires(self):
         """A suspect told by one proxy is known to all, until it expires."""
         for relays in (0, 3):
--- a/tests/bilberry_spread/test_variants.py
+++ b/tests/bilberry_spread/test_variants.py
@@ -13,6 +13,7 @@
 from bilberry_spread.admission import JoinAdmission
 from bilberry_spread.attachment import Attachment
 from bilberry_spread.directory import RelayDirectory
+from bilberry_spread.mesh import MeshPeer
 from bilberry_spread.pacing import ReturnTimer
 from bilberry_spread.receiver import Receiver
 from bilberry_spread.reception import ConfigurationReceiver, Reception
@@ -225,6 +226,11 @@
         ((Receiver, 'flush', flush_anyway),),
         test_failures.HerdTest('test_slow_receiver_is_coalesced'),
     ),
+    Variant(
+        'a relay that is back is not dialed at once',
+        ((MeshPeer, 'wake', ignore),),
+        test_failures.HerdTest('test_failure_domain_dies_and_comes_back'),
+    ),
     Variant(
         'reports name every proxy',
         (
