Keep benches and stand-ins beside the tests, and let a replica tell relays

Cause: benches and stand-ins are programs, not tests, and stood among them; the demonstration used one from there. A replica without the role relay got a subscriber as second writer of its blackboard, and relays could not take the configuration from it. Conclusion: folders bench and standin; every replica serves streams.

--- a/Makefile
+++ b/Makefile
@@ -22,11 +22,11 @@
 	touch $@
 
 format: setup
-	$(BIN)/ruff format packages tests demo
+	$(BIN)/ruff format packages tests demo bench standin
 
 lint: setup
-	$(BIN)/ruff format --check packages tests demo
-	$(BIN)/flake8 --jobs 4 packages tests demo
+	$(BIN)/ruff format --check packages tests demo bench standin
+	$(BIN)/flake8 --jobs 4 packages tests demo bench standin
 
 unit: setup
 	$(BIN)/python -m pytest -n 6
@@ -37,28 +37,28 @@
 	$(BIN)/python -m demo
 
 bench-acceptance: setup
-	$(BIN)/python -m tests.bench.acceptance
+	$(BIN)/python -m bench.acceptance
 
 bench-spread: setup
-	$(BIN)/python -m tests.bench.spread
-	$(BIN)/python -m tests.bench.spread_faults
-	$(BIN)/python -m tests.bench.spread_state
-	$(BIN)/python -m tests.bench.spread_daemons
+	$(BIN)/python -m bench.spread
+	$(BIN)/python -m bench.spread_faults
+	$(BIN)/python -m bench.spread_state
+	$(BIN)/python -m bench.spread_daemons
 
 bench-call: setup
-	$(BIN)/python -m tests.bench.call
+	$(BIN)/python -m bench.call
 
 bench-claim: setup
-	$(BIN)/python -m tests.bench.claim
+	$(BIN)/python -m bench.claim
 
 bench: bench-acceptance bench-spread bench-call bench-claim capacity
 
 capacity: setup
-	$(BIN)/python -m tests.bench.capacity
+	$(BIN)/python -m bench.capacity
 
 plots: setup
 	$(BIN)/python -m pip install -q -r requirements-plots.txt
-	$(BIN)/python -m tests.bench.plots
+	$(BIN)/python -m bench.plots
 
 soak: setup
-	$(BIN)/python -m tests.soak --seed $(SEED) --count $(COUNT)
+	$(BIN)/python -m bench.soak --seed $(SEED) --count $(COUNT)
--- a/tests/bench/bookings.py
+++ b/bench/bookings.py
@@ -17,7 +17,7 @@
 from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
 from demo.operator import Operator
 from demo.record import read_runs
-from tests.bench.client import Client, Reply, encode_request, send_steadily
+from bench.client import Client, Reply, encode_request, send_steadily
 
 RATES = (50, 200)
 FAULT_RATE = 60
--- a/tests/bench/call.py
+++ b/bench/call.py
@@ -18,11 +18,11 @@
 from numpy import array, percentile
 from uvloop import run
 
-from tests.bench.bookings import measure_bookings
-from tests.bench.client import Client, Reply, encode_get, send_steadily
-from tests.bench.faults import measure_faults
-from tests.bench.fleet import SLOTS, BenchFleet
-from tests.bench.processes import BenchProcess
+from bench.bookings import measure_bookings
+from bench.client import Client, Reply, encode_get, send_steadily
+from bench.faults import measure_faults
+from bench.fleet import SLOTS, BenchFleet
+from bench.processes import BenchProcess
 
 RATES = (50, 200, 370)
 PERCENTILES = {'p50': 50, 'p99': 99, 'p99.9': 99.9}
@@ -161,9 +161,9 @@
 ) -> dict[str, Any]:
     """Returns what is added at each rate and at saturation."""
     text = upstream.first_line
-    inner = fleet.start('tests.bench.relay', text)
-    outer = fleet.start('tests.bench.relay', inner.first_line)
-    naive = fleet.start('tests.bench.naive_proxy', text)
+    inner = fleet.start('bench.relay', text)
+    outer = fleet.start('bench.relay', inner.first_line)
+    naive = fleet.start('bench.naive_proxy', text)
     clients = {
         'direct': Client(upstream.address),
         'naive': Client(naive.address),
--- a/tests/bench/capacity.py
+++ b/bench/capacity.py
@@ -8,7 +8,7 @@
 from re import DOTALL, Match
 from re import compile as compile_pattern
 
-from tests.bench.capacity_model import (
+from bench.capacity_model import (
     Budget,
     Figure,
     Measurements,
@@ -21,7 +21,7 @@
     compute_source,
 )
 
-PAGE = Path(__file__).parents[2] / 'docs' / 'CAPACITY.md'
+PAGE = Path(__file__).parents[1] / 'docs' / 'CAPACITY.md'
 _TABLE = compile_pattern(r'<!-- table: (\w+) -->\n.*?<!-- end -->', DOTALL)
 _HEAD = (
     '| quantity | value | bound | fits | from |\n'
--- a/tests/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -5,7 +5,7 @@
 from statistics import linear_regression
 from typing import Any, NamedTuple
 
-MEASUREMENTS = Path(__file__).parents[2] / 'docs' / 'measurements'
+MEASUREMENTS = Path(__file__).parents[1] / 'docs' / 'measurements'
 _SECONDS_PER_DAY = 86_400
 _US_PER_S = 1_000_000
 _MIB = 1 << 20
--- a/tests/bench/claim.py
+++ b/bench/claim.py
@@ -17,7 +17,7 @@
 
 from bilberry_core.board import ClaimEpoch, Holder
 from bilberry_core.disk import SystemDisk
-from tests.bench.processes import BenchProcess
+from bench.processes import BenchProcess
 
 HOLDERS = (3, 5)
 CLIENTS = 3
@@ -45,7 +45,7 @@
     for index in range(size):
         name = f'holder-{index}'
         process = stack.enter_context(
-            BenchProcess('tests.bench.claim_holder', name, f'{folder}/{name}'),
+            BenchProcess('bench.claim_holder', name, f'{folder}/{name}'),
         )
         processes.append(process)
         holders.append(Holder(name, *process.address, f'domain-{index % 3}'))
@@ -79,7 +79,7 @@
         running = [
             stack.enter_context(
                 BenchProcess(
-                    'tests.bench.claim_client',
+                    'bench.claim_client',
                     f'{name}-{index}',
                     epoch,
                     str(count),
@@ -155,7 +155,7 @@
     with TemporaryDirectory(dir='.') as folder:
         for action in ('fill', 'restart'):
             process = BenchProcess(
-                'tests.bench.claim_store',
+                'bench.claim_store',
                 action,
                 folder,
                 str(STORED),
--- a/tests/bench/faults.py
+++ b/bench/faults.py
@@ -11,8 +11,8 @@
 from signal import SIGTERM
 from typing import Any, NamedTuple
 
-from tests.bench.client import Client, Reply, encode_request, send_steadily
-from tests.bench.fleet import BenchFleet
+from bench.client import Client, Reply, encode_request, send_steadily
+from bench.fleet import BenchFleet
 
 RATE = 200
 SECONDS = 10
--- a/tests/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,7 +5,7 @@
 from threading import Condition, Thread
 
 from bilberry_core.endpoint import Address
-from tests.bench.processes import BenchProcess
+from bench.processes import BenchProcess
 
 SLOTS = 12
 _WAIT_S = 10.0
@@ -46,7 +46,7 @@
         """Starts an upstream beside a daemon and waits until it is ready."""
         host, port = self.nodes[at].addresses['upstream']
         upstream = self.start(
-            'tests.standin.upstream',
+            'standin.upstream',
             '--daemon',
             f'{host}:{port}',
             '--service',
@@ -78,9 +78,7 @@
 
     def _start_node(self, name: str) -> BenchProcess:
         log_file = f'{self._folder}/{name}.log'
-        node = self.start(
-            'tests.bench.node', '--name', name, '--log-file', log_file
-        )
+        node = self.start('bench.node', '--name', name, '--log-file', log_file)
         node.name = name
         node.addresses = loads(node.first_line)
         return node
--- a/tests/bench/plots.py
+++ b/bench/plots.py
@@ -10,7 +10,7 @@
 from matplotlib import rcParams
 from matplotlib.figure import Figure
 
-_DOCS = Path(__file__).parents[2] / 'docs'
+_DOCS = Path(__file__).parents[1] / 'docs'
 _SIZE_INCHES = (6, 3.5)
 #: Services of the fleets that are drawn over fleet size.
 _SERVICES = 100
--- a/tests/soak.py
+++ b/bench/soak.py
@@ -1,6 +1,6 @@
 """Runs many seeded schedules of faults; prints each seed that fails.
 
-`python -m tests.soak --seed 0 --count 20000` runs the seeds from 0 on. A
+`python -m bench.soak --seed 0 --count 20000` runs the seeds from 0 on. A
 seed stands for one fleet and one profile of faults.
 """
 
--- a/tests/bench/spread.py
+++ b/bench/spread.py
@@ -15,7 +15,7 @@
 from sys import executable
 from time import monotonic, time
 
-from tests.bench.spread_naive import POLL_S
+from bench.spread_naive import POLL_S
 
 OUTPUT = Path('docs/measurements/spread.json')
 DOMAINS = ('a', 'b', 'c')
@@ -70,7 +70,7 @@
         self.process = await create_subprocess_exec(
             executable,
             '-m',
-            'tests.bench.spread_node',
+            'bench.spread_node',
             dumps(options),
             stdin=PIPE,
             stdout=PIPE,
--- a/tests/bench/spread_daemons.py
+++ b/bench/spread_daemons.py
@@ -14,7 +14,7 @@
 
 from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
 from demo.operator import Operator
-from tests.bench.spread import DOMAINS, FLEETS, OUTPUT, summarize
+from bench.spread import DOMAINS, FLEETS, OUTPUT, summarize
 
 DAEMONS_OUTPUT = OUTPUT.with_name('spread_daemons.json')
 CHANGES = int(environ.get('DAEMON_CHANGES', '10'))
--- a/tests/bench/spread_faults.py
+++ b/bench/spread_faults.py
@@ -9,7 +9,7 @@
 from json import dumps
 from signal import SIGCONT, SIGSTOP
 
-from tests.bench.spread import (
+from bench.spread import (
     FLEETS,
     OUTPUT,
     RELAYS,
@@ -20,7 +20,7 @@
 )
 
 FAULTS_OUTPUT = OUTPUT.with_name('spread_faults.json')
-COMMAND = 'python -m tests.bench.spread_faults'
+COMMAND = 'python -m bench.spread_faults'
 #: Time in which a fleet settles after a fault, in seconds.
 SETTLE_S = 4
 
--- a/tests/bench/spread_node.py
+++ b/bench/spread_node.py
@@ -35,7 +35,7 @@
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
 from bilberry_spread.subscriber import SubscriberController
-from tests.bench.spread_naive import NaiveProxy, NaiveSource
+from bench.spread_naive import NaiveProxy, NaiveSource
 
 PAGE_BYTES = 4096
 #: The service whose endpoints every proxy wants.
--- a/tests/bench/spread_state.py
+++ b/bench/spread_state.py
@@ -13,7 +13,7 @@
 from bilberry_core.messages.spread import Announce, EndpointUpdate
 from bilberry_spread.compiler import group_by_service
 from bilberry_spread.directory import RelayDirectory
-from tests.bench.spread import OUTPUT
+from bench.spread import OUTPUT
 
 STATE_OUTPUT = OUTPUT.with_name('spread_state.json')
 SIZES = (1000, 5000, 17_000)
@@ -108,7 +108,7 @@
 def measure_apart(size: int) -> dict:
     """Measures in a process of its own, so that memory is its alone."""
     done = run(
-        [executable, '-m', 'tests.bench.spread_state', str(size)],
+        [executable, '-m', 'bench.spread_state', str(size)],
         check=True,
         capture_output=True,
     )
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -83,7 +83,7 @@
         command = [
             executable,
             '-m',
-            'tests.standin.upstream',
+            'standin.upstream',
             '--daemon',
             daemon,
             '--service',
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -23,6 +23,9 @@
 from bilberry_spread.subscriber import SubscriberController
 from bilberryd.daemon import Controller, Daemon
 
+#: Roles whose daemons tell others what was accepted: a replica tells relays.
+_SERVING_ROLES = frozenset((Role.RELAY, Role.REPLICA))
+
 
 class _Parts:
     """The parts under construction, in the order in which they start."""
@@ -48,11 +51,14 @@
 def build_daemon(settings: Settings) -> Daemon:
     """Returns the daemon that `settings` describe, not yet started."""
     parts = _Parts(settings)
-    for role, add in _BUILDERS.items():
-        if role in settings.roles:
-            add(parts)
-    if Role.RELAY not in settings.roles:
+    if Role.REPLICA in settings.roles:
+        _add_replica(parts)
+    if settings.roles & _SERVING_ROLES:
+        _add_relay(parts)
+    else:
         _add_subscriber(parts)
+    if Role.PROXY in settings.roles:
+        _add_proxy(parts)
     if settings.listen.operators is not None:
         _add_operators(parts)
     draining = () if parts.proxy is None else (parts.proxy,)
@@ -158,10 +164,3 @@
             membership=parts.acceptor,
         ),
     )
-
-
-_BUILDERS = {
-    Role.REPLICA: _add_replica,
-    Role.RELAY: _add_relay,
-    Role.PROXY: _add_proxy,
-}
--- a/tests/standin/upstream.py
+++ b/standin/upstream.py
@@ -3,7 +3,7 @@
 Paths: `/runs` gives the record, `/crash` ends the process, `/truncate` sends
 less than it declares, `/twice` answers twice, `/early` closes unanswered,
 `/slow` takes a second; all else is answered with the request's own body. Run
-as `python -m tests.standin.upstream --daemon HOST:PORT --service NAME`.
+as `python -m standin.upstream --daemon HOST:PORT --service NAME`.
 """
 
 from argparse import ArgumentParser
--- a/tests/bilberry_proxy/fleet.py
+++ b/tests/bilberry_proxy/fleet.py
@@ -22,7 +22,7 @@
 
 from bilberry_proxy.announcement import AnnouncementController
 from bilberry_proxy.controller import ProxyController
-from tests.standin.upstream import StandinOptions, StandinUpstream
+from standin.upstream import StandinOptions, StandinUpstream
 
 ANY_PORT = Address('127.0.0.1', 0)
 SERVICE = 'callouts'
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -2,8 +2,8 @@
 
 from testtools import TestCase
 
-from tests.bench.capacity import PAGE, render_page
-from tests.bench.capacity_model import Line, Measurements, fit_line
+from bench.capacity import PAGE, render_page
+from bench.capacity_model import Line, Measurements, fit_line
 
 
 class CapacityTest(TestCase):
