--- a/packages/bilberry_claims/bilberry_claims/limit.py
+++ b/packages/bilberry_claims/bilberry_claims/limit.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from bilberry_core.claim import MAX_ANSWER_BYTES
+
 
 class ClaimLimits(NamedTuple):
     """Bounds of one holder. New in version 0.1.
@@ -20,10 +22,12 @@
 
     max_claims: int = 500_000
     max_bytes: int = 256 << 20
-    max_answer_bytes: int = 64 << 10
+    max_answer_bytes: int = MAX_ANSWER_BYTES
     compact_bytes: int = 16 << 20
 
 
+#: Shortest retention, in seconds: a claim must outlive its request.
+MIN_RETENTION_S = 60
 #: Longest idempotency key, in bytes.
 MAX_KEY_BYTES = 256
 #: Withdrawn tokens remembered for a key.
