--- a/Makefile
+++ b/Makefile
@@ -22,10 +22,12 @@
 	touch $@
 
 format: setup
+	$(BIN)/ruff check --fix packages tests demo bench standin
 	$(BIN)/ruff format packages tests demo bench standin
 
 lint: setup
 	$(BIN)/ruff format --check packages tests demo bench standin
+	$(BIN)/ruff check packages tests demo bench standin
 	$(BIN)/flake8 --jobs 4 packages tests demo bench standin
 
 unit: setup
--- a/bench/acceptance.py
+++ b/bench/acceptance.py
@@ -15,8 +15,6 @@
 from time import perf_counter
 from typing import Any
 
-from numpy import array, median, percentile
-
 from bilberry_core.acceptance import Change
 from bilberry_core.configuration import (
     Configuration,
@@ -26,6 +24,8 @@
 from bilberry_core.disk import SystemDisk
 from bilberry_core.handshake import Purpose
 from bilberry_core.settings import TimingSettings
+from numpy import array, median, percentile
+
 from tests.bilberry_replica.fleet import Fleet
 
 FLEETS = ('abc', 'abcde')
--- a/bench/bookings.py
+++ b/bench/bookings.py
@@ -14,10 +14,11 @@
 from typing import Any, NamedTuple
 
 from bilberry_core.endpoint import Address
+
+from bench.client import Client, Reply, encode_request, send_steadily
 from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
 from demo.operator import Operator
 from demo.record import read_runs
-from bench.client import Client, Reply, encode_request, send_steadily
 
 RATES = (50, 200)
 FAULT_RATE = 60
--- a/bench/claim.py
+++ b/bench/claim.py
@@ -13,10 +13,10 @@
 from time import perf_counter, sleep
 from typing import Any
 
-from numpy import array, percentile
-
 from bilberry_core.board import ClaimEpoch, Holder
 from bilberry_core.disk import SystemDisk
+from numpy import array, percentile
+
 from bench.processes import BenchProcess
 
 HOLDERS = (3, 5)
--- a/bench/claim_client.py
+++ b/bench/claim_client.py
@@ -10,14 +10,13 @@
 from sys import argv
 from time import perf_counter
 
-from msgspec import convert
-from uvloop import run
-
 from bilberry_claims.client import ClaimClient
 from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.claim import Attempt, ClaimKey, Granted, StoredAnswer
 from bilberry_core.clock import SystemClock
 from bilberry_core.stream import Credentials
+from msgspec import convert
+from uvloop import run
 
 TIMEOUT_S = 10
 RETENTION_S = 86_400
--- a/bench/claim_holder.py
+++ b/bench/claim_holder.py
@@ -5,14 +5,15 @@
 and whether the holder is caught up.
 """
 
-from asyncio import StreamReader, StreamReaderProtocol, create_task
-from asyncio import get_running_loop
+from asyncio import (
+    StreamReader,
+    StreamReaderProtocol,
+    create_task,
+    get_running_loop,
+)
 from json import dumps, loads
 from sys import argv, stdin
 
-from msgspec import convert
-from uvloop import run
-
 from bilberry_claims.holder import HolderController
 from bilberry_claims.limit import ClaimLimits
 from bilberry_core.board import Board, ClaimEpoch
@@ -20,7 +21,10 @@
 from bilberry_core.disk import SystemDisk
 from bilberry_core.endpoint import Address
 from bilberry_core.handshake import Purpose
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.listener import StreamListener
+from bilberry_core.stream import Credentials
+from msgspec import convert
+from uvloop import run
 
 
 async def open_input() -> StreamReader:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -5,6 +5,7 @@
 from threading import Condition, Thread
 
 from bilberry_core.endpoint import Address
+
 from bench.processes import BenchProcess
 
 SLOTS = 12
--- a/bench/node.py
+++ b/bench/node.py
@@ -11,27 +11,26 @@
 from random import Random
 from sys import stdin
 
-from msgspec import convert
-from uvloop import run
-
 from bilberry_core.board import Board, Phase
 from bilberry_core.clock import SystemClock
 from bilberry_core.configuration import (
     AcceptedVersion,
     Configuration,
+    RouteException,
     Service,
 )
 from bilberry_core.endpoint import Address, Endpoint
+from bilberry_core.listener import StreamListener
 from bilberry_core.logs import start_logs
 from bilberry_core.metric import NullMetrics
-from bilberry_core.policy import CallPolicy, Priority, PolicyChange
-from bilberry_core.configuration import RouteException
+from bilberry_core.policy import CallPolicy, PolicyChange, Priority
 from bilberry_core.settings import ListenSettings, Role, Settings
 from bilberry_core.snapshot import compile_snapshot
-from bilberry_core.stream import Credentials, StreamListener
-
+from bilberry_core.stream import Credentials
 from bilberry_proxy.announcement import AnnouncementController
 from bilberry_proxy.controller import ProxyController
+from msgspec import convert
+from uvloop import run
 
 ANY_PORT = Address('127.0.0.1', 0)
 SERVICE = 'callouts'
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -12,6 +12,7 @@
 from time import perf_counter
 
 from bilberry_core.error import BilberryError
+
 from tests.bilberry_replica.events import PROFILES, run_schedule
 
 FLEETS = ('a', 'aab', 'abc', 'aabbc', 'abcde')
--- a/bench/spread_daemons.py
+++ b/bench/spread_daemons.py
@@ -12,9 +12,9 @@
 
 from yaml import safe_dump
 
+from bench.spread import DOMAINS, FLEETS, OUTPUT, summarize
 from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
 from demo.operator import Operator
-from bench.spread import DOMAINS, FLEETS, OUTPUT, summarize
 
 DAEMONS_OUTPUT = OUTPUT.with_name('spread_daemons.json')
 CHANGES = int(environ.get('DAEMON_CHANGES', '10'))
--- a/bench/spread_naive.py
+++ b/bench/spread_naive.py
@@ -3,7 +3,9 @@
 from asyncio import Event, sleep, wait_for
 
 from bilberry_core.board import Board
+from bilberry_core.dialing import dial
 from bilberry_core.handshake import Purpose
+from bilberry_core.listener import StreamListener
 from bilberry_core.messages.spread import (
     Announce,
     ConfigurationSnapshot,
@@ -11,7 +13,7 @@
     Held,
 )
 from bilberry_core.settings import Settings
-from bilberry_core.stream import Credentials, Stream, StreamListener, dial
+from bilberry_core.stream import Credentials, Stream
 from bilberry_spread.delta import build_snapshot_message, read_snapshot_message
 
 #: Between two polls of a proxy, in seconds.
--- a/bench/spread_node.py
+++ b/bench/spread_node.py
@@ -28,13 +28,15 @@
 )
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.handshake import Purpose
+from bilberry_core.listener import StreamListener
 from bilberry_core.policy import CallPolicy, PolicyChange
 from bilberry_core.settings import ListenSettings, Peer, Role, Settings
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.stream import Credentials
 from bilberry_core.traffic import Traffic
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
 from bilberry_spread.subscriber import SubscriberController
+
 from bench.spread_naive import NaiveProxy, NaiveSource
 
 PAGE_BYTES = 4096
--- a/bench/spread_state.py
+++ b/bench/spread_state.py
@@ -13,6 +13,7 @@
 from bilberry_core.messages.spread import Announce, EndpointUpdate
 from bilberry_spread.compiler import group_by_service
 from bilberry_spread.directory import RelayDirectory
+
 from bench.spread import OUTPUT
 
 STATE_OUTPUT = OUTPUT.with_name('spread_state.json')
--- a/demo/story.py
+++ b/demo/story.py
@@ -8,9 +8,9 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
+from bilberry_core.endpoint import Address
 from yaml import safe_dump, safe_load
 
-from bilberry_core.endpoint import Address
 from demo.caller import Caller
 from demo.convergence import Convergence, ConvergenceWatch, get_version
 from demo.fleet import Fleet, Plan, prepare_fleet, wait_until
--- a/packages/bilberry_claims/bilberry_claims/broadcast.py
+++ b/packages/bilberry_claims/bilberry_claims/broadcast.py
@@ -6,10 +6,6 @@
 
 from typing import NamedTuple
 
-from bilberry_claims.attempt_messages import AttemptMessages
-from bilberry_claims.decision import is_confirmed
-from bilberry_claims.process import RESEND_S, Sent, Tools
-from bilberry_claims.quorum import is_epoch_quorum, list_members, number_epoch
 from bilberry_core.board import ClaimEpoch
 from bilberry_core.claim import Attempt, StoredAnswer
 from bilberry_core.messages.claim import (
@@ -18,6 +14,11 @@
     ClaimState,
 )
 
+from bilberry_claims.attempt_messages import AttemptMessages
+from bilberry_claims.decision import is_confirmed
+from bilberry_claims.process import RESEND_S, Sent, Tools
+from bilberry_claims.quorum import is_epoch_quorum, list_members, number_epoch
+
 #: Longest time between two times that a holder is told, in seconds.
 _MAX_WAIT_S = 4.0
 
--- a/packages/bilberry_claims/bilberry_claims/catch_up.py
+++ b/packages/bilberry_claims/bilberry_claims/catch_up.py
@@ -9,14 +9,6 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from bilberry_claims.holder_core import HolderCore
-from bilberry_claims.membership import FIRST_STORE, choose_store
-from bilberry_claims.quorum import (
-    count_sources,
-    list_members,
-    list_names,
-    number_epoch,
-)
 from bilberry_core.board import ClaimEpoch, Holder
 from bilberry_core.messages.claim import (
     ClaimPage,
@@ -29,6 +21,15 @@
     Standing,
 )
 
+from bilberry_claims.holder_core import HolderCore
+from bilberry_claims.membership import FIRST_STORE, choose_store
+from bilberry_claims.quorum import (
+    count_sources,
+    list_members,
+    list_names,
+    number_epoch,
+)
+
 
 class Sent(NamedTuple):
     """A message to another holder."""
--- a/packages/bilberry_claims/bilberry_claims/client.py
+++ b/packages/bilberry_claims/bilberry_claims/client.py
@@ -5,10 +5,6 @@
 from itertools import count
 from logging import getLogger
 
-from bilberry_claims.broadcast import Broadcast, Fact
-from bilberry_claims.exchange import Exchange, Holders
-from bilberry_claims.limit import MAX_KEY_BYTES
-from bilberry_claims.process import ClaimProcess, Tools
 from bilberry_core.board import Board
 from bilberry_core.claim import (
     Attempt,
@@ -21,6 +17,11 @@
 from bilberry_core.settings import Settings
 from bilberry_core.stream import Credentials
 
+from bilberry_claims.broadcast import Broadcast, Fact
+from bilberry_claims.exchange import Exchange, Holders
+from bilberry_claims.limit import MAX_KEY_BYTES
+from bilberry_claims.process import ClaimProcess, Tools
+
 _log = getLogger(__name__)
 
 #: Facts on their way that no majority knows; the oldest are given up.
--- a/packages/bilberry_claims/bilberry_claims/decision.py
+++ b/packages/bilberry_claims/bilberry_claims/decision.py
@@ -5,11 +5,6 @@
 
 from collections.abc import Collection, Iterable, Mapping
 
-from bilberry_claims.quorum import (
-    find_outdated,
-    is_epoch_quorum,
-    list_members,
-)
 from bilberry_core.board import ClaimEpoch
 from bilberry_core.claim import (
     Answered,
@@ -20,6 +15,12 @@
 )
 from bilberry_core.messages.claim import ClaimState, HolderPhase
 
+from bilberry_claims.quorum import (
+    find_outdated,
+    is_epoch_quorum,
+    list_members,
+)
+
 Replies = Mapping[str, ClaimState]
 
 
--- a/packages/bilberry_claims/bilberry_claims/exchange.py
+++ b/packages/bilberry_claims/bilberry_claims/exchange.py
@@ -8,13 +8,14 @@
 from collections.abc import Iterable
 from typing import Any, Protocol
 
-from bilberry_claims.link import HolderLinks
-from bilberry_claims.process import Sent
-from bilberry_claims.quorum import list_members
 from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.messages.claim import ClaimRefused, ClaimState
 from bilberry_core.stream import Credentials
 
+from bilberry_claims.link import HolderLinks
+from bilberry_claims.process import Sent
+from bilberry_claims.quorum import list_members
+
 
 class Exchanged(Protocol):
     """A process or a broadcast: what is sent, without sockets and timers."""
--- a/packages/bilberry_claims/bilberry_claims/follower.py
+++ b/packages/bilberry_claims/bilberry_claims/follower.py
@@ -6,16 +6,17 @@
 from logging import getLogger
 from typing import Any
 
+from bilberry_core.board import ClaimEpoch
+from bilberry_core.clock import Clock
+from bilberry_core.messages.claim import ClaimPage, HolderStatus
+from bilberry_core.stream import Credentials
+
 from bilberry_claims.catch_up import CatchUp, Step
 from bilberry_claims.handover import Handover
 from bilberry_claims.holder_core import HolderCore
 from bilberry_claims.link import HolderLinks
 from bilberry_claims.outbox import Outbox, Posted
 from bilberry_claims.quorum import list_members
-from bilberry_core.board import ClaimEpoch
-from bilberry_core.clock import Clock
-from bilberry_core.messages.claim import ClaimPage, HolderStatus
-from bilberry_core.stream import Credentials
 
 _log = getLogger(__name__)
 
--- a/packages/bilberry_claims/bilberry_claims/handover.py
+++ b/packages/bilberry_claims/bilberry_claims/handover.py
@@ -4,11 +4,12 @@
 holders has durably taken the claims over.
 """
 
-from bilberry_claims.catch_up import Sent
-from bilberry_claims.quorum import is_quorum, list_names, number_epoch
 from bilberry_core.board import ClaimEpoch
 from bilberry_core.messages.claim import HolderProbe, HolderStatus
 
+from bilberry_claims.catch_up import Sent
+from bilberry_claims.quorum import is_quorum, list_names, number_epoch
+
 
 class Handover:
     """What one replica has heard of the holders of one epoch."""
--- a/packages/bilberry_claims/bilberry_claims/holder.py
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -5,18 +5,20 @@
 from functools import partial
 from typing import Any
 
-from bilberry_claims.follower import EpochFollower, SettleEpoch
-from bilberry_claims.holder_core import HolderCore
-from bilberry_claims.limit import ClaimLimits
-from bilberry_claims.outbox import Outbox, Posted
-from bilberry_claims.quorum import number_epoch
 from bilberry_core.board import Board
 from bilberry_core.clock import Clock
 from bilberry_core.disk import Disk
 from bilberry_core.handshake import Purpose
 from bilberry_core.journal import Journal
+from bilberry_core.listener import StreamListener
 from bilberry_core.settings import Settings
-from bilberry_core.stream import Credentials, Stream, StreamListener
+from bilberry_core.stream import Credentials, Stream
+
+from bilberry_claims.follower import EpochFollower, SettleEpoch
+from bilberry_claims.holder_core import HolderCore
+from bilberry_claims.limit import ClaimLimits
+from bilberry_claims.outbox import Outbox, Posted
+from bilberry_claims.quorum import number_epoch
 
 #: Name of the journal in the data folder.
 JOURNAL_NAME = 'claims'
--- a/packages/bilberry_claims/bilberry_claims/holder_core.py
+++ b/packages/bilberry_claims/bilberry_claims/holder_core.py
@@ -8,14 +8,6 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from bilberry_claims.limit import ClaimLimits
-from bilberry_claims.membership import (
-    Membership,
-    decode_membership,
-    encode_membership,
-)
-from bilberry_claims.quorum import number_epoch
-from bilberry_claims.table import ClaimTable
 from bilberry_core.board import ClaimEpoch
 from bilberry_core.claim import ClaimKey
 from bilberry_core.messages.claim import (
@@ -32,6 +24,15 @@
     HolderStatus,
 )
 
+from bilberry_claims.limit import ClaimLimits
+from bilberry_claims.membership import (
+    Membership,
+    decode_membership,
+    encode_membership,
+)
+from bilberry_claims.quorum import number_epoch
+from bilberry_claims.table import ClaimTable
+
 _CLAIM_TAG = b'C'
 _MEMBERSHIP_TAG = b'M'
 #: Claims in a page, and where a page ends even with fewer, in bytes.
--- a/packages/bilberry_claims/bilberry_claims/link.py
+++ b/packages/bilberry_claims/bilberry_claims/link.py
@@ -11,10 +11,11 @@
 from typing import Any
 
 from bilberry_core.board import Holder
+from bilberry_core.dialing import dial
 from bilberry_core.endpoint import Address
 from bilberry_core.error import BilberryError
 from bilberry_core.handshake import Purpose
-from bilberry_core.stream import Credentials, Stream, dial
+from bilberry_core.stream import Credentials, Stream
 
 _log = getLogger(__name__)
 
--- a/packages/bilberry_claims/bilberry_claims/membership.py
+++ b/packages/bilberry_claims/bilberry_claims/membership.py
@@ -4,13 +4,13 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from bilberry_core.board import ClaimEpoch
+from bilberry_core.error import JournalError
+from bilberry_core.messages.claim import HolderPhase, Standing
 from msgpack import packb, unpackb
 from msgspec import ValidationError, convert
 
 from bilberry_claims.quorum import list_names
-from bilberry_core.board import ClaimEpoch
-from bilberry_core.error import JournalError
-from bilberry_core.messages.claim import HolderPhase, Standing
 
 #: Generation of a data folder that took part in the fleet's first start.
 FIRST_STORE = 1
--- a/packages/bilberry_claims/bilberry_claims/process.py
+++ b/packages/bilberry_claims/bilberry_claims/process.py
@@ -10,18 +10,6 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from bilberry_claims.attempt_messages import AttemptMessages
-from bilberry_claims.decision import (
-    find_rivals,
-    find_settled,
-    find_winner,
-    is_full,
-    is_granted,
-    is_possible,
-    judge_winner,
-    list_withdrawn,
-)
-from bilberry_claims.quorum import list_members, number_epoch
 from bilberry_core.board import ClaimEpoch
 from bilberry_core.claim import (
     Attempt,
@@ -38,6 +26,19 @@
     HolderPhase,
 )
 
+from bilberry_claims.attempt_messages import AttemptMessages
+from bilberry_claims.decision import (
+    find_rivals,
+    find_settled,
+    find_winner,
+    is_full,
+    is_granted,
+    is_possible,
+    judge_winner,
+    list_withdrawn,
+)
+from bilberry_claims.quorum import list_members, number_epoch
+
 #: Between repeated votes of one round, in seconds.
 RESEND_S = 0.25
 #: First and longest pause before the next round, in seconds.
--- a/packages/bilberry_claims/bilberry_claims/record.py
+++ b/packages/bilberry_claims/bilberry_claims/record.py
@@ -2,12 +2,12 @@
 
 from typing import NamedTuple
 
+from bilberry_core.claim import ClaimKey, StoredAnswer
+from bilberry_core.error import JournalError
 from msgpack import packb, unpackb
 from msgspec import ValidationError, convert
 
 from bilberry_claims.limit import MAX_DISPUTED, MAX_WITHDRAWN
-from bilberry_core.claim import ClaimKey, StoredAnswer
-from bilberry_core.error import JournalError
 
 
 class Vote(NamedTuple):
--- a/packages/bilberry_claims/bilberry_claims/table.py
+++ b/packages/bilberry_claims/bilberry_claims/table.py
@@ -7,6 +7,9 @@
 from collections.abc import Mapping
 from heapq import heappop, heappush
 
+from bilberry_core.claim import ClaimKey
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.messages.claim import ClaimSettle, ClaimVote
 from msgpack import packb
 
 from bilberry_claims.limit import (
@@ -22,9 +25,6 @@
     free_record,
     merge_records,
 )
-from bilberry_core.claim import ClaimKey
-from bilberry_core.clock import MS_PER_S
-from bilberry_core.messages.claim import ClaimSettle, ClaimVote
 
 
 class ClaimTable:
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/dialing.py
@@ -0,0 +1,83 @@
+"""The dialler's side of streams: connects and proves the fleet's secret."""
+
+from asyncio import CancelledError, Future, get_running_loop
+from asyncio import timeout as limit_time
+from os import urandom
+
+from bilberry_core.endpoint import Address
+from bilberry_core.error import HandshakeError
+from bilberry_core.handshake import (
+    HANDSHAKE_TIMEOUT_S,
+    NONCE_BYTES,
+    Identity,
+    Purpose,
+    build_hello,
+    build_proof,
+    check_proof,
+)
+from bilberry_core.stream import Credentials, Receiver, Stream
+
+
+async def dial(
+    credentials: Credentials,
+    address: Address,
+    purpose: Purpose,
+    receiver: Receiver = lambda _message: None,
+) -> Stream:
+    """Opens a stream; raises `OSError` or `HandshakeError`."""
+    identity = Identity(credentials.fleet, credentials.instance, purpose)
+    stream = _DialedStream(credentials, identity)
+    stream.receiver = receiver
+    loop = get_running_loop()
+    try:
+        async with limit_time(HANDSHAKE_TIMEOUT_S):
+            await loop.create_connection(lambda: stream, *address)
+            await stream.ready
+    except TimeoutError as error:
+        stream.close()
+        raise HandshakeError(f'no answer from {address}') from error
+    except (CancelledError, HandshakeError, OSError):
+        stream.close()
+        raise
+    return stream
+
+
+class _DialedStream(Stream):
+    """The dialer's side: answer the challenge, check the proof."""
+
+    def __init__(self, credentials: Credentials, identity: Identity) -> None:
+        super().__init__()
+        self.ready: Future[None] = get_running_loop().create_future()
+        self._credentials = credentials
+        self._dialed = identity
+        self._nonce = urandom(NONCE_BYTES)
+        self._expected_proof = b''
+        self._on_payload = self._receive_challenge
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if not self.ready.done():
+            self.ready.set_exception(HandshakeError('closed by the listener'))
+        super().connection_lost(error)
+
+    def _receive_challenge(self, challenge: bytes) -> None:
+        self._expected_proof = build_proof(
+            self._credentials.secret,
+            self._nonce,
+            challenge,
+        )
+        self._on_payload = self._receive_proof
+        self._send_raw(
+            build_hello(
+                self._credentials.secret,
+                self._dialed,
+                challenge,
+                self._nonce,
+            ),
+        )
+
+    def _receive_proof(self, proof: bytes) -> None:
+        check_proof(proof, self._expected_proof)
+        counter = self._credentials.get_counter(self._dialed.purpose)
+        self._begin_messages(self._dialed, counter)
+        if not self.ready.done():
+            self.ready.set_result(None)
--- a/packages/bilberry_core/bilberry_core/disk.py
+++ b/packages/bilberry_core/bilberry_core/disk.py
@@ -7,9 +7,8 @@
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from fcntl import LOCK_EX, LOCK_NB, flock
-from os import O_APPEND, O_CREAT, O_RDONLY, O_RDWR, O_WRONLY
+from os import O_APPEND, O_CREAT, O_RDONLY, O_RDWR, O_WRONLY, fsync
 from os import close as close_descriptor
-from os import fsync
 from os import open as open_descriptor
 from os import write as write_descriptor
 from pathlib import Path
--- a/packages/bilberry_core/bilberry_core/handshake.py
+++ b/packages/bilberry_core/bilberry_core/handshake.py
@@ -21,6 +21,8 @@
 NONCE_BYTES = 16
 #: Longest frame before the secret is proven, in bytes.
 MAX_HANDSHAKE_BYTES = 1024
+#: Longest time to connect and prove the secret, in seconds.
+HANDSHAKE_TIMEOUT_S = 3.0
 #: Version of the messages that follow.
 PROTOCOL_VERSION = 1
 _MAC_BYTES = 32
--- a/packages/bilberry_core/bilberry_core/http_client.py
+++ b/packages/bilberry_core/bilberry_core/http_client.py
@@ -2,8 +2,14 @@
 
 from asyncio import StreamReader, open_connection, wait_for
 
-from h11 import CLIENT, Connection, ConnectionClosed, ProtocolError, Request
-from h11 import Response
+from h11 import (
+    CLIENT,
+    Connection,
+    ConnectionClosed,
+    ProtocolError,
+    Request,
+    Response,
+)
 
 from bilberry_core.endpoint import Address
 from bilberry_core.http_message import (
--- a/packages/bilberry_core/bilberry_core/messages/spread.py
+++ b/packages/bilberry_core/bilberry_core/messages/spread.py
@@ -11,7 +11,6 @@
 from bilberry_core.messages.registry import message
 from bilberry_core.policy import CallPolicy
 
-
 #: Stands for the version of an instance that is no longer attached.
 DETACHED = -1
 
--- a/packages/bilberry_core/bilberry_core/schema.py
+++ b/packages/bilberry_core/bilberry_core/schema.py
@@ -13,7 +13,6 @@
 
 from bilberry_core.problem import Report, name_kind, shorten
 
-
 _PLAIN_KEY = compile_pattern('[!-~]{1,63}')
 
 
--- a/packages/bilberry_operators/bilberry_operators/answer.py
+++ b/packages/bilberry_operators/bilberry_operators/answer.py
@@ -3,11 +3,10 @@
 from http import HTTPStatus
 from typing import Any
 
-from msgspec.json import encode as encode_json
-from msgspec.json import format as format_json
-
 from bilberry_core.error import BilberryError
 from bilberry_core.http import Headers, HttpResponse
+from msgspec.json import encode as encode_json
+from msgspec.json import format as format_json
 
 _JSON = ((b'content-type', b'application/json; charset=utf-8'),)
 _YAML = ((b'content-type', b'application/yaml; charset=utf-8'),)
--- a/packages/bilberry_operators/bilberry_operators/configuration_resource.py
+++ b/packages/bilberry_operators/bilberry_operators/configuration_resource.py
@@ -4,8 +4,6 @@
 from http import HTTPStatus
 from logging import getLogger
 
-from returns.result import Failure, Result
-
 from bilberry_core.acceptance import (
     Accepted,
     Acceptor,
@@ -27,6 +25,8 @@
     render_configuration,
 )
 from bilberry_core.http import Headers, HttpRequest, HttpResponse
+from returns.result import Failure, Result
+
 from bilberry_operators.answer import (
     RefusedError,
     answer_json,
--- a/packages/bilberry_operators/bilberry_operators/controller.py
+++ b/packages/bilberry_operators/bilberry_operators/controller.py
@@ -9,8 +9,8 @@
 from bilberry_core.acceptance import Acceptor
 from bilberry_core.board import Board, Cell
 from bilberry_core.clock import MS_PER_S, Clock
-from bilberry_core.endpoint import Address
 from bilberry_core.document import MAX_DOCUMENT_BYTES
+from bilberry_core.endpoint import Address
 from bilberry_core.http import (
     HttpLimits,
     HttpRequest,
@@ -18,6 +18,7 @@
     HttpService,
 )
 from bilberry_core.settings import Settings
+
 from bilberry_operators.answer import RefusedError, answer_json
 from bilberry_operators.configuration_resource import ConfigurationResource
 from bilberry_operators.explain import (
--- a/packages/bilberry_operators/bilberry_operators/explain.py
+++ b/packages/bilberry_operators/bilberry_operators/explain.py
@@ -6,6 +6,7 @@
 from bilberry_core.configuration_document import render_policy
 from bilberry_core.endpoint import Endpoint, EndpointState
 from bilberry_core.snapshot import Decision, Snapshot, decide_policy
+
 from bilberry_operators.answer import RefusedError
 
 _REASONS = {
--- a/packages/bilberry_operators/bilberry_operators/misdirected.py
+++ b/packages/bilberry_operators/bilberry_operators/misdirected.py
@@ -4,6 +4,7 @@
 
 from bilberry_core.http import HttpResponse
 from bilberry_core.settings import Peer
+
 from bilberry_operators.answer import RefusedError
 from bilberry_operators.router import Call, Router
 
--- a/packages/bilberry_operators/bilberry_operators/outcome.py
+++ b/packages/bilberry_operators/bilberry_operators/outcome.py
@@ -4,8 +4,6 @@
 from http import HTTPStatus
 from typing import Any
 
-from returns.result import Failure, Result
-
 from bilberry_core.acceptance import (
     Accepted,
     ChangeIdReused,
@@ -17,6 +15,8 @@
 )
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.http import HttpResponse
+from returns.result import Failure, Result
+
 from bilberry_operators.answer import RefusedError, answer_json, build_etag
 
 
--- a/packages/bilberry_operators/bilberry_operators/precondition.py
+++ b/packages/bilberry_operators/bilberry_operators/precondition.py
@@ -7,6 +7,7 @@
 from urllib.parse import unquote
 
 from bilberry_core.http import HttpRequest
+
 from bilberry_operators.answer import RefusedError
 
 #: Longest author and note, in characters.
--- a/packages/bilberry_operators/bilberry_operators/replica_resource.py
+++ b/packages/bilberry_operators/bilberry_operators/replica_resource.py
@@ -6,6 +6,7 @@
 
 from bilberry_core.board import Board
 from bilberry_core.http import HttpResponse
+
 from bilberry_operators.answer import RefusedError, answer_json
 from bilberry_operators.precondition import check_token
 from bilberry_operators.router import Call
--- a/packages/bilberry_operators/bilberry_operators/router.py
+++ b/packages/bilberry_operators/bilberry_operators/router.py
@@ -8,6 +8,7 @@
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 from bilberry_core.http import HttpRequest, HttpResponse
+
 from bilberry_operators.answer import RefusedError
 
 _MAX_QUERY_FIELDS = 16
--- a/packages/bilberry_operators/bilberry_operators/status.py
+++ b/packages/bilberry_operators/bilberry_operators/status.py
@@ -7,6 +7,7 @@
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.settings import Settings
 from bilberry_core.traffic import Traffic
+
 from bilberry_operators.lag import collect_versions
 
 
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -7,8 +7,6 @@
 from enum import IntEnum
 from typing import Protocol
 
-from h11 import LocalProtocolError
-
 from bilberry_core.messages.call import (
     CallFailed,
     CallStart,
@@ -17,6 +15,7 @@
     ReplyStart,
 )
 from bilberry_core.verdict import Failure, FailureCode, Verdict
+from h11 import LocalProtocolError
 
 from bilberry_proxy.call import CREDIT_STEP_BYTES, WINDOW_BYTES, AnswerReceiver
 from bilberry_proxy.http_headers import Headers
--- a/packages/bilberry_proxy/bilberry_proxy/announcement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -9,14 +9,13 @@
 from logging import getLogger
 from typing import Self
 
-from msgspec import ValidationError
-from msgspec.json import decode as decode_json
-
 from bilberry_core.board import Board, Phase, UpstreamCrash
 from bilberry_core.clock import MS_PER_S, Clock
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.http import HttpRequest, HttpResponse, serve_http
 from bilberry_core.settings import Settings
+from msgspec import ValidationError
+from msgspec.json import decode as decode_json
 
 from bilberry_proxy.announcement_body import AnnouncementBody, parse_address
 
--- a/packages/bilberry_proxy/bilberry_proxy/announcement_body.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement_body.py
@@ -6,9 +6,8 @@
 from ipaddress import ip_address
 from typing import Annotated
 
-from msgspec import Meta, Struct
-
 from bilberry_core.endpoint import Address, EndpointState
+from msgspec import Meta, Struct
 
 _MAX_COUNT = 65536
 _MAX_PORT = 65535
--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, Protocol
 
+from bilberry_core.dialing import dial
 from bilberry_core.endpoint import Address
 from bilberry_core.error import BilberryError
 from bilberry_core.handshake import Purpose
@@ -20,7 +21,7 @@
     ReplyChunk,
     ReplyStart,
 )
-from bilberry_core.stream import Credentials, Receiver, Stream, dial
+from bilberry_core.stream import Credentials, Receiver, Stream
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.call import AnswerReceiver
--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -7,6 +7,7 @@
 from asyncio import Protocol, Transport
 from collections.abc import Callable
 
+from bilberry_core.verdict import Failure, FailureCode, Verdict
 from h11 import (
     DONE,
     SERVER,
@@ -16,8 +17,6 @@
     Response,
 )
 
-from bilberry_core.verdict import Failure, FailureCode, Verdict
-
 from bilberry_proxy.exchange import Exchange
 from bilberry_proxy.failure_answer import build_failure_answer
 from bilberry_proxy.http_events import (
--- a/packages/bilberry_proxy/bilberry_proxy/caller_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_request.py
@@ -3,12 +3,11 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
+from bilberry_core.verdict import Failure, FailureCode, Verdict
 from h11 import Request
 from returns.result import Failure as Refused
 from returns.result import Result, Success
 
-from bilberry_core.verdict import Failure, FailureCode, Verdict
-
 from bilberry_proxy.http_headers import (
     DEADLINE,
     IDEMPOTENCY_KEY,
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -9,10 +9,11 @@
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
 from bilberry_core.endpoint import Address, Endpoint
 from bilberry_core.handshake import Purpose
+from bilberry_core.listener import StreamListener
 from bilberry_core.metric import Metrics
 from bilberry_core.settings import Settings
 from bilberry_core.snapshot import Snapshot
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.stream import Credentials
 
 from bilberry_proxy.admitter import Admitter
 from bilberry_proxy.call_server import CallServer
--- a/packages/bilberry_proxy/bilberry_proxy/crash_probe.py
+++ b/packages/bilberry_proxy/bilberry_proxy/crash_probe.py
@@ -16,6 +16,7 @@
 
 from bilberry_core.endpoint import Address
 from bilberry_core.verdict import FailureCode
+
 from bilberry_proxy.admitted_call import AdmittedCall
 
 #: Longest time to find out whether the upstream is gone, in seconds.
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -4,13 +4,12 @@
 answer: the upstream's, or a failure with its verdict.
 """
 
-from h11 import Request
-from returns.result import Success
-
 from bilberry_core.board import Phase
 from bilberry_core.claim import StoredAnswer
 from bilberry_core.messages.call import ReplyChunk, ReplyStart
 from bilberry_core.verdict import Failure, FailureCode, Verdict
+from h11 import Request
+from returns.result import Success
 
 from bilberry_proxy.answer import Answer, Caller
 from bilberry_proxy.caller_request import (
--- a/packages/bilberry_proxy/bilberry_proxy/plan.py
+++ b/packages/bilberry_proxy/bilberry_proxy/plan.py
@@ -5,12 +5,11 @@
 
 from typing import NamedTuple
 
-from returns.result import Failure as Refused
-from returns.result import Result, Success
-
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.snapshot import Decision, Snapshot, decide_policy
 from bilberry_core.verdict import Failure, FailureCode, Verdict
+from returns.result import Failure as Refused
+from returns.result import Result, Success
 
 from bilberry_proxy.caller_request import CallerRequest
 
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -7,10 +7,9 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from xxhash import xxh3_64_intdigest
-
 from bilberry_core.clock import RandomSource
 from bilberry_core.endpoint import Endpoint, EndpointState
+from xxhash import xxh3_64_intdigest
 
 from bilberry_proxy.balancers.base import Balancer
 from bilberry_proxy.endpoint_load import (
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
@@ -7,6 +7,7 @@
 from asyncio import Protocol, Transport
 from typing import Protocol as Interface
 
+from bilberry_core.verdict import FailureCode
 from h11 import (
     CLIENT,
     DONE,
@@ -17,8 +18,6 @@
     Response,
 )
 
-from bilberry_core.verdict import FailureCode
-
 from bilberry_proxy.http_events import EventBatch, encode_message, read_batch
 from bilberry_proxy.http_headers import (
     CONTENT_LENGTH,
@@ -29,7 +28,6 @@
 )
 from bilberry_proxy.upstream_request import UpstreamRequest, frame_request
 
-
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
--- a/packages/bilberry_replica/bilberry_replica/acceptance.py
+++ b/packages/bilberry_replica/bilberry_replica/acceptance.py
@@ -6,6 +6,7 @@
 
 from bilberry_core.acceptance import Change
 from bilberry_core.messages.replica import LoggedChange
+
 from bilberry_replica.driver import Driver
 from bilberry_replica.leading import (
     Pending,
--- a/packages/bilberry_replica/bilberry_replica/building.py
+++ b/packages/bilberry_replica/bilberry_replica/building.py
@@ -8,6 +8,7 @@
 from bilberry_core.journal import Journal
 from bilberry_core.messages.replica import Member, Membership
 from bilberry_core.settings import Settings
+
 from bilberry_replica.driver import Driver
 from bilberry_replica.leading import Validate
 from bilberry_replica.links import Links
--- a/packages/bilberry_replica/bilberry_replica/commitment.py
+++ b/packages/bilberry_replica/bilberry_replica/commitment.py
@@ -5,6 +5,7 @@
 """
 
 from bilberry_core.messages.replica import Membership
+
 from bilberry_replica.member import has_quorum, is_voter
 from bilberry_replica.node import Moment, Node
 
--- a/packages/bilberry_replica/bilberry_replica/consensus.py
+++ b/packages/bilberry_replica/bilberry_replica/consensus.py
@@ -14,6 +14,7 @@
     VoteReply,
     VoteRequest,
 )
+
 from bilberry_replica.commitment import can_go_on_with, has_fresh_quorum
 from bilberry_replica.election import (
     receive_vote_reply,
--- a/packages/bilberry_replica/bilberry_replica/controller.py
+++ b/packages/bilberry_replica/bilberry_replica/controller.py
@@ -4,8 +4,6 @@
 from contextlib import suppress
 from logging import getLogger
 
-from returns.result import Failure, Result, Success
-
 from bilberry_core.acceptance import (
     Accepted,
     Change,
@@ -18,8 +16,11 @@
 from bilberry_core.configuration import AcceptedVersion
 from bilberry_core.disk import Disk
 from bilberry_core.error import BilberryError
+from bilberry_core.listener import StreamListener
 from bilberry_core.settings import Settings
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.stream import Credentials
+from returns.result import Failure, Result, Success
+
 from bilberry_replica.building import (
     ReplicaOptions,
     build_own,
--- a/packages/bilberry_replica/bilberry_replica/dispatch.py
+++ b/packages/bilberry_replica/bilberry_replica/dispatch.py
@@ -12,6 +12,7 @@
     SubmitReply,
     SubmitRequest,
 )
+
 from bilberry_replica.driver import Driver
 from bilberry_replica.forwarding import Forwarding
 from bilberry_replica.joining import Joining
--- a/packages/bilberry_replica/bilberry_replica/driver.py
+++ b/packages/bilberry_replica/bilberry_replica/driver.py
@@ -7,6 +7,7 @@
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
 from bilberry_core.error import BilberryError
 from bilberry_core.journal import Journal
+
 from bilberry_replica.consensus import find_deadline
 from bilberry_replica.leading import make_beacon, tend_members
 from bilberry_replica.node import Moment, Send
--- a/packages/bilberry_replica/bilberry_replica/election.py
+++ b/packages/bilberry_replica/bilberry_replica/election.py
@@ -6,6 +6,7 @@
 """
 
 from bilberry_core.messages.replica import Entry, VoteReply, VoteRequest
+
 from bilberry_replica.member import has_quorum, is_voter
 from bilberry_replica.node import (
     Moment,
--- a/packages/bilberry_replica/bilberry_replica/following.py
+++ b/packages/bilberry_replica/bilberry_replica/following.py
@@ -1,6 +1,7 @@
 """Following: how a replica takes the entries of its leader."""
 
 from bilberry_core.messages.replica import Append, AppendReply, Entry
+
 from bilberry_replica.error import ConsensusError
 from bilberry_replica.node import (
     Moment,
--- a/packages/bilberry_replica/bilberry_replica/forwarding.py
+++ b/packages/bilberry_replica/bilberry_replica/forwarding.py
@@ -15,6 +15,7 @@
     ReadRequest,
     SubmitRequest,
 )
+
 from bilberry_replica.acceptance import Acceptance, Unanswered
 from bilberry_replica.driver import Driver
 from bilberry_replica.leading import Validate
--- a/packages/bilberry_replica/bilberry_replica/founding.py
+++ b/packages/bilberry_replica/bilberry_replica/founding.py
@@ -13,6 +13,7 @@
     Membership,
     ProbeReply,
 )
+
 from bilberry_replica.member import found
 from bilberry_replica.node import Node, SaveTerm, Step, put_entries
 
--- a/packages/bilberry_replica/bilberry_replica/joining.py
+++ b/packages/bilberry_replica/bilberry_replica/joining.py
@@ -4,6 +4,7 @@
 from logging import getLogger
 
 from bilberry_core.messages.replica import Member, Probe, ProbeReply
+
 from bilberry_replica.driver import Driver
 from bilberry_replica.founding import decide_founding, is_empty
 from bilberry_replica.leading import admit_member, found_fleet
--- a/packages/bilberry_replica/bilberry_replica/leading.py
+++ b/packages/bilberry_replica/bilberry_replica/leading.py
@@ -15,6 +15,7 @@
     Member,
     Membership,
 )
+
 from bilberry_replica.commitment import has_fresh_quorum, is_round_confirmed
 from bilberry_replica.consensus import (
     change_membership,
--- a/packages/bilberry_replica/bilberry_replica/links.py
+++ b/packages/bilberry_replica/bilberry_replica/links.py
@@ -10,10 +10,12 @@
 from typing import Any
 
 from bilberry_core.clock import RandomSource
+from bilberry_core.dialing import dial
 from bilberry_core.endpoint import Address
 from bilberry_core.error import HandshakeError, StreamClosedError
 from bilberry_core.handshake import Purpose
-from bilberry_core.stream import Credentials, Stream, StreamListener, dial
+from bilberry_core.listener import StreamListener
+from bilberry_core.stream import Credentials, Stream
 
 _log = getLogger(__name__)
 
--- a/packages/bilberry_replica/bilberry_replica/machine.py
+++ b/packages/bilberry_replica/bilberry_replica/machine.py
@@ -4,8 +4,8 @@
 from typing import Any, NamedTuple
 
 from bilberry_replica.log import Log
-from bilberry_replica.register import Decision, Register
 from bilberry_replica.record import SnapshotRecord
+from bilberry_replica.register import Decision, Register
 from bilberry_replica.storage import encode_snapshot
 
 
--- a/packages/bilberry_replica/bilberry_replica/node.py
+++ b/packages/bilberry_replica/bilberry_replica/node.py
@@ -10,6 +10,7 @@
 
 from bilberry_core.board import Beacon
 from bilberry_core.messages.replica import Entry, Membership
+
 from bilberry_replica.log import Log
 from bilberry_replica.member import is_voter
 
--- a/packages/bilberry_replica/bilberry_replica/outcome.py
+++ b/packages/bilberry_replica/bilberry_replica/outcome.py
@@ -1,7 +1,5 @@
 """Decisions as the leader sends them, and as operators get them."""
 
-from returns.result import Failure, Result, Success
-
 from bilberry_core.acceptance import (
     Accepted,
     Change,
@@ -12,6 +10,8 @@
     Refusal,
 )
 from bilberry_core.messages.replica import SubmitReply
+from returns.result import Failure, Result, Success
+
 from bilberry_replica.acceptance import Unanswered
 from bilberry_replica.register import Decision
 
--- a/packages/bilberry_replica/bilberry_replica/publisher.py
+++ b/packages/bilberry_replica/bilberry_replica/publisher.py
@@ -6,6 +6,7 @@
 from bilberry_core.board import Beacon, Board, ReplicaStatus
 from bilberry_core.configuration import AcceptedVersion, decode_configuration
 from bilberry_core.messages.replica import Membership
+
 from bilberry_replica.member import build_epoch
 from bilberry_replica.replica import Replica
 
--- a/packages/bilberry_replica/bilberry_replica/reconfiguration.py
+++ b/packages/bilberry_replica/bilberry_replica/reconfiguration.py
@@ -1,6 +1,7 @@
 """Steps of the membership that an operator or the claim holders ask for."""
 
 from bilberry_core.messages.replica import MembershipRequest, ReadReply
+
 from bilberry_replica.driver import Driver
 from bilberry_replica.leading import step_membership
 from bilberry_replica.member import expel, settle
--- a/packages/bilberry_replica/bilberry_replica/record.py
+++ b/packages/bilberry_replica/bilberry_replica/record.py
@@ -2,11 +2,10 @@
 
 from typing import Any, NamedTuple
 
-from msgpack import packb, unpackb
-from msgspec import ValidationError, convert
-
 from bilberry_core.error import JournalError
 from bilberry_core.messages.replica import Entry, Membership
+from msgpack import packb, unpackb
+from msgspec import ValidationError, convert
 
 
 class StoreRecord(NamedTuple):
--- a/packages/bilberry_replica/bilberry_replica/register.py
+++ b/packages/bilberry_replica/bilberry_replica/register.py
@@ -7,9 +7,6 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-from msgpack import packb, unpackb
-from msgspec import convert
-
 from bilberry_core.acceptance import (
     Accepted,
     Change,
@@ -20,6 +17,8 @@
 )
 from bilberry_core.configuration import DIGEST_BYTES
 from bilberry_core.messages.replica import LoggedChange
+from msgpack import packb, unpackb
+from msgspec import convert
 
 #: Versions whose content is kept.
 HISTORY_COUNT = 64
--- a/packages/bilberry_replica/bilberry_replica/replica.py
+++ b/packages/bilberry_replica/bilberry_replica/replica.py
@@ -17,6 +17,7 @@
     InstallSnapshot,
     Membership,
 )
+
 from bilberry_replica.commitment import note_durable
 from bilberry_replica.consensus import install, receive, tick
 from bilberry_replica.election import confirm_own_vote, needs_own_vote
--- a/packages/bilberry_replica/bilberry_replica/replication.py
+++ b/packages/bilberry_replica/bilberry_replica/replication.py
@@ -7,6 +7,7 @@
     InstallReply,
     Member,
 )
+
 from bilberry_replica.commitment import advance_commit
 from bilberry_replica.node import (
     Effect,
--- a/packages/bilberry_replica/bilberry_replica/storage.py
+++ b/packages/bilberry_replica/bilberry_replica/storage.py
@@ -2,12 +2,12 @@
 
 from typing import NamedTuple
 
-from msgpack import packb, unpackb
-from msgspec import convert
-
 from bilberry_core.error import JournalError
 from bilberry_core.journal import Journal
 from bilberry_core.messages.replica import Membership
+from msgpack import packb, unpackb
+from msgspec import convert
+
 from bilberry_replica.log import Log
 from bilberry_replica.node import Effect, Node, SaveEntries, SaveTerm
 from bilberry_replica.record import (
--- a/packages/bilberry_replica/bilberry_replica/transfer.py
+++ b/packages/bilberry_replica/bilberry_replica/transfer.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from bilberry_core.messages.replica import InstallReply, InstallSnapshot
+
 from bilberry_replica.following import hear_leader
 from bilberry_replica.node import (
     Moment,
--- a/packages/bilberry_spread/bilberry_spread/attachment.py
+++ b/packages/bilberry_spread/bilberry_spread/attachment.py
@@ -20,6 +20,7 @@
     Subscribe,
 )
 from bilberry_core.settings import Peer, Settings
+
 from bilberry_spread.edges import Edges, Link
 from bilberry_spread.pacing import DialTimer, ReturnTimer, SourcePicker
 from bilberry_spread.reception import Reception
--- a/packages/bilberry_spread/bilberry_spread/broadcast.py
+++ b/packages/bilberry_spread/bilberry_spread/broadcast.py
@@ -10,6 +10,7 @@
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.settings import Settings
+
 from bilberry_spread.content import Content, Told
 from bilberry_spread.directory import RelayDirectory
 from bilberry_spread.edges import Edges
--- a/packages/bilberry_spread/bilberry_spread/content.py
+++ b/packages/bilberry_spread/bilberry_spread/content.py
@@ -6,6 +6,7 @@
 from bilberry_core.configuration import AcceptedVersion
 from bilberry_core.messages.registry import encode_message
 from bilberry_core.messages.spread import BeaconUpdate, EpochUpdate
+
 from bilberry_spread.history import VersionHistory
 from bilberry_spread.suspects import SuspectKey
 from bilberry_spread.updates import EndpointUpdates
--- a/packages/bilberry_spread/bilberry_spread/delta.py
+++ b/packages/bilberry_spread/bilberry_spread/delta.py
@@ -7,8 +7,6 @@
 from collections.abc import Iterable
 from typing import Any
 
-from returns.result import Failure, Result, Success
-
 from bilberry_core.configuration import (
     AcceptedVersion,
     Configuration,
@@ -21,6 +19,7 @@
     ConfigurationDelta,
     ConfigurationSnapshot,
 )
+from returns.result import Failure, Result, Success
 
 
 def build_snapshot_message(accepted: AcceptedVersion) -> ConfigurationSnapshot:
--- a/packages/bilberry_spread/bilberry_spread/directory.py
+++ b/packages/bilberry_spread/bilberry_spread/directory.py
@@ -9,6 +9,7 @@
 
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.spread import Announce, EndpointKey, EndpointUpdate
+
 from bilberry_spread.table import EndpointTable, Home
 
 #: Called with a record that changed, and whether other relays must hear it.
--- a/packages/bilberry_spread/bilberry_spread/edges.py
+++ b/packages/bilberry_spread/bilberry_spread/edges.py
@@ -5,11 +5,12 @@
 from typing import Any, NamedTuple, Protocol
 
 from bilberry_core.clock import Clock, RandomSource
+from bilberry_core.dialing import dial
 from bilberry_core.error import HandshakeError, StreamClosedError
 from bilberry_core.handshake import Purpose
 from bilberry_core.metric import Metrics, open_metrics
 from bilberry_core.settings import Peer, Settings
-from bilberry_core.stream import Credentials, dial
+from bilberry_core.stream import Credentials
 
 
 class Link(Protocol):
--- a/packages/bilberry_spread/bilberry_spread/endpoint_feed.py
+++ b/packages/bilberry_spread/bilberry_spread/endpoint_feed.py
@@ -5,6 +5,7 @@
 from bilberry_core.board import Board
 from bilberry_core.clock import Clock
 from bilberry_core.messages.spread import EndpointUpdate
+
 from bilberry_spread.table import EndpointTable, Home
 
 _log = getLogger(__name__)
--- a/packages/bilberry_spread/bilberry_spread/history.py
+++ b/packages/bilberry_spread/bilberry_spread/history.py
@@ -8,6 +8,7 @@
 
 from bilberry_core.configuration import AcceptedVersion
 from bilberry_core.messages.registry import encode_message
+
 from bilberry_spread.delta import build_delta, build_snapshot_message
 
 #: Versions kept as bases of deltas.
--- a/packages/bilberry_spread/bilberry_spread/mesh.py
+++ b/packages/bilberry_spread/bilberry_spread/mesh.py
@@ -13,6 +13,7 @@
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.spread import Subscribe
 from bilberry_core.settings import Peer, Settings
+
 from bilberry_spread.backoff import Backoff
 from bilberry_spread.edges import Edges, Link, send_if_open
 
--- a/packages/bilberry_spread/bilberry_spread/mesh_receiver.py
+++ b/packages/bilberry_spread/bilberry_spread/mesh_receiver.py
@@ -4,6 +4,7 @@
 
 from bilberry_core.board import Suspect
 from bilberry_core.messages.spread import Held, SuspectUpdate
+
 from bilberry_spread.edges import Link, send_if_open
 from bilberry_spread.reports import build_report
 from bilberry_spread.suspects import SuspectKey
--- a/packages/bilberry_spread/bilberry_spread/pacing.py
+++ b/packages/bilberry_spread/bilberry_spread/pacing.py
@@ -2,6 +2,7 @@
 
 from bilberry_core.clock import Clock, RandomSource
 from bilberry_core.settings import Peer
+
 from bilberry_spread.backoff import Backoff
 
 #: Largest factor by which a time to come back is stretched.
--- a/packages/bilberry_spread/bilberry_spread/ranking.py
+++ b/packages/bilberry_spread/bilberry_spread/ranking.py
@@ -7,9 +7,8 @@
 
 from collections.abc import Iterable
 
-from xxhash import xxh64_intdigest
-
 from bilberry_core.settings import Peer
+from xxhash import xxh64_intdigest
 
 
 def rank_relays(
--- a/packages/bilberry_spread/bilberry_spread/receiver.py
+++ b/packages/bilberry_spread/bilberry_spread/receiver.py
@@ -10,6 +10,7 @@
 from bilberry_core.error import StreamClosedError
 from bilberry_core.messages.registry import encode_message
 from bilberry_core.messages.spread import Subscribe, SuspectUpdate
+
 from bilberry_spread.content import Content
 from bilberry_spread.edges import Link
 from bilberry_spread.suspects import SuspectKey
--- a/packages/bilberry_spread/bilberry_spread/receivers.py
+++ b/packages/bilberry_spread/bilberry_spread/receivers.py
@@ -11,6 +11,7 @@
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.spread import Busy, Subscribe
 from bilberry_core.settings import Settings
+
 from bilberry_spread.admission import JoinAdmission
 from bilberry_spread.content import Content
 from bilberry_spread.directory import RelayDirectory
--- a/packages/bilberry_spread/bilberry_spread/reception.py
+++ b/packages/bilberry_spread/bilberry_spread/reception.py
@@ -7,8 +7,6 @@
 
 from logging import getLogger
 
-from returns.result import Success
-
 from bilberry_core.board import Beacon, Board, ClaimEpoch
 from bilberry_core.configuration import AcceptedVersion
 from bilberry_core.messages.spread import (
@@ -16,6 +14,8 @@
     ConfigurationSnapshot,
     Resend,
 )
+from returns.result import Success
+
 from bilberry_spread.delta import apply_delta, read_snapshot_message
 from bilberry_spread.edges import Edges
 from bilberry_spread.staleness import put_stale_since
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -12,13 +12,15 @@
 from bilberry_core.board import Board
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
 from bilberry_core.handshake import Purpose
+from bilberry_core.listener import StreamListener
 from bilberry_core.messages.spread import (
     EndpointUpdate,
     Held,
     SuspectUpdate,
 )
 from bilberry_core.settings import Peer, Role, Settings
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.stream import Credentials
+
 from bilberry_spread.backoff import MAX_DELAY_S
 from bilberry_spread.broadcast import Broadcast
 from bilberry_spread.edges import Edges, Link, open_edges
--- a/packages/bilberry_spread/bilberry_spread/relay_source.py
+++ b/packages/bilberry_spread/bilberry_spread/relay_source.py
@@ -6,6 +6,7 @@
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.spread import Held, SuspectUpdate
 from bilberry_core.settings import Peer, Settings
+
 from bilberry_spread.attachment import Attachment
 from bilberry_spread.edges import Edges
 from bilberry_spread.ranking import rank_relays
--- a/packages/bilberry_spread/bilberry_spread/session.py
+++ b/packages/bilberry_spread/bilberry_spread/session.py
@@ -13,6 +13,7 @@
     SuspectUpdate,
     Want,
 )
+
 from bilberry_spread.directory import RelayDirectory
 from bilberry_spread.edges import Edges
 from bilberry_spread.mesh_receiver import MeshReceiver
--- a/packages/bilberry_spread/bilberry_spread/source.py
+++ b/packages/bilberry_spread/bilberry_spread/source.py
@@ -5,6 +5,7 @@
 
 from bilberry_core.board import Beacon
 from bilberry_core.settings import Peer
+
 from bilberry_spread.edges import Link, send_if_open
 from bilberry_spread.reception import is_later_beacon
 
--- a/packages/bilberry_spread/bilberry_spread/staleness.py
+++ b/packages/bilberry_spread/bilberry_spread/staleness.py
@@ -5,6 +5,7 @@
 from bilberry_core.board import Board
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.settings import Settings
+
 from bilberry_spread.edges import Edges
 
 _log = getLogger(__name__)
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -21,6 +21,7 @@
 )
 from bilberry_core.settings import Settings
 from bilberry_core.stream import Credentials
+
 from bilberry_spread.attachment import Attachment
 from bilberry_spread.edges import Edges, open_edges
 from bilberry_spread.endpoint_feed import EndpointFeed
--- a/packages/bilberry_spread/bilberry_spread/suspect_feed.py
+++ b/packages/bilberry_spread/bilberry_spread/suspect_feed.py
@@ -3,6 +3,7 @@
 from bilberry_core.board import Board, Suspect
 from bilberry_core.clock import Clock
 from bilberry_core.messages.spread import SuspectUpdate
+
 from bilberry_spread.suspects import SuspectKey, merge_suspects
 
 
--- a/packages/bilberry_spread/bilberry_spread/table.py
+++ b/packages/bilberry_spread/bilberry_spread/table.py
@@ -13,6 +13,7 @@
 
 from bilberry_core.endpoint import Endpoint, EndpointState
 from bilberry_core.messages.spread import EndpointKey
+
 from bilberry_spread.removal import WINDOW_LEASES, RemovalLimit
 from bilberry_spread.tombstones import Tombstones
 
--- a/packages/bilberry_spread/bilberry_spread/updates.py
+++ b/packages/bilberry_spread/bilberry_spread/updates.py
@@ -5,6 +5,7 @@
 from bilberry_core.endpoint import Endpoint, EndpointState
 from bilberry_core.messages.registry import encode_message
 from bilberry_core.messages.spread import EndpointKey, EndpointUpdate
+
 from bilberry_spread.table import EndpointTable, get_key
 
 
--- a/packages/bilberryctl/bilberryctl/answers.py
+++ b/packages/bilberryctl/bilberryctl/answers.py
@@ -6,12 +6,11 @@
 
 from typing import Any, TypedDict
 
+from bilberry_core.http import HttpResponse
 from msgspec import DecodeError, ValidationError, convert
 from msgspec.json import decode
 from returns.result import Failure, Result, Success
 
-from bilberry_core.http import HttpResponse
-
 
 class ChangeAnswer(TypedDict):
     """The outcome of a change that was accepted."""
--- a/packages/bilberryctl/bilberryctl/change.py
+++ b/packages/bilberryctl/bilberryctl/change.py
@@ -5,9 +5,9 @@
 from urllib.parse import quote
 from uuid import uuid4
 
+from bilberry_core.http import HttpRequest, HttpResponse
 from returns.result import Failure
 
-from bilberry_core.http import HttpRequest, HttpResponse
 from bilberryctl.answers import ChangeAnswer, decode_answer, read_etag
 from bilberryctl.exit_code import ExitCode
 from bilberryctl.local_file import read_configuration
--- a/packages/bilberryctl/bilberryctl/local_file.py
+++ b/packages/bilberryctl/bilberryctl/local_file.py
@@ -3,12 +3,12 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from returns.result import Failure
-
 from bilberry_core.configuration import Configuration
 from bilberry_core.configuration_file import parse_configuration
 from bilberry_core.document import MAX_DOCUMENT_BYTES
 from bilberry_core.text_file import read_text_file
+from returns.result import Failure
+
 from bilberryctl.exit_code import ExitCode
 from bilberryctl.outcome import Outcome, fail, succeed
 
--- a/packages/bilberryctl/bilberryctl/main.py
+++ b/packages/bilberryctl/bilberryctl/main.py
@@ -4,6 +4,7 @@
 from asyncio import run
 
 from bilberry_core import __version__
+
 from bilberryctl.command_line import parse_command
 from bilberryctl.exit_code import ExitCode
 from bilberryctl.outcome import UsageError
--- a/packages/bilberryctl/bilberryctl/progress.py
+++ b/packages/bilberryctl/bilberryctl/progress.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from bilberry_core.http import HttpRequest
+
 from bilberryctl.answers import StatusAnswer, decode_answer
 from bilberryctl.exit_code import ExitCode
 from bilberryctl.outcome import Document, Outcome, fail, succeed
--- a/packages/bilberryctl/bilberryctl/session.py
+++ b/packages/bilberryctl/bilberryctl/session.py
@@ -6,14 +6,14 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from returns.result import Failure
-
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Address
 from bilberry_core.http import HttpRequest, HttpResponse
 from bilberry_core.scalar import parse_address
 from bilberry_core.text_file import read_text_file
 from bilberry_core.unit import parse_duration_ms
+from returns.result import Failure
+
 from bilberryctl.answers import ErrorAnswer, decode_answer
 from bilberryctl.client import OperatorsClient, Reply
 from bilberryctl.exit_code import ExitCode
--- a/packages/bilberryctl/bilberryctl/text.py
+++ b/packages/bilberryctl/bilberryctl/text.py
@@ -1,6 +1,7 @@
 """Renders answers of the operators' interface for a person."""
 
 from bilberry_core.document import render_document
+
 from bilberryctl.outcome import Document
 
 
--- a/packages/bilberryctl/bilberryctl/view.py
+++ b/packages/bilberryctl/bilberryctl/view.py
@@ -4,14 +4,14 @@
 from typing import NamedTuple
 from urllib.parse import urlencode
 
-from returns.result import Failure
-
 from bilberry_core.configuration import Configuration
 from bilberry_core.configuration_document import build_document
 from bilberry_core.configuration_file import (
     parse_configuration,
     render_configuration,
 )
+from returns.result import Failure
+
 from bilberryctl.answers import (
     ExplainAnswer,
     HistoryAnswer,
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -11,9 +11,10 @@
 from bilberry_core.clock import SystemClock
 from bilberry_core.configuration_file import validate_content
 from bilberry_core.disk import SystemDisk
+from bilberry_core.listener import StreamListener
 from bilberry_core.metric import open_metrics
 from bilberry_core.settings import Role, Settings
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.stream import Credentials
 from bilberry_operators.controller import OperatorsController
 from bilberry_proxy.announcement import AnnouncementController
 from bilberry_proxy.controller import ProxyController
@@ -21,6 +22,7 @@
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
 from bilberry_spread.subscriber import SubscriberController
+
 from bilberryd.daemon import Controller, Daemon
 
 #: Roles whose daemons tell others what was accepted: a replica tells relays.
--- a/packages/bilberryd/bilberryd/daemon.py
+++ b/packages/bilberryd/bilberryd/daemon.py
@@ -20,7 +20,7 @@
 
 from bilberry_core.board import Board, Phase
 from bilberry_core.endpoint import Address
-from bilberry_core.stream import StreamListener
+from bilberry_core.listener import StreamListener
 
 _log = getLogger(__name__)
 
--- a/packages/bilberryd/bilberryd/main.py
+++ b/packages/bilberryd/bilberryd/main.py
@@ -8,15 +8,15 @@
 from os import environ
 from sys import argv, exit, stderr, stdout
 
-from fire import Fire
-from returns.result import Success
-from uvloop import new_event_loop
-
 from bilberry_core import __version__
 from bilberry_core.error import BilberryError
 from bilberry_core.logs import start_logs
 from bilberry_core.settings import Settings
 from bilberry_core.settings_file import load_settings
+from fire import Fire
+from returns.result import Success
+from uvloop import new_event_loop
+
 from bilberryd.assembly import build_daemon
 
 _EXIT_FAILED = 1
--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -26,6 +26,8 @@
 from signal import SIGTERM
 from typing import NamedTuple
 
+from bilberry_core.endpoint import Address
+from bilberry_core.http import HttpError, HttpRequest, fetch
 from h11 import (
     DONE,
     NEED_DATA,
@@ -40,9 +42,6 @@
     Response,
 )
 
-from bilberry_core.endpoint import Address
-from bilberry_core.http import HttpError, HttpRequest, fetch
-
 _HOST = '127.0.0.1'
 _MS_PER_S = 1000
 _SLOW_S = 1.0
--- a/tests/bilberry_claims/fleet.py
+++ b/tests/bilberry_claims/fleet.py
@@ -11,8 +11,10 @@
 from bilberry_core.clock import SystemClock
 from bilberry_core.endpoint import Address
 from bilberry_core.handshake import Purpose
+from bilberry_core.listener import StreamListener
 from bilberry_core.settings import ListenSettings, Role, Settings
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.stream import Credentials
+
 from tests.bilberry_core.fake_disk import FakeDisk
 
 TIMEOUT_S = 20
--- a/tests/bilberry_claims/test_client.py
+++ b/tests/bilberry_claims/test_client.py
@@ -3,8 +3,6 @@
 from asyncio import create_task, gather, run, wait
 from unittest.mock import patch
 
-from testtools import TestCase
-
 from bilberry_claims.exchange import Exchange
 from bilberry_core.claim import (
     Answered,
@@ -13,6 +11,8 @@
     Taken,
     Unavailable,
 )
+from testtools import TestCase
+
 from tests.bilberry_claims.fleet import (
     ANSWER,
     TIMEOUT_S,
--- a/tests/bilberry_claims/test_handover.py
+++ b/tests/bilberry_claims/test_handover.py
@@ -1,10 +1,9 @@
 """Handovers: complete once a majority of the holders says so."""
 
-from testtools import TestCase
-
 from bilberry_claims.handover import Handover
 from bilberry_core.board import ClaimEpoch, Holder
 from bilberry_core.messages.claim import HolderPhase, HolderStatus, Standing
+from testtools import TestCase
 
 _HOLDERS = tuple(Holder(name, '', 0, name) for name in 'abc')
 _EPOCH = ClaimEpoch(2, _HOLDERS, _HOLDERS[:1])
--- a/tests/bilberry_claims/test_holder.py
+++ b/tests/bilberry_claims/test_holder.py
@@ -3,16 +3,18 @@
 from asyncio import Event, create_task, run
 from errno import EIO
 
-from testtools import TestCase
-
 from bilberry_claims.holder import JOURNAL_NAME, HolderController
 from bilberry_claims.limit import MIN_RETENTION_S, ClaimLimits
 from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.claim import Answered, Granted, Taken, Unavailable
 from bilberry_core.clock import MS_PER_S, SystemClock
+from bilberry_core.dialing import dial
 from bilberry_core.endpoint import Address
 from bilberry_core.handshake import Purpose
-from bilberry_core.stream import Credentials, StreamListener, dial
+from bilberry_core.listener import StreamListener
+from bilberry_core.stream import Credentials
+from testtools import TestCase
+
 from tests.bilberry_claims.fleet import (
     ANSWER,
     TIMEOUT_S,
--- a/tests/bilberry_claims/test_link.py
+++ b/tests/bilberry_claims/test_link.py
@@ -3,14 +3,15 @@
 from asyncio import run
 from unittest.mock import patch
 
-from testtools import TestCase
-
 from bilberry_claims.link import HolderLink, HolderLinks
 from bilberry_core.board import Holder
 from bilberry_core.endpoint import Address
 from bilberry_core.handshake import Purpose
+from bilberry_core.listener import StreamListener
 from bilberry_core.messages.claim import HolderProbe
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.stream import Credentials
+from testtools import TestCase
+
 from tests.bilberry_claims.fleet import wait_until
 
 _CREDENTIALS = Credentials('fleet', 'proxy', b'secret')
--- a/tests/bilberry_claims/test_outbox.py
+++ b/tests/bilberry_claims/test_outbox.py
@@ -3,12 +3,12 @@
 from asyncio import run
 from errno import EIO
 
+from bilberry_claims.outbox import Outbox, Posted
+from bilberry_core.journal import Journal
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from bilberry_claims.outbox import Outbox, Posted
-from bilberry_core.journal import Journal
 from tests.bilberry_core.fake_disk import FakeDisk
 
 _NAME = 'claims'
--- a/tests/bilberry_claims/test_record.py
+++ b/tests/bilberry_claims/test_record.py
@@ -1,9 +1,5 @@
 """Records and majorities: what merging and counting must never lose."""
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
 from bilberry_claims.limit import MAX_DISPUTED
 from bilberry_claims.quorum import count_majority, count_sources, is_quorum
 from bilberry_claims.record import (
@@ -16,6 +12,9 @@
 )
 from bilberry_core.board import Holder
 from bilberry_core.claim import ClaimKey, StoredAnswer
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
 
 _TOKENS = st.sampled_from([bytes([number]) for number in range(12)])
 _VOTES = st.builds(Vote, _TOKENS, st.just(b'body'))
--- a/tests/bilberry_claims/test_world.py
+++ b/tests/bilberry_claims/test_world.py
@@ -7,18 +7,18 @@
 from contextlib import ExitStack
 from unittest.mock import patch
 
-from hypothesis import given, settings
-from hypothesis import strategies as st
-from testtools import TestCase
-
+from bilberry_claims.broadcast import Fact
 from bilberry_claims.catch_up import CatchUp
 from bilberry_claims.holder_core import HolderCore
 from bilberry_claims.membership import Membership
 from bilberry_claims.process import ClaimProcess
-from bilberry_claims.broadcast import Fact
 from bilberry_claims.quorum import number_epoch
 from bilberry_core.claim import Granted
 from bilberry_core.messages.claim import HolderPhase
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from testtools import TestCase
+
 from tests.bilberry_claims.world import Node, Violation, World
 
 _SEEDS = st.integers(0, 2**64 - 1)
--- a/tests/bilberry_core/test_configuration_file.py
+++ b/tests/bilberry_core/test_configuration_file.py
@@ -1,9 +1,5 @@
 """Configuration files: rules, rendering, bounds."""
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
 from bilberry_core.configuration import (
     Configuration,
     RouteException,
@@ -16,6 +12,9 @@
     validate_content,
 )
 from bilberry_core.policy import CallPolicy, LoadPolicy, PolicyChange, Priority
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
 
 GOOD = """
 defaults: {timeout: 4s, retry_budget: 10%, claim_retention: 48h}
--- a/tests/bilberry_core/test_disk.py
+++ b/tests/bilberry_core/test_disk.py
@@ -3,10 +3,9 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from testtools import TestCase
-
 from bilberry_core.disk import SystemDisk
 from bilberry_core.error import JournalError
+from testtools import TestCase
 
 
 class SystemDiskTest(TestCase):
--- a/tests/bilberry_core/test_document.py
+++ b/tests/bilberry_core/test_document.py
@@ -4,11 +4,6 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
-from hypothesis import given
-from hypothesis import strategies as st
-from returns.result import Failure
-from testtools import TestCase
-
 from bilberry_core.document import (
     MAX_DOCUMENT_BYTES,
     MAX_NODES,
@@ -16,6 +11,10 @@
     render_document,
 )
 from bilberry_core.text_file import read_text_file
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure
+from testtools import TestCase
 
 ALIAS_BOMB = """
 a: &a [x, x, x, x, x, x, x, x, x]
--- a/tests/bilberry_core/test_examples.py
+++ b/tests/bilberry_core/test_examples.py
@@ -4,11 +4,10 @@
 from shutil import copytree
 from tempfile import TemporaryDirectory
 
-from testtools import TestCase
-
 from bilberry_core.configuration_file import parse_configuration
 from bilberry_core.settings import Role
 from bilberry_core.settings_file import load_settings
+from testtools import TestCase
 
 EXAMPLES = Path(__file__).parents[2] / 'examples'
 ROLES = {
--- a/tests/bilberry_core/test_http.py
+++ b/tests/bilberry_core/test_http.py
@@ -2,8 +2,6 @@
 
 from asyncio import open_connection, run
 
-from testtools import TestCase
-
 from bilberry_core import http
 from bilberry_core.endpoint import Address
 from bilberry_core.http import (
@@ -13,6 +11,7 @@
     fetch,
     serve_http,
 )
+from testtools import TestCase
 
 
 async def echo(request: HttpRequest) -> HttpResponse:
--- a/tests/bilberry_core/test_http_bounds.py
+++ b/tests/bilberry_core/test_http_bounds.py
@@ -2,10 +2,9 @@
 
 from asyncio import StreamReader, open_connection, run
 
-from testtools import TestCase
-
 from bilberry_core.endpoint import Address
 from bilberry_core.http import HttpLimits, HttpResponse, serve_http
+from testtools import TestCase
 
 PUT = b'PUT / HTTP/1.1\r\nhost: x\r\n'
 
--- a/tests/bilberry_core/test_journal.py
+++ b/tests/bilberry_core/test_journal.py
@@ -3,12 +3,12 @@
 from asyncio import gather, run
 from errno import EIO
 
+from bilberry_core.error import JournalError
+from bilberry_core.journal import Journal
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from bilberry_core.error import JournalError
-from bilberry_core.journal import Journal
 from tests.bilberry_core.fake_disk import FakeDisk
 
 NAME = 'log'
--- a/tests/bilberry_core/test_logs.py
+++ b/tests/bilberry_core/test_logs.py
@@ -6,10 +6,9 @@
 from sys import exc_info
 from tempfile import TemporaryDirectory
 
-from testtools import TestCase
-
 from bilberry_core.logs import start_logs
 from bilberry_core.verdict import Verdict
+from testtools import TestCase
 
 
 class LogsTest(TestCase):
--- a/tests/bilberry_core/test_mutations.py
+++ b/tests/bilberry_core/test_mutations.py
@@ -3,12 +3,6 @@
 from copy import deepcopy
 from datetime import date
 
-from hypothesis import example, given
-from hypothesis import strategies as st
-from returns.result import Failure, Success
-from testtools import TestCase
-from yaml import safe_load
-
 from bilberry_core.configuration import encode_configuration
 from bilberry_core.configuration_file import (
     parse_configuration,
@@ -16,6 +10,12 @@
 )
 from bilberry_core.document import render_document
 from bilberry_core.settings_file import parse_settings
+from hypothesis import example, given
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+from testtools import TestCase
+from yaml import safe_load
+
 from tests.bilberry_core.test_configuration_file import GOOD as CONFIGURATION
 from tests.bilberry_core.test_settings_file import GOOD as SETTINGS
 
--- a/tests/bilberry_core/test_policy.py
+++ b/tests/bilberry_core/test_policy.py
@@ -1,9 +1,8 @@
 """Policies: what a configuration may name is what a proxy has."""
 
-from testtools import TestCase
-
 from bilberry_core.policy import CallPolicy, LoadPolicy, PolicyChange
 from bilberry_proxy.balancers import DEFAULT_BALANCER, get_balancer_names
+from testtools import TestCase
 
 
 class PolicyTest(TestCase):
--- a/tests/bilberry_core/test_settings_file.py
+++ b/tests/bilberry_core/test_settings_file.py
@@ -3,15 +3,14 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+from bilberry_core.endpoint import Address
+from bilberry_core.settings import Role, TimingSettings
+from bilberry_core.settings_file import load_settings, parse_settings
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.result import Result
 from testtools import TestCase
 
-from bilberry_core.endpoint import Address
-from bilberry_core.settings import Role, TimingSettings
-from bilberry_core.settings_file import load_settings, parse_settings
-
 SECRET = 'bilberry-secret-0123456789'
 TOKEN = 'operators-token-0123456789'
 
--- a/tests/bilberry_core/test_snapshot.py
+++ b/tests/bilberry_core/test_snapshot.py
@@ -1,9 +1,5 @@
 """Snapshots: closed over references, exceptions ranked."""
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
 from bilberry_core.configuration import (
     AcceptedVersion,
     Configuration,
@@ -17,6 +13,9 @@
 from bilberry_core.error import ConfigurationError
 from bilberry_core.policy import CallPolicy, PolicyChange, Priority
 from bilberry_core.snapshot import compile_snapshot, decide_policy
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
 
 
 def make_endpoint(service: str) -> Endpoint:
--- a/tests/bilberry_core/test_stream.py
+++ b/tests/bilberry_core/test_stream.py
@@ -2,21 +2,22 @@
 
 from asyncio import Event, open_connection, run
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
+from bilberry_core.dialing import dial
 from bilberry_core.endpoint import Address
 from bilberry_core.error import FrameError, HandshakeError
 from bilberry_core.frame import FrameReader, frame
 from bilberry_core.handshake import Purpose
+from bilberry_core.listener import StreamListener
 from bilberry_core.messages.registry import (
     UnknownMessage,
     decode_message,
     encode_message,
 )
 from bilberry_core.messages.spread import Busy, Want
-from bilberry_core.stream import Credentials, Stream, StreamListener, dial
+from bilberry_core.stream import Credentials, Stream
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
 
 LOOPBACK = Address('127.0.0.1', 0)
 CREDENTIALS = Credentials('fleet', 'a-1', b'secret')
--- a/tests/bilberry_operators/fake_acceptor.py
+++ b/tests/bilberry_operators/fake_acceptor.py
@@ -1,7 +1,5 @@
 """An acceptor in memory with the rules of the replicated one."""
 
-from returns.result import Failure, Success
-
 from bilberry_core.acceptance import (
     Accepted,
     Change,
@@ -12,6 +10,7 @@
     OutcomeUnknown,
 )
 from bilberry_core.configuration import AcceptedVersion, decode_configuration
+from returns.result import Failure, Success
 
 
 class FakeAcceptor:
--- a/tests/bilberry_operators/test_controller.py
+++ b/tests/bilberry_operators/test_controller.py
@@ -4,9 +4,6 @@
 from json import loads
 from socket import create_connection
 
-from msgpack import packb, unpackb
-from testtools import TestCase
-
 from bilberry_core.board import Board, ReplicaStatus
 from bilberry_core.configuration import (
     AcceptedVersion,
@@ -16,6 +13,9 @@
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.http import HttpRequest, fetch
 from bilberry_core.snapshot import compile_snapshot
+from msgpack import packb, unpackb
+from testtools import TestCase
+
 from tests.bilberry_operators.daemon import (
     SECRET,
     SETTINGS,
--- a/tests/bilberry_operators/test_hostile.py
+++ b/tests/bilberry_operators/test_hostile.py
@@ -2,12 +2,12 @@
 
 from json import loads
 
+from bilberry_core.document import MAX_DOCUMENT_BYTES
+from bilberry_core.http import HttpRequest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from bilberry_core.document import MAX_DOCUMENT_BYTES
-from bilberry_core.http import HttpRequest
 from tests.bilberry_operators.fake_acceptor import FakeAcceptor
 from tests.bilberry_operators.test_controller import (
     build_put,
--- a/tests/bilberry_proxy/fleet.py
+++ b/tests/bilberry_proxy/fleet.py
@@ -14,14 +14,15 @@
 )
 from bilberry_core.endpoint import Address
 from bilberry_core.http import HttpRequest, HttpResponse, fetch
+from bilberry_core.listener import StreamListener
 from bilberry_core.metric import NullMetrics
 from bilberry_core.policy import CallPolicy
 from bilberry_core.settings import ListenSettings, Role, Settings
 from bilberry_core.snapshot import compile_snapshot
-from bilberry_core.stream import Credentials, StreamListener
-
+from bilberry_core.stream import Credentials
 from bilberry_proxy.announcement import AnnouncementController
 from bilberry_proxy.controller import ProxyController
+
 from standin.upstream import StandinOptions, StandinUpstream
 
 ANY_PORT = Address('127.0.0.1', 0)
--- a/tests/bilberry_proxy/test_admission.py
+++ b/tests/bilberry_proxy/test_admission.py
@@ -2,15 +2,13 @@
 
 from typing import NamedTuple
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.policy import Priority
-
 from bilberry_proxy.admission import DEFERRABLE_SHARE, QUEUE_PER_SLOT
 from bilberry_proxy.waiting_line import WaitingLine
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
 
 SLOTS = 2
 FAR = 1e9
--- a/tests/bilberry_proxy/test_announcement.py
+++ b/tests/bilberry_proxy/test_announcement.py
@@ -3,16 +3,14 @@
 from asyncio import run
 from json import dumps
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
 from bilberry_core.board import Board, Phase, UpstreamCrash
 from bilberry_core.endpoint import Address, EndpointState
 from bilberry_core.http import HttpRequest
 from bilberry_core.settings import ListenSettings, Role, Settings
-
 from bilberry_proxy.announcement import AnnouncementController
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
 
 ADDRESS = Address('127.0.0.1', 7000)
 BODY = {
--- a/tests/bilberry_proxy/test_broken_rules.py
+++ b/tests/bilberry_proxy/test_broken_rules.py
@@ -9,11 +9,8 @@
 from typing import NamedTuple
 from unittest.mock import patch
 
-from testtools import TestCase
-
 from bilberry_core.policy import Priority
 from bilberry_core.verdict import Failure, FailureCode, Verdict
-
 from bilberry_proxy import admission, decision_log, outlier, retry, selection
 from bilberry_proxy.balancers import build_balancer
 from bilberry_proxy.endpoint_load import Candidate, EndpointLoad
@@ -21,6 +18,8 @@
 from bilberry_proxy.slots import Slots
 from bilberry_proxy.suspect_lane import SuspectLane
 from bilberry_proxy.upstream_connection import UpstreamConnection
+from testtools import TestCase
+
 from tests.bilberry_proxy.test_admission import Call, Upstream
 from tests.bilberry_proxy.test_selection import HERE, LOST, build_endpoint
 from tests.bilberry_proxy.test_upstream_connection import WHOLE, Exchange
--- a/tests/bilberry_proxy/test_call_stream.py
+++ b/tests/bilberry_proxy/test_call_stream.py
@@ -2,10 +2,6 @@
 
 from asyncio import run, sleep
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
 from bilberry_core.endpoint import Address
 from bilberry_core.messages.call import (
     CallCancel,
@@ -18,8 +14,10 @@
 )
 from bilberry_core.policy import Priority
 from bilberry_core.verdict import Failure, FailureCode, Verdict
-
 from bilberry_proxy.call_stream import CallStream
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
 
 NOWHERE = Address('127.0.0.1', 1)
 NO_LOAD = Load(0, 0, 0, 0)
--- a/tests/bilberry_proxy/test_caller_connection.py
+++ b/tests/bilberry_proxy/test_caller_connection.py
@@ -1,11 +1,10 @@
 """Callers that send slowly, or nothing."""
 
+from bilberry_proxy.caller_connection import MAX_IDLE_S, CallerConnection
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from bilberry_proxy.caller_connection import MAX_IDLE_S, CallerConnection
-
 
 class FakeTransport:
     """A socket that tells whether it was closed."""
--- a/tests/bilberry_proxy/test_crash_probe.py
+++ b/tests/bilberry_proxy/test_crash_probe.py
@@ -3,10 +3,9 @@
 from asyncio import Event, create_task, get_running_loop, run
 from socket import create_server
 
-from testtools import TestCase
-
 from bilberry_core.endpoint import Address
 from bilberry_proxy.crash_probe import is_gone
+from testtools import TestCase
 
 _LONG_S = 10.0
 _SHORT_S = 0.01
--- a/tests/bilberry_proxy/test_decision_log.py
+++ b/tests/bilberry_proxy/test_decision_log.py
@@ -1,11 +1,10 @@
 """The decision line and the metrics of a request."""
 
-from testtools import TestCase
-
 from bilberry_core.verdict import Failure, FailureCode, Verdict
-
 from bilberry_proxy.decision_log import Outcome, count_outcome, log_decision
 from bilberry_proxy.selection import Selection
+from testtools import TestCase
+
 from tests.bilberry_proxy.test_selection import build_endpoint
 
 
--- a/tests/bilberry_proxy/test_failures.py
+++ b/tests/bilberry_proxy/test_failures.py
@@ -2,11 +2,11 @@
 
 from asyncio import Event, create_task, gather, run
 
-from testtools import TestCase
-
 from bilberry_core.board import Phase
 from bilberry_core.configuration import Configuration, RouteException
 from bilberry_core.policy import PolicyChange, Priority
+from testtools import TestCase
+
 from tests.bilberry_proxy.fleet import call, configure, open_fleet, until
 
 UPSTREAM = {'slots': 2}
--- a/tests/bilberry_proxy/test_flow.py
+++ b/tests/bilberry_proxy/test_flow.py
@@ -2,14 +2,13 @@
 
 from asyncio import Event, open_connection, run, sleep, start_server
 
+from bilberry_core.endpoint import Address
+from bilberry_proxy.call import WINDOW_BYTES
+from bilberry_proxy.request_body import RequestBody
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from bilberry_core.endpoint import Address
-
-from bilberry_proxy.call import WINDOW_BYTES
-from bilberry_proxy.request_body import RequestBody
 from tests.bilberry_proxy.fleet import SERVICE, call, open_fleet, until
 
 CHUNK = b'x' * 65536
--- a/tests/bilberry_proxy/test_poison.py
+++ b/tests/bilberry_proxy/test_poison.py
@@ -3,13 +3,12 @@
 from asyncio import create_task, gather, run
 from itertools import combinations, repeat
 
+from bilberry_core.board import Suspect
+from bilberry_proxy.poison import Judgement, judge_suspects
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from bilberry_core.board import Suspect
-
-from bilberry_proxy.poison import Judgement, judge_suspects
 from tests.bilberry_proxy.fleet import call, configure, open_fleet, until
 from tests.bilberry_proxy.test_failures import verdict
 
--- a/tests/bilberry_proxy/test_retry.py
+++ b/tests/bilberry_proxy/test_retry.py
@@ -1,11 +1,6 @@
 """Retries: never a second run of what may have run, never without bound."""
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
 from bilberry_core.verdict import Failure, FailureCode, Verdict
-
 from bilberry_proxy.decision_log import join_verdicts
 from bilberry_proxy.retry import (
     MIN_BUDGET,
@@ -13,6 +8,9 @@
     RetryBudget,
     decide_retry,
 )
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
 
 failures = st.builds(
     Failure,
--- a/tests/bilberry_proxy/test_selection.py
+++ b/tests/bilberry_proxy/test_selection.py
@@ -2,15 +2,10 @@
 
 from random import Random
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.messages.call import Load
 from bilberry_core.policy import Priority
 from bilberry_core.verdict import Failure, FailureCode, Verdict
-
 from bilberry_proxy.balancers import build_balancer, get_balancer_names
 from bilberry_proxy.endpoint_load import (
     SLOW_START_MS,
@@ -31,6 +26,9 @@
     select_endpoint,
     select_ready,
 )
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
 
 LOST = Failure(Verdict.MAY_HAVE_RUN, FailureCode.STREAM_LOST)
 HERE = Viewpoint('me', 'one', 100.0, 1_000_000)
--- a/tests/bilberry_proxy/test_timers.py
+++ b/tests/bilberry_proxy/test_timers.py
@@ -1,11 +1,10 @@
 """Timers: each fires once, late by at most a tick, never early."""
 
+from bilberry_proxy.timers import TICK_S, TimerWheel
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from bilberry_proxy.timers import TICK_S, TimerWheel
-
 times = st.floats(0, 3)
 
 
--- a/tests/bilberry_proxy/test_upstream_connection.py
+++ b/tests/bilberry_proxy/test_upstream_connection.py
@@ -1,13 +1,11 @@
 """One connection to an upstream that misbehaves in every way."""
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
 from bilberry_core.verdict import FailureCode
-
 from bilberry_proxy.upstream_connection import UpstreamConnection
 from bilberry_proxy.upstream_request import UpstreamRequest
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
 
 GET = UpstreamRequest(b'GET', b'/', ((b'host', b'a'),), b'', True)
 HEAD = GET._replace(method=b'HEAD')
--- a/tests/bilberry_replica/checker.py
+++ b/tests/bilberry_replica/checker.py
@@ -12,6 +12,7 @@
 from bilberry_replica.register import Register
 from bilberry_replica.replica import Replica
 from bilberry_replica.storage import restore_records
+
 from tests.bilberry_core.fake_disk import FakeDisk
 from tests.bilberry_replica.naive import NaiveRegister
 
--- a/tests/bilberry_replica/events.py
+++ b/tests/bilberry_replica/events.py
@@ -16,6 +16,7 @@
     step_membership,
 )
 from bilberry_replica.member import expel
+
 from tests.bilberry_replica.checker import NAME, Operation, require
 from tests.bilberry_replica.schedule import Host, Schedule, survives
 
--- a/tests/bilberry_replica/fleet.py
+++ b/tests/bilberry_replica/fleet.py
@@ -16,6 +16,7 @@
 )
 from bilberry_core.disk import Disk
 from bilberry_core.endpoint import Address
+from bilberry_core.listener import StreamListener
 from bilberry_core.settings import (
     ListenSettings,
     Peer,
@@ -23,11 +24,12 @@
     Settings,
     TimingSettings,
 )
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.stream import Credentials
 from bilberry_core.traffic import Traffic
 from bilberry_replica.building import ReplicaOptions
 from bilberry_replica.controller import ReplicaController
 from bilberry_replica.replica import Limits
+
 from tests.bilberry_core.fake_disk import FakeDisk
 
 FAST = TimingSettings(heartbeat_ms=15, election_ms=90, beacon_ms=25)
--- a/tests/bilberry_replica/scenarios.py
+++ b/tests/bilberry_replica/scenarios.py
@@ -13,6 +13,7 @@
 from bilberry_replica.member import expel, found
 from bilberry_replica.node import Moment, Node, Progress, Role
 from bilberry_replica.replica import Replica
+
 from tests.bilberry_replica.checker import require
 from tests.bilberry_replica.schedule import Schedule
 
--- a/tests/bilberry_replica/schedule.py
+++ b/tests/bilberry_replica/schedule.py
@@ -23,6 +23,7 @@
 from bilberry_replica.member import find_member, found, list_voters
 from bilberry_replica.node import Moment, Node, Timing
 from bilberry_replica.replica import Limits, Replica
+
 from tests.bilberry_core.fake_disk import FakeDisk
 from tests.bilberry_replica.checker import (
     NAME,
--- a/tests/bilberry_replica/test_controller.py
+++ b/tests/bilberry_replica/test_controller.py
@@ -3,9 +3,6 @@
 from asyncio import gather, run
 from errno import EIO
 
-from returns.result import Failure, Success
-from testtools import TestCase
-
 from bilberry_core.acceptance import (
     Accepted,
     ChangeIdReused,
@@ -15,6 +12,9 @@
 )
 from bilberry_core.error import JournalError
 from bilberry_replica.replica import Limits
+from returns.result import Failure, Success
+from testtools import TestCase
+
 from tests.bilberry_core.fake_disk import FakeDisk
 from tests.bilberry_replica.fleet import LONG_S, Fleet, build_change
 
--- a/tests/bilberry_replica/test_links.py
+++ b/tests/bilberry_replica/test_links.py
@@ -3,12 +3,12 @@
 from asyncio import create_task, run, sleep, wait_for
 from random import Random
 
-from testtools import TestCase
-
 from bilberry_core.endpoint import Address
+from bilberry_core.listener import StreamListener
 from bilberry_core.messages.replica import ReadRequest
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.stream import Credentials
 from bilberry_replica.links import Link, Links
+from testtools import TestCase
 
 LONG_S = 20.0
 LOOPBACK = Address('127.0.0.1', 0)
--- a/tests/bilberry_replica/test_member.py
+++ b/tests/bilberry_replica/test_member.py
@@ -1,9 +1,5 @@
 """Membership: quorums, single steps and the claim holders they give."""
 
-from hypothesis import given
-from hypothesis import strategies as st
-from testtools import TestCase
-
 from bilberry_core.messages.replica import Member, ProbeReply
 from bilberry_replica.founding import decide_founding
 from bilberry_replica.member import (
@@ -15,6 +11,10 @@
     promote,
     settle,
 )
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
 from tests.bilberry_replica.checker import is_enough
 
 NAMES = st.sets(st.sampled_from('abcdefg'), min_size=1)
--- a/tests/bilberry_replica/test_register.py
+++ b/tests/bilberry_replica/test_register.py
@@ -1,7 +1,5 @@
 """The register: conflicts, resends, bounds, and content that is refused."""
 
-from testtools import TestCase
-
 from bilberry_core.acceptance import (
     Accepted,
     ChangeIdReused,
@@ -18,6 +16,8 @@
 from bilberry_core.policy import PolicyChange
 from bilberry_replica.register import Register
 from bilberry_replica.validation import validate_content
+from testtools import TestCase
+
 from tests.bilberry_replica.fleet import build_change
 
 
--- a/tests/bilberry_replica/test_removal.py
+++ b/tests/bilberry_replica/test_removal.py
@@ -1,9 +1,9 @@
 """Removing a replica: never while another one's lost disk is being filled."""
 
-from testtools import TestCase
-
 from bilberry_core.messages.replica import Member
 from bilberry_replica.member import admit, expel, found
+from testtools import TestCase
+
 from tests.bilberry_replica.events import run_schedule
 
 
--- a/tests/bilberry_replica/test_variants.py
+++ b/tests/bilberry_replica/test_variants.py
@@ -1,8 +1,8 @@
 """Each broken rule is caught by the schedule or scenario it shows in."""
 
+from bilberry_core.error import BilberryError
 from testtools import TestCase
 
-from bilberry_core.error import BilberryError
 from tests.bilberry_replica.scenarios import (
     check_earlier_term,
     check_leader_stays,
--- a/tests/bilberry_replica/variants.py
+++ b/tests/bilberry_replica/variants.py
@@ -15,6 +15,7 @@
 from bilberry_replica.register import Register
 from bilberry_replica.replica import Replica
 from bilberry_replica.storage import note_effect
+
 from tests.bilberry_replica.events import run_schedule
 from tests.bilberry_replica.scenarios import (
     check_earlier_term,
--- a/tests/bilberry_spread/fleet.py
+++ b/tests/bilberry_spread/fleet.py
@@ -18,6 +18,7 @@
 from bilberry_spread.edges import Edges
 from bilberry_spread.relay import RelayController
 from bilberry_spread.subscriber import SubscriberController
+
 from tests.bilberry_spread.fakes import FakeNetwork, FakeTime
 
 DOMAINS = ('a', 'b', 'c')
--- a/tests/bilberry_spread/schedules.py
+++ b/tests/bilberry_spread/schedules.py
@@ -2,8 +2,6 @@
 
 from random import Random
 
-from hypothesis import strategies as st
-
 from bilberry_core.configuration import (
     AcceptedVersion,
     Configuration,
@@ -15,6 +13,8 @@
 from bilberry_core.policy import CallPolicy, PolicyChange
 from bilberry_core.snapshot import Snapshot, compile_snapshot
 from bilberry_spread.compiler import group_by_service
+from hypothesis import strategies as st
+
 from tests.bilberry_spread.fleet import Fleet, make_endpoint
 
 SERVICES = ('s0', 's1')
--- a/tests/bilberry_spread/test_delta.py
+++ b/tests/bilberry_spread/test_delta.py
@@ -1,10 +1,5 @@
 """Deltas, snapshots and their reception: whole, checked, only forward."""
 
-from hypothesis import HealthCheck, given, settings
-from hypothesis import strategies as st
-from returns.result import Success
-from testtools import TestCase
-
 from bilberry_core.board import Board
 from bilberry_core.configuration import compute_digest
 from bilberry_core.messages.spread import Resend
@@ -20,6 +15,11 @@
 from bilberry_spread.history import MAX_VERSIONS, VersionHistory
 from bilberry_spread.reception import Reception
 from bilberry_spread.start import StartGate
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from returns.result import Success
+from testtools import TestCase
+
 from tests.bilberry_spread.fakes import FakeTime
 from tests.bilberry_spread.fleet import make_accepted, make_endpoint
 from tests.bilberry_spread.schedules import make_version
--- a/tests/bilberry_spread/test_failures.py
+++ b/tests/bilberry_spread/test_failures.py
@@ -1,7 +1,5 @@
 """Spreading under failure: cuts, deaths, freezes, herds, lost tellings."""
 
-from testtools import TestCase
-
 from bilberry_core.endpoint import EndpointState
 from bilberry_core.messages.spread import (
     Busy,
@@ -9,6 +7,8 @@
     ConfigurationSnapshot,
     EndpointUpdate,
 )
+from testtools import TestCase
+
 from tests.bilberry_spread.fleet import Fleet, make_accepted, make_endpoint
 
 WANTED = frozenset(('s0',))
--- a/tests/bilberry_spread/test_loopback.py
+++ b/tests/bilberry_spread/test_loopback.py
@@ -4,16 +4,17 @@
 from itertools import count
 from random import Random
 
-from testtools import TestCase
-
 from bilberry_core.board import Beacon, Board
 from bilberry_core.clock import SystemClock
 from bilberry_core.endpoint import Address
+from bilberry_core.listener import StreamListener
 from bilberry_core.settings import ListenSettings, Peer, Role, Settings
-from bilberry_core.stream import Credentials, StreamListener
+from bilberry_core.stream import Credentials
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
 from bilberry_spread.subscriber import SubscriberController
+from testtools import TestCase
+
 from tests.bilberry_spread.fleet import make_accepted, make_endpoint
 
 LOOPBACK = Address('127.0.0.1', 0)
--- a/tests/bilberry_spread/test_spreading.py
+++ b/tests/bilberry_spread/test_spreading.py
@@ -1,9 +1,9 @@
 """Spreading with nothing failing: what is accepted and announced arrives."""
 
-from testtools import TestCase
-
 from bilberry_core.board import ClaimEpoch, Holder, Suspect
 from bilberry_core.endpoint import EndpointState
+from testtools import TestCase
+
 from tests.bilberry_spread.fleet import Fleet, make_accepted, make_endpoint
 
 
--- a/tests/bilberry_spread/test_suspects.py
+++ b/tests/bilberry_spread/test_suspects.py
@@ -1,13 +1,12 @@
 """The set of suspects: bounded, expiring, unchanged where nothing is new."""
 
-from testtools import TestCase
-
 from bilberry_core.board import Suspect
 from bilberry_spread.suspects import (
     MAX_SUSPECTS,
     MAX_SUSPICION_MS,
     merge_suspects,
 )
+from testtools import TestCase
 
 
 def make_suspect(fingerprint=b'poison', expires_ms=100) -> Suspect:
--- a/tests/bilberry_spread/test_table.py
+++ b/tests/bilberry_spread/test_table.py
@@ -2,13 +2,13 @@
 
 from random import Random
 
+from bilberry_core.endpoint import EndpointState
+from bilberry_spread import tombstones
+from bilberry_spread.table import EndpointTable, Home, get_key
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from bilberry_core.endpoint import EndpointState
-from bilberry_spread import tombstones
-from bilberry_spread.table import EndpointTable, Home, get_key
 from tests.bilberry_spread.fleet import make_endpoint
 
 RECORDS = st.lists(
--- a/tests/bilberry_spread/test_variants.py
+++ b/tests/bilberry_spread/test_variants.py
@@ -3,9 +3,6 @@
 from typing import NamedTuple
 from unittest.mock import patch
 
-from returns.result import Success
-from testtools import TestCase
-
 from bilberry_core.configuration import AcceptedVersion
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.spread import Held, Renew
@@ -22,8 +19,10 @@
 from bilberry_spread.start import StartGate
 from bilberry_spread.table import EndpointTable
 from bilberry_spread.tombstones import Tombstones
-from tests.bilberry_spread import test_delta, test_failures, test_table
+from returns.result import Success
+from testtools import TestCase
 
+from tests.bilberry_spread import test_delta, test_failures, test_table
 
 INIT_GATE = StartGate.__init__
 
--- a/tests/bilberryctl/test_answers.py
+++ b/tests/bilberryctl/test_answers.py
@@ -3,13 +3,13 @@
 from asyncio import run, to_thread
 from json import dumps
 
+from bilberry_core.endpoint import Address
+from bilberry_core.http import HttpResponse, serve_http
+from bilberryctl.exit_code import ExitCode
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from bilberry_core.endpoint import Address
-from bilberry_core.http import HttpResponse, serve_http
-from bilberryctl.exit_code import ExitCode
 from tests.bilberryctl.test_main import run_quietly
 
 documents = st.recursive(
--- a/tests/bilberryctl/test_client.py
+++ b/tests/bilberryctl/test_client.py
@@ -1,10 +1,9 @@
 """What several servers' answers to one change come to."""
 
-from testtools import TestCase
-
 from bilberry_core.endpoint import Address
 from bilberry_core.http import HttpResponse
 from bilberryctl.client import Attempt, Reply
+from testtools import TestCase
 
 SERVER = Address('127.0.0.1', 7003)
 
--- a/tests/bilberryctl/test_main.py
+++ b/tests/bilberryctl/test_main.py
@@ -8,9 +8,9 @@
 from tempfile import TemporaryDirectory
 from typing import NamedTuple
 
+from bilberryctl.main import run_command
 from testtools import TestCase
 
-from bilberryctl.main import run_command
 from tests.bilberry_operators.daemon import TOKEN, start_daemon
 from tests.bilberry_operators.fake_acceptor import FakeAcceptor
 from tests.bilberry_operators.test_controller import FakeMembership, make_board
--- a/tests/process/case.py
+++ b/tests/process/case.py
@@ -14,10 +14,10 @@
 from time import sleep as pause
 from typing import Any
 
+from bilberry_core.endpoint import Address
 from testtools import TestCase
 from yaml import safe_dump
 
-from bilberry_core.endpoint import Address
 from demo.caller import Caller
 from demo.convergence import get_version
 from demo.fleet import Fleet, prepare_fleet, wait_until
--- a/tests/process/test_replicas.py
+++ b/tests/process/test_replicas.py
@@ -5,6 +5,7 @@
 from signal import SIGCONT, SIGSTOP
 
 from bilberry_core.http import fetch
+
 from demo.caller import build_request
 from demo.record import read_runs
 from tests.process.case import (
--- a/tests/process/test_requests.py
+++ b/tests/process/test_requests.py
@@ -4,6 +4,7 @@
 from signal import SIGCONT, SIGSTOP
 
 from bilberry_core.http import HttpRequest, fetch
+
 from demo.record import read_runs
 from tests.process.case import FleetCase, let_pass
 
