--- a/bench/capacity_model.py
+++ b/bench/capacity_model.py
@@ -83,11 +83,12 @@
     state: dict[str, Any]
     claim: dict[str, Any]
     call: dict[str, Any]
+    daemons: dict[str, Any]
 
     @classmethod
     def from_folder(cls, folder: Path = MEASUREMENTS) -> 'Measurements':
         """Reads the files of a folder."""
-        names = ('spread', 'spread_state', 'claim', 'call')
+        names = ('spread', 'spread_state', 'claim', 'call', 'spread_daemons')
         return cls(*(_read(folder, name) for name in names))
 
 
@@ -143,7 +144,7 @@
     budget: Budget,
 ) -> list[Figure]:
     """Returns what control takes on a node with the role proxy alone."""
-    idle = _get_largest(measured)['idle']['proxy']
+    idle = measured.daemons['fleets'][-1]['idle']['proxy']
     idle_bytes = idle['sent_bytes_per_s'] + idle['received_bytes_per_s']
     changes = size.changes_per_day / _SECONDS_PER_DAY
     change_bytes = changes * get_bytes_per_change(measured, 'proxy', 'received')
@@ -151,16 +152,19 @@
     share = size.services_per_proxy / size.services
     moves = get_records_per_s(size) * share * record_bytes
     followed = size.nodes * share
-    rss = _get_largest(measured)['idle']['proxy']['rss_mb']
+    rss = idle['rss_mb']
     held = followed * _get_rss_per_endpoint(measured) / _MIB
-    core = fit_role(measured, 'idle', 'proxy', 'core_percent')
+    core = max(
+        fleet['idle']['proxy']['core_percent']
+        for fleet in measured.daemons['fleets']
+    )
     return [
         Figure(
             'bytes, idle',
             idle_bytes,
             'B/s',
             None,
-            'spread idle: beacons, renewals',
+            'real daemons, idle: beacons, renewals',
         ),
         Figure(
             'bytes, idle, changes and moves',
@@ -171,17 +175,17 @@
         ),
         Figure(
             'processor, idle',
-            core.at(0),
+            core,
             '% of a core',
             budget.core_percent,
-            f'spread idle over fleet size, spread {core.spread:.3f}',
+            'real daemons, idle, the most of three fleet sizes',
         ),
         Figure(
             'memory',
             rss + held,
             'MB',
             budget.memory_mb,
-            'spread idle resident size, plus endpoints followed',
+            'real daemons, resident size, plus endpoints followed',
         ),
     ]
 
