--- a/tests/bilberry_replica/variants.py
+++ b/tests/bilberry_replica/variants.py
@@ -15,6 +15,7 @@
 from bilberry_replica.register import Register
 from bilberry_replica.replica import Replica
 from bilberry_replica.storage import note_effect
+
 from tests.bilberry_replica.events import run_schedule
 from tests.bilberry_replica.scenarios import (
     check_earlier_term,
@@ -28,7 +29,7 @@
 
 def run_mixed() -> None:
     """Runs schedules of three replicas."""
-    for seed in range(80):
+    for seed in range(600):
         run_schedule(seed, 'abc', STEPS)
 
 
@@ -40,7 +41,7 @@
 
 def run_membership() -> None:
     """Runs schedules of five replicas that come and go."""
-    for seed in range(80):
+    for seed in range(600):
         run_schedule(seed, 'abcde', STEPS, 'membership')
 
 
