--- a/packages/bilberryctl/bilberryctl/client.py
+++ b/packages/bilberryctl/bilberryctl/client.py
@@ -93,6 +93,7 @@
             attempts.append(attempt)
             if attempt.response and attempt.response.status not in _TRY_NEXT:
                 break
+        self._ask_last([each.server for each in attempts if not each.response])
         return Reply(tuple(attempts))
 
     async def ask_all(self, request: HttpRequest) -> tuple[HttpResponse, ...]:
@@ -102,6 +103,11 @@
         ]
         return tuple(each.response for each in attempts if each.response)
 
+    def _ask_last(self, silent: list[Address]) -> None:
+        """Asks servers that gave no answer after the others from now on."""
+        others = [one for one in self._servers if one not in silent]
+        self._servers = (*others, *silent)
+
     async def _attempt(self, server: Address, request: HttpRequest) -> Attempt:
         try:
             response = await fetch(
