--- a/tests/bilberryctl/test_client.py
+++ b/tests/bilberryctl/test_client.py
@@ -1,42 +1,38 @@
-"""The client of the operators' interface, over servers that are silent."""
-
-from asyncio import run
-from socket import create_server
+"""What several servers' answers to one change come to."""
 
 from bilberry_core.endpoint import Address
-from bilberry_core.http import HttpRequest, HttpResponse, serve_http
-from bilberryctl.client import OperatorsClient, Reply
+from bilberry_core.http import HttpResponse
+from bilberryctl.client import Attempt, Reply
 from testtools import TestCase
 
-_TIMEOUT_S = 0.3
-
-
-async def answer(_request: HttpRequest) -> HttpResponse:
-    """Answers every request."""
-    return HttpResponse(200)
-
-
-class ClientTest(TestCase):
-    """A frozen daemon is still connected to by its kernel."""
-
-    def test_silent_server_is_asked_last(self):
-        """The wait for a server that gives no answer is not repeated."""
-        first, second = run(self._ask_twice())
-        self.assertEqual([True, False], self._find_silent(first))
-        self.assertEqual([False], self._find_silent(second))
-
-    def _find_silent(self, reply: Reply) -> list[bool]:
-        return [attempt.response is None for attempt in reply.attempts]
-
-    async def _ask_twice(self) -> tuple[Reply, Reply]:
-        server = await serve_http(Address('127.0.0.1', 0), answer)
-        with create_server(('127.0.0.1', 0)) as frozen:
-            servers = (
-                Address(*frozen.getsockname()),
-                Address(*server.sockets[0].getsockname()),
-            )
-            client = OperatorsClient(servers, '', _TIMEOUT_S)
-            request = HttpRequest('GET', '/v1/status')
-            replies = (await client.ask(request), await client.ask(request))
-        server.close()
-        return replies
+SERVER = Address('127.0.0.1', 7003)
+
+
+def build_reply(*statuses: int) -> Reply:
+    """Returns a reply; status 0 stands for an answer that was lost."""
+    return Reply(
+        tuple(
+            Attempt(SERVER, HttpResponse(status), '', status in {500, 504})
+            if status
+            else Attempt(SERVER, None, 'no answer', undecided=True)
+            for status in statuses
+        ),
+    )
+
+
+class ReplyTest(TestCase):
+    """Whether a change may have been accepted."""
+
+    def test_only_a_decision_settles_a_lost_answer(self):
+        """After a lost answer no refusal but the log's own is final."""
+        for settling in (200, 201, 409, 412):
+            for lost in (0, 500, 504):
+                self.assertFalse(build_reply(lost, settling).is_undecided)
+        for other in (400, 401, 403, 404, 421, 422, 428, 503):
+            self.assertTrue(build_reply(0, other).is_undecided, other)
+            self.assertTrue(build_reply(504, other).is_undecided, other)
+
+    def test_refusals_alone_are_decided(self):
+        """Where every server refused, nothing was changed."""
+        for status in (400, 401, 403, 421, 422, 503):
+            self.assertFalse(build_reply(421, status).is_undecided)
