--- a/packages/bilberry_core/bilberry_core/listener.py
+++ b/packages/bilberry_core/bilberry_core/listener.py
@@ -55,11 +55,6 @@
         for stream in tuple(self._streams):
             stream.close()
 
-    def stop_accepting(self) -> None:
-        """Stops accepting and leaves the accepted streams open."""
-        if self._server is not None:
-            self._server.close()
-
     def _accept(self) -> Stream:
         return _AcceptedStream(
             self._credentials,
--- a/tests/process/case.py
+++ b/tests/process/case.py
@@ -5,7 +5,6 @@
 
 from asyncio import run, sleep, to_thread
 from collections.abc import Callable
-from json import loads
 from os import environ
 from pathlib import Path
 from shutil import rmtree
@@ -158,12 +157,6 @@
         """
         return run(self._call_during(entries, fault))
 
-    def read_events(self, instance: str, event: str) -> list[dict[str, Any]]:
-        """Returns a daemon's log lines of one event."""
-        path = self.folder / f'{instance}.json'
-        lines = [loads(line) for line in path.read_text().splitlines()]
-        return [line for line in lines if line['event'] == event]
-
     def get_callers_address(self, instance: str) -> Address:
         """Returns where a daemon takes callers' requests."""
         ports = self.fleet.members[instance].ports
