--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PACKAGES := $(wildcard packages/*)
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(PACKAGES))):$(CURDIR)
+export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(PACKAGES) platform)):$(CURDIR)
 export PYTHONHASHSEED := 0
 SEED ?= 0
 COUNT ?= 20000
@@ -22,13 +22,13 @@
 	touch $@
 
 format: setup
-	$(BIN)/ruff check --fix packages tests demo bench standin
-	$(BIN)/ruff format packages tests demo bench standin
+	$(BIN)/ruff check --fix packages platform tests demo bench standin
+	$(BIN)/ruff format packages platform tests demo bench standin
 
 lint: setup
-	$(BIN)/ruff format --check packages tests demo bench standin
-	$(BIN)/ruff check packages tests demo bench standin
-	$(BIN)/flake8 --jobs 4 packages tests demo bench standin
+	$(BIN)/ruff format --check packages platform tests demo bench standin
+	$(BIN)/ruff check packages platform tests demo bench standin
+	$(BIN)/flake8 --jobs 4 packages platform tests demo bench standin
 
 unit: setup
 	$(BIN)/python -m pytest -n 6
--- a/packages/bilberry_core/bilberry_core/acceptance.py
+++ b/packages/bilberry_core/bilberry_core/acceptance.py
@@ -21,6 +21,11 @@
         Who made it and why.
     `content`
         The configuration in its canonical encoding.
+    `version`
+        The number that the operator gives the version; 0 has the register
+        count on.
+    `source`
+        The document that the operator wrote, kept word for word.
     """
 
     change_id: str
@@ -28,6 +33,8 @@
     author: str
     note: str
     content: bytes
+    version: int = 0
+    source: bytes = b''
 
 
 class HistoryEntry(NamedTuple):
@@ -41,6 +48,7 @@
     note: str
     accepted_ms: int
     content: bytes
+    source: bytes = b''
 
 
 class Accepted(NamedTuple):
--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -22,7 +22,10 @@
 
     STARTING = 'starting'
     SERVING = 'serving'
+    #: Announced as leaving; callers that come all the same are served.
     DRAINING = 'draining'
+    #: Takes nothing new and finishes what is in flight.
+    CLOSING = 'closing'
     STOPPED = 'stopped'
 
 
@@ -150,6 +153,9 @@
         The endpoint of the upstream beside this daemon.
     `upstream_address`
         Where the upstream beside this daemon takes HTTP requests.
+    `upstream_id`
+        What the upstream beside this daemon calls this start of itself; empty
+        where it tells nothing.
     `upstream_crash`
         The newest crash of that upstream.
     `endpoints`
@@ -181,6 +187,7 @@
         self.accepted: Cell[AcceptedVersion | None] = Cell(None)
         self.own_endpoint: Cell[Endpoint | None] = Cell(None)
         self.upstream_address: Cell[Address | None] = Cell(None)
+        self.upstream_id: Cell[str] = Cell('')
         self.upstream_crash: Cell[UpstreamCrash | None] = Cell(None)
         self.endpoints: Cell[dict[str, Endpoint]] = Cell({})
         self.snapshot: Cell[Snapshot | None] = Cell(None)
--- a/packages/bilberry_core/bilberry_core/configuration.py
+++ b/packages/bilberry_core/bilberry_core/configuration.py
@@ -40,12 +40,34 @@
     methods: tuple[str, ...] = ()
 
 
+class Target(NamedTuple):
+    """A service that a route leads to, and its share of the requests."""
+
+    service: str
+    weight: int = 1
+
+
+class RoutingRule(NamedTuple):
+    """Where requests to a host and path prefix go, and their policy.
+
+    Of the rules of one host the one with the longest path prefix counts.
+    Requests are spread over `targets` in proportion to their weights.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    targets: tuple[Target, ...]
+    change: PolicyChange = PolicyChange()
+
+
 class Configuration(NamedTuple):
-    """Everything operators decide; services and exceptions sorted by name."""
+    """Everything operators decide; each kind of entry sorted by name."""
 
     defaults: CallPolicy = CallPolicy()
     services: tuple[Service, ...] = ()
     exceptions: tuple[RouteException, ...] = ()
+    routes: tuple[RoutingRule, ...] = ()
 
 
 class AcceptedVersion(NamedTuple):
--- a/packages/bilberry_core/bilberry_core/configuration_document.py
+++ b/packages/bilberry_core/bilberry_core/configuration_document.py
@@ -2,7 +2,11 @@
 
 from typing import Any
 
-from bilberry_core.configuration import Configuration, RouteException
+from bilberry_core.configuration import (
+    Configuration,
+    RouteException,
+    RoutingRule,
+)
 from bilberry_core.policy import CallPolicy, PolicyChange
 from bilberry_core.scalar import render_duration
 
@@ -21,6 +25,9 @@
             rule.name: _render_exception(rule)
             for rule in configuration.exceptions
         },
+        'routes': {
+            rule.name: _render_rule(rule) for rule in configuration.routes
+        },
     }
 
 
@@ -33,6 +40,8 @@
         'idempotent_methods': _render_list(policy.idempotent_methods),
         'load_policy': _render_name(policy.load_policy),
         'claim_retention': _render_s(policy.claim_retention_s),
+        'idempotent': policy.idempotent,
+        'target_latency': _render_ms(policy.target_latency_ms or None),
     }
     return {key: shown for key, shown in rendered.items() if shown is not None}
 
@@ -47,6 +56,15 @@
     }
 
 
+def _render_rule(rule: RoutingRule) -> dict[str, Any]:
+    return {
+        'host': rule.host,
+        'path_prefix': rule.path_prefix,
+        'targets': {target.service: target.weight for target in rule.targets},
+        'set': render_policy(rule.change),
+    }
+
+
 def _render_ms(duration_ms: int | None) -> str | None:
     return None if duration_ms is None else render_duration(duration_ms)
 
--- a/packages/bilberry_core/bilberry_core/configuration_file.py
+++ b/packages/bilberry_core/bilberry_core/configuration_file.py
@@ -11,7 +11,9 @@
 from bilberry_core.configuration import (
     Configuration,
     RouteException,
+    RoutingRule,
     Service,
+    Target,
     decode_configuration,
     encode_configuration,
 )
@@ -25,7 +27,9 @@
 from bilberry_core.error import ConfigurationError
 from bilberry_core.policy import CallPolicy, LoadPolicy, PolicyChange, Priority
 from bilberry_core.problem import Problem, Report, shorten
+from bilberry_core.route_rules import check_routes
 from bilberry_core.scalar import (
+    parse_boolean,
     parse_choice,
     parse_duration,
     parse_host,
@@ -51,6 +55,7 @@
 _HOUR_MS = 3_600_000
 _MAX_RETENTION_MS = 720 * _HOUR_MS
 _MAX_RETRIES = 10
+_MAX_WEIGHT = 1_000_000
 
 _NAME = Scalar(parse_name)
 _METHODS = ListOf(Scalar(parse_method))
@@ -66,6 +71,11 @@
         'claim_retention_s',
         Scalar(parse_duration(_MS_PER_S, _MAX_RETENTION_MS, _MS_PER_S)),
     ),
+    'idempotent': Option('idempotent', Scalar(parse_boolean)),
+    'target_latency': Option(
+        'target_latency_ms',
+        Scalar(parse_duration(1, _HOUR_MS)),
+    ),
 }
 
 #: Everything that a configuration may hold.
@@ -110,6 +120,36 @@
                 ),
             ),
         ),
+        'routes': Option(
+            'routes',
+            MapOf(
+                _NAME,
+                Section(
+                    dict,
+                    {
+                        'host': Option(
+                            'host',
+                            Scalar(parse_host),
+                            required=True,
+                        ),
+                        'path_prefix': Option(
+                            'path_prefix',
+                            Scalar(parse_path_prefix),
+                            required=True,
+                        ),
+                        'targets': Option(
+                            'targets',
+                            MapOf(_NAME, Scalar(parse_whole(0, _MAX_WEIGHT))),
+                            required=True,
+                        ),
+                        'set': Option(
+                            'change',
+                            Section(PolicyChange, _POLICY),
+                        ),
+                    },
+                ),
+            ),
+        ),
     },
 )
 
@@ -158,6 +198,7 @@
     services = _read_services(document)
     _refuse_shared_hosts(services, report)
     _refuse_undeclared(document, services, report)
+    check_routes(fields, services, report)
     _refuse_empty_changes(document, report)
     if report.count:
         return Failure(report.problems)
@@ -179,6 +220,24 @@
             RouteException(name=name, **rule)
             for name, rule in fields.get('exceptions', {}).items()
         ),
+        routes=tuple(
+            _build_rule(name, rule)
+            for name, rule in fields.get('routes', {}).items()
+        ),
+    )
+
+
+def _build_rule(name: str, rule: dict[str, Any]) -> RoutingRule:
+    targets = tuple(
+        Target(service, weight) for service, weight in rule['targets'].items()
+    )
+    change = rule.get('change', PolicyChange())
+    return RoutingRule(
+        name,
+        rule['host'],
+        rule['path_prefix'],
+        targets,
+        change,
     )
 
 
--- a/packages/bilberry_core/bilberry_core/messages/replica.py
+++ b/packages/bilberry_core/bilberry_core/messages/replica.py
@@ -32,12 +32,14 @@
     """The replicas that the log agreed on, sorted by instance.
 
     `epoch` grows with each change of the voters. `previous` are the voters
-    whose claims have not been handed over yet.
+    whose claims have not been handed over yet. `min_quorum` is the least
+    number of replicas that must hold what is accepted, 0 for a majority.
     """
 
     epoch: int = 0
     members: tuple[Member, ...] = ()
     previous: tuple[Member, ...] = ()
+    min_quorum: int = 0
 
 
 class LoggedChange(NamedTuple):
--- a/packages/bilberry_core/bilberry_core/messages/spread.py
+++ b/packages/bilberry_core/bilberry_core/messages/spread.py
@@ -6,7 +6,11 @@
 from typing import NamedTuple
 
 from bilberry_core.board import Beacon, ClaimEpoch, Suspect
-from bilberry_core.configuration import RouteException, Service
+from bilberry_core.configuration import (
+    RouteException,
+    RoutingRule,
+    Service,
+)
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.registry import message
 from bilberry_core.policy import CallPolicy
@@ -67,6 +71,8 @@
     services_removed: tuple[str, ...] = ()
     exceptions: tuple[RouteException, ...] = ()
     exceptions_removed: tuple[str, ...] = ()
+    routes: tuple[RoutingRule, ...] = ()
+    routes_removed: tuple[str, ...] = ()
 
 
 @message(34)
--- a/packages/bilberry_core/bilberry_core/policy.py
+++ b/packages/bilberry_core/bilberry_core/policy.py
@@ -45,6 +45,12 @@
     `claim_retention_s`
         How long the outcome of a claimed request is kept, in seconds
         (default: 86400).
+    `idempotent`
+        Whether requests may run more than once, whatever their method; None
+        goes by `idempotent_methods` (default: None).
+    `target_latency_ms`
+        Time within which an answer is of full use to its caller, in
+        milliseconds; 0 where none is named (default: 0).
     """
 
     timeout_ms: int = 5000
@@ -61,6 +67,14 @@
     )
     load_policy: str = 'least_work'
     claim_retention_s: int = 86400
+    idempotent: bool | None = None
+    target_latency_ms: int = 0
+
+    def may_repeat(self, method: str) -> bool:
+        """Tells whether a request of this method may run again."""
+        if self.idempotent is None:
+            return method in self.idempotent_methods
+        return self.idempotent
 
 
 class PolicyChange(NamedTuple):
@@ -73,6 +87,8 @@
     idempotent_methods: tuple[str, ...] | None = None
     load_policy: str | None = None
     claim_retention_s: int | None = None
+    idempotent: bool | None = None
+    target_latency_ms: int | None = None
 
     def apply(self, policy: CallPolicy) -> CallPolicy:
         """Returns `policy` with the changed options replaced."""
--- a/packages/bilberry_core/bilberry_core/scalar.py
+++ b/packages/bilberry_core/bilberry_core/scalar.py
@@ -108,6 +108,13 @@
     return parse
 
 
+def parse_boolean(found: object) -> Result[bool, str]:
+    """Returns true or false."""
+    if isinstance(found, bool):
+        return Success(found)
+    return _expect('true or false', found)
+
+
 def parse_choice(choices: type[StrEnum]) -> ParseFunction:
     """Returns a function that parses the members of an enumeration."""
     named = ', '.join(choices)
--- a/packages/bilberry_core/bilberry_core/settings.py
+++ b/packages/bilberry_core/bilberry_core/settings.py
@@ -67,6 +67,9 @@
     `drain_ms`
         Longest time that a graceful stop waits for requests in flight
         (default: 30000).
+    `linger_ms`
+        Time after the beginning of a graceful stop for which callers are
+        still served, until they have noticed it (default: 0).
     """
 
     heartbeat_ms: int = 150
@@ -76,6 +79,22 @@
     lease_ms: int = 6000
     renew_ms: int = 2000
     drain_ms: int = 30_000
+    linger_ms: int = 0
+
+
+class FoundingSettings(NamedTuple):
+    """How a replica without a log may found its fleet.
+
+    `allowed`
+        Whether this replica may; one that is added later, or lost its disk,
+        waits to be taken in (default: True).
+    `min_quorum`
+        Least number of replicas that must hold what is accepted, and with
+        that how many may be lost; 0 for a majority (default: 0).
+    """
+
+    allowed: bool = True
+    min_quorum: int = 0
 
 
 class Settings(NamedTuple):
@@ -96,6 +115,13 @@
         Where metrics go; None for nowhere.
     `log_file`, `log_level`
         Where log lines go (empty: standard error) and from which level on.
+    `keeps_claims`
+        Whether replicas keep claims of requests with a key.
+    `discovers_relays`
+        Whether `replicas` and `relays` are only where to start from: the
+        members of the replicated log relay.
+    `upstream_service`
+        Service of the upstream beside this daemon; empty where it tells.
     """
 
     fleet: str
@@ -113,3 +139,7 @@
     log_file: str = ''
     log_level: str = 'INFO'
     timing: TimingSettings = TimingSettings()
+    founding: FoundingSettings = FoundingSettings()
+    keeps_claims: bool = True
+    discovers_relays: bool = False
+    upstream_service: str = ''
--- a/packages/bilberry_core/bilberry_core/snapshot.py
+++ b/packages/bilberry_core/bilberry_core/snapshot.py
@@ -10,6 +10,7 @@
     AcceptedVersion,
     Configuration,
     RouteException,
+    RoutingRule,
 )
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.policy import CallPolicy
@@ -26,7 +27,8 @@
 class Snapshot(NamedTuple):
     """Everything a proxy needs to route a request, never partly replaced.
 
-    `services_by_host` maps every host name to a key of `routes`.
+    `services_by_host` maps every host name to a key of `routes`;
+    `rules_by_host` has the routing rules of a host, longest prefix first.
     """
 
     version: int
@@ -35,6 +37,14 @@
     defaults: CallPolicy
     services_by_host: dict[str, str]
     routes: dict[str, Route]
+    rules_by_host: dict[str, tuple[RoutingRule, ...]] = {}
+
+    def find_rule(self, host: str, path: str) -> RoutingRule | None:
+        """Returns the routing rule of a request, if one matches."""
+        for rule in self.rules_by_host.get(host, ()):
+            if path.startswith(rule.path_prefix):
+                return rule
+        return None
 
 
 class Decision(NamedTuple):
@@ -71,6 +81,7 @@
         defaults=configuration.defaults,
         services_by_host=_map_hosts(configuration),
         routes=routes,
+        rules_by_host=_group_rules(configuration),
     )
 
 
@@ -79,13 +90,21 @@
     service: str,
     method: str,
     path: str,
+    routing: RoutingRule | None = None,
 ) -> Decision:
-    """Returns the policy of one request to a service of the snapshot."""
+    """Returns the policy of one request to a service of the snapshot.
+
+    The routing rule that led there changes the defaults, and an exception
+    changes what results.
+    """
+    policy = snapshot.defaults
+    if routing is not None:
+        policy = routing.change.apply(policy)
     for rule in snapshot.routes[service].exceptions:
         if _matches(rule, method, path):
-            policy = rule.change.apply(snapshot.defaults)
-            return Decision(service, policy, rule.name, rule.reason)
-    return Decision(service, snapshot.defaults, '', '')
+            changed = rule.change.apply(policy)
+            return Decision(service, changed, rule.name, rule.reason)
+    return Decision(service, policy, '', '')
 
 
 def _map_hosts(configuration: Configuration) -> dict[str, str]:
@@ -96,6 +115,22 @@
     return hosts
 
 
+def _group_rules(
+    configuration: Configuration,
+) -> dict[str, tuple[RoutingRule, ...]]:
+    grouped: dict[str, list[RoutingRule]] = {}
+    for rule in configuration.routes:
+        grouped.setdefault(rule.host, []).append(rule)
+    return {
+        host: tuple(sorted(rules, key=_rank_rule))
+        for host, rules in grouped.items()
+    }
+
+
+def _rank_rule(rule: RoutingRule) -> tuple[int, str]:
+    return -len(rule.path_prefix), rule.name
+
+
 def _rank_exceptions(
     configuration: Configuration,
     service: str,
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -18,11 +18,14 @@
 from h11 import LocalProtocolError
 
 from bilberry_proxy.call import CREDIT_STEP_BYTES, WINDOW_BYTES, AnswerReceiver
-from bilberry_proxy.http_headers import Headers
+from bilberry_proxy.dialect import HttpDialect
+from bilberry_proxy.held_answer import HeldAnswer
+from bilberry_proxy.http_headers import Headers, find_header
 from bilberry_proxy.timers import Timer
 from bilberry_proxy.upstream_connection import UpstreamConnection
 from bilberry_proxy.upstream_request import (
     build_upstream_request,
+    find_answer_fault,
     is_declined,
 )
 
@@ -52,7 +55,7 @@
 _ON_CONNECTION = frozenset((Progress.SENT, Progress.ANSWERED))
 _DECLINED = Failure(
     Verdict.NOT_RUN,
-    FailureCode.OVERLOADED,
+    FailureCode.UPSTREAM_DECLINED,
     'the upstream declined to run the request',
     DECLINED_RETRY_AFTER_MS,
 )
@@ -61,6 +64,12 @@
 class CallHost(Protocol):
     """The admitter of a call: knows the load and counts the slots."""
 
+    dialect: HttpDialect
+
+    @property
+    def upstream_id(self) -> str:
+        """The identity of the upstream, empty where it tells none."""
+
     def measure_load(self) -> Load:
         """Returns how busy the upstream is."""
 
@@ -101,6 +110,7 @@
         self._held: list[tuple[bytes, bool]] = []
         self._uncredited = 0 if start.last else len(start.body)
         self._window = WINDOW_BYTES
+        self._held_answer: HeldAnswer | None = None
 
     # The opener's side.
 
@@ -163,6 +173,8 @@
         request = build_upstream_request(
             self.start,
             self.deadline - self.dispatched_at,
+            self._host.dialect,
+            self._host.upstream_id,
         )
         try:
             connection.begin(request, self)
@@ -190,8 +202,30 @@
         body: bytes,
         last: bool,
     ) -> None:
-        """Passes the start of the answer on."""
-        if last and is_declined(status, headers):
+        """Holds the start of the answer until it is whole or long."""
+        dialect = self._host.dialect
+        request_id = find_header(self.start.headers, dialect.request_id)
+        fault = find_answer_fault(status, headers, request_id, dialect)
+        if fault:
+            self.connection.abort()
+            self.fail(FailureCode.UPSTREAM_MALFORMED, fault)
+            return
+        self._held_answer = HeldAnswer(status, headers)
+        self.take_body(body, last)
+
+    def take_body(self, body: bytes, last: bool) -> None:
+        """Passes more of the answer on, once it may begin."""
+        held = self._held_answer
+        if held is None:
+            self._continue_reply(body, last)
+            return
+        held.add(body)
+        if last or held.is_long:
+            self._held_answer = None
+            self._start_reply(held, last)
+
+    def _start_reply(self, held: HeldAnswer, last: bool) -> None:
+        if last and is_declined(held.status, held.headers, self._host.dialect):
             self._end()
             self._answers.fail(
                 CallFailed(
@@ -201,14 +235,19 @@
             self._host.free_slot(self)
             return
         self.progress = Progress.ANSWERED
-        load = self._host.measure_load()
-        self._answers.start_reply(
-            ReplyStart(self.start.call, status, headers, body, last, load),
+        body = held.body
+        reply = ReplyStart(
+            self.start.call,
+            held.status,
+            held.headers,
+            body,
+            last,
+            self._host.measure_load(),
         )
+        self._answers.start_reply(reply)
         self._spend(len(body), last)
 
-    def take_body(self, body: bytes, last: bool) -> None:
-        """Passes more of the answer on."""
+    def _continue_reply(self, body: bytes, last: bool) -> None:
         self._answers.continue_reply(ReplyChunk(self.start.call, body, last))
         self._spend(len(body), last)
 
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -16,6 +16,7 @@
 from bilberry_proxy.admitted_call import AdmittedCall, Progress
 from bilberry_proxy.call import AnswerReceiver
 from bilberry_proxy.crash_probe import CrashProbe
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.suspicion import Flight, Suspicion
 from bilberry_proxy.timers import TimerWheel
 from bilberry_proxy.upstream_connection import UpstreamConnection
@@ -46,14 +47,19 @@
         clock: Clock,
         timers: TimerWheel,
         suspicion: Suspicion,
+        dialect: HttpDialect = OWN_DIALECT,
     ) -> None:
         """Follows the endpoint that the upstream announces."""
         self._board = board
         self._clock = clock
         self._timers = timers
         self._suspicion = suspicion
+        self.dialect = dialect
         self._line: WaitingLine[AdmittedCall] = WaitingLine()
-        self._pool = UpstreamPool(self._connection_ended)
+        self._pool = UpstreamPool(
+            self._connection_ended,
+            dialect.close_delimited,
+        )
         self._probe = CrashProbe(self._note_crash)
         self._lingering: dict[UpstreamConnection, AdmittedCall] = {}
         board.upstream_address.watch(self._pool.move)
@@ -64,6 +70,11 @@
         """How many calls have a slot."""
         return self._line.slots.outstanding
 
+    @property
+    def upstream_id(self) -> str:
+        """The identity of the upstream, empty where it tells none."""
+        return self._board.upstream_id.value
+
     def open(self, start: CallStart, answers: AnswerReceiver) -> AdmittedCall:
         """Admits a call, lets it wait or refuses it."""
         now = self._clock.now()
@@ -184,7 +195,7 @@
 
 
 def _find_refusal(board: Board, service: str) -> tuple[FailureCode, str] | None:
-    if board.phase.value in {Phase.DRAINING, Phase.STOPPED}:
+    if board.phase.value not in {Phase.STARTING, Phase.SERVING}:
         return FailureCode.DRAINING, 'the daemon is leaving'
     own = board.own_endpoint.value
     if own is None or own.service != service:
--- a/packages/bilberry_proxy/bilberry_proxy/announcement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -18,11 +18,14 @@
 from msgspec.json import decode as decode_json
 
 from bilberry_proxy.announcement_body import AnnouncementBody, parse_address
+from bilberry_proxy.endpoint_load import SLOW_START_MS
+from bilberry_proxy.upstream_starts import UpstreamStarts
 
 _log = getLogger(__name__)
 
 _PATH = '/v1/endpoint'
 _CHECKS_A_LEASE = 10
+_LEAVING = frozenset((Phase.DRAINING, Phase.CLOSING, Phase.STOPPED))
 
 
 class AnnouncementController:
@@ -41,6 +44,7 @@
         self._incarnation = clock.wall_ms()
         self._heard_at = clock.now()
         self._server: Server | None = None
+        self._starts = UpstreamStarts()
         board.phase.watch(self._follow_phase)
         board.upstream_crash.watch(self._follow_crash)
 
@@ -70,7 +74,7 @@
 
     async def run(self) -> None:
         """Listens and ends leases until cancelled."""
-        if self._server is None:
+        if self._server is None and self._settings.listen.upstream:
             await self.start()
         lease_s = self._settings.timing.lease_ms / MS_PER_S
         while True:
@@ -87,7 +91,7 @@
         if request.target != _PATH:
             return HttpResponse(404, body=f'expected {_PATH}\n'.encode())
         if request.method == 'DELETE':
-            self._put_state(EndpointState.GONE)
+            self.leave()
             return HttpResponse(204)
         if request.method != 'PUT':
             return HttpResponse(405, ((b'allow', b'PUT, DELETE'),))
@@ -97,27 +101,38 @@
             return HttpResponse(400, body=f'{error}\n'.encode())
         except ValueError as error:
             return HttpResponse(400, body=f'no JSON: {error}\n'.encode())
-        self._announce(announced)
+        self.announce(announced)
         return HttpResponse(204)
 
+    def leave(self, upstream_id: str = '') -> None:
+        """Ends the endpoint of the upstream that says it leaves."""
+        if self._starts.end(upstream_id):
+            self._put_state(EndpointState.GONE)
+
     def check_lease(self) -> None:
         """Ends the endpoint where its upstream has fallen silent."""
         silent_s = self._clock.now() - self._heard_at
         if silent_s * MS_PER_S > self._settings.timing.lease_ms:
             self._put_state(EndpointState.GONE)
 
-    def _announce(self, announced: AnnouncementBody) -> None:
+    def announce(self, announced: AnnouncementBody) -> bool:
+        """Takes what the upstream says of itself; False if it came late."""
+        if self._starts.is_late(announced):
+            _log.info(
+                'announcement_late',
+                extra={
+                    'upstream': announced.upstream_id,
+                    'sequence': announced.sequence,
+                },
+            )
+            return False
+        self._starts.note(announced)
         self._heard_at = self._clock.now()
         known = self._board.own_endpoint.value
         state = announced.state
-        if self._board.phase.value in {Phase.DRAINING, Phase.STOPPED}:
+        if self._board.phase.value in _LEAVING:
             state = EndpointState.DRAINING
-        if known is not None and known.state is EndpointState.GONE:
-            # Another process of the upstream: a crash of it is another one.
-            self._incarnation = max(
-                self._incarnation + 1,
-                self._clock.wall_ms(),
-            )
+        self._follow_start(known, announced)
         record = Endpoint(
             instance=self._settings.instance,
             incarnation=self._incarnation,
@@ -128,17 +143,39 @@
             state=state,
             slots=announced.slots,
             connections=announced.connections,
-            since_ms=self._find_since_ms(known, state),
+            since_ms=self._find_since_ms(known, state, announced.cold_ms),
         )
         self._board.upstream_address.put(parse_address(announced.address))
         if record != known:
             self._put(record._replace(sequence=record.sequence + 1))
+        return True
+
+    def _follow_start(
+        self,
+        known: Endpoint | None,
+        announced: AnnouncementBody,
+    ) -> None:
+        """Begins an incarnation where another process announces itself."""
+        is_other = announced.upstream_id != self._board.upstream_id.value
+        self._board.upstream_id.put(announced.upstream_id)
+        if known is None:
+            return
+        if is_other or known.state is EndpointState.GONE:
+            # A crash of this process is another one.
+            self._incarnation = max(
+                self._incarnation + 1,
+                self._clock.wall_ms(),
+            )
 
     def _find_since_ms(
         self,
         known: Endpoint | None,
         state: EndpointState,
+        cold_ms: int | None,
     ) -> int:
+        is_known = known is not None and known.incarnation == self._incarnation
+        if cold_ms is not None and not (is_known and known.state is state):
+            return self._clock.wall_ms() + cold_ms - SLOW_START_MS
         if known is not None and known.state is state:
             return known.since_ms
         if state is EndpointState.READY:
@@ -146,7 +183,7 @@
         return known.since_ms if known else 0
 
     def _follow_phase(self, phase: Phase) -> None:
-        if phase in {Phase.DRAINING, Phase.STOPPED}:
+        if phase in _LEAVING:
             self._put_state(EndpointState.DRAINING)
 
     def _follow_crash(self, crash: UpstreamCrash | None) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/announcement_body.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement_body.py
@@ -28,6 +28,11 @@
         IP address and port of its own HTTP server.
     `slots`, `connections`
         Requests and connections that it takes at once.
+    `upstream_id`, `started_ms`, `sequence`
+        Its name of itself, its start by its own wall clock and a number that
+        grows with each announcement of this start; empty where not told.
+    `cold_ms`
+        How much longer it is slow after its start, in milliseconds.
     """
 
     service: Annotated[str, Meta(min_length=1, max_length=253)]
@@ -36,6 +41,10 @@
     connections: Count
     state: EndpointState
     load: AnnouncedLoad | None = None
+    upstream_id: str = ''
+    started_ms: int = 0
+    sequence: int = 0
+    cold_ms: int | None = None
 
     def __post_init__(self) -> None:
         """Checks what the types can't say."""
--- a/packages/bilberry_proxy/bilberry_proxy/answer.py
+++ b/packages/bilberry_proxy/bilberry_proxy/answer.py
@@ -5,6 +5,7 @@
 from bilberry_core.verdict import Failure
 
 from bilberry_proxy.call import CREDIT_STEP_BYTES
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.failure_answer import build_failure_answer
 from bilberry_proxy.http_headers import Headers
 
@@ -38,8 +39,13 @@
 class Answer:
     """Sends one answer to a caller, while there is one."""
 
-    def __init__(self, caller: Caller) -> None:
-        """Starts unsent."""
+    def __init__(
+        self,
+        caller: Caller,
+        dialect: HttpDialect = OWN_DIALECT,
+    ) -> None:
+        """Starts unsent; failures are told in `dialect`."""
+        self._dialect = dialect
         self._caller: Caller | None = caller
         self._status = 0
         self._uncredited = 0
@@ -78,7 +84,7 @@
         if self._status and self._caller is not None:
             self._caller.cut_answer()
             return
-        answer = build_failure_answer(failure)
+        answer = build_failure_answer(failure, self._dialect)
         self.start(answer.status, answer.headers, answer.body, last=True)
 
     def leave(self) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/call_start.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_start.py
@@ -3,30 +3,29 @@
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.call import CallStart
 
-from bilberry_proxy.http_headers import RETRIED
 from bilberry_proxy.plan import Plan
 from bilberry_proxy.request_body import RequestBody
 
-_RETRIED_HEADER = (RETRIED, b'1')
 
-
-def build_call_start(
+def build_call_start(  # noqa: WPS211 - what a call is made of
     plan: Plan,
     body: RequestBody,
     fingerprint: bytes,
     now: float,
     tried: bool,
     suspect: bool,
+    retried_header: bytes,
 ) -> CallStart:
     """Returns the message that begins an attempt at `now`, in seconds.
 
     `tried` tells whether there was an attempt before, `suspect` whether
-    something is held against the request.
+    something is held against the request. `retried_header` marks another
+    attempt; empty for no mark.
     """
     request = plan.request
     headers = request.headers
-    if tried or request.retried:
-        headers = (*headers, _RETRIED_HEADER)
+    if retried_header and (tried or request.retried):
+        headers = (*headers, (retried_header, b'1'))
     left_ms = int((plan.deadline - now) * MS_PER_S)
     return CallStart(
         0,
--- a/packages/bilberry_proxy/bilberry_proxy/caller_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_request.py
@@ -8,10 +8,9 @@
 from returns.result import Failure as Refused
 from returns.result import Result, Success
 
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.http_headers import (
-    DEADLINE,
     IDEMPOTENCY_KEY,
-    RETRIED,
     Headers,
     select_request_headers,
 )
@@ -40,21 +39,34 @@
     retried: bool
 
 
-def parse_caller_request(start: Request) -> Result[CallerRequest, Failure]:
+def parse_caller_request(
+    start: Request,
+    dialect: HttpDialect = OWN_DIALECT,
+    caller_service: str = '',
+) -> Result[CallerRequest, Failure]:
     """Returns what a caller asks, or why that can't be served.
 
-    Of a header that is repeated the last one counts.
+    Of a header that is repeated the last one counts. `caller_service` is
+    the service beside this proxy.
     """
     headers = tuple(start.headers)
     found = dict(headers)
-    deadline = found.get(DEADLINE, b'')
+    deadline = found.get(dialect.deadline, b'')
     key = found.get(IDEMPOTENCY_KEY, b'')
     target = start.target
-    refusal = _find_refusal(start.method, target, deadline, key)
+    refusal = _find_refusal(start.method, target, key)
+    if deadline and not _is_deadline(deadline):
+        refusal = (
+            f'header "{dialect.deadline.decode()}": expected 1 to '
+            f'{MAX_DEADLINE_MS}, got {deadline!r}'
+        )
     if refusal:
         return Refused(
             Failure(Verdict.NOT_RUN, FailureCode.BAD_REQUEST, refusal),
         )
+    forwarded = select_request_headers(headers, dialect)
+    if dialect.caller_service:
+        forwarded += ((dialect.caller_service, caller_service.encode()),)
     host = found.get(b'host', b'').decode('latin-1').lower()
     return Success(
         CallerRequest(
@@ -62,10 +74,10 @@
             target,
             host.partition(':')[0],
             target.partition(b'?')[0].decode('latin-1'),
-            select_request_headers(headers),
+            forwarded,
             int(deadline or 0),
             key.decode('latin-1'),
-            RETRIED in found,
+            dialect.retried in found,
         ),
     )
 
@@ -86,14 +98,8 @@
 def _find_refusal(
     method: bytes,
     target: bytes,
-    deadline: bytes,
     key: bytes,
 ) -> str:
-    if deadline and not _is_deadline(deadline):
-        return (
-            f'header "bilberry-deadline-ms": expected 1 to {MAX_DEADLINE_MS}, '
-            f'got {deadline!r}'
-        )
     if len(key) > MAX_KEY_BYTES:
         return f'header "idempotency-key": expected {MAX_KEY_BYTES} bytes'
     if method == b'CONNECT' or not target.startswith(b'/'):
--- a/packages/bilberry_proxy/bilberry_proxy/context.py
+++ b/packages/bilberry_proxy/bilberry_proxy/context.py
@@ -10,9 +10,11 @@
 from bilberry_core.metric import Metrics
 
 from bilberry_proxy.call import CallTarget
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.pressure import Pressure
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
+from bilberry_proxy.split import TrafficSplit
 from bilberry_proxy.suspicion import Suspicion
 from bilberry_proxy.timers import TimerWheel
 
@@ -29,7 +31,8 @@
 
     `claims` is None where the settings name no replicas. `tasks` are claims
     being made, settled or freed, and `running` the requests without a final
-    answer; a graceful stop waits for both.
+    answer; a graceful stop waits for both. `service` is that of the upstream
+    beside this proxy, where the settings tell it.
     """
 
     board: Board
@@ -45,3 +48,6 @@
     claims: Claims | None
     tasks: set[Task]
     running: set[object]
+    split: TrafficSplit
+    dialect: HttpDialect = OWN_DIALECT
+    service: str = ''
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -2,7 +2,7 @@
 
 from asyncio import sleep
 from logging import getLogger
-from typing import Self
+from typing import NamedTuple, Self
 
 from bilberry_core.board import Board, Phase
 from bilberry_core.claim import Claims
@@ -20,10 +20,13 @@
 from bilberry_proxy.call_streams import CallStreams
 from bilberry_proxy.caller_server import CallerServer
 from bilberry_proxy.context import ProxyContext
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.objection import find_objection
 from bilberry_proxy.pressure import Pressure
+from bilberry_proxy.retry import MIN_BUDGET
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
+from bilberry_proxy.split import TrafficSplit
 from bilberry_proxy.suspicion import Suspicion
 from bilberry_proxy.timers import TICK_S, TimerWheel
 
@@ -34,6 +37,22 @@
 _SWEEP_TICKS = 50
 
 
+class ProxyOptions(NamedTuple):
+    """What a proxy may be given besides its settings.
+
+    `dialect`
+        The header names of its callers and its upstream.
+    `service`
+        The service of the upstream beside it, told to upstreams that it calls.
+    `retry_burst`
+        Retries of each service that this proxy may make at once.
+    """
+
+    dialect: HttpDialect = OWN_DIALECT
+    service: str = ''
+    retry_burst: float = MIN_BUDGET
+
+
 class ProxyController:
     """Routes callers' requests and admits calls to the upstream here."""
 
@@ -64,11 +83,18 @@
         random: RandomSource,
         metrics: Metrics,
         claims: Claims | None,
+        options: ProxyOptions = ProxyOptions(),
     ) -> Self:
         """Builds the controller of one daemon."""
         timers = TimerWheel(clock.now())
         suspicion = Suspicion(board, clock)
-        admitter = Admitter(board, clock, timers, suspicion)
+        admitter = Admitter(
+            board,
+            clock,
+            timers,
+            suspicion,
+            options.dialect,
+        )
         streams = CallStreams.from_credentials(credentials, admitter)
         context = ProxyContext(
             board=board,
@@ -80,6 +106,7 @@
                 settings.failure_domain,
                 clock,
                 random,
+                options.retry_burst,
             ),
             interest=ServiceInterest(board),
             suspicion=suspicion,
@@ -89,6 +116,9 @@
             claims=claims,
             tasks=set(),
             running=set(),
+            split=TrafficSplit(),
+            dialect=options.dialect,
+            service=options.service,
         )
         controller = cls(settings, context, admitter, streams)
         listener.handle(Purpose.CALL, controller._calls.accept)
@@ -144,12 +174,15 @@
         """Refuses what is new and finishes what is in flight."""
         clock = self._context.clock
         until = clock.now() + self._settings.timing.drain_ms / MS_PER_S
-        self._context.board.phase.put(Phase.DRAINING)
+        phase = self._context.board.phase
+        phase.put(Phase.DRAINING)
         self._calls.say_goodbye()
         self._callers.drain()
+        await sleep(self._settings.timing.linger_ms / MS_PER_S)
+        phase.put(Phase.CLOSING)
         while self.busy and clock.now() < until:
             await sleep(TICK_S)
-        until = clock.now() + GOODBYE_S
+        until = min(until, clock.now() + GOODBYE_S)
         while self._calls.open_streams and clock.now() < until:
             await sleep(TICK_S)
         _log.info('proxy_drained', extra={'left': self.busy})
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -19,7 +19,7 @@
 from bilberry_proxy.plan import Plan
 from bilberry_proxy.poison import Judgement
 from bilberry_proxy.request_body import RequestBody
-from bilberry_proxy.retry import AttemptState, decide_retry
+from bilberry_proxy.retry import AttemptState, decide_retry, has_arrived
 from bilberry_proxy.selection import Selection
 from bilberry_proxy.timers import Timer
 
@@ -27,6 +27,8 @@
 NO_ENDPOINT_RETRY_AFTER_MS = 500
 #: Share of its time after which an idempotent request goes elsewhere.
 ATTEMPT_SHARE = 0.5
+#: Endpoints at most that one request is sent to, refusals included.
+MAX_PLACEMENTS = 6
 _LATE = Failure(
     Verdict.MAY_HAVE_RUN,
     FailureCode.DEADLINE,
@@ -69,6 +71,7 @@
         self._fingerprint = b''
         self._attempt: Attempt | None = None
         self._has_other = False
+        self._arrivals = 0
         self._limit_timer: Timer | None = None
         self._wait = EndpointWait(
             context,
@@ -139,7 +142,7 @@
             plan.idempotent,
             self._body.is_replayable,
             attempt.began,
-            plan.retries + 1 - len(self._outcome.tried),
+            self._count_retries_left(failure),
             plan.deadline - self._context.clock.now(),
             quarantined,
             self._has_other,
@@ -152,6 +155,11 @@
         else:
             self._owner.take_failure(failure)
 
+    def _count_retries_left(self, failure: Failure) -> int:
+        self._arrivals += has_arrived(failure)
+        placements_left = MAX_PLACEMENTS - len(self._outcome.tried)
+        return min(self._plan.retries + 1 - self._arrivals, placements_left)
+
     def _learn(self, attempt: Attempt, failure: Failure) -> bool:
         context = self._context
         plan = self._plan
@@ -198,6 +206,7 @@
             now,
             bool(self._outcome.tried),
             finding.judgement > Judgement.CLEAR,
+            context.dialect.retried,
         )
         self._outcome.note_attempt(selection)
         load = context.router.find_load(endpoint)
@@ -213,7 +222,7 @@
 
     def _limit(self, attempt: Attempt) -> None:
         plan = self._plan
-        retries_left = plan.retries + 1 - len(self._outcome.tried)
+        retries_left = plan.retries - self._arrivals
         if not plan.idempotent or not self._has_other or retries_left <= 0:
             return
         left_s = plan.deadline - attempt.started_at
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -58,7 +58,7 @@
     def __init__(self, context: ProxyContext, caller: Caller) -> None:
         """Starts before the first byte."""
         self._context = context
-        self._answer = Answer(caller)
+        self._answer = Answer(caller, context.dialect)
         self._outcome = Outcome()
         self._plan: Plan | None = None
         self._body = RequestBody(REPLAY_BYTES)
@@ -74,15 +74,20 @@
         context = self._context
         now = context.clock.now()
         self._outcome.started_at = now
-        if context.board.phase.value is Phase.DRAINING:
+        if context.board.phase.value is Phase.CLOSING:
             self.take_failure(_DRAINING)
             return
-        planned = parse_caller_request(start).bind(
+        planned = parse_caller_request(
+            start,
+            context.dialect,
+            context.service,
+        ).bind(
             lambda request: plan_request(
                 request,
                 context.board.snapshot.value,
                 now,
                 context.claims is not None,
+                context.split.pick,
             ),
         )
         if isinstance(planned, Success):
--- a/packages/bilberry_proxy/bilberry_proxy/failure_answer.py
+++ b/packages/bilberry_proxy/bilberry_proxy/failure_answer.py
@@ -8,14 +8,14 @@
 
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.http import HttpResponse
-from bilberry_core.verdict import Failure, FailureCode
+from bilberry_core.verdict import Failure, FailureCode, Verdict
 
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.http_headers import (
     CODE,
     RETRIED,
     RETRY_AFTER,
     RETRY_AFTER_MS,
-    VERDICT,
 )
 
 _STATUS_BY_CODE = {
@@ -24,6 +24,7 @@
     FailureCode.NO_CONFIGURATION: 503,
     FailureCode.OVERLOADED: 503,
     FailureCode.DRAINING: 503,
+    FailureCode.UPSTREAM_DECLINED: 503,
     FailureCode.DEADLINE: 504,
     FailureCode.CANCELLED: 499,
     FailureCode.UPSTREAM_UNREACHABLE: 502,
@@ -39,22 +40,40 @@
     FailureCode.TOO_LARGE: 413,
 }
 _STATUS_UNKNOWN = 502
+#: Statuses that say that a request has not run.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
-def build_failure_answer(failure: Failure) -> HttpResponse:
+def build_failure_answer(
+    failure: Failure,
+    dialect: HttpDialect = OWN_DIALECT,
+) -> HttpResponse:
     """Returns the answer that tells a caller of `failure`."""
     body = f'{failure.code}: {failure.detail}\n'.encode()
     headers = [
-        (VERDICT, failure.verdict.encode()),
+        (dialect.verdict, failure.verdict.encode()),
         (CODE, failure.code.encode()),
         (b'content-type', b'text/plain; charset=utf-8'),
     ]
     if failure.retried:
-        headers.append((RETRIED, b'1'))
+        headers.append((dialect.retried or RETRIED, b'1'))
     if failure.retry_after_ms:
         milliseconds = failure.retry_after_ms
-        seconds = ceil(milliseconds / MS_PER_S)
+        seconds = milliseconds / MS_PER_S
+        if not dialect.fractional_retry_after:
+            seconds = ceil(seconds)
         headers.append((RETRY_AFTER, str(seconds).encode()))
         headers.append((RETRY_AFTER_MS, str(milliseconds).encode()))
+    return HttpResponse(find_status(failure), tuple(headers), body)
+
+
+def find_status(failure: Failure) -> int:
+    """Returns the status of a failure.
+
+    A status that promises that the request has not run is only given where
+    that is proven.
+    """
     status = _STATUS_BY_CODE.get(failure.code, _STATUS_UNKNOWN)
-    return HttpResponse(status, tuple(headers), body)
+    if status in _NOT_RUN_STATUSES and failure.verdict is not Verdict.NOT_RUN:
+        return _STATUS_UNKNOWN
+    return status
--- a/packages/bilberry_proxy/bilberry_proxy/http_headers.py
+++ b/packages/bilberry_proxy/bilberry_proxy/http_headers.py
@@ -5,12 +5,14 @@
 
 from collections.abc import Iterable
 
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
-DEADLINE = b'bilberry-deadline-ms'
+DEADLINE = OWN_DIALECT.deadline
 IDEMPOTENCY_KEY = b'idempotency-key'
-RETRIED = b'bilberry-retried'
-VERDICT = b'bilberry-verdict'
+RETRIED = OWN_DIALECT.retried
+VERDICT = OWN_DIALECT.verdict
 CODE = b'bilberry-code'
 RETRY_AFTER = b'retry-after'
 RETRY_AFTER_MS = b'bilberry-retry-after-ms'
@@ -32,7 +34,6 @@
         b'expect',
     ),
 )
-_SET_ANEW = _ONE_CONNECTION | {DEADLINE, RETRIED}
 
 
 def find_header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes:
@@ -43,9 +44,25 @@
     return b''
 
 
-def select_request_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Returns the headers of a request that go to the upstream."""
-    return tuple(header for header in headers if header[0] not in _SET_ANEW)
+def select_request_headers(
+    headers: Iterable[tuple[bytes, bytes]],
+    dialect: HttpDialect = OWN_DIALECT,
+) -> Headers:
+    """Returns the headers of a request that go to the upstream.
+
+    Those that the proxy sets itself are left out.
+    """
+    set_anew = (
+        dialect.deadline,
+        dialect.retried,
+        dialect.caller_service,
+        dialect.expected_upstream,
+    )
+    return tuple(
+        header
+        for header in headers
+        if header[0] not in _ONE_CONNECTION and header[0] not in set_anew
+    )
 
 
 def select_answer_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
--- a/packages/bilberry_proxy/bilberry_proxy/plan.py
+++ b/packages/bilberry_proxy/bilberry_proxy/plan.py
@@ -3,9 +3,11 @@
 A plain function over the request, a snapshot and the time.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from bilberry_core.clock import MS_PER_S
+from bilberry_core.configuration import RoutingRule
 from bilberry_core.snapshot import Decision, Snapshot, decide_policy
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 from returns.result import Failure as Refused
@@ -46,10 +48,12 @@
     snapshot: Snapshot | None,
     now: float,
     can_claim: bool,
+    pick_target: Callable[[RoutingRule], str],
 ) -> Result[Plan, Failure]:
     """Returns the plan of a request that begins at `now`, in seconds.
 
-    `can_claim` tells whether there are claim holders.
+    `can_claim` tells whether there are claim holders, and `pick_target`
+    returns the service of a routing rule that the request goes to.
     """
     if snapshot is None:
         return Refused(
@@ -60,28 +64,42 @@
                 NO_CONFIGURATION_RETRY_AFTER_MS,
             ),
         )
+    rule = snapshot.find_rule(request.host, request.path)
     service = snapshot.services_by_host.get(request.host)
+    if rule is not None:
+        service = pick_target(rule)
     if service is None:
-        detail = f'no service has the host "{request.host}"'
+        detail = f'no route for host "{request.host}", path "{request.path}"'
         return Refused(
             Failure(Verdict.NOT_RUN, FailureCode.UNKNOWN_SERVICE, detail),
         )
+    return Success(
+        _build_plan(request, snapshot, service, rule, now, can_claim),
+    )
+
+
+def _build_plan(  # noqa: WPS211 - what a plan is made of
+    request: CallerRequest,
+    snapshot: Snapshot,
+    service: str,
+    rule: RoutingRule | None,
+    now: float,
+    can_claim: bool,
+) -> Plan:
     method = request.method.decode('ascii')
-    decision = decide_policy(snapshot, service, method, request.path)
+    decision = decide_policy(snapshot, service, method, request.path, rule)
     policy = decision.policy
-    idempotent = method in policy.idempotent_methods
+    idempotent = policy.may_repeat(method)
     timeout_ms = policy.timeout_ms
     if request.deadline_ms:
         timeout_ms = min(timeout_ms, request.deadline_ms)
-    return Success(
-        Plan(
-            request,
-            snapshot,
-            decision,
-            now + timeout_ms / MS_PER_S,
-            now + policy.timeout_ms / MS_PER_S,
-            0 if request.retried else policy.retries,
-            idempotent,
-            can_claim and bool(request.key) and not idempotent,
-        ),
+    return Plan(
+        request,
+        snapshot,
+        decision,
+        now + timeout_ms / MS_PER_S,
+        now + policy.timeout_ms / MS_PER_S,
+        0 if request.retried else policy.retries,
+        idempotent,
+        can_claim and bool(request.key) and not idempotent,
     )
--- a/packages/bilberry_proxy/bilberry_proxy/retry.py
+++ b/packages/bilberry_proxy/bilberry_proxy/retry.py
@@ -24,6 +24,7 @@
 _REFUSALS = frozenset(
     (
         FailureCode.OVERLOADED,
+        FailureCode.UPSTREAM_DECLINED,
         FailureCode.DRAINING,
         FailureCode.NO_ENDPOINT,
     ),
@@ -34,12 +35,13 @@
     """Retries that a service may still get: a share of its requests."""
 
     def __init__(self, tokens: float = MIN_BUDGET) -> None:
-        """Starts with a few retries."""
+        """Starts with a few retries, which are the most it holds."""
         self.tokens = tokens
+        self._most = tokens
 
     def deposit(self, percent: int) -> None:
         """Counts a request, which earns a share of a retry."""
-        self.tokens = min(self.tokens + percent / _PERCENT, MIN_BUDGET)
+        self.tokens = min(self.tokens + percent / _PERCENT, self._most)
 
     def withdraw(self) -> bool:
         """Takes one retry; False where none is left."""
@@ -73,6 +75,17 @@
     reason: str
 
 
+def has_arrived(failure: Failure) -> bool:
+    """Tells whether an attempt that failed may have reached an upstream.
+
+    One that did not costs no upstream anything, so it takes nothing from the
+    budget and is not counted among a request's attempts.
+    """
+    if failure.code is FailureCode.UPSTREAM_DECLINED:
+        return True
+    return failure.verdict is not Verdict.NOT_RUN
+
+
 def decide_retry(
     failure: Failure,
     state: AttemptState,
@@ -82,7 +95,7 @@
     refusal = _find_refusal(failure, state)
     if refusal:
         return RetryDecision(again=False, reason=refusal)
-    if not budget.withdraw():
+    if has_arrived(failure) and not budget.withdraw():
         return RetryDecision(again=False, reason='retry budget is spent')
     return RetryDecision(again=True, reason=failure.code.value)
 
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -20,7 +20,7 @@
     find_shed_ms,
 )
 from bilberry_proxy.outlier import count_failure, count_success
-from bilberry_proxy.retry import RetryBudget
+from bilberry_proxy.retry import MIN_BUDGET, RetryBudget
 from bilberry_proxy.selection import (
     Selection,
     Viewpoint,
@@ -43,8 +43,10 @@
         failure_domain: str,
         clock: Clock,
         random: RandomSource,
+        retry_burst: float = MIN_BUDGET,
     ) -> None:
         """Starts with nothing seen."""
+        self._retry_burst = retry_burst
         self._instance = instance
         self._failure_domain = failure_domain
         self._clock = clock
@@ -120,7 +122,7 @@
         """Returns the retry budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget()
+            budget = RetryBudget(self._retry_burst)
             self._budgets[service] = budget
         return budget
 
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
@@ -66,8 +66,14 @@
 class UpstreamConnection(Protocol):
     """A connection that the pool hands to one request after the other."""
 
-    def __init__(self, owner: ConnectionOwner) -> None:
-        """Starts unconnected."""
+    def __init__(
+        self,
+        owner: ConnectionOwner,
+        close_delimited: bool = False,
+    ) -> None:
+        """Starts unconnected; answers may be `close_delimited`."""
+        self._close_delimited = close_delimited
+        self._has_length = True
         self.is_writable = True
         self._owner = owner
         self._http = Connection(CLIENT)
@@ -154,6 +160,18 @@
             return
         self._deliver(batch)
 
+    def eof_received(self) -> None:
+        """Called by the event loop when the upstream has sent everything."""
+        if self._receiver is None or self._has_length:
+            return
+        self._http.receive_data(b'')
+        try:
+            batch = read_batch(self._http)
+        except RemoteProtocolError as error:
+            self._break(str(error))
+            return
+        self._deliver(batch)
+
     def pause_writing(self) -> None:
         """Called by the event loop when the upstream reads too slowly."""
         self.is_writable = False
@@ -178,9 +196,11 @@
         receiver = self._receiver
         start = batch.start
         headers = tuple(start.headers) if start is not None else ()
-        if start is not None and not self._is_framed(start, headers):
-            self._break('the answer has no length')
-            return
+        if start is not None:
+            self._has_length = self._is_framed(start, headers)
+            if not self._has_length and not self._close_delimited:
+                self._break('the answer has no length')
+                return
         if batch.last:
             self._finish()
         if start is not None:
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_pool.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_pool.py
@@ -28,8 +28,13 @@
     def __init__(
         self,
         on_ended: Callable[[UpstreamConnection], None],
+        close_delimited: bool = False,
     ) -> None:
-        """Starts without connections; `on_ended` hears of each end."""
+        """Starts without connections; `on_ended` hears of each end.
+
+        `close_delimited` answers may end with their connection.
+        """
+        self._close_delimited = close_delimited
         self.address: Address | None = None
         self._on_ended = on_ended
         self._open: set[UpstreamConnection] = set()
@@ -75,7 +80,7 @@
         self._on_ended(connection)
 
     async def _dial(self, seeker: ConnectionSeeker) -> None:
-        connection = UpstreamConnection(self)
+        connection = UpstreamConnection(self, self._close_delimited)
         loop = get_running_loop()
         try:
             async with timeout(CONNECT_TIMEOUT_S):
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_request.py
@@ -6,15 +6,16 @@
 from bilberry_core.messages.call import CallStart
 from bilberry_core.verdict import Verdict
 
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.http_headers import (
     CONTENT_LENGTH,
-    DEADLINE,
     TRANSFER_ENCODING,
-    VERDICT,
     Headers,
     find_header,
 )
 
+_STATUS_MISDIRECTED = 421
+_HUNDRED = 100
 _DECLINING_STATUSES = frozenset((429, 503))
 
 
@@ -28,14 +29,24 @@
     last: bool
 
 
-def build_upstream_request(start: CallStart, left_s: float) -> UpstreamRequest:
-    """Returns the request of a call that has `left_s` seconds left."""
+def build_upstream_request(
+    start: CallStart,
+    left_s: float,
+    dialect: HttpDialect = OWN_DIALECT,
+    upstream_id: str = '',
+) -> UpstreamRequest:
+    """Returns the request of a call that has `left_s` seconds left.
+
+    `upstream_id` is the identity of the upstream that may run it.
+    """
     left_ms = max(1, int(left_s * MS_PER_S))
-    deadline = (DEADLINE, str(left_ms).encode())
+    added = [(dialect.deadline, str(left_ms).encode())]
+    if dialect.expected_upstream and upstream_id:
+        added.append((dialect.expected_upstream, upstream_id.encode()))
     return UpstreamRequest(
         start.method,
         start.target,
-        (*start.headers, deadline),
+        (*start.headers, *added),
         start.body,
         start.last,
     )
@@ -53,8 +64,32 @@
     return headers
 
 
-def is_declined(status: int, headers: Headers) -> bool:
+def is_declined(
+    status: int,
+    headers: Headers,
+    dialect: HttpDialect = OWN_DIALECT,
+) -> bool:
     """Tells whether an upstream says that it did not run the request."""
+    if dialect.expected_upstream and status == _STATUS_MISDIRECTED:
+        return True
+    if dialect.not_run:
+        return bool(find_header(headers, dialect.not_run))
     if status not in _DECLINING_STATUSES:
         return False
-    return find_header(headers, VERDICT) == Verdict.NOT_RUN.encode()
+    return find_header(headers, dialect.verdict) == Verdict.NOT_RUN.encode()
+
+
+def find_answer_fault(
+    status: int,
+    headers: Headers,
+    request_id: bytes,
+    dialect: HttpDialect,
+) -> str:
+    """Returns why an answer is not one to this request; empty if it is."""
+    if request_id and find_header(headers, dialect.request_id) != request_id:
+        return 'the answer belongs to another request'
+    is_success = status // _HUNDRED == 2
+    if dialect.signature and is_success:
+        if not find_header(headers, dialect.signature):
+            return 'the answer does not bear the signature of its upstream'
+    return ''
--- a/packages/bilberry_replica/bilberry_replica/consensus.py
+++ b/packages/bilberry_replica/bilberry_replica/consensus.py
@@ -31,6 +31,9 @@
     receive_append_reply,
 )
 
+#: Silence after which a replica may be taken for gone, in seconds.
+DEPARTED_S = 2.0
+
 _RECEIVERS = {
     VoteRequest: receive_vote_request,
     VoteReply: receive_vote_reply,
@@ -114,6 +117,18 @@
     return ''
 
 
+def find_silent(node: Node, moment: Moment) -> tuple[str, ...]:
+    """Returns the members that have not answered this leader for long."""
+    since = moment.now - DEPARTED_S
+    if node.leading_since > since:
+        return ()
+    return tuple(
+        instance
+        for instance, progress in node.peers.items()
+        if progress.stamp < since
+    )
+
+
 def install(node: Node, log: Log) -> Node:
     """Starts over from a snapshot, keeping entries that continue it."""
     known = node.log.find_term(log.base) == log.base_term
--- a/packages/bilberry_replica/bilberry_replica/controller.py
+++ b/packages/bilberry_replica/bilberry_replica/controller.py
@@ -72,6 +72,7 @@
             driver,
             build_own(settings, driver.replica.node.store),
             list_others(settings),
+            settings.founding,
         )
         self._stopping = Event()
         self._has_stopped = False
--- a/packages/bilberry_replica/bilberry_replica/election.py
+++ b/packages/bilberry_replica/bilberry_replica/election.py
@@ -123,6 +123,7 @@
         role=Role.LEADER,
         leader=node.instance,
         peers={},
+        leading_since=moment.now,
     )
     node = track_members(node, moment)
     step = put_entries(node, first, (Entry(node.term),))
--- a/packages/bilberry_replica/bilberry_replica/founding.py
+++ b/packages/bilberry_replica/bilberry_replica/founding.py
@@ -29,6 +29,7 @@
     own: Member,
     expected: Collection[str],
     replies: dict[str, ProbeReply],
+    min_quorum: int = 0,
 ) -> Membership | None:
     """Returns the first membership where this replica is to found it."""
     answered = [replies[name] for name in expected if name in replies]
@@ -39,7 +40,7 @@
     members = [own, *(reply.member for reply in answered)]
     if min(members).instance != own.instance:
         return None
-    return found(members)
+    return found(members, min_quorum)
 
 
 def start_log(node: Node, membership: Membership) -> Step:
--- a/packages/bilberry_replica/bilberry_replica/joining.py
+++ b/packages/bilberry_replica/bilberry_replica/joining.py
@@ -4,6 +4,7 @@
 from logging import getLogger
 
 from bilberry_core.messages.replica import Member, Probe, ProbeReply
+from bilberry_core.settings import FoundingSettings
 
 from bilberry_replica.driver import Driver
 from bilberry_replica.founding import decide_founding, is_empty
@@ -20,8 +21,10 @@
         driver: Driver,
         own: Member,
         expected: tuple[str, ...],
+        founding: FoundingSettings = FoundingSettings(),
     ) -> None:
         """Expects replicas of these names besides the own one."""
+        self._founding = founding
         self._driver = driver
         self._own = own
         self._expected = expected
@@ -63,9 +66,14 @@
 
     def _found_if_alone(self) -> None:
         replica = self._driver.replica
-        if not is_empty(replica.node):
+        if not self._founding.allowed or not is_empty(replica.node):
             return
-        membership = decide_founding(self._own, self._expected, self._replies)
+        membership = decide_founding(
+            self._own,
+            self._expected,
+            self._replies,
+            self._founding.min_quorum,
+        )
         if membership is not None:
             _log.info(
                 'fleet_founded',
--- a/packages/bilberry_replica/bilberry_replica/leading.py
+++ b/packages/bilberry_replica/bilberry_replica/leading.py
@@ -21,10 +21,11 @@
     change_membership,
     find_caught_up,
     find_replaced,
+    find_silent,
     is_settled,
 )
 from bilberry_replica.founding import is_empty, start_log
-from bilberry_replica.member import admit, promote
+from bilberry_replica.member import admit, expel, find_surplus, promote
 from bilberry_replica.node import Moment, Step
 from bilberry_replica.register import Decision
 from bilberry_replica.replica import Replica
@@ -104,6 +105,11 @@
     if learner:
         membership = promote(node.membership, learner)
         step_membership(replica, membership, moment)
+        return
+    surplus = find_surplus(node.membership, find_silent(node, moment))
+    if surplus:
+        membership = expel(node.membership, surplus)
+        step_membership(replica, membership, moment)
 
 
 def found_fleet(
--- a/packages/bilberry_replica/bilberry_replica/links.py
+++ b/packages/bilberry_replica/bilberry_replica/links.py
@@ -22,7 +22,7 @@
 _FIRST_WAIT_S = 0.05
 _LONGEST_WAIT_S = 1.0
 #: Silence after which a stream is dialled again, in seconds.
-_SILENCE_S = 5.0
+_SILENCE_S = 1.0
 
 Receive = Callable[[str, Any], None]
 
--- a/packages/bilberry_replica/bilberry_replica/member.py
+++ b/packages/bilberry_replica/bilberry_replica/member.py
@@ -32,20 +32,39 @@
 def has_quorum(membership: Membership, instances: Collection[str]) -> bool:
     """Tells whether these replicas can decide.
 
-    That is a majority of the voters, in two failure domains at least where
-    the voters lie in more than one.
+    That is a majority of the voters and no fewer than the membership asks
+    for, in two failure domains at least where the voters lie in more than one.
     """
     voters = list_voters(membership)
     agreeing = [voter for voter in voters if voter.instance in instances]
     if len(agreeing) * 2 <= len(voters):
         return False
+    if len(agreeing) < min(membership.min_quorum, len(voters)):
+        return False
     return _count_domains(agreeing) >= min(2, _count_domains(voters))
 
 
-def found(members: Collection[Member]) -> Membership:
+def found(members: Collection[Member], min_quorum: int = 0) -> Membership:
     """Returns the first membership of a fleet; every member votes."""
     voters = [member._replace(voter=True) for member in members]
-    return Membership(1, tuple(sorted(voters)))
+    return Membership(1, tuple(sorted(voters)), min_quorum=min_quorum)
+
+
+def find_surplus(membership: Membership, silent: Collection[str]) -> str:
+    """Returns a silent replica that the quorum can do without, or nothing.
+
+    Learners always are. Voters are where enough others are left that as many
+    may be lost as when the fleet was founded; without `min_quorum` only an
+    operator removes a replica.
+    """
+    if not membership.min_quorum:
+        return ''
+    needed = 2 * membership.min_quorum - 1
+    has_spare = len(list_voters(membership)) > needed
+    for member in membership.members:
+        if member.instance in silent and (has_spare or not member.voter):
+            return member.instance
+    return ''
 
 
 def admit(membership: Membership, fresh: Member) -> Membership | None:
--- a/packages/bilberry_replica/bilberry_replica/node.py
+++ b/packages/bilberry_replica/bilberry_replica/node.py
@@ -84,6 +84,8 @@
         When the leader was heard last; the start of a replica with a log.
     `round`
         Number of the leader's newest broadcast.
+    `leading_since`
+        Monotonic time at which this replica began to lead, in seconds.
     `beacon`
         The leader's sign of life that broadcasts carry.
     """
@@ -106,6 +108,7 @@
     peers: dict[str, Progress] = {}
     round: int = 0
     beacon: Beacon | None = None
+    leading_since: float = 0
 
     @property
     def is_leader(self) -> bool:
--- a/packages/bilberry_replica/bilberry_replica/register.py
+++ b/packages/bilberry_replica/bilberry_replica/register.py
@@ -110,9 +110,13 @@
         if decision is not None:
             return decision
         if change.base_version > self._version:
-            self._remember(change, 0)
+            # An operator who numbers versions may send ahead of the base.
+            if not change.version:
+                self._remember(change, 0)
             return _refuse_base(change)
-        self._version += 1
+        if change.version and change.version <= self._version:
+            return Conflict(change.base_version, ())
+        self._version = change.version or self._version + 1
         self._remember(change, self._version)
         self._history.append(_build_entry(self._version, term, logged))
         del self._history[: -self._history_count]
@@ -166,4 +170,5 @@
         change.note,
         logged.accepted_ms,
         change.content,
+        change.source,
     )
--- a/packages/bilberry_spread/bilberry_spread/attachment.py
+++ b/packages/bilberry_spread/bilberry_spread/attachment.py
@@ -73,6 +73,10 @@
         """The start rule of this daemon."""
         return self._reception.gate
 
+    def replace_peers(self, peers: tuple[Peer, ...]) -> None:
+        """Prefers other sources from now on, in the order of `peers`."""
+        self._picker.replace(peers)
+
     def tick(self) -> None:
         """Dials, probes and gives up what is due now."""
         self._reception.tick()
--- a/packages/bilberry_spread/bilberry_spread/delta.py
+++ b/packages/bilberry_spread/bilberry_spread/delta.py
@@ -61,6 +61,8 @@
         services_removed=_find_removed(old.services, new.services),
         exceptions=_find_changed(old.exceptions, new.exceptions),
         exceptions_removed=_find_removed(old.exceptions, new.exceptions),
+        routes=_find_changed(old.routes, new.routes),
+        routes_removed=_find_removed(old.routes, new.routes),
     )
 
 
@@ -81,6 +83,7 @@
         old.defaults if delta.defaults is None else delta.defaults,
         _merge(old.services, delta.services, delta.services_removed),
         _merge(old.exceptions, delta.exceptions, delta.exceptions_removed),
+        _merge(old.routes, delta.routes, delta.routes_removed),
     )
     return _check(delta, configuration)
 
--- a/packages/bilberry_spread/bilberry_spread/pacing.py
+++ b/packages/bilberry_spread/bilberry_spread/pacing.py
@@ -77,6 +77,10 @@
         """Every source, the preferred one first."""
         return self._peers
 
+    def replace(self, peers: tuple[Peer, ...]) -> None:
+        """Takes turns among other sources from now on."""
+        self._peers = peers
+
     @property
     def preferred(self) -> Peer | None:
         """The source that is preferred to all others."""
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -9,7 +9,7 @@
 from logging import getLogger
 from typing import Any
 
-from bilberry_core.board import Board
+from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
 from bilberry_core.handshake import Purpose
 from bilberry_core.listener import StreamListener
@@ -24,6 +24,7 @@
 from bilberry_spread.backoff import MAX_DELAY_S
 from bilberry_spread.broadcast import Broadcast
 from bilberry_spread.edges import Edges, Link, open_edges
+from bilberry_spread.members import list_replicas
 from bilberry_spread.mesh import MeshPeer
 from bilberry_spread.relay_source import RelaySource
 from bilberry_spread.reports import apply_report
@@ -53,10 +54,8 @@
         self._board = board
         self._edges = edges
         self._broadcast = Broadcast(settings, board, edges, self._wake)
-        self._mesh = {
-            peer.instance: MeshPeer(peer, settings, edges, self._receive)
-            for peer in find_mesh(settings)
-        }
+        self._mesh: dict[str, MeshPeer] = {}
+        self._keep_mesh(find_mesh(settings))
         self._source: RelaySource | None = None
         if Role.REPLICA not in settings.roles:
             self._source = RelaySource(settings, board, self._broadcast, edges)
@@ -109,6 +108,9 @@
     def start(self) -> None:
         """Watches the blackboard."""
         self._broadcast.start()
+        if self._settings.discovers_relays:
+            self._board.claim_epoch.watch(self._follow_members)
+            self._follow_members(self._board.claim_epoch.value)
 
     def accept(self, link: Link) -> None:
         """Takes a stream of a proxy or another relay."""
@@ -132,6 +134,37 @@
     def _is_stale(self) -> bool:
         return self._board.stale_since.value is not None
 
+    def _follow_members(self, epoch: ClaimEpoch | None) -> None:
+        peers = list_replicas(epoch)
+        if peers:
+            own = self._settings.instance
+            self._keep_mesh(
+                tuple(peer for peer in peers if peer.instance != own),
+            )
+
+    def _keep_mesh(self, peers: tuple[Peer, ...]) -> None:
+        wanted = {peer.instance: peer for peer in peers}
+        for instance, kept in tuple(self._mesh.items()):
+            if wanted.get(instance, kept.peer).address != kept.peer.address:
+                self._drop_peer(instance)
+            elif instance not in wanted:
+                self._drop_peer(instance)
+        for instance, peer in wanted.items():
+            if instance not in self._mesh:
+                self._mesh[instance] = MeshPeer(
+                    peer,
+                    self._settings,
+                    self._edges,
+                    self._receive,
+                )
+
+    def _drop_peer(self, instance: str) -> None:
+        self._mesh.pop(instance).stop()
+        self._broadcast.directory.start_leases_of(
+            instance,
+            self._edges.clock.now(),
+        )
+
     def _wake(self, instance: str) -> None:
         peer = self._mesh.get(instance)
         if peer is not None:
@@ -139,7 +172,9 @@
 
     def _receive(self, peer: Peer, received: Any) -> None:
         if isinstance(received, EndpointUpdate):
-            mesh_peer = self._mesh[peer.instance]
+            mesh_peer = self._mesh.get(peer.instance)
+            if mesh_peer is None:
+                return
             is_whole = not mesh_peer.is_synced
             mesh_peer.is_synced = True
             self._broadcast.directory.take_from_peer(
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -8,7 +8,7 @@
 from asyncio import sleep
 from typing import Any
 
-from bilberry_core.board import Board
+from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.spread import (
@@ -19,12 +19,13 @@
     SuspectUpdate,
     Want,
 )
-from bilberry_core.settings import Settings
+from bilberry_core.settings import Peer, Settings
 from bilberry_core.stream import Credentials
 
 from bilberry_spread.attachment import Attachment
 from bilberry_spread.edges import Edges, open_edges
 from bilberry_spread.endpoint_feed import EndpointFeed
+from bilberry_spread.members import list_replicas
 from bilberry_spread.ranking import rank_relays
 from bilberry_spread.reception import Reception
 from bilberry_spread.source import Source
@@ -44,11 +45,7 @@
         self._board = board
         self._edges = edges
         timing = settings.timing
-        relays = rank_relays(
-            settings.instance,
-            settings.failure_domain,
-            settings.relays,
-        )
+        relays = self._rank(settings.relays)
         reception = Reception(
             board,
             StartGate(relays, edges.clock.now() + START_WAIT_S),
@@ -104,6 +101,8 @@
         board.wanted_services.watch(lambda _services: self._want())
         board.snapshot.watch(lambda _snapshot: self._tell_held())
         board.suspects.watch(lambda _suspects: self._tell_suspects())
+        if self._settings.discovers_relays:
+            board.claim_epoch.watch(self._follow_members)
 
     def tick(self) -> None:
         """Does what is due now."""
@@ -132,6 +131,15 @@
         elif isinstance(received, SuspectUpdate):
             self._suspects.take(received)
 
+    def _follow_members(self, epoch: ClaimEpoch | None) -> None:
+        peers = list_replicas(epoch)
+        if peers:
+            self._attachment.replace_peers(self._rank(peers))
+
+    def _rank(self, relays: tuple[Peer, ...]) -> tuple[Peer, ...]:
+        settings = self._settings
+        return rank_relays(settings.instance, settings.failure_domain, relays)
+
     def _send(self, sent: Any) -> None:
         main = self._attachment.main
         if main is not None:
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -3,21 +3,23 @@
 All construction is here, so that no controller knows another.
 """
 
+from collections.abc import Callable, Iterable
 from random import SystemRandom
+from typing import NamedTuple
 
 from bilberry_claims.client import ClaimClient
 from bilberry_claims.holder import HolderController
 from bilberry_core.board import Board
 from bilberry_core.clock import SystemClock
 from bilberry_core.configuration_file import validate_content
-from bilberry_core.disk import SystemDisk
+from bilberry_core.disk import Disk, SystemDisk
 from bilberry_core.listener import StreamListener
 from bilberry_core.metric import open_metrics
 from bilberry_core.settings import Role, Settings
 from bilberry_core.stream import Credentials
 from bilberry_operators.controller import OperatorsController
 from bilberry_proxy.announcement import AnnouncementController
-from bilberry_proxy.controller import ProxyController
+from bilberry_proxy.controller import ProxyController, ProxyOptions
 from bilberry_replica.controller import ReplicaController, ReplicaOptions
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
@@ -29,8 +31,11 @@
 _SERVING_ROLES = frozenset((Role.RELAY, Role.REPLICA))
 
 
-class _Parts:
-    """The parts under construction, in the order in which they start."""
+class DaemonParts:
+    """The parts under construction, in the order in which they start.
+
+    `acceptor`, `announcements` and `proxy` are None without their roles.
+    """
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
@@ -47,12 +52,33 @@
         self.metrics = open_metrics(settings.statsd)
         self.controllers: list[Controller] = []
         self.acceptor: ReplicaController | None = None
+        self.announcements: AnnouncementController | None = None
         self.proxy: ProxyController | None = None
 
 
-def build_daemon(settings: Settings) -> Daemon:
+def _add_none(_parts: DaemonParts) -> tuple[Controller, ...]:
+    return ()
+
+
+class Extensions(NamedTuple):
+    """What a deployment adds to the daemons of its fleet.
+
+    `proxy`
+        Options of the proxy.
+    `build_interfaces`
+        Returns further controllers, which serve the deployment's own HTTP.
+    """
+
+    proxy: ProxyOptions = ProxyOptions()
+    build_interfaces: Callable[[DaemonParts], Iterable[Controller]] = _add_none
+
+
+def build_daemon(
+    settings: Settings,
+    extensions: Extensions = Extensions(),
+) -> Daemon:
     """Returns the daemon that `settings` describe, not yet started."""
-    parts = _Parts(settings)
+    parts = DaemonParts(settings)
     if Role.REPLICA in settings.roles:
         _add_replica(parts)
     if settings.roles & _SERVING_ROLES:
@@ -60,9 +86,10 @@
     else:
         _add_subscriber(parts)
     if Role.PROXY in settings.roles:
-        _add_proxy(parts)
+        _add_proxy(parts, extensions.proxy)
     if settings.listen.operators is not None:
         _add_operators(parts)
+    parts.controllers += extensions.build_interfaces(parts)
     draining = () if parts.proxy is None else (parts.proxy,)
     return Daemon(
         settings.listen.streams,
@@ -73,7 +100,7 @@
     )
 
 
-def _add_replica(parts: _Parts) -> None:
+def _add_replica(parts: DaemonParts) -> None:
     settings = parts.settings
     disk = SystemDisk.open(settings.data_folder, settings.fleet)
     parts.acceptor = ReplicaController.from_settings(
@@ -87,6 +114,16 @@
         ReplicaOptions(validate=validate_content),
     )
     parts.controllers.append(parts.acceptor)
+    if settings.keeps_claims:
+        _add_holder(parts, parts.acceptor, disk)
+
+
+def _add_holder(
+    parts: DaemonParts,
+    acceptor: ReplicaController,
+    disk: Disk,
+) -> None:
+    settings = parts.settings
     holder = HolderController.from_settings(
         settings,
         parts.board,
@@ -95,11 +132,11 @@
         parts.clock,
         parts.credentials,
     )
-    holder.settle_epoch = parts.acceptor.settle_epoch
+    holder.settle_epoch = acceptor.settle_epoch
     parts.controllers.append(holder)
 
 
-def _add_relay(parts: _Parts) -> None:
+def _add_relay(parts: DaemonParts) -> None:
     parts.controllers.append(
         RelayController.from_settings(
             parts.settings,
@@ -112,7 +149,7 @@
     )
 
 
-def _add_subscriber(parts: _Parts) -> None:
+def _add_subscriber(parts: DaemonParts) -> None:
     parts.controllers.append(
         SubscriberController.from_settings(
             parts.settings,
@@ -124,10 +161,10 @@
     )
 
 
-def _add_proxy(parts: _Parts) -> None:
+def _add_proxy(parts: DaemonParts, options: ProxyOptions) -> None:
     settings = parts.settings
     claims = None
-    if settings.replicas:
+    if settings.replicas and settings.keeps_claims:
         claims = ClaimClient.from_settings(
             settings,
             parts.board,
@@ -144,19 +181,21 @@
         parts.random,
         parts.metrics,
         claims,
+        options,
+    )
+    parts.announcements = AnnouncementController.from_settings(
+        settings,
+        parts.board,
+        parts.clock,
     )
     parts.controllers += [
         SnapshotController.from_settings(settings, parts.board),
-        AnnouncementController.from_settings(
-            settings,
-            parts.board,
-            parts.clock,
-        ),
+        parts.announcements,
         parts.proxy,
     ]
 
 
-def _add_operators(parts: _Parts) -> None:
+def _add_operators(parts: DaemonParts) -> None:
     parts.controllers.append(
         OperatorsController.from_settings(
             parts.settings,
--- a/packages/bilberryd/bilberryd/daemon.py
+++ b/packages/bilberryd/bilberryd/daemon.py
@@ -15,7 +15,7 @@
 )
 from collections.abc import Coroutine
 from logging import getLogger
-from signal import SIGINT, SIGTERM
+from signal import SIGHUP, SIGINT, SIGTERM
 from typing import Protocol
 
 from bilberry_core.board import Board, Phase
@@ -68,6 +68,7 @@
         loop = get_running_loop()
         for signal in (SIGTERM, SIGINT):
             loop.add_signal_handler(signal, self._board.stopping.set)
+        loop.add_signal_handler(SIGHUP, _keep_settings)
         address = await self._listener.listen(self._address)
         _log.info('daemon_started', extra={'streams': list(address)})
         tasks = [_start(part.run()) for part in self._controllers]
@@ -101,6 +102,11 @@
         _log.info('daemon_stopped')
 
 
+def _keep_settings() -> None:
+    """Goes on as before: settings are read at the start only."""
+    _log.info('reload_ignored', extra={'why': 'settings are read at the start'})
+
+
 def _start(work: Coroutine[None, None, None]) -> Task[None]:
     task = create_task(work)
     task.add_done_callback(_report)
--- a/tests/bilberry_core/test_configuration_file.py
+++ b/tests/bilberry_core/test_configuration_file.py
@@ -3,7 +3,9 @@
 from bilberry_core.configuration import (
     Configuration,
     RouteException,
+    RoutingRule,
     Service,
+    Target,
     encode_configuration,
 )
 from bilberry_core.configuration_file import (
@@ -40,6 +42,8 @@
     idempotent_methods=st.none() | st.just(('GET', 'PUT')),
     load_policy=st.none() | st.sampled_from(LoadPolicy),
     claim_retention_s=st.none() | st.integers(1, 2_592_000),
+    idempotent=st.none() | st.booleans(),
+    target_latency_ms=st.none() | st.integers(1, 3_600_000),
 )
 
 
@@ -62,9 +66,28 @@
         draw(changes).apply(CallPolicy()),
         tuple(Service(name, (f'{name}.example',)) for name in services),
         tuple(rules),
+        tuple(draw(routes(services))),
     )
 
 
+@st.composite
+def routes(draw, services):
+    """Draws routes to some of these services, none at the same place."""
+    drawn = []
+    for name in sorted(draw(st.sets(names, max_size=3))):
+        weights = draw(
+            st.dictionaries(
+                st.sampled_from(services),
+                st.integers(1, 100),
+                min_size=1,
+            ),
+        )
+        targets = tuple(Target(*each) for each in sorted(weights.items()))
+        change = draw(st.just(PolicyChange()) | changes)
+        drawn.append(RoutingRule(name, 'a.b', f'/{name}/', targets, change))
+    return drawn
+
+
 def clean(text: str) -> str:
     """Returns the printable characters of a text."""
     return ''.join(filter(str.isprintable, text)).strip()
