Ask for a free slot before a call waits, and compress long messages

Cause: a near upstream was filled up while others had free slots, and the log carried each configuration whole. A call now asks up to five endpoints for a free slot and waits only then; an attempt is given up at half its time only where its endpoint answers nothing. Ruled out: sharing loads between daemons, which costs bytes all the time.

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -23,9 +23,9 @@
     STARTING = 'starting'
     SERVING = 'serving'
     #: Announced as leaving; callers that come all the same are served.
-    DRAINING = 'draining'
+    LEAVING = 'leaving'
     #: Takes nothing new and finishes what is in flight.
-    CLOSING = 'closing'
+    DRAINING = 'draining'
     STOPPED = 'stopped'
 
 
--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -30,7 +30,8 @@
     """A request begins; `last` where its body is complete.
 
     `deadline_ms` is the time left, in milliseconds, when it was sent.
-    `suspect` requests were in flight at a crash and run alone.
+    `suspect` requests were in flight at a crash and run alone. Without
+    `may_wait` the call is refused where no slot is free at once.
     """
 
     call: int
@@ -44,6 +45,7 @@
     priority: Priority
     fingerprint: bytes = b''
     suspect: bool = False
+    may_wait: bool = True
 
 
 @message(51)
--- a/packages/bilberry_core/bilberry_core/messages/registry.py
+++ b/packages/bilberry_core/bilberry_core/messages/registry.py
@@ -1,10 +1,14 @@
 """Finds a message type by its number, encodes and decodes messages.
 
 An encoded message is a msgpack array: the number, then the fields in order.
+A long one is compressed, which its first byte tells: a zlib stream begins with
+a byte that begins no array.
 """
 
 from collections.abc import Callable
 from typing import Any, NamedTuple, TypeVar
+from zlib import compress, decompressobj
+from zlib import error as ZlibError
 
 from msgpack import packb, unpackb
 from msgspec import ValidationError, convert
@@ -13,6 +17,13 @@
 
 Kind = TypeVar('Kind')
 
+#: Length from which on a message is compressed, in bytes.
+COMPRESS_BYTES = 1024
+#: Longest message that a compressed one may expand to, in bytes.
+MAX_EXPANDED_BYTES = 16 << 20
+_COMPRESS_LEVEL = 1
+_ZLIB_MARK = 0x78
+
 _types: dict[int, Any] = {}
 _numbers: dict[Any, int] = {}
 
@@ -38,7 +49,10 @@
 
 def encode_message(sent: Any) -> bytes:
     """Returns the encoding of a registered message."""
-    return packb((_numbers[type(sent)], *sent))
+    encoded = packb((_numbers[type(sent)], *sent))
+    if len(encoded) < COMPRESS_BYTES:
+        return encoded
+    return compress(encoded, _COMPRESS_LEVEL)
 
 
 def decode_message(encoded: bytes | memoryview) -> Any:
@@ -48,8 +62,9 @@
     known gives an `UnknownMessage`; fields beyond the known are ignored.
     """
     try:
+        encoded = _expand(encoded)
         number, *fields = unpackb(encoded, use_list=False)
-    except (ValueError, TypeError) as error:
+    except (ValueError, TypeError, ZlibError) as error:
         raise FrameError(f'no message: {error}') from error
     if not isinstance(number, int):
         raise FrameError('a message must begin with its number')
@@ -60,3 +75,13 @@
         return convert(fields[: len(kind._fields)], kind)
     except ValidationError as error:
         raise FrameError(f'message {kind.__name__}: {error}') from error
+
+
+def _expand(encoded: bytes | memoryview) -> bytes | memoryview:
+    if not encoded or encoded[0] != _ZLIB_MARK:
+        return encoded
+    expander = decompressobj()
+    expanded = expander.decompress(encoded, MAX_EXPANDED_BYTES)
+    if not expander.eof:
+        raise ValueError(f'expands to over {MAX_EXPANDED_BYTES} bytes')
+    return expanded
--- a/packages/bilberry_core/bilberry_core/verdict.py
+++ b/packages/bilberry_core/bilberry_core/verdict.py
@@ -40,6 +40,7 @@
     BAD_REQUEST = 'bad_request'
     TOO_LARGE = 'too_large'
     UPSTREAM_CRASHED = 'upstream_crashed'
+    NO_FREE_SLOT = 'no_free_slot'
     UPSTREAM_DECLINED = 'upstream_declined'
 
 
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -88,6 +88,9 @@
             deadline,
             partial(call.fail, FailureCode.DEADLINE, 'the time ran out'),
         )
+        if not (start.may_wait or self._line.is_free):
+            call.fail(FailureCode.NO_FREE_SLOT, 'every slot is taken')
+            return call
         if self._suspicion.is_suspect(start.fingerprint, start.suspect):
             call.is_alone = True
             self._shed(self._line.enter_suspect(call))
--- a/packages/bilberry_proxy/bilberry_proxy/announcement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -25,7 +25,7 @@
 
 _PATH = '/v1/endpoint'
 _CHECKS_A_LEASE = 10
-_LEAVING = frozenset((Phase.DRAINING, Phase.CLOSING, Phase.STOPPED))
+_LEAVING = frozenset((Phase.LEAVING, Phase.DRAINING, Phase.STOPPED))
 
 
 class AnnouncementController:
--- a/packages/bilberry_proxy/bilberry_proxy/attempt.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt.py
@@ -10,6 +10,7 @@
 from bilberry_core.messages.call import (
     CallFailed,
     CallStart,
+    Load,
     ReplyChunk,
     ReplyStart,
 )
@@ -47,6 +48,7 @@
         'began',
         'started_at',
         'weight',
+        'reported',
     )
 
     def __init__(
@@ -61,11 +63,17 @@
         self.ended = False
         self.began = False
         self.weight = 0
+        self.reported: Load | None = None
         self.started_at = started_at
         self._owner = owner
         self._load = load
         self._call: OpenCall | None = None
 
+    @property
+    def is_endpoint_alive(self) -> bool:
+        """Whether the endpoint has answered anything since this began."""
+        return self._load.seen_at > self.started_at
+
     def open(self, target: CallTarget, start: CallStart) -> None:
         """Opens the call."""
         self._load.begin()
@@ -110,6 +118,7 @@
         """Takes the failure that ends the call."""
         if self._end():
             self.weight = failed.weight
+            self.reported = failed.load
             self._owner.take_failure(self, failed.failure)
 
     def credit(self, size: int) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/caller_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_server.py
@@ -63,7 +63,7 @@
     def _accept(self) -> CallerConnection:
         connection = CallerConnection(self._build_exchange, self._connections)
         phase = self._context.board.phase.value
-        connection.is_draining = phase in {Phase.DRAINING, Phase.CLOSING}
+        connection.is_draining = phase in {Phase.LEAVING, Phase.DRAINING}
         return connection
 
     def _build_exchange(self, connection: CallerConnection) -> Exchange:
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -175,11 +175,12 @@
         clock = self._context.clock
         until = clock.now() + self._settings.timing.drain_ms / MS_PER_S
         phase = self._context.board.phase
-        phase.put(Phase.DRAINING)
+        linger_s = self._settings.timing.linger_ms / MS_PER_S
+        phase.put(Phase.LEAVING if linger_s else Phase.DRAINING)
         self._calls.say_goodbye()
         self._callers.drain()
-        await sleep(self._settings.timing.linger_ms / MS_PER_S)
-        phase.put(Phase.CLOSING)
+        await sleep(linger_s)
+        phase.put(Phase.DRAINING)
         while self.busy and clock.now() < until:
             await sleep(TICK_S)
         until = min(until, clock.now() + GOODBYE_S)
--- a/packages/bilberry_proxy/bilberry_proxy/decision_log.py
+++ b/packages/bilberry_proxy/bilberry_proxy/decision_log.py
@@ -26,7 +26,8 @@
     """What has become of a request so far.
 
     `tried` are the instances that attempts went to, in order. `verdict`
-    covers every attempt that has failed.
+    covers every attempt that has failed. `asked` counts the endpoints that
+    had no free slot.
     """
 
     def __init__(self) -> None:
@@ -39,6 +40,7 @@
         self.selection: Selection | None = None
         self.failure: Failure | None = None
         self.tried: list[str] = []
+        self.asked = 0
         self.retry_reasons: list[str] = []
 
     def note_attempt(self, selection: Selection) -> None:
@@ -46,6 +48,11 @@
         self.selection = selection
         self.tried.append(selection.endpoint.instance)
 
+    def forget_attempt(self) -> None:
+        """Takes back an attempt that an endpoint without a slot refused."""
+        self.asked += 1
+        self.tried.pop()
+
     def note_attempt_failed(self, failure: Failure, reason: str) -> None:
         """Adds why an attempt failed and what was decided."""
         self.verdict = join_verdicts(self.verdict, failure.verdict)
@@ -83,6 +90,8 @@
         fields['chosen'] = outcome.selection.endpoint.instance
         fields['candidates'] = outcome.selection.candidates
         fields['why'] = outcome.selection.reason
+    if outcome.asked:
+        fields['without_slot'] = outcome.asked
     if outcome.retry_reasons:
         fields['retries'] = outcome.retry_reasons
     if outcome.failure is not None:
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -25,10 +25,13 @@
 
 #: When a caller may come back to a service without ready endpoints.
 NO_ENDPOINT_RETRY_AFTER_MS = 500
-#: Share of its time after which an idempotent request goes elsewhere.
+#: Share of its time after which an idempotent request leaves an endpoint that
+#: has answered nothing since.
 ATTEMPT_SHARE = 0.5
 #: Endpoints at most that one request is sent to, refusals included.
 MAX_PLACEMENTS = 6
+#: Endpoints without a free slot after which a request waits at one of them.
+MAX_ASKED = 5
 _LATE = Failure(
     Verdict.MAY_HAVE_RUN,
     FailureCode.DEADLINE,
@@ -72,6 +75,7 @@
         self._attempt: Attempt | None = None
         self._has_other = False
         self._arrivals = 0
+        self._full: list[str] = []
         self._limit_timer: Timer | None = None
         self._wait = EndpointWait(
             context,
@@ -137,6 +141,12 @@
         """Tries again, or ends the request."""
         plan = self._plan
         self._body.detach()
+        if failure.code is FailureCode.NO_FREE_SLOT:
+            self._full.append(attempt.endpoint.instance)
+            self._context.router.note_full(attempt.endpoint, attempt.reported)
+            self._outcome.forget_attempt()
+            self._choose()
+            return
         quarantined = self._learn(attempt, failure)
         state = AttemptState(
             plan.idempotent,
@@ -183,18 +193,24 @@
 
     def _choose(self) -> None:
         plan = self._plan
-        selection = self._context.router.choose(
-            plan.snapshot.routes[plan.service],
-            plan.decision,
-            self._outcome.tried,
-        )
+        route = plan.snapshot.routes[plan.service]
+        asked = [*self._outcome.tried, *self._full]
+        selection = self._context.router.choose(route, plan.decision, asked)
+        may_wait = len(self._full) >= MAX_ASKED
+        if selection is not None and (may_wait or selection.is_asked_again):
+            may_wait = True
+            selection = self._context.router.choose(
+                route,
+                plan.decision,
+                self._outcome.tried,
+            )
         if selection is None:
             if self._outcome.tried or not self._wait.start(plan.service):
                 self._fail_without_endpoint()
             return
-        self._open(selection)
+        self._open(selection, may_wait)
 
-    def _open(self, selection: Selection) -> None:
+    def _open(self, selection: Selection, may_wait: bool = True) -> None:
         context = self._context
         endpoint = selection.endpoint
         now = context.clock.now()
@@ -207,6 +223,7 @@
             bool(self._outcome.tried),
             finding.judgement > Judgement.CLEAR,
             context.dialect.retried,
+            may_wait,
         )
         self._outcome.note_attempt(selection)
         load = context.router.find_load(endpoint)
@@ -232,7 +249,7 @@
         self._limit_timer = timers.schedule(until, abandon)
 
     def _abandon(self, attempt: Attempt) -> None:
-        if attempt.ended or attempt.began:
+        if attempt.ended or attempt.began or attempt.is_endpoint_alive:
             return
         attempt.cancel()
         self.take_failure(attempt, _LATE)
--- a/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
+++ b/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
@@ -22,11 +22,17 @@
 SLOW_START_SHARE = 0.1
 #: Share of its slots from which on an endpoint counts as busy.
 BUSY_SHARE = 0.8
+#: An answer that takes this many times less than wanted is hardly ever late.
+FAST_MARGIN = 2
+#: Service times that differ by less than this factor count as alike.
+SIMILAR_FACTOR = 1.3
 #: Longest time for which calls are shed without asking, in seconds.
 MAX_SHED_S = 0.25
 _RANKS = {Priority.URGENT: 0, Priority.NORMAL: 1, Priority.DEFERRABLE: 2}
 #: Time after which nothing is left of what was seen, in seconds.
 FADE_S = 5.0
+#: Time after which nothing is left of a report of calls under way, in seconds.
+REPORT_S = 1.0
 
 
 class EndpointLoad:
@@ -39,6 +45,8 @@
         'latency_us',
         'outstanding',
         'reported',
+        'reported_at',
+        'service_us',
         'seen_at',
         'shed_rank',
         'shed_until',
@@ -50,6 +58,8 @@
         self.latency_us = _INITIAL_LATENCY_US
         self.reported = 0
         self.seen_at: float = 0
+        self.reported_at: float = 0
+        self.service_us = 0
         self.shed_rank = 0
         self.shed_until: float = 0
         self.failures = 0
@@ -68,8 +78,13 @@
         """Takes in the latency and the load that came with an answer."""
         newest_us = latency_s * _US_PER_S
         self.latency_us += (newest_us - self.latency_us) * _LATENCY_WEIGHT
-        self.reported = load.outstanding + load.queued
         self.seen_at = now
+        self._take_report(load, now)
+
+    def note_refusal(self, load: Load, now: float) -> None:
+        """Takes in the load that came with a refusal."""
+        if load.slots:
+            self._take_report(load, now)
 
     def note_shed(
         self,
@@ -95,9 +110,15 @@
 
     def estimate_work(self, now: float) -> float:
         """Returns the calls under way: own ones, or more where reported."""
-        reported = self.reported * self._fade(now)
+        age_s = now - self.reported_at
+        reported = self.reported * max(0, 1 - age_s / REPORT_S)
         return max(self.outstanding, reported)
 
+    def _take_report(self, load: Load, now: float) -> None:
+        self.reported = load.outstanding + load.queued
+        self.reported_at = now
+        self.service_us = load.latency_us
+
     def _fade(self, now: float) -> float:
         return max(0, 1 - (now - self.seen_at) / FADE_S)
 
@@ -140,6 +161,23 @@
     return load.estimate_work(now) >= endpoint.slots * BUSY_SHARE
 
 
+def is_fast_enough(
+    candidate: Candidate,
+    others: Sequence[Candidate],
+    target_us: int,
+) -> bool:
+    """Tells whether an endpoint is as good as others farther away.
+
+    It is where its answers take less than half of the time wanted, so that
+    few of them are late, or hardly longer than those of the fastest.
+    """
+    service_us = candidate.load.service_us
+    if service_us * FAST_MARGIN <= target_us or not target_us:
+        return True
+    known = [one.load.service_us for one in others if one.load.service_us]
+    return service_us <= min(known, default=0) * SIMILAR_FACTOR
+
+
 def find_slow_start(endpoint: Endpoint, wall_ms: int) -> float:
     """Returns the share of its calls that a cold endpoint may take."""
     age_ms = wall_ms - endpoint.since_ms
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -74,7 +74,7 @@
         context = self._context
         now = context.clock.now()
         self._outcome.started_at = now
-        if context.board.phase.value is Phase.CLOSING:
+        if context.board.phase.value is Phase.DRAINING:
             self.take_failure(_DRAINING)
             return
         planned = parse_caller_request(
--- a/packages/bilberry_proxy/bilberry_proxy/failure_answer.py
+++ b/packages/bilberry_proxy/bilberry_proxy/failure_answer.py
@@ -25,6 +25,7 @@
     FailureCode.OVERLOADED: 503,
     FailureCode.DRAINING: 503,
     FailureCode.UPSTREAM_DECLINED: 503,
+    FailureCode.NO_FREE_SLOT: 503,
     FailureCode.DEADLINE: 504,
     FailureCode.CANCELLED: 499,
     FailureCode.UPSTREAM_UNREACHABLE: 502,
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -33,6 +33,9 @@
 #: Share of calls sent to endpoints that shed, to notice when that ends.
 PROBE_SHARE = 0.1
 
+#: Microseconds in one millisecond.
+_US_PER_MS = 1000
+
 
 class Router:
     """Chooses the endpoint of each attempt."""
@@ -68,6 +71,7 @@
             self._failure_domain,
             self._clock.now(),
             self._clock.wall_ms(),
+            decision.policy.target_latency_ms * _US_PER_MS,
         )
         return select_endpoint(
             self._find_ready(route),
@@ -109,6 +113,10 @@
         load = self.find_load(endpoint)
         load.note_shed(priority, retry_after_ms, self._clock.now())
 
+    def note_full(self, endpoint: Endpoint, load: Load) -> None:
+        """Takes in that an endpoint has no free slot."""
+        self.find_load(endpoint).note_refusal(load, self._clock.now())
+
     def find_load(self, endpoint: Endpoint) -> EndpointLoad:
         """Returns what was seen of an endpoint."""
         key = (endpoint.instance, endpoint.incarnation)
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -18,6 +18,7 @@
     estimate_work_us,
     find_slow_start,
     is_busy,
+    is_fast_enough,
 )
 
 #: Endpoints of a service that one proxy calls, where there are more.
@@ -28,25 +29,29 @@
     """Where a selection is made from, and when.
 
     `now` is monotonic time in seconds, `wall_ms` wall clock time in
-    milliseconds.
+    milliseconds, `target_us` the time within which the caller wants its
+    answer, in microseconds (0: none named).
     """
 
     instance: str
     failure_domain: str
     now: float
     wall_ms: int
+    target_us: int = 0
 
 
 class Selection(NamedTuple):
     """The endpoint chosen, from how many, and why.
 
-    `has_other` tells whether another endpoint is ready and not tried.
+    `has_other` tells whether another endpoint is ready and not tried,
+    `is_asked_again` that every ready endpoint was tried.
     """
 
     endpoint: Endpoint
     candidates: int
     reason: str
     has_other: bool
+    is_asked_again: bool = False
 
 
 def select_ready(
@@ -99,7 +104,13 @@
     )
     reasons.append(balancer.name)
     has_other = len(ready) > len(tried) + 1
-    return Selection(chosen.endpoint, len(left), ', '.join(reasons), has_other)
+    return Selection(
+        chosen.endpoint,
+        len(left),
+        ', '.join(reasons),
+        has_other,
+        chosen.endpoint.instance in tried,
+    )
 
 
 def _skip_tried(
@@ -169,7 +180,12 @@
     now = viewpoint.now
     free = [one for one in candidates if not is_busy(one, now)]
     domain = viewpoint.failure_domain
-    near = [one for one in free if one.endpoint.failure_domain == domain]
+    near = [
+        one
+        for one in free
+        if one.endpoint.failure_domain == domain
+        and is_fast_enough(one, free, viewpoint.target_us)
+    ]
     if near:
         reasons.append('near')
         return near
--- a/packages/bilberryd/bilberryd/daemon.py
+++ b/packages/bilberryd/bilberryd/daemon.py
@@ -87,7 +87,7 @@
         stopping.cancel()
         for task in done - {stopping}:
             task.result()
-        self._board.phase.put(Phase.DRAINING)
+        self._board.phase.put(Phase.LEAVING)
         _log.info('daemon_draining')
         await gather(*(part.drain() for part in self._draining))
 
