Begin repeatable requests ahead of their turn, and wait near before going far

Cause: requests sent ahead on one connection ran one after the other, which was most of the lateness of reads at 400 ms each (p50 661 ms); a call left its own failure domain whenever no slot was free at that moment. Now each request has its own framing and turn; a near upstream may keep a call waiting for half of the latency wanted. An attempt is given up only where its endpoint has answered nothing for 0.4 s. Ruled out: pipelining requests that may run only once.

--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -13,6 +13,10 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
+#: Stands for any wait within the deadline, in milliseconds.
+NO_WAIT_LIMIT_MS = 1 << 31
+
+
 class Load(NamedTuple):
     """How busy an upstream is, as the daemon beside it sees it.
 
@@ -30,8 +34,8 @@
     """A request begins; `last` where its body is complete.
 
     `deadline_ms` is the time left, in milliseconds, when it was sent.
-    `suspect` requests were in flight at a crash and run alone. Without
-    `may_wait` the call is refused where no slot is free at once.
+    `suspect` requests were in flight at a crash and run alone. The call is
+    refused where it would wait for a slot for longer than `max_wait_ms`.
     """
 
     call: int
@@ -45,7 +49,7 @@
     priority: Priority
     fingerprint: bytes = b''
     suspect: bool = False
-    may_wait: bool = True
+    max_wait_ms: int = NO_WAIT_LIMIT_MS
 
 
 @message(51)
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -88,8 +88,8 @@
             deadline,
             partial(call.fail, FailureCode.DEADLINE, 'the time ran out'),
         )
-        if not (start.may_wait or self._line.is_free):
-            call.fail(FailureCode.NO_FREE_SLOT, 'every slot is taken')
+        if not self._line.is_soon_free(start.priority, start.max_wait_ms):
+            call.fail(FailureCode.NO_FREE_SLOT, 'no slot is free soon enough')
             return call
         if self._suspicion.is_suspect(start.fingerprint, start.suspect):
             call.is_alone = True
--- a/packages/bilberry_proxy/bilberry_proxy/attempt.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt.py
@@ -69,10 +69,9 @@
         self._load = load
         self._call: OpenCall | None = None
 
-    @property
-    def is_endpoint_alive(self) -> bool:
-        """Whether the endpoint has answered anything since this began."""
-        return self._load.seen_at > self.started_at
+    def is_endpoint_alive(self, since: float) -> bool:
+        """Tells whether the endpoint has answered anything since then."""
+        return self._load.seen_at > since
 
     def open(self, target: CallTarget, start: CallStart) -> None:
         """Opens the call."""
--- a/packages/bilberry_proxy/bilberry_proxy/call_start.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_start.py
@@ -15,14 +15,14 @@
     tried: bool,
     suspect: bool,
     retried_header: bytes,
-    may_wait: bool,
+    max_wait_ms: int,
 ) -> CallStart:
     """Returns the message that begins an attempt at `now`, in seconds.
 
     `tried` tells whether there was an attempt before, `suspect` whether
     something is held against the request. `retried_header` marks another
-    attempt; empty for no mark. `may_wait` tells whether the call may wait
-    for a slot.
+    attempt; empty for no mark. `max_wait_ms` is the longest that the call
+    may wait for a slot.
     """
     request = plan.request
     headers = request.headers
@@ -41,5 +41,5 @@
         plan.decision.policy.priority,
         fingerprint,
         suspect,
-        may_wait,
+        max_wait_ms,
     )
--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -1,42 +1,29 @@
 """One HTTP/1.1 connection of a caller, by h11.
 
-Requests of one connection are served one after the other. A caller that
-hangs up cancels its request.
+Requests are answered in the order in which they came. Those that may be
+repeated are begun before the answers ahead of them are complete; any other
+waits for its turn, since the connection may end with an answer ahead of it.
+A caller that hangs up cancels its requests.
 """
 
 from asyncio import Protocol, Transport
+from collections import deque
 from collections.abc import Callable
 
 from bilberry_core.verdict import Failure, FailureCode, Verdict
-from h11 import (
-    DONE,
-    SERVER,
-    Connection,
-    LocalProtocolError,
-    RemoteProtocolError,
-    Response,
-)
+from h11 import RemoteProtocolError, Request
 
+from bilberry_proxy.caller_turn import CallerTurn
 from bilberry_proxy.exchange import Exchange
 from bilberry_proxy.failure_answer import build_failure_answer
-from bilberry_proxy.http_events import (
-    EventBatch,
-    encode_continue,
-    encode_message,
-    read_batch,
-)
-from bilberry_proxy.http_headers import (
-    CLOSE,
-    CONTENT_LENGTH,
-    Headers,
-    find_header,
-)
+from bilberry_proxy.http_events import EventBatch
 
 #: Bytes of later requests that a caller may send ahead.
 MAX_AHEAD_BYTES = 64 << 10
+#: Requests of one connection that are under way at once.
+MAX_TURNS = 8
 #: Longest time without a whole request head, in seconds.
 MAX_IDLE_S = 60.0
-_BODILESS_STATUSES = frozenset((204, 304))
 
 
 class CallerConnection(Protocol):
@@ -44,17 +31,22 @@
 
     def __init__(
         self,
-        build_exchange: Callable[['CallerConnection'], Exchange],
+        build_exchange: Callable[[CallerTurn], Exchange],
         connections: set['CallerConnection'],
+        may_overtake: Callable[[Request], bool] = lambda _start: False,
     ) -> None:
-        """Takes its place in `connections` while it is open."""
+        """Takes its place in `connections` while it is open.
+
+        `may_overtake` tells whether a request may begin before those ahead of
+        it are answered.
+        """
         self.is_writable = True
         self.is_draining = False
         self._build_exchange = build_exchange
         self._connections = connections
-        self._http = Connection(SERVER)
+        self._may_overtake = may_overtake
         self._transport: Transport | None = None
-        self._exchange: Exchange | None = None
+        self._turns: deque[CallerTurn] = deque()
         self._reading_events = False
         self._idle_since: float | None = None
 
@@ -64,11 +56,13 @@
         """Called by the event loop."""
         self._transport = transport
         self._connections.add(self)
+        self._append_turn(b'')
 
     def data_received(self, received: bytes) -> None:
         """Called by the event loop."""
-        self._http.receive_data(received)
-        self._read_events()
+        if self._turns:
+            self._turns[-1].receive(received)
+            self._read_events()
 
     def pause_writing(self) -> None:
         """Called by the event loop when the caller reads too slowly."""
@@ -77,57 +71,60 @@
     def resume_writing(self) -> None:
         """Called by the event loop when the caller has caught up."""
         self.is_writable = True
-        if self._exchange is not None:
-            self._exchange.resume_answer()
+        for exchange in self._list_exchanges():
+            exchange.resume_answer()
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Called by the event loop."""
         self._transport = None
         self._connections.discard(self)
-        exchange = self._exchange
-        self._exchange = None
-        if exchange is not None:
-            exchange.caller_gone()
+        self._cancel_all()
 
     def expire_idle(self, now: float) -> None:
         """Ends the connection where no request has come for long.
 
         `now` is monotonic time, in seconds.
         """
-        if self._exchange is not None or self._idle_since is None:
+        if self._list_exchanges() or self._idle_since is None:
             self._idle_since = now
         elif now - self._idle_since > MAX_IDLE_S and self._transport:
             self._transport.close()
 
-    # The exchange's side.
+    # The side of the turns.
 
-    def start_answer(
-        self,
-        status: int,
-        headers: Headers,
-        body: bytes,
-        last: bool,
-    ) -> None:
-        """Sends the start of the answer."""
-        framed = list(headers)
-        if last and _needs_length(status, framed):
-            framed.append((CONTENT_LENGTH, str(len(body)).encode()))
-        if self.is_draining or self._http.their_state is not DONE:
-            framed.append(CLOSE)
-        self._write(Response(status_code=status, headers=framed), body, last)
-
-    def continue_answer(self, body: bytes, last: bool) -> None:
-        """Sends more of the answer."""
-        self._write(None, body, last)
+    def is_closing_after(self, turn: CallerTurn) -> bool:
+        """Whether the connection ends with the answer of this turn."""
+        if not self.is_draining:
+            return False
+        behind = self._turns[-1]
+        return turn is behind or (
+            behind.exchange is None and not behind.is_read
+        )
 
-    def cut_answer(self) -> None:
-        """Ends the connection, so that the answer is seen to be cut."""
-        self._exchange = None
+    def write(self, raw: bytes) -> None:
+        """Sends bytes to the caller."""
+        if self._transport is not None:
+            self._transport.write(raw)
+
+    def finish(self, turn: CallerTurn) -> None:
+        """Goes on with the next turn once the first is answered."""
+        while self._turns and self._turns[0].is_answered:
+            if not self._shift():
+                return
+        self._read_events()
+
+    def cut(self) -> None:
+        """Ends the connection at once, so that an answer is seen to be cut."""
         if self._transport is not None:
             self._transport.abort()
+        self._cancel_all()
+
+    def cut_answer(self) -> None:
+        """Ends the connection, whatever is under way."""
+        self.cut()
 
     def control_reading(self, wanted: bool) -> None:
-        """Reads more of the request, or waits with that."""
+        """Reads more of the caller's bytes, or waits with that."""
         if self._transport is None:
             return
         if wanted:
@@ -135,63 +132,94 @@
         else:
             self._transport.pause_reading()
 
-    def _write(self, start: Response | None, body: bytes, last: bool) -> None:
-        if self._transport is None:
-            return
-        try:
-            raw = encode_message(self._http, start, body, last)
-        except LocalProtocolError:
-            self.cut_answer()
-            return
-        self._transport.write(raw)
-        if last:
-            self._finish()
-
-    def _finish(self) -> None:
-        self._exchange = None
-        http = self._http
-        if (http.our_state, http.their_state) != (DONE, DONE):
-            self._transport.close()
-            return
-        http.start_next_cycle()
-        self._transport.resume_reading()
-        if http.trailing_data[0]:
-            self._read_events()
+    def _shift(self) -> bool:
+        """Drops the first turn; False where the connection ends with it."""
+        answered = self._turns.popleft()
+        closes = self.is_draining and not self._turns
+        if closes or not answered.is_reusable:
+            self._cancel_all()
+            if self._transport is not None:
+                self._transport.close()
+            return False
+        if not self._turns:
+            self._append_turn(answered.trailing)
+        else:
+            self._turns[0].become_head()
+        self.control_reading(wanted=True)
+        return True
+
+    def _append_turn(self, received: bytes) -> None:
+        turn = CallerTurn(self, received)
+        if not self._turns:
+            turn.become_head()
+        self._turns.append(turn)
 
     def _read_events(self) -> None:
-        if self._reading_events:
+        if self._reading_events or self._transport is None:
             return
         self._reading_events = True
         try:
-            is_more = True
-            while is_more:
-                is_more = self._hand_on(read_batch(self._http))
+            while self._turns and self._read_turn(self._turns[-1]):
+                """Reads on while there is something at hand."""
         except RemoteProtocolError as error:
-            self._refuse(error)
+            self._refuse(self._turns[-1], error)
         finally:
             self._reading_events = False
-        if len(self._http.trailing_data[0]) > MAX_AHEAD_BYTES:
+        if self._turns and len(self._turns[-1].trailing) > MAX_AHEAD_BYTES:
             self.control_reading(wanted=False)
 
-    def _hand_on(self, batch: EventBatch) -> bool:
+    def _read_turn(self, turn: CallerTurn) -> bool:
+        """Reads the newest request; tells whether there may be more."""
+        if turn.start is not None:
+            return self._begin(turn, turn.start)
+        if turn.is_read:
+            return self._read_ahead(turn)
+        batch = turn.read()
         if batch.is_empty:
             return False
         if batch.start is not None:
-            self._exchange = self._build_exchange(self)
-            self._idle_since = None
-            if not batch.last:
-                self._transport.write(encode_continue(self._http))
-            self._exchange.begin(batch.start)
-        exchange = self._exchange
-        if exchange is not None and (batch.body or batch.last):
-            exchange.feed(batch.body, batch.last)
-        return self._exchange is None or not batch.last
-
-    def _refuse(self, error: RemoteProtocolError) -> None:
-        exchange = self._exchange
-        if exchange is not None:
+            return self._begin(turn, batch)
+        self._feed(turn, batch)
+        return turn.is_read
+
+    def _read_ahead(self, turn: CallerTurn) -> bool:
+        if len(self._turns) >= MAX_TURNS or not turn.trailing:
+            return False
+        self._append_turn(turn.trailing)
+        return True
+
+    def _begin(self, turn: CallerTurn, batch: EventBatch) -> bool:
+        """Begins an exchange; False where the request waits for its turn."""
+        is_first = turn is self._turns[0]
+        turn.start = batch
+        if not is_first and not self._may_overtake(batch.start):
+            return False
+        turn.start = None
+        turn.exchange = self._build_exchange(turn)
+        self._idle_since = None
+        if not batch.last:
+            turn.send_continue()
+        turn.exchange.begin(batch.start)
+        self._feed(turn, batch)
+        return True
+
+    def _feed(self, turn: CallerTurn, batch: EventBatch) -> None:
+        if turn.exchange is not None and (batch.body or batch.last):
+            turn.exchange.feed(batch.body, batch.last)
+
+    def _list_exchanges(self) -> list[Exchange]:
+        exchanges = [turn.exchange for turn in self._turns]
+        return [exchange for exchange in exchanges if exchange is not None]
+
+    def _cancel_all(self) -> None:
+        exchanges = self._list_exchanges()
+        self._turns.clear()
+        for exchange in exchanges:
             exchange.caller_gone()
-            self.cut_answer()
+
+    def _refuse(self, turn: CallerTurn, error: RemoteProtocolError) -> None:
+        if turn.exchange is not None:
+            self.cut()
             return
         failure = Failure(
             Verdict.NOT_RUN,
@@ -200,15 +228,9 @@
         )
         answer = build_failure_answer(failure)
         self.is_draining = True
-        self.start_answer(
+        turn.start_answer(
             answer.status,
             answer.headers,
             answer.body,
             last=True,
         )
-
-
-def _needs_length(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
-    if status in _BODILESS_STATUSES:
-        return False
-    return not find_header(headers, CONTENT_LENGTH)
--- a/packages/bilberry_proxy/bilberry_proxy/caller_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_server.py
@@ -4,10 +4,13 @@
 
 from bilberry_core.board import Phase
 from bilberry_core.endpoint import Address
+from h11 import Request
 
 from bilberry_proxy.caller_connection import CallerConnection
+from bilberry_proxy.caller_turn import CallerTurn
 from bilberry_proxy.context import ProxyContext
 from bilberry_proxy.exchange import Exchange
+from bilberry_proxy.plan import is_repeatable
 
 _BACKLOG = 1024
 
@@ -61,10 +64,17 @@
             connection.cut_answer()
 
     def _accept(self) -> CallerConnection:
-        connection = CallerConnection(self._build_exchange, self._connections)
+        connection = CallerConnection(
+            self._build_exchange,
+            self._connections,
+            self._may_overtake,
+        )
         phase = self._context.board.phase.value
         connection.is_draining = phase in {Phase.LEAVING, Phase.DRAINING}
         return connection
 
-    def _build_exchange(self, connection: CallerConnection) -> Exchange:
-        return Exchange(self._context, connection)
+    def _build_exchange(self, turn: CallerTurn) -> Exchange:
+        return Exchange(self._context, turn)
+
+    def _may_overtake(self, start: Request) -> bool:
+        return is_repeatable(start, self._context.board.snapshot.value)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_turn.py
@@ -0,0 +1,166 @@
+"""One request of a caller's connection, in its turn among those sent ahead.
+
+A caller may send further requests before the first is answered. Each has its
+own framing and exchange; what is written before its turn is kept back.
+"""
+
+from typing import Protocol
+
+from h11 import (
+    DONE,
+    SERVER,
+    Connection,
+    LocalProtocolError,
+    Response,
+)
+
+from bilberry_proxy.exchange import Exchange
+from bilberry_proxy.http_events import (
+    EventBatch,
+    encode_continue,
+    encode_message,
+    read_batch,
+)
+from bilberry_proxy.http_headers import (
+    CLOSE,
+    CONTENT_LENGTH,
+    Headers,
+    find_header,
+)
+
+_BODILESS_STATUSES = frozenset((204, 304))
+
+
+class TurnOwner(Protocol):
+    """The connection that the turns belong to."""
+
+    is_writable: bool
+
+    def is_closing_after(self, turn: 'CallerTurn') -> bool:
+        """Whether the connection ends with the answer of this turn."""
+
+    def write(self, raw: bytes) -> None:
+        """Sends bytes to the caller."""
+
+    def finish(self, turn: 'CallerTurn') -> None:
+        """The answer of a turn is complete."""
+
+    def cut(self) -> None:
+        """Ends the connection at once."""
+
+    def control_reading(self, wanted: bool) -> None:
+        """Reads more of the caller's bytes, or waits with that."""
+
+
+class CallerTurn:
+    """One request and its answer on a connection."""
+
+    def __init__(self, owner: TurnOwner, received: bytes) -> None:
+        """Starts with the bytes that came behind the request before."""
+        self.exchange: Exchange | None = None
+        self.start: EventBatch | None = None
+        self.is_read = False
+        self.is_answered = False
+        self._owner = owner
+        self._http = Connection(SERVER)
+        self._is_head = False
+        self._held: list[bytes] = []
+        self.receive(received)
+
+    @property
+    def is_writable(self) -> bool:
+        """Whether the caller keeps up with the answers."""
+        return self._owner.is_writable
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether another request may follow on the connection."""
+        return (self._http.our_state, self._http.their_state) == (DONE, DONE)
+
+    @property
+    def trailing(self) -> bytes:
+        """What has come behind the request."""
+        return self._http.trailing_data[0]
+
+    def receive(self, received: bytes) -> None:
+        """Takes bytes of the request, or of those behind it."""
+        if received:
+            self._http.receive_data(received)
+
+    def read(self) -> EventBatch:
+        """Returns what is at hand of the request.
+
+        Raises `RemoteProtocolError` where the caller broke the protocol.
+        """
+        batch = read_batch(self._http)
+        self.is_read = self.is_read or batch.last
+        return batch
+
+    def send_continue(self) -> None:
+        """Lets a caller that waits for it send its body."""
+        self._write_raw(encode_continue(self._http))
+
+    def become_head(self) -> None:
+        """Sends what was kept back: the answers before are complete."""
+        self._is_head = True
+        held = b''.join(self._held)
+        self._held.clear()
+        if held:
+            self._owner.write(held)
+
+    # The exchange's side.
+
+    def start_answer(
+        self,
+        status: int,
+        headers: Headers,
+        body: bytes,
+        last: bool,
+    ) -> None:
+        """Sends the start of the answer."""
+        framed = list(headers)
+        if last and _needs_length(status, framed):
+            framed.append((CONTENT_LENGTH, str(len(body)).encode()))
+        if not self.is_read or self._owner.is_closing_after(self):
+            framed.append(CLOSE)
+        self._write(Response(status_code=status, headers=framed), body, last)
+
+    def continue_answer(self, body: bytes, last: bool) -> None:
+        """Sends more of the answer."""
+        self._write(None, body, last)
+
+    def cut_answer(self) -> None:
+        """Ends the connection, so that the answer is seen to be cut."""
+        self.exchange = None
+        self._owner.cut()
+
+    def control_reading(self, wanted: bool) -> None:
+        """Reads more of the request, or waits with that."""
+        if not self.is_read:
+            self._owner.control_reading(wanted)
+
+    def _write(self, start: Response | None, body: bytes, last: bool) -> None:
+        try:
+            raw = encode_message(self._http, start, body, last)
+        except LocalProtocolError:
+            self.cut_answer()
+            return
+        self._write_raw(raw)
+        if last:
+            self.exchange = None
+            self.is_answered = True
+            self._owner.finish(self)
+
+    def _write_raw(self, raw: bytes) -> None:
+        if not raw:
+            return
+        if self._is_head:
+            self._owner.write(raw)
+        else:
+            self._held.append(raw)
+
+
+def _needs_length(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
+    if status in _BODILESS_STATUSES:
+        return False
+    return not find_header(headers, CONTENT_LENGTH)
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -7,7 +7,11 @@
 from functools import partial
 from typing import Protocol
 
-from bilberry_core.messages.call import ReplyChunk, ReplyStart
+from bilberry_core.messages.call import (
+    NO_WAIT_LIMIT_MS,
+    ReplyChunk,
+    ReplyStart,
+)
 from bilberry_core.snapshot import Snapshot
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
@@ -32,6 +36,11 @@
 MAX_PLACEMENTS = 6
 #: Endpoints without a free slot after which a request waits at one of them.
 MAX_ASKED = 5
+#: Share of the latency wanted for which a request waits for a slot in its own
+#: failure domain before others are asked; bytes between domains are dear.
+NEAR_WAIT_SHARE = 0.5
+#: Silence of an endpoint with calls under way that speaks against it, seconds.
+SILENT_S = 0.4
 _LATE = Failure(
     Verdict.MAY_HAVE_RUN,
     FailureCode.DEADLINE,
@@ -93,6 +102,12 @@
             return Verdict.RAN
         return Verdict.MAY_HAVE_RUN
 
+    @property
+    def _silence_s(self) -> float:
+        """The silence of an endpoint that ends an attempt there."""
+        whole_s = self._plan.deadline - self._outcome.started_at
+        return min(SILENT_S, whole_s * ATTEMPT_SHARE)
+
     def start(self, plan: Plan, fingerprint: bytes) -> None:
         """Makes the first attempt, unless it would be shed."""
         self._plan = plan
@@ -208,9 +223,23 @@
             if self._outcome.tried or not self._wait.start(plan.service):
                 self._fail_without_endpoint()
             return
-        self._open(selection, may_wait)
+        self._open(
+            selection,
+            NO_WAIT_LIMIT_MS if may_wait else self._limit_wait(selection),
+        )
 
-    def _open(self, selection: Selection, may_wait: bool = True) -> None:
+    def _limit_wait(self, selection: Selection) -> int:
+        """Returns for how long a call may wait where others may have room."""
+        if not selection.is_near:
+            return 0
+        policy = self._plan.decision.policy
+        return int(policy.target_latency_ms * NEAR_WAIT_SHARE)
+
+    def _open(
+        self,
+        selection: Selection,
+        max_wait_ms: int = NO_WAIT_LIMIT_MS,
+    ) -> None:
         context = self._context
         endpoint = selection.endpoint
         now = context.clock.now()
@@ -223,7 +252,7 @@
             bool(self._outcome.tried),
             finding.judgement > Judgement.CLEAR,
             context.dialect.retried,
-            may_wait,
+            max_wait_ms,
         )
         self._outcome.note_attempt(selection)
         load = context.router.find_load(endpoint)
@@ -243,13 +272,17 @@
         if not plan.idempotent or not self._has_other or retries_left <= 0:
             return
         left_s = plan.deadline - attempt.started_at
-        until = attempt.started_at + left_s * ATTEMPT_SHARE
+        wait_s = max(left_s * ATTEMPT_SHARE, self._silence_s)
+        until = attempt.started_at + wait_s
         timers = self._context.timers
         abandon = partial(self._abandon, attempt)
         self._limit_timer = timers.schedule(until, abandon)
 
     def _abandon(self, attempt: Attempt) -> None:
-        if attempt.ended or attempt.began or attempt.is_endpoint_alive:
+        if attempt.ended or attempt.began:
+            return
+        since = self._context.clock.now() - self._silence_s
+        if attempt.is_endpoint_alive(since):
             return
         attempt.cancel()
         self.take_failure(attempt, _LATE)
--- a/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
+++ b/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
@@ -22,8 +22,8 @@
 SLOW_START_SHARE = 0.1
 #: Share of its slots from which on an endpoint counts as busy.
 BUSY_SHARE = 0.8
-#: An answer that takes this many times less than wanted is hardly ever late.
-FAST_MARGIN = 2
+#: Mean answers that take this many times less than wanted are mostly in time.
+FAST_MARGIN = 1.25
 #: Service times that differ by less than this factor count as alike.
 SIMILAR_FACTOR = 1.3
 #: Longest time for which calls are shed without asking, in seconds.
@@ -168,8 +168,8 @@
 ) -> bool:
     """Tells whether an endpoint is as good as others farther away.
 
-    It is where its answers take less than half of the time wanted, so that
-    few of them are late, or hardly longer than those of the fastest.
+    It is where its answers mostly take less than the time wanted, or hardly
+    longer than those of the fastest.
     """
     service_us = candidate.load.service_us
     if service_us * FAST_MARGIN <= target_us or not target_us:
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -33,6 +33,8 @@
 DEADLINE_GRACE_S = 0.05
 #: When a caller may come back to a proxy that leaves.
 DRAINING_RETRY_AFTER_MS = 1000
+#: When a caller may come back whose request found no slot in its time.
+LATE_RETRY_AFTER_MS = 250
 
 _DRAINING = Failure(
     Verdict.NOT_RUN,
@@ -231,7 +233,16 @@
         verdict = self._dispatch.verdict
         if self._gate is not None:
             verdict = Verdict.MAY_HAVE_RUN
-        failure = Failure(verdict, FailureCode.DEADLINE, 'the time ran out')
+        # What has not run may come again, where its caller still waits.
+        retry_after_ms = 0
+        if verdict is Verdict.NOT_RUN:
+            retry_after_ms = LATE_RETRY_AFTER_MS
+        failure = Failure(
+            verdict,
+            FailureCode.DEADLINE,
+            'the time ran out',
+            retry_after_ms,
+        )
         if self._goes_on():
             # A resend with the same key finds the answer.
             self._answer.fail(failure)
--- a/packages/bilberry_proxy/bilberry_proxy/failure_answer.py
+++ b/packages/bilberry_proxy/bilberry_proxy/failure_answer.py
@@ -41,6 +41,7 @@
     FailureCode.TOO_LARGE: 413,
 }
 _STATUS_UNKNOWN = 502
+_STATUS_UNAVAILABLE = 503
 #: Statuses that say that a request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -75,6 +76,8 @@
     that is proven.
     """
     status = _STATUS_BY_CODE.get(failure.code, _STATUS_UNKNOWN)
+    if failure.code is FailureCode.DEADLINE and failure.retry_after_ms:
+        status = _STATUS_UNAVAILABLE
     if status in _NOT_RUN_STATUSES and failure.verdict is not Verdict.NOT_RUN:
         return _STATUS_UNKNOWN
     return status
--- a/packages/bilberry_proxy/bilberry_proxy/plan.py
+++ b/packages/bilberry_proxy/bilberry_proxy/plan.py
@@ -10,10 +10,14 @@
 from bilberry_core.configuration import RoutingRule
 from bilberry_core.snapshot import Decision, Snapshot, decide_policy
 from bilberry_core.verdict import Failure, FailureCode, Verdict
+from h11 import Request
 from returns.result import Failure as Refused
 from returns.result import Result, Success
 
-from bilberry_proxy.caller_request import CallerRequest
+from bilberry_proxy.caller_request import (
+    CallerRequest,
+    parse_caller_request,
+)
 
 #: When a caller may come back to a proxy without a configuration.
 NO_CONFIGURATION_RETRY_AFTER_MS = 500
@@ -78,6 +82,19 @@
     )
 
 
+def is_repeatable(start: Request, snapshot: Snapshot | None) -> bool:
+    """Tells whether a request may run more than once, going by its route."""
+    parsed = parse_caller_request(start)
+    if snapshot is None or not isinstance(parsed, Success):
+        return False
+    request = parsed.unwrap()
+    rule = snapshot.find_rule(request.host, request.path)
+    if rule is None:
+        return False
+    policy = rule.change.apply(snapshot.defaults)
+    return policy.may_repeat(request.method.decode('ascii'))
+
+
 def _build_plan(  # noqa: WPS211 - what a plan is made of
     request: CallerRequest,
     snapshot: Snapshot,
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -44,7 +44,8 @@
     """The endpoint chosen, from how many, and why.
 
     `has_other` tells whether another endpoint is ready and not tried,
-    `is_asked_again` that every ready endpoint was tried.
+    `is_asked_again` that every ready endpoint was tried, `is_near` that the
+    endpoint is in the proxy's own failure domain.
     """
 
     endpoint: Endpoint
@@ -52,6 +53,7 @@
     reason: str
     has_other: bool
     is_asked_again: bool = False
+    is_near: bool = False
 
 
 def select_ready(
@@ -110,6 +112,7 @@
         ', '.join(reasons),
         has_other,
         chosen.endpoint.instance in tried,
+        chosen.endpoint.failure_domain == viewpoint.failure_domain,
     )
 
 
@@ -178,11 +181,11 @@
     reasons: list[str],
 ) -> Sequence[Candidate]:
     now = viewpoint.now
-    free = [one for one in candidates if not is_busy(one, now)]
     domain = viewpoint.failure_domain
+    free = [one for one in candidates if not is_busy(one, now)]
     near = [
         one
-        for one in free
+        for one in (candidates if viewpoint.target_us else free)
         if one.endpoint.failure_domain == domain
         and is_fast_enough(one, free, viewpoint.target_us)
     ]
--- a/packages/bilberry_proxy/bilberry_proxy/waiting_line.py
+++ b/packages/bilberry_proxy/bilberry_proxy/waiting_line.py
@@ -5,12 +5,15 @@
 
 from typing import Generic, NamedTuple, TypeVar
 
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.messages.call import NO_WAIT_LIMIT_MS
 from bilberry_core.policy import Priority
 
 from bilberry_proxy.admission import (
     MAX_AGE_S,
     AdmissionQueue,
     Ticket,
+    estimate_wait_s,
     is_full,
     is_hopeless,
     suggest_retry_after_ms,
@@ -49,6 +52,14 @@
         """Returns how many calls wait in the queue."""
         return len(self._queue)
 
+    def is_soon_free(self, priority: Priority, within_ms: int) -> bool:
+        """Tells whether a call that comes now gets a slot within this time."""
+        if self.is_free or within_ms >= NO_WAIT_LIMIT_MS:
+            return True
+        occupancy = self.slots.measure_occupancy(len(self._queue))
+        ahead = self._queue.count_ahead(priority)
+        return estimate_wait_s(occupancy, ahead) * MS_PER_S <= within_ms
+
     def enter(
         self,
         call: Waiting,
--- a/tests/bilberry_proxy/test_caller_connection.py
+++ b/tests/bilberry_proxy/test_caller_connection.py
@@ -122,3 +122,100 @@
         self.assertEqual(1, len(self.connections))
         self.connection.connection_lost(None)
         self.assertEqual(0, len(self.connections))
+
+
+class HeldExchange:
+    """Answers when it is told to."""
+
+    held: list['HeldExchange'] = []
+
+    def __init__(self, turn) -> None:
+        """Keeps the turn."""
+        self.turn = turn
+        self.target = b''
+        self.is_gone = False
+        self.held.append(self)
+
+    def begin(self, start) -> None:
+        """Takes the start."""
+        self.target = start.target
+
+    def feed(self, _body: bytes, last: bool) -> None:
+        """Takes the end."""
+
+    def answer(self) -> None:
+        """Answers with the target."""
+        self.turn.start_answer(200, (), self.target, last=True)
+
+    def caller_gone(self) -> None:
+        """The caller hung up."""
+        self.is_gone = True
+
+
+class AheadTest(TestCase):
+    """Requests that a caller sends before the first is answered."""
+
+    def setUp(self):
+        """Opens a connection on which GET may overtake."""
+        super().setUp()
+        HeldExchange.held = []
+        self.transport = FakeTransport()
+        self.connection = CallerConnection(
+            HeldExchange,
+            set(),
+            lambda start: start.method == b'GET',
+        )
+        self.connection.connection_made(self.transport)
+
+    def send(self, *targets: bytes, method: bytes = b'GET') -> None:
+        """Sends requests in one piece."""
+        self.connection.data_received(
+            b''.join(
+                b'%b %b HTTP/1.1\r\nhost: a\r\n\r\n' % (method, target)
+                for target in targets
+            ),
+        )
+
+    def find(self, target: bytes) -> HeldExchange:
+        """Returns the exchange of a target."""
+        return next(one for one in HeldExchange.held if one.target == target)
+
+    def test_answers_keep_the_order_of_requests(self):
+        """All begin at once; what is ready early waits for its turn."""
+        self.send(b'/1', b'/2', b'/3')
+        self.assertEqual(3, len(HeldExchange.held))
+        self.find(b'/3').answer()
+        self.find(b'/2').answer()
+        self.assertEqual(b'', self.transport.written)
+        self.find(b'/1').answer()
+        bodies = self.transport.written.split(b'HTTP/1.1 200')[1:]
+        self.assertEqual([b'/1', b'/2', b'/3'], [one[-2:] for one in bodies])
+        self.send(b'/4')
+        self.find(b'/4').answer()
+        self.assertTrue(self.transport.written.endswith(b'/4'))
+
+    def test_unsafe_request_waits_for_its_turn(self):
+        """It begins only when the answers ahead are complete."""
+        self.send(b'/1')
+        self.send(b'/2', method=b'POST')
+        self.send(b'/3')
+        self.assertEqual(1, len(HeldExchange.held))
+        self.find(b'/1').answer()
+        self.assertEqual(3, len(HeldExchange.held))
+
+    def test_leaving_proxy_closes_behind_the_last_request(self):
+        """What has begun is answered before the connection ends."""
+        self.send(b'/1', b'/2')
+        self.connection.is_draining = True
+        self.find(b'/1').answer()
+        self.assertFalse(self.transport.is_closed)
+        self.assertNotIn(b'close', self.transport.written)
+        self.find(b'/2').answer()
+        self.assertTrue(self.transport.is_closed)
+        self.assertIn(b'close', self.transport.written.lower())
+
+    def test_caller_that_hangs_up_cancels_all(self):
+        """Nobody is left to receive any of the answers."""
+        self.send(b'/1', b'/2')
+        self.connection.connection_lost(None)
+        self.assertTrue(all(one.is_gone for one in HeldExchange.held))
