Pass over late answers, share retries fleet-wide, and test what was built

Cause: a late answer to an earlier request on a kept connection failed the next request there, and each proxy had a retry burst of its own.

--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -20,7 +20,7 @@
 from bilberry_proxy.call import CREDIT_STEP_BYTES, WINDOW_BYTES, AnswerReceiver
 from bilberry_proxy.dialect import HttpDialect
 from bilberry_proxy.held_answer import HeldAnswer
-from bilberry_proxy.http_headers import Headers, find_header
+from bilberry_proxy.http_headers import Headers
 from bilberry_proxy.timers import Timer
 from bilberry_proxy.upstream_connection import UpstreamConnection
 from bilberry_proxy.upstream_request import (
@@ -204,8 +204,7 @@
     ) -> None:
         """Holds the start of the answer until it is whole or long."""
         dialect = self._host.dialect
-        request_id = find_header(self.start.headers, dialect.request_id)
-        fault = find_answer_fault(status, headers, request_id, dialect)
+        fault = find_answer_fault(status, headers, dialect)
         if fault:
             self.connection.abort()
             self.fail(FailureCode.UPSTREAM_MALFORMED, fault)
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -58,7 +58,7 @@
         self._line: WaitingLine[AdmittedCall] = WaitingLine()
         self._pool = UpstreamPool(
             self._connection_ended,
-            dialect.close_delimited,
+            dialect,
         )
         self._probe = CrashProbe(self._note_crash)
         self._lingering: dict[UpstreamConnection, AdmittedCall] = {}
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -23,7 +23,6 @@
 from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.objection import find_objection
 from bilberry_proxy.pressure import Pressure
-from bilberry_proxy.retry import MIN_BUDGET
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
 from bilberry_proxy.split import TrafficSplit
@@ -35,6 +34,8 @@
 #: Longest wait for other daemons to end their streams, in seconds.
 GOODBYE_S = 2.0
 _SWEEP_TICKS = 50
+#: Proxies that share the retries of the fleet before their number is known.
+LEAST_PROXIES = 16
 
 
 class ProxyOptions(NamedTuple):
@@ -44,13 +45,14 @@
         The header names of its callers and its upstream.
     `service`
         The service of the upstream beside it, told to upstreams that it calls.
-    `retry_burst`
-        Retries of each service that this proxy may make at once.
+    `fleet_retry_burst`
+        Retries of each service that all proxies together may make at once,
+        beyond their share of requests; 0 gives each its own.
     """
 
     dialect: HttpDialect = OWN_DIALECT
     service: str = ''
-    retry_burst: float = MIN_BUDGET
+    fleet_retry_burst: int = 0
 
 
 class ProxyController:
@@ -62,8 +64,10 @@
         context: ProxyContext,
         admitter: Admitter,
         streams: CallStreams,
+        fleet_retry_burst: int = 0,
     ) -> None:
         """Starts without listening."""
+        self._fleet_retry_burst = fleet_retry_burst
         self._settings = settings
         self._context = context
         self._admitter = admitter
@@ -106,7 +110,6 @@
                 settings.failure_domain,
                 clock,
                 random,
-                options.retry_burst,
             ),
             interest=ServiceInterest(board),
             suspicion=suspicion,
@@ -120,7 +123,13 @@
             dialect=options.dialect,
             service=options.service,
         )
-        controller = cls(settings, context, admitter, streams)
+        controller = cls(
+            settings,
+            context,
+            admitter,
+            streams,
+            options.fleet_retry_burst,
+        )
         listener.handle(Purpose.CALL, controller._calls.accept)
         return controller
 
@@ -211,7 +220,12 @@
             for route in snapshot.routes.values()
             for endpoint in route.endpoints
         }
-        self._context.router.forget_gone(present)
+        router = self._context.router
+        router.forget_gone(present)
+        if self._fleet_retry_burst:
+            # There is a proxy beside each endpoint.
+            proxies = max(len(present), LEAST_PROXIES)
+            router.share_retries(self._fleet_retry_burst / proxies)
 
     def _sweep(self) -> None:
         self._context.suspicion.forget_expired()
--- a/packages/bilberry_proxy/bilberry_proxy/retry.py
+++ b/packages/bilberry_proxy/bilberry_proxy/retry.py
@@ -39,6 +39,11 @@
         self.tokens = tokens
         self._most = tokens
 
+    def resize(self, most: float) -> None:
+        """Holds at most this many retries from now on."""
+        self._most = most
+        self.tokens = min(self.tokens, most)
+
     def deposit(self, percent: int) -> None:
         """Counts a request, which earns a share of a retry."""
         self.tokens = min(self.tokens + percent / _PERCENT, self._most)
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -126,6 +126,12 @@
             self._loads[key] = load
         return load
 
+    def share_retries(self, burst: float) -> None:
+        """Allows this many retries of each service at once from now on."""
+        self._retry_burst = burst
+        for budget in self._budgets.values():
+            budget.resize(burst)
+
     def find_budget(self, service: str) -> RetryBudget:
         """Returns the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
@@ -18,6 +18,7 @@
     Response,
 )
 
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.http_events import EventBatch, encode_message, read_batch
 from bilberry_proxy.http_headers import (
     CONTENT_LENGTH,
@@ -69,11 +70,13 @@
     def __init__(
         self,
         owner: ConnectionOwner,
-        close_delimited: bool = False,
+        dialect: HttpDialect = OWN_DIALECT,
     ) -> None:
-        """Starts unconnected; answers may be `close_delimited`."""
-        self._close_delimited = close_delimited
+        """Starts unconnected; the upstream speaks `dialect`."""
+        self._dialect = dialect
         self._has_length = True
+        self._request: UpstreamRequest | None = None
+        self._is_stray = False
         self.is_writable = True
         self._owner = owner
         self._http = Connection(CLIENT)
@@ -110,6 +113,7 @@
         )
         raw = encode_message(self._http, start, request.body, request.last)
         self._receiver = receiver
+        self._request = request
         self._method = request.method
         self._transport.write(raw)
 
@@ -198,9 +202,13 @@
         headers = tuple(start.headers) if start is not None else ()
         if start is not None:
             self._has_length = self._is_framed(start, headers)
-            if not self._has_length and not self._close_delimited:
+            if not self._has_length and not self._dialect.close_delimited:
                 self._break('the answer has no length')
                 return
+            self._is_stray = self._belongs_elsewhere(headers)
+        if self._is_stray:
+            self._skip_stray(batch.last)
+            return
         if batch.last:
             self._finish()
         if start is not None:
@@ -213,6 +221,33 @@
         elif not batch.is_empty:
             receiver.take_body(batch.body, batch.last)
 
+    def _belongs_elsewhere(self, headers: Headers) -> bool:
+        request_id = self._request.request_id
+        if not request_id:
+            return False
+        return find_header(headers, self._dialect.request_id) != request_id
+
+    def _skip_stray(self, last: bool) -> None:
+        """Passes over a late answer to an earlier request, and reads on."""
+        if not last:
+            return
+        unread = self._http.trailing_data[0]
+        request = self._request
+        if self._http.our_state is not DONE or not self._has_length:
+            self._break('an answer to another request came')
+            return
+        self._is_stray = False
+        self._http = Connection(CLIENT)
+        # h11 reads an answer only after its request; this one has been sent.
+        start = Request(
+            method=request.method,
+            target=request.target,
+            headers=[(b'host', b'-')],
+        )
+        encode_message(self._http, start, b'', last=True)
+        if unread:
+            self.data_received(unread)
+
     def _is_framed(self, start: Response, headers: Headers) -> bool:
         if self._method == b'HEAD' or start.status_code in _BODILESS_STATUSES:
             return True
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_pool.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_pool.py
@@ -6,6 +6,7 @@
 
 from bilberry_core.endpoint import Address
 
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.upstream_connection import UpstreamConnection
 
 #: Longest time to connect to the upstream, in seconds.
@@ -28,13 +29,13 @@
     def __init__(
         self,
         on_ended: Callable[[UpstreamConnection], None],
-        close_delimited: bool = False,
+        dialect: HttpDialect = OWN_DIALECT,
     ) -> None:
         """Starts without connections; `on_ended` hears of each end.
 
-        `close_delimited` answers may end with their connection.
+        `dialect` is what the upstream speaks.
         """
-        self._close_delimited = close_delimited
+        self._dialect = dialect
         self.address: Address | None = None
         self._on_ended = on_ended
         self._open: set[UpstreamConnection] = set()
@@ -80,7 +81,7 @@
         self._on_ended(connection)
 
     async def _dial(self, seeker: ConnectionSeeker) -> None:
-        connection = UpstreamConnection(self, self._close_delimited)
+        connection = UpstreamConnection(self, self._dialect)
         loop = get_running_loop()
         try:
             async with timeout(CONNECT_TIMEOUT_S):
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_request.py
@@ -20,13 +20,17 @@
 
 
 class UpstreamRequest(NamedTuple):
-    """The start of a request to the upstream; `last` without more body."""
+    """The start of a request to the upstream; `last` without more body.
+
+    `request_id` is what an answer to it repeats, empty where none does.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes
     last: bool
+    request_id: bytes = b''
 
 
 def build_upstream_request(
@@ -49,6 +53,7 @@
         (*start.headers, *added),
         start.body,
         start.last,
+        find_header(start.headers, dialect.request_id),
     )
 
 
@@ -82,12 +87,9 @@
 def find_answer_fault(
     status: int,
     headers: Headers,
-    request_id: bytes,
     dialect: HttpDialect,
 ) -> str:
-    """Returns why an answer is not one to this request; empty if it is."""
-    if request_id and find_header(headers, dialect.request_id) != request_id:
-        return 'the answer belongs to another request'
+    """Returns why an answer can't be passed on; empty if it can."""
     is_success = status // _HUNDRED == 2
     if dialect.signature and is_success:
         if not find_header(headers, dialect.signature):
--- /dev/null
+++ b/tests/bilberry_platform/test_configuration.py
@@ -0,0 +1,132 @@
+"""The operator's document: what it asks for, and what is refused."""
+
+from json import dumps
+
+from bilberry_core.configuration import Target, decode_configuration
+from bilberry_core.error import ConfigurationError
+from bilberry_core.policy import Priority
+from bilberry_platform.configuration import build_change, restore_document
+from testtools import TestCase
+
+
+def build_route(name='r-1', **changed):
+    """Returns the entry of a route."""
+    spec = {
+        'Host': 'hulo84.example',
+        'PathPrefix': '/leny950/',
+        'RouteType': 'idempotent',
+        'TimeoutS': 0.8,
+        'TargetLatencyS': 0.2,
+        'Priority': 2,
+        'Service': 'huvo11a',
+        'MaxAttempts': 2,
+        **changed,
+    }
+    return {'Type': 'Routes', 'Metadata': {'Name': name}, 'Spec': spec}
+
+
+def build_service(name='huvo11a'):
+    """Returns the entry of a service."""
+    spec = {'HealthPath': '/health', 'MaxConnections': 110, 'Protocol': 'h1'}
+    return {'Type': 'Services', 'Metadata': {'Name': name}, 'Spec': spec}
+
+
+def build_body(*resources, version='0000000c', base='00000005') -> bytes:
+    """Returns a document."""
+    document = {
+        'Version': version,
+        'BaseVersion': base,
+        'Resources': [
+            *resources,
+            {'Type': 'Limits', 'Metadata': {}, 'Spec': {}},
+        ],
+    }
+    return dumps(document).encode()
+
+
+class ConfigurationTest(TestCase):
+    """Documents of the platform."""
+
+    def read(self, *resources):
+        """Returns the only route of a document."""
+        change = build_change(build_body(*resources), 12)
+        return decode_configuration(change.content).routes[0]
+
+    def test_versions_are_hexadecimal(self):
+        """The operator numbers versions, in steps of any size."""
+        change = build_change(build_body(build_service()), 12)
+        self.assertEqual((12, 5), (change.version, change.base_version))
+
+    def test_document_is_read_back_word_for_word(self):
+        """Also what the daemon has no use for."""
+        body = build_body(build_service(), build_route())
+        change = build_change(body, 12)
+        self.assertEqual(body, restore_document(change.source))
+
+    def test_same_document_is_the_same_change(self):
+        """A resend is known again; another document with its number is not."""
+        one = build_change(build_body(build_service()), 12)
+        again = build_change(build_body(build_service()), 12)
+        other = build_change(build_body(build_service('b')), 12)
+        self.assertEqual(one.change_id, again.change_id)
+        self.assertNotEqual(one.change_id, other.change_id)
+
+    def test_route_is_decoded(self):
+        """Seconds become milliseconds, attempts retries, ranks priorities."""
+        route = self.read(build_service(), build_route())
+        self.assertEqual((Target('huvo11a', 1),), route.targets)
+        change = route.change
+        self.assertEqual(
+            (800, 200, 1, Priority.URGENT, True),
+            (
+                change.timeout_ms,
+                change.target_latency_ms,
+                change.retries,
+                change.priority,
+                change.idempotent,
+            ),
+        )
+
+    def test_split_keeps_its_weights(self):
+        """Also a weight of 0."""
+        split = [
+            {'Service': 'huvo11a', 'Weight': 90},
+            {'Service': 'b', 'Weight': 0},
+        ]
+        route = self.read(
+            build_service(),
+            build_service('b'),
+            build_route(TrafficSplit=split, Service=''),
+        )
+        self.assertEqual((Target('b', 0), Target('huvo11a', 90)), route.targets)
+
+    def test_ranks_are_ordered_among_themselves(self):
+        """The lowest number in use is the most urgent."""
+        body = build_body(
+            build_service(),
+            build_route('r-1', Priority=1),
+            build_route('r-2', Priority=5, PathPrefix='/b/'),
+        )
+        configuration = decode_configuration(build_change(body, 12).content)
+        self.assertEqual(
+            [Priority.URGENT, Priority.NORMAL],
+            [route.change.priority for route in configuration.routes],
+        )
+
+    def test_invalid_documents_are_refused(self):
+        """Each of these would leave some request without a way."""
+        nothing = {'Service': 'huvo11a', 'Weight': 0}
+        whole = build_body(build_service(), build_route())
+        for bad in (
+            whole[:-9],
+            b'\xff',
+            build_body(build_route()),
+            build_body(build_service(), build_route(TimeoutS=0)),
+            build_body(build_service(), build_route(PathPrefix='leny950/')),
+            build_body(build_service(), build_route(PathPrefix='')),
+            build_body(build_service(), build_route(TrafficSplit=[nothing])),
+            build_body(build_service(), build_route(TimeoutS='1')),
+            build_body(build_service(), build_route(), build_route('r-2')),
+            build_body(build_service(), version='x'),
+        ):
+            self.assertRaises(ConfigurationError, build_change, bad, 12)
--- /dev/null
+++ b/tests/bilberry_platform/test_interfaces.py
@@ -0,0 +1,206 @@
+"""The calls of the platform: heartbeats, readiness, operators."""
+
+from asyncio import run
+from zlib import compress
+
+from bilberry_core.acceptance import (
+    Accepted,
+    Conflict,
+    HistoryEntry,
+    NotAccepted,
+    OutcomeUnknown,
+)
+from bilberry_core.board import Board, Phase
+from bilberry_core.clock import SystemClock
+from bilberry_core.endpoint import Address, EndpointState
+from bilberry_core.http import HttpRequest
+from bilberry_core.settings import ListenSettings, Role, Settings
+from bilberry_platform.operators import PATH, OperatorInterface
+from bilberry_platform.upstreams import (
+    PREFIX,
+    ReadinessInterface,
+    UpstreamInterface,
+)
+from bilberry_proxy.announcement import AnnouncementController
+from msgspec.json import encode
+from returns.result import Failure, Success
+from testtools import TestCase
+
+from tests.bilberry_platform.test_configuration import (
+    build_body,
+    build_route,
+    build_service,
+)
+
+SETTINGS = Settings(
+    fleet='fleet',
+    instance='10.1.0.8',
+    failure_domain='a',
+    region='r',
+    roles=frozenset((Role.PROXY,)),
+    listen=ListenSettings(Address('10.1.0.8', 7620)),
+    secret=b'secret',
+)
+
+
+class UpstreamInterfaceTest(TestCase):
+    """Heartbeats of the upstream beside the daemon."""
+
+    def setUp(self):
+        """Builds the interface of one daemon."""
+        super().setUp()
+        self.board = Board()
+        self.announcements = AnnouncementController.from_settings(
+            SETTINGS,
+            self.board,
+            SystemClock(),
+        )
+        self.interface = UpstreamInterface(self.announcements, 'huvo11a')
+
+    def call(self, method='PUT', upstream='i-1', **changed) -> int:
+        """Sends a heartbeat; returns the status."""
+        body = {
+            'Service': 'huvo11a',
+            'Address': '10.1.0.8:8301',
+            'Slots': 12,
+            'State': 'ready',
+            'ColdRemainingS': 0,
+            'Sequence': 4,
+            'born': 1000,
+            **changed,
+        }
+        request = HttpRequest(method, PREFIX + upstream, body=encode(body))
+        return run(self.interface.handle(request)).status
+
+    @property
+    def state(self) -> EndpointState:
+        """The state that is announced."""
+        return self.board.own_endpoint.value.state
+
+    def test_heartbeat_announces_the_upstream(self):
+        """Its address, its slots and its name of itself."""
+        self.assertEqual(200, self.call())
+        own = self.board.own_endpoint.value
+        self.assertEqual(('huvo11a', 12), (own.service, own.slots))
+        self.assertEqual('i-1', self.board.upstream_id.value)
+        self.assertEqual(
+            Address('10.1.0.8', 8301),
+            self.board.upstream_address.value,
+        )
+
+    def test_late_heartbeat_changes_nothing(self):
+        """Neither an older number nor an older start."""
+        self.call(State='draining', Sequence=5)
+        self.assertEqual(200, self.call(Sequence=4))
+        self.assertIs(EndpointState.DRAINING, self.state)
+        self.call(upstream='i-0', born=500, Sequence=9)
+        self.assertEqual('i-1', self.board.upstream_id.value)
+
+    def test_heartbeat_behind_a_leave_changes_nothing(self):
+        """It was under way when its sender left."""
+        self.call()
+        self.assertEqual(200, self.call('DELETE'))
+        self.call(Sequence=5)
+        self.assertIs(EndpointState.GONE, self.state)
+
+    def test_leave_of_another_upstream_changes_nothing(self):
+        """It was delayed until a new one had announced itself."""
+        self.call()
+        self.call('DELETE', upstream='i-0')
+        self.assertIs(EndpointState.READY, self.state)
+
+    def test_new_start_begins_an_incarnation(self):
+        """Also with the same name and numbers that start anew."""
+        self.call()
+        first = self.board.own_endpoint.value.incarnation
+        self.call('DELETE')
+        self.assertEqual(200, self.call(born=2000, Sequence=1))
+        self.assertIs(EndpointState.READY, self.state)
+        self.assertLess(first, self.board.own_endpoint.value.incarnation)
+
+    def test_malformed_heartbeats_name_no_upstream(self):
+        """Each comes from another writer."""
+        for changed in (
+            {'Service': 'other'},
+            {'State': 'sleepy'},
+            {'Slots': 'many'},
+            {'Slots': 0},
+            {'Sequence': None},
+            {'Address': 'nowhere'},
+            {'born': 1.5},
+        ):
+            self.assertEqual(400, self.call(**changed))
+        self.assertIsNone(self.board.own_endpoint.value)
+
+    def test_readiness_follows_phase_and_configuration(self):
+        """A daemon without a configuration, or that leaves, is not ready."""
+        ready = ReadinessInterface(self.board)
+        told = []
+        for phase, snapshot in (
+            (Phase.SERVING, None),
+            (Phase.SERVING, object()),
+            (Phase.LEAVING, object()),
+        ):
+            self.board.phase.put(phase)
+            self.board.snapshot.put(snapshot)
+            answer = run(ready.handle(HttpRequest('GET', '/-/readiness')))
+            told.append(answer.status)
+        self.assertEqual([503, 200, 503], told)
+
+
+class FakeAcceptor:
+    """Accepts or refuses as it is told."""
+
+    def __init__(self, outcome=None) -> None:
+        """Answers changes with `outcome`."""
+        self.outcome = outcome
+        self.current = Success(None)
+        self.history = ()
+
+    async def submit(self, _change, _timeout_s):
+        """Returns the outcome."""
+        return self.outcome
+
+    async def read_current(self, _timeout_s):
+        """Returns whether the newest version is known."""
+        return self.current
+
+    def read_history(self, _limit):
+        """Returns the history."""
+        return self.history
+
+
+class OperatorInterfaceTest(TestCase):
+    """Changes and reads of operators."""
+
+    def call(self, acceptor, method='PUT', body=None):
+        """Sends a call."""
+        if body is None:
+            body = build_body(build_service(), build_route())
+        interface = OperatorInterface(acceptor, 12)
+        return run(interface.handle(HttpRequest(method, PATH, body=body)))
+
+    def test_outcomes_have_their_statuses(self):
+        """Only what is decided is final; the rest is to be sent again."""
+        outcomes = {
+            200: Success(Accepted(12)),
+            412: Failure(Conflict(5, ())),
+            503: Failure(NotAccepted('no leader')),
+            504: Failure(OutcomeUnknown('1', 'no answer')),
+        }
+        for status, outcome in outcomes.items():
+            self.assertEqual(status, self.call(FakeAcceptor(outcome)).status)
+
+    def test_invalid_document_is_refused_without_asking(self):
+        """The acceptor would fail on it."""
+        self.assertEqual(400, self.call(None, body=b'{').status)
+
+    def test_read_returns_what_was_sent(self):
+        """Or 503 where no quorum tells which version is the newest."""
+        acceptor = FakeAcceptor()
+        self.assertEqual(503, self.call(acceptor, 'GET').status)
+        entry = HistoryEntry(1, 1, b'', '1', '', '', 0, b'', compress(b'{}'))
+        acceptor.history = (entry,)
+        self.assertEqual(b'{}', self.call(acceptor, 'GET').body)
+        acceptor.current = Failure(NotAccepted('no quorum'))
+        self.assertEqual(503, self.call(acceptor, 'GET').status)
--- /dev/null
+++ b/tests/bilberry_platform/test_settings.py
@@ -0,0 +1,82 @@
+"""The platform's settings file becomes the settings of a daemon."""
+
+from bilberry_core.endpoint import Address
+from bilberry_core.settings import Role
+from bilberry_platform.settings import (
+    build_settings,
+    find_retry_share,
+    parse_settings,
+)
+from testtools import TestCase
+
+SETTINGS = """
+NodeName = "core-a-1"
+NodeClass = "{machine}"
+Serves = ["{serves}"]
+Ip = "10.1.0.14"
+Zone = "a"
+Region = "r"
+InternalPortRange = [7620,7635]
+Seeds = [{seeds}]
+Bootstrap = {first}
+HeartbeatS = 1.5
+Unknown = "a key of later times"
+DataDir = "/data"
+Service = "huvo11a"
+Bounds = ["GraceS=6","RetryBudgetRatio=0.2","BudgetSlack=62"]
+[Listen]
+Outbound = "10.1.0.14:8304"
+Ready = "10.1.0.14:8302"
+Control = "10.1.0.14:8306"
+[FaultTolerance]
+Machines = 2
+"""
+
+
+def build(serves='control_plane', seeds='"10.1.0.14:8306"', first='true'):
+    """Returns the daemon's settings of a file."""
+    text = SETTINGS.format(
+        machine='core', serves=serves, seeds=seeds, first=first
+    )
+    return build_settings(parse_settings(text))
+
+
+class SettingsTest(TestCase):
+    """Settings of the platform."""
+
+    def test_core_machine_is_a_replica_that_may_found(self):
+        """The seeds are where to start from, on our own port."""
+        settings = build(seeds='"10.1.0.14:8306","10.2.0.10:8306"')
+        self.assertEqual({Role.RELAY, Role.REPLICA}, settings.roles)
+        self.assertEqual(
+            [Address('10.1.0.14', 7620), Address('10.2.0.10', 7620)],
+            [peer.address for peer in settings.replicas],
+        )
+        self.assertEqual((True, 3), settings.founding)
+        self.assertTrue(settings.discovers_relays)
+
+    def test_only_a_seed_founds_and_only_at_the_first_start(self):
+        """An empty disk later on waits to be taken in."""
+        self.assertFalse(build(first='false').founding.allowed)
+        self.assertFalse(build(seeds='"10.2.0.10:8306"').founding.allowed)
+
+    def test_other_machine_is_a_proxy_that_stops_within_its_grace(self):
+        """Callers are served for a while after the stop began."""
+        settings = build('sidecar')
+        self.assertEqual({Role.PROXY}, settings.roles)
+        self.assertEqual(Address('10.1.0.14', 8304), settings.listen.callers)
+        self.assertLess(settings.timing.drain_ms, 6000)
+        self.assertLess(settings.timing.linger_ms, settings.timing.drain_ms)
+
+    def test_retries_stay_below_the_budget(self):
+        """Part of the budget is left to calls of repeated runs."""
+        text = SETTINGS.format(
+            machine='core', serves='sidecar', seeds='"10.0.0.1:1"', first='true'
+        )
+        share = find_retry_share(parse_settings(text))
+        self.assertLess(share.percent, 20)
+        self.assertLess(share.burst, 62)
+
+    def test_file_without_an_address_is_refused(self):
+        """What the daemon can't do without is told at its start."""
+        self.assertRaises(ValueError, parse_settings, 'Zone = "a"')
--- a/tests/bilberry_proxy/test_upstream_connection.py
+++ b/tests/bilberry_proxy/test_upstream_connection.py
@@ -1,6 +1,7 @@
 """One connection to an upstream that misbehaves in every way."""
 
 from bilberry_core.verdict import FailureCode
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.upstream_connection import UpstreamConnection
 from bilberry_proxy.upstream_request import UpstreamRequest
 from hypothesis import given
@@ -52,7 +53,11 @@
 class Exchange:
     """One request on a connection, and what became of it."""
 
-    def __init__(self, request: UpstreamRequest = GET) -> None:
+    def __init__(
+        self,
+        request: UpstreamRequest = GET,
+        dialect: HttpDialect = OWN_DIALECT,
+    ) -> None:
         """Sends the request."""
         self.status = 0
         self.body = b''
@@ -61,7 +66,7 @@
         self.freed = 0
         self.ended = 0
         self.transport = FakeTransport()
-        self.connection = UpstreamConnection(self)
+        self.connection = UpstreamConnection(self, dialect)
         self.connection.connection_made(self.transport)
         self.connection.begin(request, self)
 
@@ -189,3 +194,46 @@
         self.assertTrue(exchange.connection.half_close())
         exchange.receive(WHOLE)
         self.assertEqual((0, b''), (exchange.status, exchange.body))
+
+
+class StrayAnswerTest(TestCase):
+    """Late answers to earlier requests, and answers without a length."""
+
+    dialect = HttpDialect(request_id=b'x-id', close_delimited=True)
+
+    def begin(self) -> Exchange:
+        """Sends a request that has an identity."""
+        return Exchange(GET._replace(request_id=b'7'), self.dialect)
+
+    def build(self, request_id: bytes, body: bytes) -> bytes:
+        """Returns an answer that names its request."""
+        return b'HTTP/1.1 200 \r\nx-id: %b\r\ncontent-length: %d\r\n\r\n%b' % (
+            request_id,
+            len(body),
+            body,
+        )
+
+    def test_answer_to_an_earlier_request_is_passed_over(self):
+        """However the bytes of the two are cut."""
+        raw = self.build(b'6', b'late') + self.build(b'7', b'mine')
+        for cut in range(len(raw)):
+            exchange = self.begin().receive(raw[:cut], raw[cut:])
+            self.assertEqual(
+                (True, b'mine'), (exchange.is_whole, exchange.body)
+            )
+            self.assertEqual(1, exchange.freed)
+
+    def test_only_a_late_answer_is_none(self):
+        """The connection that ends then has not answered."""
+        exchange = self.begin().receive(self.build(b'6', b'late'))
+        self.assertFalse(exchange.is_whole)
+
+    def test_answer_without_length_ends_with_its_connection(self):
+        """It is whole where the upstream closed, and cut after a reset."""
+        raw = b'HTTP/1.1 200 \r\nx-id: 7\r\n\r\nbody'
+        exchange = self.begin().receive(raw)
+        self.assertFalse(exchange.is_whole)
+        exchange.connection.eof_received()
+        self.assertEqual((True, b'body'), (exchange.is_whole, exchange.body))
+        cut = self.begin().receive(raw).close()
+        self.assertFalse(cut.is_whole)
--- a/tests/bilberry_replica/test_member.py
+++ b/tests/bilberry_replica/test_member.py
@@ -6,6 +6,7 @@
     admit,
     build_epoch,
     expel,
+    find_surplus,
     found,
     has_quorum,
     promote,
@@ -92,3 +93,25 @@
 
 def _name(holders: tuple) -> tuple[str, ...]:
     return tuple(holder.instance for holder in holders)
+
+    def test_quorum_is_never_below_the_least(self):
+        """What is accepted lies on one disk more than may be lost."""
+        membership = found([build_member(name) for name in 'abc'], 3)
+        self.assertFalse(has_quorum(membership, {'a', 'b'}))
+        self.assertTrue(has_quorum(membership, {'a', 'b', 'c'}))
+
+    def test_silent_replica_goes_only_where_enough_are_left(self):
+        """A successor must vote before a voter is removed."""
+        five = found([build_member(name) for name in 'abcde'], 3)
+        self.assertEqual('', find_surplus(five, {'a'}))
+        learning = admit(five, build_member('f'))
+        self.assertEqual('', find_surplus(learning, {'a'}))
+        self.assertEqual('f', find_surplus(learning, {'f'}))
+        six = promote(learning, 'f')
+        self.assertEqual('a', find_surplus(six, {'a'}))
+        self.assertEqual('', find_surplus(six, ()))
+
+    def test_operators_decide_without_a_least_quorum(self):
+        """Nobody else knows how many replicas are wanted."""
+        four = found([build_member(name) for name in 'abcd'])
+        self.assertEqual('', find_surplus(four, {'a'}))
--- a/tests/bilberry_replica/test_register.py
+++ b/tests/bilberry_replica/test_register.py
@@ -83,3 +83,31 @@
         ):
             self.assertIn(part, errors)
         self.assertEqual(1, len(validate_content(b'garbage')))
+
+
+class NumberedVersionTest(TestCase):
+    """Operators who number versions themselves."""
+
+    def apply(self, register, change_id, base, version):
+        """Applies a change that names its version."""
+        change = build_change(change_id, base, 'a')._replace(version=version)
+        return register.apply(1, LoggedChange(change, 0))
+
+    def test_number_counts_and_only_grows(self):
+        """Steps may be of any size; an older number loses."""
+        register = Register()
+        self.assertEqual(Accepted(7), self.apply(register, '1', 0, 7))
+        self.assertIsInstance(self.apply(register, '2', 7, 7), Conflict)
+        self.assertIsInstance(self.apply(register, '3', 7, 5), Conflict)
+        self.assertEqual(Accepted(12), self.apply(register, '4', 7, 12))
+        self.assertEqual(
+            Accepted(7, resent=True),
+            self.apply(register, '1', 0, 7),
+        )
+
+    def test_change_ahead_of_its_base_may_come_again(self):
+        """The base was on its way when it came first."""
+        register = Register()
+        self.assertIsInstance(self.apply(register, '2', 3, 4), NotAccepted)
+        self.apply(register, '1', 0, 3)
+        self.assertEqual(Accepted(4), self.apply(register, '2', 3, 4))
