End streams to daemons that are gone, and upload bodies in a module of its own

Cause: a daemon without power sends no reset, so calls on its stream waited for their deadline. Keepalive probes and a limit on unacknowledged bytes end the stream in about 2 s. A call that was given up on frees its slot after 0.1 s instead of 1 s, since an upstream may work on half a second at most.

--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/keepalive.py
@@ -0,0 +1,49 @@
+"""Ends connections whose other side has fallen silent for good.
+
+A peer without power or behind a partition sends no reset, so only the
+kernel's probes and its limit on unacknowledged bytes show that it is gone.
+"""
+
+from asyncio import Transport
+from logging import getLogger
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+)
+
+_log = getLogger(__name__)
+
+#: Silence after which the other side is probed, in seconds.
+IDLE_S = 1
+#: Time between two probes, in seconds.
+INTERVAL_S = 1
+#: Probes without an answer that end the connection.
+PROBES = 2
+#: Longest time for which sent bytes may lack an acknowledgement, in
+#: milliseconds.
+UNACKNOWLEDGED_MS = 2000
+
+_OPTIONS = (
+    (SOL_SOCKET, SO_KEEPALIVE, 1),
+    (IPPROTO_TCP, TCP_KEEPIDLE, IDLE_S),
+    (IPPROTO_TCP, TCP_KEEPINTVL, INTERVAL_S),
+    (IPPROTO_TCP, TCP_KEEPCNT, PROBES),
+    (IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+)
+
+
+def keep_alive(transport: Transport) -> None:
+    """Has the kernel end the connection once the other side is gone."""
+    socket = transport.get_extra_info('socket')
+    if socket is None:
+        return
+    try:
+        for level, option, setting in _OPTIONS:
+            socket.setsockopt(level, option, setting)
+    except OSError as error:
+        _log.warning('keepalive_unavailable', extra={'cause': str(error)})
--- a/packages/bilberry_core/bilberry_core/stream.py
+++ b/packages/bilberry_core/bilberry_core/stream.py
@@ -17,6 +17,7 @@
 )
 from bilberry_core.frame import MAX_FRAME_BYTES, FrameReader, frame
 from bilberry_core.handshake import MAX_HANDSHAKE_BYTES, Identity, Purpose
+from bilberry_core.keepalive import keep_alive
 from bilberry_core.messages.registry import decode_message, encode_message
 from bilberry_core.traffic import Traffic, TrafficCounter
 
@@ -98,6 +99,7 @@
     def connection_made(self, transport: Transport) -> None:
         """Called by the event loop."""
         self._transport = transport
+        keep_alive(transport)
 
     def data_received(self, received: bytes) -> None:
         """Called by the event loop."""
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -17,10 +17,11 @@
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 from h11 import LocalProtocolError
 
-from bilberry_proxy.call import CREDIT_STEP_BYTES, WINDOW_BYTES, AnswerReceiver
+from bilberry_proxy.call import WINDOW_BYTES, AnswerReceiver
 from bilberry_proxy.dialect import HttpDialect
 from bilberry_proxy.held_answer import HeldAnswer
 from bilberry_proxy.http_headers import Headers
+from bilberry_proxy.request_upload import RequestUpload
 from bilberry_proxy.timers import Timer
 from bilberry_proxy.upstream_connection import UpstreamConnection
 from bilberry_proxy.upstream_request import (
@@ -107,8 +108,8 @@
         self.is_alone = False
         self._answers = answers
         self._host = host
-        self._held: list[tuple[bytes, bool]] = []
-        self._uncredited = 0 if start.last else len(start.body)
+        sent = 0 if start.last else len(start.body)
+        self._upload = RequestUpload(answers, sent)
         self._window = WINDOW_BYTES
         self._held_answer: HeldAnswer | None = None
 
@@ -116,15 +117,8 @@
 
     def send(self, body: bytes, last: bool) -> None:
         """Sends more of the request's body."""
-        if self.progress is Progress.ENDED:
-            return
-        if self.connection is None:
-            self._held.append((body, last))
-            return
-        self.connection.send(body, last)
-        self._uncredited += len(body)
-        if not last:
-            self._credit()
+        if self.progress is not Progress.ENDED:
+            self._upload.send(body, last)
 
     def grant(self, size: int) -> None:
         """Lets the upstream send this many further bytes."""
@@ -185,7 +179,7 @@
             return True
         self.connection = connection
         self.progress = Progress.SENT
-        self._send_held()
+        self._upload.begin(connection, self.start.last)
         return True
 
     def take_unreachable(self, detail: str) -> None:
@@ -260,24 +254,7 @@
 
     def resume_request(self) -> None:
         """Lets the opener send more."""
-        self._credit()
-
-    def _send_held(self) -> None:
-        held = self._held
-        self._held = []
-        for body, last in held:
-            self.send(body, last)
-        if not self.start.last:
-            self._credit()
-
-    def _credit(self) -> None:
-        connection = self.connection
-        if connection is None or not connection.is_writable:
-            return
-        if self._uncredited >= CREDIT_STEP_BYTES:
-            size = self._uncredited
-            self._uncredited = 0
-            self._answers.credit(size)
+        self._upload.credit()
 
     def _spend(self, size: int, last: bool) -> None:
         if last:
@@ -294,7 +271,7 @@
         self.progress = Progress.ENDED
         if self.timer is not None:
             self.timer.cancel()
-        self._held.clear()
+        self._upload.clear()
         return before
 
     def _fail(self, failure: Failure, weight: int = 1) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -27,7 +27,7 @@
 
 #: Longest time that a call given up on keeps its slot, in seconds, while the
 #: upstream has not ended the connection.
-CANCEL_LINGER_S = 1.0
+CANCEL_LINGER_S = 0.1
 #: When a caller may come back to an upstream that is starting or leaving.
 STATE_RETRY_AFTER_MS = 500
 
