Probe a silent endpoint before leaving it, and bound waits by the latency wanted

The proxy now asks the daemon there whether the upstream answers anyone. Ruled out: the drain itself, which cut nothing in the logs.

--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -113,3 +113,21 @@
 @message(57)
 class Goodbye(NamedTuple):
     """The sender drains: no new calls on this stream, the open ones end."""
+
+
+@message(58)
+class CallProbe(NamedTuple):
+    """Asks whether the upstream that a call waits for answers others.
+
+    It does not where it has been silent for `silence_ms`.
+    """
+
+    call: int
+    silence_ms: int
+
+
+@message(59)
+class CallAlive(NamedTuple):
+    """The upstream answers; sent only where it does."""
+
+    call: int
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -71,6 +71,9 @@
     def upstream_id(self) -> str:
         """The identity of the upstream, empty where it tells none."""
 
+    def is_answering(self, dispatched_at: float, silence_ms: int) -> bool:
+        """Whether the upstream has answered anything for that long."""
+
     def measure_load(self) -> Load:
         """Returns how busy the upstream is."""
 
@@ -127,6 +130,11 @@
         if was_shut and self._window > 0 and self.connection is not None:
             self.connection.control_reading(wanted=True)
 
+    def probe(self, silence_ms: int) -> None:
+        """Tells the opener that the upstream answers, where it does."""
+        if self._host.is_answering(self.dispatched_at, silence_ms):
+            self._answers.report_alive()
+
     def cancel(self) -> None:
         """Ends the call without telling the opener."""
         if self.progress is not Progress.ENDED:
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -61,6 +61,7 @@
             dialect,
         )
         self._probe = CrashProbe(self._note_crash)
+        self._answered_at: float = 0
         self._lingering: dict[UpstreamConnection, AdmittedCall] = {}
         board.upstream_address.watch(self._pool.move)
         board.own_endpoint.watch(self._follow_endpoint)
@@ -102,6 +103,14 @@
             self._shed(self._line.enter(call, start.priority, now, deadline))
         return call
 
+    def is_answering(self, dispatched_at: float, silence_ms: int) -> bool:
+        """Whether the upstream has answered anything for that long.
+
+        A call sent to it at `dispatched_at` may need as long itself.
+        """
+        since = self._clock.now() - silence_ms / MS_PER_S
+        return max(self._answered_at, dispatched_at) > since
+
     def measure_load(self) -> Load:
         """Returns how busy the upstream is."""
         return self._line.slots.measure_load(len(self._line))
@@ -114,7 +123,8 @@
         """Gives the slot of a call to the next one."""
         latency_s: float = 0
         if call.is_answered:
-            latency_s = self._clock.now() - call.dispatched_at
+            self._answered_at = self._clock.now()
+            latency_s = self._answered_at - call.dispatched_at
             self._suspicion.clear(call.start.fingerprint)
         self._line.end(call, latency_s)
         self._pump()
--- a/packages/bilberry_proxy/bilberry_proxy/attempt.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt.py
@@ -6,6 +6,7 @@
 
 from typing import Protocol
 
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.call import (
     CallFailed,
@@ -23,6 +24,10 @@
 class AttemptOwner(Protocol):
     """The request that an attempt belongs to."""
 
+    @property
+    def now(self) -> float:
+        """Monotonic time, in seconds."""
+
     def take_reply(self, attempt: 'Attempt', reply: ReplyStart) -> None:
         """Takes the start of the answer."""
 
@@ -71,7 +76,7 @@
 
     def is_endpoint_alive(self, since: float) -> bool:
         """Tells whether the endpoint has answered anything since then."""
-        return self._load.seen_at > since
+        return max(self._load.seen_at, self._load.alive_at) > since
 
     def open(self, target: CallTarget, start: CallStart) -> None:
         """Opens the call."""
@@ -90,6 +95,15 @@
         if self._call is not None:
             self._call.grant(size)
 
+    def probe(self, silence_s: float) -> None:
+        """Asks whether the upstream has been silent for that long."""
+        if self._call is not None:
+            self._call.probe(int(silence_s * MS_PER_S))
+
+    def report_alive(self) -> None:
+        """Takes in that the upstream answers."""
+        self._load.alive_at = self._owner.now
+
     def cancel(self) -> None:
         """Ends the attempt without an answer."""
         call = self._call
--- a/packages/bilberry_proxy/bilberry_proxy/call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call.py
@@ -31,6 +31,9 @@
     def fail(self, failed: CallFailed) -> None:
         """Takes the failure that ends the call."""
 
+    def report_alive(self) -> None:
+        """Takes in that the upstream answers, after a probe."""
+
     def credit(self, size: int) -> None:
         """Takes leave to send this many further bytes of the request."""
 
@@ -44,6 +47,12 @@
     def grant(self, size: int) -> None:
         """Lets the other side send this many further bytes of answer."""
 
+    def probe(self, silence_ms: int) -> None:
+        """Asks whether the upstream has been silent for that long.
+
+        Without a report it has.
+        """
+
     def cancel(self) -> None:
         """Ends the call; nothing more is received from it."""
 
--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -4,9 +4,11 @@
 from typing import Any
 
 from bilberry_core.messages.call import (
+    CallAlive,
     CallCancel,
     CallChunk,
     CallFailed,
+    CallProbe,
     CallStart,
     Credit,
     Goodbye,
@@ -72,6 +74,7 @@
             CallStart: self._start,
             CallChunk: self._continue,
             CallCancel: self._cancel,
+            CallProbe: self._probe,
             Credit: self._grant,
         }
 
@@ -111,6 +114,11 @@
         if call is not None:
             call.cancel()
 
+    def _probe(self, probe: CallProbe) -> None:
+        call = self.calls.get(probe.call)
+        if call is not None:
+            call.probe(probe.silence_ms)
+
     def _grant(self, credit: Credit) -> None:
         call = self.calls.get(credit.call)
         if call is not None:
@@ -142,6 +150,10 @@
         self._served.send(failed)
         self._end(last=True)
 
+    def report_alive(self) -> None:
+        """Tells that the upstream answers."""
+        self._served.send(CallAlive(self._call))
+
     def credit(self, size: int) -> None:
         """Sends leave to send more of the request."""
         self._served.send(Credit(self._call, size))
--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -13,6 +13,7 @@
 from bilberry_core.error import BilberryError
 from bilberry_core.handshake import Purpose
 from bilberry_core.messages.call import (
+    CallAlive,
     CallFailed,
     CallStart,
     Credit,
@@ -78,6 +79,7 @@
             ReplyStart: self._take_reply,
             ReplyChunk: self._take_chunk,
             CallFailed: self._take_failed,
+            CallAlive: self._take_alive,
             Credit: self._take_credit,
             Goodbye: self._take_goodbye,
         }
@@ -178,6 +180,11 @@
         if call is not None:
             call.answers.fail(failed)
 
+    def _take_alive(self, alive: CallAlive) -> None:
+        call = self._calls.get(alive.call)
+        if call is not None:
+            call.answers.report_alive()
+
     def _take_credit(self, credit: Credit) -> None:
         call = self._calls.get(credit.call)
         if call is not None:
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -15,6 +15,7 @@
 from bilberry_core.snapshot import Snapshot
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
+from bilberry_proxy.admission import Occupancy, suggest_retry_after_ms
 from bilberry_proxy.attempt import Attempt
 from bilberry_proxy.call_start import build_call_start
 from bilberry_proxy.context import ProxyContext
@@ -39,6 +40,10 @@
 #: Share of the latency wanted for which a request waits for a slot in its own
 #: failure domain before others are asked; bytes between domains are dear.
 NEAR_WAIT_SHARE = 0.5
+#: Share of the latency wanted for which a request waits where no slot is free.
+LAST_WAIT_SHARE = 0.75
+#: Time for which a daemon is waited for after a probe, in seconds.
+PROBE_S = 0.15
 #: Silence of an endpoint with calls under way that speaks against it, seconds.
 SILENT_S = 0.4
 _LATE = Failure(
@@ -85,6 +90,7 @@
         self._has_other = False
         self._arrivals = 0
         self._full: list[str] = []
+        self._is_last_resort = False
         self._limit_timer: Timer | None = None
         self._wait = EndpointWait(
             context,
@@ -92,6 +98,11 @@
             self._fail_without_endpoint,
         )
 
+    @property
+    def now(self) -> float:
+        """Monotonic time, in seconds."""
+        return self._context.clock.now()
+
     @property
     def verdict(self) -> Verdict:
         """Whether an upstream may have run the request, as of now."""
@@ -160,7 +171,10 @@
             self._full.append(attempt.endpoint.instance)
             self._context.router.note_full(attempt.endpoint, attempt.reported)
             self._outcome.forget_attempt()
-            self._choose()
+            if self._is_last_resort:
+                self._fail_full(attempt)
+            else:
+                self._choose()
             return
         quarantined = self._learn(attempt, failure)
         state = AttemptState(
@@ -211,9 +225,9 @@
         route = plan.snapshot.routes[plan.service]
         asked = [*self._outcome.tried, *self._full]
         selection = self._context.router.choose(route, plan.decision, asked)
-        may_wait = len(self._full) >= MAX_ASKED
-        if selection is not None and (may_wait or selection.is_asked_again):
-            may_wait = True
+        is_asked = len(self._full) >= MAX_ASKED
+        if selection is not None and (is_asked or selection.is_asked_again):
+            self._is_last_resort = True
             selection = self._context.router.choose(
                 route,
                 plan.decision,
@@ -223,17 +237,36 @@
             if self._outcome.tried or not self._wait.start(plan.service):
                 self._fail_without_endpoint()
             return
-        self._open(
-            selection,
-            NO_WAIT_LIMIT_MS if may_wait else self._limit_wait(selection),
-        )
+        self._open(selection, self._limit_wait(selection))
 
     def _limit_wait(self, selection: Selection) -> int:
-        """Returns for how long a call may wait where others may have room."""
-        if not selection.is_near:
-            return 0
-        policy = self._plan.decision.policy
-        return int(policy.target_latency_ms * NEAR_WAIT_SHARE)
+        """Returns for how long a call may wait for a slot, in milliseconds.
+
+        While others may have room it waits near only, and there not for long.
+        As a last resort it waits as long as its answer can be in time; what
+        would only be late takes the place of something that is not.
+        """
+        target_ms = self._plan.decision.policy.target_latency_ms
+        if self._is_last_resort:
+            wait_ms = int(target_ms * LAST_WAIT_SHARE)
+            return wait_ms or NO_WAIT_LIMIT_MS
+        return int(target_ms * NEAR_WAIT_SHARE) if selection.is_near else 0
+
+    def _fail_full(self, attempt: Attempt) -> None:
+        load = attempt.reported
+        occupancy = Occupancy(
+            load.outstanding,
+            load.slots,
+            load.queued,
+            load.latency_us,
+        )
+        failure = Failure(
+            self._outcome.verdict,
+            FailureCode.OVERLOADED,
+            'no upstream has a slot in time',
+            suggest_retry_after_ms(occupancy),
+        )
+        self._owner.take_failure(failure)
 
     def _open(
         self,
@@ -281,8 +314,18 @@
     def _abandon(self, attempt: Attempt) -> None:
         if attempt.ended or attempt.began:
             return
-        since = self._context.clock.now() - self._silence_s
-        if attempt.is_endpoint_alive(since):
+        if attempt.is_endpoint_alive(self.now - self._silence_s):
+            return
+        attempt.probe(self._silence_s)
+        self._limit_timer = self._context.timers.schedule(
+            self.now + min(PROBE_S, self._silence_s / 2),
+            partial(self._abandon_silent, attempt, self.now),
+        )
+
+    def _abandon_silent(self, attempt: Attempt, probed_at: float) -> None:
+        if attempt.ended or attempt.began:
+            return
+        if attempt.is_endpoint_alive(probed_at - self._silence_s):
             return
         attempt.cancel()
         self.take_failure(attempt, _LATE)
--- a/packages/bilberry_proxy/bilberry_proxy/remote_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/remote_call.py
@@ -5,6 +5,7 @@
 from bilberry_core.messages.call import (
     CallCancel,
     CallChunk,
+    CallProbe,
     CallStart,
     Credit,
 )
@@ -53,6 +54,11 @@
         """Lets the other daemon send this many further bytes of answer."""
         self._owner.send(Credit(self.start.call, size))
 
+    def probe(self, silence_ms: int) -> None:
+        """Asks whether the upstream has been silent for that long."""
+        if self.written:
+            self._owner.send(CallProbe(self.start.call, silence_ms))
+
     def cancel(self) -> None:
         """Ends the call; nothing more is received from it."""
         if self._owner.forget(self) and self.written:
--- a/tests/bilberry_proxy/test_call_stream.py
+++ b/tests/bilberry_proxy/test_call_stream.py
@@ -67,6 +67,9 @@
         """Takes the failure."""
         self.ends.append(failed.failure.verdict)
 
+    def report_alive(self) -> None:
+        """The upstream answers."""
+
     def credit(self, _size: int) -> None:
         """Takes a credit."""
 
