Bound waits by the service time seen on each route

Cause: waits of three quarters of the latency wanted made answers late where the service itself takes half of it (warranty reads, p50 1.17 s of 1.2 s). The proxy learns the time of each route without its waits and leaves that much.

--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -20,13 +20,15 @@
 class Load(NamedTuple):
     """How busy an upstream is, as the daemon beside it sees it.
 
-    `latency_us` is a moving mean of the upstream's answers, in microseconds.
+    `latency_us` is a moving mean of the upstream's answers, `waited_us` the
+    time for which this call waited for its slot, both in microseconds.
     """
 
     outstanding: int
     queued: int
     slots: int
     latency_us: int
+    waited_us: int = 0
 
 
 @message(50)
--- a/packages/bilberry_core/bilberry_core/snapshot.py
+++ b/packages/bilberry_core/bilberry_core/snapshot.py
@@ -48,12 +48,13 @@
 
 
 class Decision(NamedTuple):
-    """The policy that a request gets, and the exception that changed it."""
+    """The policy that a request gets, by its route and an exception."""
 
     service: str
     policy: CallPolicy
     exception: str
     reason: str
+    route: str = ''
 
 
 def compile_snapshot(
@@ -98,13 +99,15 @@
     changes what results.
     """
     policy = snapshot.defaults
+    route = ''
     if routing is not None:
         policy = routing.change.apply(policy)
+        route = routing.name
     for rule in snapshot.routes[service].exceptions:
         if _matches(rule, method, path):
             changed = rule.change.apply(policy)
-            return Decision(service, changed, rule.name, rule.reason)
-    return Decision(service, policy, '', '')
+            return Decision(service, changed, rule.name, rule.reason, route)
+    return Decision(service, policy, '', '', route)
 
 
 def _map_hosts(configuration: Configuration) -> dict[str, str]:
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -35,6 +35,7 @@
 CRASH_RETRY_AFTER_MS = 1000
 #: When a caller may come back to an upstream that declined its request.
 DECLINED_RETRY_AFTER_MS = 1000
+_US_PER_S = 1_000_000
 
 
 class Progress(IntEnum):
@@ -107,6 +108,7 @@
         self.deadline = deadline
         self.timer: Timer | None = None
         self.dispatched_at: float = 0
+        self.opened_at: float = 0
         self.is_answered = False
         self.is_alone = False
         self._answers = answers
@@ -140,6 +142,10 @@
         if self.progress is not Progress.ENDED:
             self._give_up()
 
+    @property
+    def _waited_us(self) -> int:
+        return int((self.dispatched_at - self.opened_at) * _US_PER_S)
+
     # The admitter's side.
 
     def fail(
@@ -243,7 +249,7 @@
             held.headers,
             body,
             last,
-            self._host.measure_load(),
+            self._host.measure_load()._replace(waited_us=self._waited_us),
         )
         self._answers.start_reply(reply)
         self._spend(len(body), last)
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -81,6 +81,7 @@
         now = self._clock.now()
         deadline = now + start.deadline_ms / MS_PER_S
         call = AdmittedCall(start, answers, self, deadline)
+        call.opened_at = now
         refusal = _find_refusal(self._board, start.service)
         if refusal is not None:
             call.fail(*refusal, STATE_RETRY_AFTER_MS)
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import Protocol
 
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.call import (
     NO_WAIT_LIMIT_MS,
     ReplyChunk,
@@ -37,11 +38,13 @@
 MAX_PLACEMENTS = 6
 #: Endpoints without a free slot after which a request waits at one of them.
 MAX_ASKED = 5
-#: Share of the latency wanted for which a request waits for a slot in its own
-#: failure domain before others are asked; bytes between domains are dear.
-NEAR_WAIT_SHARE = 0.5
-#: Share of the latency wanted for which a request waits where no slot is free.
-LAST_WAIT_SHARE = 0.75
+#: Times the mean service time that is left for a request behind its wait.
+SERVICE_MARGIN = 1.25
+#: Least share of the latency wanted for which a request waits for a slot.
+LEAST_WAIT_SHARE = 0.1
+#: Share of the longest wait for which a request waits in its own failure domain
+#: before others are asked; bytes between domains are dear.
+NEAR_WAIT_SHARE = 0.6
 #: Time for which a daemon is waited for after a probe, in seconds.
 PROBE_S = 0.15
 #: Silence of an endpoint with calls under way that speaks against it, seconds.
@@ -153,6 +156,11 @@
             self._limit_timer.cancel()
         self._owner.take_reply(reply)
         context.router.note_answer(attempt.endpoint, latency_s, reply.load)
+        context.router.service_times.learn(
+            self._plan.route_key,
+            latency_s,
+            reply.load.waited_us,
+        )
 
     def take_chunk(self, chunk: ReplyChunk) -> None:
         """Passes more of the answer on."""
@@ -247,10 +255,13 @@
         would only be late takes the place of something that is not.
         """
         target_ms = self._plan.decision.policy.target_latency_ms
+        times = self._context.router.service_times
+        service_ms = times.estimate_s(self._plan.route_key) * MS_PER_S
+        slack_ms = target_ms - service_ms * SERVICE_MARGIN
+        slack_ms = max(slack_ms, target_ms * LEAST_WAIT_SHARE)
         if self._is_last_resort:
-            wait_ms = int(target_ms * LAST_WAIT_SHARE)
-            return wait_ms or NO_WAIT_LIMIT_MS
-        return int(target_ms * NEAR_WAIT_SHARE) if selection.is_near else 0
+            return int(slack_ms) or NO_WAIT_LIMIT_MS
+        return int(slack_ms * NEAR_WAIT_SHARE) if selection.is_near else 0
 
     def _fail_full(self, attempt: Attempt) -> None:
         load = attempt.reported
--- a/packages/bilberry_proxy/bilberry_proxy/plan.py
+++ b/packages/bilberry_proxy/bilberry_proxy/plan.py
@@ -41,6 +41,11 @@
     idempotent: bool
     claimed: bool
 
+    @property
+    def route_key(self) -> tuple[str, str]:
+        """What requests with like service times share."""
+        return self.decision.service, self.decision.route
+
     @property
     def service(self) -> str:
         """The service that is called."""
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -27,6 +27,7 @@
     select_endpoint,
     select_ready,
 )
+from bilberry_proxy.service_time import ServiceTimes
 
 _log = getLogger(__name__)
 
@@ -55,6 +56,7 @@
         self._clock = clock
         self._random = random
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
+        self.service_times = ServiceTimes()
         self._budgets: dict[str, RetryBudget] = {}
         self._balancers: dict[tuple[str, str], Balancer] = {}
         self._ready: dict[str, tuple[Route, tuple[Candidate, ...]]] = {}
