Bound log lines, name requests in them, and serve metrics as text

Cause: on-call engineers have only logs and metrics; lines went to standard error without a bound or a request's id, and metrics to statsd only.

--- a/packages/bilberry_core/bilberry_core/logs.py
+++ b/packages/bilberry_core/bilberry_core/logs.py
@@ -2,7 +2,8 @@
 
 Each line has `time`, `level`, `module`, `event`, `instance` and the fields of
 its event. Lines are written in batches: waking a thread for every line costs
-a request more than the line itself.
+a request more than the line itself. Where the output is blocked, lines wait
+up to a bound and are then left out; nothing else ever waits for them.
 """
 
 from atexit import register as register_exit
@@ -16,12 +17,21 @@
 )
 from logging.handlers import QueueHandler, QueueListener
 from queue import Empty, SimpleQueue
-from time import sleep
+from sys import stdout
+from time import monotonic, sleep
 
 from msgspec.json import Encoder
 
+from bilberry_core.log_volume import VolumeLimit
+
+_log = getLogger(__name__)
+
 #: Time between two batches of lines, in seconds.
 BATCH_S = 0.05
+#: Time between two lines that tell how many were left out, in seconds.
+REPORT_S = 1.0
+#: Lines that wait while the output is blocked.
+MAX_WAITING_LINES = 10_000
 _STANDARD_FIELDS = frozenset(
     (
         *vars(LogRecord('', 0, '', 0, '', None, None)),
@@ -33,14 +43,19 @@
 
 
 def start_logs(instance: str, level: str, log_file: str) -> QueueListener:
-    """Sends every log line of this process to a file or standard error."""
-    sink: Handler = FileHandler(log_file) if log_file else StreamHandler()
+    """Sends the log lines of this process to a file or standard output."""
+    sink: Handler = StreamHandler(stdout)
+    if log_file:
+        sink = FileHandler(log_file)
     sink.setFormatter(JsonLineFormatter(instance))
     queue: SimpleQueue = SimpleQueue()
     root = getLogger()
     root.setLevel(level)
-    root.handlers = [_RecordQueueHandler(queue)]
-    listener = _BatchListener(queue, sink)
+    volume = VolumeLimit()
+    handler = _RecordQueueHandler(queue)
+    handler.addFilter(volume)
+    root.handlers = [handler]
+    listener = _BatchListener(queue, sink, volume)
     listener.start()
     register_exit(listener.stop)
     return listener
@@ -75,15 +90,36 @@
 class _BatchListener(QueueListener):
     """Takes records off the queue in batches."""
 
+    def __init__(
+        self,
+        queue: SimpleQueue,
+        sink: Handler,
+        volume: VolumeLimit,
+    ) -> None:
+        """Writes to `sink`; tells what `volume` leaves out."""
+        super().__init__(queue, sink)
+        self._volume = volume
+        self._next_report: float = 0
+
     def dequeue(self, block: bool) -> LogRecord:
         """Returns the next record, without waiting on the queue itself."""
         while block:
             try:
                 return self.queue.get_nowait()
             except Empty:
+                self._report()
                 sleep(BATCH_S)
         return self.queue.get_nowait()
 
+    def _report(self) -> None:
+        now = monotonic()
+        if now < self._next_report:
+            return
+        self._next_report = now + REPORT_S
+        left_out = self._volume.take_left_out()
+        if any(left_out.values()):
+            _log.warning('lines_left_out', extra=left_out)
+
     def stop(self) -> None:
         """Writes what waits and ends; does nothing the second time."""
         if self._thread is not None:
@@ -93,5 +129,9 @@
 class _RecordQueueHandler(QueueHandler):
     """Puts records on the queue unformatted; the sink formats them."""
 
+    def enqueue(self, record):
+        if self.queue.qsize() < MAX_WAITING_LINES:
+            super().enqueue(record)
+
     def prepare(self, record):
         return record
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/scrape.py
@@ -0,0 +1,103 @@
+"""Metrics of this process as text, for a scraper that asks for them.
+
+Counters, gauges and histograms are a library's; names of one family share a
+metric with a label, so that `request.failed.deadline` is a count of
+`bilberry_request_failed` with the label `kind`.
+"""
+
+from asyncio import Event
+from typing import Any
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from bilberry_core.endpoint import Address
+from bilberry_core.http import HttpRequest, HttpResponse, serve_http
+from bilberry_core.metric import Metrics
+
+#: Upper bounds of the buckets of durations, in seconds.
+BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+_MS_PER_S = 1000
+_FAMILY_PARTS = 2
+_PREFIX = 'bilberry'
+_TYPE = (b'content-type', b'text/plain; version=0.0.4; charset=utf-8')
+
+
+class ScrapedMetrics:
+    """Keeps metrics for a scraper, and passes them on to statsd."""
+
+    def __init__(self, forward: Metrics) -> None:
+        """Passes every metric on to `forward` too."""
+        self._forward = forward
+        self._registry = CollectorRegistry()
+        self._families: dict[str, Any] = {}
+
+    def incr(self, stat: str, count: int = 1) -> None:
+        """Adds to a counter."""
+        self._forward.incr(stat, count)
+        self._find(Counter, stat).inc(count)
+
+    def gauge(self, stat: str, value: float) -> None:
+        """Sets a gauge."""
+        self._forward.gauge(stat, value)
+        self._find(Gauge, stat).set(value)
+
+    def timing(self, stat: str, delta: float) -> None:
+        """Records a duration, in milliseconds."""
+        self._forward.timing(stat, delta)
+        self._find(Histogram, stat, buckets=BUCKETS_S).observe(
+            delta / _MS_PER_S,
+        )
+
+    def render(self) -> bytes:
+        """Returns every metric as text."""
+        return generate_latest(self._registry)
+
+    def _find(self, kind: type, stat: str, **options: Any) -> Any:
+        parts = stat.split('.', _FAMILY_PARTS)
+        family = '_'.join((_PREFIX, *parts[:_FAMILY_PARTS]))
+        known = self._families.get(family)
+        if known is None:
+            known = kind(
+                family,
+                f'{parts[0]}: {parts[-1]}',
+                ('kind',),
+                registry=self._registry,
+                **options,
+            )
+            self._families[family] = known
+        label = parts[_FAMILY_PARTS] if len(parts) > _FAMILY_PARTS else ''
+        return known.labels(label)
+
+
+class MetricsController:
+    """Serves the metrics of this process on an address of the settings."""
+
+    def __init__(self, metrics: ScrapedMetrics, address: Address) -> None:
+        """Serves nothing yet."""
+        self._metrics = metrics
+        self._address = address
+        self._stopping = Event()
+
+    async def run(self) -> None:
+        """Serves until `stop`."""
+        server = await serve_http(self._address, self.handle)
+        try:
+            await self._stopping.wait()
+        finally:
+            server.close()
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        self._stopping.set()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers a scraper."""
+        if request.method != 'GET':
+            return HttpResponse(405, ((b'allow', b'GET'),))
+        return HttpResponse(200, (_TYPE,), self._metrics.render())
--- a/packages/bilberry_core/bilberry_core/settings.py
+++ b/packages/bilberry_core/bilberry_core/settings.py
@@ -40,12 +40,15 @@
         Announcements of the upstream beside it (role proxy).
     `operators`
         Operators' HTTP interface.
+    `metrics`
+        Metrics as text, for a scraper.
     """
 
     streams: Address
     callers: Address | None = None
     upstream: Address | None = None
     operators: Address | None = None
+    metrics: Address | None = None
 
 
 class TimingSettings(NamedTuple):
--- a/packages/bilberry_core/bilberry_core/settings_file.py
+++ b/packages/bilberry_core/bilberry_core/settings_file.py
@@ -58,6 +58,7 @@
         'callers': Option('callers', _ADDRESS),
         'upstream': Option('upstream', _ADDRESS),
         'operators': Option('operators', _ADDRESS),
+        'metrics': Option('metrics', _ADDRESS),
     },
 )
 _PEER = Section(
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -5,6 +5,7 @@
 """
 
 from enum import IntEnum
+from logging import getLogger
 from typing import Protocol
 
 from bilberry_core.messages.call import (
@@ -20,7 +21,7 @@
 from bilberry_proxy.call import WINDOW_BYTES, AnswerReceiver
 from bilberry_proxy.dialect import HttpDialect
 from bilberry_proxy.held_answer import HeldAnswer
-from bilberry_proxy.http_headers import Headers
+from bilberry_proxy.http_headers import Headers, find_header
 from bilberry_proxy.request_upload import RequestUpload
 from bilberry_proxy.timers import Timer
 from bilberry_proxy.upstream_connection import UpstreamConnection
@@ -30,6 +31,8 @@
     is_declined,
 )
 
+_log = getLogger(__name__)
+
 #: When a caller whose request was in flight at a crash may come back, in
 #: milliseconds; by then every proxy knows of the crash.
 CRASH_RETRY_AFTER_MS = 1000
@@ -234,10 +237,10 @@
     def _start_reply(self, held: HeldAnswer, last: bool) -> None:
         if last and is_declined(held.status, held.headers, self._host.dialect):
             self._end()
+            load = self._host.measure_load()
+            self._log_failure(_DECLINED, load)
             self._answers.fail(
-                CallFailed(
-                    self.start.call, _DECLINED, self._host.measure_load()
-                ),
+                CallFailed(self.start.call, _DECLINED, load),
             )
             self._host.free_slot(self)
             return
@@ -291,10 +294,32 @@
     def _fail(self, failure: Failure, weight: int = 1) -> None:
         self._give_up()
         load = self._host.measure_load()
+        self._log_failure(failure, load)
         self._answers.fail(
             CallFailed(self.start.call, failure, load, weight),
         )
 
+    def _log_failure(self, failure: Failure, load: Load) -> None:
+        request_id = self._host.dialect.request_id
+        _log.info(
+            'call_failed',
+            extra={
+                'request': find_header(
+                    self.start.headers,
+                    request_id,
+                ).decode('latin-1'),
+                'service': self.start.service,
+                'upstream': self._host.upstream_id,
+                'code': failure.code.value,
+                'verdict': failure.verdict.value,
+                'detail': failure.detail,
+                'max_wait_ms': self.start.max_wait_ms,
+                'outstanding': load.outstanding,
+                'queued': load.queued,
+                'slots': load.slots,
+            },
+        )
+
     def _give_up(self) -> None:
         before = self._end()
         if before is Progress.QUEUED:
--- a/packages/bilberry_proxy/bilberry_proxy/caller_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_request.py
@@ -26,7 +26,8 @@
     """One request as its caller sent it, without its body.
 
     `deadline_ms` is 0 where the caller set none. `retried` tells that a
-    daemon nearer to the caller has spent retries on it already.
+    daemon nearer to the caller has spent retries on it already, and
+    `request_id` is the caller's own name of the request, empty for none.
     """
 
     method: bytes
@@ -37,6 +38,7 @@
     deadline_ms: int
     key: str
     retried: bool
+    request_id: str = ''
 
 
 def parse_caller_request(
@@ -78,6 +80,7 @@
             int(deadline or 0),
             key.decode('latin-1'),
             dialect.retried in found,
+            found.get(dialect.request_id, b'').decode('latin-1'),
         ),
     )
 
--- a/packages/bilberry_proxy/bilberry_proxy/decision_log.py
+++ b/packages/bilberry_proxy/bilberry_proxy/decision_log.py
@@ -82,7 +82,10 @@
     }
     plan = outcome.plan
     if plan is not None:
+        fields['request'] = plan.request.request_id
         fields['service'] = plan.service
+        fields['route'] = plan.decision.route
+        fields['deadline_ms'] = plan.request.deadline_ms
         fields['method'] = plan.request.method.decode('ascii')
         fields['version'] = plan.snapshot.version
         fields['exception'] = plan.decision.exception
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -15,6 +15,7 @@
 from bilberry_core.disk import Disk, SystemDisk
 from bilberry_core.listener import StreamListener
 from bilberry_core.metric import open_metrics
+from bilberry_core.scrape import MetricsController, ScrapedMetrics
 from bilberry_core.settings import Role, Settings
 from bilberry_core.stream import Credentials
 from bilberry_operators.controller import OperatorsController
@@ -49,8 +50,12 @@
             self.board.traffic,
         )
         self.listener = StreamListener(self.credentials)
-        self.metrics = open_metrics(settings.statsd)
+        self.metrics = ScrapedMetrics(open_metrics(settings.statsd))
         self.controllers: list[Controller] = []
+        if settings.listen.metrics is not None:
+            self.controllers.append(
+                MetricsController(self.metrics, settings.listen.metrics),
+            )
         self.acceptor: ReplicaController | None = None
         self.announcements: AnnouncementController | None = None
         self.proxy: ProxyController | None = None
