Follow one request through logs, and show beliefs as metrics

bilberryctl follow reads JSON lines of several processes and prints the way of one request; the metrics address shows versions, replica, endpoints and bytes by purpose.

--- a/packages/bilberry_core/bilberry_core/scrape.py
+++ b/packages/bilberry_core/bilberry_core/scrape.py
@@ -6,6 +6,7 @@
 """
 
 from asyncio import Event
+from collections.abc import Callable
 from typing import Any
 
 from prometheus_client import (
@@ -78,8 +79,14 @@
 class MetricsController:
     """Serves the metrics of this process on an address of the settings."""
 
-    def __init__(self, metrics: ScrapedMetrics, address: Address) -> None:
-        """Serves nothing yet."""
+    def __init__(
+        self,
+        metrics: ScrapedMetrics,
+        address: Address,
+        refresh: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Serves nothing yet; calls `refresh` before each answer."""
+        self._refresh = refresh
         self._metrics = metrics
         self._address = address
         self._stopping = Event()
@@ -100,4 +107,5 @@
         """Answers a scraper."""
         if request.method != 'GET':
             return HttpResponse(405, ((b'allow', b'GET'),))
+        self._refresh()
         return HttpResponse(200, (_TYPE,), self._metrics.render())
--- a/packages/bilberryctl/bilberryctl/commands.py
+++ b/packages/bilberryctl/bilberryctl/commands.py
@@ -8,6 +8,7 @@
 
 from bilberryctl import change, local_file, view
 from bilberryctl.change import ChangeOptions, pick_author, pick_change_id
+from bilberryctl.follow import follow_request
 from bilberryctl.outcome import Outcome, UsageError
 from bilberryctl.session import CommonOptions, Session, parse_timeout
 
@@ -188,6 +189,15 @@
             ),
         )
 
+    def follow(self, request: str, *files: str) -> Invocation:
+        """Shows the way of one request, from log lines of several processes.
+
+        Args:
+            request: The caller's name of the request.
+            files: Files with log lines; standard input if none is given.
+        """
+        return self._invoke(lambda _: follow_request(str(request), files))
+
     def remove_replica(self, instance: str) -> Invocation:
         """Removes a replica that is gone for good.
 
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -26,6 +26,7 @@
 from bilberry_spread.relay import RelayController
 from bilberry_spread.subscriber import SubscriberController
 
+from bilberryd.board_metrics import BoardMetrics
 from bilberryd.daemon import Controller, Daemon
 
 #: Roles whose daemons tell others what was accepted: a replica tells relays.
@@ -53,8 +54,13 @@
         self.metrics = ScrapedMetrics(open_metrics(settings.statsd))
         self.controllers: list[Controller] = []
         if settings.listen.metrics is not None:
+            shown = BoardMetrics(self.board, self.clock, self.metrics)
             self.controllers.append(
-                MetricsController(self.metrics, settings.listen.metrics),
+                MetricsController(
+                    self.metrics,
+                    settings.listen.metrics,
+                    shown.refresh,
+                ),
             )
         self.acceptor: ReplicaController | None = None
         self.announcements: AnnouncementController | None = None
--- /dev/null
+++ b/packages/bilberryd/bilberryd/board_metrics.py
@@ -0,0 +1,57 @@
+"""Metrics of what a daemon believes, read from its blackboard."""
+
+from collections import Counter
+
+from bilberry_core.board import Board
+from bilberry_core.clock import Clock
+from bilberry_core.metric import Metrics
+
+_LEADER = 'leader'
+
+
+class BoardMetrics:
+    """Sets gauges from the blackboard when a scraper asks."""
+
+    def __init__(self, board: Board, clock: Clock, metrics: Metrics) -> None:
+        """Has told nothing yet."""
+        self._board = board
+        self._clock = clock
+        self._metrics = metrics
+
+    def refresh(self) -> None:
+        """Sets every gauge to what holds now."""
+        self._show_versions()
+        self._show_replica()
+        self._show_endpoints()
+        for purpose, reading in self._board.traffic.read().items():
+            self._metrics.gauge(f'bytes.sent.{purpose}', reading.sent)
+            self._metrics.gauge(f'bytes.received.{purpose}', reading.received)
+
+    def _show_versions(self) -> None:
+        board = self._board
+        snapshot = board.snapshot.value
+        accepted = board.accepted.value
+        stale_since = board.stale_since.value
+        stale_s = 0.0
+        if stale_since is not None:
+            stale_s = self._clock.now() - stale_since
+        running = snapshot.version if snapshot else 0
+        known = accepted.version if accepted else 0
+        self._metrics.gauge('version.running', running)
+        self._metrics.gauge('version.accepted', known)
+        self._metrics.gauge('version.stale_seconds', stale_s)
+
+    def _show_replica(self) -> None:
+        status = self._board.replica.value
+        if status is None:
+            return
+        self._metrics.gauge('replica.term', status.term)
+        self._metrics.gauge('replica.commit', status.commit)
+        self._metrics.gauge('replica.leads', int(status.role == _LEADER))
+        self._metrics.gauge('replica.members', len(status.members))
+
+    def _show_endpoints(self) -> None:
+        endpoints = self._board.endpoints.value.values()
+        states = Counter(endpoint.state.value for endpoint in endpoints)
+        for state, count in states.items():
+            self._metrics.gauge(f'endpoints.known.{state}', count)
--- /dev/null
+++ b/tests/bilberry_core/test_log_volume.py
@@ -0,0 +1,51 @@
+"""The volume of log lines under load."""
+
+from logging import INFO, LogRecord
+
+from bilberry_core.log_volume import (
+    NOTABLE_RATE,
+    ROUTINE_EVENT,
+    ROUTINE_RATE,
+    VolumeLimit,
+)
+from testtools import TestCase
+
+
+class VolumeLimitTest(TestCase):
+    """Lines by rate."""
+
+    def setUp(self):
+        """Starts a limit whose time stands still."""
+        super().setUp()
+        self.now = 0.0
+        self.limit = VolumeLimit(lambda: self.now)
+
+    def write(self, count: int, event: str = ROUTINE_EVENT, **fields) -> int:
+        """Offers lines; returns how many are written."""
+        record = LogRecord('module', INFO, '', 0, event, None, None)
+        vars(record).update(fields)
+        return sum(self.limit.filter(record) for _ in range(count))
+
+    def test_flood_of_answers_leaves_room_for_failures(self):
+        """Failures have a rate of their own."""
+        self.assertEqual(ROUTINE_RATE, self.write(9999))
+        self.assertEqual(100, self.write(100, code='overloaded'))
+        self.assertEqual(100, self.write(100, event='version_running'))
+
+    def test_flood_of_failures_is_bounded_and_told(self):
+        """What is left out is counted once."""
+        self.assertEqual(NOTABLE_RATE, self.write(9999, code='overloaded'))
+        left_out = {'routine': 0, 'notable': 9999 - NOTABLE_RATE}
+        self.assertEqual(left_out, self.limit.take_left_out())
+        self.assertEqual(
+            {'routine': 0, 'notable': 0},
+            self.limit.take_left_out(),
+        )
+
+    def test_time_gives_lines_back(self):
+        """Up to one second's worth."""
+        self.write(9999)
+        self.now = 0.5
+        self.assertEqual(ROUTINE_RATE // 2, self.write(9999))
+        self.now = 60.0
+        self.assertEqual(ROUTINE_RATE, self.write(9999))
