--- a/packages/bilberry_proxy/bilberry_proxy/split.py
+++ b/packages/bilberry_proxy/bilberry_proxy/split.py
@@ -27,5 +27,5 @@
         for service, weight in targets:
             turns[service] += weight
         chosen = max(turns, key=turns.__getitem__)
-        turns[chosen] -= sum(weight for _, weight in targets)
+        turns[chosen] -= sum(target.weight for target in targets)
         return chosen
--- /dev/null
+++ b/packages/bilberry_spread/bilberry_spread/mesh_set.py
@@ -0,0 +1,68 @@
+"""The streams to the relays that belong to the fleet now."""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from bilberry_core.settings import Peer, Settings
+
+from bilberry_spread.edges import Edges
+from bilberry_spread.mesh import MeshPeer
+
+
+class MeshSet:
+    """The other relays, by instance."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        edges: Edges,
+        receive: Callable[[Peer, Any], None],
+    ) -> None:
+        """Starts with none; hands each message to `receive`."""
+        self._settings = settings
+        self._edges = edges
+        self._receive = receive
+        self._peers: dict[str, MeshPeer] = {}
+
+    def __iter__(self) -> Iterator[MeshPeer]:
+        """Returns the relays."""
+        return iter(self._peers.values())
+
+    def find(self, instance: str) -> MeshPeer | None:
+        """Returns the relay of this name."""
+        return self._peers.get(instance)
+
+    def keep(self, peers: tuple[Peer, ...]) -> tuple[str, ...]:
+        """Keeps streams to these relays; returns those that are dropped."""
+        wanted = {
+            peer.instance: peer
+            for peer in peers
+            if peer.instance != self._settings.instance
+        }
+        dropped = tuple(
+            instance
+            for instance, kept in self._peers.items()
+            if instance not in wanted
+            or wanted[instance].address != kept.peer.address
+        )
+        for instance in dropped:
+            self._peers.pop(instance).stop()
+        for instance, peer in wanted.items():
+            if instance not in self._peers:
+                self._peers[instance] = MeshPeer(
+                    peer,
+                    self._settings,
+                    self._edges,
+                    self._receive,
+                )
+        return dropped
+
+    def tick(self) -> None:
+        """Does what is due now."""
+        for peer in self:
+            peer.tick()
+
+    def stop(self) -> None:
+        """Ends every stream."""
+        for peer in self:
+            peer.stop()
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -25,7 +25,7 @@
 from bilberry_spread.broadcast import Broadcast
 from bilberry_spread.edges import Edges, Link, open_edges
 from bilberry_spread.members import list_replicas
-from bilberry_spread.mesh import MeshPeer
+from bilberry_spread.mesh_set import MeshSet
 from bilberry_spread.relay_source import RelaySource
 from bilberry_spread.reports import apply_report
 from bilberry_spread.staleness import BeaconWatch
@@ -54,8 +54,8 @@
         self._board = board
         self._edges = edges
         self._broadcast = Broadcast(settings, board, edges, self._wake)
-        self._mesh: dict[str, MeshPeer] = {}
-        self._keep_mesh(find_mesh(settings))
+        self._mesh = MeshSet(settings, edges, self._receive)
+        self._mesh.keep(find_mesh(settings))
         self._source: RelaySource | None = None
         if Role.REPLICA not in settings.roles:
             self._source = RelaySource(settings, board, self._broadcast, edges)
@@ -100,8 +100,7 @@
         self._edges.dialer.close()
         self._broadcast.flush()
         self._broadcast.receivers.stop()
-        for peer in self._mesh.values():
-            peer.stop()
+        self._mesh.stop()
         if self._source is not None:
             self._source.attachment.stop()
 
@@ -119,8 +118,7 @@
     def tick(self) -> None:
         """Does what is due now."""
         self._note_pause()
-        for peer in self._mesh.values():
-            peer.tick()
+        self._mesh.tick()
         if self._source is None:
             self._beacons.tick()
         else:
@@ -136,43 +134,18 @@
 
     def _follow_members(self, epoch: ClaimEpoch | None) -> None:
         peers = list_replicas(epoch)
-        if peers:
-            own = self._settings.instance
-            self._keep_mesh(
-                tuple(peer for peer in peers if peer.instance != own),
-            )
-
-    def _keep_mesh(self, peers: tuple[Peer, ...]) -> None:
-        wanted = {peer.instance: peer for peer in peers}
-        for instance, kept in tuple(self._mesh.items()):
-            if wanted.get(instance, kept.peer).address != kept.peer.address:
-                self._drop_peer(instance)
-            elif instance not in wanted:
-                self._drop_peer(instance)
-        for instance, peer in wanted.items():
-            if instance not in self._mesh:
-                self._mesh[instance] = MeshPeer(
-                    peer,
-                    self._settings,
-                    self._edges,
-                    self._receive,
-                )
-
-    def _drop_peer(self, instance: str) -> None:
-        self._mesh.pop(instance).stop()
-        self._broadcast.directory.start_leases_of(
-            instance,
-            self._edges.clock.now(),
-        )
+        now = self._edges.clock.now()
+        for dropped in self._mesh.keep(peers) if peers else ():
+            self._broadcast.directory.start_leases_of(dropped, now)
 
     def _wake(self, instance: str) -> None:
-        peer = self._mesh.get(instance)
+        peer = self._mesh.find(instance)
         if peer is not None:
             peer.wake()
 
     def _receive(self, peer: Peer, received: Any) -> None:
         if isinstance(received, EndpointUpdate):
-            mesh_peer = self._mesh.get(peer.instance)
+            mesh_peer = self._mesh.find(peer.instance)
             if mesh_peer is None:
                 return
             is_whole = not mesh_peer.is_synced
@@ -207,7 +180,7 @@
     def _end_leases(self) -> None:
         now = self._edges.clock.now()
         directory = self._broadcast.directory
-        for peer in self._mesh.values():
+        for peer in self._mesh:
             if not peer.is_open:
                 directory.start_leases_of(peer.peer.instance, now)
         ended = directory.expire(now, mine_only=self._is_stale)
--- a/packages/bilberryd/bilberryd/board_metrics.py
+++ b/packages/bilberryd/bilberryd/board_metrics.py
@@ -32,7 +32,7 @@
         snapshot = board.snapshot.value
         accepted = board.accepted.value
         stale_since = board.stale_since.value
-        stale_s = 0.0
+        stale_s: float = 0
         if stale_since is not None:
             stale_s = self._clock.now() - stale_since
         running = snapshot.version if snapshot else 0
--- a/tests/bilberry_core/test_log_volume.py
+++ b/tests/bilberry_core/test_log_volume.py
@@ -17,7 +17,7 @@
     def setUp(self):
         """Starts a limit whose time stands still."""
         super().setUp()
-        self.now = 0.0
+        self.now: float = 0
         self.limit = VolumeLimit(lambda: self.now)
 
     def write(self, count: int, event: str = ROUTINE_EVENT, **fields) -> int:
--- a/tests/bilberry_replica/test_member.py
+++ b/tests/bilberry_replica/test_member.py
@@ -94,6 +94,10 @@
 def _name(holders: tuple) -> tuple[str, ...]:
     return tuple(holder.instance for holder in holders)
 
+
+class LeastQuorumTest(TestCase):
+    """Memberships that name a least quorum."""
+
     def test_quorum_is_never_below_the_least(self):
         """What is accepted lies on one disk more than may be lost."""
         membership = found([build_member(name) for name in 'abc'], 3)
