--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -5,7 +5,6 @@
 """
 
 from enum import IntEnum
-from logging import getLogger
 from typing import Protocol
 
 from bilberry_core.messages.call import (
@@ -19,9 +18,10 @@
 from h11 import LocalProtocolError
 
 from bilberry_proxy.call import WINDOW_BYTES, AnswerReceiver
+from bilberry_proxy.call_log import log_failure
 from bilberry_proxy.dialect import HttpDialect
 from bilberry_proxy.held_answer import HeldAnswer
-from bilberry_proxy.http_headers import Headers, find_header
+from bilberry_proxy.http_headers import Headers
 from bilberry_proxy.request_upload import RequestUpload
 from bilberry_proxy.timers import Timer
 from bilberry_proxy.upstream_connection import UpstreamConnection
@@ -31,8 +31,6 @@
     is_declined,
 )
 
-_log = getLogger(__name__)
-
 #: When a caller whose request was in flight at a crash may come back, in
 #: milliseconds; by then every proxy knows of the crash.
 CRASH_RETRY_AFTER_MS = 1000
@@ -145,10 +143,6 @@
         if self.progress is not Progress.ENDED:
             self._give_up()
 
-    @property
-    def _waited_us(self) -> int:
-        return int((self.dispatched_at - self.opened_at) * _US_PER_S)
-
     # The admitter's side.
 
     def fail(
@@ -227,7 +221,9 @@
         """Passes more of the answer on, once it may begin."""
         held = self._held_answer
         if held is None:
-            self._continue_reply(body, last)
+            chunk = ReplyChunk(self.start.call, body, last)
+            self._answers.continue_reply(chunk)
+            self._spend(len(body), last)
             return
         held.add(body)
         if last or held.is_long:
@@ -238,7 +234,7 @@
         if last and is_declined(held.status, held.headers, self._host.dialect):
             self._end()
             load = self._host.measure_load()
-            self._log_failure(_DECLINED, load)
+            log_failure(self.start, _DECLINED, load, self._host)
             self._answers.fail(
                 CallFailed(self.start.call, _DECLINED, load),
             )
@@ -246,21 +242,18 @@
             return
         self.progress = Progress.ANSWERED
         body = held.body
+        waited_us = int((self.dispatched_at - self.opened_at) * _US_PER_S)
         reply = ReplyStart(
             self.start.call,
             held.status,
             held.headers,
             body,
             last,
-            self._host.measure_load()._replace(waited_us=self._waited_us),
+            self._host.measure_load()._replace(waited_us=waited_us),
         )
         self._answers.start_reply(reply)
         self._spend(len(body), last)
 
-    def _continue_reply(self, body: bytes, last: bool) -> None:
-        self._answers.continue_reply(ReplyChunk(self.start.call, body, last))
-        self._spend(len(body), last)
-
     def take_broken(self, code: FailureCode, detail: str) -> None:
         """Fails the call: the connection ended before the answer did."""
         if code is FailureCode.UPSTREAM_MALFORMED:
@@ -294,32 +287,11 @@
     def _fail(self, failure: Failure, weight: int = 1) -> None:
         self._give_up()
         load = self._host.measure_load()
-        self._log_failure(failure, load)
+        log_failure(self.start, failure, load, self._host)
         self._answers.fail(
             CallFailed(self.start.call, failure, load, weight),
         )
 
-    def _log_failure(self, failure: Failure, load: Load) -> None:
-        request_id = self._host.dialect.request_id
-        _log.info(
-            'call_failed',
-            extra={
-                'request': find_header(
-                    self.start.headers,
-                    request_id,
-                ).decode('latin-1'),
-                'service': self.start.service,
-                'upstream': self._host.upstream_id,
-                'code': failure.code.value,
-                'verdict': failure.verdict.value,
-                'detail': failure.detail,
-                'max_wait_ms': self.start.max_wait_ms,
-                'outstanding': load.outstanding,
-                'queued': load.queued,
-                'slots': load.slots,
-            },
-        )
-
     def _give_up(self) -> None:
         before = self._end()
         if before is Progress.QUEUED:
--- a/packages/bilberry_proxy/bilberry_proxy/attempt.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt.py
@@ -24,10 +24,6 @@
 class AttemptOwner(Protocol):
     """The request that an attempt belongs to."""
 
-    @property
-    def now(self) -> float:
-        """Monotonic time, in seconds."""
-
     def take_reply(self, attempt: 'Attempt', reply: ReplyStart) -> None:
         """Takes the start of the answer."""
 
@@ -54,6 +50,7 @@
         'started_at',
         'weight',
         'reported',
+        'reported_alive',
     )
 
     def __init__(
@@ -68,6 +65,7 @@
         self.ended = False
         self.began = False
         self.weight = 0
+        self.reported_alive = False
         self.reported: Load | None = None
         self.started_at = started_at
         self._owner = owner
@@ -76,7 +74,7 @@
 
     def is_endpoint_alive(self, since: float) -> bool:
         """Tells whether the endpoint has answered anything since then."""
-        return max(self._load.seen_at, self._load.alive_at) > since
+        return self.reported_alive or self._load.seen_at > since
 
     def open(self, target: CallTarget, start: CallStart) -> None:
         """Opens the call."""
@@ -102,7 +100,7 @@
 
     def report_alive(self) -> None:
         """Takes in that the upstream answers."""
-        self._load.alive_at = self._owner.now
+        self.reported_alive = True
 
     def cancel(self) -> None:
         """Ends the attempt without an answer."""
--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -7,15 +7,12 @@
 """
 
 from asyncio import Protocol, Transport
-from collections import deque
 from collections.abc import Callable
 
-from bilberry_core.verdict import Failure, FailureCode, Verdict
 from h11 import RemoteProtocolError, Request
 
-from bilberry_proxy.caller_turn import CallerTurn
+from bilberry_proxy.caller_turn import CallerTurn, TurnQueue
 from bilberry_proxy.exchange import Exchange
-from bilberry_proxy.failure_answer import build_failure_answer
 from bilberry_proxy.http_events import EventBatch
 
 #: Bytes of later requests that a caller may send ahead.
@@ -46,7 +43,7 @@
         self._connections = connections
         self._may_overtake = may_overtake
         self._transport: Transport | None = None
-        self._turns: deque[CallerTurn] = deque()
+        self._turns = TurnQueue()
         self._reading_events = False
         self._idle_since: float | None = None
 
@@ -71,21 +68,21 @@
     def resume_writing(self) -> None:
         """Called by the event loop when the caller has caught up."""
         self.is_writable = True
-        for exchange in self._list_exchanges():
+        for exchange in self._turns.exchanges:
             exchange.resume_answer()
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Called by the event loop."""
         self._transport = None
         self._connections.discard(self)
-        self._cancel_all()
+        self._turns.cancel()
 
     def expire_idle(self, now: float) -> None:
         """Ends the connection where no request has come for long.
 
         `now` is monotonic time, in seconds.
         """
-        if self._list_exchanges() or self._idle_since is None:
+        if self._turns.exchanges or self._idle_since is None:
             self._idle_since = now
         elif now - self._idle_since > MAX_IDLE_S and self._transport:
             self._transport.close()
@@ -117,11 +114,7 @@
         """Ends the connection at once, so that an answer is seen to be cut."""
         if self._transport is not None:
             self._transport.abort()
-        self._cancel_all()
-
-    def cut_answer(self) -> None:
-        """Ends the connection, whatever is under way."""
-        self.cut()
+        self._turns.cancel()
 
     def control_reading(self, wanted: bool) -> None:
         """Reads more of the caller's bytes, or waits with that."""
@@ -137,7 +130,7 @@
         answered = self._turns.popleft()
         closes = self.is_draining and not self._turns
         if closes or not answered.is_reusable:
-            self._cancel_all()
+            self._turns.cancel()
             if self._transport is not None:
                 self._transport.close()
             return False
@@ -162,7 +155,8 @@
             while self._turns and self._read_turn(self._turns[-1]):
                 """Reads on while there is something at hand."""
         except RemoteProtocolError as error:
-            self._refuse(self._turns[-1], error)
+            self.is_draining = True
+            self._turns[-1].refuse(error)
         finally:
             self._reading_events = False
         if self._turns and len(self._turns[-1].trailing) > MAX_AHEAD_BYTES:
@@ -179,7 +173,7 @@
             return False
         if batch.start is not None:
             return self._begin(turn, batch)
-        self._feed(turn, batch)
+        turn.feed(batch)
         return turn.is_read
 
     def _read_ahead(self, turn: CallerTurn) -> bool:
@@ -195,42 +189,6 @@
         if not is_first and not self._may_overtake(batch.start):
             return False
         turn.start = None
-        turn.exchange = self._build_exchange(turn)
         self._idle_since = None
-        if not batch.last:
-            turn.send_continue()
-        turn.exchange.begin(batch.start)
-        self._feed(turn, batch)
+        turn.begin(self._build_exchange(turn), batch)
         return True
-
-    def _feed(self, turn: CallerTurn, batch: EventBatch) -> None:
-        if turn.exchange is not None and (batch.body or batch.last):
-            turn.exchange.feed(batch.body, batch.last)
-
-    def _list_exchanges(self) -> list[Exchange]:
-        exchanges = [turn.exchange for turn in self._turns]
-        return [exchange for exchange in exchanges if exchange is not None]
-
-    def _cancel_all(self) -> None:
-        exchanges = self._list_exchanges()
-        self._turns.clear()
-        for exchange in exchanges:
-            exchange.caller_gone()
-
-    def _refuse(self, turn: CallerTurn, error: RemoteProtocolError) -> None:
-        if turn.exchange is not None:
-            self.cut()
-            return
-        failure = Failure(
-            Verdict.NOT_RUN,
-            FailureCode.BAD_REQUEST,
-            str(error),
-        )
-        answer = build_failure_answer(failure)
-        self.is_draining = True
-        turn.start_answer(
-            answer.status,
-            answer.headers,
-            answer.body,
-            last=True,
-        )
--- a/packages/bilberry_proxy/bilberry_proxy/caller_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_server.py
@@ -61,7 +61,7 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self._connections):
-            connection.cut_answer()
+            connection.cut()
 
     def _accept(self) -> CallerConnection:
         connection = CallerConnection(
--- a/packages/bilberry_proxy/bilberry_proxy/caller_turn.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_turn.py
@@ -4,17 +4,21 @@
 own framing and exchange; what is written before its turn is kept back.
 """
 
+from collections import deque
 from typing import Protocol
 
+from bilberry_core.verdict import Failure, FailureCode, Verdict
 from h11 import (
     DONE,
     SERVER,
     Connection,
     LocalProtocolError,
+    RemoteProtocolError,
     Response,
 )
 
 from bilberry_proxy.exchange import Exchange
+from bilberry_proxy.failure_answer import build_failure_answer
 from bilberry_proxy.http_events import (
     EventBatch,
     encode_continue,
@@ -96,10 +100,6 @@
         self.is_read = self.is_read or batch.last
         return batch
 
-    def send_continue(self) -> None:
-        """Lets a caller that waits for it send its body."""
-        self._write_raw(encode_continue(self._http))
-
     def become_head(self) -> None:
         """Sends what was kept back: the answers before are complete."""
         self._is_head = True
@@ -108,6 +108,38 @@
         if held:
             self._owner.write(held)
 
+    def begin(self, exchange: Exchange, batch: EventBatch) -> None:
+        """Begins the exchange of a request that has started."""
+        self.start = None
+        self.exchange = exchange
+        if not batch.last:
+            self._write_raw(encode_continue(self._http))
+        exchange.begin(batch.start)
+        self.feed(batch)
+
+    def feed(self, batch: EventBatch) -> None:
+        """Passes more of the request's body on."""
+        if self.exchange is not None and (batch.body or batch.last):
+            self.exchange.feed(batch.body, batch.last)
+
+    def refuse(self, error: RemoteProtocolError) -> None:
+        """Answers bytes that are no request, and ends the connection."""
+        if self.exchange is not None:
+            self._owner.cut()
+            return
+        failure = Failure(
+            Verdict.NOT_RUN,
+            FailureCode.BAD_REQUEST,
+            str(error),
+        )
+        answer = build_failure_answer(failure)
+        self.start_answer(
+            answer.status,
+            answer.headers,
+            answer.body,
+            last=True,
+        )
+
     # The exchange's side.
 
     def start_answer(
@@ -160,6 +192,23 @@
             self._held.append(raw)
 
 
+class TurnQueue(deque[CallerTurn]):
+    """The turns of one connection, the one that is answered next first."""
+
+    @property
+    def exchanges(self) -> list[Exchange]:
+        """The exchanges under way."""
+        exchanges = [turn.exchange for turn in self]
+        return [exchange for exchange in exchanges if exchange is not None]
+
+    def cancel(self) -> None:
+        """Ends every turn: nobody waits for the answers."""
+        exchanges = self.exchanges
+        self.clear()
+        for exchange in exchanges:
+            exchange.caller_gone()
+
+
 def _needs_length(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
     if status in _BODILESS_STATUSES:
         return False
--- a/packages/bilberry_proxy/bilberry_proxy/context.py
+++ b/packages/bilberry_proxy/bilberry_proxy/context.py
@@ -14,7 +14,6 @@
 from bilberry_proxy.pressure import Pressure
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
-from bilberry_proxy.split import TrafficSplit
 from bilberry_proxy.suspicion import Suspicion
 from bilberry_proxy.timers import TimerWheel
 
@@ -26,6 +25,23 @@
         """Returns the target of the daemon beside the endpoint."""
 
 
+class ProxyOptions(NamedTuple):
+    """What a proxy may be given besides its settings.
+
+    `dialect`
+        The header names of its callers and its upstream.
+    `service`
+        The service of the upstream beside it, told to upstreams that it calls.
+    `fleet_retry_burst`
+        Retries of each service that all proxies together may make at once,
+        beyond their share of requests; 0 gives each its own.
+    """
+
+    dialect: HttpDialect = OWN_DIALECT
+    service: str = ''
+    fleet_retry_burst: int = 0
+
+
 class ProxyContext(NamedTuple):
     """The parts of a proxy that a request needs.
 
@@ -48,6 +64,5 @@
     claims: Claims | None
     tasks: set[Task]
     running: set[object]
-    split: TrafficSplit
     dialect: HttpDialect = OWN_DIALECT
     service: str = ''
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -2,7 +2,7 @@
 
 from asyncio import sleep
 from logging import getLogger
-from typing import NamedTuple, Self
+from typing import Self
 
 from bilberry_core.board import Board, Phase
 from bilberry_core.claim import Claims
@@ -19,13 +19,11 @@
 from bilberry_proxy.call_server import CallServer
 from bilberry_proxy.call_streams import CallStreams
 from bilberry_proxy.caller_server import CallerServer
-from bilberry_proxy.context import ProxyContext
-from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
+from bilberry_proxy.context import ProxyContext, ProxyOptions
 from bilberry_proxy.objection import find_objection
 from bilberry_proxy.pressure import Pressure
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
-from bilberry_proxy.split import TrafficSplit
 from bilberry_proxy.suspicion import Suspicion
 from bilberry_proxy.timers import TICK_S, TimerWheel
 
@@ -38,23 +36,6 @@
 LEAST_PROXIES = 16
 
 
-class ProxyOptions(NamedTuple):
-    """What a proxy may be given besides its settings.
-
-    `dialect`
-        The header names of its callers and its upstream.
-    `service`
-        The service of the upstream beside it, told to upstreams that it calls.
-    `fleet_retry_burst`
-        Retries of each service that all proxies together may make at once,
-        beyond their share of requests; 0 gives each its own.
-    """
-
-    dialect: HttpDialect = OWN_DIALECT
-    service: str = ''
-    fleet_retry_burst: int = 0
-
-
 class ProxyController:
     """Routes callers' requests and admits calls to the upstream here."""
 
@@ -119,7 +100,6 @@
             claims=claims,
             tasks=set(),
             running=set(),
-            split=TrafficSplit(),
             dialect=options.dialect,
             service=options.service,
         )
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -82,11 +82,6 @@
             self._fail_without_endpoint,
         )
 
-    @property
-    def now(self) -> float:
-        """Monotonic time, in seconds."""
-        return self._context.clock.now()
-
     @property
     def verdict(self) -> Verdict:
         """Whether an upstream may have run the request, as of now."""
--- a/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
+++ b/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
@@ -39,7 +39,6 @@
     """One endpoint as this proxy sees it."""
 
     __slots__ = (
-        'alive_at',
         'ejected_until',
         'ejections',
         'failures',
@@ -59,7 +58,6 @@
         self.latency_us = _INITIAL_LATENCY_US
         self.reported = 0
         self.seen_at: float = 0
-        self.alive_at: float = 0
         self.reported_at: float = 0
         self.service_us = 0
         self.shed_rank = 0
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -89,7 +89,7 @@
                 context.board.snapshot.value,
                 now,
                 context.claims is not None,
-                context.split.pick,
+                context.router.split.pick,
             ),
         )
         if isinstance(planned, Success):
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
@@ -27,7 +27,11 @@
     find_header,
     select_answer_headers,
 )
-from bilberry_proxy.upstream_request import UpstreamRequest, frame_request
+from bilberry_proxy.upstream_request import (
+    UpstreamRequest,
+    frame_request,
+    is_stray,
+)
 
 _BODILESS_STATUSES = frozenset((204, 304))
 
@@ -205,7 +209,11 @@
             if not self._has_length and not self._dialect.close_delimited:
                 self._break('the answer has no length')
                 return
-            self._is_stray = self._belongs_elsewhere(headers)
+            self._is_stray = is_stray(
+                self._request,
+                headers,
+                self._dialect,
+            )
         if self._is_stray:
             self._skip_stray(batch.last)
             return
@@ -221,12 +229,6 @@
         elif not batch.is_empty:
             receiver.take_body(batch.body, batch.last)
 
-    def _belongs_elsewhere(self, headers: Headers) -> bool:
-        request_id = self._request.request_id
-        if not request_id:
-            return False
-        return find_header(headers, self._dialect.request_id) != request_id
-
     def _skip_stray(self, last: bool) -> None:
         """Passes over a late answer to an earlier request, and reads on."""
         if not last:
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_request.py
@@ -95,3 +95,14 @@
         if not find_header(headers, dialect.signature):
             return 'the answer does not bear the signature of its upstream'
     return ''
+
+
+def is_stray(
+    request: UpstreamRequest,
+    headers: Headers,
+    dialect: HttpDialect,
+) -> bool:
+    """Tells whether an answer names another request than the one sent."""
+    if not request.request_id:
+        return False
+    return find_header(headers, dialect.request_id) != request.request_id
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -20,7 +20,8 @@
 from bilberry_core.stream import Credentials
 from bilberry_operators.controller import OperatorsController
 from bilberry_proxy.announcement import AnnouncementController
-from bilberry_proxy.controller import ProxyController, ProxyOptions
+from bilberry_proxy.context import ProxyOptions
+from bilberry_proxy.controller import ProxyController
 from bilberry_replica.controller import ReplicaController, ReplicaOptions
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
--- a/tests/bilberry_proxy/test_upstream_connection.py
+++ b/tests/bilberry_proxy/test_upstream_connection.py
@@ -216,7 +216,7 @@
     def test_answer_to_an_earlier_request_is_passed_over(self):
         """However the bytes of the two are cut."""
         raw = self.build(b'6', b'late') + self.build(b'7', b'mine')
-        for cut in range(len(raw)):
+        for cut, _ in enumerate(raw):
             exchange = self.begin().receive(raw[:cut], raw[cut:])
             self.assertEqual(
                 (True, b'mine'), (exchange.is_whole, exchange.body)
