--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -63,6 +63,9 @@
         if len(self._full) >= MAX_ASKED or selection.is_asked_again:
             self._is_last_resort = True
             selection = self._router.choose(route, plan.decision, tried)
+        elif self._full:
+            # Those without a slot can still be waited for.
+            selection = selection._replace(has_other=True)
         return Place(selection, self._limit_wait(plan, selection))
 
     def note_full(self, endpoint: Endpoint, load: Load) -> Failure | None:
--- a/tests/bilberry_platform/test_settings.py
+++ b/tests/bilberry_platform/test_settings.py
@@ -55,6 +55,13 @@
         self.assertEqual((True, 3), settings.founding)
         self.assertTrue(settings.discovers_relays)
 
+    def test_leader_is_replaced_within_a_second(self):
+        """Proxies that start wait for one; heartbeats come far more often."""
+        timing = build().timing
+        self.assertLessEqual(timing.election_ms * 2, 1200)
+        self.assertLess(timing.heartbeat_ms * 4, timing.election_ms)
+        self.assertLess(timing.beacon_ms * 2, timing.stale_ms)
+
     def test_only_a_seed_founds_and_only_at_the_first_start(self):
         """An empty disk later on waits to be taken in."""
         self.assertFalse(build(first='false').founding.allowed)
--- /dev/null
+++ b/tests/bilberry_proxy/test_placement.py
@@ -0,0 +1,110 @@
+"""Placement under load: near first, then free slots, then a bounded wait."""
+
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.messages.call import NO_WAIT_LIMIT_MS, Load
+from bilberry_core.policy import CallPolicy, Priority
+from bilberry_core.snapshot import Decision, Route, Snapshot
+from bilberry_core.verdict import FailureCode, Verdict
+from bilberry_proxy.caller_request import CallerRequest
+from bilberry_proxy.placement import Place, Placement
+from bilberry_proxy.plan import Plan
+from bilberry_proxy.router import Router
+from testtools import TestCase
+
+from tests.bilberry_proxy.test_selection import build_endpoint
+
+TARGET_MS = 200
+FULL = Load(12, 3, 12, 50_000)
+
+
+class StoppedClock:
+    """A clock that stands still."""
+
+    def now(self) -> float:
+        """Returns monotonic time, in seconds."""
+        return 100.0
+
+    def wall_ms(self) -> int:
+        """Returns wall clock time, in milliseconds."""
+        return 1_000_000
+
+
+class FirstChoice:
+    """Chance that always picks the first."""
+
+    def random(self) -> float:
+        """Returns the lowest number."""
+        return 0
+
+
+class PlacementTest(TestCase):
+    """The places of one request among two failure domains."""
+
+    def setUp(self):
+        """Builds a service with one endpoint near and two far away."""
+        super().setUp()
+        self.router = Router('me', 'one', StoppedClock(), FirstChoice())
+        self.placement = Placement(self.router)
+        self.endpoints = (
+            build_endpoint(1, failure_domain='one'),
+            build_endpoint(2, failure_domain='two'),
+            build_endpoint(3, failure_domain='two'),
+        )
+
+    def build_plan(self, priority: Priority = Priority.NORMAL) -> Plan:
+        """Returns the plan of a request."""
+        policy = CallPolicy(target_latency_ms=TARGET_MS, priority=priority)
+        request = CallerRequest(b'GET', b'/', 'a', '/', (), 0, '', False)
+        route = Route('callouts', (), self.endpoints)
+        snapshot = Snapshot(1, 1, b'', policy, {}, {'callouts': route})
+        decision = Decision('callouts', policy, '', '')
+        return Plan(request, snapshot, decision, 101, 101, 1, True, False)
+
+    def choose(self, **options) -> Place:
+        """Returns the next place."""
+        return self.placement.choose(self.build_plan(**options), [])
+
+    def fill(self, endpoint: Endpoint):
+        """Says that an endpoint has no slot."""
+        return self.placement.note_full(endpoint, FULL)
+
+    def test_near_endpoint_may_keep_a_call_waiting(self):
+        """For part of what the target latency leaves."""
+        place = self.choose()
+        self.assertEqual('node-1', place.selection.endpoint.instance)
+        self.assertTrue(0 < place.max_wait_ms < TARGET_MS)
+
+    def test_far_endpoints_are_asked_for_a_free_slot_only(self):
+        """A wait far away would cost bytes and time."""
+        self.assertIsNone(self.fill(self.endpoints[0]))
+        place = self.choose()
+        self.assertEqual('two', place.selection.endpoint.failure_domain)
+        self.assertEqual(0, place.max_wait_ms)
+        self.assertTrue(place.selection.has_other)
+
+    def test_request_waits_in_time_or_is_refused_when_all_are_full(self):
+        """It is told when to come back, and that it has not run."""
+        for endpoint in self.endpoints:
+            self.assertIsNone(self.fill(endpoint))
+        place = self.choose()
+        self.assertTrue(0 < place.max_wait_ms <= TARGET_MS)
+        refusal = self.fill(place.selection.endpoint)
+        self.assertEqual(
+            (Verdict.NOT_RUN, FailureCode.OVERLOADED),
+            (refusal.verdict, refusal.code),
+        )
+        self.assertGreater(refusal.retry_after_ms, 0)
+
+    def test_slow_route_leaves_less_time_to_wait(self):
+        """What could only be late does not take a slot."""
+        fast = self.choose().max_wait_ms
+        times = self.router.service_times
+        times.learn(self.build_plan().route_key, 0.1, 0)
+        self.assertLess(self.choose().max_wait_ms, fast)
+
+    def test_urgent_request_waits_as_long_as_its_time_allows(self):
+        """Refusing a call of a request under way wastes its work."""
+        for endpoint in self.endpoints:
+            self.fill(endpoint)
+        place = self.choose(priority=Priority.URGENT)
+        self.assertEqual(NO_WAIT_LIMIT_MS, place.max_wait_ms)
