--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -31,7 +31,7 @@
 #: When a caller may come back after a daemon could not be reached.
 UNREACHABLE_RETRY_AFTER_MS = 250
 #: Longest time to open a stream, in seconds.
-DIAL_TIMEOUT_S = 1.0
+DIAL_TIMEOUT_S = 0.5
 #: Time for which no call goes to a daemon that said goodbye, in seconds.
 GOODBYE_HOLD_S = 2.0
 #: Calls that may wait for a stream to open.
--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -32,6 +32,9 @@
 #: Share of the longest wait for which a request waits in its own failure domain
 #: before others are asked; bytes between domains are dear.
 NEAR_WAIT_SHARE = 0.6
+#: Share of the longest wait after which a refused request may come back: by
+#: then that part of the queues before it has gone.
+RETURN_SHARE = 0.5
 
 
 class Place(NamedTuple):
@@ -49,6 +52,7 @@
         self._router = router
         self._full: list[str] = []
         self._is_last_resort = False
+        self._longest_wait_ms = 0
 
     def choose(self, plan: Plan, tried: list[str]) -> Place | None:
         """Returns the next place; None where no endpoint is ready.
@@ -87,7 +91,10 @@
             Verdict.NOT_RUN,
             FailureCode.OVERLOADED,
             'no upstream has a slot in time',
-            suggest_retry_after_ms(occupancy),
+            max(
+                suggest_retry_after_ms(occupancy),
+                int(self._longest_wait_ms * RETURN_SHARE),
+            ),
         )
 
     def _limit_wait(self, plan: Plan, selection: Selection) -> int:
@@ -95,6 +102,7 @@
         service_s = self._router.service_times.estimate_s(plan.route_key)
         slack_ms = target_ms - service_s * MS_PER_S * SERVICE_MARGIN
         slack_ms = max(slack_ms, target_ms * LEAST_WAIT_SHARE)
+        self._longest_wait_ms = int(slack_ms)
         if self._is_last_resort:
             if plan.decision.policy.priority is Priority.URGENT:
                 return NO_WAIT_LIMIT_MS
