--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 export PYTHONHASHSEED := 0
 SEED ?= 0
 COUNT ?= 20000
+SEEDS ?= 50
 
-.PHONY: setup format lint unit test demo soak bench bench-acceptance \
+.PHONY: setup format lint unit test demo soak fault-soak bench bench-acceptance \
 	bench-spread bench-call bench-claim capacity plots
 
 setup: $(VENV)/.installed
@@ -22,13 +23,13 @@
 	touch $@
 
 format: setup
-	$(BIN)/ruff check --fix packages platform tests demo bench standin
-	$(BIN)/ruff format packages platform tests demo bench standin
+	$(BIN)/ruff check --fix packages platform tests demo bench soak standin
+	$(BIN)/ruff format packages platform tests demo bench soak standin
 
 lint: setup
-	$(BIN)/ruff format --check packages platform tests demo bench standin
-	$(BIN)/ruff check packages platform tests demo bench standin
-	$(BIN)/flake8 --jobs 4 packages platform tests demo bench standin
+	$(BIN)/ruff format --check packages platform tests demo bench soak standin
+	$(BIN)/ruff check packages platform tests demo bench soak standin
+	$(BIN)/flake8 --jobs 4 packages platform tests demo bench soak standin
 
 unit: setup
 	$(BIN)/python -m pytest -n 6
@@ -62,5 +63,8 @@
 	$(BIN)/python -m pip install -q -r requirements-plots.txt
 	$(BIN)/python -m bench.plots
 
+fault-soak: setup
+	$(BIN)/python -m soak --seed $(SEED) --count $(SEEDS)
+
 soak: setup
 	$(BIN)/python -m bench.soak --seed $(SEED) --count $(COUNT)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real daemons, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,43 @@
+"""Runs seeds of the soak one after the other; prints what each broke.
+
+`python -m soak --seed 1 --count 50 --seconds 20`; a seed that broke something
+keeps its folder with settings, logs and records.
+"""
+
+from argparse import ArgumentParser
+from asyncio import run
+from sys import exit as leave
+
+from soak.run import Report, run_seed
+
+_DEFAULT_S = 15.0
+
+
+def main() -> None:
+    """Runs the seeds that the command line names."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--count', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=_DEFAULT_S)
+    arguments = parser.parse_args()
+    failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.count):
+        report = run(run_seed(seed, arguments.seconds))
+        print(describe(report), flush=True)
+        failed += bool(report.broken)
+    print(f'{arguments.count} seeds, {failed} failed')
+    leave(bool(failed))
+
+
+def describe(report: Report) -> str:
+    """Returns a report for a person."""
+    head = f'seed {report.seed}: {report.answered} answered, '
+    faults = f'{len(report.faults)} faults'
+    if not report.broken:
+        return f'{head}{faults}, every promise held'
+    lines = [f'{head}{faults}', *report.broken, *report.faults]
+    return '\n    '.join(lines)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/soak/link.py
@@ -0,0 +1,124 @@
+"""A loopback proxy before one daemon, which can harm what passes.
+
+It knows nothing of what it carries: bytes are passed on, delayed, dropped one
+way or both ways, or the connections are reset.
+"""
+
+from asyncio import (
+    CancelledError,
+    IncompleteReadError,
+    Server,
+    StreamReader,
+    StreamWriter,
+    Task,
+    create_task,
+    gather,
+    open_connection,
+    sleep,
+    start_server,
+)
+from enum import StrEnum
+
+from bilberry_core.endpoint import Address
+
+_READ_BYTES = 65536
+#: Delay of each piece that passes a slow link, in seconds.
+DELAY_S = 0.2
+_ENDED = (OSError, IncompleteReadError)
+
+
+class LinkState(StrEnum):
+    """What happens to bytes on a link."""
+
+    OPEN = 'open'
+    SLOW = 'slow'
+    RESET = 'reset'
+    ONE_WAY = 'one_way'
+    SILENT = 'silent'
+
+
+class Link:
+    """Everything that other daemons dial to one daemon."""
+
+    def __init__(self, target: Address) -> None:
+        """Starts open."""
+        self.state = LinkState.OPEN
+        self._target = target
+        self._server: Server | None = None
+        self._writers: set[StreamWriter] = set()
+        self._tasks: set[Task] = set()
+
+    async def listen(self) -> Address:
+        """Starts to accept and returns where."""
+        self._server = await start_server(self._serve, '127.0.0.1', 0)
+        host, port = self._server.sockets[0].getsockname()
+        return Address(host, port)
+
+    def change(self, state: LinkState) -> None:
+        """Harms the link from now on, or mends it."""
+        self.state = state
+        if state is LinkState.RESET:
+            for writer in tuple(self._writers):
+                writer.transport.abort()
+
+    async def close(self) -> None:
+        """Ends every connection."""
+        if self._server is not None:
+            self._server.close()
+        self.change(LinkState.RESET)
+        for task in tuple(self._tasks):
+            task.cancel()
+        await gather(*self._tasks, return_exceptions=True)
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        if self.state is LinkState.RESET:
+            writer.transport.abort()
+            return
+        try:
+            inner, outer = await open_connection(*self._target)
+        except OSError:
+            writer.transport.abort()
+            return
+        for direction in (
+            self._pass_on(reader, outer, is_inbound=True),
+            self._pass_on(inner, writer, is_inbound=False),
+        ):
+            task = create_task(direction)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _pass_on(
+        self,
+        reader: StreamReader,
+        writer: StreamWriter,
+        *,
+        is_inbound: bool,
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while piece := await reader.read(_READ_BYTES):
+                await self._write(writer, piece, is_inbound=is_inbound)
+        except _ENDED:
+            writer.transport.abort()
+        except CancelledError:
+            writer.transport.abort()
+            raise
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _write(
+        self,
+        writer: StreamWriter,
+        piece: bytes,
+        *,
+        is_inbound: bool,
+    ) -> None:
+        if self.state is LinkState.SILENT:
+            return
+        if self.state is LinkState.ONE_WAY and is_inbound:
+            return
+        if self.state is LinkState.SLOW:
+            await sleep(DELAY_S)
+        writer.write(piece)
+        await writer.drain()
--- /dev/null
+++ b/soak/watch.py
@@ -0,0 +1,40 @@
+"""Notes every daemon whose version ever goes back."""
+
+from threading import Event, Thread
+
+from demo.convergence import get_version
+from demo.fleet import Fleet
+
+_POLL_S = 0.05
+
+
+class VersionWatch:
+    """Polls the daemons that run, from a thread of its own."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Starts to poll."""
+        self.reversals: list[str] = []
+        self._fleet = fleet
+        self._highest: dict[str, int] = {}
+        self._stopping = Event()
+        self._thread = Thread(target=self._poll, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends the polling."""
+        self._stopping.set()
+        self._thread.join()
+
+    def _poll(self) -> None:
+        while not self._stopping.wait(_POLL_S):
+            for instance in self._fleet.running_daemons():
+                status = self._fleet.read_status(instance)
+                version = get_version(status)
+                if version:
+                    self._note(instance, version)
+
+    def _note(self, instance: str, version: int) -> None:
+        highest = self._highest.get(instance, 0)
+        if version < highest:
+            self.reversals.append(f'{instance}: {highest} to {version}')
+        self._highest[instance] = max(highest, version)
--- a/tests/process/case.py
+++ b/tests/process/case.py
@@ -9,7 +9,6 @@
 from pathlib import Path
 from shutil import rmtree
 from tempfile import mkdtemp
-from threading import Event, Thread
 from time import sleep as pause
 from typing import Any
 
@@ -19,51 +18,19 @@
 
 from demo.caller import Caller
 from demo.convergence import get_version
-from demo.fleet import Fleet, prepare_fleet, wait_until
+from demo.fleet import prepare_fleet, wait_until
 from demo.judgement import Judgement, judge
 from demo.operator import Operator, Outcome
 from demo.record import read_runs
 from demo.story import plan_instances
+from soak.watch import VersionWatch
 
 TIMEOUT_S = 60.0
 REPLICAS = ('a-1', 'b-1', 'c-1')
-_WATCH_S = 0.05
 _WORKERS = 2
 _AROUND_FAULT_S = 0.3
 
 
-class VersionWatch:
-    """Notes every daemon whose version ever went back."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        """Starts to poll the daemons that run."""
-        self.reversals: list[str] = []
-        self._fleet = fleet
-        self._highest: dict[str, int] = {}
-        self._stopping = Event()
-        self._thread = Thread(target=self._poll, daemon=True)
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Ends the polling."""
-        self._stopping.set()
-        self._thread.join()
-
-    def _poll(self) -> None:
-        while not self._stopping.wait(_WATCH_S):
-            for instance in self._fleet.running_daemons():
-                status = self._fleet.read_status(instance)
-                version = get_version(status)
-                if version:
-                    self._note(instance, version)
-
-    def _note(self, instance: str, version: int) -> None:
-        highest = self._highest.get(instance, 0)
-        if version < highest:
-            self.reversals.append(f'{instance}: {highest} to {version}')
-        self._highest[instance] = max(highest, version)
-
-
 class FleetCase(TestCase):
     """Launches six daemons, three of them replicas, and version 1."""
 
