--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -28,7 +28,7 @@
     select_ready,
 )
 from bilberry_proxy.service_time import ServiceTimes
-from bilberry_proxy.split import TrafficSplit
+from bilberry_proxy.split import WeightedSplit
 
 _log = getLogger(__name__)
 
@@ -58,7 +58,7 @@
         self._random = random
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
         self.service_times = ServiceTimes()
-        self.split = TrafficSplit()
+        self.split = WeightedSplit()
         self._budgets: dict[str, RetryBudget] = {}
         self._balancers: dict[tuple[str, str], Balancer] = {}
         self._ready: dict[str, tuple[Route, tuple[Candidate, ...]]] = {}
--- a/packages/bilberry_proxy/bilberry_proxy/split.py
+++ b/packages/bilberry_proxy/bilberry_proxy/split.py
@@ -7,7 +7,7 @@
 from bilberry_core.configuration import RoutingRule
 
 
-class TrafficSplit:
+class WeightedSplit:
     """The turn of each target of each routing rule, for one proxy."""
 
     def __init__(self) -> None:
--- a/tests/bilberry_proxy/test_split.py
+++ b/tests/bilberry_proxy/test_split.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from bilberry_core.configuration import RoutingRule, Target
-from bilberry_proxy.split import TrafficSplit
+from bilberry_proxy.split import WeightedSplit
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -11,7 +11,7 @@
 WEIGHTS = st.lists(st.integers(0, 20), min_size=1, max_size=4).filter(any)
 
 
-class TrafficSplitTest(TestCase):
+class WeightedSplitTest(TestCase):
     """Shares by weight."""
 
     @given(WEIGHTS)
@@ -20,7 +20,7 @@
         targets = tuple(
             Target(str(at), weight) for at, weight in enumerate(weights)
         )
-        split = TrafficSplit()
+        split = WeightedSplit()
         rule = RoutingRule('r', 'a', '/', targets)
         picked = Counter(split.pick(rule) for _ in range(sum(weights)))
         if len(weights) > 1:
@@ -31,7 +31,7 @@
 
     def test_changed_weights_count_at_once(self):
         """The turns of before are forgotten."""
-        split = TrafficSplit()
+        split = WeightedSplit()
         one, other = Target('a', 1), Target('b', 0)
         rule = RoutingRule('r', 'a', '/', (one, other))
         self.assertEqual('a', split.pick(rule))
