--- a/packages/bilberry_core/bilberry_core/logs.py
+++ b/packages/bilberry_core/bilberry_core/logs.py
@@ -52,7 +52,7 @@
     root = getLogger()
     root.setLevel(level)
     volume = VolumeLimit()
-    handler = _RecordQueueHandler(queue)
+    handler = RecordQueueHandler(queue)
     handler.addFilter(volume)
     root.handlers = [handler]
     listener = _BatchListener(queue, sink, volume)
@@ -126,7 +126,7 @@
             super().stop()
 
 
-class _RecordQueueHandler(QueueHandler):
+class RecordQueueHandler(QueueHandler):
     """Puts records on the queue unformatted; the sink formats them."""
 
     def enqueue(self, record):
--- a/tests/bilberry_core/test_logs.py
+++ b/tests/bilberry_core/test_logs.py
@@ -1,12 +1,17 @@
 """Log lines: JSON with stable field names, none lost at the end."""
 
 from json import loads
-from logging import getLogger
+from logging import INFO, LogRecord, getLogger
 from pathlib import Path
+from queue import SimpleQueue
 from sys import exc_info
 from tempfile import TemporaryDirectory
 
-from bilberry_core.logs import start_logs
+from bilberry_core.logs import (
+    MAX_WAITING_LINES,
+    RecordQueueHandler,
+    start_logs,
+)
 from bilberry_core.verdict import Verdict
 from testtools import TestCase
 
@@ -87,3 +92,16 @@
             ),
         )
         self.assertIn('time', lines[0])
+
+
+class BlockedOutputTest(TestCase):
+    """Output that takes nothing for a while."""
+
+    def test_lines_beyond_the_bound_are_left_out(self):
+        """Whoever writes a line goes on at once."""
+        queue = SimpleQueue()
+        handler = RecordQueueHandler(queue)
+        record = LogRecord('module', INFO, '', 0, 'event', None, None)
+        for _ in range(MAX_WAITING_LINES + 9):
+            handler.handle(record)
+        self.assertEqual(MAX_WAITING_LINES, queue.qsize())
