--- a/packages/bilberryd/bilberryd/board_metrics.py
+++ b/packages/bilberryd/bilberryd/board_metrics.py
@@ -4,6 +4,7 @@
 
 from bilberry_core.board import Board
 from bilberry_core.clock import Clock
+from bilberry_core.endpoint import EndpointState
 from bilberry_core.metric import Metrics
 
 _LEADER = 'leader'
@@ -52,6 +53,6 @@
 
     def _show_endpoints(self) -> None:
         endpoints = self._board.endpoints.value.values()
-        states = Counter(endpoint.state.value for endpoint in endpoints)
-        for state, count in states.items():
-            self._metrics.gauge(f'endpoints.known.{state}', count)
+        counts = Counter(endpoint.state for endpoint in endpoints)
+        for state in EndpointState:
+            self._metrics.gauge(f'endpoints.known.{state}', counts[state])
