--- /dev/null
+++ b/tests/bilberry_spread/test_members.py
@@ -0,0 +1,73 @@
+"""Relays that are learned from the members of the replicated log."""
+
+from random import Random
+
+from bilberry_core.board import ClaimEpoch, Holder
+from bilberry_core.endpoint import Address
+from bilberry_core.metric import NullMetrics
+from bilberry_core.settings import ListenSettings, Peer, Role, Settings
+from bilberry_spread.edges import Edges
+from bilberry_spread.members import list_replicas
+from bilberry_spread.mesh_set import MeshSet
+from bilberry_spread.pacing import SourcePicker
+from testtools import TestCase
+
+from tests.bilberry_spread.fakes import FakeNetwork, FakeTime, ignore
+
+SETTINGS = Settings(
+    'fleet',
+    '10.0.0.1',
+    'a',
+    'region',
+    frozenset((Role.RELAY, Role.REPLICA)),
+    ListenSettings(Address('10.0.0.1', 7620)),
+    b'secret',
+)
+
+
+def build_peer(number: int, port: int = 7620, domain: str = 'a') -> Peer:
+    """Returns a replica."""
+    host = f'10.0.0.{number}'
+    return Peer(host, Address(host, port), domain)
+
+
+class MembersTest(TestCase):
+    """Who belongs to the fleet now."""
+
+    def test_holders_of_an_epoch_are_the_replicas(self):
+        """With the failure domains that seeds do not tell."""
+        holders = (Holder('10.0.0.2', '10.0.0.2', 7620, 'b'),)
+        self.assertEqual(
+            (build_peer(2, domain='b'),),
+            list_replicas(ClaimEpoch(1, holders)),
+        )
+        self.assertEqual((), list_replicas(None))
+
+    def test_mesh_follows_the_members(self):
+        """Its own daemon is none; one that is gone or has moved is dropped."""
+        time = FakeTime()
+        network = FakeNetwork(time, Random(1))
+        edges = Edges(
+            network.make_dialer('10.0.0.1'),
+            time,
+            time,
+            Random(1),
+            NullMetrics(),
+        )
+        mesh = MeshSet(SETTINGS, edges, ignore)
+        self.assertEqual((), mesh.keep((build_peer(1), build_peer(2))))
+        self.assertEqual(['10.0.0.2'], [one.peer.instance for one in mesh])
+        kept = mesh.find('10.0.0.2')
+        self.assertEqual((), mesh.keep((build_peer(2), build_peer(3))))
+        self.assertIs(kept, mesh.find('10.0.0.2'))
+        dropped = mesh.keep((build_peer(3, port=7621),))
+        self.assertEqual({'10.0.0.2', '10.0.0.3'}, set(dropped))
+        self.assertIsNone(mesh.find('10.0.0.2'))
+
+    def test_proxy_turns_to_the_sources_it_learns(self):
+        """The seeds are only where it begins."""
+        picker = SourcePicker((build_peer(2),))
+        picker.replace((build_peer(3), build_peer(4)))
+        self.assertEqual(build_peer(3), picker.preferred)
+        picked = [picker.pick() for _ in range(2)]
+        self.assertEqual([build_peer(3), build_peer(4)], picked)
