--- a/packages/bilberry_core/bilberry_core/scrape.py
+++ b/packages/bilberry_core/bilberry_core/scrape.py
@@ -17,13 +17,13 @@
     generate_latest,
 )
 
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Address
 from bilberry_core.http import HttpRequest, HttpResponse, serve_http
 from bilberry_core.metric import Metrics
 
 #: Upper bounds of the buckets of durations, in seconds.
 BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
-_MS_PER_S = 1000
 _FAMILY_PARTS = 2
 _PREFIX = 'bilberry'
 _TYPE = (b'content-type', b'text/plain; version=0.0.4; charset=utf-8')
@@ -52,7 +52,7 @@
         """Records a duration, in milliseconds."""
         self._forward.timing(stat, delta)
         self._find(Histogram, stat, buckets=BUCKETS_S).observe(
-            delta / _MS_PER_S,
+            delta / MS_PER_S,
         )
 
     def render(self) -> bytes:
