--- a/bench/idle.py
+++ b/bench/idle.py
@@ -17,7 +17,8 @@
 from bilberry_core.board import Board
 from bilberry_core.endpoint import Address
 from bilberry_core.settings import ListenSettings, Peer, Role, Settings
-from bilberryd.assembly import DaemonParts, Extensions, build_daemon
+from bilberryd.assembly import Extensions, build_daemon
+from bilberryd.parts import DaemonParts
 
 from bench.processes import BenchProcess
 
--- a/bench/spread_node.py
+++ b/bench/spread_node.py
@@ -29,12 +29,14 @@
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.handshake import Purpose
 from bilberry_core.listener import StreamListener
+from bilberry_core.metric import NullMetrics
 from bilberry_core.policy import CallPolicy, PolicyChange
 from bilberry_core.settings import ListenSettings, Peer, Role, Settings
 from bilberry_core.stream import Credentials
 from bilberry_core.traffic import Traffic
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
+from bilberry_spread.runtime import open_runtime
 from bilberry_spread.subscriber import SubscriberController
 
 from bench.spread_naive import NaiveProxy, NaiveSource
@@ -202,18 +204,21 @@
             if role == 'source':
                 return NaiveSource(self.board, self.listener)
             return NaiveProxy(settings, self.board, self.credentials)
-        random = Random(self.name)
+        runtime = open_runtime(
+            self.credentials,
+            self.clock,
+            Random(self.name),
+            NullMetrics(),
+        )
         if role == 'proxy':
             return SubscriberController.from_settings(
-                settings, self.board, self.credentials, self.clock, random
+                settings, self.board, runtime
             )
         return RelayController.from_settings(
             settings,
             self.board,
             self.listener,
-            self.credentials,
-            self.clock,
-            random,
+            runtime,
         )
 
     async def _send_beacons(self) -> None:
--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -90,6 +90,16 @@
     crashed_ms: int
 
 
+class SourceStatus(NamedTuple):
+    """The source of configurations that a daemon is attached to.
+
+    `since` is the monotonic time of the attachment, in seconds.
+    """
+
+    instance: str
+    since: float
+
+
 class ReplicaStatus(NamedTuple):
     """A replica's view of the replicated log and its own role in it."""
 
@@ -179,6 +189,9 @@
     `stale_since`
         Monotonic time since which no newer beacon has arrived; None while the
         beacon is current.
+    `source`
+        The source that this daemon is attached to; None without one, and
+        always None on a replica.
     `traffic`
         Bytes sent and received by this process.
     """
@@ -199,5 +212,6 @@
         self.requested_services: Cell[frozenset[str]] = Cell(frozenset())
         self.proxies: Cell[dict[str, int]] = Cell({})
         self.stale_since: Cell[float | None] = Cell(None)
+        self.source: Cell[SourceStatus | None] = Cell(None)
         self.traffic = Traffic()
         self.stopping = Event()
--- a/packages/bilberry_spread/bilberry_spread/attachment.py
+++ b/packages/bilberry_spread/bilberry_spread/attachment.py
@@ -22,6 +22,7 @@
 )
 from bilberry_core.settings import Peer, Settings
 
+from bilberry_spread.dial_log import DialLog, DialOutcome
 from bilberry_spread.pacing import DialTimer, ReturnTimer, SourcePicker
 from bilberry_spread.reception import Reception
 from bilberry_spread.runtime import Link, Runtime
@@ -68,6 +69,7 @@
         self._timer = DialTimer(runtime.clock, runtime.random)
         self._probe_timer = DialTimer(runtime.clock, runtime.random)
         self._return_timer = ReturnTimer(runtime.clock, runtime.random)
+        self._dial_log = DialLog(runtime.clock, runtime.metrics)
         self._main: Source | None = None
         self._probe: Source | None = None
 
@@ -146,8 +148,10 @@
         beacon_s = self._settings.timing.beacon_ms / MS_PER_S
         if waited > 2 * beacon_s:
             self._probe_timer.fail()
+            self._dial_log.record(probe, DialOutcome.TIMEOUT)
         elif not _is_probe_obsolete(probe.why, self._reception):
             return
+        self._dial_log.record(probe, DialOutcome.OBSOLETE)
         self._probe = None
         probe.close()
 
@@ -172,9 +176,11 @@
 
     def _on_open(self, source: Source, link: Link) -> None:
         if source not in {self._main, self._probe}:
+            self._dial_log.record_late_open(source)
             link.close()
             return
         source.link = link
+        source.opened = self._runtime.clock.now()
         link.receiver = lambda received: self._receive(source, received)
         link.on_close = lambda: self._on_close(source)
         held = self._reception.receiver
@@ -190,14 +196,17 @@
             self._on_close(source)
         elif source is self._main:
             self._return_timer.restart(source, self._picker.preferred)
+            self._reception.put_source(source.peer.instance)
             self._listener.attached(source)
 
     def _on_close(self, source: Source) -> None:
+        self._dial_log.record(source, DialOutcome.CLOSED)
         if source is self._probe:
             self._probe = None
             self._probe_timer.fail()
         elif source is self._main:
             self._main = None
+            self._reception.put_source(None)
             self._timer.fail()
             if self._probe is not None and self._probe.link is not None:
                 self._promote(self._probe)
@@ -217,6 +226,7 @@
             },
         )
         self._return_timer.restart(probe, self._picker.preferred)
+        self._reception.put_source(probe.peer.instance)
         self._listener.attached(probe)
 
     def _receive(self, source: Source, received: Any) -> None:
@@ -233,6 +243,7 @@
     def _receive_busy(self, source: Source, busy: Busy) -> None:
         timer = self._timer if source is self._main else self._probe_timer
         timer.defer(busy.retry_after_ms / MS_PER_S)
+        self._dial_log.record(source, DialOutcome.BUSY)
         source.close()
 
     def _receive_configuration(
@@ -248,6 +259,7 @@
             source.send(snapshot_request)
 
     def _receive_beacon(self, source: Source, update: BeaconUpdate) -> None:
+        self._dial_log.record(source, DialOutcome.BEACON)
         if source.record_beacon(update.beacon):
             self.gate.record_beacon_advance()
         was_stale = self._reception.is_stale
--- a/packages/bilberry_spread/bilberry_spread/receivers.py
+++ b/packages/bilberry_spread/bilberry_spread/receivers.py
@@ -57,6 +57,14 @@
             versions.update(session.versions)
         return versions
 
+    @property
+    def blocked(self) -> int:
+        """Receivers whose stream takes no more bytes now."""
+        return sum(
+            not session.receiver.link.is_writable
+            for session in self._sessions.values()
+        )
+
     @property
     def relays(self) -> tuple[MeshReceiver, ...]:
         """The relays that subscribe to the records that this one owns."""
--- a/packages/bilberry_spread/bilberry_spread/reception.py
+++ b/packages/bilberry_spread/bilberry_spread/reception.py
@@ -7,7 +7,7 @@
 
 from logging import getLogger
 
-from bilberry_core.board import Beacon, Board, ClaimEpoch
+from bilberry_core.board import Beacon, Board, ClaimEpoch, SourceStatus
 from bilberry_core.configuration import AcceptedVersion
 from bilberry_core.messages.spread import (
     ConfigurationDelta,
@@ -168,6 +168,14 @@
         if is_later_epoch(epoch, self._board.claim_epoch.value):
             self._board.claim_epoch.put(epoch)
 
+    def put_source(self, instance: str | None) -> None:
+        """Publishes the source that this daemon is attached to, or None."""
+        if instance is None:
+            self._board.source.put(None)
+            return
+        now = self._runtime.clock.now()
+        self._board.source.put(SourceStatus(instance, now))
+
     def reset_behind(self) -> None:
         """Restarts the measurement of `behind_s`."""
         self._behind_since = None
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from bilberry_core.board import Board, ClaimEpoch
-from bilberry_core.clock import MS_PER_S, Clock, RandomSource
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.handshake import Purpose
 from bilberry_core.listener import StreamListener
 from bilberry_core.messages.spread import (
@@ -18,7 +18,6 @@
     VersionReport,
 )
 from bilberry_core.settings import Peer, Role, Settings
-from bilberry_core.stream import Credentials
 
 from bilberry_spread.backoff import MAX_DELAY_S
 from bilberry_spread.broadcast import Broadcast
@@ -26,7 +25,7 @@
 from bilberry_spread.mesh_set import MeshSet
 from bilberry_spread.relay_source import RelaySource
 from bilberry_spread.reports import apply_report
-from bilberry_spread.runtime import Link, Runtime, open_runtime
+from bilberry_spread.runtime import Link, Runtime
 from bilberry_spread.staleness import BeaconMonitor
 from bilberry_spread.ticker import Ticker
 
@@ -80,12 +79,9 @@
         settings: Settings,
         board: Board,
         listener: StreamListener,
-        credentials: Credentials,
-        clock: Clock,
-        random: RandomSource,
+        runtime: Runtime,
     ) -> 'RelayController':
         """Returns the controller of a daemon, registered at `listener`."""
-        runtime = open_runtime(settings, credentials, clock, random)
         controller = cls(settings, board, runtime)
         listener.handle(Purpose.SPREAD, controller.accept)
         return controller
@@ -202,6 +198,8 @@
         if now < self._next_heartbeat:
             return
         self._next_heartbeat = now + self._settings.timing.renew_ms / MS_PER_S
+        blocked = self._broadcast.receivers.blocked
+        self._runtime.metrics.gauge('spread.receivers_blocked', blocked)
         for relay in self._broadcast.receivers.relays:
             relay.send_heartbeat()
 
--- a/packages/bilberry_spread/bilberry_spread/runtime.py
+++ b/packages/bilberry_spread/bilberry_spread/runtime.py
@@ -8,8 +8,8 @@
 from bilberry_core.dialing import dial
 from bilberry_core.error import HandshakeError, StreamClosedError
 from bilberry_core.handshake import Purpose
-from bilberry_core.metric import Metrics, open_metrics
-from bilberry_core.settings import Peer, Settings
+from bilberry_core.metric import Metrics
+from bilberry_core.settings import Peer
 from bilberry_core.stream import Credentials
 
 
@@ -125,10 +125,10 @@
 
 
 def open_runtime(
-    settings: Settings,
     credentials: Credentials,
     clock: Clock,
     random: RandomSource,
+    metrics: Metrics,
 ) -> Runtime:
     """Returns the dependencies for a daemon that runs on an event loop."""
     return Runtime(
@@ -136,7 +136,7 @@
         LoopScheduler(),
         clock,
         random,
-        open_metrics(settings.statsd),
+        metrics,
     )
 
 
--- a/packages/bilberry_spread/bilberry_spread/source.py
+++ b/packages/bilberry_spread/bilberry_spread/source.py
@@ -20,13 +20,18 @@
 
 
 class Source:
-    """A source that this daemon is attached to, or probes."""
+    """A source that this daemon is attached to, or probes.
+
+    `opened` is the monotonic time at which its stream opened.
+    """
 
     def __init__(self, peer: Peer, why: Reason, since: float) -> None:
         """Starts without a stream; `since` is the monotonic dial time."""
         self.peer = peer
         self.why = why
         self.since = since
+        self.opened: float | None = None
+        self.is_dial_recorded = False
         self.link: Link | None = None
         self._beacon: Beacon | None = None
 
--- a/packages/bilberry_spread/bilberry_spread/staleness.py
+++ b/packages/bilberry_spread/bilberry_spread/staleness.py
@@ -55,4 +55,11 @@
     runtime.metrics.gauge('spread.stale', int(is_stale))
     event = 'beacon_stale' if is_stale else 'beacon_current'
     beacon = board.beacon.value
-    _log.warning(event, extra={'version': beacon.version if beacon else 0})
+    source = board.source.value
+    _log.warning(
+        event,
+        extra={
+            'version': beacon.version if beacon else 0,
+            'source': source.instance if source else '',
+        },
+    )
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from bilberry_core.board import Board, ClaimEpoch
-from bilberry_core.clock import MS_PER_S, Clock, RandomSource
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.spread import (
     EndpointAnnouncement,
@@ -19,14 +19,13 @@
     VersionReport,
 )
 from bilberry_core.settings import Peer, Settings
-from bilberry_core.stream import Credentials
 
 from bilberry_spread.attachment import Attachment
 from bilberry_spread.endpoint_feed import EndpointFeed
 from bilberry_spread.members import list_replicas
 from bilberry_spread.ranking import rank_relays
 from bilberry_spread.reception import Reception
-from bilberry_spread.runtime import Runtime, open_runtime
+from bilberry_spread.runtime import Runtime
 from bilberry_spread.source import Source
 from bilberry_spread.start import START_WAIT_S, StartGate
 from bilberry_spread.suspect_feed import SuspectFeed
@@ -76,12 +75,9 @@
         cls,
         settings: Settings,
         board: Board,
-        credentials: Credentials,
-        clock: Clock,
-        random: RandomSource,
+        runtime: Runtime,
     ) -> 'SubscriberController':
         """Returns the controller of a daemon that is not a relay."""
-        runtime = open_runtime(settings, credentials, clock, random)
         return cls(settings, board, runtime)
 
     @property
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -5,20 +5,13 @@
 """
 
 from collections.abc import Callable, Iterable
-from random import SystemRandom
 from typing import NamedTuple
 
 from bilberry_claims.client import ClaimClient
 from bilberry_claims.holder import HolderController
-from bilberry_core.board import Board
-from bilberry_core.clock import SystemClock
 from bilberry_core.configuration_file import validate_content
 from bilberry_core.disk import Disk, SystemDisk
-from bilberry_core.listener import StreamListener
-from bilberry_core.metric import open_metrics
-from bilberry_core.scrape import MetricsController, ScrapedMetrics
 from bilberry_core.settings import Role, Settings
-from bilberry_core.stream import Credentials
 from bilberry_operators.controller import OperatorsController
 from bilberry_proxy.announcement import AnnouncementController
 from bilberry_proxy.context import ProxyOptions
@@ -28,57 +21,14 @@
 from bilberry_spread.relay import RelayController
 from bilberry_spread.subscriber import SubscriberController
 
-from bilberryd.board_metrics import BoardMetrics
 from bilberryd.daemon import Controller, Daemon
+from bilberryd.parts import DaemonParts
 
 #: Roles that publish accepted versions to other daemons. A replica publishes
 #: to relays.
 _PUBLISHING_ROLES = frozenset((Role.RELAY, Role.REPLICA))
 
 
-class DaemonParts:
-    """The components of a daemon that is being built.
-
-    `controllers` are in the order in which they start. `acceptor` is None
-    without the role replica; `announcements` and `proxy` are None without the
-    role proxy.
-    """
-
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
-        self.board = Board()
-        self.clock = SystemClock()
-        self.random = SystemRandom()
-        self.credentials = Credentials(
-            settings.fleet,
-            settings.instance,
-            settings.secret,
-            self.board.traffic,
-        )
-        self.listener = StreamListener(self.credentials)
-        self.metrics = ScrapedMetrics(open_metrics(settings.statsd))
-        self.controllers: list[Controller] = []
-        if settings.listen.metrics is not None:
-            self._board_metrics = BoardMetrics(
-                self.board, self.clock, self.metrics
-            )
-            self.controllers.append(
-                MetricsController(
-                    self.metrics,
-                    settings.listen.metrics,
-                    self._refresh_metrics,
-                ),
-            )
-        self.acceptor: ReplicaController | None = None
-        self.announcements: AnnouncementController | None = None
-        self.proxy: ProxyController | None = None
-
-    def _refresh_metrics(self) -> None:
-        self._board_metrics.refresh()
-        if self.proxy is not None:
-            self.proxy.update_gauges()
-
-
 def _build_no_interfaces(_parts: DaemonParts) -> tuple[Controller, ...]:
     return ()
 
@@ -168,9 +118,7 @@
             parts.settings,
             parts.board,
             parts.listener,
-            parts.credentials,
-            parts.clock,
-            parts.random,
+            parts.build_spread_runtime(),
         ),
     )
 
@@ -180,9 +128,7 @@
         SubscriberController.from_settings(
             parts.settings,
             parts.board,
-            parts.credentials,
-            parts.clock,
-            parts.random,
+            parts.build_spread_runtime(),
         ),
     )
 
--- a/packages/bilberryd/bilberryd/board_metrics.py
+++ b/packages/bilberryd/bilberryd/board_metrics.py
@@ -2,10 +2,11 @@
 
 from collections import Counter
 
-from bilberry_core.board import Board
+from bilberry_core.board import Beacon, Board
 from bilberry_core.clock import Clock
 from bilberry_core.endpoint import EndpointState
 from bilberry_core.metric import Metrics
+from bilberry_core.snapshot import Snapshot
 
 _LEADER = 'leader'
 
@@ -17,10 +18,17 @@
         self._board = board
         self._clock = clock
         self._metrics = metrics
+        self._version = 0
+        self._version_since = clock.now()
+        self._beacon_since = clock.now()
+        self._sources: set[str] = set()
+        board.snapshot.watch(self._note_version)
+        board.beacon.watch(self._note_beacon)
 
     def refresh(self) -> None:
         """Sets every gauge to the current state."""
         self._set_version_gauges()
+        self._set_source_gauges()
         self._set_replica_gauges()
         self._set_endpoint_gauges()
         for purpose, reading in self._board.traffic.read().items():
@@ -40,6 +48,28 @@
         self._metrics.gauge('version.running', running)
         self._metrics.gauge('version.accepted', known)
         self._metrics.gauge('version.stale_seconds', stale_s)
+        now = self._clock.now()
+        self._metrics.gauge('version.age_seconds', now - self._version_since)
+        beacon_s = now - self._beacon_since
+        self._metrics.gauge('version.beacon_age_seconds', beacon_s)
+
+    def _note_version(self, snapshot: Snapshot | None) -> None:
+        version = snapshot.version if snapshot else 0
+        if version != self._version:
+            self._version = version
+            self._version_since = self._clock.now()
+
+    def _note_beacon(self, _beacon: Beacon | None) -> None:
+        self._beacon_since = self._clock.now()
+
+    def _set_source_gauges(self) -> None:
+        source = self._board.source.value
+        attached = source.instance if source else ''
+        if attached:
+            self._sources.add(attached)
+        for instance in self._sources:
+            is_attached = int(instance == attached)
+            self._metrics.gauge(f'source.attached.{instance}', is_attached)
 
     def _set_replica_gauges(self) -> None:
         status = self._board.replica.value
--- a/tests/bilberry_spread/test_loopback.py
+++ b/tests/bilberry_spread/test_loopback.py
@@ -8,10 +8,12 @@
 from bilberry_core.clock import SystemClock
 from bilberry_core.endpoint import Address
 from bilberry_core.listener import StreamListener
+from bilberry_core.metric import NullMetrics
 from bilberry_core.settings import ListenSettings, Peer, Role, Settings
 from bilberry_core.stream import Credentials
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
+from bilberry_spread.runtime import open_runtime
 from bilberry_spread.subscriber import SubscriberController
 from testtools import TestCase
 
@@ -45,23 +47,24 @@
     def start(self, peers: tuple[Peer, ...]) -> None:
         """Runs the controllers as tasks."""
         settings = self.settings._replace(replicas=peers, relays=peers)
-        clock = SystemClock()
+        runtime = open_runtime(
+            self.credentials,
+            SystemClock(),
+            Random(1),
+            NullMetrics(),
+        )
         if Role.RELAY in settings.roles:
             controller = RelayController.from_settings(
                 settings,
                 self.board,
                 self.listener,
-                self.credentials,
-                clock,
-                Random(1),
+                runtime,
             )
         else:
             controller = SubscriberController.from_settings(
                 settings,
                 self.board,
-                self.credentials,
-                clock,
-                Random(1),
+                runtime,
             )
         compiler = SnapshotController.from_settings(settings, self.board)
         self.controllers = [controller, compiler]
--- a/tests/bilberryd/test_board_metrics.py
+++ b/tests/bilberryd/test_board_metrics.py
@@ -1,14 +1,16 @@
 """Tests the gauges that report the state on the blackboard."""
 
-from bilberry_core.board import Board, ReplicaStatus
-from bilberry_core.clock import SystemClock
+from bilberry_core.board import Beacon, Board, ReplicaStatus, SourceStatus
 from bilberry_core.endpoint import EndpointState
 from bilberry_core.metric import NullMetrics
 from bilberry_core.scrape import ScrapedMetrics
+from bilberry_core.snapshot import compile_snapshot
 from bilberryd.board_metrics import BoardMetrics
 from testtools import TestCase
 
 from tests.bilberry_proxy.test_selection import build_endpoint
+from tests.bilberry_spread.fakes import FakeTime
+from tests.bilberry_spread.fleet import make_accepted
 
 
 class BoardMetricsTest(TestCase):
@@ -19,9 +21,8 @@
         super().setUp()
         self.board = Board()
         self.metrics = ScrapedMetrics(NullMetrics())
-        self.board_metrics = BoardMetrics(
-            self.board, SystemClock(), self.metrics
-        )
+        self.time = FakeTime()
+        self.board_metrics = BoardMetrics(self.board, self.time, self.metrics)
 
     def read(self) -> str:
         """Refreshes the gauges and returns the text of all metrics."""
@@ -45,3 +46,22 @@
         text = self.read()
         for line in ('leads{kind=""} 1.0', 'term{kind=""} 7.0'):
             self.assertIn(f'bilberry_replica_{line}', text)
+
+    def test_version_in_force_has_its_source_and_ages(self):
+        """The gauges show from whom a version came and how old it is."""
+        self.board.source.put(SourceStatus('r-1', self.time.now()))
+        self.board.snapshot.put(compile_snapshot(make_accepted(7), {}))
+        self.time.run(2)
+        self.board.beacon.put(Beacon(1, 7, 1))
+        self.time.run(3)
+        self.read()
+        self.board.source.put(SourceStatus('r-2', self.time.now()))
+        text = self.read()
+        for line in (
+            'version_running{kind=""} 7.0',
+            'version_age_seconds{kind=""} 5.0',
+            'version_beacon_age_seconds{kind=""} 3.0',
+            'source_attached{kind="r-1"} 0.0',
+            'source_attached{kind="r-2"} 1.0',
+        ):
+            self.assertIn(f'bilberry_{line}', text)
