--- a/tests/bilberry_spread/fakes.py
+++ b/tests/bilberry_spread/fakes.py
@@ -9,10 +9,12 @@
 from random import Random
 
 from bilberry_core.error import StreamClosedError
+from bilberry_core.handshake import HANDSHAKE_TIMEOUT_S
 from bilberry_core.messages.registry import decode_message, encode_message
 
-#: Time after which dialing an unreachable node fails, in seconds.
-DIAL_TIMEOUT_S = 3.0
+#: Messages that each side sends before a stream is open: the connection's
+#: SYN and ACK and the hello, or their counterparts.
+HANDSHAKE_TRIPS = 3
 
 
 def ignore(*_arguments) -> None:
@@ -120,7 +122,9 @@
     """Streams between nodes, with injected faults.
 
     `loss` and `duplication` are probabilities for each message. A lost
-    message ends its stream, as with TCP.
+    message ends its stream, as with TCP. Nodes in `muted` receive, but what
+    they send is lost. `uplink_s` is the additional delay of everything that a
+    node sends, in seconds.
     """
 
     def __init__(self, time: FakeTime, random: Random) -> None:
@@ -130,6 +134,8 @@
         self.accepting: dict = {}
         self.cut: set[frozenset[str]] = set()
         self.frozen: set[str] = set()
+        self.muted: set[str] = set()
+        self.uplink_s: dict[str, float] = {}
         self.delay_s = 0.001
         self.jitter_s = 0
         self.loss = 0
@@ -171,12 +177,12 @@
 
         It arrives no earlier than `last`, the arrival of the one before it.
         """
-        if self.is_cut(link.node, link.other):
+        if self._loses(link):
             return last
         if self.random.random() < self.loss:
             link.close()
             return last
-        arrival = max(last, self.time.now() + self._draw_delay())
+        arrival = max(last, self.time.now() + self._draw_delay(link.node))
         copies = 2 if self.random.random() < self.duplication else 1
         for _copy in range(copies):
             self.time.call_later(
@@ -187,8 +193,8 @@
 
     def transmit_close(self, link: FakeLink, last: float) -> None:
         """Notifies the other end of a close, unless it is cut off."""
-        if not self.is_cut(link.node, link.other):
-            delay = max(0, last - self.time.now()) + self._draw_delay()
+        if not self._loses(link):
+            delay = max(0, last - self.time.now()) + self._draw_delay(link.node)
             self.time.call_later(delay, lambda: link.other_end.deliver(b''))
 
     def make_dialer(self, node: str) -> 'FakeDialer':
@@ -197,12 +203,14 @@
 
     def connect(self, node: str, peer: str, on_open, on_failure) -> None:
         """Opens a stream, or calls `on_failure` if that is impossible."""
-        if self.is_cut(node, peer) or peer in self.frozen:
-            self.time.call_later(DIAL_TIMEOUT_S, on_failure)
+        uplinks_s = self.uplink_s.get(node, 0) + self.uplink_s.get(peer, 0)
+        loaded_s = HANDSHAKE_TRIPS * uplinks_s
+        if loaded_s > HANDSHAKE_TIMEOUT_S or self._is_silent(node, peer):
+            self.time.call_later(HANDSHAKE_TIMEOUT_S, on_failure)
             return
         accept = self.accepting.get(peer)
         if accept is None:
-            self.time.call_later(self._draw_delay(), on_failure)
+            self.time.call_later(self._draw_delay(node), on_failure)
             return
         mine = FakeLink(self, node, peer)
         other = FakeLink(self, peer, node)
@@ -215,10 +223,22 @@
             accept(other)
             on_open(mine)
 
-        self.time.call_later(2 * self._draw_delay(), open_both)
+        handshake_s = loaded_s + 2 * self._draw_delay(node='')
+        self.time.call_later(handshake_s, open_both)
 
-    def _draw_delay(self) -> float:
-        return self.delay_s + self.random.uniform(0, self.jitter_s)
+    def _is_silent(self, node: str, peer: str) -> bool:
+        return (
+            self.is_cut(node, peer)
+            or peer in self.frozen
+            or not self.muted.isdisjoint((node, peer))
+        )
+
+    def _loses(self, link: FakeLink) -> bool:
+        return self.is_cut(link.node, link.other) or link.node in self.muted
+
+    def _draw_delay(self, node: str) -> float:
+        jitter_s = self.random.uniform(0, self.jitter_s)
+        return self.delay_s + jitter_s + self.uplink_s.get(node, 0)
 
 
 class FakeDialer:
--- a/tests/bilberry_spread/fleet.py
+++ b/tests/bilberry_spread/fleet.py
@@ -13,7 +13,13 @@
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.metric import NullMetrics
 from bilberry_core.policy import CallPolicy
-from bilberry_core.settings import ListenSettings, Peer, Role, Settings
+from bilberry_core.settings import (
+    ListenSettings,
+    Peer,
+    Role,
+    Settings,
+    TimingSettings,
+)
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
 from bilberry_spread.runtime import Runtime
@@ -119,11 +125,13 @@
         relays: int = 0,
         proxies: int = 6,
         seed: int = 0,
+        timing: TimingSettings = TimingSettings(),
     ) -> None:
         """Starts all daemons; without relays the replicas are the relays."""
         self.time = FakeTime()
         self.random = Random(seed)
         self.network = FakeNetwork(self.time, self.random)
+        self.timing = timing
         self.nodes: dict[str, Node] = {}
         self.has_leader = True
         self.accepted: AcceptedVersion | None = None
@@ -168,6 +176,7 @@
             b'secret',
             replicas=self.replica_peers,
             relays=self.relay_peers or self.replica_peers,
+            timing=self.timing,
         )
         node = Node(self, settings)
         self.nodes[name] = node
@@ -188,14 +197,9 @@
         if self.has_leader:
             self.sequence += 1
             self._update_replicas()
-        beacon_ms = self.node_settings.timing.beacon_ms
+        beacon_ms = self.timing.beacon_ms
         self.time.call_later(beacon_ms / MS_PER_S, self._send_beacon)
 
-    @property
-    def node_settings(self) -> Settings:
-        """Settings of some node; the timing is the same on all."""
-        return next(iter(self.nodes.values())).settings
-
     def _update_replicas(self) -> None:
         version = self.accepted.version if self.accepted else 0
         for node in self.nodes.values():
