Dial a relay at once when it shows that it is back

What callers saw: for seconds after a relay had stood still for longer than a lease, proxies lost ready upstreams that had returned to it.

Cause: the other relays close their streams to a silent relay and dial it again with a backoff of up to ten seconds. Upstreams return to it 1.5 to 6 s after it is back; until the other relays have dialed it, nobody tells them of the new home, and their leases of the old one expire. The relay's own streams to the others stay open while it stands still, so it joins nobody, and a join is what makes the others dial at once. And where it does join, a dial that is under way since before its return kept the others from dialing: it can only time out.

Change: a relay asks others whose streams to it have ended, on its own streams, to dial it; a relay that is heard of is dialed beside a dial that is under way.

--- a/packages/bilberry_spread/bilberry_spread/broadcast.py
+++ b/packages/bilberry_spread/bilberry_spread/broadcast.py
@@ -4,8 +4,8 @@
 flush.
 """
 
-from collections.abc import Callable
 from functools import partial
+from typing import Protocol
 
 from bilberry_core.board import Board, Suspect
 from bilberry_core.clock import MS_PER_S
@@ -26,6 +26,16 @@
 COALESCE_S = 0.01
 
 
+class RelayListener(Protocol):
+    """Callbacks about the relays that subscribe to this one."""
+
+    def on_relay_heard(self, instance: str) -> None:
+        """Called when a relay has joined or asks to be dialed."""
+
+    def on_relay_left(self, instance: str) -> None:
+        """Called when the stream of a relay has ended."""
+
+
 class Broadcast:
     """The state that a relay distributes, and its receivers."""
 
@@ -34,10 +44,10 @@
         settings: Settings,
         board: Board,
         runtime: Runtime,
-        on_relay_joined: Callable[[str], None],
+        mesh: RelayListener,
     ) -> None:
-        """Calls `on_relay_joined` with the instance of a relay that joins."""
-        self._on_relay_joined = on_relay_joined
+        """Tells `mesh` about the relays that join and leave."""
+        self._mesh = mesh
         self._board = board
         self._runtime = runtime
         self._directory = RelayDirectory(
@@ -97,11 +107,19 @@
     def on_joined(self, receiver: Receiver | MeshReceiver) -> None:
         """Schedules everything that a new receiver needs."""
         if isinstance(receiver, MeshReceiver):
-            self._on_relay_joined(receiver.instance)
+            self._mesh.on_relay_heard(receiver.instance)
         receiver.mark_suspects(set(self._content.suspects))
         self.on_versions_changed()
         self.schedule_flush()
 
+    def on_relay_heard(self, instance: str) -> None:
+        """Called when a subscribed relay asks to be dialed."""
+        self._mesh.on_relay_heard(instance)
+
+    def on_relay_left(self, instance: str) -> None:
+        """Called when the stream of a subscribed relay has ended."""
+        self._mesh.on_relay_left(instance)
+
     def on_versions_changed(self) -> None:
         """Records that a receiver runs another version."""
         self._has_new_versions = True
--- a/packages/bilberry_spread/bilberry_spread/mesh.py
+++ b/packages/bilberry_spread/bilberry_spread/mesh.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from bilberry_core.clock import MS_PER_S
-from bilberry_core.messages.spread import Subscribe
+from bilberry_core.messages.spread import Subscribe, VersionReport
 from bilberry_core.settings import Peer, Settings
 
 from bilberry_spread.backoff import Backoff
@@ -22,6 +22,8 @@
 
 #: Silence after which a relay is dialed again, in lease renewal intervals.
 SILENT_RENEWALS = 3
+#: Most dials of one relay at the same time.
+MAX_DIALS = 2
 
 
 class MeshPeer:
@@ -48,6 +50,7 @@
         self._link: Link | None = None
         self._last_received = runtime.clock.now()
         self._next_dial: float | None = self._last_received
+        self._dials = 0
 
     @property
     def is_open(self) -> bool:
@@ -63,17 +66,21 @@
                 self._link.close()
                 self._on_close(self._link)
         elif self._next_dial is not None and now >= self._next_dial:
-            self._next_dial = None
-            self._runtime.dialer.dial(
-                self.peer,
-                self._on_open,
-                self._on_failure,
-            )
+            self._dial()
+
+    def ask_to_dial(self) -> None:
+        """Asks the relay to dial this one, on the stream to it."""
+        if self._link is not None:
+            send_if_open(self._link, VersionReport({}))
 
     def redial_now(self) -> None:
-        """Makes a pending dial due now; called when the relay has joined."""
-        if self._next_dial is not None:
-            self._next_dial = self._runtime.clock.now()
+        """Dials without delay; called when the relay is heard of again.
+
+        A dial that is under way may have begun while the relay was down, and
+        may then only time out.
+        """
+        if self._link is None and self._dials < MAX_DIALS:
+            self._dial()
 
     def stop(self) -> None:
         """Closes the stream and dials no more."""
@@ -81,7 +88,20 @@
         if self._link is not None:
             self._link.close()
 
+    def _dial(self) -> None:
+        self._next_dial = None
+        self._dials += 1
+        self._runtime.dialer.dial(
+            self.peer,
+            self._on_open,
+            self._on_dial_failure,
+        )
+
     def _on_open(self, link: Link) -> None:
+        self._dials -= 1
+        if self._link is not None:
+            link.close()
+            return
         now = self._runtime.clock.now()
         self.is_synced = False
         self._link = link
@@ -112,8 +132,13 @@
             return
         self._link = None
         _log.info('relay_lost', extra={'relay': self.peer.instance})
-        self._on_failure()
+        self._schedule_dial()
+
+    def _on_dial_failure(self) -> None:
+        self._dials -= 1
+        if self._link is None and not self._dials:
+            self._schedule_dial()
 
-    def _on_failure(self) -> None:
+    def _schedule_dial(self) -> None:
         now = self._runtime.clock.now()
         self._next_dial = now + self._backoff.next_delay()
--- a/packages/bilberry_spread/bilberry_spread/mesh_set.py
+++ b/packages/bilberry_spread/bilberry_spread/mesh_set.py
@@ -32,6 +32,22 @@
         """Returns the relay of this instance, or None."""
         return self._peers.get(instance)
 
+    def on_relay_heard(self, instance: str) -> None:
+        """Dials a relay that has joined this one or asked to be dialed."""
+        peer = self.find(instance)
+        if peer is not None:
+            peer.redial_now()
+
+    def on_relay_left(self, instance: str) -> None:
+        """Asks a relay to return whose stream to this one has ended.
+
+        It may have closed the stream while this process stood still, and may
+        be waiting for its next dial.
+        """
+        peer = self.find(instance)
+        if peer is not None:
+            peer.ask_to_dial()
+
     def update_peers(self, peers: tuple[Peer, ...]) -> tuple[str, ...]:
         """Replaces the set of relays; returns the instances dropped.
 
--- a/packages/bilberry_spread/bilberry_spread/receivers.py
+++ b/packages/bilberry_spread/bilberry_spread/receivers.py
@@ -136,7 +136,7 @@
         before = self._relays.get(subscribe.instance)
         relay = MeshReceiver(link, subscribe.instance)
         self._relays[subscribe.instance] = relay
-        link.receiver = _ignore
+        link.receiver = partial(self._hear_relay, relay)
         link.on_close = partial(self._remove_relay, relay)
         if before is not None:
             before.link.close()
@@ -185,7 +185,7 @@
     def _remove_relay(self, relay: MeshReceiver) -> None:
         if self._relays.get(relay.instance) is relay:
             self._relays.pop(relay.instance)
+            self._listener.on_relay_left(relay.instance)
 
-
-def _ignore(_received: Any) -> None:
-    """Discards messages of a subscribed relay, which only receives."""
+    def _hear_relay(self, relay: MeshReceiver, _received: Any) -> None:
+        self._listener.on_relay_heard(relay.instance)
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -55,8 +55,8 @@
         self._settings = settings
         self._board = board
         self._runtime = runtime
-        self._broadcast = Broadcast(settings, board, runtime, self._redial)
         self._mesh = MeshSet(settings, runtime, self._receive)
+        self._broadcast = Broadcast(settings, board, runtime, self._mesh)
         self._mesh.update_peers(list_mesh_peers(settings))
         self._source: RelaySource | None = None
         if Role.REPLICA not in settings.roles:
@@ -140,11 +140,6 @@
         for dropped in self._mesh.update_peers(peers) if peers else ():
             self._broadcast.directory.start_leases_of(dropped, now)
 
-    def _redial(self, instance: str) -> None:
-        peer = self._mesh.find(instance)
-        if peer is not None:
-            peer.redial_now()
-
     def _receive(self, peer: Peer, received: Any) -> None:
         if isinstance(received, EndpointUpdate):
             mesh_peer = self._mesh.find(peer.instance)
--- a/packages/bilberry_spread/bilberry_spread/session.py
+++ b/packages/bilberry_spread/bilberry_spread/session.py
@@ -30,6 +30,12 @@
     def schedule_flush(self) -> None:
         """Called when an update for the receiver is pending."""
 
+    def on_relay_heard(self, instance: str) -> None:
+        """Called when a subscribed relay asks to be dialed."""
+
+    def on_relay_left(self, instance: str) -> None:
+        """Called when the stream of a subscribed relay has ended."""
+
     def on_versions_changed(self) -> None:
         """Called when a receiver runs another version."""
 
--- a/tests/bilberry_spread/test_failures.py
+++ b/tests/bilberry_spread/test_failures.py
@@ -304,6 +304,22 @@
             fleet.network.thaw()
             fleet.run(30, check)
 
+    def test_endpoints_that_return_to_a_thawed_relay_are_kept(self):
+        """The other relays hear of them before their old leases expire."""
+        for seed in range(10):
+            fleet = Fleet(relays=3, proxies=9, seed=seed)
+            names = announce_all(fleet)
+            fleet.network.frozen.add('l-0')
+            fleet.run(30)
+            fleet.network.thaw()
+
+            def check(fleet=fleet, names=names):
+                for node in fleet.proxies:
+                    known = set(node.board.endpoints.value)
+                    self.assertEqual(names, known)
+
+            fleet.run(15, check)
+
     def test_death_of_all_relays_removes_no_endpoint(self):
         """All relays crash and restart without state; no endpoint is lost."""
         fleet = Fleet(relays=3, proxies=30)
