Dial another relay beside a slow dial instead of giving it up

Cause: a probe was closed two beacon intervals after its dial had begun, 0.2 s on the platform, and connection, handshake and subscription need four trips. On a link that delays each by 0.1 s or more no probe could ever succeed; streams that opened later were closed, since their probe was gone, and the next dial began anew. Every dial was bounded by 3 s as well, the one to the main source alone; that one went to the silent relay first. And a backoff of an earlier outage still delayed the dials of the next one.

Change: there is no probe with a limit of its own any more. A daemon has a set of sources; a dial lasts as long as its trips may be unacknowledged (6 s), and after two beacon intervals another source is dialed beside it, in a failure domain that has no dial, up to three. The first that opens is attached to where there is none, the first whose beacon advances replaces a silent one.

Tests of spread pass.

--- a/packages/bilberry_core/bilberry_core/dialing.py
+++ b/packages/bilberry_core/bilberry_core/dialing.py
@@ -23,6 +23,7 @@
     address: Address,
     purpose: Purpose,
     receiver: Receiver = lambda _message: None,
+    timeout_s: float = HANDSHAKE_TIMEOUT_S,
 ) -> Stream:
     """Opens a stream; raises `OSError` or `HandshakeError`."""
     identity = Identity(credentials.fleet, credentials.instance, purpose)
@@ -30,7 +31,7 @@
     stream.receiver = receiver
     loop = get_running_loop()
     try:
-        async with limit_time(HANDSHAKE_TIMEOUT_S):
+        async with limit_time(timeout_s):
             await loop.create_connection(lambda: stream, *address)
             await stream.ready
     except TimeoutError as error:
--- a/packages/bilberry_core/bilberry_core/handshake.py
+++ b/packages/bilberry_core/bilberry_core/handshake.py
@@ -23,6 +23,9 @@
 MAX_HANDSHAKE_BYTES = 1024
 #: Longest time to connect and complete the handshake, in seconds.
 HANDSHAKE_TIMEOUT_S = 3.0
+#: Messages that the dialer sends one after the other, each after an answer,
+#: until a stream is open: SYN, ACK and hello.
+HANDSHAKE_TRIPS = 3
 #: Version of the messages that follow the handshake.
 PROTOCOL_VERSION = 1
 _MAC_BYTES = 32
--- a/packages/bilberry_spread/bilberry_spread/runtime.py
+++ b/packages/bilberry_spread/bilberry_spread/runtime.py
@@ -4,14 +4,19 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-from bilberry_core.clock import Clock, RandomSource
+from bilberry_core.clock import MS_PER_S, Clock, RandomSource
 from bilberry_core.dialing import dial
 from bilberry_core.error import HandshakeError, StreamClosedError
-from bilberry_core.handshake import Purpose
+from bilberry_core.handshake import HANDSHAKE_TRIPS, Purpose
+from bilberry_core.keepalive import MAX_UNACKNOWLEDGED_MS
 from bilberry_core.metric import Metrics
 from bilberry_core.settings import Peer
 from bilberry_core.stream import Credentials
 
+#: Longest time to open a stream to a relay, in seconds: on a loaded link each
+#: trip may take as long as the kernel waits for an acknowledgement.
+DIAL_TIMEOUT_S = HANDSHAKE_TRIPS * MAX_UNACKNOWLEDGED_MS / MS_PER_S
+
 
 class Link(Protocol):
     """The part of `bilberry_core.stream.Stream` that controllers use."""
@@ -106,6 +111,7 @@
                 self._credentials,
                 peer.address,
                 Purpose.SPREAD,
+                timeout_s=DIAL_TIMEOUT_S,
             )
         except (OSError, HandshakeError):
             on_failure()
--- a/packages/bilberry_spread/bilberry_spread/source.py
+++ b/packages/bilberry_spread/bilberry_spread/source.py
@@ -1,4 +1,4 @@
-"""Represents one source that a daemon is attached to, or probes."""
+"""Represents one source of configurations that this daemon has a stream to."""
 
 from enum import StrEnum
 from typing import Any
@@ -20,13 +20,14 @@
 
 
 class Source:
-    """A source that this daemon is attached to, or probes.
+    """A source that this daemon is attached to, or may attach to.
 
-    `opened` is the monotonic time at which its stream opened.
+    `since` is the monotonic time of the dial and `opened` that of the open
+    stream, in seconds.
     """
 
     def __init__(self, peer: Peer, why: Reason, since: float) -> None:
-        """Starts without a stream; `since` is the monotonic dial time."""
+        """Starts without a stream."""
         self.peer = peer
         self.why = why
         self.since = since
@@ -34,17 +35,52 @@
         self.is_dial_recorded = False
         self.link: Link | None = None
         self._beacon: Beacon | None = None
+        self._last_advance: float | None = None
 
     @property
     def is_open(self) -> bool:
         """Whether the stream is open."""
         return self.link is not None
 
-    def record_beacon(self, beacon: Beacon) -> bool:
-        """Records a beacon; returns whether it is later than the last."""
+    @property
+    def beacon(self) -> Beacon | None:
+        """The last beacon of the source."""
+        return self._beacon
+
+    def open(self, link: Link, now: float) -> None:
+        """Records that the stream is open."""
+        self.link = link
+        self.opened = now
+
+    def record_beacon(
+        self, beacon: Beacon, now: float, *, is_newest: bool
+    ) -> bool:
+        """Records a beacon; returns whether it is later than the last.
+
+        The first one shows that the source is current only if it is newer than
+        those of all other sources.
+        """
         before = self._beacon
         self._beacon = beacon
-        return before is not None and is_later_beacon(beacon, before)
+        is_later = before is not None and is_later_beacon(beacon, before)
+        if is_later or is_newest:
+            self._last_advance = now
+        return is_later
+
+    def has_advanced_within(self, seconds: float, now: float) -> bool:
+        """Returns whether its beacon advanced in the last `seconds`."""
+        advanced = self._last_advance
+        return advanced is not None and now - advanced < seconds
+
+    def is_open_for(self, seconds: float, now: float) -> bool:
+        """Returns whether the stream has been open for `seconds`."""
+        return self.opened is not None and now - self.opened >= seconds
+
+    def is_silent(self, seconds: float, now: float) -> bool:
+        """Returns whether it is open, but no beacon advanced in `seconds`."""
+        if not self.is_open_for(seconds, now):
+            return False
+        return not self.has_advanced_within(seconds, now)
 
     def send(self, sent: Any) -> None:
         """Sends a message if the stream is open."""
