Keep a standby source, so that no version depends on one relay

Cause: a daemon got versions on one stream alone. Once that fell silent, the next version needed a dial through the daemon's own link, and on a full link four trips of it take 2.5 to 4 s even where the dial is not given up: too long for the 2 s in which a change must be in force.

Change: a daemon keeps a second stream, its standby, to a source in another failure domain. Beacons and configurations come on both; announcements, endpoints and reports stay with the main source. When the main one falls silent or ends, the standby takes its place without a dial. The sources that the start rule needs become the standby, so a start takes no further join. An empty version report no longer counts as a change of versions on a relay.

Two checks follow the design, as strict: the test of a source that sends beacons but no version drops versions on both streams; the variant without leases is caught where two relays die, since with one the standby is announced to at once. New variants: no standby, a silent source that is kept.

--- a/packages/bilberry_spread/bilberry_spread/attachment.py
+++ b/packages/bilberry_spread/bilberry_spread/attachment.py
@@ -1,9 +1,11 @@
 """Keeps a daemon attached to one source that is current.
 
 The sources of a proxy are relays, and those of a relay are replicas. The
-daemon stays attached to the first source that admits it. When the beacon stops
-advancing, it dials others, preferably in other failure domains, and moves to
-the first whose beacon advances. Configurations and beacons are accepted from
+daemon announces itself to its main source, and gets endpoints from it. A
+standby in another failure domain sends configurations and beacons too: no
+version depends on a single source, or on a dial that begins after that source
+has fallen silent. When the beacon of the main source stops advancing, a source
+whose beacon advances replaces it. Configurations and beacons are accepted from
 all streams and never replaced by older ones.
 """
 
@@ -95,6 +97,14 @@
         self._return()
         self._dial()
 
+    def heartbeat(self, sent: Any) -> None:
+        """Sends `sent` on the streams beside the main one.
+
+        A source drops receivers that are silent for long.
+        """
+        for source in self._sources.others:
+            source.send(sent)
+
     def stop(self) -> None:
         """Closes every stream."""
         self._streams.stop()
--- a/packages/bilberry_spread/bilberry_spread/compiler.py
+++ b/packages/bilberry_spread/bilberry_spread/compiler.py
@@ -72,15 +72,9 @@
                 extra={
                     'version': accepted.version,
                     'before': running.version if running else 0,
-                    'source': self._source,
                 },
             )
 
-    @property
-    def _source(self) -> str:
-        source = self._board.source.value
-        return source.instance if source else ''
-
     def _schedule(self, _changed: object) -> None:
         if not self._scheduled:
             self._scheduled = True
--- a/packages/bilberry_spread/bilberry_spread/dial_plan.py
+++ b/packages/bilberry_spread/bilberry_spread/dial_plan.py
@@ -43,9 +43,9 @@
         self._sources = sources
         self._clock = runtime.clock
         self._picker = SourcePicker(peers)
-        self._start_picker = SourcePicker(peers)
+        self._standby_picker = SourcePicker(peers)
         self._timer = DialTimer(runtime.clock, runtime.random)
-        self._start_timer = DialTimer(runtime.clock, runtime.random)
+        self._standby_timer = DialTimer(runtime.clock, runtime.random)
         self._return_timer = ReturnTimer(runtime.clock, runtime.random)
 
     @property
@@ -58,7 +58,7 @@
         if peers == self.peers:
             return
         self._picker.replace(peers)
-        self._start_picker.replace(peers)
+        self._standby_picker.replace(peers)
         for peer in peers:
             source = self._sources.find(peer)
             if source is not None:
@@ -110,8 +110,8 @@
             self._timer.succeed()
             self._picker.restart()
         if source is not self._sources.main:
-            self._start_timer.succeed()
-            self._start_picker.restart()
+            self._standby_timer.succeed()
+            self._standby_picker.restart()
 
     def _choose_reason(
         self, *, is_stale: bool, is_gate_open: bool
@@ -120,7 +120,11 @@
             return Reason.ATTACH
         if is_stale:
             return Reason.BEACON_STALE
-        return None if is_gate_open else Reason.START_RULE
+        if not is_gate_open:
+            return Reason.START_RULE
+        if self._sources.has_standby(self.peers):
+            return None
+        return Reason.STANDBY
 
     def _may_dial(self, why: Reason) -> bool:
         if not self._get_timer(why).is_due:
@@ -135,11 +139,11 @@
         return bool(self._sources.list_silent(self._stale_s, now))
 
     def _get_timer(self, why: Reason) -> DialTimer:
-        if why is Reason.START_RULE:
-            return self._start_timer
+        if why in {Reason.STANDBY, Reason.START_RULE}:
+            return self._standby_timer
         return self._timer
 
     def _get_picker(self, why: Reason) -> SourcePicker:
-        if why is Reason.START_RULE:
-            return self._start_picker
+        if why in {Reason.STANDBY, Reason.START_RULE}:
+            return self._standby_picker
         return self._picker
--- a/packages/bilberry_spread/bilberry_spread/reception.py
+++ b/packages/bilberry_spread/bilberry_spread/reception.py
@@ -14,6 +14,7 @@
     ConfigurationSnapshot,
     SnapshotRequest,
 )
+from bilberry_core.settings import Peer
 from returns.result import Success
 
 from bilberry_spread.delta import apply_delta, read_snapshot_message
@@ -139,12 +140,23 @@
     def receive_configuration(
         self,
         received: ConfigurationSnapshot | ConfigurationDelta,
-        failure_domain: str,
+        source: Peer,
     ) -> SnapshotRequest | None:
         """Applies an update; returns a request to send if a delta failed."""
+        before = self._receiver.version
         snapshot_request = self._receiver.receive(received)
-        if received.version <= self._receiver.version:
-            self._gate.record_version(failure_domain, received.version)
+        version = self._receiver.version
+        if received.version <= version:
+            self._gate.record_version(source.failure_domain, received.version)
+        if version > before:
+            _log.info(
+                'version_received',
+                extra={
+                    'version': version,
+                    'before': before,
+                    'source': source.instance,
+                },
+            )
         self.tick()
         return snapshot_request
 
--- a/packages/bilberry_spread/bilberry_spread/relay_source.py
+++ b/packages/bilberry_spread/bilberry_spread/relay_source.py
@@ -70,6 +70,7 @@
             timing = self._settings.timing
             self._next_heartbeat = now + timing.renew_ms / MS_PER_S
             self._send(VersionReport({}))
+            self._attachment.heartbeat(VersionReport({}))
 
     def report(self, versions: dict[str, int]) -> None:
         """Reports the versions that attached proxies run."""
--- a/packages/bilberry_spread/bilberry_spread/session.py
+++ b/packages/bilberry_spread/bilberry_spread/session.py
@@ -88,8 +88,10 @@
             self.receiver.link.close()
 
     def _handle_version_report(self, held: VersionReport) -> None:
-        self.versions = apply_report(self.versions, held)
-        self._listener.on_versions_changed()
+        before = self.versions
+        self.versions = apply_report(before, held)
+        if self.versions != before:
+            self._listener.on_versions_changed()
 
     def _handle_endpoint_request(self, want: EndpointRequest) -> None:
         self.receiver.add_services(want.services)
--- a/packages/bilberry_spread/bilberry_spread/source.py
+++ b/packages/bilberry_spread/bilberry_spread/source.py
@@ -16,6 +16,7 @@
     ATTACH = 'attach'
     BEACON_STALE = 'beacon_stale'
     START_RULE = 'start_rule'
+    STANDBY = 'standby'
     RETURN = 'return'
 
 
--- a/packages/bilberry_spread/bilberry_spread/source_set.py
+++ b/packages/bilberry_spread/bilberry_spread/source_set.py
@@ -13,7 +13,8 @@
 class SourceSet:
     """The main source, which this daemon is attached to, and all others.
 
-    The others are being dialed or open.
+    The others are being dialed or open. One of them is the standby, which is
+    in another failure domain than the main source where that is possible.
     """
 
     def __init__(self) -> None:
@@ -80,14 +81,48 @@
         """Returns the other sources that are open and silent."""
         return [one for one in self._others if one.is_silent(stale_s, now)]
 
+    def has_standby(self, peers: tuple[Peer, ...]) -> bool:
+        """Returns whether a standby has sent a beacon.
+
+        One in the failure domain of the main source counts only if none of
+        `peers` is in another one.
+        """
+        main = self.main
+        if main is None:
+            return False
+        domain = main.peer.failure_domain
+        has_domains = any(peer.failure_domain != domain for peer in peers)
+        return any(
+            not has_domains or source.peer.failure_domain != domain
+            for source in self._list_standbys()
+        )
+
     def list_surplus(self, stale_s: float, now: float) -> list[Source]:
-        """Returns the sources that are not needed beside a current one.
+        """Returns the sources that are not needed beside the best standby.
 
         A return that has not come about `stale_s` after the stream opened is
         given up: the beacons there are older.
         """
+        returns = [
+            one
+            for one in self._others
+            if one.why is Reason.RETURN and one.is_open_for(stale_s, now)
+        ]
+        return returns + self._list_surplus_standbys()
+
+    def _list_surplus_standbys(self) -> list[Source]:
+        main = self.main
+        ready = self._list_standbys()
+        if main is None or not ready:
+            return []
+        domain = main.peer.failure_domain
+        best = max(ready, key=lambda one: one.peer.failure_domain != domain)
+        ready.remove(best)
+        return ready
+
+    def _list_standbys(self) -> list[Source]:
         return [
             one
             for one in self._others
-            if one.why is not Reason.RETURN or one.is_open_for(stale_s, now)
+            if one.beacon is not None and one.why is not Reason.RETURN
         ]
--- a/packages/bilberry_spread/bilberry_spread/source_streams.py
+++ b/packages/bilberry_spread/bilberry_spread/source_streams.py
@@ -143,7 +143,7 @@
     ) -> None:
         snapshot_request = self._reception.receive_configuration(
             received,
-            source.peer.failure_domain,
+            source.peer,
         )
         if snapshot_request is not None:
             source.send(snapshot_request)
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -166,6 +166,7 @@
                     endpoint.sequence,
                 ),
             )
+        self._attachment.heartbeat(VersionReport({}))
         self._schedule_renewal(now)
 
     def _schedule_renewal(self, now: float) -> None:
--- a/tests/bilberry_spread/test_delta.py
+++ b/tests/bilberry_spread/test_delta.py
@@ -2,8 +2,10 @@
 
 from bilberry_core.board import Board
 from bilberry_core.configuration import compute_digest
+from bilberry_core.endpoint import Address
 from bilberry_core.messages.spread import SnapshotRequest
 from bilberry_core.metric import NullMetrics
+from bilberry_core.settings import Peer
 from bilberry_core.snapshot import compile_snapshot
 from bilberry_spread.compiler import SnapshotController, group_by_service
 from bilberry_spread.delta import (
@@ -24,6 +26,8 @@
 from tests.bilberry_spread.fleet import make_accepted, make_endpoint
 from tests.bilberry_spread.schedules import make_version
 
+SOURCE = Peer('r-1', Address('127.0.0.1', 9), 'a')
+
 #: `test_variants` runs test methods on additional instances, which the health
 #: check would reject.
 REUSED = (HealthCheck.differing_executors,)
@@ -155,4 +159,4 @@
         self.assertEqual(compute_digest(new.configuration), snapshot.digest)
 
     def _receive(self, message):
-        return self.reception.receive_configuration(message, 'a')
+        return self.reception.receive_configuration(message, SOURCE)
--- a/tests/bilberry_spread/test_failures.py
+++ b/tests/bilberry_spread/test_failures.py
@@ -59,6 +59,7 @@
         self.assertEqual({2}, get_running(fleet.proxies))
         self.assertEqual({1}, get_running([fleet.nodes['l-0']]))
         self.assertIsNotNone(fleet.nodes['l-0'].board.stale_since.value)
+        self.assertNotIn('l-0', self._get_sources(fleet))
         for node in attached:
             self.assertEqual(sorted(node.versions), node.versions)
             self.assertIsNone(node.board.stale_since.value)
@@ -100,23 +101,35 @@
     def test_relay_that_sends_beacons_but_no_version_is_abandoned(self):
         """A source is abandoned if it announces a version but never sends it.
 
-        The fake stream drops configurations (message kinds 32 and 33).
+        The fake streams of the main source and of the standby drop
+        configurations (message kinds 32 and 33).
         """
         fleet = Fleet(relays=0, proxies=3)
         fleet.accept(make_accepted(1))
         fleet.run(3)
         victim = fleet.proxies[0]
-        relay = victim.controller.attachment.main.peer.instance
-        receivers = fleet.nodes[relay].controller.broadcast.receivers
-        link = receivers._sessions[victim.name].receiver.link
-        forward = link.send_encoded
-        link.send_encoded = lambda encoded: (
-            None if encoded[1] in {32, 33} else forward(encoded)
-        )
+        links = self._get_links_to(victim, fleet)
+        self.assertEqual(2, len(links))
+        for link in links:
+            self._drop_configurations(link)
         fleet.accept(make_accepted(2))
         fleet.run(4)
         self.assertEqual({2}, get_running(fleet.proxies))
 
+    def test_version_does_not_depend_on_the_main_source(self):
+        """The standby delivers a version that the main source never sends."""
+        fleet = Fleet(relays=0, proxies=3)
+        fleet.accept(make_accepted(1))
+        fleet.run(3)
+        victim = fleet.proxies[0]
+        main = victim.controller.attachment.main.peer.instance
+        for link in self._get_links_to(victim, fleet):
+            if link.node == main:
+                self._drop_configurations(link)
+        fleet.accept(make_accepted(2))
+        fleet.run(0.1)
+        self.assertEqual({2}, get_running(fleet.proxies))
+
     def test_proxy_returns_to_its_preferred_relay(self):
         """After a relay restarts, its proxies return to it over time."""
         fleet = Fleet(relays=3, proxies=6)
@@ -156,6 +169,19 @@
         fleet.run(8)
         self.assertEqual(known[1], attachment.main.peer)
 
+    def _get_links_to(self, proxy, fleet):
+        return [
+            link
+            for link in fleet.network.links
+            if link.other == proxy.name and link.is_open
+        ]
+
+    def _drop_configurations(self, link):
+        forward = link.send_encoded
+        link.send_encoded = lambda encoded: (
+            None if encoded[1] in {32, 33} else forward(encoded)
+        )
+
     def _list_cross_domain(self, fleet):
         return [
             node.name
@@ -304,6 +330,20 @@
             fleet.network.thaw()
             fleet.run(30, check)
 
+    def test_death_of_two_relays_removes_no_endpoint(self):
+        """Endpoints are kept until their proxies have reached another relay."""
+        fleet = Fleet(relays=3, proxies=9)
+        names = announce_all(fleet)
+        fleet.nodes['l-0'].kill()
+        fleet.nodes['l-1'].kill()
+
+        def check():
+            for node in fleet.proxies:
+                known = set(node.board.endpoints.value)
+                self.assertEqual(names, known)
+
+        fleet.run(30, check)
+
     def test_endpoints_that_return_to_a_thawed_relay_are_kept(self):
         """The other relays hear of them before their old leases expire."""
         for seed in range(10):
--- a/tests/bilberry_spread/test_variants.py
+++ b/tests/bilberry_spread/test_variants.py
@@ -22,6 +22,8 @@
 from bilberry_spread.reception import ConfigurationReceiver, Reception
 from bilberry_spread.removal import RemovalLimit
 from bilberry_spread.session import Session
+from bilberry_spread.source import Source
+from bilberry_spread.source_set import SourceSet
 from bilberry_spread.start import StartGate
 from bilberry_spread.table import EndpointTable
 from bilberry_spread.tombstones import Tombstones
@@ -111,6 +113,11 @@
     self._has_beacon_advanced = True
 
 
+def list_others(self, _stale_s, _now) -> list:
+    """Treats every source but the main one as not needed."""
+    return list(self.others)
+
+
 VARIANTS = (
     Variant(
         'an older version is accepted',
@@ -156,7 +163,9 @@
     Variant(
         'a lost relay removes its proxies at once',
         ((EndpointTable, 'start_leases', expire_at_once),),
-        test_failures.EndpointTest('test_death_of_a_relay_removes_no_endpoint'),
+        test_failures.EndpointTest(
+            'test_death_of_two_relays_removes_no_endpoint'
+        ),
     ),
     Variant(
         'a cut-off relay expires leases of other relays',
@@ -216,6 +225,23 @@
             'test_relay_that_sends_beacons_but_no_version_is_abandoned',
         ),
     ),
+    Variant(
+        'no standby is kept',
+        (
+            (SourceSet, 'has_standby', always(True)),
+            (SourceSet, 'list_surplus', list_others),
+        ),
+        test_failures.StalenessTest(
+            'test_version_does_not_depend_on_the_main_source',
+        ),
+    ),
+    Variant(
+        'a silent source is kept',
+        ((Source, 'is_silent', always(False)),),
+        test_failures.StalenessTest(
+            'test_proxies_leave_a_relay_that_is_cut_off'
+        ),
+    ),
     Variant(
         'proxies never return to the preferred relay',
         ((ReturnTimer, 'is_due', False),),
