Wait longer for the first beacon of a source than for the next

What callers would see: a proxy with a loaded link that lost its relay once has no standby afterwards, so the next silent relay costs it versions again.

Change: until the first beacon, the time in which a subscription may stay unacknowledged (2 s) is added. The delay of the tests becomes 0.9 s.

Measured: the new test fails before, passes now; the others of this file hold with 0.9 s.

--- a/packages/bilberry_spread/bilberry_spread/attachment.py
+++ b/packages/bilberry_spread/bilberry_spread/attachment.py
@@ -143,8 +143,8 @@
         """
         now = self._clock.now()
         self._replace_silent_main(now)
-        for silent in self._sources.list_silent(self._stale_s, now):
-            self._streams.drop(silent, DialOutcome.TIMEOUT)
+        for lost in self._sources.list_lost(self._stale_s, now):
+            self._streams.drop(lost, DialOutcome.TIMEOUT)
         if self.gate.is_open:
             for surplus in self._sources.list_surplus(self._stale_s, now):
                 self._streams.drop(surplus, DialOutcome.OBSOLETE)
@@ -176,8 +176,8 @@
             return
         if self._sources.is_full:
             now = self._clock.now()
-            for silent in self._sources.list_silent(self._stale_s, now)[:1]:
-                self._streams.drop(silent, DialOutcome.TIMEOUT)
+            for lost in self._sources.list_lost(self._stale_s, now)[:1]:
+                self._streams.drop(lost, DialOutcome.TIMEOUT)
         self._streams.dial(dial.peer, dial.why, self.peers)
 
     def _promote(self, source: Source, why: str) -> None:
--- a/packages/bilberry_spread/bilberry_spread/dial_plan.py
+++ b/packages/bilberry_spread/bilberry_spread/dial_plan.py
@@ -136,7 +136,7 @@
                 return False
         if not self._sources.is_full:
             return True
-        return bool(self._sources.list_silent(self._stale_s, now))
+        return bool(self._sources.list_lost(self._stale_s, now))
 
     def _get_timer(self, why: Reason) -> DialTimer:
         if why in {Reason.STANDBY, Reason.START_RULE}:
--- a/packages/bilberry_spread/bilberry_spread/source.py
+++ b/packages/bilberry_spread/bilberry_spread/source.py
@@ -4,11 +4,16 @@
 from typing import Any
 
 from bilberry_core.board import Beacon
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.keepalive import MAX_UNACKNOWLEDGED_MS
 from bilberry_core.settings import Peer
 
 from bilberry_spread.reception import is_later_beacon
 from bilberry_spread.runtime import Link, send_if_open
 
+#: Longest time that a subscription may take to its source, in seconds.
+SUBSCRIPTION_S = MAX_UNACKNOWLEDGED_MS / MS_PER_S
+
 
 class Reason(StrEnum):
     """The reason why a source is dialed."""
@@ -83,6 +88,16 @@
             return False
         return not self.has_advanced_within(seconds, now)
 
+    def is_lost(self, seconds: float, now: float) -> bool:
+        """Returns whether it is silent, and no beacon can be on its way.
+
+        Until the first beacon the subscription may take as long as it may be
+        unacknowledged.
+        """
+        if self._beacon is None:
+            return self.is_open_for(SUBSCRIPTION_S + seconds, now)
+        return self.is_silent(seconds, now)
+
     def send(self, sent: Any) -> None:
         """Sends a message if the stream is open."""
         if self.link is not None:
--- a/packages/bilberry_spread/bilberry_spread/source_set.py
+++ b/packages/bilberry_spread/bilberry_spread/source_set.py
@@ -77,9 +77,9 @@
                 return source
         return None
 
-    def list_silent(self, stale_s: float, now: float) -> list[Source]:
-        """Returns the other sources that are open and silent."""
-        return [one for one in self._others if one.is_silent(stale_s, now)]
+    def list_lost(self, stale_s: float, now: float) -> list[Source]:
+        """Returns the other sources from which no beacon can be expected."""
+        return [one for one in self._others if one.is_lost(stale_s, now)]
 
     def has_standby(self, peers: tuple[Peer, ...]) -> bool:
         """Returns whether a standby has sent a beacon.
--- a/tests/bilberry_spread/test_loaded_links.py
+++ b/tests/bilberry_spread/test_loaded_links.py
@@ -15,7 +15,7 @@
 #: Time within which a daemon must serve after its start, in seconds.
 START_S = 15.0
 #: Delay of a link whose queue is full, in seconds.
-UPLINK_S = 0.7
+UPLINK_S = 0.9
 #: Delay close to that at which the kernel ends a stream, in seconds.
 LONGEST_UPLINK_S = 1.9
 
@@ -54,6 +54,21 @@
         self.fleet.run(RECOVERY_S)
         self.assertEqual({2}, get_running([self.proxy]))
 
+    def test_loaded_proxy_gets_a_standby_again(self):
+        """A first beacon may come later than the next ones are expected."""
+        self.fleet.network.uplink_s[self.proxy.name] = UPLINK_S
+        attachment = self.proxy.controller.attachment
+        source = attachment.main.peer.instance
+        self.fleet.network.muted.add(source)
+        self.fleet.run(START_S)
+        now = self.fleet.time.now()
+        standbys = [
+            source.peer.instance
+            for source in attachment._sources.others
+            if source.has_advanced_within(1, now)
+        ]
+        self.assertNotEqual([], standbys)
+
     def test_daemon_starts_on_a_link_that_delays_each_message(self):
         """A handshake may take as long as streams may be unacknowledged."""
         self.proxy.kill()
