Don't keep a relay as standby whose beacon stands still

What callers would see: proxies next to a relay that is cut off from the replicas have no standby, and join that relay every second.

Cause: any beacon of a standby reset the order and the backoff of standbys. A relay that is cut off sends its old beacon once, is dropped 0.75 s later and is first in the order again.

Change: only a beacon that advances does so.

The new test fails before.

--- a/packages/bilberry_spread/bilberry_spread/attachment.py
+++ b/packages/bilberry_spread/bilberry_spread/attachment.py
@@ -206,11 +206,15 @@
             source.peer.failure_domain,
         )
         now = self._clock.now()
-        if source.record_beacon(update.beacon, now, is_newest=later):
+        advances = source.record_beacon(update.beacon, now, is_newest=later)
+        if advances:
             self.gate.record_beacon_advance()
-        self._plan.record_beacon(source, is_newest=later)
+        if later:
+            self._plan.record_newest_beacon()
         if source is self._sources.main:
             return
+        if advances:
+            self._plan.record_standby_beacon()
         is_older = self._reception.is_older(update.beacon)
         if source.why is Reason.RETURN and not is_older:
             self._promote(source, Reason.RETURN)
--- a/packages/bilberry_spread/bilberry_spread/dial_plan.py
+++ b/packages/bilberry_spread/bilberry_spread/dial_plan.py
@@ -12,7 +12,7 @@
 
 from bilberry_spread.pacing import DialTimer, ReturnTimer, SourcePicker
 from bilberry_spread.runtime import Runtime
-from bilberry_spread.source import Reason, Source
+from bilberry_spread.source import Reason
 from bilberry_spread.source_set import SourceSet
 
 #: Time that a dial has before another source is dialed beside it, in beacon
@@ -104,14 +104,15 @@
         """
         self._timer.start()
 
-    def record_beacon(self, source: Source, *, is_newest: bool) -> None:
-        """Records that a source sent a beacon."""
-        if is_newest:
-            self._timer.succeed()
-            self._picker.restart()
-        if source is not self._sources.main:
-            self._standby_timer.succeed()
-            self._standby_picker.restart()
+    def record_newest_beacon(self) -> None:
+        """Ends the backoff of dials; called with each newest beacon."""
+        self._timer.succeed()
+        self._picker.restart()
+
+    def record_standby_beacon(self) -> None:
+        """Ends the backoff of standbys; called when one's beacon advances."""
+        self._standby_timer.succeed()
+        self._standby_picker.restart()
 
     def _choose_reason(
         self, *, is_stale: bool, is_gate_open: bool
--- a/tests/bilberry_spread/test_failures.py
+++ b/tests/bilberry_spread/test_failures.py
@@ -64,6 +64,22 @@
             self.assertEqual(sorted(node.versions), node.versions)
             self.assertIsNone(node.board.stale_since.value)
 
+    def test_standby_is_sought_beyond_a_cut_off_relay(self):
+        """A relay whose beacon stands still is no standby for long."""
+        fleet = Fleet(relays=3, proxies=6)
+        fleet.accept(make_accepted(1))
+        fleet.run(4)
+        others = {name for name in fleet.nodes if name[0] != 'p'}
+        fleet.network.isolate('l-0', others | {'leader'})
+        fleet.run(12)
+        for node in fleet.proxies:
+            standbys = [
+                source.peer.instance
+                for source in node.controller.attachment._sources.others
+                if source.has_advanced_within(2, fleet.time.now())
+            ]
+            self.assertNotEqual([], standbys)
+
     def test_fleet_without_a_leader_keeps_running_and_is_stale(self):
         """Without a leader every proxy keeps its state and marks it stale."""
         fleet = Fleet(relays=3)
