Begin the wait of the start rule with the first configuration

What callers would see: 404 for an accepted route from a proxy that was restarted while its link was full and its relay cut off from the replicas.

Cause: the start rule waits 5 s from the start of the process for two failure domains and a beacon that advances. On a loaded link no relay is heard in that time; then the first configuration is run at once, whoever sent it.

Change: the 5 s begin when a configuration is there. Without one there is nothing to run, so the wait of others is as it was.

The new test fails before.

--- a/packages/bilberry_spread/bilberry_spread/relay_source.py
+++ b/packages/bilberry_spread/bilberry_spread/relay_source.py
@@ -13,7 +13,7 @@
 from bilberry_spread.reports import build_report
 from bilberry_spread.runtime import Runtime
 from bilberry_spread.source import Source
-from bilberry_spread.start import START_WAIT_S, StartGate
+from bilberry_spread.start import StartGate
 
 
 class SuspectListener(Protocol):
@@ -48,7 +48,7 @@
         peers = rank_sources(settings)
         reception = Reception(
             board,
-            StartGate(peers, runtime.clock.now() + START_WAIT_S),
+            StartGate(peers),
             settings.timing.stale_ms / MS_PER_S,
             runtime,
         )
--- a/packages/bilberry_spread/bilberry_spread/start.py
+++ b/packages/bilberry_spread/bilberry_spread/start.py
@@ -4,14 +4,15 @@
 its first configuration, relays in more than one failure domain must have
 reported their versions, the beacon must have advanced (which shows that one of
 them is current), and the daemon must have received the highest version
-reported. The wait is bounded.
+reported. The wait is bounded; it begins with the first configuration received,
+since on a loaded link all relays are heard late.
 """
 
 from collections.abc import Iterable
 
 from bilberry_core.settings import Peer
 
-#: Maximum wait of the start rule, in seconds.
+#: Maximum wait of the start rule with a configuration, in seconds.
 START_WAIT_S = 5.0
 #: Failure domains that must have reported, if that many are configured.
 START_DOMAINS = 2
@@ -20,11 +21,14 @@
 class StartGate:
     """A gate that opens when the first configuration may be run."""
 
-    def __init__(self, relays: Iterable[Peer], deadline: float) -> None:
-        """Opens at `deadline` (monotonic seconds) at the latest."""
+    def __init__(
+        self, relays: Iterable[Peer], wait_s: float = START_WAIT_S
+    ) -> None:
+        """Opens `wait_s` seconds after a configuration came, at the latest."""
         domains = {relay.failure_domain for relay in relays}
         self._required_domains = min(START_DOMAINS, len(domains))
-        self._deadline = deadline
+        self._wait_s = wait_s
+        self._deadline: float | None = None
         self._domains_seen: set[str] = set()
         self._highest = 0
         self._has_beacon_advanced = False
@@ -59,9 +63,13 @@
 
         `held` is the version that this daemon has received.
         """
-        opens = not self._open and (self.is_met(held) or now >= self._deadline)
-        self._open = self._open or opens
-        return opens
+        if self._open:
+            return False
+        if self._deadline is None and held:
+            self._deadline = now + self._wait_s
+        is_over = self._deadline is not None and now >= self._deadline
+        self._open = is_over or self.is_met(held)
+        return self._open
 
     def is_met(self, held: int) -> bool:
         """Returns whether the rule is met with the received version `held`."""
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -27,7 +27,7 @@
 from bilberry_spread.reception import Reception
 from bilberry_spread.runtime import Runtime
 from bilberry_spread.source import Source
-from bilberry_spread.start import START_WAIT_S, StartGate
+from bilberry_spread.start import StartGate
 from bilberry_spread.suspect_feed import SuspectFeed
 from bilberry_spread.ticker import Ticker
 
@@ -49,7 +49,7 @@
         relays = self._rank(settings.relays)
         reception = Reception(
             board,
-            StartGate(relays, runtime.clock.now() + START_WAIT_S),
+            StartGate(relays),
             timing.stale_ms / MS_PER_S,
             runtime,
         )
--- a/tests/bilberry_spread/test_delta.py
+++ b/tests/bilberry_spread/test_delta.py
@@ -88,7 +88,7 @@
         self.board = Board()
         time = FakeTime()
         runtime = Runtime(None, time, time, None, NullMetrics())
-        gate = StartGate((), time.now())
+        gate = StartGate((), wait_s=0)
         self.reception = Reception(self.board, gate, 2, runtime)
         self.compiler = SnapshotController(self.board)
         self.board.accepted.watch(lambda _put: self.compiler.compile())
--- a/tests/bilberry_spread/test_loaded_links.py
+++ b/tests/bilberry_spread/test_loaded_links.py
@@ -76,3 +76,16 @@
         restarted = self.fleet.start(self.proxy.name)
         self.fleet.run(START_S)
         self.assertEqual({1}, get_running([restarted]))
+
+    def test_loaded_restart_does_not_start_behind(self):
+        """The wait of the start rule begins with the first relay heard."""
+        preferred = self.proxy.controller.attachment.peers[0].instance
+        others = {name for name in self.fleet.nodes if name[0] != 'p'}
+        self.fleet.network.isolate(preferred, others | {'leader'})
+        self.fleet.accept(make_accepted(2))
+        self.fleet.run(4)
+        self.proxy.kill()
+        self.fleet.network.uplink_s[self.proxy.name] = LONGEST_UPLINK_S
+        restarted = self.fleet.start(self.proxy.name)
+        self.fleet.run(START_S)
+        self.assertEqual({2}, set(restarted.versions))
--- a/tests/bilberry_spread/test_variants.py
+++ b/tests/bilberry_spread/test_variants.py
@@ -107,9 +107,9 @@
     return self._open
 
 
-def init_beacon_advanced(self, relays, deadline) -> None:
+def init_beacon_advanced(self, relays) -> None:
     """Starts a gate as if a beacon had already advanced."""
-    INIT_GATE(self, relays, deadline)
+    INIT_GATE(self, relays)
     self._has_beacon_advanced = True
 
 
