Keep dialing a daemon while the calls that wait for it are refused

A call waits 0.5 s for the stream to another daemon, and the dial ended with the call. On a loaded link no stream ever opened; each call dialed anew, and the endpoint was ejected.

Change: the call still fails as not run after 0.5 s, so that it can go elsewhere; the dial goes on and serves later calls. StreamOpener does this, out of call_stream.py.

Measured: test_slow_dial_is_not_given_up_with_its_call fails on (two dials where one is enough), passes now; tests of bilberry_proxy pass.

--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -5,14 +5,12 @@
 have run.
 """
 
-from asyncio import Task, get_running_loop, timeout
-from collections.abc import Callable, Coroutine, Iterable
-from typing import Any, Protocol
+from asyncio import get_running_loop
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Any
 
-from bilberry_core.dialing import dial
 from bilberry_core.endpoint import Address
-from bilberry_core.error import BilberryError
-from bilberry_core.handshake import Purpose
 from bilberry_core.messages.call import (
     CallAlive,
     CallFailed,
@@ -23,17 +21,16 @@
     ReplyChunk,
     ReplyStart,
 )
-from bilberry_core.stream import Credentials, Receiver, Stream
+from bilberry_core.stream import Stream
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.call import AnswerReceiver
 from bilberry_proxy.remote_call import RemoteCall
+from bilberry_proxy.stream_opener import OPEN_WAIT_S, Dialer, StreamOpener
 
 #: Time after which a caller may retry if a daemon could not be reached, in
 #: milliseconds.
 UNREACHABLE_RETRY_AFTER_MS = 250
-#: Timeout for opening a stream, in seconds.
-DIAL_TIMEOUT_S = 0.5
 #: Time for which no call is sent to a daemon after its `GoAway`, in seconds.
 GO_AWAY_BACKOFF_S = 2.0
 #: Maximum number of calls that wait for a stream to open.
@@ -42,38 +39,14 @@
 _NO_LOAD = Load(0, 0, 0, 0)
 
 
-class Dialer(Protocol):
-    """A function that opens a stream to another daemon."""
-
-    def __call__(
-        self,
-        address: Address,
-        receiver: Receiver,
-    ) -> Coroutine[Any, Any, Stream]:
-        """Opens a stream; raises `OSError` or `BilberryError`."""
-
-
-def build_dialer(credentials: Credentials) -> Dialer:
-    """Returns a dialer that opens streams for calls."""
-
-    def dial_call(
-        address: Address,
-        receiver: Receiver,
-    ) -> Coroutine[Any, Any, Stream]:
-        return dial(credentials, address, Purpose.CALL, receiver)
-
-    return dial_call
-
-
 class CallStream:
     """A target for calls to the upstream beside one other daemon."""
 
     def __init__(self, address: Address, dialer: Dialer) -> None:
         """Creates the target; the first call opens the stream."""
         self._address = address
-        self._dialer = dialer
+        self._opener = StreamOpener(address, dialer, self._receive, self)
         self._stream: Stream | None = None
-        self._dial: Task[None] | None = None
         self._calls: dict[int, RemoteCall] = {}
         self._last_call = 0
         self._leaving = False
@@ -104,12 +77,16 @@
         if refusal is not None:
             _refuse(call, refusal)
             return call
-        self._calls[numbered.call] = call
         if self._stream is not None:
+            self._calls[numbered.call] = call
             call.write()
-        elif self._dial is None:
+        elif self._opener.request():
+            self._calls[numbered.call] = call
             loop = get_running_loop()
-            self._dial = loop.create_task(self._connect())
+            loop.call_later(OPEN_WAIT_S, self._give_up, numbered.call)
+        else:
+            detail = _describe_target(self._address, 'no stream opens')
+            _fail_calls((call,), detail)
         return call
 
     def send(self, message: Any) -> None:
@@ -124,36 +101,33 @@
 
     def close(self) -> None:
         """Closes the stream; open calls fail."""
-        if self._dial is not None:
-            self._dial.cancel()
+        self._opener.close()
         if self._stream is not None:
             self._stream.close()
 
-    async def _connect(self) -> None:
-        try:
-            async with timeout(DIAL_TIMEOUT_S):
-                stream = await self._dialer(self._address, self._receive)
-        except (OSError, BilberryError, TimeoutError) as error:
-            self._dial = None
-            detail = f'daemon {self._address.host}:{self._address.port}'
-            calls = self._calls
-            self._calls = {}
-            _fail_calls(calls.values(), f'{detail}: {error}')
-            return
-        self._dial = None
+    def stream_opened(self, stream: Stream) -> None:
+        """Writes the calls that wait for the stream."""
         self._stream = stream
-        stream.on_close = self._on_stream_closed
+        stream.on_close = partial(self.stream_lost, 'the stream was lost')
         if not stream.is_open:
-            self._on_stream_closed()
+            self.stream_lost('the stream was lost')
             return
         for call in tuple(self._calls.values()):
             call.write()
 
-    def _on_stream_closed(self) -> None:
+    def stream_lost(self, detail: str) -> None:
+        """Fails every call; called when the stream or the last dial ends."""
         self._stream = None
         calls = self._calls
         self._calls = {}
-        _fail_calls(calls.values(), 'the stream to the daemon was lost')
+        _fail_calls(calls.values(), _describe_target(self._address, detail))
+
+    def _give_up(self, number: int) -> None:
+        call = self._calls.get(number)
+        if call is not None and not call.written:
+            self._calls.pop(number)
+            detail = _describe_target(self._address, 'no stream opens in time')
+            _fail_calls((call,), detail)
 
     def _receive(self, message: Any) -> None:
         handler = self._handlers.get(type(message))
@@ -209,6 +183,11 @@
         return call
 
 
+def _describe_target(address: Address, detail: str) -> str:
+    """Returns the detail of a failure with the daemon that it concerns."""
+    return f'daemon {address.host}:{address.port}: {detail}'
+
+
 def _find_refusal(
     stream: Stream | None,
     waiting_calls: int,
--- a/packages/bilberry_proxy/bilberry_proxy/call_streams.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_streams.py
@@ -7,7 +7,8 @@
 from bilberry_core.stream import Credentials
 
 from bilberry_proxy.call import CallTarget
-from bilberry_proxy.call_stream import CallStream, Dialer, build_dialer
+from bilberry_proxy.call_stream import CallStream
+from bilberry_proxy.stream_opener import Dialer, build_dialer
 
 
 class CallStreams:
--- a/tests/bilberry_proxy/test_call_stream.py
+++ b/tests/bilberry_proxy/test_call_stream.py
@@ -1,6 +1,7 @@
 """Tests of calls over a stream with reordered, repeated or missing frames."""
 
-from asyncio import run, sleep
+from asyncio import Event, run, sleep
+from unittest.mock import patch
 
 from bilberry_core.endpoint import Address
 from bilberry_core.messages.call import (
@@ -14,6 +15,7 @@
 )
 from bilberry_core.policy import Priority
 from bilberry_core.verdict import Failure, FailureCode, Verdict
+from bilberry_proxy import stream_opener
 from bilberry_proxy.call_stream import CallStream
 from hypothesis import given
 from hypothesis import strategies as st
@@ -280,3 +282,55 @@
             return answers.ends
 
         self.assertEqual([Verdict.NOT_RUN], run(scenario()))
+
+
+class SlowDialFixture(StreamFixture):
+    """A call stream whose dials last until `opens` is set."""
+
+    def __init__(self) -> None:
+        """Creates a stream without calls."""
+        super().__init__()
+        self.opens = Event()
+        self.dials = 0
+
+    async def _dial(self, address, receiver):
+        self.dials += 1
+        await self.opens.wait()
+        return await super()._dial(address, receiver)
+
+
+class SlowDialTest(TestCase):
+    """Calls while the stream takes long to open, as on a loaded link."""
+
+    def test_slow_dial_is_not_given_up_with_its_call(self):
+        """The first call is refused, a later one uses the stream."""
+
+        async def scenario():
+            fixture = SlowDialFixture()
+            _, refused = fixture.open()
+            while not refused.ends:
+                await sleep(0.01)
+            fixture.opens.set()
+            await settle()
+            call, _ = fixture.open()
+            await settle()
+            return refused.ends, call.written, fixture.dials
+
+        self.assertEqual(([Verdict.NOT_RUN], True, 1), run(scenario()))
+
+    def test_dials_of_one_daemon_are_bounded(self):
+        """Further calls are refused at once until a dial has ended."""
+
+        async def scenario():
+            fixture = SlowDialFixture()
+            with patch.object(stream_opener, 'OPEN_WAIT_S', 0):
+                answers = [fixture.open()[1] for _ in range(9)]
+            ends = [one.ends for one in answers]
+            await settle()
+            return fixture.dials, ends
+
+        dials, ends = run(scenario())
+        self.assertEqual(stream_opener.MAX_DIALS, dials)
+        waiting, refused = ends[:dials], ends[dials:]
+        self.assertEqual([[] for _ in waiting], waiting)
+        self.assertEqual([[Verdict.NOT_RUN] for _ in refused], refused)
