Send a standby only the versions that it lacks

Cause: each proxy got each change, about 600 bytes, twice, and at the start the whole configuration of 24 kB twice; beacons cost a tenth of that.

Change: a subscription says whether it is a standby's. Such a receiver gets a beacon often enough not to be stale, and a version only when it has not reported it within half of the time after which a beacon is stale. It reports what its main source sent it; Attach makes it an attached receiver. The first version comes from the main source alone. A source counts as behind only when it was asked for the version long enough ago for a loaded link, and all that are behind are left at once; until then a source that had just been promoted was left before its version could come. A source that has sent its first beacon gets time for the second.

--- a/packages/bilberry_core/bilberry_core/messages/spread.py
+++ b/packages/bilberry_core/bilberry_core/messages/spread.py
@@ -25,7 +25,9 @@
 
     `version` and `digest` identify that configuration (0 and empty for none).
     `services` are those whose endpoints it requests; `every_service` is for
-    relays, which request all.
+    relays, which request all. `is_standby` says that the receiver is attached
+    elsewhere. Until it sends `Attach` it needs no endpoints, fewer beacons, and
+    only the versions that it does not report soon after they were accepted.
     """
 
     instance: str
@@ -34,6 +36,7 @@
     digest: bytes
     services: tuple[str, ...] = ()
     every_service: bool = False
+    is_standby: bool = False
 
 
 @message(31)
@@ -96,7 +99,8 @@
 
     `versions` maps instances to versions, or to `DETACHED`. `others` is the
     version of every instance that an earlier report on this stream names and
-    this one doesn't; 0 for no change.
+    this one doesn't; 0 for no change. A standby reports the version that it
+    has received elsewhere.
     """
 
     versions: dict[str, int]
@@ -169,3 +173,8 @@
     instance: str
     incarnation: int
     sequence: int
+
+
+@message(43)
+class Attach(NamedTuple):
+    """The receiver, a standby until now, is attached to this relay."""
--- a/packages/bilberry_spread/bilberry_spread/attachment.py
+++ b/packages/bilberry_spread/bilberry_spread/attachment.py
@@ -14,6 +14,7 @@
 
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.spread import (
+    Attach,
     BeaconUpdate,
     Busy,
 )
@@ -91,7 +92,7 @@
     def tick(self) -> None:
         """Dials, and replaces or closes streams that are behind or silent."""
         self._reception.tick()
-        _close_if_behind(self._sources.main, self._reception, self._stale_s)
+        self._streams.leave_behind(self._stale_s)
         if not self._reception.is_stale:
             self._leave_silent()
         self._return()
@@ -182,6 +183,8 @@
 
     def _promote(self, source: Source, why: str) -> None:
         before = self._sources.main
+        source.asked = self._clock.now()
+        source.send(Attach())
         self._attach(source)
         if before is not None:
             before.close()
@@ -220,19 +223,3 @@
             self._promote(source, Reason.RETURN)
         else:
             self._replace_silent_main(now)
-
-
-def _close_if_behind(
-    main: Source | None,
-    reception: Reception,
-    stale_s: float,
-) -> None:
-    behind_s = reception.behind_s
-    if main is None or behind_s < stale_s:
-        return
-    reception.reset_behind()
-    main.close()
-    _log.warning(
-        'source_behind',
-        extra={'source': main.peer.instance, 'seconds': behind_s},
-    )
--- a/packages/bilberry_spread/bilberry_spread/history.py
+++ b/packages/bilberry_spread/bilberry_spread/history.py
@@ -30,6 +30,11 @@
         """The newest version, or None before the first."""
         return self._newest
 
+    def find_digest(self, version: int) -> bytes:
+        """Returns the digest of a version, or b'' if it is unknown."""
+        known = self._versions.get(version)
+        return known.digest if known else b''
+
     def add(self, accepted: AcceptedVersion) -> None:
         """Adds a version; ignores one that is not newer than the newest."""
         if self._newest and accepted.version <= self._newest.version:
--- a/packages/bilberry_spread/bilberry_spread/receiver.py
+++ b/packages/bilberry_spread/bilberry_spread/receiver.py
@@ -7,22 +7,55 @@
 
 from collections import defaultdict
 from collections.abc import Iterator
+from typing import NamedTuple
 
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.error import StreamClosedError
 from bilberry_core.messages.registry import encode_message
 from bilberry_core.messages.spread import Subscribe, SuspectUpdate
+from bilberry_core.settings import TimingSettings
 
 from bilberry_spread.content import Content
 from bilberry_spread.runtime import Link
 from bilberry_spread.suspects import SuspectKey
 
+#: Part of the time after which a beacon is stale in which a standby may get
+#: no beacon, or lack a version.
+_STANDBY_SHARE = 2
+
+
+class StandbyPace(NamedTuple):
+    """How much less a standby gets than an attached receiver.
+
+    It gets one of `beacons` beacons, and a version `delay_s` seconds later
+    unless it has it by then.
+    """
+
+    beacons: int
+    delay_s: float
+
+    @classmethod
+    def from_timing(cls, timing: TimingSettings) -> 'StandbyPace':
+        """Returns the pace at which a standby is never stale."""
+        delay_ms = timing.stale_ms // _STANDBY_SHARE
+        return cls(max(1, delay_ms // timing.beacon_ms), delay_ms / MS_PER_S)
+
 
 class Receiver:
     """A proxy, or a relay that gets its configuration from this one."""
 
-    def __init__(self, link: Link, subscribe: Subscribe) -> None:
+    def __init__(
+        self,
+        link: Link,
+        subscribe: Subscribe,
+        pace: StandbyPace,
+    ) -> None:
         """Starts with everything pending except the version in `subscribe`."""
         self.link = link
+        self._pace = pace
+        self._is_standby = subscribe.is_standby
+        self._skipped_beacons = pace.beacons
+        self._behind_since: float | None = None
         self.instance = subscribe.instance
         self._version = subscribe.version
         self._digest = subscribe.digest
@@ -33,6 +66,11 @@
         self._suspects: set[SuspectKey] = set()
         self.add_services(subscribe.services)
 
+    @property
+    def is_standby(self) -> bool:
+        """Whether the receiver is attached elsewhere."""
+        return self._is_standby
+
     def add_services(self, services: tuple[str, ...]) -> None:
         """Adds services whose endpoints are sent from now on."""
         for service in services:
@@ -55,14 +93,25 @@
         """Marks suspects as not sent yet."""
         self._suspects |= keys
 
+    def attach(self) -> None:
+        """Sends everything at once from now on."""
+        self._is_standby = False
+
+    def hold(self, version: int) -> None:
+        """Records a version that a standby has received elsewhere."""
+        if version > self._version:
+            self._version = version
+            self._digest = b''
+            self._behind_since = None
+
     def require_snapshot(self) -> None:
         """Schedules a snapshot; the receiver could not apply a delta."""
         self._version = 0
         self._digest = b''
 
-    def flush(self, content: Content) -> None:
+    def flush(self, content: Content, now: float) -> None:
         """Sends pending updates as long as the stream is writable."""
-        for encoded in self._collect(content):
+        for encoded in self._collect(content, now):
             try:
                 self.link.send_encoded(encoded)
             except StreamClosedError:
@@ -70,26 +119,54 @@
             if not self.link.is_writable:
                 return
 
-    def _collect(self, content: Content) -> Iterator[bytes]:
+    def _collect(self, content: Content, now: float) -> Iterator[bytes]:
         if not self.link.is_writable:
             return
-        yield from self._collect_configuration(content)
+        if not self._is_deferred(content, now):
+            yield from self._collect_configuration(content)
         if content.epoch != self._epoch:
             self._epoch = content.epoch
             yield content.epoch
         if content.beacon != self._beacon:
             self._beacon = content.beacon
-            yield content.beacon
+            if not self._skips_beacon():
+                yield content.beacon
         for service in tuple(self._changed):
             yield self._encode_service(service, content)
         if self._suspects:
             yield self._encode_suspects(content)
 
+    def _is_deferred(self, content: Content, now: float) -> bool:
+        """Returns whether the main source may still send the newest version.
+
+        The first version always comes from there.
+        """
+        newest = content.history.newest
+        if not self._is_standby or newest is None:
+            return False
+        if newest.version <= self._version:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+        if self._behind_since is None or not self._version:
+            return True
+        return now - self._behind_since < self._pace.delay_s
+
+    def _skips_beacon(self) -> bool:
+        if not self._is_standby:
+            return False
+        self._skipped_beacons += 1
+        if self._skipped_beacons < self._pace.beacons:
+            return True
+        self._skipped_beacons = 0
+        return False
+
     def _collect_configuration(self, content: Content) -> Iterator[bytes]:
         newest = content.history.newest
         if newest is None:
             return
-        encoded = content.history.encode_update(self._version, self._digest)
+        digest = self._digest or content.history.find_digest(self._version)
+        encoded = content.history.encode_update(self._version, digest)
         if encoded:
             self._version = newest.version
             self._digest = newest.digest
--- a/packages/bilberry_spread/bilberry_spread/receivers.py
+++ b/packages/bilberry_spread/bilberry_spread/receivers.py
@@ -16,7 +16,7 @@
 from bilberry_spread.content import Content
 from bilberry_spread.directory import RelayDirectory
 from bilberry_spread.mesh_receiver import MeshReceiver
-from bilberry_spread.receiver import Receiver
+from bilberry_spread.receiver import Receiver, StandbyPace
 from bilberry_spread.runtime import Link, Runtime, send_if_open
 from bilberry_spread.session import Session, SessionListener
 from bilberry_spread.suspects import SuspectKey
@@ -42,6 +42,7 @@
         self._directory = directory
         self._listener = listener
         self._runtime = runtime
+        self._pace = StandbyPace.from_timing(settings.timing)
         self._admission = JoinAdmission(runtime.clock.now())
         self._sessions: dict[str, Session] = {}
         self._relays: dict[str, MeshReceiver] = {}
@@ -104,8 +105,9 @@
     def flush(self, content: Content) -> None:
         """Sends pending updates to every receiver."""
         content.updates.clear()
+        now = self._runtime.clock.now()
         for session in tuple(self._sessions.values()):
-            session.receiver.flush(content)
+            session.receiver.flush(content, now)
         for relay in self.relays:
             relay.flush(content.updates, content.suspects)
 
@@ -151,7 +153,7 @@
                 return
         before = self._sessions.get(instance)
         session = Session(
-            Receiver(link, subscribe),
+            Receiver(link, subscribe, self._pace),
             self._directory,
             self._listener,
             self._runtime,
--- a/packages/bilberry_spread/bilberry_spread/reception.py
+++ b/packages/bilberry_spread/bilberry_spread/reception.py
@@ -188,10 +188,6 @@
         now = self._runtime.clock.now()
         self._board.source.put(SourceStatus(instance, now))
 
-    def reset_behind(self) -> None:
-        """Restarts the measurement of `behind_s`."""
-        self._behind_since = None
-
     def tick(self) -> None:
         """Checks the start rule; publishes configuration and staleness."""
         now = self._runtime.clock.now()
--- a/packages/bilberry_spread/bilberry_spread/session.py
+++ b/packages/bilberry_spread/bilberry_spread/session.py
@@ -5,6 +5,7 @@
 
 from bilberry_core.board import Suspect
 from bilberry_core.messages.spread import (
+    Attach,
     EndpointAnnouncement,
     EndpointKey,
     EndpointRequest,
@@ -88,6 +89,9 @@
             self.receiver.link.close()
 
     def _handle_version_report(self, held: VersionReport) -> None:
+        if self.receiver.is_standby:
+            self.receiver.hold(max(held.versions.values(), default=0))
+            return
         before = self.versions
         self.versions = apply_report(before, held)
         if self.versions != before:
@@ -103,10 +107,15 @@
         self.receiver.require_snapshot()
         self._listener.schedule_flush()
 
+    def _handle_attach(self, _attach: Attach) -> None:
+        self.receiver.attach()
+        self._listener.schedule_flush()
+
     def _handle_suspects(self, update: SuspectUpdate) -> None:
         self._listener.receive_suspects(update.suspects, is_local=True)
 
     _handlers: dict[type, Callable[..., None]] = {
+        Attach: _handle_attach,
         EndpointAnnouncement: _handle_announcement,
         LeaseRenewal: _handle_renewal,
         VersionReport: _handle_version_report,
--- a/packages/bilberry_spread/bilberry_spread/source.py
+++ b/packages/bilberry_spread/bilberry_spread/source.py
@@ -28,8 +28,8 @@
 class Source:
     """A source that this daemon is attached to, or may attach to.
 
-    `since` is the monotonic time of the dial and `opened` that of the open
-    stream, in seconds.
+    `since` is the monotonic time of the dial, `opened` that of the open stream
+    and `asked` that at which it was last asked for a configuration, in seconds.
     """
 
     def __init__(self, peer: Peer, why: Reason, since: float) -> None:
@@ -38,9 +38,11 @@
         self.why = why
         self.since = since
         self.opened: float | None = None
+        self.asked: float = since
         self.is_dial_recorded = False
         self.link: Link | None = None
         self._beacon: Beacon | None = None
+        self._first_beacon: float | None = None
         self._last_advance: float | None = None
 
     @property
@@ -68,6 +70,8 @@
         """
         before = self._beacon
         self._beacon = beacon
+        if before is None:
+            self._first_beacon = now
         is_later = before is not None and is_later_beacon(beacon, before)
         if is_later or is_newest:
             self._last_advance = now
@@ -94,9 +98,16 @@
         Until the first beacon the subscription may take as long as it may be
         unacknowledged.
         """
-        if self._beacon is None:
+        if self._first_beacon is None:
             return self.is_open_for(SUBSCRIPTION_S + seconds, now)
-        return self.is_silent(seconds, now)
+        is_new = now - self._first_beacon < seconds
+        return not is_new and self.is_silent(seconds, now)
+
+    def is_behind(self, version: int, seconds: float, now: float) -> bool:
+        """Returns whether it names a newer version, but does not send it."""
+        if self._beacon is None or self._beacon.version <= version:
+            return False
+        return now - self.asked >= SUBSCRIPTION_S + seconds
 
     def send(self, sent: Any) -> None:
         """Sends a message if the stream is open."""
--- a/packages/bilberry_spread/bilberry_spread/source_streams.py
+++ b/packages/bilberry_spread/bilberry_spread/source_streams.py
@@ -10,6 +10,7 @@
     ConfigurationSnapshot,
     EpochUpdate,
     Subscribe,
+    VersionReport,
 )
 from bilberry_core.settings import Peer, Settings
 
@@ -86,6 +87,25 @@
             },
         )
 
+    def leave_behind(self, stale_s: float) -> None:
+        """Leaves the sources that know a newer version but don't send it."""
+        behind_s = self._reception.behind_s
+        if behind_s < stale_s:
+            return
+        now = self._runtime.clock.now()
+        version = self._reception.receiver.version
+        for source in reversed(tuple(self._sources)):
+            if source.is_behind(version, stale_s, now):
+                _log.warning(
+                    'source_behind',
+                    extra={
+                        'source': source.peer.instance,
+                        'seconds': behind_s,
+                    },
+                )
+                self._on_close(source)
+                source.close()
+
     def stop(self) -> None:
         """Removes every source and closes its stream."""
         for source in tuple(self._sources):
@@ -100,15 +120,7 @@
         source.open(link, self._runtime.clock.now())
         link.receiver = lambda received: self._receive(source, received)
         link.on_close = lambda: self._on_close(source)
-        held = self._reception.receiver
-        source.send(
-            Subscribe(
-                self._settings.instance,
-                self._settings.failure_domain,
-                held.version,
-                held.digest,
-            ),
-        )
+        self._subscribe(source)
         if link.is_open:
             self._listener.source_opened(source)
         else:
@@ -141,9 +153,32 @@
         source: Source,
         received: ConfigurationSnapshot | ConfigurationDelta,
     ) -> None:
+        before = self._reception.receiver.version
         snapshot_request = self._reception.receive_configuration(
             received,
             source.peer,
         )
         if snapshot_request is not None:
             source.send(snapshot_request)
+        version = self._reception.receiver.version
+        if version > before:
+            self._report_to_others(source, version)
+
+    def _report_to_others(self, sender: Source, version: int) -> None:
+        report = VersionReport({self._settings.instance: version})
+        for source in self._sources.others:
+            if source is not sender:
+                source.send(report)
+
+    def _subscribe(self, source: Source) -> None:
+        held = self._reception.receiver
+        source.asked = self._runtime.clock.now()
+        source.send(
+            Subscribe(
+                self._settings.instance,
+                self._settings.failure_domain,
+                held.version,
+                held.digest,
+                is_standby=self._sources.main is not None,
+            ),
+        )
--- a/tests/bilberry_spread/test_spreading.py
+++ b/tests/bilberry_spread/test_spreading.py
@@ -2,6 +2,7 @@
 
 from bilberry_core.board import ClaimEpoch, Holder, Suspect
 from bilberry_core.endpoint import EndpointState
+from bilberry_core.messages.spread import BeaconUpdate
 from testtools import TestCase
 
 from tests.bilberry_spread.fleet import Fleet, make_accepted, make_endpoint
@@ -100,3 +101,30 @@
             fleet.run(0.2)
             for node in fleet.proxies:
                 self.assertEqual(settled, node.board.claim_epoch.value)
+
+    def test_standby_gets_fewer_beacons_until_it_is_attached(self):
+        """A standby costs a fraction of the bytes of the main stream."""
+        fleet = Fleet(relays=3, proxies=1)
+        fleet.accept(make_accepted(1))
+        fleet.run(4)
+        sources = fleet.proxies[0].controller.attachment._sources
+        main = sources.main.peer.instance
+        standby = sources.others[0].peer.instance
+        self.assertEqual(8, self._count_beacons(fleet, main))
+        self.assertEqual(4, self._count_beacons(fleet, standby))
+        fleet.nodes[main].kill()
+        fleet.run(0.5)
+        self.assertEqual(standby, sources.main.peer.instance)
+        self.assertEqual(8, self._count_beacons(fleet, standby))
+
+    def _count_beacons(self, fleet, relay: str) -> int:
+        """Returns the beacons that a relay sends to p-0 in 4 seconds."""
+        for link in fleet.network.links:
+            link.sent.clear()
+        fleet.run(4)
+        return sum(
+            isinstance(sent, BeaconUpdate)
+            for link in fleet.network.links
+            for sent in link.sent
+            if (link.node, link.other) == (relay, 'p-0')
+        )
