--- a/packages/bilberry_replica/bilberry_replica/driver.py
+++ b/packages/bilberry_replica/bilberry_replica/driver.py
@@ -51,6 +51,11 @@
         timing = replica.node.timing
         self._max_wait_s = min(timing.heartbeat_s, timing.election_s / 4)
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether an event has failed, so that this replica must stop."""
+        return self._failed.is_set()
+
     def get_event_time(self) -> EventTime:
         """Returns the current time with a new random jitter."""
         return EventTime(self.clock.now(), self._random.random())
--- a/packages/bilberry_replica/bilberry_replica/requests.py
+++ b/packages/bilberry_replica/bilberry_replica/requests.py
@@ -68,13 +68,14 @@
     attempt: Callable[[float], Awaitable[Any]],
     timeout_s: float,
 ) -> Any:
-    """Repeats an attempt until it returns a response; None on timeout.
+    """Repeats an attempt until it returns a response.
 
-    Each attempt is passed the number of seconds that remain.
+    Returns None on a timeout, or once this replica must stop. Each attempt is
+    passed the number of seconds that remain.
     """
     deadline = driver.clock.now() + timeout_s
     remaining_s = timeout_s
-    while remaining_s > 0:
+    while remaining_s > 0 and not driver.has_failed:
         answer = await attempt(remaining_s)
         if answer is not None:
             return answer
--- a/tests/bilberry_replica/test_controller.py
+++ b/tests/bilberry_replica/test_controller.py
@@ -12,6 +12,7 @@
 )
 from bilberry_core.error import JournalError
 from bilberry_replica.replica import Limits
+from bilberry_replica.storage import record_commit
 from returns.result import Failure, Success
 from testtools import TestCase
 
@@ -172,6 +173,30 @@
         self.assertIsInstance(later.failure(), NotAccepted)
         self.assertEqual(2, resent.unwrap().version)
 
+    def test_change_at_a_failed_journal_has_an_unknown_outcome(self):
+        """The journal may fail by a sync that nobody has reported yet."""
+
+        async def scenario():
+            fleet = Fleet('abc')
+            await fleet.start('abc')
+            leader = await fleet.find_leader()
+            await fleet.submit(leader, build_change('1', 0))
+            member = fleet.members[leader]
+            member.disk.before_sync = fail_sync
+            journal = member.controller._driver._journal
+            record_commit(journal, 0)
+            self.assertRaises(JournalError, journal.sync_now)
+            change = await member.controller.submit(build_change('2', 1), 0.5)
+            read = await member.controller.read_current(0.5)
+            stopped = await gather(member.task, return_exceptions=True)
+            await fleet.kill('abc')
+            return change, read, stopped
+
+        change, read, stopped = run(scenario())
+        self.assertIsInstance(change.failure(), OutcomeUnknown)
+        self.assertIsInstance(read.failure(), NotAccepted)
+        self.assertIsInstance(stopped[0], JournalError)
+
     def test_damaged_journal_stops_one_replica(self):
         """A replica with a flipped bit refuses to start and names a remedy."""
 
