Show whether a claim holder has copied the claims

What operators saw: after a replaced disk the status said that the handover had ended, they replaced the next disk, and claims stopped for good; test_claims_survive_the_replacement_of_disks failed now and then ("c-1 holds the claims again", not within 60 s).

Cause: a handover ends when a majority of the holders has the claims. The one whose disk was replaced need not be among them; only its log said so (claims_caught_up).

--- a/packages/bilberry_claims/bilberry_claims/holder.py
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -5,7 +5,7 @@
 from functools import partial
 from typing import Any
 
-from bilberry_core.board import Board
+from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.clock import Clock
 from bilberry_core.disk import Disk
 from bilberry_core.handshake import Purpose
@@ -102,8 +102,8 @@
         """Reads the journal, then serves claims until `stop`."""
         await self._open()
         cell = self._board.claim_epoch
-        unwatch = cell.watch(self._follower.adopt)
-        self._follower.adopt(cell.value)
+        unwatch = cell.watch(self._adopt)
+        self._adopt(cell.value)
         await self._follow()
         unwatch()
         await self._outbox.flush()
@@ -119,10 +119,18 @@
         """Makes `run` end after the pending replies are sent."""
         self._stopping.set()
 
+    def _adopt(self, epoch: ClaimEpoch | None) -> None:
+        self._follower.adopt(epoch)
+        self._publish()
+
+    def _publish(self) -> None:
+        self._board.holds_claims.put(self.is_caught_up)
+
     async def _follow(self) -> None:
         while not self._stopping.is_set():
             self._core.table.expire(self._clock.wall_ms())
             self._follower.poll()
+            self._publish()
             await self._follower.end_handover_if_complete(self.end_handover)
             with suppress(TimeoutError):
                 await wait_for(self._stopping.wait(), _POLL_S)
--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -177,6 +177,9 @@
         The newest beacon of the leader.
     `claim_epoch`
         The claim holders that the replicated log agreed on.
+    `holds_claims`
+        Whether the claim holder of this daemon has durably copied the claims
+        of the epoch.
     `suspects`
         Requests in flight at crashes, by (fingerprint, instance,
         incarnation).
@@ -207,6 +210,7 @@
         self.snapshot: Cell[Snapshot | None] = Cell(None)
         self.beacon: Cell[Beacon | None] = Cell(None)
         self.claim_epoch: Cell[ClaimEpoch | None] = Cell(None)
+        self.holds_claims: Cell[bool] = Cell(False)
         self.suspects: Cell[dict[tuple[bytes, str, int], Suspect]] = Cell({})
         self.replica: Cell[ReplicaStatus | None] = Cell(None)
         self.requested_services: Cell[frozenset[str]] = Cell(frozenset())
--- a/packages/bilberry_operators/bilberry_operators/status.py
+++ b/packages/bilberry_operators/bilberry_operators/status.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from bilberry_core.board import Board, ClaimEpoch
+from bilberry_core.board import Board
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.settings import Settings
 from bilberry_core.traffic import Traffic
@@ -36,7 +36,7 @@
         'stale_s': _compute_elapsed_s(stale_since, now),
         'beacon': _describe(board.beacon.value),
         'replica': _describe(board.replica.value),
-        'claim_epoch': _describe_epoch(board.claim_epoch.value),
+        'claim_epoch': _describe_epoch(board),
         'proxies': [
             {
                 'instance': instance,
@@ -63,13 +63,15 @@
     return endpoint.service, endpoint.instance
 
 
-def _describe_epoch(epoch: ClaimEpoch | None) -> dict[str, Any] | None:
+def _describe_epoch(board: Board) -> dict[str, Any] | None:
+    epoch = board.claim_epoch.value
     if epoch is None:
         return None
     return {
         'epoch': epoch.epoch,
         'holders': [holder.instance for holder in epoch.holders],
         'handing_over': [holder.instance for holder in epoch.previous],
+        'caught_up': board.holds_claims.value,
     }
 
 
--- a/tests/bilberry_claims/test_holder.py
+++ b/tests/bilberry_claims/test_holder.py
@@ -160,12 +160,15 @@
             await lost.start(fleet.epoch)
             outcome = await client.claim(ONE, 0.5)
             is_caught_up = lost.controller.is_caught_up
+            is_published = lost.board.holds_claims.value
             await other.start(fleet.epoch)
-            return outcome, is_caught_up
+            await wait_until(lambda: lost.board.holds_claims.value)
+            return outcome, is_caught_up, is_published
 
-        outcome, is_caught_up = run_with_fleet(scenario)
+        outcome, is_caught_up, is_published = run_with_fleet(scenario)
         self.assertIsInstance(outcome, Unavailable)
         self.assertFalse(is_caught_up)
+        self.assertFalse(is_published)
 
     def test_claims_survive_a_change_of_all_holders(self):
         async def scenario(fleet):
--- a/tests/bilberry_operators/test_controller.py
+++ b/tests/bilberry_operators/test_controller.py
@@ -4,7 +4,7 @@
 from json import loads
 from socket import create_connection
 
-from bilberry_core.board import Board, ReplicaStatus
+from bilberry_core.board import Board, ClaimEpoch, Holder, ReplicaStatus
 from bilberry_core.configuration import (
     AcceptedVersion,
     compute_digest,
@@ -352,6 +352,19 @@
             status['services'],
         )
 
+    def test_status_tells_a_settled_epoch_from_a_holder_with_its_claims(self):
+        """The handover may end before this holder has copied the claims."""
+        board = make_board()
+        board.claim_epoch.put(ClaimEpoch(3, (Holder('van-1', 'h', 9, 'a'),)))
+        (behind,) = exchange([get('/v1/status')], board=board)
+        board.holds_claims.put(True)
+        (caught_up,) = exchange([get('/v1/status')], board=board)
+        epochs = [
+            loads(answer.body)['claim_epoch'] for answer in (behind, caught_up)
+        ]
+        self.assertEqual([[], []], [one['handing_over'] for one in epochs])
+        self.assertEqual([False, True], [one['caught_up'] for one in epochs])
+
     def test_explain_lists_exception_and_endpoints(self):
         """An explanation has the exception, its reason and the endpoints."""
         target = '/v1/explain?service=callouts.example&path=/open/4'
--- a/tests/process/test_replicas.py
+++ b/tests/process/test_replicas.py
@@ -205,4 +205,5 @@
         epoch = status.get('claim_epoch') or {}
         is_holder = instance in epoch.get('holders', ())
         settled = not epoch.get('handing_over', ('unknown',))
-        return instance in members and is_holder and settled
+        caught_up = epoch.get('caught_up', False)
+        return instance in members and is_holder and settled and caught_up
