Let explanations show why the proxy excludes an endpoint

What operators saw: explain listed an ejected, shedding or left-out endpoint as eligible. Cause: the assembly never passed the proxy to the operators' interface, whose parameter for it has a default.

Change: it does now. The new test fails before (None is not the proxy).

--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -175,5 +175,6 @@
             parts.acceptor,
             parts.clock,
             membership=parts.acceptor,
+            exclusions=parts.proxy,
         ),
     )
