Remove what one test alone or nobody used

The controller is built from the daemon's credentials, which it needs, instead of its settings; a stream's writability is a flag. No behaviour changes; tests of claims, core and bilberryd pass.

--- a/packages/bilberry_claims/bilberry_claims/holder.py
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -11,7 +11,6 @@
 from bilberry_core.handshake import Purpose
 from bilberry_core.journal import Journal
 from bilberry_core.listener import StreamListener
-from bilberry_core.settings import Settings
 from bilberry_core.stream import Credentials, Stream
 
 from bilberry_claims.follower import EndHandover, EpochFollower
@@ -55,24 +54,16 @@
         self._stopping = Event()
 
     @classmethod
-    def from_settings(
+    def from_credentials(
         cls,
-        settings: Settings,
+        credentials: Credentials,
         board: Board,
         listener: StreamListener,
         disk: Disk,
         clock: Clock,
-        credentials: Credentials | None = None,
     ) -> 'HolderController':
         """Returns the controller of one replica, with the default limits."""
-        controller = cls(
-            board,
-            credentials
-            or Credentials(settings.fleet, settings.instance, settings.secret),
-            disk,
-            clock,
-            ClaimLimits(),
-        )
+        controller = cls(board, credentials, disk, clock, ClaimLimits())
         listener.handle(Purpose.CLAIM, controller.accept)
         return controller
 
--- a/packages/bilberry_core/bilberry_core/stream.py
+++ b/packages/bilberry_core/bilberry_core/stream.py
@@ -2,10 +2,9 @@
 
 A `Stream` calls its receiver for each message as it arrives, in order. It
 closes after invalid input, without any effect on other streams.
-`wait_until_writable` waits while the peer reads too slowly.
 """
 
-from asyncio import Event, Protocol, Transport
+from asyncio import Protocol, Transport
 from collections.abc import Callable
 from logging import getLogger
 from typing import Any, NamedTuple
@@ -59,8 +58,7 @@
         self._counter = TrafficCounter()
         self._reader = FrameReader(MAX_HANDSHAKE_BYTES)
         self._transport: Transport | None = None
-        self._writable = Event()
-        self._writable.set()
+        self._is_writable = True
         self._on_payload: Callable[[bytes], None] = _ignore
 
     @property
@@ -71,7 +69,7 @@
     @property
     def is_writable(self) -> bool:
         """Whether the peer keeps up with the sent messages."""
-        return self._writable.is_set()
+        return self._is_writable
 
     def send(self, sent: Any) -> None:
         """Sends a message; raises `StreamClosedError` on a closed stream."""
@@ -86,10 +84,6 @@
         self._counter.sent += len(payload)
         self._transport.write(payload)
 
-    async def wait_until_writable(self) -> None:
-        """Waits until the peer has read enough of the sent messages."""
-        await self._writable.wait()
-
     def close(self) -> None:
         """Closes the stream after sending the buffered messages."""
         if self._transport is not None:
@@ -113,16 +107,16 @@
 
     def pause_writing(self) -> None:
         """Called by the event loop when the peer falls behind."""
-        self._writable.clear()
+        self._is_writable = False
 
     def resume_writing(self) -> None:
         """Called by the event loop when the peer has caught up."""
-        self._writable.set()
+        self._is_writable = True
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Called by the event loop."""
         self._transport = None
-        self._writable.set()
+        self._is_writable = True
         self.on_close()
 
     def _begin_messages(
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -99,14 +99,12 @@
     acceptor: ReplicaController,
     disk: Disk,
 ) -> None:
-    settings = parts.settings
-    holder = HolderController.from_settings(
-        settings,
+    holder = HolderController.from_credentials(
+        parts.credentials,
         parts.board,
         parts.listener,
         disk,
         parts.clock,
-        parts.credentials,
     )
     holder.end_handover = acceptor.end_handover
     parts.controllers.append(holder)
--- a/tests/bilberry_claims/test_holder.py
+++ b/tests/bilberry_claims/test_holder.py
@@ -23,7 +23,6 @@
     TIMEOUT_S,
     Fleet,
     make_attempt,
-    make_settings,
     wait_until,
 )
 from tests.bilberry_core.fake_disk import FakeDisk
@@ -328,15 +327,15 @@
         self.assertIsInstance(refused, Unavailable)
 
 
-class SettingsTest(TestCase):
-    """The controller that is built from settings."""
+class ConstructionTest(TestCase):
+    """The controller that is registered at a listener."""
 
-    def test_from_settings_accepts_claim_streams(self):
+    def test_controller_accepts_claim_streams(self):
         async def scenario():
             credentials = Credentials('fleet', 'r', b'secret')
             listener = StreamListener(credentials)
-            controller = HolderController.from_settings(
-                make_settings('r'),
+            controller = HolderController.from_credentials(
+                credentials,
                 Board(),
                 listener,
                 FakeDisk(),
