--- a/bench/spread_node.py
+++ b/bench/spread_node.py
@@ -179,9 +179,8 @@
         """Closes the streams to the source and relays, and dials no more."""
         spread_controller = self.spread_controller
         spread_controller._runtime.dialer.dial = lambda *_arguments: None
-        spread_controller._source.attachment.main.close()
-        for peer in spread_controller._mesh.values():
-            peer.stop()
+        spread_controller._source.attachment.stop()
+        spread_controller._mesh.stop()
 
     def do_report(self) -> None:
         """Reports the bytes, processor time and memory used so far."""
