Log and count what an upstream says of itself in its responses

Change: the daemon beside an upstream reads two headers of its responses, its rate limit and its departure, and writes both to the blackboard; nothing acts on them yet.

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -13,6 +13,7 @@
 from bilberry_core.endpoint import Address, Endpoint
 from bilberry_core.snapshot import Snapshot
 from bilberry_core.traffic import Traffic
+from bilberry_core.upstream_notice import UpstreamIdentity, UpstreamNotice
 
 CellValue = TypeVar('CellValue')
 
@@ -164,9 +165,10 @@
         The endpoint of the upstream beside this daemon.
     `upstream_address`
         Where the upstream beside this daemon accepts HTTP requests.
-    `upstream_id`
-        The ID that the upstream beside this daemon gave to its current start;
-        empty if it gave none.
+    `upstream`
+        The start of the upstream that last announced itself to this daemon.
+    `upstream_notice`
+        What that upstream says of itself in its responses.
     `upstream_crash`
         The newest crash of that upstream.
     `endpoints`
@@ -204,7 +206,10 @@
         self.accepted: Cell[AcceptedVersion | None] = Cell(None)
         self.own_endpoint: Cell[Endpoint | None] = Cell(None)
         self.upstream_address: Cell[Address | None] = Cell(None)
-        self.upstream_id: Cell[str] = Cell('')
+        self.upstream: Cell[UpstreamIdentity] = Cell(UpstreamIdentity())
+        self.upstream_notice: Cell[UpstreamNotice] = Cell(
+            UpstreamNotice(UpstreamIdentity()),
+        )
         self.upstream_crash: Cell[UpstreamCrash | None] = Cell(None)
         self.endpoints: Cell[dict[str, Endpoint]] = Cell({})
         self.snapshot: Cell[Snapshot | None] = Cell(None)
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -15,6 +15,7 @@
     ReplyChunk,
     ReplyStart,
 )
+from bilberry_core.upstream_notice import UpstreamIdentity
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 from h11 import LocalProtocolError
 
@@ -22,6 +23,7 @@
 from bilberry_proxy.call import WINDOW_BYTES, AnswerReceiver
 from bilberry_proxy.call_log import UpstreamContext, log_failure
 from bilberry_proxy.http_headers import Headers
+from bilberry_proxy.notice_keeper import NoticeKeeper
 from bilberry_proxy.request_upload import RequestUpload
 from bilberry_proxy.timers import Timer
 from bilberry_proxy.upstream_connection import UpstreamConnection
@@ -29,6 +31,7 @@
     build_upstream_request,
     find_answer_fault,
     is_declined,
+    is_misdirected,
 )
 
 #: Time after which a caller whose request was in flight at a crash may retry,
@@ -68,6 +71,8 @@
 class CallAdmitter(UpstreamContext, Protocol):
     """The admitter of a call, which knows the load and counts the slots."""
 
+    notices: NoticeKeeper
+
     def is_answering(self, dispatched_at: float, silence_ms: int) -> bool:
         """Returns whether any response came within the last `silence_ms`.
 
@@ -107,6 +112,7 @@
         self.deadline = deadline
         self.timer: Timer | None = None
         self.dispatched_at: float = 0
+        self.upstream = UpstreamIdentity()
         self.opened_at: float = 0
         self.is_answered = False
         self.is_alone = False
@@ -194,6 +200,7 @@
             return True
         self.connection = connection
         self.progress = Progress.SENT
+        self._admitter.metrics.incr('call.sent')
         self._upload.begin(connection, self.start.last)
         return True
 
@@ -218,6 +225,8 @@
             self.connection.abort()
             self.fail(FailureCode.UPSTREAM_MALFORMED, fault)
             return
+        if not is_misdirected(status, dialect):
+            self._admitter.notices.observe(self.upstream, headers)
         self._buffered_answer = BufferedAnswer(status, headers)
         self.on_body(body, last)
 
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -18,6 +18,7 @@
 from bilberry_proxy.call import AnswerReceiver
 from bilberry_proxy.crash_probe import CrashProbe
 from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
+from bilberry_proxy.notice_keeper import NoticeKeeper
 from bilberry_proxy.slot_queue import ShedCall, SlotQueue
 from bilberry_proxy.suspect_tracker import InFlightRequest, SuspectTracker
 from bilberry_proxy.timers import TimerWheel
@@ -68,6 +69,7 @@
             dialect,
         )
         self._probe = CrashProbe(self._record_crash)
+        self.notices = NoticeKeeper(board, clock, metrics, dialect)
         self._answered_at: float = 0
         self._lingering: dict[UpstreamConnection, AdmittedCall] = {}
         board.upstream_address.watch(self._pool.set_address)
@@ -81,7 +83,7 @@
     @property
     def upstream_id(self) -> str:
         """The identity of the upstream, empty if it announced none."""
-        return self._board.upstream_id.value
+        return self._board.upstream.value.upstream_id
 
     def open(self, start: CallStart, answers: AnswerReceiver) -> AdmittedCall:
         """Admits, queues or refuses a call."""
@@ -185,6 +187,7 @@
     def _admit(self, call: AdmittedCall) -> None:
         call.progress = Progress.CONNECTING
         call.dispatched_at = self._clock.now()
+        call.upstream = self._board.upstream.value
         self._pool.acquire(call)
 
     def _admit_waiting(self) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/announcement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -14,6 +14,7 @@
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.http import HttpRequest, HttpResponse, serve_http
 from bilberry_core.settings import Settings
+from bilberry_core.upstream_notice import UpstreamIdentity
 from msgspec import ValidationError
 from msgspec.json import decode as decode_json
 
@@ -157,8 +158,11 @@
         announced: AnnouncementBody,
     ) -> None:
         """Starts a new incarnation if another process announces itself."""
-        is_other = announced.upstream_id != self._board.upstream_id.value
-        self._board.upstream_id.put(announced.upstream_id)
+        before = self._board.upstream.value
+        is_other = announced.upstream_id != before.upstream_id
+        identity = UpstreamIdentity(announced.upstream_id, announced.started_ms)
+        if identity != before:
+            self._board.upstream.put(identity)
         if known is None:
             return
         if is_other or known.state is EndpointState.GONE:
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -33,6 +33,8 @@
 STREAM_CLOSE_TIMEOUT_S = 2.0
 _SWEEP_TICKS = 50
 _US_PER_MS = 1000
+#: Value of the gauge while the upstream names no rate limit.
+_NO_RATE_LIMIT = -1
 #: Proxies that are assumed to share the fleet's retry burst until more are
 #: known.
 MIN_PROXIES = 16
@@ -127,11 +129,7 @@
         metrics.gauge('proxy.calls', self._calls.open_calls)
         for service, tokens in self._context.router.read_budgets().items():
             metrics.gauge(f'retry.budget.{service}', tokens)
-        load = self._admitter.measure_load()
-        metrics.gauge('admission.running', load.outstanding)
-        metrics.gauge('admission.queued', load.queued)
-        metrics.gauge('admission.slots', load.slots)
-        metrics.gauge('admission.upstream_ms', load.latency_us / _US_PER_MS)
+        self._update_admission_gauges()
 
     @property
     def address(self) -> Address | None:
@@ -207,6 +205,19 @@
         self._streams.close()
         self._admitter.close()
 
+    def _update_admission_gauges(self) -> None:
+        metrics = self._context.metrics
+        load = self._admitter.measure_load()
+        metrics.gauge('admission.running', load.outstanding)
+        metrics.gauge('admission.queued', load.queued)
+        metrics.gauge('admission.slots', load.slots)
+        metrics.gauge('admission.upstream_ms', load.latency_us / _US_PER_MS)
+        rate_limit = self._context.board.upstream_notice.value.rate_limit
+        metrics.gauge(
+            'admission.rate_limit',
+            _NO_RATE_LIMIT if rate_limit is None else rate_limit,
+        )
+
     async def _tick(self) -> None:
         clock = self._context.clock
         due = clock.now() + TICK_S
--- a/packages/bilberry_proxy/bilberry_proxy/dialect.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dialect.py
@@ -28,6 +28,10 @@
         The service beside the proxy that received the request.
     `expected_upstream`
         The identity of the upstream that may run the request.
+    `rate_limit`
+        The number of requests a second that the upstream accepts.
+    `leaving`
+        `1` on the responses of an upstream that is leaving.
     `fractional_retry_after`
         Whether `Retry-After` has fractions of a second (default: False).
     `close_delimited`
@@ -43,6 +47,8 @@
     signature: bytes = b''
     caller_service: bytes = b''
     expected_upstream: bytes = b''
+    rate_limit: bytes = b'bilberry-rate-limit'
+    leaving: bytes = b'bilberry-leaving'
     fractional_retry_after: bool = False
     close_delimited: bool = False
 
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_request.py
@@ -76,7 +76,7 @@
     dialect: HttpDialect = OWN_DIALECT,
 ) -> bool:
     """Returns whether an upstream declares that it did not run a request."""
-    if dialect.expected_upstream and status == _STATUS_MISDIRECTED:
+    if is_misdirected(status, dialect):
         return True
     if dialect.not_run:
         return bool(find_header(headers, dialect.not_run))
@@ -85,6 +85,11 @@
     return find_header(headers, dialect.verdict) == Verdict.NOT_RUN.encode()
 
 
+def is_misdirected(status: int, dialect: HttpDialect) -> bool:
+    """Returns whether a response is that of another upstream."""
+    return bool(dialect.expected_upstream) and status == _STATUS_MISDIRECTED
+
+
 def find_answer_fault(
     status: int,
     headers: Headers,
--- a/tests/bilberry_platform/test_interfaces.py
+++ b/tests/bilberry_platform/test_interfaces.py
@@ -81,7 +81,7 @@
         self.assertEqual(200, self.call())
         own = self.board.own_endpoint.value
         self.assertEqual(('huvo11a', 12), (own.service, own.slots))
-        self.assertEqual('i-1', self.board.upstream_id.value)
+        self.assertEqual('i-1', self.board.upstream.value.upstream_id)
         self.assertEqual(
             Address('10.1.0.8', 8301),
             self.board.upstream_address.value,
@@ -93,7 +93,7 @@
         self.assertEqual(200, self.call(Sequence=4))
         self.assertIs(EndpointState.DRAINING, self.state)
         self.call(upstream='i-0', born=500, Sequence=9)
-        self.assertEqual('i-1', self.board.upstream_id.value)
+        self.assertEqual('i-1', self.board.upstream.value.upstream_id)
 
     def test_heartbeat_after_a_deletion_is_ignored(self):
         """The heartbeat was in transit while the upstream was deleted."""
