--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -2,8 +2,9 @@
 
 Paths: `/runs` returns the records, `/crash` ends the process, `/truncate`
 sends fewer bytes than it declares, `/twice` sends two responses, `/early`
-closes the connection without a response and `/slow` takes one second. Other
-paths echo the request body, or the path if the body is empty.
+closes the connection without a response and `/slow` takes one second. `/say`
+takes a JSON object of headers that all further responses get. Other paths echo
+the request body, or the path if the body is empty.
 
 Usage: `python -m standin.upstream --daemon HOST:PORT --service NAME`.
 """
@@ -22,10 +23,11 @@
 )
 from collections import Counter
 from contextlib import suppress
-from json import dumps
+from json import dumps, loads
 from os import _exit
 from pathlib import Path
 from signal import SIGTERM
+from time import monotonic, time
 from typing import NamedTuple
 
 from bilberry_core.endpoint import Address
@@ -73,6 +75,7 @@
     exits: bool = True
     sheds: bool = False
     record_file: str = ''
+    upstream_id: str = ''
 
 
 class RunRecords:
@@ -82,6 +85,7 @@
         """Opens `record_file` for appending if it is set."""
         self._file = Path(record_file).open('ab', 0) if record_file else None
         self.runs: Counter[str] = Counter()
+        self.arrivals: list[float] = []
         self.cancelled: Counter[str] = Counter()
         self.deadlines: list[str] = []
         self.running = 0
@@ -90,9 +94,10 @@
         self.most_connections = 0
 
     def record_start(self, request_id: str) -> None:
-        """Records the start of a run."""
+        """Records the start of a run, and its monotonic time."""
         if self._file:
             self._file.write(f'{request_id}\n'.encode())
+        self.arrivals.append(monotonic())
         self.runs[request_id] += 1
         self.running += 1
         self.most_running = max(self.most_running, self.running)
@@ -111,6 +116,7 @@
         return dumps(
             {
                 'runs': self.runs,
+                'arrivals': self.arrivals,
                 'cancelled': self.cancelled,
                 'most_running': self.most_running,
                 'most_connections': self.most_connections,
@@ -172,7 +178,7 @@
     ) -> None:
         """Sends a complete response."""
         length = (b'content-length', str(len(body)).encode())
-        framed = [length, *headers]
+        framed = [length, *headers, *self._upstream.said]
         parts = [
             self._http.send(Response(status_code=status, headers=framed)),
             self._http.send(Data(data=body)) if body else b'',
@@ -219,6 +225,10 @@
         if path == '/runs':
             self.answer(200, upstream.records.encode())
             return
+        if path == '/say':
+            upstream.say(loads(body))
+            self.answer(200, b'')
+            return
         if upstream.options.sheds:
             self.answer(503, b'shed', _SHED_HEADERS)
             return
@@ -256,6 +266,10 @@
         self.options = options
         self.records = RunRecords(options.record_file)
         self.is_draining = False
+        #: Headers of every response.
+        self.said: tuple[tuple[bytes, bytes], ...] = ()
+        self._sequence = 0
+        self.started_ms = int(time() * _MS_PER_S)
         self.address: Address | None = None
         self.open_connections: set[StandinConnection] = set()
         self._server = None
@@ -278,6 +292,12 @@
         self._ready_at = loop.time() + self.options.cold_ms / _MS_PER_S
         return self.address
 
+    def say(self, headers: dict[str, str]) -> None:
+        """Sets the headers that every further response gets."""
+        self.said = tuple(
+            (name.encode(), text.encode()) for name, text in headers.items()
+        )
+
     def get_delay_s(self, path: str) -> float:
         """Returns the delay of a response on `path`, in seconds."""
         if path == '/slow':
@@ -322,6 +342,11 @@
             'connections': options.connections,
             'state': self._get_state(),
         }
+        if options.upstream_id:
+            self._sequence += 1
+            body['upstream_id'] = options.upstream_id
+            body['started_ms'] = self.started_ms
+            body['sequence'] = self._sequence
         request = HttpRequest(method, '/v1/endpoint', (), dumps(body).encode())
         await fetch(options.daemon, request, _ANNOUNCE_TIMEOUT_S)
 
@@ -392,6 +417,7 @@
     parser.add_argument('--renew-ms', type=float, default=2000)
     parser.add_argument('--crash-path', default='/crash')
     parser.add_argument('--record-file', default='')
+    parser.add_argument('--upstream-id', default='')
     parsed = vars(parser.parse_args(arguments))
     port = parsed.pop('port')
     return StandinOptions(**parsed), port
--- a/tests/bilberry_proxy/fleet.py
+++ b/tests/bilberry_proxy/fleet.py
@@ -1,6 +1,6 @@
 """Runs several proxies in one process with stand-in upstreams, for tests."""
 
-from asyncio import create_task, sleep
+from asyncio import Task, create_task, sleep
 from contextlib import asynccontextmanager
 from random import Random
 from typing import NamedTuple
@@ -42,6 +42,8 @@
     upstream: StandinUpstream | None
     callers: Address
     metrics: ScrapedMetrics
+    domain: str
+    task: Task
 
 
 class Fleet:
@@ -62,7 +64,6 @@
         self.version = 1
         self.claims = claims
         self.options = options
-        self.tasks = []
         self.is_lagging = False
 
     async def add(self, domain: str = 'one', **options) -> Node:
@@ -71,7 +72,43 @@
         `options` are those of its upstream; without options the node has no
         upstream.
         """
-        name = f'node-{len(self.nodes) + 1}'
+        node = await self._start_node(len(self.nodes), domain)
+        if options:
+            merged = {
+                'daemon': node.announcements.address,
+                'service': SERVICE,
+                'exits': False,
+                **options,
+            }
+            upstream = StandinUpstream(StandinOptions(**merged))
+            await upstream.start()
+            node = node._replace(upstream=upstream)
+        self.nodes.append(node)
+        if node.upstream is not None:
+            await node.upstream.announce()
+        self.spread()
+        return node
+
+    async def restart(self, node: Node) -> Node:
+        """Replaces a daemon by a new process that knows nothing.
+
+        The upstream beside it goes on; it announces itself to the new daemon.
+        """
+        index = self.nodes.index(node)
+        await _stop_node(node)
+        started = await self._start_node(index, node.domain)
+        upstream = node.upstream
+        self.nodes[index] = started._replace(upstream=upstream)
+        if upstream is not None:
+            upstream.options = upstream.options._replace(
+                daemon=started.announcements.address,
+            )
+            await upstream.announce()
+        self.spread()
+        return self.nodes[index]
+
+    async def _start_node(self, index: int, domain: str) -> Node:
+        name = f'node-{index + 1}'
         credentials = Credentials('fleet', name, b'secret')
         listener = StreamListener(credentials)
         streams = await listener.listen(ANY_PORT)
@@ -90,7 +127,7 @@
         announcements = AnnouncementController.from_settings(
             settings, board, clock
         )
-        daemon = await announcements.start()
+        await announcements.start()
         metrics = ScrapedMetrics(NullMetrics())
         proxy = ProxyController.from_settings(
             settings,
@@ -98,38 +135,25 @@
             listener,
             credentials,
             clock,
-            Random(len(self.nodes)),
+            Random(index),
             metrics,
             self.claims,
             self.options,
         )
         callers = await proxy.start()
-        self.tasks.append(create_task(proxy.run()))
-        upstream = None
-        if options:
-            merged = {
-                'daemon': daemon,
-                'service': SERVICE,
-                'exits': False,
-                **options,
-            }
-            upstream = StandinUpstream(StandinOptions(**merged))
-            await upstream.start()
-        node = Node(
+        task = create_task(proxy.run())
+        board.own_endpoint.watch(lambda _own: self.spread())
+        return Node(
             board,
             proxy,
             announcements,
             listener,
-            upstream,
+            None,
             callers,
             metrics,
+            domain,
+            task,
         )
-        self.nodes.append(node)
-        board.own_endpoint.watch(lambda _own: self.spread())
-        if upstream is not None:
-            await upstream.announce()
-        self.spread()
-        return node
 
     def spread_suspects(self) -> None:
         """Publishes the suspects that any node has reported to every node."""
@@ -158,17 +182,20 @@
 
     async def close(self) -> None:
         """Stops every node."""
-        for task in self.tasks:
-            task.cancel()
         for node in self.nodes:
-            await node.proxy.stop()
-            await node.announcements.stop()
-            node.listener.close()
+            await _stop_node(node)
             if node.upstream is not None:
                 node.upstream.close()
         await sleep(0)
 
 
+async def _stop_node(node: Node) -> None:
+    node.task.cancel()
+    await node.proxy.stop()
+    await node.announcements.stop()
+    node.listener.close()
+
+
 @asynccontextmanager
 async def open_fleet(*nodes, **options):
     """Opens a fleet with these nodes, and closes it at exit."""
