Admit no more calls than the rate limit that the upstream names

What callers saw: nothing at once; an upstream in need got ten times what it had said that it takes (1045 requests in 3 s for 10 a second, 50 allowed), and would fail for all. Change: a token bucket beside the slots. A call waits for a token as it waits for a slot, urgent ones first, or is refused at once; refused callers are asked to come back one after the other at the limit's rate.

--- a/packages/bilberry_proxy/bilberry_proxy/admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admission.py
@@ -1,9 +1,9 @@
 """Admission of calls to the upstream beside a daemon, by priority.
 
 The functions and the queue do no I/O and read no clock. No more calls are
-admitted than the upstream has slots and connections. Further calls wait in a
-short queue, or are shed at once with the time after which the caller may
-retry.
+admitted than the upstream has slots and connections, nor at a higher rate than
+it accepts. Further calls wait in a short queue, or are shed at once with the
+time after which the caller may retry.
 """
 
 from collections import deque
@@ -12,6 +12,8 @@
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.policy import Priority
 
+from bilberry_proxy.rate_limiter import Pace
+
 QueuedCall = TypeVar('QueuedCall')
 
 #: Calls that may wait in the queue, per slot.
@@ -45,21 +47,25 @@
 class Occupancy(NamedTuple):
     """The load of an upstream.
 
-    `latency_us` is the mean duration of one call, in microseconds.
+    `latency_us` is the mean duration of one call, in microseconds, `pace` the
+    rate at which the upstream accepts requests.
     """
 
     outstanding: int
     capacity: int
     queued: int
     latency_us: int
+    pace: Pace = Pace()
 
 
 def estimate_wait_s(occupancy: Occupancy, ahead: int) -> float:
     """Returns the estimated wait behind `ahead` calls, in seconds."""
+    paced_s = occupancy.pace.estimate_wait_s(ahead)
     if occupancy.outstanding < occupancy.capacity and not ahead:
-        return 0
+        return paced_s
     capacity = max(occupancy.capacity, 1)
-    return (ahead + 1) / capacity * occupancy.latency_us / _US_PER_S
+    slot_s = (ahead + 1) / capacity * occupancy.latency_us / _US_PER_S
+    return max(slot_s, paced_s)
 
 
 def suggest_retry_after_ms(occupancy: Occupancy) -> int:
@@ -67,7 +73,10 @@
 
     The time is kept between `MIN_RETRY_AFTER_MS` and `MAX_RETRY_AFTER_MS`.
     """
-    wait_s = estimate_wait_s(occupancy, occupancy.queued)
+    wait_s = max(
+        estimate_wait_s(occupancy, occupancy.queued),
+        occupancy.pace.suggest_return_s(occupancy.queued),
+    )
     bounded = min(int(wait_s * MS_PER_S), MAX_RETRY_AFTER_MS)
     return max(bounded, MIN_RETRY_AFTER_MS)
 
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -73,6 +73,7 @@
         self._answered_at: float = 0
         self._lingering: dict[UpstreamConnection, AdmittedCall] = {}
         board.upstream_address.watch(self._pool.set_address)
+        board.upstream_notice.watch(self._queue.limiter.follow)
         board.own_endpoint.watch(self._on_endpoint_change)
 
     @property
@@ -88,6 +89,7 @@
     def open(self, start: CallStart, answers: AnswerReceiver) -> AdmittedCall:
         """Admits, queues or refuses a call."""
         now = self._clock.now()
+        self._queue.limiter.advance(now)
         deadline = now + start.deadline_ms / MS_PER_S
         call = AdmittedCall(start, answers, self, deadline)
         call.opened_at = now
@@ -105,7 +107,7 @@
             ),
         )
         if not self._queue.is_free_within(start.priority, start.max_wait_ms):
-            call.fail(FailureCode.NO_FREE_SLOT, 'no slot becomes free in time')
+            _refuse_without_slot(call, self._queue, self.metrics)
             return call
         if self._suspect_tracker.must_run_alone(
             start.fingerprint, start.suspect
@@ -114,7 +116,7 @@
             self._shed(self._queue.push_suspect(call))
             self._admit_waiting()
         elif self._queue.is_free:
-            self._queue.slots.acquire()
+            self._queue.acquire()
             self._admit(call)
         else:
             self._shed(self._queue.push(call, start.priority, now, deadline))
@@ -168,9 +170,12 @@
         self._probe.add(call, detail, self._pool.address)
 
     def expire_waiting(self) -> None:
-        """Sheds every call that has waited too long."""
-        for refused in self._queue.shed_expired(self._clock.now()):
+        """Sheds every call that has waited too long, and admits others."""
+        now = self._clock.now()
+        self._queue.limiter.advance(now)
+        for refused in self._queue.shed_expired(now):
             self._shed(refused)
+        self._admit_waiting()
 
     def close(self) -> None:
         """Closes every idle connection."""
@@ -235,6 +240,22 @@
             )
 
 
+def _refuse_without_slot(
+    call: AdmittedCall,
+    queue: SlotQueue[AdmittedCall],
+    metrics: Metrics,
+) -> None:
+    if queue.limiter.has_token:
+        call.fail(FailureCode.NO_FREE_SLOT, 'no slot becomes free in time')
+        return
+    metrics.incr('call.limited')
+    call.fail(
+        FailureCode.NO_FREE_SLOT,
+        'the rate limit of the upstream is reached',
+        queue.defer(),
+    )
+
+
 def _find_refusal(board: Board, service: str) -> tuple[FailureCode, str] | None:
     if board.phase.value not in {Phase.STARTING, Phase.SERVING}:
         return FailureCode.DRAINING, 'the daemon is shutting down'
--- a/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
@@ -1,7 +1,7 @@
 """Decides which call gets a slot next.
 
-This combines the admission queue, the suspects and the slots. It does no I/O
-and reads no clock; the time is passed in.
+This combines the admission queue, the suspects, the slots and the rate limit.
+It does no I/O and reads no clock; the time is passed in.
 """
 
 from typing import Generic, NamedTuple, TypeVar
@@ -13,12 +13,14 @@
 from bilberry_proxy.admission import (
     MAX_AGE_S,
     AdmissionQueue,
+    Occupancy,
     Ticket,
     estimate_wait_s,
     is_full,
     suggest_retry_after_ms,
     would_time_out,
 )
+from bilberry_proxy.rate_limiter import RateLimiter
 from bilberry_proxy.slots import Slots
 from bilberry_proxy.suspect_queue import SuspectQueue
 
@@ -39,6 +41,7 @@
     def __init__(self) -> None:
         """Starts without slots until `slots.resize` is called."""
         self.slots = Slots()
+        self.limiter = RateLimiter()
         self._queue: AdmissionQueue[QueuedCall] = AdmissionQueue()
         self._suspects: SuspectQueue[QueuedCall] = SuspectQueue()
 
@@ -47,7 +50,7 @@
         """Whether a new call gets a slot at once."""
         if self._queue or self._suspects.is_active:
             return False
-        return self.slots.has_free_slot
+        return self._may_send
 
     def __len__(self) -> int:
         """Returns how many calls wait in the queue."""
@@ -57,7 +60,7 @@
         """Returns whether a new call is expected to get a slot in time."""
         if self.is_free or within_ms >= NO_WAIT_LIMIT_MS:
             return True
-        occupancy = self.slots.measure_occupancy(len(self._queue))
+        occupancy = self.measure_occupancy()
         ahead = self._queue.count_ahead(priority)
         return estimate_wait_s(occupancy, ahead) * MS_PER_S <= within_ms
 
@@ -72,7 +75,7 @@
 
         `now` and `deadline` are monotonic time, in seconds.
         """
-        occupancy = self.slots.measure_occupancy(len(self._queue))
+        occupancy = self.measure_occupancy()
         age_s = min(MAX_AGE_S[priority], deadline - now)
         ahead = self._queue.count_ahead(priority)
         if would_time_out(occupancy, ahead, age_s):
@@ -102,9 +105,27 @@
         """Removes and returns the next call, which gets a slot, or None."""
         call = self._find_next()
         if call is not None:
-            self.slots.acquire()
+            self.acquire()
         return call
 
+    def acquire(self) -> None:
+        """Counts a call that gets a slot and is sent."""
+        self.slots.acquire()
+        self.limiter.take()
+
+    def measure_occupancy(self) -> Occupancy:
+        """Returns the load of the upstream."""
+        return self.slots.measure_occupancy(
+            len(self._queue),
+            self.limiter.pace,
+        )
+
+    def defer(self) -> int:
+        """Returns the time after which a refused call may return, in ms."""
+        retry_after_ms = suggest_retry_after_ms(self.measure_occupancy())
+        self.limiter.defer()
+        return retry_after_ms
+
     def end(self, call: QueuedCall, latency_s: float) -> None:
         """Frees the slot of a call; `latency_s` is 0 if it got no response."""
         self.slots.free(latency_s)
@@ -127,7 +148,13 @@
             for ticket in self._queue.pop_expired(now)
         ]
 
+    @property
+    def _may_send(self) -> bool:
+        return self.slots.has_free_slot and self.limiter.has_token
+
     def _find_next(self) -> QueuedCall | None:
+        if not self.limiter.has_token:
+            return None
         if self.slots.has_free_slot and not self._suspects.blocks_others:
             ticket = self._queue.pop()
             if ticket is not None:
@@ -136,5 +163,4 @@
         return self._suspects.start_next(self.slots.outstanding)
 
     def _shed_call(self, call: QueuedCall, detail: str) -> ShedCall[QueuedCall]:
-        occupancy = self.slots.measure_occupancy(len(self._queue))
-        return ShedCall(call, detail, suggest_retry_after_ms(occupancy))
+        return ShedCall(call, detail, self.defer())
--- a/packages/bilberry_proxy/bilberry_proxy/slots.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slots.py
@@ -4,6 +4,7 @@
 from bilberry_core.messages.call import Load
 
 from bilberry_proxy.admission import Occupancy
+from bilberry_proxy.rate_limiter import Pace
 
 _US_PER_S = 1_000_000
 _INITIAL_LATENCY_US = 5000
@@ -49,7 +50,12 @@
         latency_us = int(self._latency_us)
         return Load(self.outstanding, queued, self.capacity, latency_us)
 
-    def measure_occupancy(self, queued: int) -> Occupancy:
+    def measure_occupancy(self, queued: int, pace: Pace = Pace()) -> Occupancy:
         """Returns the load of the upstream, as used by admission."""
-        latency_us = int(self._latency_us)
-        return Occupancy(self.outstanding, self.capacity, queued, latency_us)
+        return Occupancy(
+            self.outstanding,
+            self.capacity,
+            queued,
+            int(self._latency_us),
+            pace,
+        )
