Return to a restarted daemon what proxies heard of its upstream

What callers saw: an upstream that had named a limit of 1 a second got all that was sent after its daemon was restarted, and one that had said that it was leaving was used again, or went on being used. Cause: what an upstream says of itself in a response reached one daemon and the caller, and was kept by nobody. The class: a fact learned from one response, neither shared nor kept. Change: the daemon beside the upstream sends its notice with each answer and refusal; proxies keep the newest one for each instance and send it with each call. A daemon that has not heard its upstream itself takes the least limit from there, and a departure always, if the upstream is the same one (ID and start time); no relay and no leader is needed. Proxies send nothing to endpoints whose upstream is leaving, count a limit as fewer slots, so that load spreads in proportion, and avoid endpoints that are at their limit while others are not; refusals name when the first of them accepts calls. A departure in a response makes the daemon announce that the endpoint drains. An upstream that starts again under its ID has a new incarnation. Ruled out: spreading notices through relays only, which a cut or the loss of the relays would stop.

--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -8,6 +8,7 @@
 
 from bilberry_core.messages.registry import message
 from bilberry_core.policy import Priority
+from bilberry_core.upstream_notice import UpstreamNotice
 from bilberry_core.verdict import Failure
 
 Headers = tuple[tuple[bytes, bytes], ...]
@@ -37,7 +38,8 @@
 
     `deadline_ms` is the time that remained when it was sent, in milliseconds.
     `suspect` requests were in flight at a crash and run alone. The call is
-    rejected if it would wait for a slot for longer than `max_wait_ms`.
+    rejected if it would wait for a slot for longer than `max_wait_ms`. `notice`
+    is what the sender knows of the upstream from earlier responses.
     """
 
     call: int
@@ -52,6 +54,7 @@
     fingerprint: bytes = b''
     suspect: bool = False
     max_wait_ms: int = NO_WAIT_LIMIT_MS
+    notice: UpstreamNotice | None = None
 
 
 @message(51)
@@ -80,7 +83,10 @@
 
 @message(54)
 class ReplyStart(NamedTuple):
-    """Starts a response; `last` is set if its body is complete."""
+    """Starts a response; `last` is set if its body is complete.
+
+    `notice` is what the upstream says of itself, None if it says nothing.
+    """
 
     call: int
     status: int
@@ -88,6 +94,7 @@
     body: bytes
     last: bool
     load: Load
+    notice: UpstreamNotice | None = None
 
 
 @message(55)
@@ -103,13 +110,15 @@
 class CallFailed(NamedTuple):
     """Ends a call without a response, or cuts off a response that has begun.
 
-    `weight` is that of the suspect if the upstream crashed.
+    `weight` is that of the suspect if the upstream crashed. `notice` is what
+    the upstream says of itself, None if the sender knows of nothing.
     """
 
     call: int
     failure: Failure
     load: Load
     weight: int = 1
+    notice: UpstreamNotice | None = None
 
 
 @message(57)
--- a/packages/bilberry_core/bilberry_core/upstream_notice.py
+++ b/packages/bilberry_core/bilberry_core/upstream_notice.py
@@ -34,6 +34,11 @@
     rate_limit: float | None = None
     is_leaving: bool = False
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether the upstream says nothing of itself."""
+        return self.rate_limit is None and not self.is_leaving
+
 
 def is_valid_rate_limit(rate_limit: float) -> bool:
     """Returns whether an upstream may name this limit."""
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -251,7 +251,12 @@
             load = self._admitter.measure_load()
             log_failure(self.start, _DECLINED, load, self._admitter)
             self._answers.fail(
-                CallFailed(self.start.call, _DECLINED, load),
+                CallFailed(
+                    self.start.call,
+                    _DECLINED,
+                    load,
+                    notice=self._admitter.notices.shared,
+                ),
             )
             self._admitter.free_slot(self)
             return
@@ -267,6 +272,7 @@
             body,
             last,
             self._admitter.measure_load()._replace(waited_us=waited_us),
+            self._admitter.notices.shared,
         )
         self._answers.start_reply(reply)
         self._consume_window(len(body), last)
@@ -306,7 +312,13 @@
         load = self._admitter.measure_load()
         log_failure(self.start, failure, load, self._admitter)
         self._answers.fail(
-            CallFailed(self.start.call, failure, load, weight),
+            CallFailed(
+                self.start.call,
+                failure,
+                load,
+                weight,
+                self._admitter.notices.shared,
+            ),
         )
 
     def _give_up(self) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -93,6 +93,8 @@
         deadline = now + start.deadline_ms / MS_PER_S
         call = AdmittedCall(start, answers, self, deadline)
         call.opened_at = now
+        if start.notice is not None:
+            self.notices.adopt(start.notice)
         refusal = _find_refusal(self._board, start.service)
         if refusal is not None:
             call.fail(*refusal, STATE_RETRY_AFTER_MS)
@@ -115,8 +117,7 @@
             call.is_alone = True
             self._shed(self._queue.push_suspect(call))
             self._admit_waiting()
-        elif self._queue.is_free:
-            self._queue.acquire()
+        elif self._queue.try_acquire():
             self._admit(call)
         else:
             self._shed(self._queue.push(call, start.priority, now, deadline))
--- a/packages/bilberry_proxy/bilberry_proxy/announcement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -14,7 +14,7 @@
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.http import HttpRequest, HttpResponse, serve_http
 from bilberry_core.settings import Settings
-from bilberry_core.upstream_notice import UpstreamIdentity
+from bilberry_core.upstream_notice import UpstreamIdentity, UpstreamNotice
 from msgspec import ValidationError
 from msgspec.json import decode as decode_json
 
@@ -48,6 +48,7 @@
         self._starts = UpstreamStarts()
         board.phase.watch(self._on_phase_change)
         board.upstream_crash.watch(self._on_crash)
+        board.upstream_notice.watch(self._on_notice)
 
     @classmethod
     def from_settings(
@@ -131,10 +132,10 @@
         self._starts.note(announced)
         self._announced_at = self._clock.now()
         known = self._board.own_endpoint.value
+        self._update_incarnation(known, announced)
         state = announced.state
-        if self._board.phase.value in _LEAVING:
+        if self._is_leaving:
             state = EndpointState.DRAINING
-        self._update_incarnation(known, announced)
         record = Endpoint(
             instance=self._settings.instance,
             incarnation=self._incarnation,
@@ -159,13 +160,12 @@
     ) -> None:
         """Starts a new incarnation if another process announces itself."""
         before = self._board.upstream.value
-        is_other = announced.upstream_id != before.upstream_id
         identity = UpstreamIdentity(announced.upstream_id, announced.started_ms)
-        if identity != before:
+        is_other = identity != before
+        is_back = known is not None and known.state is EndpointState.GONE
+        if is_other or (is_back and not identity.upstream_id):
             self._board.upstream.put(identity)
-        if known is None:
-            return
-        if is_other or known.state is EndpointState.GONE:
+        if known is not None and (is_other or is_back):
             # Crashes are distinguished by the incarnation, so a new process
             # needs a new one.
             self._incarnation = max(
@@ -192,6 +192,17 @@
         if phase in _LEAVING:
             self._put_state(EndpointState.DRAINING)
 
+    @property
+    def _is_leaving(self) -> bool:
+        """Whether this daemon or the upstream beside it is leaving."""
+        if self._board.phase.value in _LEAVING:
+            return True
+        return self._board.upstream_notice.value.is_leaving
+
+    def _on_notice(self, notice: UpstreamNotice) -> None:
+        if notice.is_leaving:
+            self._put_state(EndpointState.DRAINING)
+
     def _on_crash(self, crash: UpstreamCrash | None) -> None:
         if crash is None or crash.address != self._board.upstream_address.value:
             return
--- a/packages/bilberry_proxy/bilberry_proxy/attempt.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt.py
@@ -15,6 +15,7 @@
     ReplyChunk,
     ReplyStart,
 )
+from bilberry_core.upstream_notice import UpstreamNotice
 from bilberry_core.verdict import Failure
 
 from bilberry_proxy.call import CallTarget, OpenCall
@@ -50,6 +51,7 @@
         'started_at',
         'weight',
         'reported_load',
+        'reported_notice',
         'probe_answer',
     )
 
@@ -67,6 +69,7 @@
         self.weight = 0
         self.probe_answer: bool | None = None
         self.reported_load: Load | None = None
+        self.reported_notice: UpstreamNotice | None = None
         self.started_at = started_at
         self._owner = owner
         self._load = load
@@ -139,6 +142,7 @@
         if self._end():
             self.weight = failed.weight
             self.reported_load = failed.load
+            self.reported_notice = failed.notice
             self._owner.on_failure(self, failed.failure)
 
     def credit(self, size: int) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -129,6 +129,7 @@
         if self._silence is not None:
             self._silence.stop()
         self._owner.on_reply(reply)
+        context.router.record_notice(attempt.endpoint, reply.notice)
         context.router.record_answer(attempt.endpoint, latency_s, reply.load)
         context.router.service_times.update(
             self._plan.route_key,
@@ -149,8 +150,12 @@
         """Retries the request, or reports its failure."""
         plan = self._plan
         self._body.detach()
+        if attempt.reported_notice is not None:
+            self._context.router.record_notice(
+                attempt.endpoint, attempt.reported_notice
+            )
         if failure.code is FailureCode.NO_FREE_SLOT:
-            self._on_no_free_slot(attempt)
+            self._on_no_free_slot(attempt, failure)
             return
         quarantined = self._record_failure(attempt, failure)
         state = AttemptState(
@@ -206,10 +211,13 @@
         elif self._outcome.tried or not self._wait.start(plan.service):
             self._fail_without_endpoint()
 
-    def _on_no_free_slot(self, attempt: Attempt) -> None:
+    def _on_no_free_slot(self, attempt: Attempt, failure: Failure) -> None:
         self._outcome.drop_attempt()
-        load = attempt.reported_load
-        refusal = self._placement.record_no_slot(attempt.endpoint, load)
+        refusal = self._placement.record_no_slot(
+            attempt.endpoint,
+            attempt.reported_load,
+            failure.retry_after_ms,
+        )
         if refusal is None:
             self._choose()
         else:
@@ -233,7 +241,7 @@
             assessment.level > SuspicionLevel.CLEAR,
             context.dialect.retried,
             max_wait_ms,
-        )
+        )._replace(notice=context.router.get_notice(endpoint))
         self._outcome.record_attempt(selection)
         load = context.router.get_load(endpoint)
         attempt = Attempt(self, endpoint, load, now)
--- a/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
+++ b/packages/bilberry_proxy/bilberry_proxy/endpoint_load.py
@@ -11,6 +11,7 @@
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.call import Load
 from bilberry_core.policy import Priority
+from bilberry_core.upstream_notice import UpstreamNotice
 
 _INITIAL_LATENCY_US = 1000.0
 #: Weight of the newest latency in the exponential moving average.
@@ -41,10 +42,13 @@
         'ejected_until',
         'ejections',
         'failures',
+        'is_leaving',
         'latency_us',
         'outstanding',
+        'rate_limit',
         'reported_calls',
         'reported_at',
+        'return_at',
         'service_us',
         'seen_at',
         'shed_rank',
@@ -63,6 +67,9 @@
         self.failures = 0
         self.ejections = 0
         self.ejected_until: float = 0
+        self.is_leaving = False
+        self.rate_limit: float | None = None
+        self.return_at: float = 0
 
     def begin(self) -> None:
         """Increments the outstanding calls."""
@@ -105,8 +112,25 @@
         if self.shed_until > now:
             rank = min(rank, self.shed_rank)
         self.shed_rank = rank
+        self.return_at = now + retry_after_ms / MS_PER_S
         self.shed_until = now + min(retry_after_ms / MS_PER_S, MAX_SHED_S)
 
+    def apply_notice(self, notice: UpstreamNotice | None) -> None:
+        """Adopts what the upstream says of itself."""
+        self.rate_limit = notice.rate_limit if notice else None
+        self.is_leaving = notice is not None and notice.is_leaving
+
+    def limit_slots(self, slots: int) -> float:
+        """Returns the calls that the upstream runs at a time, at most.
+
+        Its rate limit allows as many as it names times their mean duration.
+        """
+        if self.rate_limit is None:
+            return slots
+        duration_us = self.service_us or self.latency_us
+        allowed = self.rate_limit * duration_us / _US_PER_S
+        return min(slots, max(allowed, 1))
+
     def estimate_latency_us(self, now: float) -> float:
         """Returns the expected latency, in microseconds.
 
@@ -159,18 +183,31 @@
     return max(0, int((until - now) * MS_PER_S))
 
 
+def suggest_return_ms(candidates: Sequence[Candidate], now: float) -> int:
+    """Returns when the first limited candidate accepts calls, from now.
+
+    In milliseconds; 0 if a candidate names no rate limit.
+    """
+    return_at = min(
+        now if candidate.load.rate_limit is None else candidate.load.return_at
+        for candidate in candidates
+    )
+    return max(0, int((return_at - now) * MS_PER_S))
+
+
 def estimate_work_us(candidate: Candidate, now: float) -> float:
     """Returns the expected time of one more call, in microseconds."""
     endpoint, load = candidate
     work = load.estimate_work(now) + 1
     latency_us = load.estimate_latency_us(now)
-    return latency_us * (1 + work / max(endpoint.slots, 1))
+    return latency_us * (1 + work / max(load.limit_slots(endpoint.slots), 1))
 
 
 def is_busy(candidate: Candidate, now: float) -> bool:
     """Returns whether `BUSY_SHARE` or more of an endpoint's slots are used."""
     endpoint, load = candidate
-    return load.estimate_work(now) >= endpoint.slots * BUSY_SHARE
+    slots = load.limit_slots(endpoint.slots)
+    return load.estimate_work(now) >= slots * BUSY_SHARE
 
 
 def is_fast_enough(
--- a/packages/bilberry_proxy/bilberry_proxy/exclusion.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exclusion.py
@@ -20,6 +20,8 @@
     """
     if endpoint not in subset:
         return 'not in the subset of endpoints that this proxy calls'
+    if load.is_leaving:
+        return 'its upstream said that it is leaving'
     now = clock.now()
     if load.ejected_until > now:
         return f'ejected for {load.ejected_until - now:.1f} s after failures'
--- a/packages/bilberry_proxy/bilberry_proxy/notice_keeper.py
+++ b/packages/bilberry_proxy/bilberry_proxy/notice_keeper.py
@@ -5,7 +5,11 @@
 from bilberry_core.board import Board
 from bilberry_core.clock import Clock
 from bilberry_core.metric import Metrics
-from bilberry_core.upstream_notice import UpstreamIdentity, UpstreamNotice
+from bilberry_core.upstream_notice import (
+    UpstreamIdentity,
+    UpstreamNotice,
+    is_valid_rate_limit,
+)
 
 from bilberry_proxy.dialect import HttpDialect
 from bilberry_proxy.http_headers import Headers
@@ -36,6 +40,7 @@
         """Subscribes to the start of the upstream."""
         self._board = board
         self._unnamed_since: float | None = None
+        self._was_heard = False
         self._clock = clock
         self._metrics = metrics
         self._dialect = dialect
@@ -46,10 +51,16 @@
         """The newest notice."""
         return self._board.upstream_notice.value
 
+    @property
+    def shared(self) -> UpstreamNotice | None:
+        """The notice for other daemons, None if it says nothing."""
+        return None if self.notice.is_empty else self.notice
+
     def observe(self, identity: UpstreamIdentity, headers: Headers) -> None:
         """Takes the notice of a response by the upstream `identity`."""
         if identity != self.notice.identity:
             return
+        self._was_heard = True
         named = read_notice_headers(headers, self._dialect)
         self._report_fault(named.rate_limit_fault)
         self._report_fault(named.leaving_fault)
@@ -60,6 +71,26 @@
             ),
         )
 
+    def adopt(self, notice: UpstreamNotice) -> None:
+        """Takes what another daemon heard of this upstream.
+
+        The least limit counts until this daemon hears the upstream itself. An
+        upstream without an ID can't be told from the one before it.
+        """
+        identity = notice.identity
+        if not identity.upstream_id or identity != self.notice.identity:
+            return
+        rate_limit = self.notice.rate_limit
+        if not self._was_heard:
+            rate_limit = min(
+                filter(_is_limit, (rate_limit, notice.rate_limit)),
+                default=None,
+            )
+        is_leaving = self.notice.is_leaving or notice.is_leaving
+        self._change(
+            self.notice._replace(rate_limit=rate_limit, is_leaving=is_leaving)
+        )
+
     def _compute_rate_limit(self, named: NoticeHeaders) -> float | None:
         if named.rate_limit_fault is not None:
             return self.notice.rate_limit
@@ -75,6 +106,7 @@
 
     def _reset(self, identity: UpstreamIdentity) -> None:
         self._unnamed_since = None
+        self._was_heard = False
         self._change(UpstreamNotice(identity))
 
     def _change(self, notice: UpstreamNotice) -> None:
@@ -89,6 +121,7 @@
                 'rate_limit': notice.rate_limit,
                 'rate_limit_before': before.rate_limit,
                 'leaving': notice.is_leaving,
+                'heard': self._was_heard,
             },
         )
 
@@ -104,3 +137,7 @@
                 'text': fault.text[:_MAX_LOGGED],
             },
         )
+
+
+def _is_limit(rate_limit: float | None) -> bool:
+    return rate_limit is not None and is_valid_rate_limit(rate_limit)
--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -57,12 +57,14 @@
         self._without_slot: list[str] = []
         self._is_last_resort = False
         self._max_wait_ms = 0
+        self._priority = Priority.URGENT
 
     def choose(self, plan: Plan, tried: list[str]) -> PlacementChoice | None:
         """Returns the next endpoint and wait; None if no endpoint is ready.
 
         `tried` are the instances that attempts were sent to.
         """
+        self._priority = plan.decision.policy.priority
         route = plan.snapshot.routes[plan.service]
         asked = [*tried, *self._without_slot]
         selection = self._router.choose(route, plan.decision, asked)
@@ -79,14 +81,22 @@
             selection = selection._replace(has_other=True)
         return PlacementChoice(selection, self._limit_wait(plan, selection))
 
-    def record_no_slot(self, endpoint: Endpoint, load: Load) -> Failure | None:
+    def record_no_slot(
+        self,
+        endpoint: Endpoint,
+        load: Load,
+        retry_after_ms: int = 0,
+    ) -> Failure | None:
         """Records that an endpoint has no free slot in time.
 
-        Returns the refusal of the request if it already waited at the last
-        endpoint, otherwise None.
+        `retry_after_ms` is set if it is at its rate limit: less urgent
+        requests avoid it until then. Returns the refusal of the request if it
+        already waited at the last endpoint, otherwise None.
         """
         self._without_slot.append(endpoint.instance)
         self._router.record_no_slot(endpoint, load)
+        if retry_after_ms and self._priority is not Priority.URGENT:
+            self._router.record_shed(endpoint, self._priority, retry_after_ms)
         if not self._is_last_resort:
             return None
         occupancy = Occupancy(
@@ -100,7 +110,7 @@
             FailureCode.OVERLOADED,
             'no upstream has a free slot in time',
             max(
-                suggest_retry_after_ms(occupancy),
+                retry_after_ms or suggest_retry_after_ms(occupancy),
                 int(self._max_wait_ms * RETRY_AFTER_SHARE),
             ),
         )
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -10,6 +10,7 @@
 from bilberry_core.messages.call import Load
 from bilberry_core.policy import Priority
 from bilberry_core.snapshot import Decision, Route
+from bilberry_core.upstream_notice import UpstreamNotice
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.balancers import build_balancer
@@ -18,7 +19,9 @@
     Candidate,
     EndpointLoad,
     compute_shed_ms,
+    suggest_return_ms,
 )
+from bilberry_proxy.known_notices import KnownNotices
 from bilberry_proxy.outlier import count_failure, count_success
 from bilberry_proxy.retry import MIN_BUDGET, RetryBudget
 from bilberry_proxy.selection import (
@@ -58,6 +61,7 @@
         self._clock = clock
         self._random = random
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
+        self._notices = KnownNotices()
         self.service_times = ServiceTimes()
         self.split = WeightedSplit()
         self._budgets: dict[str, RetryBudget] = {}
@@ -87,7 +91,7 @@
             decision.policy.target_latency_ms * _US_PER_MS,
         )
         return select_endpoint(
-            self._get_ready(route),
+            self._get_staying(route),
             tried,
             context,
             self._get_balancer(decision),
@@ -104,17 +108,18 @@
         None if the call may be sent. A few calls are sent regardless, to
         detect when the shedding ends.
         """
-        ready = self._get_ready(route)
+        ready = self._get_staying(route)
         if not ready:
             return None
-        shed_ms = compute_shed_ms(ready, priority, self._clock.now())
+        now = self._clock.now()
+        shed_ms = compute_shed_ms(ready, priority, now)
         if not shed_ms or self._random.random() < PROBE_SHARE:
             return None
         return Failure(
             Verdict.NOT_RUN,
             FailureCode.OVERLOADED,
             'every upstream sheds calls of this priority',
-            shed_ms,
+            max(shed_ms, suggest_return_ms(ready, now)),
         )
 
     def record_shed(
@@ -137,9 +142,23 @@
         load = self._loads.get(key)
         if load is None:
             load = EndpointLoad()
+            load.apply_notice(self._notices.get_current(endpoint))
             self._loads[key] = load
         return load
 
+    def get_notice(self, endpoint: Endpoint) -> UpstreamNotice | None:
+        """Returns what responses said of the upstream beside an instance."""
+        return self._notices.get(endpoint.instance)
+
+    def record_notice(
+        self,
+        endpoint: Endpoint,
+        notice: UpstreamNotice | None,
+    ) -> None:
+        """Records what an upstream says of itself; None if nothing."""
+        self._notices.record(endpoint, notice)
+        self.get_load(endpoint).apply_notice(notice)
+
     def resize_budgets(self, burst: float) -> None:
         """Limits the retry budget of each service to `burst` retries."""
         self._budget_tokens = burst
@@ -213,6 +232,15 @@
         self._ready[route.service] = (route, ready)
         return ready
 
+    def _get_staying(self, route: Route) -> tuple[Candidate, ...]:
+        """Returns the ready endpoints whose upstreams are not leaving."""
+        ready = self._get_ready(route)
+        if not any(candidate.load.is_leaving for candidate in ready):
+            return ready
+        return tuple(
+            candidate for candidate in ready if not candidate.load.is_leaving
+        )
+
     def _get_balancer(self, decision: Decision) -> Balancer:
         key = (decision.service, decision.policy.load_policy)
         balancer = self._balancers.get(key)
--- a/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
@@ -105,13 +105,15 @@
         """Removes and returns the next call, which gets a slot, or None."""
         call = self._find_next()
         if call is not None:
-            self.acquire()
+            self._acquire()
         return call
 
-    def acquire(self) -> None:
-        """Counts a call that gets a slot and is sent."""
-        self.slots.acquire()
-        self.limiter.take()
+    def try_acquire(self) -> bool:
+        """Counts a call that is sent at once; False if it has to wait."""
+        if not self.is_free:
+            return False
+        self._acquire()
+        return True
 
     def measure_occupancy(self) -> Occupancy:
         """Returns the load of the upstream."""
@@ -152,6 +154,10 @@
     def _may_send(self) -> bool:
         return self.slots.has_free_slot and self.limiter.has_token
 
+    def _acquire(self) -> None:
+        self.slots.acquire()
+        self.limiter.take()
+
     def _find_next(self) -> QueuedCall | None:
         if not self.limiter.has_token:
             return None
--- a/tests/bilberry_proxy/test_rate_limit.py
+++ b/tests/bilberry_proxy/test_rate_limit.py
@@ -221,6 +221,20 @@
         self.assertEqual((EndpointState.DRAINING, 503), (state, status))
         self.assertEqual([], records.arrivals)
 
+    def test_upstream_without_an_id_may_return_after_it_left(self):
+        """The departure ends when it is withdrawn, for every proxy."""
+
+        async def scenario():
+            async with open_fleet({}, {'slots': 12}) as fleet:
+                caller, beside = fleet.nodes
+                await tell(fleet, beside, **LEAVING)
+                beside.upstream.say({})
+                await beside.upstream.announce('DELETE')
+                await beside.upstream.announce()
+                return [(await call(caller)).status for _ in range(3)]
+
+        self.assertEqual([200, 200, 200], run(scenario()))
+
     def test_next_start_of_a_left_upstream_is_used(self):
         """The departure belongs to one start."""
 
