Soak rate limits and departures beside restarts, freezes and cuts

Change: two faults of the soak: upstreams, one or all of a service, name two limits in turn and withdraw them; an upstream says that it leaves, and only there. They overlap with every other fault, also of the same instance. The stand-in upstreams record each arrival and what they say; the check has the stated bounds (a window of 4 s, 3 s after the first naming; 2 s after a departure) and excuses a daemon that was restarted, frozen or cut off.

--- a/demo/caller.py
+++ b/demo/caller.py
@@ -7,6 +7,7 @@
 from asyncio import Task, create_task, gather, sleep
 from collections import Counter
 from itertools import count
+from time import monotonic
 from typing import NamedTuple
 
 from bilberry_core.endpoint import Address
@@ -22,12 +23,14 @@
     """The outcomes of the requests that a caller sent.
 
     `not_run_ids` are the requests with the verdict `not_run`, `answered_ids`
-    those with a complete successful response.
+    those with a complete successful response, `sent_at` the monotonic time at
+    which each request was sent, in seconds.
     """
 
     outcomes: Counter
     not_run_ids: set[str]
     answered_ids: set[str]
+    sent_at: dict[str, float]
 
 
 class Caller:
@@ -50,7 +53,7 @@
         service: str,
         pause_s: float = 0.01,
     ) -> None:
-        self.tally = Tally(Counter(), set(), set())
+        self.tally = Tally(Counter(), set(), set(), {})
         self._name = name
         self._address = address
         self._service = service
@@ -76,6 +79,7 @@
         request_id = build_request_id(self._name, number)
         request = build_request(self._service, request_id, number)
         self.tally.outcomes['sent'] += 1
+        self.tally.sent_at[request_id] = monotonic()
         try:
             response = await fetch(self._address, request, _TIMEOUT_S)
         except (BilberryError, OSError, TimeoutError):
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -91,6 +91,10 @@
             str(member.ports.served),
             '--record-file',
             f'{self.folder}/{instance}.runs',
+            '--arrival-file',
+            f'{self.folder}/{instance}.arrivals',
+            '--upstream-id',
+            instance,
             *options,
         ]
         self._upstreams[instance] = self._launch(f'{instance}.up', command)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,15 +1,33 @@
 """The faults that the soak injects."""
 
 from asyncio import sleep, to_thread
+from json import dumps
+from logging import getLogger
 from random import Random
 from signal import SIGCONT, SIGSTOP
 from typing import ClassVar
 
+from bilberry_core.endpoint import Address
+from bilberry_core.error import BilberryError
+from bilberry_core.http import HttpRequest, fetch
+
 from soak.environment import REPLICAS, SoakEnvironment
+from soak.limits import LEAVING, RATE_LIMIT
 from soak.link import LinkState
 
+_log = getLogger(__name__)
+
 #: Time for a replica with an empty disk to catch up, in seconds.
 CATCH_UP_S = 6.0
+#: Time for which an upstream names one limit, in seconds.
+LIMIT_S = 4.0
+#: Time for which an upstream says that it is leaving, in seconds.
+LEAVING_S = 4.0
+#: Timeout for telling an upstream what to say, in seconds.
+SAY_TIMEOUT_S = 2.0
+#: Limits that an upstream names, in requests a second.
+_LIMITS = ('0', '0.5', '2', '7.5', '14.1', '30')
+_LIMIT_CHANGES = 2
 _LINK_FAULTS = (
     LinkState.SLOW,
     LinkState.RESET,
@@ -22,6 +40,8 @@
     """A fault that is injected into the fleet and reverted later."""
 
     name: ClassVar[str] = ''
+    #: Whether the daemon of the target is stopped, frozen or cut off.
+    harms_daemon: ClassVar[bool] = True
 
     def __init__(self, environment: SoakEnvironment, random: Random) -> None:
         """Picks the target; it is empty if no instance may be faulted now."""
@@ -113,6 +133,7 @@
     """The crash of an upstream, which is restarted afterwards."""
 
     name = 'kill_upstream'
+    harms_daemon = False
 
     def pick_target(self, random: Random) -> str:
         """Returns an instance without a fault, or an empty string."""
@@ -159,6 +180,92 @@
         self.environment.links[self.target].change(LinkState.OPEN)
 
 
+class LimitUpstreams(Fault):
+    """Upstreams that name rate limits, change them once and withdraw them.
+
+    All upstreams of a service do so at once, or one of them. Other faults of
+    the same instances may overlap.
+    """
+
+    name = 'limit_upstreams'
+    harms_daemon = False
+
+    def __init__(self, environment: SoakEnvironment, random: Random) -> None:
+        """Picks the upstreams and two limits for each of them."""
+        super().__init__(environment, random)
+        self._limits = {
+            instance: [random.choice(_LIMITS) for _ in range(_LIMIT_CHANGES)]
+            for instance in self._pick_instances(random)
+        }
+
+    def pick_target(self, random: Random) -> str:
+        """Returns a service, or an empty string if one is limited now."""
+        services = sorted(
+            {
+                member.plan.service
+                for member in self.environment.fleet.members.values()
+            },
+        )
+        service = random.choice(services)
+        return '' if service in self.environment.faulted else service
+
+    async def inject(self) -> None:
+        """Names the first limits, and later the second ones."""
+        for change in range(_LIMIT_CHANGES):
+            for instance, limits in self._limits.items():
+                await say(
+                    self.environment, instance, {RATE_LIMIT: limits[change]}
+                )
+            await sleep(LIMIT_S)
+
+    async def revert(self) -> None:
+        """Withdraws the limits."""
+        for instance in self._limits:
+            await say(self.environment, instance, {})
+
+    def _pick_instances(self, random: Random) -> list[str]:
+        beside = [
+            name
+            for name, member in self.environment.fleet.members.items()
+            if member.plan.service == self.target
+        ]
+        if not beside or random.randrange(2):
+            return beside
+        return [random.choice(beside)]
+
+
+class LeaveUpstream(KillUpstream):
+    """An upstream that says that it leaves, and is restarted afterwards."""
+
+    name = 'leave_upstream'
+
+    async def inject(self) -> None:
+        """Says so in every further response, and nowhere else."""
+        await say(self.environment, self.target, {LEAVING: '1'})
+        await sleep(LEAVING_S)
+
+    async def revert(self) -> None:
+        """Ends the process and starts it again."""
+        await to_thread(self.environment.fleet.kill_upstream, self.target)
+        await to_thread(self.environment.fleet.start_upstream, self.target)
+
+
+async def say(
+    environment: SoakEnvironment,
+    instance: str,
+    headers: dict[str, str],
+) -> None:
+    """Lets an upstream say something in the headers of its responses."""
+    ports = environment.fleet.members[instance].ports
+    address = Address('127.0.0.1', ports.served)
+    request = HttpRequest('POST', '/say', (), dumps(headers).encode())
+    try:
+        await fetch(address, request, SAY_TIMEOUT_S)
+    except (BilberryError, OSError, TimeoutError):
+        # Another fault has ended the upstream; its next start says nothing.
+        _log.info('upstream_unreachable', extra={'upstream': instance})
+
+
 #: The faults from which the soak picks.
 FAULTS: tuple[type[Fault], ...] = (
     KillDaemon,
@@ -167,4 +274,6 @@
     FreezeDaemon,
     KillUpstream,
     HarmLink,
+    LimitUpstreams,
+    LeaveUpstream,
 )
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,8 +2,9 @@
 
 From the records of callers and upstreams, a run checks that a booking runs at
 most once, that a request with the verdict `not_run` did not run, and that an
-answered request ran. It also checks that no daemon's version decreases, and
-that after all faults a change is accepted and in force everywhere.
+answered request ran. It also checks that upstreams get no more than they say
+that they accept, that no daemon's version decreases, and that after all faults
+a change is accepted and in force everywhere.
 """
 
 from asyncio import Task, create_task, gather, sleep, to_thread
@@ -12,18 +13,21 @@
 from random import Random
 from shutil import rmtree
 from tempfile import mkdtemp
+from time import monotonic
 from typing import NamedTuple
 
 from bilberry_core.endpoint import Address
 
-from demo.caller import Caller
+from demo.caller import Caller, Tally
 from demo.convergence import get_version
 from demo.evaluation import evaluate
 from demo.fleet import wait_until
 from demo.record import read_runs
 from soak.environment import SoakEnvironment
 from soak.faults import FAULTS, Fault
+from soak.limits import Excuse, find_breaches
 from soak.watch import VersionWatch
+from standin.arrivals import read_arrivals
 
 _log = getLogger(__name__)
 
@@ -56,6 +60,7 @@
         self._environment = SoakEnvironment(folder)
         self._injected: list[str] = []
         self._broken: list[str] = []
+        self._excuses: list[Excuse] = []
         self._tasks: set[Task[None]] = set()
 
     async def run(self, seconds: float) -> Report:
@@ -107,6 +112,11 @@
         await gather(*self._tasks)
         tallies = await gather(*(sender.stop() for sender in callers))
         evaluation = evaluate(tallies, read_runs(self._environment.fleet))
+        self._broken += find_breaches(
+            read_arrivals(self._environment.fleet.folder),
+            self._excuses,
+            _merge_sent_at(tallies),
+        )
         for kind in ('twice', 'untrue', 'unrecorded'):
             names = sorted(getattr(evaluation, kind))
             self._broken += [f'{kind}: {name}' for name in names]
@@ -122,9 +132,13 @@
             return
         self._environment.faulted.add(fault.target)
         self._injected.append(f'{fault.name} {fault.target} {duration_s:.1f} s')
+        begin = monotonic()
         try:
             await _apply_fault(fault, duration_s)
         finally:
+            if fault.harms_daemon:
+                excuse = Excuse(fault.target, begin, monotonic())
+                self._excuses.append(excuse)
             self._environment.faulted.discard(fault.target)
 
     async def _apply_change(self) -> None:
@@ -161,6 +175,13 @@
         return len(versions) == 1 and None not in states and versions != {0}
 
 
+def _merge_sent_at(tallies: list[Tally]) -> dict[str, float]:
+    merged = {}
+    for tally in tallies:
+        merged.update(tally.sent_at)
+    return merged
+
+
 async def _apply_fault(fault: Fault, duration_s: float) -> None:
     await fault.inject()
     await sleep(duration_s)
--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -46,6 +46,8 @@
     Response,
 )
 
+from standin.arrivals import ArrivalFile
+
 _HOST = '127.0.0.1'
 _MS_PER_S = 1000
 _SLOW_S = 1.0
@@ -61,7 +63,8 @@
 
     `exits` selects whether a crash ends the whole process, `sheds` whether
     every request is refused before it runs. If `record_file` is set, each run
-    is appended to it at once, so that a kill does not lose the record.
+    is appended to it at once, so that a kill does not lose the record, and each
+    arrival to `arrival_file` likewise.
     """
 
     daemon: Address | None
@@ -76,6 +79,7 @@
     sheds: bool = False
     record_file: str = ''
     upstream_id: str = ''
+    arrival_file: str = ''
 
 
 class RunRecords:
@@ -233,6 +237,7 @@
             self.answer(503, b'shed', _SHED_HEADERS)
             return
         request_id = _get_request_id(self._request)
+        upstream.arrival_file.record(request_id)
         upstream.records.record_start(request_id)
         delay_s = upstream.get_delay_s(path)
         if delay_s:
@@ -270,6 +275,10 @@
         self.said: tuple[tuple[bytes, bytes], ...] = ()
         self._sequence = 0
         self.started_ms = int(time() * _MS_PER_S)
+        self.arrival_file = ArrivalFile(
+            options.arrival_file,
+            f'{options.upstream_id}@{self.started_ms}',
+        )
         self.address: Address | None = None
         self.open_connections: set[StandinConnection] = set()
         self._server = None
@@ -294,6 +303,7 @@
 
     def say(self, headers: dict[str, str]) -> None:
         """Sets the headers that every further response gets."""
+        self.arrival_file.say(headers)
         self.said = tuple(
             (name.encode(), text.encode()) for name, text in headers.items()
         )
@@ -418,6 +428,7 @@
     parser.add_argument('--crash-path', default='/crash')
     parser.add_argument('--record-file', default='')
     parser.add_argument('--upstream-id', default='')
+    parser.add_argument('--arrival-file', default='')
     parsed = vars(parser.parse_args(arguments))
     port = parsed.pop('port')
     return StandinOptions(**parsed), port
