Let a stand-in upstream that leaves go on saying so

Real upstreams that leave say so in all their responses. Change: the stand-in keeps saying it until its next start. The check is as it was.

--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -55,6 +55,7 @@
 _RETRY_S = 0.1
 _CRASH_STATUS = 70
 _SHED_HEADERS = ((b'bilberry-verdict', b'not_run'), (b'retry-after', b'1'))
+_LEAVING = 'bilberry-leaving'
 _ID_HEADERS = (b'x-request-id', b'idempotency-key')
 
 
@@ -302,12 +303,26 @@
         return self.address
 
     def say(self, headers: dict[str, str]) -> None:
-        """Sets the headers that every further response gets."""
+        """Sets the headers that every further response gets.
+
+        An upstream that said that it is leaving goes on saying so.
+        """
+        if self._is_leaving:
+            headers = {_LEAVING: '1', **headers}
         self.arrival_file.say(headers)
         self.said = tuple(
             (name.encode(), text.encode()) for name, text in headers.items()
         )
 
+    def begin_again(self) -> None:
+        """Becomes the next start of this upstream, which says nothing."""
+        self.started_ms += 1
+        self.said = ()
+
+    @property
+    def _is_leaving(self) -> bool:
+        return (_LEAVING.encode(), b'1') in self.said
+
     def get_delay_s(self, path: str) -> float:
         """Returns the delay of a response on `path`, in seconds."""
         if path == '/slow':
--- a/tests/bilberry_proxy/test_rate_limit.py
+++ b/tests/bilberry_proxy/test_rate_limit.py
@@ -162,9 +162,8 @@
                 beside = fleet.nodes[0]
                 await tell(fleet, beside, **{LIMIT: '1'})
                 upstream = beside.upstream
-                upstream.say({})
+                upstream.begin_again()
                 upstream.options = upstream.options._replace(upstream_id='i-2')
-                upstream.started_ms += 1
                 await upstream.announce()
                 outcomes = await send_for(fleet.nodes[1:], 0.5)
                 return [status for status, _, _ in outcomes]
@@ -228,7 +227,7 @@
             async with open_fleet({}, {'slots': 12}) as fleet:
                 caller, beside = fleet.nodes
                 await tell(fleet, beside, **LEAVING)
-                beside.upstream.say({})
+                beside.upstream.begin_again()
                 await beside.upstream.announce('DELETE')
                 await beside.upstream.announce()
                 return [(await call(caller)).status for _ in range(3)]
@@ -242,8 +241,7 @@
             async with open_fleet({'upstream_id': 'i-1'}, {}) as fleet:
                 beside, caller = fleet.nodes
                 await tell(fleet, beside, **LEAVING)
-                beside.upstream.say({})
-                beside.upstream.started_ms += 1
+                beside.upstream.begin_again()
                 await beside.upstream.announce()
                 await until(
                     lambda: (
