--- a/bench/call.py
+++ b/bench/call.py
@@ -1,4 +1,4 @@
-"""Measures requests: added latency, overload, faults and claimed bookings.
+"""Measures requests: latency, overload, faults, bookings and rate limits.
 
 All processes run on loopback. To measure the added latency, each request is
 sent directly, through the naive proxy, through two raw byte relays (the
@@ -21,6 +21,7 @@
 from bench.client import Client, Reply, encode_get, send_at_rate
 from bench.faults import measure_faults
 from bench.fleet import SLOTS, BenchFleet
+from bench.limits import measure_limits
 from bench.percentiles import summarize
 from bench.processes import BenchProcess
 
@@ -192,7 +193,7 @@
 
 
 async def measure(seconds: float) -> dict[str, Any]:
-    """Measures latency, overload, faults and bookings in turn."""
+    """Measures latency, overload, faults, bookings and limits in turn."""
     with ExitStack() as stack, TemporaryDirectory() as folder:
         fleet = BenchFleet(stack, folder)
         upstream = fleet.start_upstream(1)
@@ -208,6 +209,7 @@
     with ExitStack() as stack, TemporaryDirectory() as folder:
         result['faults'] = await measure_faults(BenchFleet(stack, folder))
     result['bookings'] = await measure_bookings(summarize)
+    result['limits'] = await measure_limits()
     return result
 
 
