Send buffered responses whole before a planned stop ends

What callers saw: a response cut off in its middle when the proxy was stopped, if the caller or its link took it slowly. Change: a connection with unsent bytes counts as busy, so that a stop waits for it, for the drain time at most.

--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -47,13 +47,20 @@
         self._reading_events = False
         self._idle_since: float | None = None
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether a part of a response waits to be sent."""
+        if self._transport is None:
+            return False
+        return self._transport.get_write_buffer_size() > 0
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: Transport) -> None:
         """Registers the connection."""
         self._transport = transport
         self._connections.add(self)
-        self._append_request(b'')
+        self._pipeline.add(self, b'')
 
     def data_received(self, received: bytes) -> None:
         """Parses received bytes and starts the requests in them."""
@@ -135,18 +142,12 @@
                 self._transport.close()
             return False
         if not self._pipeline:
-            self._append_request(answered.trailing)
+            self._pipeline.add(self, answered.trailing)
         else:
             self._pipeline[0].become_first()
         self.set_reading(enabled=True)
         return True
 
-    def _append_request(self, received: bytes) -> None:
-        request = PipelinedRequest(self, received)
-        if not self._pipeline:
-            request.become_first()
-        self._pipeline.append(request)
-
     def _read_events(self) -> None:
         if self._reading_events or self._transport is None:
             return
@@ -185,7 +186,7 @@
             or not request.trailing
         ):
             return False
-        self._append_request(request.trailing)
+        self._pipeline.add(self, request.trailing)
         return True
 
     def _begin(self, request: PipelinedRequest, batch: EventBatch) -> bool:
--- a/packages/bilberry_proxy/bilberry_proxy/caller_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_server.py
@@ -36,6 +36,11 @@
         """The number of open connections."""
         return len(self._connections)
 
+    @property
+    def unsent(self) -> int:
+        """The number of connections on which a response is still sent."""
+        return sum(connection.has_unsent for connection in self._connections)
+
     async def start(self, address: Address) -> None:
         """Starts listening for callers."""
         self._server = await get_running_loop().create_server(
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -138,9 +138,10 @@
 
     @property
     def busy(self) -> int:
-        """The number of requests, claims and calls in progress."""
+        """The number of requests, responses, claims and calls in progress."""
         own = len(self._context.running) + len(self._context.tasks)
-        return own + self._admitter.outstanding + self._calls.open_calls
+        called = self._admitter.outstanding + self._calls.open_calls
+        return own + self._callers.unsent + called
 
     @property
     def connections(self) -> int:
--- a/packages/bilberry_proxy/bilberry_proxy/pipelined_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/pipelined_request.py
@@ -205,6 +205,13 @@
         exchanges = [request.exchange for request in self]
         return [exchange for exchange in exchanges if exchange is not None]
 
+    def add(self, owner: PipelineOwner, received: bytes) -> None:
+        """Adds a request that starts with the bytes `received`."""
+        request = PipelinedRequest(owner, received)
+        if not self:
+            request.become_first()
+        self.append(request)
+
     def cancel(self) -> None:
         """Removes every request: the caller no longer waits."""
         exchanges = self.exchanges
--- /dev/null
+++ b/tests/bilberry_proxy/test_stop.py
@@ -0,0 +1,67 @@
+"""Tests of a planned stop while callers use the proxy."""
+
+from asyncio import create_task, open_connection, run, sleep, wait_for
+from socket import SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, socket
+from unittest.mock import patch
+
+from bilberry_proxy.caller_connection import CallerConnection
+from testtools import TestCase
+
+from tests.bilberry_proxy.fleet import SERVICE, Node, open_fleet
+
+#: Size of a response that the proxy takes whole from its upstream, while only
+#: a part of it fits into the buffers of the sockets.
+RESPONSE_BYTES = 250 << 10
+SOCKET_BUFFER_BYTES = 4096
+
+
+class PlannedStopTest(TestCase):
+    """Requests that were accepted get their whole response."""
+
+    def test_response_to_a_slow_caller_is_not_cut_by_a_stop(self):
+        """Bytes that are still buffered are sent before the end."""
+
+        async def scenario():
+            async with open_fleet({'slots': 2}) as fleet:
+                node = fleet.nodes[0]
+                reader, writer = await connect_slowly(node)
+                head = (
+                    f'POST / HTTP/1.1\r\nhost: {SERVICE}\r\n'
+                    f'content-length: {RESPONSE_BYTES}\r\n\r\n'
+                )
+                writer.write(head.encode() + bytes(RESPONSE_BYTES))
+                await reader.readuntil(b'\r\n\r\n')
+                stopping = create_task(stop(node))
+                await sleep(0.3)
+                body = await wait_for(reader.readexactly(RESPONSE_BYTES), 5)
+                writer.close()
+                await stopping
+                return len(body)
+
+        with patch.object(CallerConnection, 'connection_made', accept_slowly):
+            self.assertEqual(RESPONSE_BYTES, run(scenario()))
+
+
+def accept_slowly(
+    connection, transport, accept=CallerConnection.connection_made
+):
+    """Accepts a connection whose socket buffers little."""
+    accepted = transport.get_extra_info('socket')
+    accepted.setsockopt(SOL_SOCKET, SO_SNDBUF, SOCKET_BUFFER_BYTES)
+    accept(connection, transport)
+
+
+async def connect_slowly(node: Node):
+    """Returns the streams of a caller that receives little at a time."""
+    slow = socket()
+    slow.setsockopt(SOL_SOCKET, SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    slow.setblocking(False)
+    slow.connect_ex(node.callers)
+    await sleep(0.05)
+    return await open_connection(sock=slow, limit=SOCKET_BUFFER_BYTES)
+
+
+async def stop(node: Node) -> None:
+    """Stops the proxy as a daemon does on SIGTERM."""
+    await node.proxy.drain()
+    await node.proxy.stop()
