Add a failing test of a late announcement after a restart

What callers saw: none reported; operators of similar systems told us of servers that had left and were in use again after a restart. Cause: a daemon beside an upstream forgets departures when it is restarted; docs/PROMISES.md listed it as not covered, no test showed it. An upstream that says in its responses that it leaves is noticed with the first of them, but that one request has reached it.

--- a/tests/bilberry_proxy/test_rate_limit.py
+++ b/tests/bilberry_proxy/test_rate_limit.py
@@ -234,6 +234,23 @@
 
         self.assertEqual([200, 200, 200], run(scenario()))
 
+    def test_late_announcement_after_a_restart_brings_no_left_upstream_back(
+        self,
+    ):
+        """One from before the departure arrives after the restart."""
+
+        async def scenario():
+            async with open_fleet({'upstream_id': 'i-1'}, {}) as fleet:
+                beside, caller = fleet.nodes
+                await call(caller)
+                beside.announcements.leave('i-1')
+                beside.upstream.records.arrivals.clear()
+                await fleet.restart(beside)
+                reply = await call(caller)
+                return reply.status, beside.upstream.records.arrivals
+
+        self.assertEqual((503, []), run(scenario()))
+
     def test_next_start_of_a_left_upstream_is_used(self):
         """The departure belongs to one start."""
 
