--- a/tests/bilberry_proxy/test_admission.py
+++ b/tests/bilberry_proxy/test_admission.py
@@ -4,6 +4,7 @@
 
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.policy import Priority
+from bilberry_core.upstream_notice import UpstreamIdentity, UpstreamNotice
 from bilberry_proxy.admission import DEFERRABLE_SHARE, QUEUE_PER_SLOT
 from bilberry_proxy.slot_queue import SlotQueue
 from hypothesis import given
@@ -12,6 +13,8 @@
 
 SLOTS = 2
 FAR_DEADLINE = 1e9
+#: Rate limit, in requests a second.
+LIMIT = 5
 
 
 class Call(NamedTuple):
@@ -135,6 +138,38 @@
                 {waiting_call.priority for waiting_call in waiting},
             )
 
+    @given(st.lists(st.sampled_from(Priority), min_size=1, max_size=20))
+    def test_urgent_calls_get_the_tokens_of_a_limited_upstream(self, order):
+        """Of the calls that wait, the most urgent one is sent first."""
+        upstream = Upstream()
+        limiter = upstream.queue.limiter
+        limiter.advance(100)
+        limiter.follow(UpstreamNotice(UpstreamIdentity('i-1'), LIMIT))
+        for index, priority in enumerate(order):
+            upstream.offer(Call(index, priority))
+        self.assertEqual([], upstream.running)
+        limiter.advance(100 + 1 / LIMIT)
+        waiting = set(
+            Call(index, priority) for index, priority in enumerate(order)
+        ) - set(upstream.shed)
+        sent = upstream.queue.pop_next()
+        ranks = list(Priority)
+        most_urgent = min(ranks.index(call.priority) for call in waiting)
+        self.assertEqual(most_urgent, ranks.index(sent.priority))
+        self.assertIsNone(upstream.queue.pop_next())
+
+    def test_what_waits_too_long_for_a_token_is_refused_at_once(self):
+        """The time to retry after grows with each refusal."""
+        upstream = Upstream()
+        limiter = upstream.queue.limiter
+        limiter.advance(100)
+        limiter.follow(UpstreamNotice(UpstreamIdentity('i-1'), LIMIT))
+        queue = upstream.queue
+        self.assertFalse(queue.is_free_within(Priority.NORMAL, 10))
+        self.assertTrue(queue.is_free_within(Priority.NORMAL, 1000 // LIMIT))
+        after_ms = [queue.defer() for _ in range(3)]
+        self.assertEqual([200, 400, 600], after_ms)
+
     def test_urgent_call_overtakes_deferrable_calls(self):
         """An urgent call that arrived last is served next, not the oldest."""
         upstream = Upstream()
--- a/tests/bilberry_proxy/test_selection.py
+++ b/tests/bilberry_proxy/test_selection.py
@@ -307,6 +307,46 @@
         self.assertEqual(0, compute_shed_ms(candidates, Priority.URGENT, 100.3))
 
 
+class RateLimitTest(TestCase):
+    """Endpoints whose upstreams name rate limits."""
+
+    def build_limited(self, *rate_limits: float | None) -> list[EndpointLoad]:
+        """Returns loads of endpoints that take a second for each call."""
+        loads = [build_load(0) for _ in rate_limits]
+        for load, rate_limit in zip(loads, rate_limits, strict=True):
+            load.rate_limit = rate_limit
+            load.service_us = 1_000_000
+        return loads
+
+    def count_calls(self, *rate_limits: float | None, calls: int) -> list[int]:
+        """Returns how many of the calls at once each endpoint gets."""
+        loads = self.build_limited(*rate_limits)
+        endpoints = [build_endpoint(index) for index in range(len(loads))]
+        for seed in range(calls):
+            chosen = choose(endpoints, loads, seed=seed).endpoint
+            loads[endpoints.index(chosen)].begin()
+        return [load.outstanding for load in loads]
+
+    def test_calls_are_spread_in_proportion_to_limits(self):
+        """An upstream with a third of the limit gets about a third."""
+        large, small = self.count_calls(9, 3, calls=12)
+        self.assertTrue(2 <= small <= 4, (large, small))
+
+    def test_upstreams_without_a_limit_come_first(self):
+        """Once a limited one has what its limit allows."""
+        limited, other = self.count_calls(1, None, calls=10)
+        self.assertLessEqual(limited, 1)
+        self.assertEqual(10, limited + other)
+
+    def test_limit_counts_as_fewer_slots(self):
+        """Never as more than the upstream has, and one call may be sent."""
+        slots = [
+            load.limit_slots(12)
+            for load in self.build_limited(None, 100, 5, 0.1)
+        ]
+        self.assertEqual([12, 12, 5, 1], slots)
+
+
 class BalancerTest(TestCase):
     """Least work against round robin in a fleet with one slow endpoint."""
 
