Add no tokens before the bucket has seen the time

Cause: a bucket whose first time came after its first limit would have filled at once, since its time began at 0. No path leads there today (a call advances the bucket before a notice is adopted). Change: the first time adds nothing; properties stand before methods. Result: the new test fails before; tests/bilberry_proxy pass.

--- a/packages/bilberry_proxy/bilberry_proxy/announcement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -68,6 +68,13 @@
         bound = self._server.sockets[0].getsockname()
         return Address(bound[0], bound[1])
 
+    @property
+    def _is_leaving(self) -> bool:
+        """Whether this daemon or the upstream beside it is leaving."""
+        if self._board.phase.value in _LEAVING:
+            return True
+        return self._board.upstream_notice.value.is_leaving
+
     async def start(self) -> Address:
         """Starts listening and returns the bound address."""
         listen = self._settings.listen.upstream
@@ -192,13 +199,6 @@
         if phase in _LEAVING:
             self._put_state(EndpointState.DRAINING)
 
-    @property
-    def _is_leaving(self) -> bool:
-        """Whether this daemon or the upstream beside it is leaving."""
-        if self._board.phase.value in _LEAVING:
-            return True
-        return self._board.upstream_notice.value.is_leaving
-
     def _on_notice(self, notice: UpstreamNotice) -> None:
         if notice.is_leaving:
             self._put_state(EndpointState.DRAINING)
--- a/packages/bilberry_proxy/bilberry_proxy/rate_limiter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/rate_limiter.py
@@ -51,7 +51,7 @@
     def __init__(self) -> None:
         """Starts without a limit."""
         self.pace = Pace()
-        self._advanced_at: float = 0
+        self._advanced_at: float | None = None
 
     @property
     def has_token(self) -> bool:
@@ -60,8 +60,9 @@
 
     def advance(self, now: float) -> None:
         """Adds the tokens since the last call; `now` is in seconds."""
-        elapsed_s = now - self._advanced_at
+        before = self._advanced_at
         self._advanced_at = now
+        elapsed_s = 0 if before is None else now - before
         tokens, rate, backlog = self.pace
         if rate is not None:
             gained = elapsed_s * rate
--- a/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
@@ -52,6 +52,10 @@
             return False
         return self._may_send
 
+    @property
+    def _may_send(self) -> bool:
+        return self.slots.has_free_slot and self.limiter.has_token
+
     def __len__(self) -> int:
         """Returns how many calls wait in the queue."""
         return len(self._queue)
@@ -150,10 +154,6 @@
             for ticket in self._queue.pop_expired(now)
         ]
 
-    @property
-    def _may_send(self) -> bool:
-        return self.slots.has_free_slot and self.limiter.has_token
-
     def _acquire(self) -> None:
         self.slots.acquire()
         self.limiter.take()
--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -290,6 +290,10 @@
         """Whether the server accepts connections."""
         return self._server is not None and self._server.is_serving()
 
+    @property
+    def _is_leaving(self) -> bool:
+        return (_LEAVING.encode(), b'1') in self.said
+
     async def start(self, port: int = 0) -> Address:
         """Starts to listen and returns the bound address."""
         loop = get_running_loop()
@@ -319,10 +323,6 @@
         self.started_ms += 1
         self.said = ()
 
-    @property
-    def _is_leaving(self) -> bool:
-        return (_LEAVING.encode(), b'1') in self.said
-
     def get_delay_s(self, path: str) -> float:
         """Returns the delay of a response on `path`, in seconds."""
         if path == '/slow':
--- a/tests/bilberry_proxy/test_rate_limiter.py
+++ b/tests/bilberry_proxy/test_rate_limiter.py
@@ -73,6 +73,12 @@
         self.assertEqual(0, offer(limiter, 100, 9))
         self.assertEqual(1, offer(limiter, 100.11, 9))
 
+    def test_first_time_adds_no_tokens(self):
+        """A limit may be adopted before the bucket has seen the time."""
+        limiter = RateLimiter()
+        name_limit(limiter, 10)
+        self.assertEqual(0, offer(limiter, 100, 9))
+
     def test_steady_load_gets_the_limit(self):
         """Nearly all that the upstream accepts is used."""
         limiter = RateLimiter()
