Narrow candidates in one place

Cause: three steps of the selection filtered candidates by the same eleven lines; bench/bookings.py assigned a name twice. Result: tests of selection, placement and retry pass.

--- a/bench/bookings.py
+++ b/bench/bookings.py
@@ -179,7 +179,6 @@
 async def inject_faults(fleet: Fleet) -> list[str]:
     """Injects one fault after the other; returns their names in order."""
     start_upstream = fleet.start_upstream
-    start_upstream = fleet.start_upstream
     steps = (
         ('daemon drained', fleet.stop_daemon, 'c-1'),
         ('daemon restarted', fleet.start_daemon, 'c-1'),
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -164,17 +164,15 @@
     now: float,
     reasons: list[str],
 ) -> Sequence[Candidate]:
-    remaining = [
-        candidate
-        for candidate in candidates
-        if candidate.load.may_be_called(now)
-    ]
+    remaining = _narrow(
+        candidates,
+        lambda candidate: candidate.load.may_be_called(now),
+        'not ejected',
+        reasons,
+    )
     if not remaining:
         reasons.append('all ejected')
-        return candidates
-    if len(remaining) < len(candidates):
-        reasons.append('not ejected')
-    return remaining
+    return remaining or candidates
 
 
 def _skip_shedding(
@@ -182,15 +180,13 @@
     now: float,
     reasons: list[str],
 ) -> Sequence[Candidate]:
-    remaining = [
-        candidate
-        for candidate in candidates
-        if candidate.load.shed_until <= now
-    ]
-    if remaining and len(remaining) < len(candidates):
-        reasons.append('not shedding')
-        return remaining
-    return candidates
+    remaining = _narrow(
+        candidates,
+        lambda candidate: candidate.load.shed_until <= now,
+        'not shedding',
+        reasons,
+    )
+    return remaining or candidates
 
 
 def _skip_cold(
@@ -199,17 +195,30 @@
     random: RandomSource,
     reasons: list[str],
 ) -> Sequence[Candidate]:
-    remaining = [
-        candidate
-        for candidate in candidates
-        if wall_ms - candidate.endpoint.since_ms >= SLOW_START_MS
-        or random.random()
-        < compute_slow_start_share(candidate.endpoint, wall_ms)
-    ]
-    if remaining and len(remaining) < len(candidates):
-        reasons.append('warm')
-        return remaining
-    return candidates
+    remaining = _narrow(
+        candidates,
+        lambda candidate: (
+            wall_ms - candidate.endpoint.since_ms >= SLOW_START_MS
+            or random.random()
+            < compute_slow_start_share(candidate.endpoint, wall_ms)
+        ),
+        'warm',
+        reasons,
+    )
+    return remaining or candidates
+
+
+def _narrow(
+    candidates: Sequence[Candidate],
+    is_kept: Callable[[Candidate], bool],
+    reason: str,
+    reasons: list[str],
+) -> list[Candidate]:
+    """Returns the candidates kept; adds `reason` if some, not all, are."""
+    remaining = [candidate for candidate in candidates if is_kept(candidate)]
+    if 0 < len(remaining) < len(candidates):
+        reasons.append(reason)
+    return remaining
 
 
 def _prefer_near(
