Let downloads be repeated, and unknown kinds of routes never

Cause: the platform's kind was compared with 'idempotent', so a route of the kind 'download', which the users' page counts as idempotent, was taken as one whose requests may run once: never retried, never sent ahead.

--- a/tests/bilberry_platform/test_configuration.py
+++ b/tests/bilberry_platform/test_configuration.py
@@ -87,6 +87,26 @@
             ),
         )
 
+    def test_downloads_may_be_repeated(self):
+        """A large response may be fetched again like any read."""
+        route = self.read(build_service(), build_route(RouteType='download'))
+        self.assertTrue(route.change.idempotent)
+
+    def test_requests_of_an_unknown_kind_are_not_repeated(self):
+        """What may run only once must not run twice; the log names it."""
+        module = 'bilberry_platform.configuration'
+        for kind in ('non_idempotent', 'later_kind', ''):
+            with self.subTest(kind=kind):
+                route = self.read(build_service(), build_route(RouteType=kind))
+                self.assertFalse(route.change.idempotent)
+        with self.assertLogs(module, 'WARNING') as logged:
+            self.read(build_service(), build_route(RouteType='later_kind'))
+        record = logged.records[0]
+        self.assertEqual(
+            ('route_kind_unknown', 'r-1', 'later_kind'),
+            (record.message, record.route, record.kind),
+        )
+
     def test_split_keeps_its_weights(self):
         """A weight of 0 is kept as well."""
         split = [
