Keep a silent attempt open until another one responds

Cause: half of a read's time after its send a silent upstream was left: the attempt was cancelled first, and only then it was decided whether another one may be made. Without retry budget, without a free slot elsewhere or with a slower second upstream the caller got 504 long before its deadline, while the first upstream was still at work. Change: Dispatch decides first. Without leave to retry the attempt goes on; with it the silent attempt stays open beside the new one, the first response wins and cancels the other, and the request fails when none is left.

--- a/packages/bilberry_proxy/bilberry_proxy/decision_log.py
+++ b/packages/bilberry_proxy/bilberry_proxy/decision_log.py
@@ -57,6 +57,10 @@
     def record_attempt_failure(self, failure: Failure, reason: str) -> None:
         """Records why an attempt failed and why it is retried or not."""
         self.verdict = join_verdicts(self.verdict, failure.verdict)
+        self.record_retry_decision(failure, reason)
+
+    def record_retry_decision(self, failure: Failure, reason: str) -> None:
+        """Records why a request is retried or not; its attempt goes on."""
         self.retry_reasons.append(f'{failure.code.value}: {reason}')
 
     def complete(self, failure: Failure) -> Failure:
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -2,6 +2,9 @@
 
 Every attempt uses the snapshot with which the request started. A newer one is
 used only by a request that waits because its service had no endpoint.
+
+An attempt whose endpoint is silent stays open while another one is made: the
+first response is used, and the request fails only when no attempt is left.
 """
 
 from typing import Protocol
@@ -23,7 +26,12 @@
 from bilberry_proxy.plan import Plan
 from bilberry_proxy.poison import SuspicionLevel
 from bilberry_proxy.request_body import RequestBody
-from bilberry_proxy.retry import AttemptState, decide_retry, may_have_arrived
+from bilberry_proxy.retry import (
+    AttemptState,
+    RetryDecision,
+    decide_retry,
+    may_have_arrived,
+)
 from bilberry_proxy.selection import Selection
 from bilberry_proxy.silence import SilenceWatch
 
@@ -31,6 +39,7 @@
 NO_ENDPOINT_RETRY_AFTER_MS = 500
 #: Maximum attempts of one request, including refused ones.
 MAX_PLACEMENTS = 6
+_OTHER_UNDER_WAY = 'another attempt is under way'
 _UPSTREAM_SILENT = Failure(
     Verdict.MAY_HAVE_RUN,
     FailureCode.DEADLINE,
@@ -60,7 +69,7 @@
 
 
 class Dispatch:
-    """The attempts of one request, one at a time."""
+    """The attempts of one request: one, and silent ones before it."""
 
     def __init__(
         self,
@@ -76,8 +85,9 @@
         self._plan: Plan | None = None
         self._fingerprint = b''
         self._attempt: Attempt | None = None
+        self._silent_attempts: list[Attempt] = []
         self._has_other = False
-        self._counted_attempts = 0
+        self._arrived: list[Attempt] = []
         self._placement = Placement(context.router)
         self._silence: SilenceWatch | None = None
         self._wait = EndpointWait(
@@ -90,11 +100,13 @@
     def verdict(self) -> Verdict:
         """Whether an upstream may have run the request so far."""
         attempt = self._attempt
-        if attempt is None or attempt.ended:
-            return self._outcome.verdict
-        if attempt.answer_started:
-            return Verdict.RAN
-        return Verdict.MAY_HAVE_RUN
+        if attempt is not None and not attempt.ended:
+            if attempt.answer_started:
+                return Verdict.RAN
+            return Verdict.MAY_HAVE_RUN
+        if self._silent_attempts:
+            return Verdict.MAY_HAVE_RUN
+        return self._outcome.verdict
 
     def start(self, plan: Plan, fingerprint: bytes) -> None:
         """Starts the first attempt, unless every endpoint would shed it."""
@@ -110,10 +122,9 @@
             self._owner.on_failure(refusal)
 
     def cancel(self) -> None:
-        """Cancels the current attempt; no further callback follows."""
+        """Cancels every attempt; no further callback follows."""
         self._wait.stop()
-        if self._attempt is not None:
-            self._attempt.cancel()
+        self._cancel_others(None)
 
     def grant(self, size: int) -> None:
         """Grants credit for `size` more bytes of the response."""
@@ -126,8 +137,7 @@
         """Forwards the start of the response and updates the load data."""
         context = self._context
         latency_s = context.clock.now() - attempt.started_at
-        if self._silence is not None:
-            self._silence.stop()
+        self._cancel_others(attempt)
         self._owner.on_reply(reply)
         context.router.record_notice(attempt.endpoint, reply.notice)
         context.router.record_answer(attempt.endpoint, latency_s, reply.load)
@@ -154,33 +164,72 @@
             self._context.router.record_notice(
                 attempt.endpoint, attempt.reported_notice
             )
+        if attempt in self._silent_attempts:
+            self._on_silent_failure(attempt, failure)
+            return
         if failure.code is FailureCode.NO_FREE_SLOT:
             self._on_no_free_slot(attempt, failure)
             return
+        decision = self._decide_retry(attempt, failure)
+        self._outcome.record_attempt_failure(failure, decision.reason)
+        if decision.should_retry:
+            self._choose()
+        else:
+            self._fail(failure)
+
+    def _decide_retry(
+        self,
+        attempt: Attempt,
+        failure: Failure,
+    ) -> RetryDecision:
+        plan = self._plan
         quarantined = self._record_failure(attempt, failure)
         state = AttemptState(
             plan.idempotent,
             self._body.is_replayable,
             attempt.answer_started,
-            self._count_retries_left(failure),
+            self._count_retries_left(attempt, failure),
             plan.deadline - self._context.clock.now(),
             quarantined,
             self._has_other,
         )
         budget = self._context.router.get_budget(plan.service)
-        decision = decide_retry(failure, state, budget)
-        self._outcome.record_attempt_failure(failure, decision.reason)
-        if decision.should_retry:
-            self._choose()
+        return decide_retry(failure, state, budget)
+
+    def _count_retries_left(self, attempt: Attempt, failure: Failure) -> int:
+        if may_have_arrived(failure) and attempt not in self._arrived:
+            self._arrived.append(attempt)
+        placements_left = MAX_PLACEMENTS - len(self._outcome.tried)
+        retries_left = self._plan.retries + 1 - len(self._arrived)
+        return min(retries_left, placements_left)
+
+    def _on_silent_failure(self, attempt: Attempt, failure: Failure) -> None:
+        self._silent_attempts.remove(attempt)
+        if failure.code is FailureCode.NO_FREE_SLOT:
+            self._context.router.record_no_slot(
+                attempt.endpoint, attempt.reported_load
+            )
+        else:
+            self._record_failure(attempt, failure)
+        self._outcome.record_attempt_failure(failure, _OTHER_UNDER_WAY)
+
+    def _fail(self, failure: Failure) -> None:
+        """Ends the request, unless a silent attempt may still succeed."""
+        if self._silent_attempts:
+            self._attempt = self._silent_attempts.pop()
         else:
             self._owner.on_failure(failure)
 
-    def _count_retries_left(self, failure: Failure) -> int:
-        self._counted_attempts += may_have_arrived(failure)
-        placements_left = MAX_PLACEMENTS - len(self._outcome.tried)
-        return min(
-            self._plan.retries + 1 - self._counted_attempts, placements_left
-        )
+    def _cancel_others(self, kept: Attempt | None) -> None:
+        """Cancels all attempts but `kept`, which becomes the current one."""
+        if self._silence is not None:
+            self._silence.stop()
+        attempts = [*self._silent_attempts, self._attempt]
+        self._silent_attempts.clear()
+        self._attempt = kept
+        for attempt in attempts:
+            if attempt is not None and attempt is not kept:
+                attempt.cancel()
 
     def _record_failure(self, attempt: Attempt, failure: Failure) -> bool:
         context = self._context
@@ -221,7 +270,7 @@
         if refusal is None:
             self._choose()
         else:
-            self._owner.on_failure(refusal)
+            self._fail(refusal)
 
     def _open(
         self,
@@ -256,26 +305,35 @@
 
     def _watch_silence(self, attempt: Attempt) -> None:
         plan = self._plan
-        retries_left = plan.retries - self._counted_attempts
+        retries_left = plan.retries - len(self._arrived)
         if not plan.idempotent or not self._has_other or retries_left <= 0:
             return
         self._silence = SilenceWatch(
             attempt,
             self._context.timers,
             self._context.clock.now,
-            self._abandon,
+            self._on_silent,
         )
         self._silence.start(
             plan.deadline - self._outcome.started_at,
             plan.deadline - attempt.started_at,
         )
 
-    def _abandon(self, attempt: Attempt) -> None:
+    def _on_silent(self, attempt: Attempt) -> None:
+        """Tries another endpoint, if that is allowed, beside a silent one."""
         silent = (
             _DAEMON_SILENT if attempt.is_daemon_silent else _UPSTREAM_SILENT
         )
-        attempt.cancel()
-        self.on_failure(attempt, silent)
+        decision = self._decide_retry(attempt, silent)
+        self._outcome.record_retry_decision(silent, decision.reason)
+        if not decision.should_retry:
+            return
+        if self._body.is_whole:
+            self._silent_attempts.append(attempt)
+        else:
+            self._body.detach()
+            attempt.cancel()
+        self._choose()
 
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         plan = self._plan
@@ -291,7 +349,7 @@
         self._owner.update_reading()
 
     def _fail_without_endpoint(self) -> None:
-        self._owner.on_failure(
+        self._fail(
             Failure(
                 self._outcome.verdict,
                 FailureCode.NO_ENDPOINT,
