Split the attempts of a request from its dispatch

Change: RunningAttempts holds the attempts that may still get a response, AttemptRecorder passes on what they show of endpoints. A silent attempt that fails no longer detaches the body of the current one.

--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt_recorder.py
@@ -0,0 +1,65 @@
+"""Records what the attempts of one request show of their endpoints."""
+
+from bilberry_core.messages.call import ReplyStart
+from bilberry_core.verdict import Failure, FailureCode
+
+from bilberry_proxy.attempt import Attempt
+from bilberry_proxy.context import ProxyContext
+from bilberry_proxy.plan import Plan
+from bilberry_proxy.poison import SuspicionLevel
+
+
+class AttemptRecorder:
+    """Passes the outcomes of attempts on to the router and the trackers."""
+
+    def __init__(
+        self,
+        context: ProxyContext,
+        plan: Plan,
+        fingerprint: bytes,
+    ) -> None:
+        """Records for one request, which `fingerprint` identifies."""
+        self._context = context
+        self._plan = plan
+        self._fingerprint = fingerprint
+
+    def record_reply(self, attempt: Attempt, reply: ReplyStart) -> None:
+        """Records the start of a response."""
+        router = self._context.router
+        latency_s = self._context.clock.now() - attempt.started_at
+        router.record_notice(attempt.endpoint, reply.notice)
+        router.record_answer(attempt.endpoint, latency_s, reply.load)
+        router.service_times.update(
+            self._plan.route_key,
+            latency_s,
+            reply.load.waited_us,
+        )
+
+    def record_failure(self, attempt: Attempt, failure: Failure) -> None:
+        """Records the failure of an attempt, or its silence."""
+        plan = self._plan
+        router = self._context.router
+        endpoint = attempt.endpoint
+        if failure.code is FailureCode.NO_FREE_SLOT:
+            router.record_no_slot(endpoint, attempt.reported_load)
+            return
+        router.record_failure(
+            endpoint,
+            plan.snapshot.routes[plan.service],
+            failure,
+            self._context.clock.now() - attempt.started_at,
+        )
+        if failure.code is FailureCode.OVERLOADED:
+            router.record_shed(
+                endpoint,
+                plan.decision.policy.priority,
+                failure.retry_after_ms,
+            )
+        if failure.code is FailureCode.UPSTREAM_CRASHED:
+            weights = {self._fingerprint: attempt.weight}
+            self._context.suspect_tracker.name(weights, endpoint)
+
+    def is_quarantined(self) -> bool:
+        """Returns whether the request has crashed too many upstreams."""
+        assessment = self._context.suspect_tracker.assess(self._fingerprint)
+        return assessment.level is SuspicionLevel.QUARANTINED
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -18,9 +18,10 @@
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.attempt import Attempt
+from bilberry_proxy.attempt_recorder import AttemptRecorder
 from bilberry_proxy.call_start import build_call_start
 from bilberry_proxy.context import ProxyContext
-from bilberry_proxy.decision_log import Outcome
+from bilberry_proxy.decision_log import Outcome, join_verdicts
 from bilberry_proxy.endpoint_wait import EndpointWait
 from bilberry_proxy.placement import Placement
 from bilberry_proxy.plan import Plan
@@ -30,8 +31,8 @@
     AttemptState,
     RetryDecision,
     decide_retry,
-    may_have_arrived,
 )
+from bilberry_proxy.running_attempts import RunningAttempts
 from bilberry_proxy.selection import Selection
 from bilberry_proxy.silence import SilenceWatch
 
@@ -84,10 +85,9 @@
         self._body = body
         self._plan: Plan | None = None
         self._fingerprint = b''
-        self._attempt: Attempt | None = None
-        self._silent_attempts: list[Attempt] = []
+        self._recorder: AttemptRecorder | None = None
+        self._attempts = RunningAttempts()
         self._has_other = False
-        self._arrived: list[Attempt] = []
         self._placement = Placement(context.router)
         self._silence: SilenceWatch | None = None
         self._wait = EndpointWait(
@@ -99,19 +99,13 @@
     @property
     def verdict(self) -> Verdict:
         """Whether an upstream may have run the request so far."""
-        attempt = self._attempt
-        if attempt is not None and not attempt.ended:
-            if attempt.answer_started:
-                return Verdict.RAN
-            return Verdict.MAY_HAVE_RUN
-        if self._silent_attempts:
-            return Verdict.MAY_HAVE_RUN
-        return self._outcome.verdict
+        return join_verdicts(self._attempts.verdict, self._outcome.verdict)
 
     def start(self, plan: Plan, fingerprint: bytes) -> None:
         """Starts the first attempt, unless every endpoint would shed it."""
         self._plan = plan
         self._fingerprint = fingerprint
+        self._recorder = AttemptRecorder(self._context, plan, fingerprint)
         refusal = self._context.router.get_shed_failure(
             plan.snapshot.routes[plan.service],
             plan.decision.policy.priority,
@@ -124,28 +118,22 @@
     def cancel(self) -> None:
         """Cancels every attempt; no further callback follows."""
         self._wait.stop()
-        self._cancel_others(None)
+        self._attempts.cancel()
 
     def grant(self, size: int) -> None:
         """Grants credit for `size` more bytes of the response."""
-        if self._attempt is not None:
-            self._attempt.grant(size)
+        if self._attempts.current is not None:
+            self._attempts.current.grant(size)
 
     # Callbacks of the attempt.
 
     def on_reply(self, attempt: Attempt, reply: ReplyStart) -> None:
         """Forwards the start of the response and updates the load data."""
-        context = self._context
-        latency_s = context.clock.now() - attempt.started_at
-        self._cancel_others(attempt)
+        if self._silence is not None:
+            self._silence.stop()
+        self._attempts.keep_only(attempt)
         self._owner.on_reply(reply)
-        context.router.record_notice(attempt.endpoint, reply.notice)
-        context.router.record_answer(attempt.endpoint, latency_s, reply.load)
-        context.router.service_times.update(
-            self._plan.route_key,
-            latency_s,
-            reply.load.waited_us,
-        )
+        self._recorder.record_reply(attempt, reply)
 
     def on_chunk(self, chunk: ReplyChunk) -> None:
         """Forwards more of the response body."""
@@ -158,15 +146,15 @@
 
     def on_failure(self, attempt: Attempt, failure: Failure) -> None:
         """Retries the request, or reports its failure."""
-        plan = self._plan
-        self._body.detach()
         if attempt.reported_notice is not None:
             self._context.router.record_notice(
                 attempt.endpoint, attempt.reported_notice
             )
-        if attempt in self._silent_attempts:
-            self._on_silent_failure(attempt, failure)
+        if self._attempts.remove_silent(attempt):
+            self._recorder.record_failure(attempt, failure)
+            self._outcome.record_attempt_failure(failure, _OTHER_UNDER_WAY)
             return
+        self._body.detach()
         if failure.code is FailureCode.NO_FREE_SLOT:
             self._on_no_free_slot(attempt, failure)
             return
@@ -183,75 +171,28 @@
         failure: Failure,
     ) -> RetryDecision:
         plan = self._plan
-        quarantined = self._record_failure(attempt, failure)
+        self._recorder.record_failure(attempt, failure)
+        self._attempts.count_arrival(attempt, failure)
         state = AttemptState(
             plan.idempotent,
             self._body.is_replayable,
             attempt.answer_started,
-            self._count_retries_left(attempt, failure),
+            min(
+                plan.retries + 1 - self._attempts.arrivals,
+                MAX_PLACEMENTS - len(self._outcome.tried),
+            ),
             plan.deadline - self._context.clock.now(),
-            quarantined,
+            self._recorder.is_quarantined(),
             self._has_other,
         )
         budget = self._context.router.get_budget(plan.service)
         return decide_retry(failure, state, budget)
 
-    def _count_retries_left(self, attempt: Attempt, failure: Failure) -> int:
-        if may_have_arrived(failure) and attempt not in self._arrived:
-            self._arrived.append(attempt)
-        placements_left = MAX_PLACEMENTS - len(self._outcome.tried)
-        retries_left = self._plan.retries + 1 - len(self._arrived)
-        return min(retries_left, placements_left)
-
-    def _on_silent_failure(self, attempt: Attempt, failure: Failure) -> None:
-        self._silent_attempts.remove(attempt)
-        if failure.code is FailureCode.NO_FREE_SLOT:
-            self._context.router.record_no_slot(
-                attempt.endpoint, attempt.reported_load
-            )
-        else:
-            self._record_failure(attempt, failure)
-        self._outcome.record_attempt_failure(failure, _OTHER_UNDER_WAY)
-
     def _fail(self, failure: Failure) -> None:
         """Ends the request, unless a silent attempt may still succeed."""
-        if self._silent_attempts:
-            self._attempt = self._silent_attempts.pop()
-        else:
+        if not self._attempts.resume_silent():
             self._owner.on_failure(failure)
 
-    def _cancel_others(self, kept: Attempt | None) -> None:
-        """Cancels all attempts but `kept`, which becomes the current one."""
-        if self._silence is not None:
-            self._silence.stop()
-        attempts = [*self._silent_attempts, self._attempt]
-        self._silent_attempts.clear()
-        self._attempt = kept
-        for attempt in attempts:
-            if attempt is not None and attempt is not kept:
-                attempt.cancel()
-
-    def _record_failure(self, attempt: Attempt, failure: Failure) -> bool:
-        context = self._context
-        plan = self._plan
-        context.router.record_failure(
-            attempt.endpoint,
-            plan.snapshot.routes[plan.service],
-            failure,
-            context.clock.now() - attempt.started_at,
-        )
-        if failure.code is FailureCode.OVERLOADED:
-            context.router.record_shed(
-                attempt.endpoint,
-                plan.decision.policy.priority,
-                failure.retry_after_ms,
-            )
-        if failure.code is FailureCode.UPSTREAM_CRASHED:
-            weights = {self._fingerprint: attempt.weight}
-            context.suspect_tracker.name(weights, attempt.endpoint)
-        assessment = context.suspect_tracker.assess(self._fingerprint)
-        return assessment.level is SuspicionLevel.QUARANTINED
-
     def _choose(self) -> None:
         plan = self._plan
         choice = self._placement.choose(plan, self._outcome.tried)
@@ -294,7 +235,7 @@
         self._outcome.record_attempt(selection)
         load = context.router.get_load(endpoint)
         attempt = Attempt(self, endpoint, load, now)
-        self._attempt = attempt
+        self._attempts.current = attempt
         self._has_other = selection.has_other
         attempt.open(context.find_target(endpoint), start)
         if attempt.ended:
@@ -305,7 +246,7 @@
 
     def _watch_silence(self, attempt: Attempt) -> None:
         plan = self._plan
-        retries_left = plan.retries - len(self._arrived)
+        retries_left = plan.retries - self._attempts.arrivals
         if not plan.idempotent or not self._has_other or retries_left <= 0:
             return
         self._silence = SilenceWatch(
@@ -329,7 +270,7 @@
         if not decision.should_retry:
             return
         if self._body.is_whole:
-            self._silent_attempts.append(attempt)
+            self._attempts.set_silent(attempt)
         else:
             self._body.detach()
             attempt.cancel()
@@ -345,6 +286,9 @@
             return
         self._wait.stop()
         self._plan = plan._replace(snapshot=snapshot)
+        self._recorder = AttemptRecorder(
+            self._context, self._plan, self._fingerprint
+        )
         self._open(selection)
         self._owner.update_reading()
 
