Measure the silence of an upstream by its usual service time

Cause: an upstream counted as silent after 0.4 s without a response. With few slots and calls of 0.4 to 0.9 s that is ordinary: reads left upstreams that were at work, and spent retry budget and a second slot on it. Change: the limit is three mean service times, 0.4 s at least and half of the request's time at most, so that a read still leaves in time. Result: test_upstream_with_long_calls_is_not_taken_for_silent failed before.

--- a/packages/bilberry_proxy/bilberry_proxy/attempt.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt.py
@@ -21,6 +21,8 @@
 from bilberry_proxy.call import CallTarget, OpenCall
 from bilberry_proxy.endpoint_load import EndpointLoad
 
+_US_PER_S = 1_000_000
+
 
 class AttemptOwner(Protocol):
     """The request that an attempt belongs to."""
@@ -80,6 +82,11 @@
         """Whether the daemon beside the upstream has not answered a probe."""
         return self.probe_answer is None
 
+    @property
+    def service_s(self) -> float:
+        """The mean service time of the endpoint in seconds, 0 if unknown."""
+        return self._load.service_us / _US_PER_S
+
     def is_endpoint_alive(self, since: float) -> bool:
         """Returns whether the endpoint has responded since `since`.
 
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -258,6 +258,7 @@
         self._silence.start(
             plan.deadline - self._outcome.started_at,
             plan.deadline - attempt.started_at,
+            attempt.service_s,
         )
 
     def _on_silent(self, attempt: Attempt) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/silence.py
+++ b/packages/bilberry_proxy/bilberry_proxy/silence.py
@@ -12,9 +12,12 @@
 
 #: Share of its time after which an idempotent request may abandon an endpoint.
 ATTEMPT_SHARE = 0.5
-#: Time without any response after which an endpoint with outstanding calls is
-#: probed, in seconds.
+#: Shortest time without any response after which an endpoint with outstanding
+#: calls counts as silent, in seconds.
 SILENT_S = 0.4
+#: Multiple of its mean service time for which an upstream may be busy without
+#: counting as silent.
+SILENT_FACTOR = 3
 #: Longest wait for a daemon's answer to a probe, in seconds.
 PROBE_S = 0.15
 
@@ -40,14 +43,20 @@
         self._silence_s = SILENT_S
         self._timer: Timer | None = None
 
-    def start(self, total_s: float, remaining_s: float) -> None:
-        """Starts the watch.
+    def start(
+        self,
+        total_s: float,
+        remaining_s: float,
+        service_s: float = 0,
+    ) -> None:
+        """Starts the watch; all times are in seconds.
 
         `total_s` is the time of the request from its start to its deadline,
-        `remaining_s` the rest of it at the start of the attempt, both in
-        seconds.
+        `remaining_s` the rest of it at the start of the attempt, `service_s`
+        the mean service time of the endpoint, 0 if it is unknown.
         """
-        self._silence_s = min(SILENT_S, total_s * ATTEMPT_SHARE)
+        silence_s = max(SILENT_S, service_s * SILENT_FACTOR)
+        self._silence_s = min(silence_s, total_s * ATTEMPT_SHARE)
         wait_s = max(remaining_s * ATTEMPT_SHARE, self._silence_s)
         self._schedule(wait_s, self._probe)
 
--- a/tests/bilberry_proxy/test_silence.py
+++ b/tests/bilberry_proxy/test_silence.py
@@ -67,6 +67,23 @@
         self.advance(1)
         self.assertEqual((0, []), (self.attempt.probes, self.abandoned))
 
+    def test_upstream_with_long_calls_is_not_taken_for_silent(self):
+        """It may be silent for as long as a few of its usual calls take."""
+        self.watch.stop()
+        self.watch.start(2, 2, service_s=0.3)
+        self.attempt.last_seen_at = 1 - 2 * SILENT_S
+        self.advance(1)
+        self.advance(PROBE_S)
+        self.assertEqual((0, []), (self.attempt.probes, self.abandoned))
+
+    def test_upstream_with_long_calls_is_left_while_there_is_time(self):
+        """Half of the time of a request is left at any service time."""
+        self.watch.stop()
+        self.watch.start(2, 2, service_s=5)
+        self.advance(1)
+        self.advance(PROBE_S)
+        self.assertEqual([self.attempt], self.abandoned)
+
     def test_ended_attempt_is_not_abandoned(self):
         """This holds even if the watch was not stopped."""
         self.attempt.ended = True
