Send long responses between daemons in slices, and in turn

Cause: a response of up to 64 KiB, and each further part, crossed the stream between two daemons as one message. On a link of 4.55 Mbit/s 64 KiB take 115 ms, and several downloads under way put hundreds of KB into one stream's buffer; small responses of the same stream waited behind all of it. Change: ReplyQueue sends what fits in 16 KiB at once, cuts the rest into slices and sends those of all calls in turn, only while the stream's buffer is short. A cancelled call's slices are dropped; a stop waits for slices as for calls.

--- a/packages/bilberry_core/bilberry_core/stream.py
+++ b/packages/bilberry_core/bilberry_core/stream.py
@@ -46,13 +46,15 @@
 class Stream(Protocol):
     """A stream, created by `dialing.dial` or a `StreamListener`.
 
-    `receiver` is called with each message, `on_close` once after the end.
+    `receiver` is called with each message, `on_close` once after the end,
+    `on_writable` when a peer that had fallen behind has caught up.
     """
 
     def __init__(self) -> None:
         self.identity: Identity | None = None
         self.receiver: Receiver = _ignore
         self.on_close: Callable[[], None] = _do_nothing
+        self.on_writable: Callable[[], None] = _do_nothing
         self.bytes_sent = 0
         self.bytes_received = 0
         self._counter = TrafficCounter()
@@ -84,6 +86,10 @@
         self._counter.sent += len(payload)
         self._transport.write(payload)
 
+    def limit_buffer(self, size: int) -> None:
+        """Lets at most `size` bytes wait here before it isn't writable."""
+        self._transport.set_write_buffer_limits(high=size)
+
     def close(self) -> None:
         """Closes the stream after sending the buffered messages."""
         if self._transport is not None:
@@ -112,6 +118,7 @@
     def resume_writing(self) -> None:
         """Called by the event loop when the peer has caught up."""
         self._is_writable = True
+        self.on_writable()
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Called by the event loop."""
--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -18,6 +18,7 @@
 from bilberry_core.stream import Stream
 
 from bilberry_proxy.call import CallTarget, OpenCall
+from bilberry_proxy.reply_queue import SLICE_BYTES, ReplyQueue
 
 
 class CallServer:
@@ -32,7 +33,7 @@
     @property
     def open_calls(self) -> int:
         """Number of open calls from other daemons."""
-        return sum(len(served.calls) for served in self._streams)
+        return sum(served.open_calls for served in self._streams)
 
     @property
     def open_streams(self) -> int:
@@ -68,6 +69,9 @@
 
     def __init__(self, stream: Stream, target: CallTarget) -> None:
         self.calls: dict[int, OpenCall] = {}
+        self.replies = ReplyQueue(stream)
+        stream.limit_buffer(SLICE_BYTES)
+        stream.on_writable = self.replies.flush
         self._stream = stream
         self._target = target
         self._handlers: dict[type, Callable[[Any], None]] = {
@@ -78,6 +82,11 @@
             Credit: self._grant,
         }
 
+    @property
+    def open_calls(self) -> int:
+        """Number of calls that are open or not completely answered."""
+        return len(self.calls) + len(self.replies)
+
     def receive(self, message: Any) -> None:
         """Dispatches one message of the other daemon by its type."""
         handler = self._handlers.get(type(message))
@@ -91,6 +100,7 @@
 
     def end(self) -> None:
         """Cancels every call, as no response can be delivered any more."""
+        self.replies.clear()
         calls = self.calls
         self.calls = {}
         for call in calls.values():
@@ -110,6 +120,7 @@
             call.send(chunk.body, chunk.last)
 
     def _cancel(self, cancel: CallCancel) -> None:
+        self.replies.cancel(cancel.call)
         call = self.calls.pop(cancel.call, None)
         if call is not None:
             call.cancel()
@@ -137,16 +148,17 @@
 
     def start_reply(self, reply: ReplyStart) -> None:
         """Sends the start of the response."""
-        self._served.send(reply)
+        self._served.replies.start(reply)
         self._end(reply.last)
 
     def continue_reply(self, chunk: ReplyChunk) -> None:
         """Sends more of the response."""
-        self._served.send(chunk)
+        self._served.replies.add(chunk)
         self._end(chunk.last)
 
     def fail(self, failed: CallFailed) -> None:
-        """Sends the failure that ends the call."""
+        """Sends the failure that ends the call, and nothing after it."""
+        self._served.replies.cancel(self._call)
         self._served.send(failed)
         self._end(last=True)
 
