Read large responses in the soak, and check their whole bodies

Change: every seventh read of the soak and the demonstration asks for 300 kB that name their own request; an answered one with another body breaks the promise 'mixed'.

--- a/demo/caller.py
+++ b/demo/caller.py
@@ -14,9 +14,12 @@
 from bilberry_core.error import BilberryError
 from bilberry_core.http import HttpRequest, HttpResponse, fetch
 
+from standin.large_body import LARGE_PATH, build_large_body
+
 _OK = 200
 _TIMEOUT_S = 15.0
 _BOOKING_INTERVAL = 5
+_LARGE_INTERVAL = 7
 
 
 class Tally(NamedTuple):
@@ -24,13 +27,15 @@
 
     `not_run_ids` are the requests with the verdict `not_run`, `answered_ids`
     those with a complete successful response, `sent_at` the monotonic time at
-    which each request was sent, in seconds.
+    which each request was sent, in seconds. `mixed_ids` are the requests that
+    were answered with another body than their upstream's.
     """
 
     outcomes: Counter
     not_run_ids: set[str]
     answered_ids: set[str]
     sent_at: dict[str, float]
+    mixed_ids: set[str]
 
 
 class Caller:
@@ -53,7 +58,7 @@
         service: str,
         pause_s: float = 0.01,
     ) -> None:
-        self.tally = Tally(Counter(), set(), set(), {})
+        self.tally = Tally(Counter(), set(), set(), {}, set())
         self._name = name
         self._address = address
         self._service = service
@@ -86,6 +91,8 @@
             self.tally.outcomes['broken'] += 1
             return None
         self._count_response(request_id, response)
+        if response.status == _OK and not _is_expected(request, response):
+            self.tally.mixed_ids.add(request_id)
         return response
 
     async def _send_until_stopped(self) -> None:
@@ -129,6 +136,15 @@
         (b'x-request-id', request_id.encode()),
     )
     if not is_booking(request_id):
-        return HttpRequest('GET', f'/open/{number}', headers)
+        is_large = not number % _LARGE_INTERVAL
+        path = f'{LARGE_PATH}{request_id}' if is_large else f'/open/{number}'
+        return HttpRequest('GET', path, headers)
     key = (b'idempotency-key', request_id.encode())
     return HttpRequest('POST', '/bookings', (*headers, key), b'{"job": 1}')
+
+
+def _is_expected(request: HttpRequest, response: HttpResponse) -> bool:
+    """Returns whether a large body is that of its own request."""
+    if not request.target.startswith(LARGE_PATH):
+        return True
+    return response.body == build_large_body(request.target)
--- a/demo/evaluation.py
+++ b/demo/evaluation.py
@@ -16,6 +16,8 @@
         Requests that ran although the caller got the verdict `not_run`.
     `unrecorded`
         Requests with a successful response but no recorded run.
+    `mixed`
+        Requests that were answered with another body than their upstream's.
     `broken`
         Number of requests that ended without a response or a verdict.
     """
@@ -25,12 +27,14 @@
     twice: frozenset[str]
     untrue: frozenset[str]
     unrecorded: frozenset[str]
+    mixed: frozenset[str]
     broken: int
 
     @property
     def all_promises_kept(self) -> bool:
         """Whether no promise was broken and some request was answered."""
-        faults = len(self.twice | self.untrue | self.unrecorded) + self.broken
+        wrong = self.twice | self.untrue | self.unrecorded | self.mixed
+        faults = len(wrong) + self.broken
         return bool(self.answered) and not faults
 
 
@@ -42,16 +46,19 @@
     outcomes: Counter[str] = Counter()
     refused: set[str] = set()
     answered: set[str] = set()
+    mixed: set[str] = set()
     for tally in tallies:
         outcomes += tally.outcomes
         refused |= tally.not_run_ids
         answered |= tally.answered_ids
+        mixed |= tally.mixed_ids
     return Evaluation(
         outcomes,
         frozenset(answered),
         frozenset(filter(is_booking, _find_repeated(records))),
         frozenset(refused & set(records)),
         frozenset(answered - set(records)),
+        frozenset(mixed),
         outcomes['broken'] + outcomes['no_verdict'],
     )
 
--- a/demo/scenario.py
+++ b/demo/scenario.py
@@ -173,6 +173,7 @@
     _print(f'bookings run twice: {len(evaluation.twice)}')
     _print(f'reported as not run but ran: {len(evaluation.untrue)}')
     _print(f'answered without a recorded run: {len(evaluation.unrecorded)}')
+    _print(f'answered with another body: {len(evaluation.mixed)}')
 
 
 def _describe(convergence: Convergence) -> str:
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,9 +2,10 @@
 
 From the records of callers and upstreams, a run checks that a booking runs at
 most once, that a request with the verdict `not_run` did not run, and that an
-answered request ran. It also checks that upstreams get no more than they say
-that they accept, that no daemon's version decreases, and that after all faults
-a change is accepted and in force everywhere.
+answered request ran and got the whole body of its own response, large or
+small. It also checks that upstreams get no more than they say that they accept,
+that no daemon's version decreases, and that after all faults a change is
+accepted and in force everywhere.
 """
 
 from asyncio import Task, create_task, gather, sleep, to_thread
@@ -117,7 +118,7 @@
             self._excuses,
             _merge_sent_at(tallies),
         )
-        for kind in ('twice', 'untrue', 'unrecorded'):
+        for kind in ('twice', 'untrue', 'unrecorded', 'mixed'):
             names = sorted(getattr(evaluation, kind))
             self._broken += [f'{kind}: {name}' for name in names]
         if not evaluation.answered:
--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -3,8 +3,9 @@
 Paths: `/runs` returns the records, `/crash` ends the process, `/truncate`
 sends fewer bytes than it declares, `/twice` sends two responses, `/early`
 closes the connection without a response and `/slow` takes one second. `/say`
-takes a JSON object of headers that all further responses get. Other paths echo
-the request body, or the path if the body is empty.
+takes a JSON object of headers that all further responses get. Paths that begin
+with `/large/` have a large response. Other paths echo the request body, or the
+path if the body is empty.
 
 Usage: `python -m standin.upstream --daemon HOST:PORT --service NAME`.
 """
@@ -47,6 +48,7 @@
 )
 
 from standin.arrivals import ArrivalFile
+from standin.large_body import LARGE_PATH, build_large_body
 
 _HOST = '127.0.0.1'
 _MS_PER_S = 1000
@@ -347,7 +349,7 @@
             one = b'HTTP/1.1 200 \r\ncontent-length: 3\r\n\r\none'
             connection.write(one + one)
         else:
-            connection.answer(200, body or path.encode())
+            connection.answer(200, _build_body(path, body))
 
     def crash(self) -> None:
         """Simulates a crash: requests are cut, no withdrawal is sent."""
@@ -416,6 +418,12 @@
         return self.options.renew_ms / _MS_PER_S
 
 
+def _build_body(path: str, body: bytes) -> bytes:
+    if path.startswith(LARGE_PATH):
+        return build_large_body(path)
+    return body or path.encode()
+
+
 def _get_request_id(request: Request) -> str:
     for name in _ID_HEADERS:
         for known, text in request.headers:
