Wait briefly at all near upstreams but the last

Cause: a request waited for up to 0.6 of its slack at the first near upstream that it asked, while a slot was free at another near one. Change: 0.15 of the slack at a near endpoint while another near one was not asked, 0.6 at the last.

--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -2,14 +2,16 @@
 
 Placement handles overload: more requests than slots, in one failure domain or
 in all of them. Endpoints of the proxy's own domain are tried first, and a call
-may wait there for part of the slack that its target latency leaves. Endpoints
-of other domains run a call only if they have a free slot. When several
-endpoints have no free slot, or none is known to have one, the request waits at
-the endpoint with the least expected work, for as long as it can still meet its
-target latency. A request that would miss the target is refused at once with a
-time to retry after, so that it does not take the slot of one that can meet it.
-An urgent request waits until its deadline: urgent calls belong to requests
-already in progress, and refusing them wastes the work done so far.
+may wait there for part of the slack that its target latency leaves: briefly
+while another near one may be free, since many small upstreams are seldom all
+full, and longer at the last. Endpoints of other domains run a call only if
+they have a free slot. When several endpoints have no free slot, or none is
+known to have one, the request waits at the endpoint with the least expected
+work, for as long as it can still meet its target latency. A request that would
+miss the target is refused at once with a time to retry after, so that it does
+not take the slot of one that can meet it. An urgent request waits until its
+deadline: urgent calls belong to requests already in progress, and refusing
+them wastes the work done so far.
 """
 
 from typing import NamedTuple
@@ -34,8 +36,11 @@
 SERVICE_MARGIN = 1.25
 #: Shortest limit of the wait for a slot, as a share of the target latency.
 MIN_WAIT_SHARE = 0.1
-#: Share of the longest wait that a request spends in the proxy's own failure
-#: domain before others are asked; traffic between domains is expensive.
+#: Share of the longest wait that a request spends at one endpoint of the
+#: proxy's own failure domain while others there were not asked.
+NEAR_FIRST_WAIT_SHARE = 0.15
+#: The same for the last one there, before those of other domains are asked;
+#: traffic between domains is expensive.
 NEAR_WAIT_SHARE = 0.6
 #: Share of the longest wait after which a refused request may be retried: by
 #: then that share of the queues has been served.
@@ -125,4 +130,8 @@
             if plan.decision.policy.priority is Priority.URGENT:
                 return NO_WAIT_LIMIT_MS
             return int(slack_ms) or NO_WAIT_LIMIT_MS
-        return int(slack_ms * NEAR_WAIT_SHARE) if selection.is_near else 0
+        if not selection.is_near:
+            return 0
+        is_last_near = selection.candidates == 1
+        share = NEAR_WAIT_SHARE if is_last_near else NEAR_FIRST_WAIT_SHARE
+        return int(slack_ms * share)
