Leave a full failure domain after three endpoints without a slot

Cause: up to five endpoints are asked for a slot, near ones first. Where a domain has five upstreams or more of a service, all five were near, and nobody was asked in the other domains, however much room they had: requests were refused in one zone while others had free slots. With a few upstreams in each domain, as on the first sites, that doesn't show. Change: three of the five at most are near; the wait at the third is the long one. Selection has a step for it.

--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -4,14 +4,15 @@
 in all of them. Endpoints of the proxy's own domain are tried first, and a call
 may wait there for part of the slack that its target latency leaves: briefly
 while another near one may be free, since many small upstreams are seldom all
-full, and longer at the last. Endpoints of other domains run a call only if
-they have a free slot. When several endpoints have no free slot, or none is
-known to have one, the request waits at the endpoint with the least expected
-work, for as long as it can still meet its target latency. A request that would
-miss the target is refused at once with a time to retry after, so that it does
-not take the slot of one that can meet it. An urgent request waits until its
-deadline: urgent calls belong to requests already in progress, and refusing
-them wastes the work done so far.
+full, and longer at the last. A few near ones without a slot show that the
+domain is full, however many it has: then endpoints of other domains are asked,
+which run a call only if they have a free slot. When several endpoints have no
+free slot, or none is known to have one, the request waits at the endpoint with
+the least expected work, for as long as it can still meet its target latency. A
+request that would miss the target is refused at once with a time to retry
+after, so that it does not take the slot of one that can meet it. An urgent
+request waits until its deadline: urgent calls belong to requests already in
+progress, and refusing them wastes the work done so far.
 """
 
 from typing import NamedTuple
@@ -29,6 +30,8 @@
 
 #: Number of endpoints without a free slot after which a request waits at one.
 MAX_SLOT_QUERIES = 5
+#: How many of these may be in the proxy's own failure domain.
+MAX_NEAR_SLOT_QUERIES = 3
 #: The same if no endpoint is known to have a free slot: asking more of them
 #: costs time and bytes and rarely finds one.
 MAX_SLOT_QUERIES_BUSY = 2
@@ -37,9 +40,9 @@
 #: Shortest limit of the wait for a slot, as a share of the target latency.
 MIN_WAIT_SHARE = 0.1
 #: Share of the longest wait that a request spends at one endpoint of the
-#: proxy's own failure domain while others there were not asked.
+#: proxy's own failure domain while another one there is asked next.
 NEAR_FIRST_WAIT_SHARE = 0.15
-#: The same for the last one there, before those of other domains are asked;
+#: The same for the last one asked there, before those of other domains;
 #: traffic between domains is expensive.
 NEAR_WAIT_SHARE = 0.6
 #: Share of the longest wait after which a refused request may be retried: by
@@ -60,6 +63,8 @@
     def __init__(self, router: Router) -> None:
         self._router = router
         self._without_slot: list[str] = []
+        self._near_without_slot = 0
+        self._asked_near = False
         self._is_last_resort = False
         self._max_wait_ms = 0
         self._priority = Priority.URGENT
@@ -72,7 +77,12 @@
         self._priority = plan.decision.policy.priority
         route = plan.snapshot.routes[plan.service]
         asked = [*tried, *self._without_slot]
-        selection = self._router.choose(route, plan.decision, asked)
+        selection = self._router.choose(
+            route,
+            plan.decision,
+            asked,
+            avoids_near=self._near_without_slot >= MAX_NEAR_SLOT_QUERIES,
+        )
         if selection is None:
             return None
         max_queries = (
@@ -84,6 +94,7 @@
         elif self._without_slot:
             # A request can still wait at endpoints without a free slot.
             selection = selection._replace(has_other=True)
+        self._asked_near = selection.is_near
         return PlacementChoice(selection, self._limit_wait(plan, selection))
 
     def record_no_slot(
@@ -99,6 +110,7 @@
         already waited at the last endpoint, otherwise None.
         """
         self._without_slot.append(endpoint.instance)
+        self._near_without_slot += self._asked_near
         self._router.record_no_slot(endpoint, load)
         if retry_after_ms and self._priority is not Priority.URGENT:
             self._router.record_shed(endpoint, self._priority, retry_after_ms)
@@ -132,6 +144,9 @@
             return int(slack_ms) or NO_WAIT_LIMIT_MS
         if not selection.is_near:
             return 0
-        is_last_near = selection.candidates == 1
+        is_last_near = (
+            selection.candidates == 1
+            or self._near_without_slot >= MAX_NEAR_SLOT_QUERIES - 1
+        )
         share = NEAR_WAIT_SHARE if is_last_near else NEAR_FIRST_WAIT_SHARE
         return int(slack_ms * share)
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -81,14 +81,20 @@
         route: Route,
         decision: Decision,
         tried: list[str],
+        *,
+        avoids_near: bool = False,
     ) -> Selection | None:
-        """Returns the endpoint of the next attempt; None if none is ready."""
+        """Returns the endpoint of the next attempt; None if none is ready.
+
+        `avoids_near` is described at `SelectionContext`.
+        """
         context = SelectionContext(
             self._instance,
             self._failure_domain,
             self._clock.now(),
             self._clock.wall_ms(),
             decision.policy.target_latency_ms * _US_PER_MS,
+            avoids_near,
         )
         return select_endpoint(
             self._get_staying(route),
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -36,7 +36,8 @@
 
     `now` is monotonic time in seconds, `wall_ms` wall clock time in
     milliseconds and `target_us` the target latency in microseconds, 0 if
-    there is none.
+    there is none. `avoids_near` prefers the endpoints of other failure domains,
+    since the proxy's own is full.
     """
 
     instance: str
@@ -44,6 +45,7 @@
     now: float
     wall_ms: int
     target_us: int = 0
+    avoids_near: bool = False
 
 
 class Selection(NamedTuple):
@@ -118,6 +120,7 @@
     now = context.now
     reasons: list[str] = []
     remaining = _skip_tried(ready, tried, reasons)
+    remaining = _skip_full_domain(remaining, context, reasons)
     remaining = _skip_ejected(remaining, now, reasons)
     remaining = _skip_shedding(remaining, now, reasons)
     remaining = _skip_cold(remaining, context.wall_ms, random, reasons)
@@ -159,6 +162,23 @@
     return remaining
 
 
+def _skip_full_domain(
+    candidates: Sequence[Candidate],
+    context: SelectionContext,
+    reasons: list[str],
+) -> Sequence[Candidate]:
+    if not context.avoids_near:
+        return candidates
+    domain = context.failure_domain
+    remaining = _narrow(
+        candidates,
+        lambda candidate: candidate.endpoint.failure_domain != domain,
+        'far',
+        reasons,
+    )
+    return remaining or candidates
+
+
 def _skip_ejected(
     candidates: Sequence[Candidate],
     now: float,
--- a/tests/bilberry_proxy/played_load.py
+++ b/tests/bilberry_proxy/played_load.py
@@ -35,7 +35,8 @@
     """A load: its fleet, its requests and what callers want of them.
 
     `speeds` are those of a domain's upstreams; work takes `work_s` at speed 1.
-    `requests_per_s` is the rate of all callers of one domain.
+    `requests_per_s` is the rate of all callers of one domain; in the first
+    domain it is `first_factor` times as high.
     """
 
     domains: tuple[str, ...]
@@ -47,6 +48,7 @@
     target_ms: int
     deadline_s: float
     seconds: float = 20.0
+    first_factor: float = 1.0
 
 
 class Result(NamedTuple):
@@ -292,9 +294,12 @@
         routers: list[Router],
         end: float,
     ) -> None:
+        rate = self.load.requests_per_s
+        if domain == self.load.domains[0]:
+            rate *= self.load.first_factor
         at = self.clock.now()
         while at < end:
-            at += self._random.expovariate(self.load.requests_per_s)
+            at += self._random.expovariate(rate)
             router = self._random.choice(routers)
 
             def arrive(router: Router = router) -> None:
--- a/tests/bilberry_proxy/test_placement.py
+++ b/tests/bilberry_proxy/test_placement.py
@@ -7,6 +7,7 @@
 from bilberry_core.verdict import FailureCode, Verdict
 from bilberry_proxy.caller_request import CallerRequest
 from bilberry_proxy.placement import (
+    MAX_NEAR_SLOT_QUERIES,
     MAX_SLOT_QUERIES_BUSY,
     Placement,
     PlacementChoice,
@@ -19,6 +20,7 @@
 
 TARGET_MS = 200
 FULL = Load(12, 3, 12, 50_000)
+IDLE = Load(0, 0, 12, 50_000)
 
 
 class StoppedClock:
@@ -86,6 +88,23 @@
         self.assertEqual(0, choice.max_wait_ms)
         self.assertTrue(choice.selection.has_other)
 
+    def test_full_domain_is_left_however_many_endpoints_it_has(self):
+        """The wait at the last one asked there is the longest."""
+        near = [
+            build_endpoint(index, failure_domain='one')
+            for index in range(3, 3 + 2 * MAX_NEAR_SLOT_QUERIES)
+        ]
+        self.endpoints = (*near, *self.endpoints[1:])
+        waits = []
+        for _ in range(MAX_NEAR_SLOT_QUERIES):
+            choice = self.choose()
+            self.assertTrue(choice.selection.is_near)
+            waits.append(choice.max_wait_ms)
+            self.placement.record_no_slot(choice.selection.endpoint, IDLE)
+        self.assertEqual(sorted(waits), waits)
+        self.assertLess(waits[0], waits[-1])
+        self.assertFalse(self.choose().selection.is_near)
+
     def test_request_waits_or_is_refused_when_all_are_full(self):
         """The refusal has the verdict `not_run` and a time to retry after."""
         for endpoint in self.endpoints:
--- a/tests/bilberry_proxy/test_placement_load.py
+++ b/tests/bilberry_proxy/test_placement_load.py
@@ -8,6 +8,8 @@
 from tests.bilberry_proxy.played_load import Load, LoadPlay, Result
 
 SEEDS = (1, 2)
+#: Share of requests in time where there are slots for all.
+ALL_IN_TIME = 0.95
 #: Share of late requests of the reference that counts as clearly fewer.
 FEWER = 0.75
 #: Further calls that may leave their failure domain, per request.
@@ -37,6 +39,8 @@
     requests_per_s=146,
     target_ms=1000,
 )
+#: Twice as many requests in one domain as in the others, where slots are free.
+ONE_DOMAIN_FULL = MANY_SMALL._replace(requests_per_s=96, first_factor=2)
 #: A fifth more than all slots can run.
 OVERLOAD = MANY_SMALL._replace(requests_per_s=192, seconds=4)
 
@@ -54,6 +58,21 @@
         return play(load)
 
 
+class FullDomainTest(TestCase):
+    """A failure domain with many upstreams, none of which has a slot free."""
+
+    def test_full_domain_uses_the_free_slots_of_others(self):
+        """All upstreams together can run every request."""
+        result = play(ONE_DOMAIN_FULL)
+        self.assertLess(result.refused, 0.01)
+        self.assertGreater(result.in_time, ALL_IN_TIME)
+
+    def test_full_domain_is_not_left_by_more_than_it_must(self):
+        """A third of its requests find no slot there; calls cost bytes."""
+        result = play(ONE_DOMAIN_FULL)
+        self.assertLess(result.far, 0.5)
+
+
 class NearWaitTest(TestCase):
     """Waits at near endpoints, short at all but the last."""
 
--- a/tests/bilberry_proxy/test_second_attempt.py
+++ b/tests/bilberry_proxy/test_second_attempt.py
@@ -14,6 +14,17 @@
 CONFIGURATION = configure(timeout_ms=1000)
 
 
+def open_pair(upstream, **options):
+    """Opens a fleet of two such upstreams and a proxy without one."""
+    return open_fleet(
+        upstream,
+        upstream,
+        CALLER_ONLY,
+        configuration=CONFIGURATION,
+        **options,
+    )
+
+
 async def read_from_each(fleet) -> list[int]:
     """Returns the statuses of one concurrent read for each upstream."""
     answers = await gather(
@@ -49,13 +60,8 @@
         """A request that may not be sent again keeps its only attempt."""
 
         async def scenario():
-            async with open_fleet(
-                SLOW,
-                SLOW,
-                CALLER_ONLY,
-                configuration=CONFIGURATION,
-                options=ProxyOptions(fleet_retry_burst=1),
-            ) as fleet:
+            options = ProxyOptions(fleet_retry_burst=1)
+            async with open_pair(SLOW, options=options) as fleet:
                 return (await call(fleet.nodes[-1])).status
 
         self.assertEqual(200, run(scenario()))
@@ -64,9 +70,7 @@
         """A refused second attempt does not end the first."""
 
         async def scenario():
-            async with open_fleet(
-                SLOW, SLOW, CALLER_ONLY, configuration=CONFIGURATION
-            ) as fleet:
+            async with open_pair(SLOW) as fleet:
                 return await read_from_each(fleet)
 
         self.assertEqual([200, 200], run(scenario()))
@@ -75,9 +79,7 @@
         """The second attempt is cancelled at its upstream then."""
 
         async def scenario():
-            async with open_fleet(
-                SLOW, SLOW, CALLER_ONLY, configuration=CONFIGURATION
-            ) as fleet:
+            async with open_pair(SLOW) as fleet:
                 answer = await call(fleet.nodes[-1], x_request_id='a')
                 records = [node.upstream.records for node in fleet.nodes[:-1]]
                 await until(lambda: not any(one.running for one in records))
@@ -90,9 +92,7 @@
         """Neither upstream works on for a caller that has left."""
 
         async def scenario():
-            async with open_fleet(
-                SLOW, SLOW, CALLER_ONLY, configuration=CONFIGURATION
-            ) as fleet:
+            async with open_pair(SLOW) as fleet:
                 task = create_task(call(fleet.nodes[-1], x_request_id='a'))
                 records = [node.upstream.records for node in fleet.nodes[:-1]]
                 await until(lambda: all(one.running for one in records))
@@ -106,9 +106,7 @@
         """The caller gets the response of the second upstream."""
 
         async def scenario():
-            async with open_fleet(
-                FROZEN, FROZEN, CALLER_ONLY, configuration=CONFIGURATION
-            ) as fleet:
+            async with open_pair(FROZEN) as fleet:
                 task = create_task(call(fleet.nodes[-1], x_request_id='a'))
                 first, second = await wait_for_first(fleet)
                 hasten(second)
