Limit how much of long responses is on its way at a time

Cause: slices of long responses shared each stream, but all streams of a daemon share its link, and that sends in the order of arrival. Change: every slice is acknowledged at its receipt (SliceReceived), and no more than a window is on its way to all daemons together. It grows while slices are not delayed, and shrinks when they wait for over 50 ms longer than the shortest way; a receiver that stands still stops counting after 1 s. Slices are 8 KiB.

--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -145,3 +145,10 @@
 
     call: int
     alive: bool = True
+
+
+@message(60)
+class SliceReceived(NamedTuple):
+    """A part of a response that is sent in several messages has arrived."""
+
+    call: int
--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -1,6 +1,7 @@
 """Serves the calls that other daemons open on their streams."""
 
 from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
 from bilberry_core.messages.call import (
@@ -14,19 +15,29 @@
     GoAway,
     ReplyChunk,
     ReplyStart,
+    SliceReceived,
 )
 from bilberry_core.stream import Stream
 
 from bilberry_proxy.call import CallTarget, OpenCall
-from bilberry_proxy.reply_queue import SLICE_BYTES, ReplyQueue
+from bilberry_proxy.reply_queue import ReplyQueues
+from bilberry_proxy.reply_slices import SLICE_BYTES
 
 
 class CallServer:
     """The server of all streams for calls from other daemons."""
 
-    def __init__(self, target: CallTarget) -> None:
-        """Forwards every received call to `target`."""
+    def __init__(
+        self,
+        target: CallTarget,
+        now: Callable[[], float] = monotonic,
+    ) -> None:
+        """Forwards every received call to `target`.
+
+        `now` returns monotonic time, in seconds.
+        """
         self._target = target
+        self._replies = ReplyQueues(now)
         self._streams: set[_ServedStream] = set()
         self._is_leaving = False
 
@@ -42,7 +53,7 @@
 
     def accept(self, stream: Stream) -> None:
         """Serves a stream until it ends."""
-        served = _ServedStream(stream, self._target)
+        served = _ServedStream(stream, self._target, self._replies)
         self._streams.add(served)
 
         def end() -> None:
@@ -54,6 +65,10 @@
         if self._is_leaving:
             served.send(GoAway())
 
+    def flush(self) -> None:
+        """Sends what waited for receivers that stand still."""
+        self._replies.flush()
+
     def send_go_away(self) -> None:
         """Notifies every other daemon that no new call is accepted.
 
@@ -67,9 +82,14 @@
 class _ServedStream:
     """One stream from another daemon, with its open calls."""
 
-    def __init__(self, stream: Stream, target: CallTarget) -> None:
+    def __init__(
+        self,
+        stream: Stream,
+        target: CallTarget,
+        replies: ReplyQueues,
+    ) -> None:
         self.calls: dict[int, OpenCall] = {}
-        self.replies = ReplyQueue(stream)
+        self.replies = replies.open(stream)
         stream.limit_buffer(SLICE_BYTES)
         stream.on_writable = self.replies.flush
         self._stream = stream
@@ -80,6 +100,7 @@
             CallCancel: self._cancel,
             CallProbe: self._probe,
             Credit: self._grant,
+            SliceReceived: self._acknowledge,
         }
 
     @property
@@ -100,7 +121,7 @@
 
     def end(self) -> None:
         """Cancels every call, as no response can be delivered any more."""
-        self.replies.clear()
+        self.replies.close()
         calls = self.calls
         self.calls = {}
         for call in calls.values():
@@ -130,6 +151,9 @@
         if call is not None:
             call.probe(probe.silence_ms)
 
+    def _acknowledge(self, received: SliceReceived) -> None:
+        self.replies.acknowledge(received.call)
+
     def _grant(self, credit: Credit) -> None:
         call = self.calls.get(credit.call)
         if call is not None:
--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -20,6 +20,7 @@
     Load,
     ReplyChunk,
     ReplyStart,
+    SliceReceived,
 )
 from bilberry_core.stream import Stream
 from bilberry_core.verdict import Failure, FailureCode, Verdict
@@ -141,12 +142,15 @@
         call.answer_started = True
         if reply.last:
             self._pop(reply.call)
+        else:
+            self.send(SliceReceived(reply.call))
         call.answers.start_reply(reply)
 
     def _handle_chunk(self, chunk: ReplyChunk) -> None:
         call = self._calls.get(chunk.call)
         if call is None or not call.answer_started:
             return
+        self.send(SliceReceived(chunk.call))
         if chunk.last:
             self._pop(chunk.call)
         call.answers.continue_reply(chunk)
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -60,7 +60,7 @@
         self._context = context
         self._admitter = admitter
         self._streams = streams
-        self._calls = CallServer(admitter)
+        self._calls = CallServer(admitter, context.clock.now)
         self._callers = CallerServer(context)
         context.board.snapshot.watch(self._on_snapshot)
 
@@ -227,6 +227,7 @@
         self.pressure.record_lag(now - due)
         self._context.timers.advance(now)
         self._admitter.expire_waiting()
+        self._calls.flush()
 
     def _on_snapshot(self, snapshot: Snapshot | None) -> None:
         if snapshot is None:
