Show unsent responses and the window as metrics; test that a stop waits

Result: test_small_response_passes_a_large_one_on_a_blocked_stream checks that a response with unsent slices counts as an open call, for which a stop waits.

--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -46,6 +46,16 @@
         """Number of open calls from other daemons."""
         return sum(served.open_calls for served in self._streams)
 
+    @property
+    def unsent_responses(self) -> int:
+        """Number of long responses with an unsent part."""
+        return sum(len(served.replies) for served in self._streams)
+
+    @property
+    def window_bytes(self) -> float:
+        """The bytes of long responses that may be on their way."""
+        return self._replies.window.size
+
     @property
     def open_streams(self) -> int:
         """Number of open streams from other daemons."""
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -127,6 +127,8 @@
         metrics.gauge('proxy.requests', len(self._context.running))
         metrics.gauge('proxy.connections', self.connections)
         metrics.gauge('proxy.calls', self._calls.open_calls)
+        metrics.gauge('response.unsent', self._calls.unsent_responses)
+        metrics.gauge('response.window', self._calls.window_bytes)
         for service, tokens in self._context.router.read_budgets().items():
             metrics.gauge(f'retry.budget.{service}', tokens)
         self._update_admission_gauges()
--- a/tests/bilberry_proxy/test_reply_queue.py
+++ b/tests/bilberry_proxy/test_reply_queue.py
@@ -257,7 +257,8 @@
     def test_small_response_passes_a_large_one_on_a_blocked_stream(self):
         """The large one goes on when the stream is writable again."""
         stream = FakeStream()
-        CallServer(EchoTarget()).accept(stream)
+        server = CallServer(EchoTarget())
+        server.accept(stream)
         for call, body in enumerate((LARGE, SMALL), start=1):
             stream.receiver(
                 CallStart(
@@ -273,8 +274,11 @@
                 )
             )
         self.assertEqual([2], stream.list_complete())
+        # A planned stop waits for open calls.
+        self.assertEqual(1, server.open_calls)
         while len(stream.list_complete()) < 2:
             stream.waiting = 0
             stream.receiver(SliceReceived(1))
             stream.on_writable()
         self.assertEqual({1: LARGE, 2: SMALL}, stream.read_bodies())
+        self.assertEqual(0, server.open_calls)
