Ask for large responses in the soak only

Cause: since the callers of the process tests and the demonstration also asked for 300 kB at every seventh read. Their checks count each request without a response as a broken promise, and a long response whose daemon is killed after its first bytes went out is cut visibly, which is stated. That the one was a large read is inferred; it was not logged. Change: large reads are an option that the soak sets, which judges whole bodies and not cuts. The process tests play the load that they had before, with the same checks.

--- a/demo/caller.py
+++ b/demo/caller.py
@@ -49,6 +49,9 @@
         Host name in the requests.
     `pause_s`
         Pause of a worker between two requests, in seconds (default: 0.01).
+    `reads_large`
+        Whether every seventh read asks for a large response, which a crash on
+        its way cuts visibly (default: False).
     """
 
     def __init__(
@@ -57,12 +60,15 @@
         address: Address,
         service: str,
         pause_s: float = 0.01,
+        *,
+        reads_large: bool = False,
     ) -> None:
         self.tally = Tally(Counter(), set(), set(), {}, set())
         self._name = name
         self._address = address
         self._service = service
         self._pause_s = pause_s
+        self._reads_large = reads_large
         self._request_numbers = count(1)
         self._workers: list[Task[None]] = []
         self._stopping = False
@@ -82,7 +88,9 @@
     async def send(self, number: int) -> HttpResponse | None:
         """Sends one request and counts its outcome."""
         request_id = build_request_id(self._name, number)
-        request = build_request(self._service, request_id, number)
+        request = build_request(
+            self._service, request_id, number, reads_large=self._reads_large
+        )
         self.tally.outcomes['sent'] += 1
         self.tally.sent_at[request_id] = monotonic()
         try:
@@ -126,17 +134,20 @@
     service: str,
     request_id: str,
     number: int,
+    *,
+    reads_large: bool = False,
 ) -> HttpRequest:
     """Returns a read, or a booking with an idempotency key.
 
-    The request ID determines which of the two it is.
+    The request ID determines which of the two it is. With `reads_large` every
+    seventh read asks for a large response.
     """
     headers = (
         (b'host', service.encode()),
         (b'x-request-id', request_id.encode()),
     )
     if not is_booking(request_id):
-        is_large = not number % _LARGE_INTERVAL
+        is_large = reads_large and not number % _LARGE_INTERVAL
         path = f'{LARGE_PATH}{request_id}' if is_large else f'/open/{number}'
         return HttpRequest('GET', path, headers)
     key = (b'idempotency-key', request_id.encode())
--- a/soak/run.py
+++ b/soak/run.py
@@ -149,7 +149,8 @@
     def _build_caller(self, instance: str, service: str) -> Caller:
         ports = self._environment.fleet.members[instance].ports
         address = Address('127.0.0.1', ports.callers)
-        return Caller(instance, address, f'{service}.example')
+        host = f'{service}.example'
+        return Caller(instance, address, host, reads_large=True)
 
     def _spawn(self, coroutine) -> None:
         task = create_task(coroutine)
