Move a service to a new version by steps, or back

Cause: the operator's order to move a service's requests to upstreams of another version was answered 404; endpoints carried no version and nobody judged one.

Change: orders and steps are entries of the replicated log; proxies follow the table of shares; the leader judges the new version by the responses of both, by sequential tests, and keeps what it gets within a bound; daemons beside retired upstreams refuse calls, so completion needs their word only. bilberryctl rollout-start, rollout-show, rollout-cancel. docs/design/rollouts.md.

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -11,6 +11,7 @@
 
 from bilberry_core.configuration import AcceptedVersion
 from bilberry_core.endpoint import Address, Endpoint
+from bilberry_core.rollout import RolloutReport, RolloutTable
 from bilberry_core.snapshot import Snapshot
 from bilberry_core.traffic import Traffic
 from bilberry_core.upstream_notice import UpstreamIdentity, UpstreamNotice
@@ -177,6 +178,12 @@
         The snapshot that the proxy uses for routing.
     `beacon`
         The newest beacon of the leader.
+    `rollouts`
+        The roll-outs of services; written like `accepted`.
+    `rollout_evidence`
+        What this proxy saw of open roll-outs since its last report.
+    `rollout_reports`
+        What other daemons report of open roll-outs, on a relay.
     `claim_epoch`
         The claim holders that the replicated log agreed on.
     `holds_claims`
@@ -214,6 +221,9 @@
         self.endpoints: Cell[dict[str, Endpoint]] = Cell({})
         self.snapshot: Cell[Snapshot | None] = Cell(None)
         self.beacon: Cell[Beacon | None] = Cell(None)
+        self.rollouts: Cell[RolloutTable] = Cell(RolloutTable())
+        self.rollout_evidence: Cell[RolloutReport] = Cell(RolloutReport())
+        self.rollout_reports: Cell[RolloutReport] = Cell(RolloutReport())
         self.claim_epoch: Cell[ClaimEpoch | None] = Cell(None)
         self.holds_claims: Cell[bool] = Cell(False)
         self.suspects: Cell[dict[tuple[bytes, str, int], Suspect]] = Cell({})
--- a/packages/bilberry_core/bilberry_core/endpoint.py
+++ b/packages/bilberry_core/bilberry_core/endpoint.py
@@ -39,6 +39,8 @@
         Concurrent requests and connections that the upstream accepts.
     `since_ms`
         Wall clock time of the last transition to READY, in milliseconds.
+    `version`
+        The version of the upstream's software; empty if not announced.
     """
 
     instance: str
@@ -51,6 +53,7 @@
     slots: int
     connections: int
     since_ms: int = 0
+    version: str = ''
 
     def is_newer_than(self, other: 'Endpoint') -> bool:
         """Returns whether this record supersedes `other`."""
--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -86,6 +86,8 @@
     """Starts a response; `last` is set if its body is complete.
 
     `notice` is what the upstream says of itself, None if it says nothing.
+    `served_us` is the time from the request to the upstream until its response
+    began, in microseconds; 0 if unknown.
     """
 
     call: int
@@ -95,6 +97,7 @@
     last: bool
     load: Load
     notice: UpstreamNotice | None = None
+    served_us: int = 0
 
 
 @message(55)
--- a/packages/bilberry_core/bilberry_core/messages/spread.py
+++ b/packages/bilberry_core/bilberry_core/messages/spread.py
@@ -14,6 +14,7 @@
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.registry import message
 from bilberry_core.policy import CallPolicy
+from bilberry_core.rollout import RolloutReport, RolloutTable
 
 #: Reported in place of a version for an instance that is no longer attached.
 DETACHED = -1
@@ -178,3 +179,17 @@
 @message(43)
 class Attach(NamedTuple):
     """The receiver, a standby until now, is attached to this relay."""
+
+
+@message(44)
+class RolloutUpdate(NamedTuple):
+    """The roll-outs that the replicated log agreed on."""
+
+    table: RolloutTable
+
+
+@message(45)
+class RolloutReportUpdate(NamedTuple):
+    """What proxies saw of open roll-outs; relays forward the sum."""
+
+    report: RolloutReport
--- a/packages/bilberry_core/bilberry_core/settings.py
+++ b/packages/bilberry_core/bilberry_core/settings.py
@@ -100,6 +100,19 @@
     min_quorum: int = 0
 
 
+class RolloutSettings(NamedTuple):
+    """Bounds of roll-outs.
+
+    `exposed_percent`, `exposed_slack`
+        Of the requests that a service gets between an order and its deadline,
+        the share that a version may get before it is trusted, in percent, and
+        requests beyond that share (default: 10, 0).
+    """
+
+    exposed_percent: int = 10
+    exposed_slack: int = 0
+
+
 class Settings(NamedTuple):
     """The settings with which a daemon starts.
 
@@ -123,6 +136,8 @@
     `discovers_relays`
         Whether `replicas` and `relays` are only initial peers: the members of
         the replicated log act as relays.
+    `rollouts`
+        Bounds of roll-outs, on a replica.
     """
 
     fleet: str
@@ -143,3 +158,4 @@
     founding: FoundingSettings = FoundingSettings()
     keeps_claims: bool = True
     discovers_relays: bool = False
+    rollouts: RolloutSettings = RolloutSettings()
--- a/packages/bilberry_core/bilberry_core/settings_file.py
+++ b/packages/bilberry_core/bilberry_core/settings_file.py
@@ -17,6 +17,7 @@
     parse_address,
     parse_choice,
     parse_duration,
+    parse_integer,
     parse_line,
     parse_name,
 )
@@ -25,6 +26,7 @@
     ListenSettings,
     Peer,
     Role,
+    RolloutSettings,
     Settings,
     TimingSettings,
 )
@@ -35,6 +37,8 @@
 MIN_SECRET_LENGTH = 16
 _MAX_SECRET_BYTES = 4096
 _MAX_TIMING_MS = 3_600_000
+_MAX_PERCENT = 100
+_MAX_SLACK = 1_000_000
 _PATH_FIELDS = ('data_folder', 'log_file')
 
 
@@ -86,6 +90,18 @@
     },
 )
 
+_ROLLOUTS = Section(
+    RolloutSettings,
+    {
+        'exposed_percent': Option(
+            'exposed_percent', Scalar(parse_integer(1, _MAX_PERCENT))
+        ),
+        'exposed_slack': Option(
+            'exposed_slack', Scalar(parse_integer(0, _MAX_SLACK))
+        ),
+    },
+)
+
 #: The keys that a settings file may contain.
 SETTINGS = Section(
     dict,
@@ -108,6 +124,7 @@
         'statsd': Option('statsd', _ADDRESS),
         'log': Option('log', _LOG),
         'timing': Option('timing', TIMINGS),
+        'rollouts': Option('rollouts', _ROLLOUTS),
     },
 )
 
--- a/packages/bilberry_operators/bilberry_operators/controller.py
+++ b/packages/bilberry_operators/bilberry_operators/controller.py
@@ -30,6 +30,11 @@
 from bilberry_operators.lag import LagTracker
 from bilberry_operators.misdirected import add_misdirected_resources
 from bilberry_operators.replica_resource import Membership, ReplicaResource
+from bilberry_operators.rollout_resource import (
+    EvidenceReader,
+    RolloutOrders,
+    RolloutResource,
+)
 from bilberry_operators.router import RoutedRequest, Router
 from bilberry_operators.status import build_status
 
@@ -46,11 +51,15 @@
         None on a daemon without the replica role.
     `exclusions`
         None on a daemon without the proxy role.
+    `rollouts`, `evidence`
+        None on a daemon without the replica role.
     """
 
     acceptor: Acceptor | None = None
     membership: Membership | None = None
     exclusions: EndpointExclusions | None = None
+    rollouts: RolloutOrders | None = None
+    evidence: EvidenceReader | None = None
 
 
 class OperatorsController:
@@ -75,6 +84,7 @@
         self._lag = LagTracker(settings, board, clock)
         self._dependencies = dependencies
         self._router = self._build_router()
+        self._add_rollouts(self._router)
         self._bound: Cell[Address | None] = Cell(None)
         self._service = HttpService(self._handle, _LIMITS)
         self._stopping = Event()
@@ -89,7 +99,7 @@
         membership: Membership | None = None,
         exclusions: EndpointExclusions | None = None,
     ) -> 'OperatorsController':
-        """Builds the controller of one daemon.
+        """Builds the controller of one daemon, without roll-outs.
 
         `acceptor` and `membership` are None on a daemon without the replica
         role, `exclusions` on a daemon without the proxy role.
@@ -156,7 +166,8 @@
         router = Router()
         router.add(HTTPMethod.GET, '/v1/status', self._get_status)
         router.add(HTTPMethod.GET, '/v1/explain', self._explain)
-        acceptor, membership, _ = self._dependencies
+        acceptor = self._dependencies.acceptor
+        membership = self._dependencies.membership
         if acceptor is None:
             add_misdirected_resources(router, self._settings.replicas)
             return router
@@ -175,6 +186,18 @@
             router.add(HTTPMethod.DELETE, '/v1/replicas/*', replicas.remove)
         return router
 
+    def _add_rollouts(self, router: Router) -> None:
+        rollouts = self._dependencies.rollouts
+        evidence = self._dependencies.evidence
+        if rollouts is None or evidence is None:
+            return
+        resource = RolloutResource(
+            rollouts, evidence, self._board, self._settings.token
+        )
+        router.add(HTTPMethod.POST, '/v1/rollouts', resource.order)
+        router.add(HTTPMethod.GET, '/v1/rollouts/*', resource.show)
+        router.add(HTTPMethod.DELETE, '/v1/rollouts/*', resource.cancel)
+
     async def _get_status(self, _routed: RoutedRequest) -> HttpResponse:
         return build_json_response(
             build_status(
--- a/packages/bilberry_operators/bilberry_operators/misdirected.py
+++ b/packages/bilberry_operators/bilberry_operators/misdirected.py
@@ -15,6 +15,9 @@
     (HTTPMethod.GET, '/v1/history/*'),
     (HTTPMethod.POST, '/v1/rollback'),
     (HTTPMethod.DELETE, '/v1/replicas/*'),
+    (HTTPMethod.POST, '/v1/rollouts'),
+    (HTTPMethod.GET, '/v1/rollouts/*'),
+    (HTTPMethod.DELETE, '/v1/rollouts/*'),
 )
 
 
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -7,7 +7,7 @@
 from enum import IntEnum
 from typing import Protocol
 
-from bilberry_core.clock import MS_PER_S
+from bilberry_core.clock import MS_PER_S, Clock
 from bilberry_core.messages.call import (
     CallFailed,
     CallStart,
@@ -72,6 +72,7 @@
     """The admitter of a call, which knows the load and counts the slots."""
 
     notices: NoticeKeeper
+    clock: Clock
 
     def is_answering(self, dispatched_at: float, silence_ms: int) -> bool:
         """Returns whether any response came within the last `silence_ms`.
@@ -267,6 +268,7 @@
         waited_s = self.dispatched_at - self.opened_at
         waited_us = int(waited_s * _US_PER_S)
         self._admitter.metrics.timing('call.waited', waited_s * MS_PER_S)
+        served_s = self._admitter.clock.now() - self.dispatched_at
         reply = ReplyStart(
             self.start.call,
             buffered.status,
@@ -275,6 +277,7 @@
             last,
             self._admitter.measure_load()._replace(waited_us=waited_us),
             self._admitter.notices.shared,
+            int(served_s * _US_PER_S),
         )
         self._answers.start_reply(reply)
         self._consume_window(len(body), last)
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -60,7 +60,7 @@
         """Subscribes to the upstream's address and endpoint on the board."""
         self.metrics = metrics
         self._board = board
-        self._clock = clock
+        self.clock = clock
         self._timers = timers
         self._suspect_tracker = suspect_tracker
         self.dialect = dialect
@@ -90,7 +90,7 @@
 
     def open(self, start: CallStart, answers: AnswerReceiver) -> AdmittedCall:
         """Admits, queues or refuses a call."""
-        now = self._clock.now()
+        now = self.clock.now()
         self._queue.limiter.advance(now)
         deadline = now + start.deadline_ms / MS_PER_S
         call = AdmittedCall(start, answers, self, deadline)
@@ -131,7 +131,7 @@
         A call that was dispatched within that time counts as answering, as it
         may take that long itself.
         """
-        since = self._clock.now() - silence_ms / MS_PER_S
+        since = self.clock.now() - silence_ms / MS_PER_S
         return max(self._answered_at, dispatched_at) > since
 
     def measure_load(self) -> Load:
@@ -147,7 +147,7 @@
         self.running_requests.remove(call.request_id)
         latency_s: float = 0
         if call.is_answered:
-            self._answered_at = self._clock.now()
+            self._answered_at = self.clock.now()
             latency_s = self._answered_at - call.dispatched_at
             self._suspect_tracker.clear(call.start.fingerprint)
         self._queue.end(call, latency_s)
@@ -165,7 +165,7 @@
             return
         self._lingering[connection] = call
         self._timers.schedule(
-            self._clock.now() + CANCEL_LINGER_S,
+            self.clock.now() + CANCEL_LINGER_S,
             connection.abort,
         )
 
@@ -175,7 +175,7 @@
 
     def expire_waiting(self) -> None:
         """Sheds every call that has waited too long, and admits others."""
-        now = self._clock.now()
+        now = self.clock.now()
         self._queue.limiter.advance(now)
         for refused in self._queue.shed_expired(now):
             self._shed(refused)
@@ -196,7 +196,7 @@
     def _admit(self, call: AdmittedCall) -> None:
         call.progress = Progress.CONNECTING
         self.running_requests.add(call.request_id)
-        call.dispatched_at = self._clock.now()
+        call.dispatched_at = self.clock.now()
         call.upstream = self._board.upstream.value
         self._pool.acquire(call)
 
@@ -216,7 +216,7 @@
             ],
         )
         self._suspect_tracker.name(weights, self._board.own_endpoint.value)
-        crash = UpstreamCrash(address, self._clock.wall_ms())
+        crash = UpstreamCrash(address, self.clock.wall_ms())
         self._board.upstream_crash.put(crash)
         _log.warning(
             'upstream_crashed',
--- a/packages/bilberry_proxy/bilberry_proxy/announcement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -13,6 +13,7 @@
 from bilberry_core.clock import MS_PER_S, Clock
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.http import HttpRequest, HttpResponse, serve_http
+from bilberry_core.rollout import RolloutTable
 from bilberry_core.settings import Settings
 from bilberry_core.upstream_notice import UpstreamIdentity, UpstreamNotice
 from msgspec import ValidationError
@@ -46,9 +47,11 @@
         self._announced_at = clock.now()
         self._server: Server | None = None
         self._starts = UpstreamStarts()
+        self._announced_state = EndpointState.GONE
         board.phase.watch(self._on_phase_change)
         board.upstream_crash.watch(self._on_crash)
         board.upstream_notice.watch(self._on_notice)
+        board.rollouts.watch(self._on_rollouts)
 
     @classmethod
     def from_settings(
@@ -140,8 +143,12 @@
         self._announced_at = self._clock.now()
         known = self._board.own_endpoint.value
         self._update_incarnation(known, announced)
+        self._announced_state = announced.state
         state = announced.state
-        if self._is_leaving:
+        is_retired = self._board.rollouts.value.is_retired(
+            announced.service, announced.version, self._incarnation
+        )
+        if self._is_leaving or is_retired:
             state = EndpointState.DRAINING
         record = Endpoint(
             instance=self._settings.instance,
@@ -153,7 +160,14 @@
             state=state,
             slots=announced.slots,
             connections=announced.connections,
-            since_ms=self._compute_since_ms(known, state, announced.cold_ms),
+            since_ms=_compute_since_ms(
+                known,
+                state,
+                announced.cold_ms,
+                self._incarnation,
+                self._clock.wall_ms(),
+            ),
+            version=announced.version,
         )
         self._board.upstream_address.put(parse_address(announced.address))
         if record != known:
@@ -180,25 +194,21 @@
                 self._clock.wall_ms(),
             )
 
-    def _compute_since_ms(
-        self,
-        known: Endpoint | None,
-        state: EndpointState,
-        cold_ms: int | None,
-    ) -> int:
-        is_known = known is not None and known.incarnation == self._incarnation
-        if cold_ms is not None and not (is_known and known.state is state):
-            return self._clock.wall_ms() + cold_ms - SLOW_START_MS
-        if known is not None and known.state is state:
-            return known.since_ms
-        if state is EndpointState.READY:
-            return self._clock.wall_ms()
-        return known.since_ms if known else 0
-
     def _on_phase_change(self, phase: Phase) -> None:
         if phase in _LEAVING:
             self._put_state(EndpointState.DRAINING)
 
+    def _on_rollouts(self, table: RolloutTable) -> None:
+        """Drains a retired upstream, and takes one back that no longer is."""
+        known = self._board.own_endpoint.value
+        rollout = table.find(known.service) if known else None
+        if rollout is None:
+            return
+        if rollout.is_retired(known.version, known.incarnation):
+            self._put_state(EndpointState.DRAINING)
+        elif not self._is_leaving:
+            self._put_state(self._announced_state)
+
     def _on_notice(self, notice: UpstreamNotice) -> None:
         if notice.is_leaving:
             self._put_state(EndpointState.DRAINING)
@@ -225,3 +235,20 @@
             },
         )
         self._board.own_endpoint.put(record)
+
+
+def _compute_since_ms(
+    known: Endpoint | None,
+    state: EndpointState,
+    cold_ms: int | None,
+    incarnation: int,
+    now_ms: int,
+) -> int:
+    is_known = known is not None and known.incarnation == incarnation
+    if cold_ms is not None and not (is_known and known.state is state):
+        return now_ms + cold_ms - SLOW_START_MS
+    if known is not None and known.state is state:
+        return known.since_ms
+    if state is EndpointState.READY:
+        return now_ms
+    return known.since_ms if known else 0
--- a/packages/bilberry_proxy/bilberry_proxy/announcement_body.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement_body.py
@@ -37,6 +37,8 @@
         if not announced.
     `cold_ms`
         Remaining time for which it is slow after its start, in milliseconds.
+    `version`
+        The version of its software; empty if not announced.
     """
 
     service: Annotated[str, Meta(min_length=1, max_length=253)]
@@ -49,6 +51,7 @@
     started_ms: int = 0
     sequence: int = 0
     cold_ms: int | None = None
+    version: str = ''
 
     def __post_init__(self) -> None:
         """Checks what the types can't express; raises `ValueError`."""
--- a/packages/bilberry_proxy/bilberry_proxy/attempt_recorder.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt_recorder.py
@@ -1,13 +1,15 @@
 """Records what the attempts of one request show of their endpoints."""
 
 from bilberry_core.messages.call import ReplyStart
-from bilberry_core.verdict import Failure, FailureCode
+from bilberry_core.verdict import Failure, FailureCode, Verdict
 
 from bilberry_proxy.attempt import Attempt
 from bilberry_proxy.context import ProxyContext
 from bilberry_proxy.plan import Plan
 from bilberry_proxy.poison import SuspicionLevel
 
+_US_PER_S = 1_000_000
+
 
 class AttemptRecorder:
     """Passes the outcomes of attempts on to the router and the trackers."""
@@ -29,8 +31,15 @@
         latency_s = self._context.clock.now() - attempt.started_at
         router.record_notice(attempt.endpoint, reply.notice)
         router.record_answer(attempt.endpoint, latency_s, reply.load)
+        plan = self._plan
+        self._context.rollout_evidence.record_answer(
+            attempt.endpoint,
+            plan.decision.route,
+            reply.status,
+            reply.served_us / _US_PER_S,
+        )
         router.service_times.update(
-            self._plan.route_key,
+            plan.route_key,
             latency_s,
             reply.load.waited_us,
         )
@@ -49,6 +58,11 @@
             failure,
             self._context.clock.now() - attempt.started_at,
         )
+        has_run = failure.verdict is not Verdict.NOT_RUN
+        if has_run and failure.code is FailureCode.DEADLINE:
+            self._context.rollout_evidence.record_silence(
+                endpoint, plan.decision.route
+            )
         if failure.code is FailureCode.OVERLOADED:
             router.record_shed(
                 endpoint,
--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -4,6 +4,8 @@
 from time import monotonic
 from typing import Any
 
+from bilberry_core.handshake import Purpose
+from bilberry_core.listener import StreamListener
 from bilberry_core.messages.call import (
     CallAlive,
     CallCancel,
@@ -61,6 +63,10 @@
         """Number of open streams from other daemons."""
         return len(self._streams)
 
+    def listen(self, listener: StreamListener) -> None:
+        """Accepts the streams for calls from now on."""
+        listener.handle(Purpose.CALL, self.accept)
+
     def accept(self, stream: Stream) -> None:
         """Serves a stream until it ends."""
         served = _ServedStream(stream, self._target, self._replies)
--- a/packages/bilberry_proxy/bilberry_proxy/context.py
+++ b/packages/bilberry_proxy/bilberry_proxy/context.py
@@ -12,6 +12,7 @@
 from bilberry_proxy.call import CallTarget
 from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.pressure import Pressure
+from bilberry_proxy.rollout_evidence import RolloutEvidence
 from bilberry_proxy.router import Router
 from bilberry_proxy.running_requests import RunningRequests
 from bilberry_proxy.service_interest import ServiceInterest
@@ -67,5 +68,6 @@
     tasks: set[Task]
     running: set[object]
     running_requests: RunningRequests
+    rollout_evidence: RolloutEvidence
     dialect: HttpDialect = OWN_DIALECT
     service: str = ''
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -8,7 +8,6 @@
 from bilberry_core.claim import Claims
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
 from bilberry_core.endpoint import Address, Endpoint
-from bilberry_core.handshake import Purpose
 from bilberry_core.listener import StreamListener
 from bilberry_core.metric import Metrics
 from bilberry_core.settings import Settings
@@ -22,6 +21,7 @@
 from bilberry_proxy.context import ProxyContext, ProxyOptions
 from bilberry_proxy.exclusion import get_exclusion_reason
 from bilberry_proxy.pressure import Pressure
+from bilberry_proxy.rollout_evidence import RolloutEvidence
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
 from bilberry_proxy.suspect_tracker import SuspectTracker
@@ -63,6 +63,9 @@
         self._calls = CallServer(admitter, context.clock.now)
         self._callers = CallerServer(context)
         context.board.snapshot.watch(self._on_snapshot)
+        context.board.rollouts.watch(
+            context.router.candidates.set_rollouts,
+        )
 
     @classmethod
     def from_settings(  # noqa: WPS211 - every part of the daemon it needs
@@ -109,6 +112,7 @@
             tasks=set(),
             running=set(),
             running_requests=admitter.running_requests,
+            rollout_evidence=RolloutEvidence(board, clock),
             dialect=options.dialect,
             service=options.service,
         )
@@ -119,7 +123,7 @@
             streams,
             options.fleet_retry_burst,
         )
-        listener.handle(Purpose.CALL, controller._calls.accept)
+        controller._calls.listen(listener)
         return controller
 
     def update_gauges(self) -> None:
@@ -161,7 +165,7 @@
         context = self._context
         route = context.board.snapshot.value.routes[endpoint.service]
         return get_exclusion_reason(
-            context.router.get_subset(route),
+            context.router.candidates.get_subset(route),
             endpoint,
             context.router.get_load(endpoint),
             context.clock,
@@ -231,6 +235,10 @@
         self._context.timers.advance(now)
         self._admitter.expire_waiting()
         self._calls.flush()
+        load = self._admitter.measure_load()
+        self._context.rollout_evidence.report(
+            is_idle=not load.outstanding and not load.queued,
+        )
 
     def _on_snapshot(self, snapshot: Snapshot | None) -> None:
         if snapshot is None:
--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -68,6 +68,7 @@
         self._is_last_resort = False
         self._max_wait_ms = 0
         self._priority = Priority.URGENT
+        self._takes_new: bool | None = None
 
     def choose(self, plan: Plan, tried: list[str]) -> PlacementChoice | None:
         """Returns the next endpoint and wait; None if no endpoint is ready.
@@ -82,6 +83,7 @@
             plan.decision,
             asked,
             avoids_near=self._near_without_slot >= MAX_NEAR_SLOT_QUERIES,
+            takes_new=self._draws_new_version(plan),
         )
         if selection is None:
             return None
@@ -91,7 +93,7 @@
         if len(self._without_slot) >= max_queries or selection.all_tried:
             self._is_last_resort = True
             selection = self._router.choose(route, plan.decision, tried)
-        elif self._without_slot:
+        elif self._without_slot or self._takes_new:
             # A request can still wait at endpoints without a free slot.
             selection = selection._replace(has_other=True)
         self._asked_near = selection.is_near
@@ -132,6 +134,14 @@
             ),
         )
 
+    def _draws_new_version(self, plan: Plan) -> bool:
+        """Draws the version of the first attempt; later ones get the old."""
+        is_first = self._takes_new is None
+        self._takes_new = is_first and self._router.draw_new_version(
+            plan.service
+        )
+        return self._takes_new
+
     def _limit_wait(self, plan: Plan, selection: Selection) -> int:
         target_ms = plan.decision.policy.target_latency_ms
         service_s = self._router.service_times.estimate_s(plan.route_key)
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -15,8 +15,8 @@
 
 from bilberry_proxy.balancers import build_balancer
 from bilberry_proxy.balancers.base import Balancer
+from bilberry_proxy.candidates import Candidates
 from bilberry_proxy.endpoint_load import (
-    Candidate,
     EndpointLoad,
     compute_shed_ms,
     suggest_return_ms,
@@ -28,7 +28,6 @@
     Selection,
     SelectionContext,
     select_endpoint,
-    select_subset,
 )
 from bilberry_proxy.service_time import ServiceTimes
 from bilberry_proxy.split import WeightedSplit
@@ -66,15 +65,7 @@
         self.split = WeightedSplit()
         self._budgets: dict[str, RetryBudget] = {}
         self._balancers: dict[tuple[str, str], Balancer] = {}
-        self._ready: dict[str, tuple[Route, tuple[Candidate, ...]]] = {}
-
-    def get_subset(self, route: Route) -> tuple[Endpoint, ...]:
-        """Returns the endpoints of a route that this proxy may call."""
-        return select_subset(
-            route.endpoints,
-            self._instance,
-            self._failure_domain,
-        )
+        self.candidates = Candidates(instance, failure_domain, self.get_load)
 
     def choose(
         self,
@@ -83,10 +74,12 @@
         tried: list[str],
         *,
         avoids_near: bool = False,
+        takes_new: bool = False,
     ) -> Selection | None:
         """Returns the endpoint of the next attempt; None if none is ready.
 
-        `avoids_near` is described at `SelectionContext`.
+        `avoids_near` is described at `SelectionContext`, `takes_new` at
+        `Candidates`.
         """
         context = SelectionContext(
             self._instance,
@@ -97,13 +90,17 @@
             avoids_near,
         )
         return select_endpoint(
-            self._get_staying(route),
+            self.candidates.get_staying(route, takes_new=takes_new),
             tried,
             context,
             self._get_balancer(decision),
             self._random,
         )
 
+    def draw_new_version(self, service: str) -> bool:
+        """Returns whether a request gets the new version of a roll-out."""
+        return self.candidates.draw_new_version(service, self._random)
+
     def get_shed_failure(
         self,
         route: Route,
@@ -114,7 +111,7 @@
         None if the call may be sent. A few calls are sent regardless, to
         detect when the shedding ends.
         """
-        ready = self._get_staying(route)
+        ready = self.candidates.get_staying(route)
         if not ready:
             return None
         now = self._clock.now()
@@ -204,7 +201,7 @@
         duration_s: float,
     ) -> None:
         """Records a failure of an endpoint and ejects an outlier."""
-        ready = self._get_ready(route)
+        ready = self.candidates.get_ready(route)
         now = self._clock.now()
         peers = [candidate.load for candidate in ready]
         load = self.get_load(endpoint)
@@ -227,26 +224,6 @@
             if key in present or load.outstanding
         }
 
-    def _get_ready(self, route: Route) -> tuple[Candidate, ...]:
-        known = self._ready.get(route.service)
-        if known is not None and known[0] is route:
-            return known[1]
-        ready = tuple(
-            Candidate(endpoint, self.get_load(endpoint))
-            for endpoint in self.get_subset(route)
-        )
-        self._ready[route.service] = (route, ready)
-        return ready
-
-    def _get_staying(self, route: Route) -> tuple[Candidate, ...]:
-        """Returns the ready endpoints whose upstreams are not leaving."""
-        ready = self._get_ready(route)
-        if not any(candidate.load.is_leaving for candidate in ready):
-            return ready
-        return tuple(
-            candidate for candidate in ready if not candidate.load.is_leaving
-        )
-
     def _get_balancer(self, decision: Decision) -> Balancer:
         key = (decision.service, decision.policy.load_policy)
         balancer = self._balancers.get(key)
--- a/packages/bilberry_replica/bilberry_replica/controller.py
+++ b/packages/bilberry_replica/bilberry_replica/controller.py
@@ -36,6 +36,7 @@
 from bilberry_replica.outcome import build_result
 from bilberry_replica.publisher import Publisher, build_version
 from bilberry_replica.reconfiguration import Reconfiguration
+from bilberry_replica.rollout_log import RolloutLog
 
 _log = getLogger(__name__)
 
@@ -139,6 +140,12 @@
         """Ends `run`."""
         self._stopping.set()
 
+    @property
+    def rollouts(self) -> RolloutLog:
+        """The roll-outs in the log."""
+        machine = self._driver.replica.machine
+        return RolloutLog(self, lambda: machine.register.rollouts)
+
     async def submit(
         self,
         change: Change,
--- a/packages/bilberry_replica/bilberry_replica/leading.py
+++ b/packages/bilberry_replica/bilberry_replica/leading.py
@@ -37,6 +37,7 @@
 from bilberry_replica.register import Decision
 from bilberry_replica.replica import Replica
 from bilberry_replica.replication import broadcast, propose
+from bilberry_replica.rollout_register import is_rollout_change
 
 Validate = Callable[[bytes], list[str]]
 
@@ -179,9 +180,10 @@
     except ConsensusError as error:
         # The change is not in the log yet, so it is enough to refuse it.
         return NotAccepted(str(error))
-    errors = validate(content)
-    if errors:
-        return NotAccepted('; '.join(errors))
+    if not is_rollout_change(logged.change):
+        errors = validate(content)
+        if errors:
+            return NotAccepted('; '.join(errors))
     node = replica.node
     if node.log.last_index - node.commit >= replica.limits.open_entries:
         return NotAccepted('too many changes wait for a quorum')
--- a/packages/bilberry_replica/bilberry_replica/publisher.py
+++ b/packages/bilberry_replica/bilberry_replica/publisher.py
@@ -14,7 +14,9 @@
 
 
 class Publisher:
-    """Publisher of `accepted`, `replica`, `beacon` and `claim_epoch`.
+    """Publisher of the cells that a replica writes.
+
+    These are `accepted`, `rollouts`, `replica`, `beacon` and `claim_epoch`.
 
     Only committed versions are published, after the journal has stored that
     they are committed, and never an older one after a newer one.
@@ -30,6 +32,7 @@
     def publish(self) -> None:
         """Publishes everything that has changed."""
         self._publish_accepted()
+        self._publish_rollouts()
         self._publish_status()
         self._publish_epoch()
 
@@ -51,6 +54,11 @@
         )
         self._board.accepted.put(build_version(newest))
 
+    def _publish_rollouts(self) -> None:
+        table = self._replica.durable_rollouts
+        if table.number > self._board.rollouts.value.number:
+            self._board.rollouts.put(table)
+
     def _publish_status(self) -> None:
         node = self._replica.node
         status = ReplicaStatus(
--- a/packages/bilberry_replica/bilberry_replica/register.py
+++ b/packages/bilberry_replica/bilberry_replica/register.py
@@ -15,10 +15,15 @@
     NotAccepted,
 )
 from bilberry_core.messages.replica import LoggedChange
+from bilberry_core.rollout import RolloutTable
 from msgpack import packb, unpackb
 from msgspec import convert
 
 from bilberry_replica.packing import get_content_digest, unpack_change
+from bilberry_replica.rollout_register import (
+    RolloutRegister,
+    is_rollout_change,
+)
 
 #: Versions whose content is kept.
 HISTORY_COUNT = 64
@@ -43,6 +48,7 @@
     version: int = 0
     history: tuple[HistoryEntry, ...] = ()
     outcomes: dict[str, Outcome] = {}
+    rollouts: RolloutTable = RolloutTable()
 
 
 class Register:
@@ -58,6 +64,7 @@
         self._version = state.version
         self._history = list(state.history)
         self._outcomes = dict(state.outcomes)
+        self._rollouts = RolloutRegister(state.rollouts)
         self._history_count = history_count
         self._outcome_count = outcome_count
 
@@ -76,14 +83,23 @@
         """The newest accepted version with its content."""
         return self._history[-1] if self._history else None
 
+    @property
+    def rollouts(self) -> RolloutTable:
+        """The newest roll-out of each service."""
+        return self._rollouts.table
+
     def encode(self) -> bytes:
-        """Encodes the register for a snapshot."""
+        """Encodes the register for a snapshot.
+
+        Without roll-outs it is what releases that know none encode.
+        """
         state = RegisterState(
             self._version,
             tuple(self._history),
             self._outcomes,
+            self.rollouts,
         )
-        return packb(state)
+        return packb(state if self.rollouts.number else state[:-1])
 
     def read_history(self, limit: int) -> tuple[HistoryEntry, ...]:
         """Returns the newest versions, newest first."""
@@ -98,6 +114,8 @@
         known, or will never be accepted.
         """
         change = logged.change
+        if is_rollout_change(change):
+            return None
         outcome = self._outcomes.get(change.change_id)
         if outcome is not None:
             return _repeat_decision(logged, outcome)
@@ -108,6 +126,8 @@
     def apply(self, term: int, logged: LoggedChange) -> Decision:
         """Decides a committed change."""
         change = logged.change
+        if is_rollout_change(change):
+            return self._rollouts.apply(change, logged.accepted_ms)
         decision = self.find_decision(logged)
         if decision is not None:
             return decision
--- a/packages/bilberry_replica/bilberry_replica/replica.py
+++ b/packages/bilberry_replica/bilberry_replica/replica.py
@@ -18,6 +18,7 @@
     InstallSnapshot,
     Membership,
 )
+from bilberry_core.rollout import RolloutTable
 
 from bilberry_replica.commitment import record_durable
 from bilberry_replica.consensus import install_snapshot, receive, tick
@@ -80,6 +81,7 @@
     sends: tuple[Send, ...]
     commit: int
     newest: HistoryEntry | None
+    rollouts: RolloutTable
 
 
 class Replica:
@@ -108,6 +110,7 @@
         self._compacted_bytes = journal.size
         self._durable_commit = node.commit
         self._durable_newest = machine.register.newest
+        self._durable_rollouts = machine.register.rollouts
 
     @classmethod
     def open(
@@ -150,6 +153,11 @@
         """
         return self._durable_newest
 
+    @property
+    def durable_rollouts(self) -> RolloutTable:
+        """The newest roll-outs that survive a restart."""
+        return self._durable_rollouts
+
     @property
     def committed_membership(self) -> Membership:
         """The newest membership that is committed."""
@@ -226,6 +234,7 @@
             tuple(self._late),
             node.commit,
             self._machine.register.newest,
+            self._machine.register.rollouts,
         )
         self._late = []
         return flush
@@ -236,6 +245,7 @@
         """Returns the messages that may be sent after the journal sync."""
         self._durable_commit = max(self._durable_commit, flush.commit)
         self._durable_newest = flush.newest
+        self._durable_rollouts = flush.rollouts
         if flush.term == self._node.term:
             node = record_durable(self._node, flush.last_index)
             self.perform(
--- a/packages/bilberry_spread/bilberry_spread/broadcast.py
+++ b/packages/bilberry_spread/bilberry_spread/broadcast.py
@@ -89,6 +89,9 @@
             cell.watch(watcher)
             watcher(cell.value)
         board.snapshot.watch(lambda _snapshot: self.on_versions_changed())
+        board.rollouts.watch(self._on_update)
+        if board.rollouts.value.number:
+            self._on_update(board.rollouts.value)
 
     def pop_versions_changed(self) -> bool:
         """Returns whether running versions changed since the last call."""
--- a/packages/bilberry_spread/bilberry_spread/mesh_receiver.py
+++ b/packages/bilberry_spread/bilberry_spread/mesh_receiver.py
@@ -3,7 +3,12 @@
 from typing import Any
 
 from bilberry_core.board import Suspect
-from bilberry_core.messages.spread import SuspectUpdate, VersionReport
+from bilberry_core.messages.spread import (
+    RolloutReportUpdate,
+    SuspectUpdate,
+    VersionReport,
+)
+from bilberry_core.rollout import RolloutReport
 
 from bilberry_spread.reports import build_report
 from bilberry_spread.runtime import Link, send_if_open
@@ -64,6 +69,11 @@
             self._reported = dict(versions)
             self._send(report)
 
+    def report_rollouts(self, report: RolloutReport) -> None:
+        """Sends what proxies of this relay saw of open roll-outs."""
+        if self.link.is_writable:
+            self._send(RolloutReportUpdate(report))
+
     def send_heartbeat(self) -> None:
         """Sends an empty report, so that the stream is not silent."""
         if self.link.is_writable:
--- a/packages/bilberry_spread/bilberry_spread/receiver.py
+++ b/packages/bilberry_spread/bilberry_spread/receiver.py
@@ -61,6 +61,7 @@
         self._digest = subscribe.digest
         self._beacon = b''
         self._epoch = b''
+        self._rollouts = b''
         self._services: dict[str, bool] = {}
         self._changed: defaultdict[str, set[str]] = defaultdict(set)
         self._suspects: set[SuspectKey] = set()
@@ -122,6 +123,7 @@
     def _collect(self, content: Content, now: float) -> Iterator[bytes]:
         if not self.link.is_writable:
             return
+        yield from self._collect_rollouts(content)
         if not self._is_deferred(content, now):
             yield from self._collect_configuration(content)
         if content.epoch != self._epoch:
@@ -136,6 +138,13 @@
         if self._suspects:
             yield self._encode_suspects(content)
 
+    def _collect_rollouts(self, content: Content) -> Iterator[bytes]:
+        # They precede the configuration: a proxy without one routes no
+        # requests yet, so none goes to a version that must not get it.
+        if content.rollouts != self._rollouts:
+            self._rollouts = content.rollouts
+            yield content.rollouts
+
     def _is_deferred(self, content: Content, now: float) -> bool:
         """Returns whether the main source may still send the newest version.
 
--- a/packages/bilberry_spread/bilberry_spread/receivers.py
+++ b/packages/bilberry_spread/bilberry_spread/receivers.py
@@ -17,6 +17,7 @@
 from bilberry_spread.directory import RelayDirectory
 from bilberry_spread.mesh_receiver import MeshReceiver
 from bilberry_spread.receiver import Receiver, StandbyPace
+from bilberry_spread.rollout_reports import RolloutReports
 from bilberry_spread.runtime import Link, Runtime, send_if_open
 from bilberry_spread.session import Session, SessionListener
 from bilberry_spread.suspects import SuspectKey
@@ -43,6 +44,7 @@
         self._listener = listener
         self._runtime = runtime
         self._pace = StandbyPace.from_timing(settings.timing)
+        self.rollout_reports = RolloutReports()
         self._admission = JoinAdmission(runtime.clock.now())
         self._sessions: dict[str, Session] = {}
         self._relays: dict[str, MeshReceiver] = {}
@@ -157,6 +159,7 @@
             self._directory,
             self._listener,
             self._runtime,
+            self.rollout_reports,
         )
         self._sessions[instance] = session
         link.receiver = session.receive
--- a/packages/bilberry_spread/bilberry_spread/reception.py
+++ b/packages/bilberry_spread/bilberry_spread/reception.py
@@ -14,6 +14,7 @@
     ConfigurationSnapshot,
     SnapshotRequest,
 )
+from bilberry_core.rollout import RolloutTable
 from bilberry_core.settings import Peer
 from returns.result import Success
 
@@ -180,6 +181,16 @@
         if is_later_epoch(epoch, self._board.claim_epoch.value):
             self._board.claim_epoch.put(epoch)
 
+    def receive_rollouts(self, table: RolloutTable) -> None:
+        """Publishes roll-outs that are newer than the known ones."""
+        known = self._board.rollouts.value
+        if table.number > known.number:
+            _log.info(
+                'rollouts_received',
+                extra={'number': table.number, 'before': known.number},
+            )
+            self._board.rollouts.put(table)
+
     def put_source(self, instance: str | None) -> None:
         """Publishes the source that this daemon is attached to, or None."""
         if instance is None:
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -14,6 +14,7 @@
 from bilberry_core.listener import StreamListener
 from bilberry_core.messages.spread import (
     EndpointUpdate,
+    RolloutReportUpdate,
     SuspectUpdate,
     VersionReport,
 )
@@ -109,6 +110,9 @@
     def start(self) -> None:
         """Starts to watch the blackboard."""
         self._broadcast.start()
+        self._board.rollout_evidence.watch(
+            self._broadcast.receivers.rollout_reports.add,
+        )
         if self._settings.discovers_relays:
             self._board.claim_epoch.watch(self._update_members)
             self._update_members(self._board.claim_epoch.value)
@@ -155,6 +159,8 @@
             )
         elif isinstance(received, SuspectUpdate):
             self._broadcast.receive_suspects(received.suspects, is_local=False)
+        elif isinstance(received, RolloutReportUpdate):
+            self._board.rollout_reports.put(received.report)
         elif isinstance(received, VersionReport):
             known = self._reports.get(peer.instance, {})
             self._reports[peer.instance] = apply_report(known, received)
@@ -187,6 +193,7 @@
             _log.info('leases_ended', extra={'instances': instances})
 
     def _report(self) -> None:
+        self._report_rollouts()
         if self._broadcast.pop_versions_changed():
             self._put_proxies()
         now = self._runtime.clock.now()
@@ -198,6 +205,18 @@
         for relay in self._broadcast.receivers.relays:
             relay.send_heartbeat()
 
+    def _report_rollouts(self) -> None:
+        report = self._broadcast.receivers.rollout_reports.pop()
+        if report is None:
+            return
+        if self._source is not None:
+            # The replica forwards it to the others.
+            self._source.report_rollouts(report)
+            return
+        self._board.rollout_reports.put(report)
+        for relay in self._broadcast.receivers.relays:
+            relay.report_rollouts(report)
+
     def _put_proxies(self) -> None:
         attached_versions = self._broadcast.receivers.versions
         self._runtime.metrics.gauge('spread.receivers', len(attached_versions))
--- a/packages/bilberry_spread/bilberry_spread/relay_source.py
+++ b/packages/bilberry_spread/bilberry_spread/relay_source.py
@@ -4,7 +4,12 @@
 
 from bilberry_core.board import Board, Suspect
 from bilberry_core.clock import MS_PER_S
-from bilberry_core.messages.spread import SuspectUpdate, VersionReport
+from bilberry_core.messages.spread import (
+    RolloutReportUpdate,
+    SuspectUpdate,
+    VersionReport,
+)
+from bilberry_core.rollout import RolloutReport
 from bilberry_core.settings import Peer, Settings
 
 from bilberry_spread.attachment import Attachment
@@ -81,6 +86,10 @@
             self._reported = dict(versions)
             main.send(report)
 
+    def report_rollouts(self, report: RolloutReport) -> None:
+        """Reports what proxies of this relay saw of open roll-outs."""
+        self._send(RolloutReportUpdate(report))
+
     def attached(self, source: Source) -> None:
         """Reports all versions to the new source."""
         self._reported = {}
--- a/packages/bilberry_spread/bilberry_spread/session.py
+++ b/packages/bilberry_spread/bilberry_spread/session.py
@@ -10,6 +10,7 @@
     EndpointKey,
     EndpointRequest,
     LeaseRenewal,
+    RolloutReportUpdate,
     SnapshotRequest,
     SuspectUpdate,
     VersionReport,
@@ -19,6 +20,7 @@
 from bilberry_spread.mesh_receiver import MeshReceiver
 from bilberry_spread.receiver import Receiver
 from bilberry_spread.reports import apply_report
+from bilberry_spread.rollout_reports import RolloutReports
 from bilberry_spread.runtime import Runtime
 
 
@@ -62,8 +64,10 @@
         directory: RelayDirectory,
         listener: SessionListener,
         runtime: Runtime,
+        rollout_reports: RolloutReports,
     ) -> None:
-        """Passes endpoints to `directory` and the rest to `listener`."""
+        """Passes endpoints to `directory`, and most to `listener`."""
+        self._rollout_reports = rollout_reports
         self.receiver = receiver
         self.versions: dict[str, int] = {}
         self.heard = runtime.clock.now()
@@ -114,10 +118,14 @@
     def _handle_suspects(self, update: SuspectUpdate) -> None:
         self._listener.receive_suspects(update.suspects, is_local=True)
 
+    def _handle_rollout_report(self, update: RolloutReportUpdate) -> None:
+        self._rollout_reports.add(update.report)
+
     _handlers: dict[type, Callable[..., None]] = {
         Attach: _handle_attach,
         EndpointAnnouncement: _handle_announcement,
         LeaseRenewal: _handle_renewal,
+        RolloutReportUpdate: _handle_rollout_report,
         VersionReport: _handle_version_report,
         EndpointRequest: _handle_endpoint_request,
         SnapshotRequest: _handle_snapshot_request,
--- a/packages/bilberry_spread/bilberry_spread/source_streams.py
+++ b/packages/bilberry_spread/bilberry_spread/source_streams.py
@@ -9,6 +9,7 @@
     ConfigurationDelta,
     ConfigurationSnapshot,
     EpochUpdate,
+    RolloutUpdate,
     Subscribe,
     VersionReport,
 )
@@ -145,6 +146,8 @@
             self._receive_configuration(source, received)
         elif isinstance(received, EpochUpdate):
             self._reception.receive_epoch(received.epoch)
+        elif isinstance(received, RolloutUpdate):
+            self._reception.receive_rollouts(received.table)
         else:
             self._listener.receive_from(source, received)
 
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -15,6 +15,7 @@
     EndpointRequest,
     EndpointUpdate,
     LeaseRenewal,
+    RolloutReportUpdate,
     SuspectUpdate,
     VersionReport,
 )
@@ -105,6 +106,9 @@
         )
         board.snapshot.watch(lambda _snapshot: self._send_running_version())
         board.suspects.watch(lambda _suspects: self._send_suspects())
+        board.rollout_evidence.watch(
+            lambda report: self._send(RolloutReportUpdate(report)),
+        )
         if self._settings.discovers_relays:
             board.claim_epoch.watch(self._update_members)
 
--- a/packages/bilberryctl/bilberryctl/answers.py
+++ b/packages/bilberryctl/bilberryctl/answers.py
@@ -20,6 +20,28 @@
     resent: bool
 
 
+class RouteAnswer(TypedDict):
+    """The responses of both versions on one route of a roll-out."""
+
+    route: str
+    answers: int
+    bad: int
+    old_answers: int
+    old_bad: int
+
+
+class RolloutAnswer(TypedDict):
+    """The newest roll-out of a service."""
+
+    service: str
+    version: str
+    state: str
+    share: float
+    upstreams: int
+    reason: str
+    routes: list[RouteAnswer]
+
+
 class VersionLine(TypedDict):
     """The metadata of an accepted version, without its content."""
 
--- a/packages/bilberryctl/bilberryctl/commands.py
+++ b/packages/bilberryctl/bilberryctl/commands.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from bilberryctl import change, local_file, view
+from bilberryctl import change, local_file, rollout, view
 from bilberryctl.change import (
     ChangeOptions,
     generate_change_id,
@@ -44,8 +44,8 @@
     Common options, before or after the command:
     --server HOST:PORT[,HOST:PORT...] operators' address of a daemon; further
     servers are tried in turn if one can't respond (default 127.0.0.1:7003);
-    --token-file FILE the operators' bearer token, for apply, rollback and
-    remove-replica;
+    --token-file FILE the operators' bearer token, for apply, rollback,
+    remove-replica and roll-outs;
     --output text|json (default text);
     --timeout TIME maximum wait for a response, such as 10s (default 10s);
     --version alone shows the version.
@@ -70,7 +70,7 @@
             server: Operators' address of a daemon, host:port. Several,
                 separated by commas, are tried in turn.
             token_file: File with the operators' bearer token. Required for
-                apply, rollback and remove-replica.
+                apply, rollback, remove-replica and roll-outs.
             output: text or json.
             timeout: Maximum wait for a response of any server, such as 10s.
         """
@@ -216,6 +216,43 @@
             lambda session: change.remove_replica(session, instance),
         )
 
+    def rollout_start(
+        self, service: str, version: str, *, duration: str
+    ) -> Invocation:
+        """Moves a service to upstreams of another version.
+
+        Args:
+            service: The service, as the configuration declares it.
+            version: Version of the upstreams that take over.
+            duration: Time within which it is to be completed, such as 10m.
+        """
+        duration_s = parse_timeout(duration, '--duration')
+        return self._invoke(
+            lambda session: rollout.start_rollout(
+                session, service, str(version), duration_s
+            ),
+        )
+
+    def rollout_show(self, service: str) -> Invocation:
+        """Shows the newest roll-out of a service and the evidence on it.
+
+        Args:
+            service: The service.
+        """
+        return self._invoke(
+            lambda session: rollout.show_rollout(session, service),
+        )
+
+    def rollout_cancel(self, service: str) -> Invocation:
+        """Rolls the open roll-out of a service back.
+
+        Args:
+            service: The service.
+        """
+        return self._invoke(
+            lambda session: rollout.cancel_rollout(session, service),
+        )
+
     def _invoke(self, action: Action) -> Invocation:
         return Invocation(self._options, action)
 
--- a/packages/bilberryd/bilberryd/assembly.py
+++ b/packages/bilberryd/bilberryd/assembly.py
@@ -12,11 +12,15 @@
 from bilberry_core.configuration_file import validate_content
 from bilberry_core.disk import Disk, SystemDisk
 from bilberry_core.settings import Role, Settings
-from bilberry_operators.controller import OperatorsController
+from bilberry_operators.controller import (
+    OperatorsController,
+    OperatorsDependencies,
+)
 from bilberry_proxy.announcement import AnnouncementController
 from bilberry_proxy.context import ProxyOptions
 from bilberry_proxy.controller import ProxyController
 from bilberry_replica.controller import ReplicaController, ReplicaOptions
+from bilberry_rollouts.controller import RolloutController
 from bilberry_spread.compiler import SnapshotController
 from bilberry_spread.relay import RelayController
 from bilberry_spread.subscriber import SubscriberController
@@ -90,6 +94,14 @@
         ReplicaOptions(validate=validate_content),
     )
     parts.controllers.append(parts.acceptor)
+    parts.rollouts = RolloutController.from_settings(
+        settings,
+        parts.board,
+        parts.acceptor.rollouts,
+        parts.clock,
+        parts.metrics,
+    )
+    parts.controllers.append(parts.rollouts)
     if settings.keeps_claims:
         _add_holder(parts, parts.acceptor, disk)
 
@@ -167,12 +179,16 @@
 
 def _add_operators(parts: DaemonParts) -> None:
     parts.controllers.append(
-        OperatorsController.from_settings(
+        OperatorsController(
             parts.settings,
             parts.board,
-            parts.acceptor,
+            OperatorsDependencies(
+                acceptor=parts.acceptor,
+                membership=parts.acceptor,
+                exclusions=parts.proxy,
+                rollouts=parts.acceptor.rollouts if parts.acceptor else None,
+                evidence=parts.rollouts,
+            ),
             parts.clock,
-            membership=parts.acceptor,
-            exclusions=parts.proxy,
         ),
     )
--- a/packages/bilberryd/bilberryd/parts.py
+++ b/packages/bilberryd/bilberryd/parts.py
@@ -12,6 +12,7 @@
 from bilberry_proxy.announcement import AnnouncementController
 from bilberry_proxy.controller import ProxyController
 from bilberry_replica.controller import ReplicaController
+from bilberry_rollouts.controller import RolloutController
 from bilberry_spread.runtime import Runtime, open_runtime
 
 from bilberryd.board_metrics import BoardMetrics
@@ -21,9 +22,9 @@
 class DaemonParts:
     """The components of a daemon that is being built.
 
-    `controllers` are in the order in which they start. `acceptor` is None
-    without the role replica; `announcements` and `proxy` are None without the
-    role proxy.
+    `controllers` are in the order in which they start. `acceptor` and
+    `rollouts` are None without the role replica; `announcements` and `proxy`
+    are None without the role proxy.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -52,6 +53,7 @@
                 ),
             )
         self.acceptor: ReplicaController | None = None
+        self.rollouts: RolloutController | None = None
         self.announcements: AnnouncementController | None = None
         self.proxy: ProxyController | None = None
 
