Identify callers by the keys of organisations

Cause: keys were passed on to upstreams, unknown and revoked ones were served, and no upstream learned whose request it ran.

Change: the configuration lists organisations with digests of keys, a priority and a quota; a proxy takes the key off, sets the name, and refuses unknown keys with 401. Without organisations nothing changes.

--- a/packages/bilberry_core/bilberry_core/configuration.py
+++ b/packages/bilberry_core/bilberry_core/configuration.py
@@ -11,6 +11,7 @@
 from msgspec import ValidationError, convert
 
 from bilberry_core.error import ConfigurationError
+from bilberry_core.organisation import Organisation
 from bilberry_core.policy import CallPolicy, PolicyChange
 
 #: Length of a content digest, in bytes.
@@ -68,6 +69,7 @@
     services: tuple[Service, ...] = ()
     exceptions: tuple[RouteException, ...] = ()
     routes: tuple[RoutingRule, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
 
 
 class AcceptedVersion(NamedTuple):
@@ -84,8 +86,13 @@
 
 
 def encode_configuration(configuration: Configuration) -> bytes:
-    """Returns the canonical encoding of a configuration."""
-    return packb(configuration)
+    """Returns the canonical encoding of a configuration.
+
+    Without organisations it is what releases that know none encode.
+    """
+    if configuration.organisations:
+        return packb(configuration)
+    return packb(configuration[:-1])
 
 
 def decode_configuration(encoded: bytes) -> Configuration:
--- a/packages/bilberry_core/bilberry_core/configuration_document.py
+++ b/packages/bilberry_core/bilberry_core/configuration_document.py
@@ -7,6 +7,7 @@
     RouteException,
     RoutingRule,
 )
+from bilberry_core.organisation import Organisation
 from bilberry_core.policy import CallPolicy, PolicyChange
 from bilberry_core.scalar import render_duration
 
@@ -28,6 +29,7 @@
         'routes': {
             rule.name: _render_rule(rule) for rule in configuration.routes
         },
+        **_render_organisations(configuration),
     }
 
 
@@ -42,6 +44,28 @@
         'claim_retention': _render_s(policy.claim_retention_s),
         'idempotent': policy.idempotent,
         'target_latency': _render_ms(policy.target_latency_ms or None),
+        'anonymous': _render_anonymous(policy),
+    }
+    return {key: shown for key, shown in rendered.items() if shown is not None}
+
+
+def _render_organisations(configuration: Configuration) -> dict[str, Any]:
+    if not configuration.organisations:
+        return {}
+    return {
+        'organisations': {
+            organisation.name: _render_organisation(organisation)
+            for organisation in configuration.organisations
+        },
+    }
+
+
+def _render_organisation(organisation: Organisation) -> dict[str, Any]:
+    rendered = {
+        'key_digests': list(organisation.key_digests),
+        'priority': _render_name(organisation.priority),
+        'rate': organisation.rate,
+        'burst': organisation.burst,
     }
     return {key: shown for key, shown in rendered.items() if shown is not None}
 
@@ -65,6 +89,12 @@
     }
 
 
+def _render_anonymous(policy: CallPolicy | PolicyChange) -> bool | None:
+    if isinstance(policy, CallPolicy):
+        return policy.anonymous or None
+    return policy.anonymous
+
+
 def _render_ms(duration_ms: int | None) -> str | None:
     return None if duration_ms is None else render_duration(duration_ms)
 
--- a/packages/bilberry_core/bilberry_core/configuration_file.py
+++ b/packages/bilberry_core/bilberry_core/configuration_file.py
@@ -26,12 +26,15 @@
     render_document,
 )
 from bilberry_core.error import ConfigurationError
+from bilberry_core.organisation import Organisation
+from bilberry_core.organisation_rules import check_organisations
 from bilberry_core.policy import CallPolicy, LoadPolicy, PolicyChange, Priority
 from bilberry_core.problem import Problem, Report, shorten
 from bilberry_core.route_rules import check_routes
 from bilberry_core.scalar import (
     parse_boolean,
     parse_choice,
+    parse_digest,
     parse_duration,
     parse_host,
     parse_integer,
@@ -40,6 +43,7 @@
     parse_name,
     parse_path_prefix,
     parse_percent,
+    parse_rate,
 )
 from bilberry_core.schema import (
     ListOf,
@@ -57,6 +61,7 @@
 _MAX_RETENTION_MS = 720 * _MS_PER_HOUR
 _MAX_RETRIES = 10
 _MAX_WEIGHT = 1_000_000
+_MAX_BURST = 1_000_000
 
 _NAME = Scalar(parse_name)
 _METHODS = ListOf(Scalar(parse_method))
@@ -77,7 +82,17 @@
         'target_latency_ms',
         Scalar(parse_duration(1, _MS_PER_HOUR)),
     ),
+    'anonymous': Option('anonymous', Scalar(parse_boolean)),
 }
+_ORGANISATION = Section(
+    dict,
+    {
+        'key_digests': Option('key_digests', ListOf(Scalar(parse_digest))),
+        'priority': Option('priority', Scalar(parse_choice(Priority))),
+        'rate': Option('rate', Scalar(parse_rate)),
+        'burst': Option('burst', Scalar(parse_integer(0, _MAX_BURST))),
+    },
+)
 
 #: The keys that a configuration may contain.
 CONFIGURATION = Section(
@@ -121,6 +136,7 @@
                 ),
             ),
         ),
+        'organisations': Option('organisations', MapOf(_NAME, _ORGANISATION)),
         'routes': Option(
             'routes',
             MapOf(
@@ -200,6 +216,7 @@
     _check_host_owners(services, report)
     _check_declared_services(document, services, report)
     check_routes(fields, services, report)
+    check_organisations(fields, report)
     _check_empty_changes(document, report)
     if report.count:
         return Failure(report.problems)
@@ -225,9 +242,18 @@
             _build_rule(name, rule)
             for name, rule in fields.get('routes', {}).items()
         ),
+        organisations=tuple(
+            _build_organisation(name, organisation)
+            for name, organisation in fields.get('organisations', {}).items()
+        ),
     )
 
 
+def _build_organisation(name: str, fields: dict[str, Any]) -> Organisation:
+    digests = tuple(sorted(fields.pop('key_digests', ())))
+    return Organisation(name, digests, **fields)
+
+
 def _build_rule(name: str, rule: dict[str, Any]) -> RoutingRule:
     targets = tuple(
         Target(service, weight) for service, weight in rule['targets'].items()
--- a/packages/bilberry_core/bilberry_core/messages/spread.py
+++ b/packages/bilberry_core/bilberry_core/messages/spread.py
@@ -13,6 +13,7 @@
 )
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.registry import message
+from bilberry_core.organisation import Organisation
 from bilberry_core.policy import CallPolicy
 from bilberry_core.rollout import RolloutReport, RolloutTable
 
@@ -77,6 +78,8 @@
     exceptions_removed: tuple[str, ...] = ()
     routes: tuple[RoutingRule, ...] = ()
     routes_removed: tuple[str, ...] = ()
+    organisations: tuple[Organisation, ...] = ()
+    organisations_removed: tuple[str, ...] = ()
 
 
 @message(34)
--- a/packages/bilberry_core/bilberry_core/policy.py
+++ b/packages/bilberry_core/bilberry_core/policy.py
@@ -51,6 +51,9 @@
     `target_latency_ms`
         Time within which a response is of full use to its caller, in
         milliseconds; 0 for no target (default: 0).
+    `anonymous`
+        Whether requests need no key of an organisation, in a configuration
+        that has organisations (default: False).
     """
 
     timeout_ms: int = 5000
@@ -69,6 +72,7 @@
     claim_retention_s: int = 86400
     idempotent: bool | None = None
     target_latency_ms: int = 0
+    anonymous: bool = False
 
     def may_repeat(self, method: str) -> bool:
         """Returns whether a request of this method may run again."""
@@ -89,6 +93,7 @@
     claim_retention_s: int | None = None
     idempotent: bool | None = None
     target_latency_ms: int | None = None
+    anonymous: bool | None = None
 
     def apply(self, policy: CallPolicy) -> CallPolicy:
         """Returns `policy` with the changed options replaced."""
--- a/packages/bilberry_core/bilberry_core/scalar.py
+++ b/packages/bilberry_core/bilberry_core/scalar.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from bilberry_core.endpoint import Address
+from bilberry_core.organisation import KEY_DIGEST_BYTES
 from bilberry_core.problem import shorten
 from bilberry_core.unit import parse_duration_ms
 
@@ -21,6 +22,8 @@
 MAX_PORT = 65535
 #: Longest line of free text, in characters.
 MAX_LINE_LENGTH = 500
+#: Highest rate, in requests a second.
+MAX_RATE = 1_000_000_000
 _MAX_HOST_LENGTH = 253
 _NAME = compile_pattern(r'[a-z0-9]([a-z0-9_.-]{0,61}[a-z0-9])?')
 _HOST = compile_pattern(
@@ -30,6 +33,7 @@
 _METHOD = compile_pattern("[A-Z][A-Z0-9!#$%&'*+.^_`|~-]{0,31}")
 _PATH_PREFIX = compile_pattern(r'(/[!-~]{0,499})?')
 _PERCENT = compile_pattern('([0-9]{1,3})%')
+_DIGEST = compile_pattern(f'[0-9a-f]{{{2 * KEY_DIGEST_BYTES}}}')
 _PORT = compile_pattern('[0-9]{1,5}')
 _MAX_PERCENT = 100
 
@@ -71,6 +75,23 @@
     return percent
 
 
+def parse_digest(found: object) -> Result[str, str]:
+    """Returns the digest of a key."""
+    digits = 2 * KEY_DIGEST_BYTES
+    if isinstance(found, str) and _DIGEST.fullmatch(found):
+        return Success(found)
+    # The text is not shown: it may be the key itself.
+    return Failure(f'expected a digest of {digits} characters 0-9 a-f')
+
+
+def parse_rate(found: object) -> Result[float, str]:
+    """Returns a rate that is not negative."""
+    is_number = isinstance(found, int | float) and not isinstance(found, bool)
+    if is_number and 0 <= found <= MAX_RATE:
+        return Success(float(found))
+    return _fail(f'a number between 0 and {MAX_RATE}', found)
+
+
 def parse_line(found: object) -> Result[str, str]:
     """Returns a non-blank line without surrounding whitespace."""
     if not isinstance(found, str) or not found.strip():
--- a/packages/bilberry_core/bilberry_core/snapshot.py
+++ b/packages/bilberry_core/bilberry_core/snapshot.py
@@ -14,6 +14,7 @@
     RoutingRule,
 )
 from bilberry_core.endpoint import Endpoint
+from bilberry_core.organisation import Organisation
 from bilberry_core.policy import CallPolicy
 
 
@@ -30,6 +31,7 @@
 
     `services_by_host` maps every host name to a key of `routes`;
     `rules_by_host` maps a host to its routing rules, longest prefix first.
+    `organisations_by_key` maps the digests of keys to who holds them.
     """
 
     version: int
@@ -39,6 +41,7 @@
     services_by_host: dict[str, str]
     routes: dict[str, Route]
     rules_by_host: dict[str, tuple[RoutingRule, ...]] = {}
+    organisations_by_key: dict[str, Organisation] = {}
 
     def find_rule(self, host: str, path: str) -> RoutingRule | None:
         """Returns the routing rule of a request, if one matches."""
@@ -84,6 +87,11 @@
         services_by_host=_map_hosts(configuration),
         routes=routes,
         rules_by_host=_group_rules(configuration),
+        organisations_by_key={
+            digest: organisation
+            for organisation in configuration.organisations
+            for digest in organisation.key_digests
+        },
     )
 
 
--- a/packages/bilberry_core/bilberry_core/verdict.py
+++ b/packages/bilberry_core/bilberry_core/verdict.py
@@ -43,6 +43,8 @@
     NO_FREE_SLOT = 'no_free_slot'
     UPSTREAM_DECLINED = 'upstream_declined'
     ENDPOINT_SILENT = 'endpoint_silent'
+    UNAUTHORIZED = 'unauthorized'
+    QUOTA_EXCEEDED = 'quota_exceeded'
 
 
 class Failure(NamedTuple):
--- a/packages/bilberry_proxy/bilberry_proxy/dialect.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dialect.py
@@ -28,6 +28,8 @@
         The service beside the proxy that received the request.
     `expected_upstream`
         The identity of the upstream that may run the request.
+    `organisation`
+        The organisation of a request, for its upstream.
     `rate_limit`
         The number of requests a second that the upstream accepts.
     `leaving`
@@ -47,6 +49,7 @@
     signature: bytes = b''
     caller_service: bytes = b''
     expected_upstream: bytes = b''
+    organisation: bytes = b'bilberry-organisation'
     rate_limit: bytes = b'bilberry-rate-limit'
     leaving: bytes = b'bilberry-leaving'
     fractional_retry_after: bool = False
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -93,6 +93,7 @@
                 now,
                 context.claims is not None,
                 context.router.split.pick,
+                context.dialect,
                 is_call_of_running=context.running_requests.is_call_of_one(
                     self._outcome.request_id,
                 ),
--- a/packages/bilberry_proxy/bilberry_proxy/failure_answer.py
+++ b/packages/bilberry_proxy/bilberry_proxy/failure_answer.py
@@ -40,6 +40,8 @@
     FailureCode.CLAIM_TAKEN: 409,
     FailureCode.BAD_REQUEST: 400,
     FailureCode.TOO_LARGE: 413,
+    FailureCode.UNAUTHORIZED: 401,
+    FailureCode.QUOTA_EXCEEDED: 429,
 }
 _STATUS_UNKNOWN = 502
 _STATUS_UNAVAILABLE = 503
--- a/packages/bilberry_proxy/bilberry_proxy/http_headers.py
+++ b/packages/bilberry_proxy/bilberry_proxy/http_headers.py
@@ -9,6 +9,7 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+AUTHORIZATION = b'authorization'
 IDEMPOTENCY_KEY = b'idempotency-key'
 RETRIED = OWN_DIALECT.retried
 CODE = b'bilberry-code'
--- a/packages/bilberry_proxy/bilberry_proxy/plan.py
+++ b/packages/bilberry_proxy/bilberry_proxy/plan.py
@@ -8,6 +8,7 @@
 
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.configuration import RoutingRule
+from bilberry_core.organisation import Organisation
 from bilberry_core.policy import Priority
 from bilberry_core.snapshot import Decision, Snapshot, decide_policy
 from bilberry_core.verdict import Failure, FailureCode, Verdict
@@ -15,10 +16,15 @@
 from returns.result import Failure as Refused
 from returns.result import Result, Success
 
+from bilberry_proxy.caller_identity import (
+    IdentifiedRequest,
+    identify_caller,
+)
 from bilberry_proxy.caller_request import (
     CallerRequest,
     parse_caller_request,
 )
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 
 #: Time after which a caller may retry if the proxy has no configuration.
 NO_CONFIGURATION_RETRY_AFTER_MS = 500
@@ -31,7 +37,9 @@
     which a claimed request is abandoned; its caller may have stopped waiting
     before. `retries` is the number of attempts allowed after the first. If
     `claimed`, the request is claimed before it is dispatched. `priority` is
-    that of the policy, unless the request is a call made for another one.
+    that of the policy or of the organisation, unless the request is a call made
+    for another one. `organisation` is None without organisations, and for a
+    request that needs no key.
     """
 
     request: CallerRequest
@@ -43,6 +51,7 @@
     idempotent: bool
     claimed: bool
     priority: Priority
+    organisation: Organisation | None = None
 
     @property
     def route_key(self) -> tuple[str, str]:
@@ -55,12 +64,13 @@
         return self.decision.service
 
 
-def plan_request(
+def plan_request(  # noqa: WPS211 - what a plan is made of
     request: CallerRequest,
     snapshot: Snapshot | None,
     now: float,
     can_claim: bool,
     pick_target: Callable[[RoutingRule], str],
+    dialect: HttpDialect = OWN_DIALECT,
     *,
     is_call_of_running: bool = False,
 ) -> Result[Plan, Failure]:
@@ -88,12 +98,19 @@
         return Refused(
             Failure(Verdict.NOT_RUN, FailureCode.UNKNOWN_SERVICE, detail),
         )
-    return Success(
-        _build_plan(
-            request,
+    decision = _decide(request, snapshot, service, rule)
+    identified = identify_caller(
+        request,
+        snapshot,
+        decision.policy,
+        dialect,
+        needs_no_key=is_call_of_running,
+    )
+    return identified.map(
+        lambda caller: _build_plan(
+            caller,
             snapshot,
-            service,
-            rule,
+            decision,
             now,
             can_claim,
             is_call_of_running,
@@ -114,22 +131,35 @@
     return policy.may_repeat(request.method.decode('ascii'))
 
 
-def _build_plan(  # noqa: WPS211 - what a plan is made of
+def _decide(
     request: CallerRequest,
     snapshot: Snapshot,
     service: str,
     rule: RoutingRule | None,
+) -> Decision:
+    method = request.method.decode('ascii')
+    return decide_policy(snapshot, service, method, request.path, rule)
+
+
+def _build_plan(  # noqa: WPS211 - what a plan is made of
+    caller: IdentifiedRequest,
+    snapshot: Snapshot,
+    decision: Decision,
     now: float,
     can_claim: bool,
     is_call_of_running: bool,
 ) -> Plan:
-    method = request.method.decode('ascii')
-    decision = decide_policy(snapshot, service, method, request.path, rule)
+    request, organisation = caller
     policy = decision.policy
-    idempotent = policy.may_repeat(method)
+    idempotent = policy.may_repeat(request.method.decode('ascii'))
     timeout_ms = policy.timeout_ms
     if request.deadline_ms:
         timeout_ms = min(timeout_ms, request.deadline_ms)
+    priority = policy.priority
+    if is_call_of_running:
+        priority = Priority.URGENT
+    elif organisation is not None:
+        priority = organisation.priority or priority
     return Plan(
         request,
         snapshot,
@@ -139,5 +169,6 @@
         0 if request.retried else policy.retries,
         idempotent,
         can_claim and bool(request.key) and not idempotent,
-        Priority.URGENT if is_call_of_running else policy.priority,
+        priority,
+        organisation,
     )
--- a/packages/bilberry_spread/bilberry_spread/delta.py
+++ b/packages/bilberry_spread/bilberry_spread/delta.py
@@ -64,6 +64,10 @@
         exceptions_removed=_find_removed(old.exceptions, new.exceptions),
         routes=_find_changed(old.routes, new.routes),
         routes_removed=_find_removed(old.routes, new.routes),
+        organisations=_find_changed(old.organisations, new.organisations),
+        organisations_removed=_find_removed(
+            old.organisations, new.organisations
+        ),
     )
 
 
@@ -85,6 +89,11 @@
         _merge(old.services, delta.services, delta.services_removed),
         _merge(old.exceptions, delta.exceptions, delta.exceptions_removed),
         _merge(old.routes, delta.routes, delta.routes_removed),
+        _merge(
+            old.organisations,
+            delta.organisations,
+            delta.organisations_removed,
+        ),
     )
     return _check(delta, configuration)
 
--- a/packages/bilberryctl/bilberryctl/commands.py
+++ b/packages/bilberryctl/bilberryctl/commands.py
@@ -194,6 +194,14 @@
             ),
         )
 
+    def key_digest(self, file: str) -> Invocation:
+        """Shows the digest of an organisation's key, for a configuration.
+
+        Args:
+            file: File with the key on one line.
+        """
+        return self._invoke(lambda _: local_file.show_key_digest(file))
+
     def follow(self, request: str, *files: str) -> Invocation:
         """Shows the log lines of one request, from several processes.
 
--- a/packages/bilberryctl/bilberryctl/local_file.py
+++ b/packages/bilberryctl/bilberryctl/local_file.py
@@ -6,6 +6,7 @@
 from bilberry_core.configuration import Configuration
 from bilberry_core.configuration_file import parse_configuration
 from bilberry_core.document import MAX_DOCUMENT_BYTES
+from bilberry_core.organisation import compute_key_digest
 from bilberry_core.text_file import read_text_file
 from returns.result import Failure
 
@@ -51,3 +52,17 @@
         {'file': path, 'services': services, 'exceptions': exceptions},
         f'{path}: valid, {services} services, {exceptions} exceptions',
     )
+
+
+async def show_key_digest(path: str) -> Outcome:
+    """Shows the digest of the key in a file, never the key."""
+    found = read_text_file(Path(path), MAX_DOCUMENT_BYTES)
+    if isinstance(found, Failure):
+        detail = f'{path}: {found.failure()}'
+        return fail(ExitCode.REFUSED, 'unreadable_file', detail)
+    key = found.unwrap().strip()
+    if not key or not key.isprintable() or ' ' in key:
+        detail = f'{path}: expected one key on one line'
+        return fail(ExitCode.REFUSED, 'invalid_key', detail)
+    digest = compute_key_digest(key.encode())
+    return succeed({'key_digest': digest}, digest)
