--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -121,9 +121,10 @@
     reasons: list[str] = []
     remaining = _skip_tried(ready, tried, reasons)
     remaining = _skip_full_domain(remaining, context, reasons)
-    remaining = _skip_ejected(remaining, now, reasons)
-    remaining = _skip_shedding(remaining, now, reasons)
-    remaining = _skip_cold(remaining, context.wall_ms, random, reasons)
+    if not _are_all_sound(remaining, context):
+        remaining = _skip_ejected(remaining, now, reasons)
+        remaining = _skip_shedding(remaining, now, reasons)
+        remaining = _skip_cold(remaining, context.wall_ms, random, reasons)
     remaining = _prefer_near(remaining, context, reasons)
     chosen = balancer.pick(
         remaining,
@@ -179,6 +180,25 @@
     return remaining or candidates
 
 
+def _are_all_sound(
+    candidates: Sequence[Candidate],
+    context: SelectionContext,
+) -> bool:
+    """Returns whether no candidate is ejected, sheds load or is cold.
+
+    This is the usual case, and cheaper to see than by the steps that skip them.
+    """
+    warm_ms = context.wall_ms - SLOW_START_MS
+    for endpoint, load in candidates:
+        if load.ejections or load.ejected_until > context.now:
+            return False
+        if load.shed_until > context.now:
+            return False
+        if endpoint.since_ms > warm_ms:
+            return False
+    return True
+
+
 def _skip_ejected(
     candidates: Sequence[Candidate],
     now: float,
@@ -246,6 +266,10 @@
     context: SelectionContext,
     reasons: list[str],
 ) -> Sequence[Candidate]:
+    near = _find_fast_near(candidates, context)
+    if near:
+        reasons.append('near')
+        return near
     now = context.now
     free = [
         candidate for candidate in candidates if not is_busy(candidate, now)
@@ -265,6 +289,23 @@
     return _prefer_near_among_busy(candidates, context, reasons)
 
 
+def _find_fast_near(
+    candidates: Sequence[Candidate],
+    context: SelectionContext,
+) -> list[Candidate]:
+    """Returns the near endpoints if all of them are within the target.
+
+    Then it doesn't matter which endpoints are free, which costs most to know.
+    """
+    target_us = context.target_us
+    if not target_us:
+        return []
+    near = _keep_near(candidates, context, lambda _candidate: True)
+    if any(candidate.load.service_us > target_us for candidate in near):
+        return []
+    return near
+
+
 def _prefer_near_among_busy(
     candidates: Sequence[Candidate],
     context: SelectionContext,
