Complete a good version although one of its upstreams is ill

Cause: the version was judged by all responses together, and convicted or held open where two upstreams had sent any bad one.

Change: each new upstream has a sequential test; one that stands alone against the version is taken for ill, and the others decide.

--- a/packages/bilberry_rollouts/bilberry_rollouts/judgement.py
+++ b/packages/bilberry_rollouts/bilberry_rollouts/judgement.py
@@ -30,10 +30,8 @@
 #: Responses at the least share of bad ones that are assumed of the old version
 #: before any is seen.
 _PRIOR_ANSWERS = 20
-#: Bad responses without which no version is convicted, and upstreams that must
-#: have sent some, where that many answer: one of them may be ill itself.
+#: Bad responses without which no version is convicted.
 MIN_BAD = 3
-MIN_BAD_UPSTREAMS = 2
 #: Responses of a route from which its own test counts beside that of all.
 MIN_ROUTE_ANSWERS = 20
 #: Time constant with which older responses of the old version lose weight, in
@@ -44,6 +42,8 @@
 _PASSED = log(MISSED_FAULT / (1 - FALSE_ALARM))
 #: A route with a higher alarm is not clear yet.
 _SUSPICION = _ALARM * 0.7
+#: An upstream with a higher alarm shares in what speaks against its version.
+_SHARED = _SUSPICION
 
 
 class Verdict(StrEnum):
@@ -113,8 +113,7 @@
         self._version = version
         self._routes: dict[str, RouteCounts] = {}
         self._whole = RouteCounts()
-        self._upstreams: set[str] = set()
-        self._bad_upstreams: set[str] = set()
+        self._upstreams: dict[str, RouteCounts] = {}
         self._faded_at = now
 
     @property
@@ -132,9 +131,7 @@
         """What the evidence says so far."""
         tests = (self._whole, *self._routes.values())
         if any(test.alarm >= _ALARM and test.bad >= MIN_BAD for test in tests):
-            needed = min(len(self._upstreams), MIN_BAD_UPSTREAMS)
-            is_shared = len(self._bad_upstreams) >= needed
-            return Verdict.BAD if is_shared else Verdict.OPEN
+            return self._judge_alarm()
         if self._whole.passed > _PASSED:
             return Verdict.OPEN
         is_clear = all(
@@ -155,19 +152,43 @@
         for seen in ordered:
             known = self._routes.get(seen.route, RouteCounts())
             self._routes[seen.route] = self._count(known, seen)
+            self._count_upstream(seen)
             self._whole = self._count(self._whole, seen)
 
+    def _judge_alarm(self) -> Verdict:
+        """Returns whether an alarm is about the version or one ill upstream.
+
+        The others must have passed without it to acquit the version.
+        """
+        ranked = sorted(
+            self._upstreams.values(),
+            key=lambda test: test.alarm,
+            reverse=True,
+        )
+        is_shared = len(ranked) == 1 or ranked[1].alarm >= _SHARED
+        if is_shared:
+            return Verdict.BAD
+        others = sum(test.passed for test in ranked[1:])
+        return Verdict.GOOD if others <= _PASSED else Verdict.OPEN
+
     def _is_new(self, seen: RouteEvidence) -> bool:
         return seen.version == self._version
 
     def _count(self, known: RouteCounts, seen: RouteEvidence) -> RouteCounts:
         if self._is_new(seen):
-            self._upstreams.add(seen.upstream)
-            if seen.bad:
-                self._bad_upstreams.add(seen.upstream)
             return known.add_new(seen.answers, seen.bad)
         return known.add_old(seen.answers, seen.bad)
 
+    def _count_upstream(self, seen: RouteEvidence) -> None:
+        if not self._is_new(seen):
+            return
+        known = self._upstreams.get(seen.upstream, RouteCounts())
+        known = known._replace(
+            old_answers=self._whole.old_answers,
+            old_bad=self._whole.old_bad,
+        )
+        self._upstreams[seen.upstream] = self._count(known, seen)
+
     def _fade(self, now: float) -> None:
         kept = max(0, 1 - (now - self._faded_at) / MEMORY_S)
         self._faded_at = now
--- a/tests/bilberry_rollouts/played_rollout.py
+++ b/tests/bilberry_rollouts/played_rollout.py
@@ -38,6 +38,7 @@
     route: str
     at_s: float
     load: float
+    upstream: int = 0
 
 
 class RolloutLoad(NamedTuple):
@@ -146,18 +147,20 @@
         is_ready = self.now >= load.new_at_s
         share = rollout.share_ppm / WHOLE_PPM
         is_new = is_ready and self._random.random() < share
+        used = rollout.upstreams or load.upstreams
+        upstream = self._random.randrange(used)
         bad_share = load.old_bad
         if is_new:
-            used = rollout.upstreams or load.upstreams
             each = share * load.upstreams / used
-            bad_share = load.new_bad(PlayedResponse(route, self.now, each))
+            bad_share = load.new_bad(
+                PlayedResponse(route, self.now, each, upstream)
+            )
         is_bad = self._random.random() < bad_share
         self._count(is_new, is_bad)
         version = NEW if is_new else OLD
-        upstream = str(
-            self._random.randrange(rollout.upstreams or load.upstreams)
+        return RouteEvidence(
+            SERVICE, route, version, 1, int(is_bad), str(upstream)
         )
-        return RouteEvidence(SERVICE, route, version, 1, int(is_bad), upstream)
 
     def _count(self, is_new: bool, is_bad: bool) -> None:
         if self.now <= self._load.duration_s:
--- a/tests/bilberry_rollouts/test_rollout_load.py
+++ b/tests/bilberry_rollouts/test_rollout_load.py
@@ -43,6 +43,11 @@
     return 0.7 if response.route == 'call' else 0.02
 
 
+def fail_at_one_upstream(response: PlayedResponse) -> float:
+    """A good version, one upstream of which is ill."""
+    return 0.6 if response.upstream == 1 else 0.02
+
+
 BAD_KINDS = (fail_at_once, fail_later, fail_under_load, fail_on_one_route)
 
 
@@ -95,6 +100,15 @@
         """With a tenth of bad responses everywhere at most one of twenty."""
         self.assertLessEqual(self.count_failed(0.1), 50 * 0.05)
 
+    def test_good_version_with_one_ill_upstream_is_completed(self):
+        """Its other upstreams speak for it, in nine of ten plays at least."""
+        failed = sum(
+            play_rollout(RolloutLoad(fail_at_one_upstream), seed).state
+            is not RolloutState.COMPLETED
+            for seed in SEEDS
+        )
+        self.assertLessEqual(failed, len(SEEDS) * 0.1)
+
     def test_good_version_that_finishes_slowly_is_completed_late(self):
         """No request of the old version is cut for the deadline."""
         load = RolloutLoad(fail_never, idle_s=6)
