Call a response slow only where the usual time is known

Change: the mean of ten responses at least, with equal weights at first. The log line of a step names the verdict and the counts that it goes by.

--- a/packages/bilberry_proxy/bilberry_proxy/rollout_evidence.py
+++ b/packages/bilberry_proxy/bilberry_proxy/rollout_evidence.py
@@ -1,6 +1,7 @@
 """Counts what responses of open roll-outs show, for the leader's judgement."""
 
 from collections import Counter
+from typing import NamedTuple
 
 from bilberry_core.board import Board
 from bilberry_core.clock import Clock
@@ -14,7 +15,6 @@
 )
 
 from bilberry_proxy.endpoint_load import SLOW_START_MS
-from bilberry_proxy.service_time import ServiceTimes
 
 #: Service, route, version and instance of responses.
 _Key = tuple[str, str, str, str]
@@ -25,6 +25,29 @@
 #: Interval between reports, in seconds.
 REPORT_INTERVAL_S = 0.2
 _FIRST_FAILURE_STATUS = 500
+#: Responses from which the usual time of a route is known, and the least weight
+#: of the newest one.
+MIN_USUAL = 10
+_USUAL_WEIGHT = 0.05
+
+
+class UsualTime(NamedTuple):
+    """The mean time of a route at the old version, in seconds."""
+
+    mean_s: float = 0
+    count: int = 0
+
+    def add(self, served_s: float) -> 'UsualTime':
+        """Adds a response; the first ones have equal weights."""
+        count = self.count + 1
+        weight = max(1 / count, _USUAL_WEIGHT)
+        return UsualTime(self.mean_s + (served_s - self.mean_s) * weight, count)
+
+    def is_exceeded(self, served_s: float) -> bool:
+        """Returns whether a response took several times as long."""
+        if self.count < MIN_USUAL:
+            return False
+        return served_s > self.mean_s * SLOW_FACTOR
 
 
 class RolloutEvidence:
@@ -35,7 +58,7 @@
         self._clock = clock
         self._answers: Counter[_Key] = Counter()
         self._bad: Counter[_Key] = Counter()
-        self._usual = ServiceTimes()
+        self._usual: dict[tuple[str, str], UsualTime] = {}
         self._next_report: float = 0
 
     def record_answer(
@@ -54,12 +77,10 @@
         if rollout is None:
             return
         age_ms = self._clock.wall_ms() - endpoint.since_ms
-        usual_s = self._usual.estimate_s((endpoint.service, route))
-        is_slow = (
-            age_ms >= SLOW_START_MS and 0 < usual_s * SLOW_FACTOR < served_s
-        )
+        usual = self._usual.get((endpoint.service, route), UsualTime())
+        is_slow = age_ms >= SLOW_START_MS and usual.is_exceeded(served_s)
         if endpoint.version != rollout.version:
-            self._usual.update((endpoint.service, route), served_s, 0)
+            self._usual[endpoint.service, route] = usual.add(served_s)
         is_bad = is_slow or status >= _FIRST_FAILURE_STATUS
         self._count(endpoint, route, is_bad)
 
--- a/packages/bilberry_rollouts/bilberry_rollouts/controller.py
+++ b/packages/bilberry_rollouts/bilberry_rollouts/controller.py
@@ -138,7 +138,8 @@
         )
 
     async def _advance(self, rollout: Rollout) -> None:
-        step = decide_step(self.build_view(rollout), self._settings)
+        view = self.build_view(rollout)
+        step = decide_step(view, self._settings)
         if step is None:
             return
         outcome = await self._acceptor.step_rollout(step, STEP_TIMEOUT_S)
@@ -152,6 +153,9 @@
                 'share': step.share_ppm / WHOLE_PPM,
                 'upstreams': step.upstreams,
                 'why': step.reason,
+                'verdict': view.verdict.value,
+                'answers': view.exposed,
+                'bad': self._ledgers[_get_key(rollout)].judgement.bad,
             },
         )
 
--- a/packages/bilberry_rollouts/bilberry_rollouts/judgement.py
+++ b/packages/bilberry_rollouts/bilberry_rollouts/judgement.py
@@ -126,6 +126,11 @@
         """Responses of the new version."""
         return self._whole.answers
 
+    @property
+    def bad(self) -> int:
+        """Bad responses of the new version."""
+        return self._whole.bad
+
     @property
     def verdict(self) -> Verdict:
         """What the evidence says so far."""
