Refuse requests when the last key was taken away

Cause, found by reading the diff: organisations whose last key was removed left an empty table of keys, which was taken for a configuration without organisations, so everybody was let in with whatever key or name they sent.

Change: the table is None only without organisations; a test that fails before.

--- a/packages/bilberry_core/bilberry_core/snapshot.py
+++ b/packages/bilberry_core/bilberry_core/snapshot.py
@@ -31,7 +31,8 @@
 
     `services_by_host` maps every host name to a key of `routes`;
     `rules_by_host` maps a host to its routing rules, longest prefix first.
-    `organisations_by_key` maps the digests of keys to who holds them.
+    `organisations_by_key` maps the digests of keys to who holds them; None in
+    a configuration without organisations.
     """
 
     version: int
@@ -41,7 +42,7 @@
     services_by_host: dict[str, str]
     routes: dict[str, Route]
     rules_by_host: dict[str, tuple[RoutingRule, ...]] = {}
-    organisations_by_key: dict[str, Organisation] = {}
+    organisations_by_key: dict[str, Organisation] | None = None
 
     def find_rule(self, host: str, path: str) -> RoutingRule | None:
         """Returns the routing rule of a request, if one matches."""
@@ -87,11 +88,7 @@
         services_by_host=_map_hosts(configuration),
         routes=routes,
         rules_by_host=_group_rules(configuration),
-        organisations_by_key={
-            digest: organisation
-            for organisation in configuration.organisations
-            for digest in organisation.key_digests
-        },
+        organisations_by_key=_map_keys(configuration),
     )
 
 
@@ -119,6 +116,16 @@
     return Decision(service, policy, '', '', route)
 
 
+def _map_keys(configuration: Configuration) -> dict[str, Organisation] | None:
+    if not configuration.organisations:
+        return None
+    return {
+        digest: organisation
+        for organisation in configuration.organisations
+        for digest in organisation.key_digests
+    }
+
+
 def _map_hosts(configuration: Configuration) -> dict[str, str]:
     services = configuration.services
     hosts = {service.name: service.name for service in services}
--- a/packages/bilberry_proxy/bilberry_proxy/caller_identity.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_identity.py
@@ -48,9 +48,10 @@
     `needs_no_key` tells that it is a call for a running request, which carries
     none.
     """
-    if not snapshot.organisations_by_key:
+    known = snapshot.organisations_by_key
+    if known is None:
         return Success(IdentifiedRequest(request))
-    organisation = _find_organisation(request.headers, snapshot)
+    organisation = _find_organisation(request.headers, known)
     if organisation is None and not (policy.anonymous or needs_no_key):
         return Refused(_UNAUTHORIZED)
     headers = tuple(
@@ -67,10 +68,10 @@
 
 
 def _find_organisation(
-    headers: Headers, snapshot: Snapshot
+    headers: Headers, known: dict[str, Organisation]
 ) -> Organisation | None:
     text = find_header(headers, AUTHORIZATION)
     if text[: len(_BEARER)].lower() != _BEARER:
         return None
     digest = compute_key_digest(text[len(_BEARER) :].strip())
-    return snapshot.organisations_by_key.get(digest)
+    return known.get(digest)
--- a/tests/bilberry_proxy/test_caller_identity.py
+++ b/tests/bilberry_proxy/test_caller_identity.py
@@ -116,6 +116,13 @@
         )
         self.assertIs(FailureCode.UNAUTHORIZED, refused.failure().code)
 
+    def test_last_removed_key_does_not_let_everybody_in(self):
+        """An organisation without keys is still an organisation."""
+        emptied = build_snapshot(ACME._replace(key_digests=()))
+        for headers in ((), (('authorization', b'Bearer ' + KEY),)):
+            refused = self.plan(*headers, snapshot=emptied)
+            self.assertIs(FailureCode.UNAUTHORIZED, refused.failure().code)
+
     def test_configuration_without_organisations_changes_nothing(self):
         """An upstream may check the keys itself."""
         text = b'Bearer ' + KEY
