Send long responses in smaller slices that wait less

Cause: on a link of 4.55 Mbit/s two slices of 8 KiB on their way, and a window that shrank only after 50 ms of wait, delayed every small message by 30 to 50 ms at each end; a call behind a request crosses four links. Turns and room went over every stream for each slice, and the shortest delay never aged.

--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -23,7 +23,7 @@
 
 from bilberry_proxy.call import CallTarget, OpenCall
 from bilberry_proxy.reply_queue import ReplyQueues
-from bilberry_proxy.reply_slices import SLICE_BYTES
+from bilberry_proxy.reply_slices import MAX_SLICE_BYTES
 
 
 class CallServer:
@@ -106,7 +106,7 @@
     ) -> None:
         self.calls: dict[int, OpenCall] = {}
         self.replies = replies.open(stream)
-        stream.limit_buffer(SLICE_BYTES)
+        stream.limit_buffer(MAX_SLICE_BYTES)
         stream.on_writable = self.replies.flush
         self._stream = stream
         self._target = target
--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -14,12 +14,7 @@
 from bilberry_core.messages.call import ReplyChunk, ReplyStart
 
 from bilberry_proxy.bulk_window import BulkWindow, Flight
-from bilberry_proxy.reply_slices import (
-    SLICE_BYTES,
-    ReplyMessage,
-    cut_chunk,
-    cut_start,
-)
+from bilberry_proxy.reply_slices import ReplyMessage, cut_slice
 
 
 class ReplyStream(Protocol):
@@ -44,36 +39,52 @@
         """`now` returns monotonic time, in seconds."""
         self.now = now
         self.window = BulkWindow()
-        #: All queues, in the order of their next turns.
-        self._queues: dict[ReplyQueue, None] = {}
+        #: The queues with unsent responses, in the order of their next turns.
+        self._waiting: dict[ReplyQueue, None] = {}
+        #: The queues with slices on their way.
+        self._flying: set[ReplyQueue] = set()
 
     def open(self, stream: ReplyStream) -> 'ReplyQueue':
         """Returns the queue of a new stream."""
-        queue = ReplyQueue(stream, self)
-        self._queues[queue] = None
-        return queue
+        return ReplyQueue(stream, self)
+
+    def add_waiting(self, queue: 'ReplyQueue') -> None:
+        """Gives turns to a queue that has an unsent response."""
+        self._waiting.setdefault(queue)
+        self.flush()
+
+    def update_flying(self, queue: 'ReplyQueue') -> None:
+        """Records whether a queue has slices on their way."""
+        if queue.flight:
+            self._flying.add(queue)
+        else:
+            self._flying.discard(queue)
 
     def close(self, queue: 'ReplyQueue') -> None:
         """Removes the queue of a stream that has ended."""
-        self._queues.pop(queue, None)
+        self._waiting.pop(queue, None)
+        self._flying.discard(queue)
         self.flush()
 
     def has_room(self) -> bool:
         """Whether another slice may be sent."""
         now = self.now()
-        sent = sum(queue.flight.measure(now) for queue in self._queues)
-        return sent < self.window.size
+        sent = sum(queue.flight.measure(now) for queue in self._flying)
+        return not sent or sent + self.window.slice_bytes <= self.window.size
 
     def flush(self) -> None:
         """Sends one slice of each queue in turn while there is room."""
-        is_sending = True
-        while is_sending:
-            is_sending = False
-            for queue in tuple(self._queues):
-                if queue.is_ready and self.has_room():
-                    is_sending = True
-                    queue.send_slice()
-                    self._queues[queue] = self._queues.pop(queue)
+        skipped = 0
+        while skipped < len(self._waiting) and self.has_room():
+            queue = next(iter(self._waiting))
+            self._waiting.pop(queue)
+            if queue.is_ready:
+                queue.send_slice(self.window.slice_bytes)
+                skipped = 0
+            else:
+                skipped += 1
+            if queue:
+                self._waiting[queue] = None
 
 
 class ReplyQueue:
@@ -98,31 +109,31 @@
 
     def start(self, reply: ReplyStart) -> None:
         """Sends a response that fits in a slice, and queues a longer one."""
-        if len(reply.body) <= SLICE_BYTES:
+        if len(reply.body) <= self._queues.window.slice_bytes:
             self._send(reply)
             if not reply.last:
                 self._record(reply)
             return
-        self._unsent[reply.call] = cut_start(reply)
-        self._queues.flush()
+        self._add(reply)
 
     def add(self, chunk: ReplyChunk) -> None:
         """Queues more of a response."""
-        unsent = self._unsent.setdefault(chunk.call, deque())
-        unsent.extend(cut_chunk(chunk))
-        self._queues.flush()
+        self._add(chunk)
 
     def acknowledge(self, call: int) -> None:
         """Records that the other daemon has received a slice."""
-        delay_s = self.flight.acknowledge(call, self._queues.now())
-        if delay_s is not None:
-            self._queues.window.adapt(delay_s, self.flight.shortest_s)
+        now = self._queues.now()
+        arrived = self.flight.acknowledge(call, now)
+        if arrived is not None:
+            self._queues.window.adapt(arrived, self.flight.shortest_s, now)
+            self._queues.update_flying(self)
             self._queues.flush()
 
     def cancel(self, call: int) -> None:
         """Drops the unsent part of a response."""
         self._unsent.pop(call, None)
         self.flight.cancel(call)
+        self._queues.update_flying(self)
 
     def close(self) -> None:
         """Drops everything, as the stream has ended."""
@@ -133,19 +144,26 @@
         """Sends what may be sent, as the stream is writable again."""
         self._queues.flush()
 
-    def send_slice(self) -> None:
-        """Sends one slice of the response whose turn it is."""
+    def send_slice(self, size: int) -> None:
+        """Sends `size` bytes of the response whose turn it is."""
         call, unsent = next(iter(self._unsent.items()))
         self._unsent.pop(call)
-        message = unsent.popleft()
+        message, rest = cut_slice(unsent.popleft(), size)
+        if rest is not None:
+            unsent.appendleft(rest)
         if unsent:
             self._unsent[call] = unsent
         self._record(message)
         self._send(message)
 
+    def _add(self, message: ReplyMessage) -> None:
+        self._unsent.setdefault(message.call, deque()).append(message)
+        self._queues.add_waiting(self)
+
     def _record(self, message: ReplyMessage) -> None:
         size = len(message.body)
         self.flight.send(message.call, size, self._queues.now())
+        self._queues.update_flying(self)
 
     def _send(self, message: ReplyMessage) -> None:
         if self._stream.is_open:
--- a/packages/bilberry_proxy/bilberry_proxy/reply_slices.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_slices.py
@@ -1,33 +1,24 @@
 """Cuts the bodies of long responses into slices."""
 
-from collections import deque
-
 from bilberry_core.messages.call import ReplyChunk, ReplyStart
 
-#: Longest part of a body that is sent as one message, in bytes.
-SLICE_BYTES = 8 << 10
+#: Smallest and largest part of a body that is sent as one message, in bytes.
+MIN_SLICE_BYTES = 2 << 10
+MAX_SLICE_BYTES = 8 << 10
 
 ReplyMessage = ReplyStart | ReplyChunk
 
 
-def cut_start(reply: ReplyStart) -> deque[ReplyMessage]:
-    """Returns the slices of a response that exceeds one."""
-    first = reply._replace(body=reply.body[:SLICE_BYTES], last=False)
-    rest = ReplyChunk(reply.call, reply.body[SLICE_BYTES:], reply.last)
-    return deque((first, *cut_chunk(rest)))
-
-
-def cut_chunk(chunk: ReplyChunk) -> list[ReplyChunk]:
-    """Returns the slices of a chunk; the last ends the response if it does.
+def cut_slice(
+    message: ReplyMessage,
+    size: int,
+) -> tuple[ReplyMessage, ReplyChunk | None]:
+    """Returns the first `size` bytes of a message, and the rest if any.
 
-    A chunk that fits in a slice is returned as it is.
+    The last slice ends the response if the message does.
     """
-    body = chunk.body
-    if len(body) <= SLICE_BYTES:
-        return [chunk]
-    slices = [
-        chunk._replace(body=body[start : start + SLICE_BYTES], last=False)
-        for start in range(0, len(body), SLICE_BYTES)
-    ]
-    slices[-1] = slices[-1]._replace(last=chunk.last)
-    return slices
+    body = message.body
+    if len(body) <= size:
+        return message, None
+    rest = ReplyChunk(message.call, body[size:], message.last)
+    return message._replace(body=body[:size], last=False), rest
