Send a request where a slot is free first

Cause: a request that found no free slot asked up to five upstreams one after the other, with all its bytes, and then queued at one of them; on upstreams of three slots others became idle meanwhile.

Change: a request that finds no free slot takes a place in the queues of up to five upstreams (SlotRequest, SlotOffer) and is sent to the first offer; the wait is estimated from the departures of the queue, and slots are offered early on slow ways (docs/design/slot-search.md).

--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -32,6 +32,10 @@
     waited_us: int = 0
 
 
+#: The load of an upstream that nothing is known of.
+NO_LOAD = Load(0, 0, 0, 0)
+
+
 @message(50)
 class CallStart(NamedTuple):
     """Starts a request; `last` is set if its body is complete.
@@ -155,3 +159,24 @@
     """A part of a response that is sent in several messages has arrived."""
 
     call: int
+
+
+@message(61)
+class SlotRequest(NamedTuple):
+    """Asks for a slot for a request that is sent once a slot is offered.
+
+    The reply is a `SlotOffer`, at once or later, or a `CallFailed`: at once if
+    no slot is expected within `max_wait_ms`, else after that time.
+    """
+
+    call: int
+    service: str
+    priority: Priority
+    max_wait_ms: int
+
+
+@message(62)
+class SlotOffer(NamedTuple):
+    """Keeps a slot for a short time, for the `CallStart` of this call."""
+
+    call: int
--- a/packages/bilberry_proxy/bilberry_proxy/admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admission.py
@@ -12,6 +12,7 @@
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.policy import Priority
 
+from bilberry_proxy.queue_departures import QueueDepartures
 from bilberry_proxy.rate_limiter import Pace
 
 QueuedCall = TypeVar('QueuedCall')
@@ -37,11 +38,15 @@
 
 
 class Ticket(NamedTuple, Generic[QueuedCall]):
-    """A queued call; `expires_at` is monotonic time, in seconds."""
+    """A queued call; `expires_at` is monotonic time, in seconds.
+
+    `is_reservation` tells that its request is sent once a slot was offered.
+    """
 
     call: QueuedCall
     priority: Priority
     expires_at: float
+    is_reservation: bool = False
 
 
 class Occupancy(NamedTuple):
@@ -91,6 +96,9 @@
         self._queues: dict[Priority, deque[Ticket[QueuedCall]]] = {
             priority: deque() for priority in _BY_RANK
         }
+        self._departures = {
+            priority: QueueDepartures() for priority in _BY_RANK
+        }
         self._admitted = 0
 
     def __len__(self) -> int:
@@ -102,9 +110,31 @@
         rank = _BY_RANK.index(priority) + 1
         return sum(len(self._queues[ahead]) for ahead in _BY_RANK[:rank])
 
-    def push(self, ticket: Ticket[QueuedCall]) -> None:
-        """Adds a call to the queue."""
-        self._queues[ticket.priority].append(ticket)
+    def estimate_wait_s(
+        self,
+        priority: Priority,
+        now: float,
+        occupancy: Occupancy,
+    ) -> float:
+        """Returns the expected wait of a new call, in seconds.
+
+        `now` is monotonic time, in seconds.
+        """
+        ahead = self.count_ahead(priority)
+        capacity = max(occupancy.capacity, 1)
+        wait_s = self._departures[priority].estimate_wait_s(
+            ahead,
+            now,
+            occupancy.latency_us / capacity / _US_PER_S,
+        )
+        return max(wait_s, occupancy.pace.estimate_wait_s(ahead))
+
+    def push(self, ticket: Ticket[QueuedCall], now: float) -> None:
+        """Adds a call to the queue; `now` is monotonic time, in seconds."""
+        queue = self._queues[ticket.priority]
+        departures = self._departures[ticket.priority]
+        departures.record_arrival(now, is_first=not queue)
+        queue.append(ticket)
 
     def evict_below(self, priority: Priority) -> Ticket[QueuedCall] | None:
         """Removes and returns the newest call of the lowest priority.
@@ -118,25 +148,32 @@
                 return self._queues[lower].pop()
         return None
 
-    def pop(self) -> Ticket[QueuedCall] | None:
-        """Removes and returns the next call for a free slot, or None."""
-        self._admitted += 1
-        if self._admitted % DEFERRABLE_SHARE == 0:
-            if self._queues[Priority.DEFERRABLE]:
-                return self._queues[Priority.DEFERRABLE].popleft()
-        for priority in _BY_RANK:
-            if self._queues[priority]:
-                return self._queues[priority].popleft()
-        return None
+    def peek(self) -> Ticket[QueuedCall] | None:
+        """Returns the next call for a free slot, or None."""
+        queue = self._find_next()
+        return queue[0] if queue else None
 
-    def remove(self, call: QueuedCall) -> bool:
-        """Removes one call; returns whether it was queued."""
-        for queue in self._queues.values():
+    def pop(self, now: float) -> Ticket[QueuedCall] | None:
+        """Removes and returns the next call for a free slot, or None.
+
+        `now` is monotonic time, in seconds.
+        """
+        queue = self._find_next()
+        self._admitted += 1
+        if queue is None:
+            return None
+        ticket = queue.popleft()
+        self._departures[ticket.priority].record_departure(now)
+        return ticket
+
+    def remove(self, call: QueuedCall, now: float) -> None:
+        """Removes one call; `now` is monotonic time, in seconds."""
+        for priority, queue in self._queues.items():
             for ticket in queue:
                 if ticket.call is call:
                     queue.remove(ticket)
-                    return True
-        return False
+                    self._departures[priority].record_departure(now)
+                    return
 
     def clear(self) -> list[Ticket[QueuedCall]]:
         """Removes and returns every call."""
@@ -162,6 +199,16 @@
             expired += late
         return expired
 
+    def _find_next(self) -> deque[Ticket[QueuedCall]] | None:
+        """Returns the queue whose turn it is."""
+        deferrable = self._queues[Priority.DEFERRABLE]
+        if deferrable and (self._admitted + 1) % DEFERRABLE_SHARE == 0:
+            return deferrable
+        for priority in _BY_RANK:
+            if self._queues[priority]:
+                return self._queues[priority]
+        return None
+
 
 def is_full(occupancy: Occupancy) -> bool:
     """Returns whether the queue accepts no further call."""
--- a/packages/bilberry_proxy/bilberry_proxy/attempt.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt.py
@@ -18,7 +18,7 @@
 from bilberry_core.upstream_notice import UpstreamNotice
 from bilberry_core.verdict import Failure
 
-from bilberry_proxy.call import CallTarget, OpenCall
+from bilberry_proxy.call import CallTarget, OpenCall, SlotReservation
 from bilberry_proxy.endpoint_load import EndpointLoad
 
 _US_PER_S = 1_000_000
@@ -102,6 +102,17 @@
         if not self.ended:
             self._call = call
 
+    def open_reserved(
+        self,
+        reservation: SlotReservation,
+        start: CallStart,
+    ) -> None:
+        """Opens the call in a slot that was offered."""
+        self._load.begin()
+        call = reservation.take(start, self)
+        if not self.ended:
+            self._call = call
+
     def send(self, body: bytes, last: bool) -> None:
         """Sends more of the request's body."""
         if self._call is not None:
--- a/packages/bilberry_proxy/bilberry_proxy/call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call.py
@@ -11,6 +11,7 @@
     CallStart,
     ReplyChunk,
     ReplyStart,
+    SlotRequest,
 )
 
 #: Bytes of one body that may be sent before credit is granted.
@@ -61,6 +62,26 @@
         """Ends the call; nothing more is received from it."""
 
 
+class SlotReceiver(Protocol):
+    """A receiver of the slot that was requested, or of the refusal."""
+
+    def offer_slot(self) -> None:
+        """Receives a slot, which is kept for a short time."""
+
+    def fail(self, failed: CallFailed) -> None:
+        """Receives the refusal; no slot follows."""
+
+
+class SlotReservation(Protocol):
+    """A requested slot, as seen by the requester."""
+
+    def take(self, start: CallStart, answers: AnswerReceiver) -> OpenCall:
+        """Sends the request to the slot that was offered."""
+
+    def cancel(self) -> None:
+        """Gives up the slot, or the wait for it; nothing more is received."""
+
+
 class CallTarget(Protocol):
     """A target that opens calls to the upstream beside one daemon."""
 
@@ -69,3 +90,13 @@
 
         The target assigns its own number to the call.
         """
+
+    def reserve(
+        self,
+        request: SlotRequest,
+        receiver: SlotReceiver,
+    ) -> SlotReservation:
+        """Requests a slot; a reply may reach `receiver` before this returns.
+
+        The target assigns its own number to the request.
+        """
--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -18,10 +18,13 @@
     ReplyChunk,
     ReplyStart,
     SliceReceived,
+    SlotOffer,
+    SlotRequest,
 )
 from bilberry_core.stream import Stream
 
-from bilberry_proxy.call import CallTarget, OpenCall
+from bilberry_proxy.call import CallTarget, OpenCall, SlotReservation
+from bilberry_proxy.message_handlers import MessageHandlers
 from bilberry_proxy.reply_queue import ReplyQueues
 from bilberry_proxy.reply_slices import MAX_SLICE_BYTES
 
@@ -76,7 +79,7 @@
             self._streams.discard(served)
             served.end()
 
-        stream.receiver = served.receive
+        stream.receiver = served.handlers.receive
         stream.on_close = end
         if self._is_leaving:
             served.send(GoAway())
@@ -105,31 +108,29 @@
         replies: ReplyQueues,
     ) -> None:
         self.calls: dict[int, OpenCall] = {}
+        self.reservations: dict[int, SlotReservation] = {}
         self.replies = replies.open(stream)
         stream.limit_buffer(MAX_SLICE_BYTES)
         stream.on_writable = self.replies.flush
         self._stream = stream
         self._target = target
-        self._handlers: dict[type, Callable[[Any], None]] = {
-            CallStart: self._start,
-            CallChunk: self._continue,
-            CallCancel: self._cancel,
-            CallProbe: self._probe,
-            Credit: self._grant,
-            SliceReceived: self._acknowledge,
-        }
+        self.handlers = MessageHandlers(
+            {
+                CallStart: self._start,
+                CallChunk: self._continue,
+                CallCancel: self._cancel,
+                CallProbe: self._probe,
+                Credit: self._grant,
+                SliceReceived: self._acknowledge,
+                SlotRequest: self._reserve,
+            }
+        )
 
     @property
     def open_calls(self) -> int:
         """Number of calls that are open or not completely answered."""
         return len(self.calls) + len(self.replies)
 
-    def receive(self, message: Any) -> None:
-        """Dispatches one message of the other daemon by its type."""
-        handler = self._handlers.get(type(message))
-        if handler is not None:
-            handler(message)
-
     def send(self, message: Any) -> None:
         """Sends a message, or drops it if the stream has ended."""
         if self._stream.is_open:
@@ -142,12 +143,31 @@
         self.calls = {}
         for call in calls.values():
             call.cancel()
+        reservations = self.reservations
+        self.reservations = {}
+        for reservation in reservations.values():
+            reservation.cancel()
+
+    def _reserve(self, request: SlotRequest) -> None:
+        if request.call in self.reservations or request.call in self.calls:
+            return
+        receiver = _StreamSlotReceiver(self, request.call)
+        reservation = self._target.reserve(request, receiver)
+        if receiver.is_refused:
+            return
+        self.reservations[request.call] = reservation
+        if receiver.is_offered:
+            self.send(SlotOffer(request.call))
 
     def _start(self, start: CallStart) -> None:
         if start.call in self.calls:
             return
         answers = _StreamAnswers(self, start.call)
-        call = self._target.open(start, answers)
+        reservation = self.reservations.pop(start.call, None)
+        if reservation is None:
+            call = self._target.open(start, answers)
+        else:
+            call = reservation.take(start, answers)
         if not answers.ended:
             self.calls[start.call] = call
 
@@ -161,6 +181,9 @@
         call = self.calls.pop(cancel.call, None)
         if call is not None:
             call.cancel()
+        reservation = self.reservations.pop(cancel.call, None)
+        if reservation is not None:
+            reservation.cancel()
 
     def _probe(self, probe: CallProbe) -> None:
         call = self.calls.get(probe.call)
@@ -214,3 +237,27 @@
         if last:
             self.ended = True
             self._served.calls.pop(self._call, None)
+
+
+class _StreamSlotReceiver:
+    """Sends the offer of a slot to the daemon that requested it."""
+
+    __slots__ = ('_call', '_served', 'is_offered', 'is_refused')
+
+    def __init__(self, served: _ServedStream, call: int) -> None:
+        self.is_offered = False
+        self.is_refused = False
+        self._served = served
+        self._call = call
+
+    def offer_slot(self) -> None:
+        """Sends the offer, unless the reservation isn't recorded yet."""
+        self.is_offered = True
+        if self._call in self._served.reservations:
+            self._served.send(SlotOffer(self._call))
+
+    def fail(self, failed: CallFailed) -> None:
+        """Sends the refusal."""
+        self.is_refused = True
+        self._served.reservations.pop(self._call, None)
+        self._served.send(failed)
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -134,7 +134,10 @@
         metrics.gauge('proxy.calls', self._calls.open_calls)
         metrics.gauge('response.unsent', self._calls.unsent_responses)
         metrics.gauge('response.window', self._calls.window_bytes)
-        for service, tokens in self._context.router.read_budgets().items():
+        for (
+            service,
+            tokens,
+        ) in self._context.router.retry_budgets.read().items():
             metrics.gauge(f'retry.budget.{service}', tokens)
         self._update_admission_gauges()
 
@@ -147,7 +150,9 @@
     def busy(self) -> int:
         """The number of requests, responses, claims and calls in progress."""
         own = len(self._context.running) + len(self._context.tasks)
-        called = self._admitter.outstanding + self._calls.open_calls
+        called = (
+            self._admitter.measure_load().outstanding + self._calls.open_calls
+        )
         return own + self._callers.unsent + called
 
     @property
@@ -253,7 +258,7 @@
         if self._fleet_retry_burst:
             # A proxy runs beside each endpoint.
             proxies = max(len(present), MIN_PROXIES)
-            router.resize_budgets(self._fleet_retry_burst / proxies)
+            router.retry_budgets.resize(self._fleet_retry_burst / proxies)
 
     def _sweep(self) -> None:
         self._context.suspect_tracker.forget_expired()
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -199,7 +199,7 @@
             self._body = RequestBody(CLAIMED_BODY_BYTES)
         self._dispatch = Dispatch(context, self, self._outcome, self._body)
         context.interest.register(plan.service, now)
-        context.router.get_budget(plan.service).deposit(
+        context.router.retry_budgets.get(plan.service).deposit(
             plan.decision.policy.retry_budget_percent,
         )
         self._timer = context.timers.schedule(
--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -1,50 +1,46 @@
-"""Chooses the next endpoint of a request and limits the wait for a slot there.
+"""Chooses the next endpoint of a request, and where it waits for a slot.
 
 Placement handles overload: more requests than slots, in one failure domain or
-in all of them. Endpoints of the proxy's own domain are tried first, and a call
-may wait there for part of the slack that its target latency leaves: briefly
-while another near one may be free, since many small upstreams are seldom all
-full, and longer at the last. A few near ones without a slot show that the
-domain is full, however many it has: then endpoints of other domains are asked,
-which run a call only if they have a free slot. When several endpoints have no
-free slot, or none is known to have one, the request waits at the endpoint with
-the least expected work, for as long as it can still meet its target latency. A
-request that would miss the target is refused at once with a time to retry
-after, so that it does not take the slot of one that can meet it. An urgent
-request waits until its deadline: urgent calls belong to requests already in
-progress, and refusing them wastes the work done so far.
+in all of them. A request is sent to an endpoint of the proxy's own domain if
+one is likely to have a free slot. Without one it takes places in the queues of
+several endpoints and goes where a slot is free first (`slot_search`): near
+ones at once, and those of other domains after part of the time that it can
+wait. A request waits for as long as it can still meet its target latency; one
+that would miss the target is refused at once with a time to retry after, so
+that it does not take the slot of one that can meet it. An urgent request waits
+until its deadline: urgent calls belong to requests already in progress, and
+refusing them wastes the work done so far.
 """
 
 from typing import NamedTuple
 
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Endpoint
-from bilberry_core.messages.call import NO_WAIT_LIMIT_MS, Load
+from bilberry_core.messages.call import CallFailed
 from bilberry_core.policy import Priority
+from bilberry_core.snapshot import Route
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
-from bilberry_proxy.admission import Occupancy, suggest_retry_after_ms
+from bilberry_proxy.admission import MAX_AGE_S
 from bilberry_proxy.plan import Plan
 from bilberry_proxy.router import Router
 from bilberry_proxy.selection import Selection
+from bilberry_proxy.slot_search import SearchPlan
 
-#: Number of endpoints without a free slot after which a request waits at one.
-MAX_SLOT_QUERIES = 5
-#: How many of these may be in the proxy's own failure domain.
-MAX_NEAR_SLOT_QUERIES = 3
-#: The same if no endpoint is known to have a free slot: asking more of them
-#: costs time and bytes and rarely finds one.
-MAX_SLOT_QUERIES_BUSY = 2
+#: Endpoints of the proxy's own failure domain at which a request waits.
+MAX_NEAR_PLACES = 3
+#: Endpoints of other failure domains at which it waits besides.
+MAX_FAR_PLACES = 2
 #: Multiple of the mean service time that is reserved after the wait.
 SERVICE_MARGIN = 1.25
-#: Shortest limit of the wait for a slot, as a share of the target latency.
+#: Share of the slack that a request may wait. A queue that is as long as the
+#: slack makes all requests late and serves no more of them.
+WAIT_SHARE = 0.4
+#: Shortest limit of the slack for a slot, as a share of the target latency.
 MIN_WAIT_SHARE = 0.1
-#: Share of the longest wait that a request spends at one endpoint of the
-#: proxy's own failure domain while another one there is asked next.
-NEAR_FIRST_WAIT_SHARE = 0.15
-#: The same for the last one asked there, before those of other domains;
-#: traffic between domains is expensive.
-NEAR_WAIT_SHARE = 0.6
+#: Share of the longest wait after which endpoints of other domains are asked
+#: beside near ones.
+HEAD_START_SHARE = 0.25
 #: Share of the longest wait after which a refused request may be retried: by
 #: then that share of the queues has been served.
 RETRY_AFTER_SHARE = 0.5
@@ -58,82 +54,133 @@
 
 
 class Placement:
-    """The placement of one request, and the endpoints without a free slot."""
+    """The placement of one request."""
 
-    def __init__(self, router: Router) -> None:
+    def __init__(self, router: Router, started_at: float) -> None:
+        """`started_at` is the arrival of the request, in seconds."""
         self._router = router
-        self._without_slot: list[str] = []
-        self._near_without_slot = 0
-        self._asked_near = False
-        self._is_last_resort = False
+        self._started_at = started_at
         self._max_wait_ms = 0
-        self._priority = Priority.URGENT
+        self._retry_after_ms = 0
         self._takes_new: bool | None = None
 
-    def choose(self, plan: Plan, tried: list[str]) -> PlacementChoice | None:
+    def choose(
+        self,
+        plan: Plan,
+        tried: list[str],
+        now: float,
+    ) -> PlacementChoice | None:
         """Returns the next endpoint and wait; None if no endpoint is ready.
 
-        `tried` are the instances that attempts were sent to.
+        `tried` are the instances that attempts were sent to. A request may
+        only wait there if there is no other endpoint.
         """
-        self._priority = plan.priority
         route = plan.snapshot.routes[plan.service]
-        asked = [*tried, *self._without_slot]
         selection = self._router.choose(
             route,
             plan.decision,
-            asked,
-            avoids_near=self._near_without_slot >= MAX_NEAR_SLOT_QUERIES,
+            tried,
             takes_new=self._draws_new_version(plan),
         )
         if selection is None:
             return None
-        max_queries = (
-            MAX_SLOT_QUERIES_BUSY if selection.is_busy else MAX_SLOT_QUERIES
-        )
-        if len(self._without_slot) >= max_queries or selection.all_tried:
-            self._is_last_resort = True
-            selection = self._router.choose(route, plan.decision, tried)
-        elif self._without_slot or self._takes_new:
-            # A request can still wait at endpoints without a free slot.
+        if self._takes_new:
+            # A request can still wait at endpoints with the old version.
             selection = selection._replace(has_other=True)
-        self._asked_near = selection.is_near
-        return PlacementChoice(selection, self._limit_wait(plan, selection))
+        if selection.has_other:
+            return PlacementChoice(selection, 0)
+        return PlacementChoice(
+            selection._replace(is_busy=False),
+            self._limit_wait(plan, now),
+        )
 
-    def record_no_slot(
+    def wait_at(
         self,
-        endpoint: Endpoint,
-        load: Load,
-        retry_after_ms: int = 0,
-    ) -> Failure | None:
-        """Records that an endpoint has no free slot in time.
+        choice: PlacementChoice,
+        plan: Plan,
+        now: float,
+    ) -> PlacementChoice:
+        """Returns a choice whose request waits for a slot there."""
+        return choice._replace(max_wait_ms=self._limit_wait(plan, now))
+
+    def plan_search(
+        self,
+        plan: Plan,
+        tried: list[str],
+        now: float,
+    ) -> SearchPlan | None:
+        """Returns where the request waits from `now` on, in seconds.
 
-        `retry_after_ms` is set if it is at its rate limit: less urgent
-        requests avoid it until then. Returns the refusal of the request if it
-        already waited at the last endpoint, otherwise None.
+        None if no endpoint is ready.
         """
-        self._without_slot.append(endpoint.instance)
-        self._near_without_slot += self._asked_near
-        self._router.record_no_slot(endpoint, load)
-        if retry_after_ms and self._priority is not Priority.URGENT:
-            self._router.record_shed(endpoint, self._priority, retry_after_ms)
-        if not self._is_last_resort:
+        route = plan.snapshot.routes[plan.service]
+        max_wait_ms = self._limit_wait(plan, now)
+        self._max_wait_ms = max_wait_ms
+        near = self._choose_places(route, plan, tried, is_far=False)
+        far = self._choose_places(route, plan, tried, is_far=True)
+        if not near and not far:
             return None
-        occupancy = Occupancy(
-            load.outstanding,
-            load.slots,
-            load.queued,
-            load.latency_us,
+        return SearchPlan(
+            plan.service,
+            plan.priority,
+            near,
+            far,
+            max_wait_ms,
+            _compute_head_start(plan.priority, max_wait_ms),
         )
+
+    def record_refusal(
+        self,
+        endpoint: Endpoint,
+        priority: Priority,
+        failed: CallFailed,
+    ) -> None:
+        """Records that an endpoint has no free slot in time.
+
+        Less urgent requests avoid one that is at its rate limit until it has
+        room.
+        """
+        router = self._router
+        retry_after_ms = failed.failure.retry_after_ms
+        router.record_no_slot(endpoint, failed.load)
+        if retry_after_ms:
+            least_ms = self._retry_after_ms or retry_after_ms
+            self._retry_after_ms = min(least_ms, retry_after_ms)
+        if failed.notice is None:
+            return
+        router.record_notice(endpoint, failed.notice)
+        is_limited = failed.notice.rate_limit is not None
+        if is_limited and retry_after_ms and priority is not Priority.URGENT:
+            router.record_shed(endpoint, priority, retry_after_ms)
+
+    def build_refusal(self) -> Failure:
+        """Returns the refusal of a request that found no slot."""
         return Failure(
             Verdict.NOT_RUN,
             FailureCode.OVERLOADED,
             'no upstream has a free slot in time',
             max(
-                retry_after_ms or suggest_retry_after_ms(occupancy),
+                self._retry_after_ms,
                 int(self._max_wait_ms * RETRY_AFTER_SHARE),
             ),
         )
 
+    def _choose_places(
+        self,
+        route: Route,
+        plan: Plan,
+        tried: list[str],
+        *,
+        is_far: bool,
+    ) -> tuple[Selection, ...]:
+        return self._router.choose_several(
+            route,
+            plan.decision,
+            tried,
+            MAX_FAR_PLACES if is_far else MAX_NEAR_PLACES,
+            is_far=is_far,
+        )
+
     def _draws_new_version(self, plan: Plan) -> bool:
         """Draws the version of the first attempt; later ones get the old."""
         is_first = self._takes_new is None
@@ -142,21 +189,30 @@
         )
         return self._takes_new
 
-    def _limit_wait(self, plan: Plan, selection: Selection) -> int:
-        target_ms = plan.decision.policy.target_latency_ms
+    def _limit_wait(self, plan: Plan, now: float) -> int:
+        """Returns the longest useful wait, in milliseconds."""
         service_s = self._router.service_times.estimate_s(plan.route_key)
-        slack_ms = target_ms - service_s * MS_PER_S * SERVICE_MARGIN
-        slack_ms = max(slack_ms, target_ms * MIN_WAIT_SHARE)
-        self._max_wait_ms = int(slack_ms)
-        if self._is_last_resort:
-            if plan.priority is Priority.URGENT:
-                return NO_WAIT_LIMIT_MS
-            return int(slack_ms) or NO_WAIT_LIMIT_MS
-        if not selection.is_near:
-            return 0
-        is_last_near = (
-            selection.candidates == 1
-            or self._near_without_slot >= MAX_NEAR_SLOT_QUERIES - 1
-        )
-        share = NEAR_WAIT_SHARE if is_last_near else NEAR_FIRST_WAIT_SHARE
-        return int(slack_ms * share)
+        left_s = plan.deadline - now - service_s
+        target_ms = plan.decision.policy.target_latency_ms
+        if plan.priority is Priority.URGENT:
+            return max(int(left_s * MS_PER_S), 0)
+        longest_s = min(left_s, MAX_AGE_S[plan.priority])
+        if target_ms:
+            target_s = target_ms / MS_PER_S
+            in_time_s = self._started_at + target_s - now
+            slack_s = max(
+                in_time_s - service_s * SERVICE_MARGIN,
+                target_s * MIN_WAIT_SHARE,
+            )
+            longest_s = min(longest_s, slack_s * WAIT_SHARE)
+        return max(int(longest_s * MS_PER_S), 0)
+
+
+def _compute_head_start(priority: Priority, max_wait_ms: int) -> int:
+    """Returns after how long far endpoints are asked, in milliseconds.
+
+    Urgent calls are small and hold the slot of the request behind them.
+    """
+    if priority is Priority.URGENT:
+        return 0
+    return int(max_wait_ms * HEAD_START_SHARE)
--- a/packages/bilberry_proxy/bilberry_proxy/rate_limiter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/rate_limiter.py
@@ -74,6 +74,11 @@
         if self.pace.rate is not None:
             self.pace = self.pace._replace(tokens=self.pace.tokens - 1)
 
+    def give_back(self) -> None:
+        """Takes back a token, as no request was sent."""
+        if self.pace.rate is not None:
+            self.pace = self.pace._replace(tokens=self.pace.tokens + 1)
+
     def defer(self) -> None:
         """Counts a refused call whose caller is asked to come back."""
         rate = self.pace.rate
--- a/packages/bilberry_proxy/bilberry_proxy/remote_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/remote_call.py
@@ -3,12 +3,15 @@
 from typing import Any, Protocol
 
 from bilberry_core.messages.call import (
+    NO_LOAD,
     CallCancel,
     CallChunk,
+    CallFailed,
     CallProbe,
     CallStart,
     Credit,
 )
+from bilberry_core.verdict import Failure
 
 from bilberry_proxy.call import AnswerReceiver
 
@@ -78,3 +81,15 @@
         for chunk in self._buffered:
             self._owner.send(chunk)
         self._buffered.clear()
+
+
+def refuse_call(
+    owner: CallOwner,
+    start: CallStart,
+    answers: AnswerReceiver,
+    failure: Failure,
+) -> RemoteCall:
+    """Returns a call that has failed and was not sent."""
+    call = RemoteCall(owner, start, answers)
+    answers.fail(CallFailed(start.call, failure, NO_LOAD))
+    return call
--- a/packages/bilberry_proxy/bilberry_proxy/retry.py
+++ b/packages/bilberry_proxy/bilberry_proxy/retry.py
@@ -58,6 +58,35 @@
         return True
 
 
+class RetryBudgets:
+    """The retry budgets of all services that one proxy sends to."""
+
+    def __init__(self) -> None:
+        """Starts with the smallest burst."""
+        self._burst = MIN_BUDGET
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def resize(self, burst: float) -> None:
+        """Limits the budget of each service to `burst` retries."""
+        self._burst = burst
+        for budget in self._budgets.values():
+            budget.resize(burst)
+
+    def get(self, service: str) -> RetryBudget:
+        """Returns the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self._burst)
+            self._budgets[service] = budget
+        return budget
+
+    def read(self) -> dict[str, float]:
+        """Returns the retries left in the budget of each service."""
+        return {
+            service: budget.tokens for service, budget in self._budgets.items()
+        }
+
+
 class AttemptState(NamedTuple):
     """The state of a request when an attempt fails.
 
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -23,11 +23,12 @@
 )
 from bilberry_proxy.known_notices import KnownNotices
 from bilberry_proxy.outlier import count_failure, count_success
-from bilberry_proxy.retry import MIN_BUDGET, RetryBudget
+from bilberry_proxy.retry import RetryBudgets
 from bilberry_proxy.selection import (
     Selection,
     SelectionContext,
     select_endpoint,
+    select_several,
 )
 from bilberry_proxy.service_time import ServiceTimes
 from bilberry_proxy.split import WeightedSplit
@@ -54,7 +55,6 @@
 
         `instance` and `failure_domain` are those of this proxy.
         """
-        self._budget_tokens = MIN_BUDGET
         self._instance = instance
         self._failure_domain = failure_domain
         self._clock = clock
@@ -63,7 +63,7 @@
         self._notices = KnownNotices()
         self.service_times = ServiceTimes()
         self.split = WeightedSplit()
-        self._budgets: dict[str, RetryBudget] = {}
+        self.retry_budgets = RetryBudgets()
         self._balancers: dict[tuple[str, str], Balancer] = {}
         self.candidates = Candidates(instance, failure_domain, self.get_load)
 
@@ -81,22 +81,35 @@
         `avoids_near` is described at `SelectionContext`, `takes_new` at
         `Candidates`.
         """
-        context = SelectionContext(
-            self._instance,
-            self._failure_domain,
-            self._clock.now(),
-            self._clock.wall_ms(),
-            decision.policy.target_latency_ms * _US_PER_MS,
-            avoids_near,
-        )
         return select_endpoint(
             self.candidates.get_staying(route, takes_new=takes_new),
             tried,
-            context,
+            self._build_context(decision, avoids_near=avoids_near),
             self._get_balancer(decision),
             self._random,
         )
 
+    def choose_several(
+        self,
+        route: Route,
+        decision: Decision,
+        tried: list[str],
+        count: int,
+        *,
+        is_far: bool = False,
+    ) -> tuple[Selection, ...]:
+        """Returns endpoints at which a request may wait for a slot.
+
+        All are near, or all are far.
+        """
+        return select_several(
+            self.candidates.get_staying(route),
+            tried,
+            self._build_context(decision, avoids_near=is_far),
+            self._random,
+            count,
+        )
+
     def draw_new_version(self, service: str) -> bool:
         """Returns whether a request gets the new version of a roll-out."""
         return self.candidates.draw_new_version(service, self._random)
@@ -162,26 +175,6 @@
         self._notices.record(endpoint, notice)
         self.get_load(endpoint).apply_notice(notice)
 
-    def resize_budgets(self, burst: float) -> None:
-        """Limits the retry budget of each service to `burst` retries."""
-        self._budget_tokens = burst
-        for budget in self._budgets.values():
-            budget.resize(burst)
-
-    def get_budget(self, service: str) -> RetryBudget:
-        """Returns the retry budget of a service."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = RetryBudget(self._budget_tokens)
-            self._budgets[service] = budget
-        return budget
-
-    def read_budgets(self) -> dict[str, float]:
-        """Returns the retries left in the budget of each service."""
-        return {
-            service: budget.tokens for service, budget in self._budgets.items()
-        }
-
     def record_answer(
         self,
         endpoint: Endpoint,
@@ -224,6 +217,21 @@
             if key in present or load.outstanding
         }
 
+    def _build_context(
+        self,
+        decision: Decision,
+        *,
+        avoids_near: bool,
+    ) -> SelectionContext:
+        return SelectionContext(
+            self._instance,
+            self._failure_domain,
+            self._clock.now(),
+            self._clock.wall_ms(),
+            decision.policy.target_latency_ms * _US_PER_MS,
+            avoids_near,
+        )
+
     def _get_balancer(self, decision: Decision) -> Balancer:
         key = (decision.service, decision.policy.load_policy)
         balancer = self._balancers.get(key)
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import NamedTuple
 
 from bilberry_core.clock import RandomSource
@@ -13,6 +14,7 @@
 from xxhash import xxh3_64_intdigest
 
 from bilberry_proxy.balancers.base import Balancer
+from bilberry_proxy.balancers.least_work import LeastWorkBalancer
 from bilberry_proxy.endpoint_load import (
     SIMILAR_FACTOR,
     SLOW_START_MS,
@@ -53,8 +55,8 @@
 
     `has_other` tells whether another endpoint is ready and not tried,
     `all_tried` that every ready endpoint was tried, `is_near` that the
-    endpoint is in the proxy's own failure domain, `is_busy` that no endpoint
-    is known to have a slot free.
+    endpoint is in the proxy's own failure domain, `is_busy` that it is not
+    known to have a slot free.
     """
 
     endpoint: Endpoint
@@ -140,10 +142,53 @@
         has_other,
         chosen.endpoint.instance in tried,
         chosen.endpoint.failure_domain == context.failure_domain,
-        _ALL_BUSY in reasons,
+        is_busy(chosen, now),
     )
 
 
+def select_several(
+    ready: Sequence[Candidate],
+    tried: Sequence[str],
+    context: SelectionContext,
+    random: RandomSource,
+    count: int,
+) -> tuple[Selection, ...]:
+    """Returns up to `count` endpoints at which a request may wait for a slot.
+
+    They are near ones, or far ones if `context.avoids_near` is set. Of the
+    endpoints in question, each is the one of two random ones with less
+    expected work. `tried` are instances that attempts were sent to.
+    """
+    remaining = [
+        candidate
+        for candidate in ready
+        if candidate.endpoint.instance not in tried
+        and _is_far(candidate, context) is context.avoids_near
+        and candidate.load.may_be_called(context.now)
+    ]
+    balancer = LeastWorkBalancer()
+    estimate = partial(estimate_work_us, now=context.now)
+    selections = []
+    while remaining and len(selections) < count:
+        chosen = balancer.pick(remaining, estimate, random)
+        remaining.remove(chosen)
+        selections.append(
+            Selection(
+                chosen.endpoint,
+                len(remaining) + 1,
+                'first slot',
+                len(ready) > len(tried) + 1,
+                is_near=not context.avoids_near,
+                is_busy=True,
+            ),
+        )
+    return tuple(selections)
+
+
+def _is_far(candidate: Candidate, context: SelectionContext) -> bool:
+    return candidate.endpoint.failure_domain != context.failure_domain
+
+
 def _skip_tried(
     candidates: Sequence[Candidate],
     tried: Sequence[str],
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_finder.py
@@ -0,0 +1,113 @@
+"""Finds the upstream for each attempt of a request, and a slot there."""
+
+from typing import Protocol
+
+from bilberry_core.endpoint import Endpoint
+from bilberry_core.messages.call import NO_WAIT_LIMIT_MS, CallFailed
+from bilberry_core.verdict import Failure
+
+from bilberry_proxy.attempt import Attempt
+from bilberry_proxy.call import SlotReservation
+from bilberry_proxy.context import ProxyContext
+from bilberry_proxy.decision_log import Outcome
+from bilberry_proxy.placement import Placement, PlacementChoice
+from bilberry_proxy.plan import Plan
+from bilberry_proxy.selection import Selection
+from bilberry_proxy.slot_search import FoundSlot, SlotSearch
+
+
+class FinderOwner(Protocol):
+    """The request whose attempts are placed."""
+
+    def open_attempt(
+        self,
+        choice: PlacementChoice,
+        reservation: SlotReservation | None = None,
+    ) -> None:
+        """Sends the request, to a slot that was offered if there is one."""
+
+    def fail(self, failure: Failure) -> None:
+        """Handles the refusal of a request that found no slot."""
+
+
+class SlotFinder:
+    """The placement of one request and its search for a slot."""
+
+    def __init__(
+        self,
+        context: ProxyContext,
+        owner: FinderOwner,
+        plan: Plan,
+        outcome: Outcome,
+    ) -> None:
+        """Looks for a slot for the request that `plan` and `outcome` tell."""
+        self._context = context
+        self._owner = owner
+        self._plan = plan
+        self._outcome = outcome
+        self._placement = Placement(context.router, outcome.started_at)
+        self._search = SlotSearch(context, self)
+
+    def find(self, *, must_queue: bool) -> bool:
+        """Starts the next attempt; False if no endpoint is ready.
+
+        A request that `must_queue` waits at one endpoint only.
+        """
+        now = self._context.clock.now()
+        choice = self._placement.choose(self._plan, self._outcome.tried, now)
+        if choice is None:
+            return False
+        if must_queue:
+            waiting = self._placement.wait_at(choice, self._plan, now)
+            self._owner.open_attempt(waiting)
+        elif choice.selection.is_busy:
+            self._start_search()
+        else:
+            self._owner.open_attempt(choice)
+        return True
+
+    def find_after(self, attempt: Attempt, failure: Failure) -> None:
+        """Looks for a slot, as the endpoint of an attempt had none."""
+        self._outcome.drop_attempt()
+        failed = CallFailed(
+            0,
+            failure,
+            attempt.reported_load,
+            notice=attempt.reported_notice,
+        )
+        self._record(attempt.endpoint, failed)
+        self._start_search()
+
+    def cancel(self) -> None:
+        """Ends the search."""
+        self._search.cancel()
+
+    # Callbacks of the search.
+
+    def on_slot(self, found: FoundSlot) -> None:
+        """Sends the request to the slot that was offered first."""
+        choice = PlacementChoice(found.selection, NO_WAIT_LIMIT_MS)
+        self._owner.open_attempt(choice, found.reservation)
+
+    def on_slot_refused(self, asked: Selection, failed: CallFailed) -> None:
+        """Records that an upstream has no slot in time."""
+        self._outcome.slot_refusals += 1
+        self._record(asked.endpoint, failed)
+
+    def on_no_slot(self) -> None:
+        """Refuses the request."""
+        self._owner.fail(self._placement.build_refusal())
+
+    def _record(self, endpoint: Endpoint, failed: CallFailed) -> None:
+        self._placement.record_refusal(endpoint, self._plan.priority, failed)
+
+    def _start_search(self) -> None:
+        plan = self._placement.plan_search(
+            self._plan,
+            self._outcome.tried,
+            self._context.clock.now(),
+        )
+        if plan is None:
+            self.on_no_slot()
+        else:
+            self._search.start(plan)
--- a/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
@@ -15,17 +15,19 @@
     AdmissionQueue,
     Occupancy,
     Ticket,
-    estimate_wait_s,
     is_full,
     suggest_retry_after_ms,
     would_time_out,
 )
-from bilberry_proxy.rate_limiter import RateLimiter
 from bilberry_proxy.slots import Slots
 from bilberry_proxy.suspect_queue import SuspectQueue
 
 QueuedCall = TypeVar('QueuedCall')
 
+#: Reservations that may wait in the queue, per slot. Most of them get their
+#: slot elsewhere.
+RESERVATIONS_PER_SLOT = 16
+
 
 class ShedCall(NamedTuple, Generic[QueuedCall]):
     """A shed call, the reason, and the time after which it may be retried."""
@@ -36,12 +38,14 @@
 
 
 class SlotQueue(Generic[QueuedCall]):
-    """The slots of one upstream and the calls that wait for them."""
+    """The slots of one upstream and the calls that wait for them.
+
+    Times named `now` are monotonic, in seconds.
+    """
 
     def __init__(self) -> None:
         """Starts without slots until `slots.resize` is called."""
-        self.slots = Slots()
-        self.limiter = RateLimiter()
+        self.slots: Slots[QueuedCall] = Slots()
         self._queue: AdmissionQueue[QueuedCall] = AdmissionQueue()
         self._suspects: SuspectQueue[QueuedCall] = SuspectQueue()
 
@@ -50,23 +54,24 @@
         """Whether a new call gets a slot at once."""
         if self._queue or self._suspects.is_active:
             return False
-        return self._may_send
-
-    @property
-    def _may_send(self) -> bool:
-        return self.slots.has_free_slot and self.limiter.has_token
+        return self.slots.has_free_slot and self.slots.limiter.has_token
 
     def __len__(self) -> int:
         """Returns how many calls wait in the queue."""
         return len(self._queue)
 
-    def is_free_within(self, priority: Priority, within_ms: int) -> bool:
+    def is_free_within(
+        self,
+        priority: Priority,
+        within_ms: int,
+        now: float,
+    ) -> bool:
         """Returns whether a new call is expected to get a slot in time."""
         if self.is_free or within_ms >= NO_WAIT_LIMIT_MS:
             return True
         occupancy = self.measure_occupancy()
-        ahead = self._queue.count_ahead(priority)
-        return estimate_wait_s(occupancy, ahead) * MS_PER_S <= within_ms
+        wait_s = self._queue.estimate_wait_s(priority, now, occupancy)
+        return wait_s * MS_PER_S <= within_ms
 
     def push(
         self,
@@ -77,7 +82,7 @@
     ) -> ShedCall[QueuedCall] | None:
         """Queues a call; returns the call that is shed, if any.
 
-        `now` and `deadline` are monotonic time, in seconds.
+        `deadline` is monotonic time, in seconds.
         """
         occupancy = self.measure_occupancy()
         age_s = min(MAX_AGE_S[priority], deadline - now)
@@ -95,9 +100,29 @@
                 evicted.call,
                 'evicted by a call of higher priority',
             )
-        self._queue.push(Ticket(call, priority, now + age_s))
+        self._queue.push(Ticket(call, priority, now + age_s), now)
         return shed
 
+    def push_reservation(
+        self,
+        reservation: QueuedCall,
+        priority: Priority,
+        now: float,
+        max_wait_s: float,
+    ) -> ShedCall[QueuedCall] | None:
+        """Queues a reservation, or sheds it if no slot is expected in time."""
+        occupancy = self.measure_occupancy()
+        wait_s = self._queue.estimate_wait_s(priority, now, occupancy)
+        if wait_s > max_wait_s:
+            return self._shed_call(
+                reservation, 'no slot is expected to become free in time'
+            )
+        if len(self._queue) >= self.slots.capacity * RESERVATIONS_PER_SLOT:
+            return self._shed_call(reservation, 'the queue is full')
+        ticket = Ticket(reservation, priority, now + max_wait_s, True)
+        self._queue.push(ticket, now)
+        return None
+
     def push_suspect(self, call: QueuedCall) -> ShedCall[QueuedCall] | None:
         """Queues a suspect until the upstream is idle, or sheds it."""
         if self._suspects.is_full:
@@ -105,31 +130,34 @@
         self._suspects.push(call)
         return None
 
-    def pop_next(self) -> QueuedCall | None:
-        """Removes and returns the next call, which gets a slot, or None."""
-        call = self._find_next()
+    def pop_next(self, now: float) -> QueuedCall | None:
+        """Removes and returns the next call, which gets a slot, or None.
+
+        A reservation may get its slot shortly before it is free.
+        """
+        call = self.slots.pop_early()
         if call is not None:
-            self._acquire()
+            return call
+        call = self._find_next(now)
+        if call is not None:
+            self.slots.acquire()
         return call
 
     def try_acquire(self) -> bool:
         """Counts a call that is sent at once; False if it has to wait."""
-        if not self.is_free:
-            return False
-        self._acquire()
-        return True
+        is_free = self.is_free
+        if is_free:
+            self.slots.acquire()
+        return is_free
 
     def measure_occupancy(self) -> Occupancy:
         """Returns the load of the upstream."""
-        return self.slots.measure_occupancy(
-            len(self._queue),
-            self.limiter.pace,
-        )
+        return self.slots.measure_occupancy(len(self._queue))
 
     def defer(self) -> int:
         """Returns the time after which a refused call may return, in ms."""
         retry_after_ms = suggest_retry_after_ms(self.measure_occupancy())
-        self.limiter.defer()
+        self.slots.limiter.defer()
         return retry_after_ms
 
     def end(self, call: QueuedCall, latency_s: float) -> None:
@@ -137,15 +165,16 @@
         self.slots.free(latency_s)
         self._suspects.end(call)
 
-    def remove(self, call: QueuedCall) -> None:
+    def remove(self, call: QueuedCall, now: float) -> None:
         """Removes a waiting call."""
-        if not self._suspects.remove(call):
-            self._queue.remove(call)
+        if self._suspects.remove(call) or self.slots.remove_early(call):
+            return
+        self._queue.remove(call, now)
 
     def clear(self) -> list[QueuedCall]:
         """Removes and returns every waiting call."""
         queued = [ticket.call for ticket in self._queue.clear()]
-        return queued + self._suspects.clear()
+        return queued + self._suspects.clear() + self.slots.clear_early()
 
     def shed_expired(self, now: float) -> list[ShedCall[QueuedCall]]:
         """Removes and returns the calls that have waited too long."""
@@ -154,19 +183,24 @@
             for ticket in self._queue.pop_expired(now)
         ]
 
-    def _acquire(self) -> None:
-        self.slots.acquire()
-        self.limiter.take()
-
-    def _find_next(self) -> QueuedCall | None:
-        if not self.limiter.has_token:
+    def _find_next(self, now: float) -> QueuedCall | None:
+        if not self.slots.limiter.has_token:
             return None
-        if self.slots.has_free_slot and not self._suspects.blocks_others:
-            ticket = self._queue.pop()
+        if self._may_start_next() and not self._suspects.blocks_others:
+            ticket = self._queue.pop(now)
             if ticket is not None:
                 return ticket.call
         self._suspects.end_turn_of_others()
         return self._suspects.start_next(self.slots.outstanding)
 
+    def _may_start_next(self) -> bool:
+        """Returns whether the next call in the queue may have a slot now."""
+        if self.slots.has_free_slot:
+            return True
+        ticket = self._queue.peek()
+        if ticket is None or not ticket.is_reservation:
+            return False
+        return self.slots.may_offer
+
     def _shed_call(self, call: QueuedCall, detail: str) -> ShedCall[QueuedCall]:
         return ShedCall(call, detail, self.defer())
--- a/tests/bilberry_proxy/test_call_stream.py
+++ b/tests/bilberry_proxy/test_call_stream.py
@@ -12,6 +12,8 @@
     Load,
     ReplyChunk,
     ReplyStart,
+    SlotOffer,
+    SlotRequest,
 )
 from bilberry_core.policy import Priority
 from bilberry_core.verdict import Failure, FailureCode, Verdict
@@ -27,6 +29,8 @@
     0, 'callouts', b'GET', b'/', (), b'', True, 1000, Priority.NORMAL
 )
 
+REQUEST = SlotRequest(0, 'callouts', Priority.NORMAL, 100)
+
 
 class FakeStream:
     """A stream that records what was sent and stays open until closed."""
@@ -284,6 +288,129 @@
         self.assertEqual([Verdict.NOT_RUN], run(scenario()))
 
 
+class SlotReceiver:
+    """A requester of a slot that records the replies."""
+
+    def __init__(self) -> None:
+        """Has received nothing."""
+        self.offers = 0
+        self.failures: list = []
+
+    def offer_slot(self) -> None:
+        """Records the offer."""
+        self.offers += 1
+
+    def fail(self, failed) -> None:
+        """Records the refusal."""
+        self.failures.append(failed.failure)
+
+
+class ReservationTest(TestCase):
+    """Slots requested on a stream."""
+
+    async def connect(self) -> StreamFixture:
+        """Returns a fixture whose stream is open."""
+        fixture = StreamFixture()
+        fixture.open()
+        await settle()
+        return fixture
+
+    def reserve(self, fixture: StreamFixture):
+        """Requests a slot; returns the reservation and its receiver."""
+        receiver = SlotReceiver()
+        return fixture.stream.reserve(REQUEST, receiver), receiver
+
+    def test_request_follows_the_offer_on_the_same_number(self):
+        """The daemon beside the upstream finds its slot by it."""
+
+        async def scenario():
+            fixture = await self.connect()
+            reservation, receiver = self.reserve(fixture)
+            fixture.receive(SlotOffer(2))
+            answers = Answers()
+            reservation.take(START, answers)
+            for frame in build_frames(2):
+                fixture.receive(frame)
+            return fixture.fake.sent, receiver, answers
+
+        sent, receiver, answers = run(scenario())
+        self.assertEqual(
+            [REQUEST._replace(call=2), START._replace(call=2)], sent[1:3]
+        )
+        self.assertEqual(1, receiver.offers)
+        self.assertEqual((b'answer 2', ['answered']), answers_of(answers))
+
+    def test_slot_requested_on_a_lost_stream_is_not_run(self):
+        """No upstream has the request itself."""
+
+        async def scenario():
+            fixture = await self.connect()
+            reservation, receiver = self.reserve(fixture)
+            fixture.receive(SlotOffer(2))
+            fixture.fake.on_close()
+            answers = Answers()
+            reservation.take(START, answers)
+            return receiver, answers
+
+        receiver, answers = run(scenario())
+        self.assertEqual(
+            [Verdict.NOT_RUN], [one.verdict for one in receiver.failures]
+        )
+        self.assertEqual([Verdict.NOT_RUN], answers.ends)
+
+    def test_no_slot_is_awaited_while_no_stream_is_open(self):
+        """The request looks elsewhere; the stream opens for later ones."""
+
+        async def scenario():
+            fixture = StreamFixture()
+            _reservation, receiver = self.reserve(fixture)
+            await settle()
+            _later, served = self.reserve(fixture)
+            return receiver, served, fixture.fake.sent
+
+        receiver, served, sent = run(scenario())
+        self.assertEqual(
+            [FailureCode.NO_FREE_SLOT], [one.code for one in receiver.failures]
+        )
+        self.assertEqual([], served.failures)
+        self.assertEqual([REQUEST._replace(call=2)], sent)
+
+    def test_offer_after_a_withdrawal_is_dropped(self):
+        """They crossed; the other daemon was told to keep nothing."""
+
+        async def scenario():
+            fixture = await self.connect()
+            reservation, receiver = self.reserve(fixture)
+            reservation.cancel()
+            reservation.cancel()
+            fixture.receive(SlotOffer(2))
+            return receiver, fixture.fake.sent
+
+        receiver, sent = run(scenario())
+        self.assertEqual(0, receiver.offers)
+        self.assertEqual([CallCancel(2)], sent[2:])
+
+    def test_refusal_reaches_its_own_request_only(self):
+        """Calls and requested slots share their numbers."""
+
+        async def scenario():
+            fixture = await self.connect()
+            _one, first = self.reserve(fixture)
+            _other, second = self.reserve(fixture)
+            failure = Failure(Verdict.NOT_RUN, FailureCode.NO_FREE_SLOT, '')
+            fixture.receive(CallFailed(3, failure, NO_LOAD))
+            return first, second
+
+        first, second = run(scenario())
+        self.assertEqual([], first.failures)
+        self.assertEqual(1, len(second.failures))
+
+
+def answers_of(answers: Answers) -> tuple[bytes, list]:
+    """Returns the body and the ends that were received."""
+    return answers.body, answers.ends
+
+
 class SlowDialFixture(StreamFixture):
     """A call stream whose dials last until `opens` is set."""
 
--- a/tests/bilberry_proxy/test_reply_queue.py
+++ b/tests/bilberry_proxy/test_reply_queue.py
@@ -3,11 +3,14 @@
 from heapq import heappop, heappush
 
 from bilberry_core.messages.call import (
+    CallCancel,
     CallStart,
     Load,
     ReplyChunk,
     ReplyStart,
     SliceReceived,
+    SlotOffer,
+    SlotRequest,
 )
 from bilberry_core.policy import Priority
 from bilberry_proxy.bulk_window import MAX_QUEUE_DELAY_S, STALLED_S
@@ -287,3 +290,83 @@
             stream.on_writable()
         self.assertEqual({1: LARGE, 2: SMALL}, stream.read_bodies())
         self.assertEqual(0, server.open_calls)
+
+
+class OfferingTarget:
+    """An upstream with a slot for everyone."""
+
+    def __init__(self) -> None:
+        """Has no reservation."""
+        self.reservation: OfferedSlot | None = None
+
+    def reserve(self, request: SlotRequest, receiver) -> 'OfferedSlot':
+        """Offers a slot at once."""
+        self.reservation = OfferedSlot()
+        receiver.offer_slot()
+        return self.reservation
+
+
+class OfferedSlot:
+    """A slot that was offered on a stream."""
+
+    def __init__(self) -> None:
+        """Is kept."""
+        self.is_cancelled = False
+
+    def take(self, start: CallStart, answers) -> None:
+        """Responds with the body of the request."""
+        answers.start_reply(build_reply(start.call, start.body))
+
+    def cancel(self) -> None:
+        """Gives up the slot."""
+        self.is_cancelled = True
+
+
+class OfferTest(TestCase):
+    """Slots that other daemons request on their streams."""
+
+    def setUp(self):
+        """Requests a slot."""
+        super().setUp()
+        self.stream = FakeStream()
+        self.target = OfferingTarget()
+        self.server = CallServer(self.target)
+        self.server.accept(self.stream)
+        self.sent: list = []
+        self.stream.send = self.sent.append
+        self.stream.receiver(
+            SlotRequest(1, 'callouts', Priority.NORMAL, 100),
+        )
+
+    def test_free_slot_is_offered_once(self):
+        """Also if it was free before the reservation was recorded."""
+        self.assertEqual([SlotOffer(1)], self.sent)
+
+    def test_request_takes_its_slot(self):
+        """By the number of its reservation."""
+        self.stream.receiver(
+            CallStart(
+                1,
+                'callouts',
+                b'GET',
+                b'/',
+                (),
+                SMALL,
+                last=True,
+                deadline_ms=1000,
+                priority=Priority.NORMAL,
+            )
+        )
+        self.assertEqual(SMALL, self.sent[-1].body)
+        self.stream.on_close()
+        self.assertFalse(self.target.reservation.is_cancelled)
+
+    def test_slot_is_given_up_with_its_stream(self):
+        """Its sender has ended."""
+        self.stream.on_close()
+        self.assertTrue(self.target.reservation.is_cancelled)
+
+    def test_slot_is_given_up_by_its_sender(self):
+        """It found one elsewhere."""
+        self.stream.receiver(CallCancel(1))
+        self.assertTrue(self.target.reservation.is_cancelled)
