Serve long responses beside the caller's proxy

Change: a route whose responses are over 32 KiB in the mean, as the proxy saw them, goes to the upstream beside it if it has a slot; else the request waits there first and at others after the head start.

--- a/packages/bilberry_proxy/bilberry_proxy/attempt_recorder.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt_recorder.py
@@ -24,6 +24,7 @@
         self._context = context
         self._plan = plan
         self._fingerprint = fingerprint
+        self._received = 0
 
     def record_reply(self, attempt: Attempt, reply: ReplyStart) -> None:
         """Records the start of a response."""
@@ -44,6 +45,13 @@
             reply.load.waited_us,
         )
 
+    def record_body(self, body: bytes, last: bool) -> None:
+        """Records a part of the response body, and its size at the end."""
+        self._received += len(body)
+        if last:
+            sizes = self._context.router.response_sizes
+            sizes.update(self._plan.route_key, self._received)
+
     def record_failure(self, attempt: Attempt, failure: Failure) -> None:
         """Records the failure of an attempt, or its silence."""
         plan = self._plan
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -134,10 +134,12 @@
         self._attempts.keep_only(attempt)
         self._owner.on_reply(reply)
         self._recorder.record_reply(attempt, reply)
+        self._recorder.record_body(reply.body, reply.last)
 
     def on_chunk(self, chunk: ReplyChunk) -> None:
         """Forwards more of the response body."""
         self._owner.on_chunk(chunk)
+        self._recorder.record_body(chunk.body, chunk.last)
 
     def on_credit(self, size: int) -> None:
         """Allows `size` more bytes of the request body to be sent."""
--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -76,12 +76,14 @@
         only wait there if there is no other endpoint.
         """
         route = plan.snapshot.routes[plan.service]
-        selection = self._router.choose(
-            route,
-            plan.decision,
-            tried,
-            takes_new=self._draws_new_version(plan),
-        )
+        selection = self._choose_own(route, plan, tried)
+        if selection is None:
+            selection = self._router.choose(
+                route,
+                plan.decision,
+                tried,
+                takes_new=self._draws_new_version(plan),
+            )
         if selection is None:
             return None
         if self._takes_new:
@@ -116,8 +118,13 @@
         route = plan.snapshot.routes[plan.service]
         max_wait_ms = self._limit_wait(plan, now)
         self._max_wait_ms = max_wait_ms
+        own = self._choose_own(route, plan, tried)
+        if own is not None:
+            tried = [*tried, own.endpoint.instance]
         near = self._choose_places(route, plan, tried, is_far=False)
         far = self._choose_places(route, plan, tried, is_far=True)
+        if own is not None:
+            near, far = (own,), (*near, *far)
         if not near and not far:
             return None
         return SearchPlan(
@@ -165,6 +172,20 @@
             ),
         )
 
+    def _choose_own(
+        self,
+        route: Route,
+        plan: Plan,
+        tried: list[str],
+    ) -> Selection | None:
+        """Returns the endpoint beside this proxy for long responses.
+
+        They cross no link then.
+        """
+        if not self._router.response_sizes.is_long(plan.route_key):
+            return None
+        return self._router.choose_own(route, tried)
+
     def _choose_places(
         self,
         route: Route,
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/response_size.py
@@ -0,0 +1,27 @@
+"""Averages the size of the responses of each route.
+
+This handles large responses on slow links: where they go is chosen by the
+links that they cross, which for small ones makes no difference.
+"""
+
+#: Mean size of a response, in bytes, from which a route counts as long.
+LONG_BYTES = 32 << 10
+#: Weight of the newest response in the exponential moving average.
+_WEIGHT = 0.1
+
+
+class ResponseSizes:
+    """The average response size of each route, as one proxy observes it."""
+
+    def __init__(self) -> None:
+        """Starts without observations."""
+        self._means: dict[tuple[str, str], float] = {}
+
+    def update(self, route: tuple[str, str], size: int) -> None:
+        """Adds a complete response of `size` bytes to the average."""
+        mean = self._means.get(route, size)
+        self._means[route] = mean + (size - mean) * _WEIGHT
+
+    def is_long(self, route: tuple[str, str]) -> bool:
+        """Returns whether the responses of a route are long."""
+        return self._means.get(route, 0) > LONG_BYTES
--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -23,11 +23,13 @@
 )
 from bilberry_proxy.known_notices import KnownNotices
 from bilberry_proxy.outlier import count_failure, count_success
+from bilberry_proxy.response_size import ResponseSizes
 from bilberry_proxy.retry import RetryBudgets
 from bilberry_proxy.selection import (
     Selection,
     SelectionContext,
     select_endpoint,
+    select_own,
     select_several,
 )
 from bilberry_proxy.service_time import ServiceTimes
@@ -62,6 +64,7 @@
         self._loads: dict[tuple[str, int], EndpointLoad] = {}
         self._notices = KnownNotices()
         self.service_times = ServiceTimes()
+        self.response_sizes = ResponseSizes()
         self.split = WeightedSplit()
         self.retry_budgets = RetryBudgets()
         self._balancers: dict[tuple[str, str], Balancer] = {}
@@ -110,6 +113,11 @@
             count,
         )
 
+    def choose_own(self, route: Route, tried: list[str]) -> Selection | None:
+        """Returns the endpoint beside this proxy, if a request may go there."""
+        ready = self.candidates.get_staying(route)
+        return select_own(ready, tried, self._instance, self._clock.now())
+
     def draw_new_version(self, service: str) -> bool:
         """Returns whether a request gets the new version of a roll-out."""
         return self.candidates.draw_new_version(service, self._random)
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -185,6 +185,31 @@
     return tuple(selections)
 
 
+def select_own(
+    ready: Sequence[Candidate],
+    tried: Sequence[str],
+    instance: str,
+    now: float,
+) -> Selection | None:
+    """Returns the endpoint beside the proxy `instance`, if it may be called.
+
+    `tried` are instances that attempts were sent to.
+    """
+    for candidate in ready:
+        endpoint, load = candidate
+        if endpoint.instance == instance:
+            if instance in tried or not load.may_be_called(now):
+                return None
+            return Selection(
+                endpoint,
+                1,
+                'own',
+                len(ready) > len(tried) + 1,
+                is_near=True,
+            )
+    return None
+
+
 def _is_far(candidate: Candidate, context: SelectionContext) -> bool:
     return candidate.endpoint.failure_domain != context.failure_domain
 
--- a/tests/bilberry_proxy/test_placement.py
+++ b/tests/bilberry_proxy/test_placement.py
@@ -166,3 +166,21 @@
         plan = self.build_plan()
         tried = [endpoint.instance for endpoint in self.endpoints]
         self.assertIsNone(self.placement.plan_search(plan, tried, NOW))
+
+    def test_long_responses_stay_beside_their_proxy(self):
+        """They cross no link then; short ones may go anywhere."""
+        self.endpoints = (
+            build_endpoint(1, failure_domain='one'),
+            build_endpoint(2, failure_domain='one')._replace(instance='me'),
+        )
+        self.assertEqual('node-1', self.choose().selection.endpoint.instance)
+        key = self.build_plan().route_key
+        self.router.response_sizes.update(key, 90_000)
+        self.assertEqual('me', self.choose().selection.endpoint.instance)
+        plan = self.plan_search()
+        self.assertEqual(
+            ['me'], [asked.endpoint.instance for asked in plan.near]
+        )
+        self.assertEqual(
+            ['node-1'], [asked.endpoint.instance for asked in plan.far]
+        )
