Elect at once if all replicas were restarted

Cause: after a stop of all core machines each replica waits for an election timeout in case a leader still relies on it, then for a random time.

Change: replicas without a leader since their start ask for trial votes early; if every voter answers that it was restarted and has had no leader, the vote follows at once. Voters name their start, so a further restart takes the answer back. A new leader makes its first beacons at a tenth of the interval.

Ruled out: to run what a quorum has on disk without a leader.

Two broken variants (a quorum instead of all; an older start) are caught.

--- a/packages/bilberry_core/bilberry_core/messages/replica.py
+++ b/packages/bilberry_core/bilberry_core/messages/replica.py
@@ -81,23 +81,33 @@
 
 @message(10)
 class VoteRequest(NamedTuple):
-    """A candidate asks for a vote; `trial` marks a non-binding pre-vote."""
+    """A candidate asks for a vote; `trial` marks a non-binding pre-vote.
+
+    `leaderless_start` is the start of the voter if no voter has a leader, as all
+    have said in a trial; 0 otherwise.
+    """
 
     term: int
     store: int
     last_index: int
     last_term: int
     trial: bool
+    leaderless_start: int = 0
 
 
 @message(11)
 class VoteReply(NamedTuple):
-    """The reply to a vote request; `term` is the requested one."""
+    """The reply to a vote request; `term` is the requested one.
+
+    `leaderless_start` names the start of a voter that has had no leader since:
+    it would vote once it has waited for one. It is 0 for any other voter.
+    """
 
     term: int
     store: int
     granted: bool
     trial: bool
+    leaderless_start: int = 0
 
 
 @message(12)
--- a/packages/bilberry_replica/bilberry_replica/driver.py
+++ b/packages/bilberry_replica/bilberry_replica/driver.py
@@ -17,6 +17,10 @@
 #: the leader to make a beacon.
 _QUORUM_AGE_SHARE = 2 / 3
 
+#: Share of the interval between beacons that a new leader keeps: a restarted
+#: proxy waits until it has seen one advance.
+NEW_LEADER_SHARE = 0.1
+
 Returned = TypeVar('Returned')
 
 
@@ -114,9 +118,12 @@
     async def beacon_forever(self, interval_ms: int) -> None:
         """Makes a beacon in each interval while this replica leads."""
         age_s = self.replica.node.timing.election_s * _QUORUM_AGE_SHARE
+        interval_s = interval_ms / MS_PER_S
         while True:
             self.run_event(make_beacon, self.replica, age_s)
-            await sleep(interval_ms / MS_PER_S)
+            led_s = self.clock.now() - self.replica.node.leading_since
+            is_new = self.replica.node.is_leader and led_s < interval_s
+            await sleep(interval_s * (NEW_LEADER_SHARE if is_new else 1))
 
     def _send_all(self, sends: list[Send] | tuple[Send, ...]) -> None:
         for sent in sends:
--- a/packages/bilberry_replica/bilberry_replica/node.py
+++ b/packages/bilberry_replica/bilberry_replica/node.py
@@ -15,6 +15,9 @@
 from bilberry_replica.member import is_voter
 
 _NEVER = float('-inf')
+_MAX_START = 1 << 53
+#: Share of the election timeout in which a vote is decided.
+_VOTE_SHARE = 0.25
 
 
 class Role(StrEnum):
@@ -82,6 +85,12 @@
         The newest membership in the log, committed or not.
     `leader_seen_at`
         When the leader was last seen, or when a replica with a log started.
+    `leaderless_start`
+        A random number that names the start of a replica with a log, while it
+        has had no leader since; 0 otherwise.
+    `leaderless`
+        Voters that said in the present trial that they have had no leader, and
+        the starts that they named.
     `round`
         Number of the leader's newest broadcast.
     `leading_since`
@@ -105,6 +114,8 @@
     election_at: float = 0
     heartbeat_at: float = 0
     votes: frozenset[str] = frozenset()
+    leaderless_start: int = 0
+    leaderless: dict[str, int] = {}
     peers: dict[str, Progress] = {}
     round: int = 0
     beacon: Beacon | None = None
@@ -172,10 +183,15 @@
 
 def restore(node: Node, event_time: EventTime) -> Node:
     """Returns the starting state of a node with a log read from its disk."""
-    leader_seen_at = event_time.now if node.log.last_index else _NEVER
-    return reset_election_timer(
+    leader_seen_at = _NEVER
+    leaderless_start = 0
+    if node.log.last_index:
+        leader_seen_at = event_time.now
+        leaderless_start = int(event_time.jitter * _MAX_START) + 1
+    return schedule_trial(
         node._replace(
             leader_seen_at=leader_seen_at,
+            leaderless_start=leaderless_start,
             membership=node.log.find_membership(node.log.last_index),
             commit=node.log.base,
             durable=node.log.last_index,
@@ -185,8 +201,25 @@
 
 
 def reset_election_timer(node: Node, event_time: EventTime) -> Node:
-    """Restarts the election timeout with a random duration."""
-    wait_s = node.timing.election_s * (1 + event_time.jitter)
+    """Restarts the election timeout with a random duration.
+
+    After a restart it leaves a candidate the time for one vote.
+    """
+    timeout_s = node.timing.election_s
+    if node.leaderless_start:
+        timeout_s *= _VOTE_SHARE
+    wait_s = timeout_s * (1 + event_time.jitter)
+    return node._replace(election_at=event_time.now + wait_s)
+
+
+def schedule_trial(node: Node, event_time: EventTime) -> Node:
+    """Restarts the timeout after which a trial follows.
+
+    It is short after a restart, as all replicas may have been restarted.
+    """
+    if not node.leaderless_start:
+        return reset_election_timer(node, event_time)
+    wait_s = node.timing.heartbeat_s * (1 + event_time.jitter)
     return node._replace(election_at=event_time.now + wait_s)
 
 
@@ -208,6 +241,8 @@
             peers={},
             beacon=None,
         )
+    if leader:
+        node = node._replace(leaderless_start=0)
     return reset_election_timer(node, event_time)
 
 
--- a/tests/bilberry_replica/scenarios.py
+++ b/tests/bilberry_replica/scenarios.py
@@ -15,9 +15,12 @@
 from bilberry_replica.replica import Replica
 
 from tests.bilberry_replica.checker import require
-from tests.bilberry_replica.schedule import Schedule
+from tests.bilberry_replica.schedule import TIMING, Schedule
 
 SILENCE_S = 3.0
+#: Rate of the fastest clock of a schedule, and the time of a round in seconds.
+FASTEST_CLOCK = 1.07
+ROUND_S = 0.05
 MEMBERS = tuple(
     Member(name, '127.0.0.1', 1, name, store)
     for store, name in enumerate('abc', start=1)
@@ -69,6 +72,44 @@
     )
 
 
+def check_leader_out_of_reach() -> None:
+    """Restarted replicas wait for a leader that may still rely on them."""
+    schedule = Schedule(0, 'abc')
+    (leader,) = (
+        host for host in schedule.list_running() if host.replica.node.is_leader
+    )
+    others = [host for host in schedule.list_running() if host is not leader]
+    for other in others:
+        schedule.cut |= {(leader.name, other.name), (other.name, leader.name)}
+        schedule.crash(other)
+        schedule.start(other)
+    began = schedule.now
+    while not any(other.replica.node.is_leader for other in others):
+        schedule.run_faultless_round()
+    require(
+        schedule.now - began > TIMING.election_s / FASTEST_CLOCK - ROUND_S,
+        'a leader was elected that another one did not know of',
+    )
+
+
+def check_old_start() -> None:
+    """What a replica said before its restart does not bind it after."""
+    schedule = Schedule(0, 'abc')
+    candidate, voter, _other = schedule.hosts.values()
+    schedule.crash(voter)
+    schedule.start(voter)
+    start = voter.replica.node.leaderless_start
+    schedule.crash(voter)
+    schedule.start(voter)
+    before = voter.replica.node.term
+    term = before + 1
+    request = VoteRequest(
+        term, candidate.store, 99, term, trial=False, leaderless_start=start
+    )
+    schedule.do(voter, Replica.receive, candidate.name, request)
+    require(voter.replica.node.term == before, 'an older start gave its vote')
+
+
 def check_single_steps() -> None:
     """A membership change waits until the previous one is committed."""
     schedule = Schedule(0, 'abcde')
--- a/tests/bilberry_replica/test_schedule.py
+++ b/tests/bilberry_replica/test_schedule.py
@@ -36,6 +36,23 @@
             waited_s = schedule.now - began
             self.assertLess(waited_s, 5 * TIMING.election_s)
 
+    @settings(max_examples=100)
+    @given(SEEDS, DOMAINS)
+    def test_no_wait_for_a_leader_if_all_were_restarted(self, seed, domains):
+        """None of them can have promised its vote to one that still leads."""
+        schedule = Schedule(seed, domains)
+        for host in schedule.list_running():
+            schedule.crash(host)
+        for host in schedule.hosts.values():
+            schedule.start(host)
+        began = schedule.now
+        while not any(
+            host.replica.node.is_leader for host in schedule.list_running()
+        ):
+            schedule.run_faultless_round()
+            waited_s = schedule.now - began
+            self.assertLess(waited_s, TIMING.election_s)
+
     @EXAMPLES
     @given(SEEDS, DOMAINS, STEPS)
     def test_mixed_faults(self, seed, domains, steps):
--- a/tests/bilberry_replica/test_variants.py
+++ b/tests/bilberry_replica/test_variants.py
@@ -5,7 +5,9 @@
 
 from tests.bilberry_replica.scenarios import (
     check_earlier_term,
+    check_leader_out_of_reach,
     check_leader_stays,
+    check_old_start,
     check_one_vote,
     check_single_steps,
 )
@@ -26,6 +28,8 @@
         check_leader_stays()
         check_single_steps()
         check_earlier_term()
+        check_leader_out_of_reach()
+        check_old_start()
 
     def _is_caught(self, name: str) -> bool:
         variant = VARIANTS[name]
--- a/tests/bilberry_replica/variants.py
+++ b/tests/bilberry_replica/variants.py
@@ -19,7 +19,9 @@
 from tests.bilberry_replica.events import run_schedule
 from tests.bilberry_replica.scenarios import (
     check_earlier_term,
+    check_leader_out_of_reach,
     check_leader_stays,
+    check_old_start,
     check_one_vote,
     check_single_steps,
 )
@@ -107,6 +109,12 @@
     return False
 
 
+def is_unopposed_in_quorum(node: Node) -> bool:
+    """Asks no more than a quorum whether they have had a leader."""
+    names = [name for name, start in node.leaderless.items() if start]
+    return has_quorum(node.membership, names)
+
+
 def count_learners(membership: Membership, *names: Any) -> bool:
     """Counts every member towards a quorum."""
     if isinstance(names[0], str):
@@ -237,6 +245,16 @@
         ('bilberry_replica.election.has_live_leader',),
         check_leader_stays,
     ),
+    'no wait after a restart': Variant(
+        is_unopposed_in_quorum,
+        ('bilberry_replica.election.is_unopposed',),
+        check_leader_out_of_reach,
+    ),
+    'older start not told apart': Variant(
+        return_true,
+        ('bilberry_replica.election.is_leaderless_since',),
+        check_old_start,
+    ),
     'vote for a shorter log': Variant(
         return_true,
         ('bilberry_replica.election._is_up_to_date',),
