--- a/packages/bilberry_core/bilberry_core/messages/replica.py
+++ b/packages/bilberry_core/bilberry_core/messages/replica.py
@@ -83,8 +83,8 @@
 class VoteRequest(NamedTuple):
     """A candidate asks for a vote; `trial` marks a non-binding pre-vote.
 
-    `leaderless_start` is the start of the voter if no voter has a leader, as all
-    have said in a trial; 0 otherwise.
+    `leaderless_start` is the start of the voter if no voter has a leader, as
+    all have said in a trial; 0 otherwise.
     """
 
     term: int
