Tell refused slots apart from failed calls

Cause: the end of an offer was told with CallFailed on the number of its call.

Change: SlotRefused is a message of its own. The caller's proxy ignores it once the slot was taken; a CallStart whose offer has ended is admitted like any other call.

--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -165,7 +165,7 @@
 class SlotRequest(NamedTuple):
     """Asks for a slot for a request that is sent once a slot is offered.
 
-    The reply is a `SlotOffer`, at once or later, or a `CallFailed`: at once if
+    The reply is a `SlotOffer`, at once or later, or a `SlotRefused`: at once if
     no slot is expected within `max_wait_ms`, else after that time.
     """
 
@@ -180,3 +180,17 @@
     """Keeps a slot for a short time, for the `CallStart` of this call."""
 
     call: int
+
+
+@message(63)
+class SlotRefused(NamedTuple):
+    """Ends a request for a slot, or an offer that was not taken in time.
+
+    It says nothing of a `CallStart` of this call that it crosses. `notice` is
+    what the upstream says of itself, None if the sender knows of nothing.
+    """
+
+    call: int
+    failure: Failure
+    load: Load
+    notice: UpstreamNotice | None = None
--- a/packages/bilberry_proxy/bilberry_proxy/call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call.py
@@ -11,6 +11,7 @@
     CallStart,
     ReplyChunk,
     ReplyStart,
+    SlotRefused,
     SlotRequest,
 )
 
@@ -68,7 +69,7 @@
     def offer_slot(self) -> None:
         """Receives a slot, which is kept for a short time."""
 
-    def fail(self, failed: CallFailed) -> None:
+    def refuse_slot(self, refused: SlotRefused) -> None:
         """Receives the refusal; no slot follows."""
 
 
--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -19,6 +19,7 @@
     ReplyStart,
     SliceReceived,
     SlotOffer,
+    SlotRefused,
     SlotRequest,
 )
 from bilberry_core.stream import Stream
@@ -256,8 +257,8 @@
         if self._call in self._served.reservations:
             self._served.send(SlotOffer(self._call))
 
-    def fail(self, failed: CallFailed) -> None:
+    def refuse_slot(self, refused: SlotRefused) -> None:
         """Sends the refusal."""
         self.is_refused = True
         self._served.reservations.pop(self._call, None)
-        self._served.send(failed)
+        self._served.send(refused)
--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -22,6 +22,7 @@
     ReplyStart,
     SliceReceived,
     SlotOffer,
+    SlotRefused,
     SlotRequest,
 )
 from bilberry_core.stream import Stream
@@ -65,6 +66,7 @@
                 Credit: self._pass_on,
                 GoAway: self._handle_go_away,
                 SlotOffer: self._reservations.receive_offer,
+                SlotRefused: self._reservations.receive_refusal,
             }
         )
         self._opener = StreamOpener(
@@ -188,8 +190,6 @@
         call.answers.continue_reply(chunk)
 
     def _handle_failed(self, failed: CallFailed) -> None:
-        if self._reservations.receive_failed(failed):
-            return
         call = self._pop(failed.call)
         if call is not None:
             call.answers.fail(failed)
--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -16,7 +16,7 @@
 
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Endpoint
-from bilberry_core.messages.call import CallFailed
+from bilberry_core.messages.call import SlotRefused
 from bilberry_core.policy import Priority
 from bilberry_core.snapshot import Route
 from bilberry_core.verdict import Failure, FailureCode, Verdict
@@ -140,7 +140,7 @@
         self,
         endpoint: Endpoint,
         priority: Priority,
-        failed: CallFailed,
+        refused: SlotRefused,
     ) -> None:
         """Records that an endpoint has no free slot in time.
 
@@ -148,15 +148,15 @@
         room.
         """
         router = self._router
-        retry_after_ms = failed.failure.retry_after_ms
-        router.record_no_slot(endpoint, failed.load)
+        retry_after_ms = refused.failure.retry_after_ms
+        router.record_no_slot(endpoint, refused.load)
         if retry_after_ms:
             least_ms = self._retry_after_ms or retry_after_ms
             self._retry_after_ms = min(least_ms, retry_after_ms)
-        if failed.notice is None:
+        if refused.notice is None:
             return
-        router.record_notice(endpoint, failed.notice)
-        is_limited = failed.notice.rate_limit is not None
+        router.record_notice(endpoint, refused.notice)
+        is_limited = refused.notice.rate_limit is not None
         if is_limited and retry_after_ms and priority is not Priority.URGENT:
             router.record_shed(endpoint, priority, retry_after_ms)
 
--- a/packages/bilberry_proxy/bilberry_proxy/remote_reservation.py
+++ b/packages/bilberry_proxy/bilberry_proxy/remote_reservation.py
@@ -6,9 +6,9 @@
 from bilberry_core.messages.call import (
     NO_LOAD,
     CallCancel,
-    CallFailed,
     CallStart,
     SlotOffer,
+    SlotRefused,
     SlotRequest,
 )
 from bilberry_core.verdict import Failure, FailureCode, Verdict
@@ -56,8 +56,8 @@
 
     def fail(self, failure: Failure = _NOT_CONNECTED) -> None:
         """Reports that no slot follows."""
-        failed = CallFailed(self.request.call, failure, NO_LOAD)
-        self.receiver.fail(failed)
+        refused = SlotRefused(self.request.call, failure, NO_LOAD)
+        self.receiver.refuse_slot(refused)
 
 
 class RemoteReservations:
@@ -129,10 +129,8 @@
         if reservation is not None:
             reservation.receiver.offer_slot()
 
-    def receive_failed(self, failed: CallFailed) -> bool:
-        """Passes on a refusal; returns False if it concerns a call."""
-        reservation = self._open.pop(failed.call, None)
-        if reservation is None:
-            return False
-        reservation.receiver.fail(failed)
-        return True
+    def receive_refusal(self, refused: SlotRefused) -> None:
+        """Passes on a refusal, unless the slot was taken meanwhile."""
+        reservation = self._open.pop(refused.call, None)
+        if reservation is not None:
+            reservation.receiver.refuse_slot(refused)
--- a/packages/bilberry_proxy/bilberry_proxy/reserved_slot.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reserved_slot.py
@@ -9,9 +9,9 @@
 
 from bilberry_core.clock import Clock
 from bilberry_core.messages.call import (
-    CallFailed,
     CallStart,
     Load,
+    SlotRefused,
     SlotRequest,
 )
 from bilberry_core.metric import Metrics
@@ -125,12 +125,12 @@
         keeper = self._keeper
         keeper.metrics.incr('slot.refused')
         failure = Failure(Verdict.NOT_RUN, code, detail, retry_after_ms)
-        self._receiver.fail(
-            CallFailed(
+        self._receiver.refuse_slot(
+            SlotRefused(
                 self._call,
                 failure,
                 keeper.measure_load(),
-                notice=keeper.notices.shared,
+                keeper.notices.shared,
             ),
         )
 
--- a/packages/bilberry_proxy/bilberry_proxy/slot_finder.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_finder.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from bilberry_core.endpoint import Endpoint
-from bilberry_core.messages.call import NO_WAIT_LIMIT_MS, CallFailed
+from bilberry_core.messages.call import NO_WAIT_LIMIT_MS, SlotRefused
 from bilberry_core.verdict import Failure
 
 from bilberry_proxy.attempt import Attempt
@@ -69,13 +69,13 @@
     def find_after(self, attempt: Attempt, failure: Failure) -> None:
         """Looks for a slot, as the endpoint of an attempt had none."""
         self._outcome.drop_attempt()
-        failed = CallFailed(
+        refused = SlotRefused(
             0,
             failure,
             attempt.reported_load,
-            notice=attempt.reported_notice,
+            attempt.reported_notice,
         )
-        self._record(attempt.endpoint, failed)
+        self._record(attempt.endpoint, refused)
         self._start_search()
 
     def cancel(self) -> None:
@@ -89,17 +89,17 @@
         choice = PlacementChoice(found.selection, NO_WAIT_LIMIT_MS)
         self._owner.open_attempt(choice, found.reservation)
 
-    def on_slot_refused(self, asked: Selection, failed: CallFailed) -> None:
+    def on_slot_refused(self, asked: Selection, refused: SlotRefused) -> None:
         """Records that an upstream has no slot in time."""
         self._outcome.slot_refusals += 1
-        self._record(asked.endpoint, failed)
+        self._record(asked.endpoint, refused)
 
     def on_no_slot(self) -> None:
         """Refuses the request."""
         self._owner.fail(self._placement.build_refusal())
 
-    def _record(self, endpoint: Endpoint, failed: CallFailed) -> None:
-        self._placement.record_refusal(endpoint, self._plan.priority, failed)
+    def _record(self, endpoint: Endpoint, refused: SlotRefused) -> None:
+        self._placement.record_refusal(endpoint, self._plan.priority, refused)
 
     def _start_search(self) -> None:
         plan = self._placement.plan_search(
--- a/packages/bilberry_proxy/bilberry_proxy/slot_search.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_search.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple, Protocol
 
 from bilberry_core.clock import MS_PER_S
-from bilberry_core.messages.call import CallFailed, SlotRequest
+from bilberry_core.messages.call import SlotRefused, SlotRequest
 from bilberry_core.policy import Priority
 
 from bilberry_proxy.call import CallTarget, SlotReservation
@@ -53,7 +53,7 @@
     def on_slot(self, found: FoundSlot) -> None:
         """Handles the slot; all other reservations are withdrawn."""
 
-    def on_slot_refused(self, asked: Selection, failed: CallFailed) -> None:
+    def on_slot_refused(self, asked: Selection, refused: SlotRefused) -> None:
         """Handles the refusal of one upstream."""
 
     def on_no_slot(self) -> None:
@@ -134,12 +134,12 @@
         self.cancel()
         self._owner.on_slot(FoundSlot(ask.selection, ask.reservation))
 
-    def refused(self, ask: '_Ask', failed: CallFailed) -> None:
+    def refused(self, ask: '_Ask', refused: SlotRefused) -> None:
         """Ends the search with the last refusal."""
         self._asks.discard(ask)
         if self._plan is None:
             return
-        self._owner.on_slot_refused(ask.selection, failed)
+        self._owner.on_slot_refused(ask.selection, refused)
         if self._asks or self._plan is None:
             return
         if self._far:
@@ -179,6 +179,6 @@
         if self.reservation is not None:
             self._search.found(self)
 
-    def fail(self, failed: CallFailed) -> None:
+    def refuse_slot(self, refused: SlotRefused) -> None:
         """Receives the refusal."""
-        self._search.refused(self, failed)
+        self._search.refused(self, refused)
--- a/tests/bilberry_proxy/played_load.py
+++ b/tests/bilberry_proxy/played_load.py
@@ -12,7 +12,7 @@
 
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
-from bilberry_core.messages.call import CallFailed, SlotRequest
+from bilberry_core.messages.call import SlotRefused, SlotRequest
 from bilberry_core.policy import CallPolicy, Priority
 from bilberry_core.snapshot import Decision, Route, Snapshot
 from bilberry_core.verdict import Failure, FailureCode, Verdict
@@ -149,8 +149,8 @@
         failure = Failure(
             Verdict.NOT_RUN, FailureCode.NO_FREE_SLOT, '', retry_after_ms
         )
-        failed = CallFailed(0, failure, self.upstream.measure_load())
-        self.deliver(lambda: self._receiver.fail(failed))
+        failed = SlotRefused(0, failure, self.upstream.measure_load())
+        self.deliver(lambda: self._receiver.refuse_slot(failed))
 
     def take(self, request: 'PlayedRequest') -> None:
         """Sends the request to its slot."""
@@ -324,7 +324,7 @@
     def on_refused(self) -> None:
         """Looks for a slot elsewhere, as the endpoint had none."""
         failure = Failure(Verdict.NOT_RUN, FailureCode.NO_FREE_SLOT, '')
-        failed = CallFailed(0, failure, self._upstream.measure_load())
+        failed = SlotRefused(0, failure, self._upstream.measure_load())
         self._placement.record_refusal(
             self._upstream.endpoint, Priority.NORMAL, failed
         )
@@ -337,7 +337,7 @@
         self._begin(found.selection)
         found.reservation.take(self)
 
-    def on_slot_refused(self, asked: Selection, failed: CallFailed) -> None:
+    def on_slot_refused(self, asked: Selection, failed: SlotRefused) -> None:
         """Records that an upstream has no slot in time."""
         self._placement.record_refusal(asked.endpoint, Priority.NORMAL, failed)
 
--- a/tests/bilberry_proxy/test_call_stream.py
+++ b/tests/bilberry_proxy/test_call_stream.py
@@ -13,6 +13,7 @@
     ReplyChunk,
     ReplyStart,
     SlotOffer,
+    SlotRefused,
     SlotRequest,
 )
 from bilberry_core.policy import Priority
@@ -29,6 +30,7 @@
     0, 'callouts', b'GET', b'/', (), b'', True, 1000, Priority.NORMAL
 )
 
+NO_SLOT = Failure(Verdict.NOT_RUN, FailureCode.NO_FREE_SLOT, '')
 REQUEST = SlotRequest(0, 'callouts', Priority.NORMAL, 100)
 
 
@@ -300,9 +302,9 @@
         """Records the offer."""
         self.offers += 1
 
-    def fail(self, failed) -> None:
+    def refuse_slot(self, refused) -> None:
         """Records the refusal."""
-        self.failures.append(failed.failure)
+        self.failures.append(refused.failure)
 
 
 class ReservationTest(TestCase):
@@ -390,6 +392,23 @@
         self.assertEqual(0, receiver.offers)
         self.assertEqual([CallCancel(2)], sent[2:])
 
+    def test_end_of_an_offer_does_not_fail_the_call_that_took_it(self):
+        """They cross: the other daemon runs the call as any other."""
+
+        async def scenario():
+            fixture = await self.connect()
+            reservation, _receiver = self.reserve(fixture)
+            fixture.receive(SlotOffer(2))
+            answers = Answers()
+            reservation.take(START, answers)
+            fixture.receive(SlotRefused(2, NO_SLOT, NO_LOAD))
+            for frame in build_frames(2):
+                fixture.receive(frame)
+            return answers
+
+        answers = run(scenario())
+        self.assertEqual((b'answer 2', ['answered']), answers_of(answers))
+
     def test_refusal_reaches_its_own_request_only(self):
         """Calls and requested slots share their numbers."""
 
@@ -397,8 +416,7 @@
             fixture = await self.connect()
             _one, first = self.reserve(fixture)
             _other, second = self.reserve(fixture)
-            failure = Failure(Verdict.NOT_RUN, FailureCode.NO_FREE_SLOT, '')
-            fixture.receive(CallFailed(3, failure, NO_LOAD))
+            fixture.receive(SlotRefused(3, NO_SLOT, NO_LOAD))
             return first, second
 
         first, second = run(scenario())
--- a/tests/bilberry_proxy/test_placement.py
+++ b/tests/bilberry_proxy/test_placement.py
@@ -1,7 +1,7 @@
 """Tests placement under load: near first, free slots, then a bounded wait."""
 
 from bilberry_core.endpoint import Endpoint
-from bilberry_core.messages.call import CallFailed, Load
+from bilberry_core.messages.call import Load, SlotRefused
 from bilberry_core.policy import CallPolicy, Priority
 from bilberry_core.snapshot import Decision, Route, Snapshot
 from bilberry_core.verdict import Failure, FailureCode, Verdict
@@ -86,7 +86,7 @@
         failure = Failure(
             Verdict.NOT_RUN, FailureCode.NO_FREE_SLOT, '', retry_after_ms
         )
-        failed = CallFailed(0, failure, load)
+        failed = SlotRefused(0, failure, load)
         self.placement.record_refusal(endpoint, Priority.NORMAL, failed)
 
     def test_near_endpoint_is_asked_for_a_free_slot_first(self):
--- a/tests/bilberry_proxy/test_reserved_slot.py
+++ b/tests/bilberry_proxy/test_reserved_slot.py
@@ -39,9 +39,13 @@
         self.offers += 1
 
     def fail(self, failed) -> None:
-        """Records a refusal or a failure."""
+        """Records a failure."""
         self.failures.append(failed.failure)
 
+    def refuse_slot(self, refused) -> None:
+        """Records a refusal."""
+        self.failures.append(refused.failure)
+
 
 class FakePool:
     """Connections to an upstream that never answers."""
--- a/tests/bilberry_proxy/test_slot_search.py
+++ b/tests/bilberry_proxy/test_slot_search.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 from bilberry_core.endpoint import Endpoint
-from bilberry_core.messages.call import CallFailed, Load, SlotRequest
+from bilberry_core.messages.call import Load, SlotRefused, SlotRequest
 from bilberry_core.policy import Priority
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 from bilberry_proxy.call import SlotReceiver
@@ -21,7 +21,7 @@
 
 MAX_WAIT_MS = 200
 HEAD_START_MS = 50
-REFUSED = CallFailed(
+REFUSED = SlotRefused(
     0,
     Failure(Verdict.NOT_RUN, FailureCode.NO_FREE_SLOT, 'full'),
     Load(0, 0, 0, 0),
@@ -60,7 +60,7 @@
         reservation = FakeReservation(request, receiver)
         self.reservations.append(reservation)
         if self.refuses:
-            receiver.fail(REFUSED)
+            receiver.refuse_slot(REFUSED)
         if self.offers:
             receiver.offer_slot()
         return reservation
@@ -95,7 +95,7 @@
         """Records the slot."""
         self.found.append(found)
 
-    def on_slot_refused(self, asked: Selection, _failed: CallFailed) -> None:
+    def on_slot_refused(self, asked: Selection, _failed: SlotRefused) -> None:
         """Records a refusal."""
         self.refused.append(asked)
 
@@ -191,7 +191,7 @@
         self.start()
         self.search.cancel()
         self.get_reservation(0).receiver.offer_slot()
-        self.get_reservation(1).receiver.fail(REFUSED)
+        self.get_reservation(1).receiver.refuse_slot(REFUSED)
         self.advance(1)
         self.assertEqual(([], 0), (self.found, self.ends))
         self.assertEqual([], self.list_waiting())
