Ask four upstreams for a slot; return when the wait would fit

Cause: under overload most messages between proxies are requests for slots, refusals and withdrawals; a refused request was told the time to work off the whole queue, although a little less is enough.

Change: one place in another failure domain instead of two; Retry-After is what the expected wait is too long by. The queue keeps its length.

--- a/packages/bilberry_proxy/bilberry_proxy/admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admission.py
@@ -74,14 +74,19 @@
 
 
 def suggest_retry_after_ms(occupancy: Occupancy) -> int:
-    """Returns the time to work off the current queue, in milliseconds.
-
-    The time is kept between `MIN_RETRY_AFTER_MS` and `MAX_RETRY_AFTER_MS`.
-    """
+    """Returns the time to work off the current queue, in milliseconds."""
     wait_s = max(
         estimate_wait_s(occupancy, occupancy.queued),
         occupancy.pace.suggest_return_s(occupancy.queued),
     )
+    return bound_retry_after_ms(wait_s)
+
+
+def bound_retry_after_ms(wait_s: float) -> int:
+    """Returns a wait in seconds as a Retry-After in milliseconds.
+
+    The time is kept between `MIN_RETRY_AFTER_MS` and `MAX_RETRY_AFTER_MS`.
+    """
     bounded = min(int(wait_s * MS_PER_S), MAX_RETRY_AFTER_MS)
     return max(bounded, MIN_RETRY_AFTER_MS)
 
@@ -100,10 +105,11 @@
             priority: QueueDepartures() for priority in _BY_RANK
         }
         self._admitted = 0
+        self._length = 0
 
     def __len__(self) -> int:
         """Returns how many calls wait."""
-        return sum(len(queue) for queue in self._queues.values())
+        return self._length
 
     def count_ahead(self, priority: Priority) -> int:
         """Returns how many calls are ahead of a new one of `priority`."""
@@ -135,6 +141,7 @@
         departures = self._departures[ticket.priority]
         departures.record_arrival(now, is_first=not queue)
         queue.append(ticket)
+        self._length += 1
 
     def evict_below(self, priority: Priority) -> Ticket[QueuedCall] | None:
         """Removes and returns the newest call of the lowest priority.
@@ -145,6 +152,7 @@
         rank = _BY_RANK.index(priority)
         for lower in reversed(_BY_RANK[rank + 1 :]):
             if self._queues[lower]:
+                self._length -= 1
                 return self._queues[lower].pop()
         return None
 
@@ -163,6 +171,7 @@
         if queue is None:
             return None
         ticket = queue.popleft()
+        self._length -= 1
         self._departures[ticket.priority].record_departure(now)
         return ticket
 
@@ -172,6 +181,7 @@
             for ticket in queue:
                 if ticket.call is call:
                     queue.remove(ticket)
+                    self._length -= 1
                     self._departures[priority].record_departure(now)
                     return
 
@@ -182,11 +192,14 @@
         ]
         for queue in self._queues.values():
             queue.clear()
+        self._length = 0
         return tickets
 
     def pop_expired(self, now: float) -> list[Ticket[QueuedCall]]:
         """Removes and returns every call whose `expires_at` has passed."""
-        expired = []
+        expired: list[Ticket[QueuedCall]] = []
+        if not self._length:
+            return expired
         for priority, queue in self._queues.items():
             late = [ticket for ticket in queue if ticket.expires_at <= now]
             if late:
@@ -197,10 +210,13 @@
                 )
                 self._queues[priority] = deque(kept)
             expired += late
+        self._length -= len(expired)
         return expired
 
     def _find_next(self) -> deque[Ticket[QueuedCall]] | None:
         """Returns the queue whose turn it is."""
+        if not self._length:
+            return None
         deferrable = self._queues[Priority.DEFERRABLE]
         if deferrable and (self._admitted + 1) % DEFERRABLE_SHARE == 0:
             return deferrable
--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -30,7 +30,7 @@
 #: Endpoints of the proxy's own failure domain at which a request waits.
 MAX_NEAR_PLACES = 3
 #: Endpoints of other failure domains at which it waits besides.
-MAX_FAR_PLACES = 2
+MAX_FAR_PLACES = 1
 #: Multiple of the mean service time that is reserved after the wait.
 SERVICE_MARGIN = 1.25
 #: Share of the slack that a request may wait. A queue that is as long as the
--- a/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
@@ -15,6 +15,7 @@
     AdmissionQueue,
     Occupancy,
     Ticket,
+    bound_retry_after_ms,
     is_full,
     suggest_retry_after_ms,
     would_time_out,
@@ -114,8 +115,11 @@
         occupancy = self.measure_occupancy()
         wait_s = self._queue.estimate_wait_s(priority, now, occupancy)
         if wait_s > max_wait_s:
-            return self._shed_call(
-                reservation, 'no slot is expected to become free in time'
+            self.slots.limiter.defer()
+            return ShedCall(
+                reservation,
+                'no slot is expected to become free in time',
+                bound_retry_after_ms(wait_s - max_wait_s),
             )
         if len(self._queue) >= self.slots.capacity * RESERVATIONS_PER_SLOT:
             return self._shed_call(reservation, 'the queue is full')
--- a/tests/bilberry_proxy/test_admission.py
+++ b/tests/bilberry_proxy/test_admission.py
@@ -224,6 +224,33 @@
         refused = queue.push(late, Priority.NORMAL, 0, 0.001)
         self.assertEqual(late, refused.call)
 
+    def test_refused_reservation_returns_when_its_wait_fits(self):
+        """The time to come back is what the wait is too long by."""
+        queue = build_queue(1)
+        queue.try_acquire()
+        queue.push_reservation(1, Priority.NORMAL, 0, 9)
+        refused = queue.push_reservation(9, Priority.NORMAL, 0.5, 0.4)
+        self.assertEqual(9, refused.call)
+        self.assertEqual(600, refused.retry_after_ms)
+
+    @given(st.lists(st.sampled_from(Priority), max_size=20), st.randoms())
+    def test_length_is_right_after_every_way_out(self, priorities, random):
+        """Calls leave by their turn, their cancellation or their age."""
+        queue = build_queue()
+        queue.slots.run()
+        calls = [Call(*entry) for entry in enumerate(priorities)]
+        for call in calls:
+            queue.push(call, call.priority, 0, random.random() * 4)
+        left = len(queue)
+        if left:
+            queue.remove(random.choice(calls[:left]), 0)
+            left = len(queue)
+        for now in (0, 0.5, 1):
+            left -= len(queue.shed_expired(now))
+            self.assertEqual(left, len(queue))
+        self.assertEqual(left, len(queue.clear()))
+        self.assertEqual(0, len(queue))
+
     def test_queue_is_bounded(self):
         """No more than `QUEUE_PER_SLOT` calls wait per slot."""
         upstream = Upstream()
