--- a/packages/bilberry_core/bilberry_core/snapshot.py
+++ b/packages/bilberry_core/bilberry_core/snapshot.py
@@ -16,6 +16,7 @@
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.organisation import Organisation
 from bilberry_core.policy import CallPolicy
+from bilberry_core.rule_table import RuleTable
 
 
 class Route(NamedTuple):
@@ -30,7 +31,7 @@
     """Everything a proxy needs to route a request; replaced only as a whole.
 
     `services_by_host` maps every host name to a key of `routes`;
-    `rules_by_host` maps a host to its routing rules, longest prefix first.
+    `rules_by_host` maps a host to its routing rules.
     `organisations_by_key` maps the digests of keys to who holds them; None in
     a configuration without organisations.
     """
@@ -41,15 +42,13 @@
     defaults: CallPolicy
     services_by_host: dict[str, str]
     routes: dict[str, Route]
-    rules_by_host: dict[str, tuple[RoutingRule, ...]] = {}
+    rules_by_host: dict[str, RuleTable] = {}
     organisations_by_key: dict[str, Organisation] | None = None
 
     def find_rule(self, host: str, path: str) -> RoutingRule | None:
         """Returns the routing rule of a request, if one matches."""
-        for rule in self.rules_by_host.get(host, ()):
-            if path.startswith(rule.path_prefix):
-                return rule
-        return None
+        table = self.rules_by_host.get(host)
+        return None if table is None else table.find(path)
 
 
 class Decision(NamedTuple):
@@ -136,20 +135,15 @@
 
 def _group_rules(
     configuration: Configuration,
-) -> dict[str, tuple[RoutingRule, ...]]:
+) -> dict[str, RuleTable]:
     grouped: dict[str, list[RoutingRule]] = {}
     for rule in configuration.routes:
         grouped.setdefault(rule.host, []).append(rule)
     return {
-        host: tuple(sorted(rules, key=_rank_rule))
-        for host, rules in grouped.items()
+        host: RuleTable.from_rules(rules) for host, rules in grouped.items()
     }
 
 
-def _rank_rule(rule: RoutingRule) -> tuple[int, str]:
-    return -len(rule.path_prefix), rule.name
-
-
 def _rank_exceptions(
     configuration: Configuration,
     service: str,
