Use a random source that needs no system call

Cause: each draw of the daemon's random source was a system call, about 430 a second in a loaded proxy. Backoff, balancing and polling need no secrecy; secrets and challenges are drawn elsewhere.

Change: Random instead of SystemRandom, seeded by the system at the start.

--- a/packages/bilberryd/bilberryd/parts.py
+++ b/packages/bilberryd/bilberryd/parts.py
@@ -1,6 +1,6 @@
 """The parts that a daemon is built of."""
 
-from random import SystemRandom
+from random import Random
 
 from bilberry_core.board import Board
 from bilberry_core.clock import SystemClock
@@ -31,7 +31,7 @@
         self.settings = settings
         self.board = Board()
         self.clock = SystemClock()
-        self.random = SystemRandom()
+        self.random = Random()
         self.credentials = Credentials(
             settings.fleet,
             settings.instance,
