Do not compress bodies again and again that gain nothing

Cause: each message of 1 KiB or more was compressed; slices of response bodies that do not compress took 48 us each and became longer.

Change: a stream sends a type of message as it is for a while after one of the type gained less than 5%.

--- a/packages/bilberry_core/bilberry_core/messages/registry.py
+++ b/packages/bilberry_core/bilberry_core/messages/registry.py
@@ -7,21 +7,19 @@
 
 from collections.abc import Callable
 from typing import Any, NamedTuple, TypeVar
-from zlib import compress, decompressobj
+from zlib import decompressobj
 from zlib import error as ZlibError
 
 from msgpack import packb, unpackb
 from msgspec import ValidationError, convert
 
 from bilberry_core.error import FrameError
+from bilberry_core.messages.compression import compress_message
 
 MessageType = TypeVar('MessageType')
 
-#: Minimum length of a message that is compressed, in bytes.
-COMPRESS_BYTES = 1024
 #: Maximum length of a decompressed message, in bytes.
 MAX_EXPANDED_BYTES = 16 << 20
-_COMPRESS_LEVEL = 1
 _ZLIB_FIRST_BYTE = 0x78
 
 _types: dict[int, Any] = {}
@@ -48,11 +46,13 @@
 
 
 def encode_message(sent: Any) -> bytes:
-    """Returns the encoding of a registered message."""
-    encoded = packb((_numbers[type(sent)], *sent))
-    if len(encoded) < COMPRESS_BYTES:
-        return encoded
-    return compress(encoded, _COMPRESS_LEVEL)
+    """Returns the encoding of a registered message, compressed if long."""
+    return compress_message(pack_message(sent))
+
+
+def pack_message(sent: Any) -> bytes:
+    """Returns the encoding of a registered message, not compressed."""
+    return packb((_numbers[type(sent)], *sent))
 
 
 def decode_message(encoded: bytes | memoryview) -> Any:
--- a/packages/bilberry_core/bilberry_core/stream.py
+++ b/packages/bilberry_core/bilberry_core/stream.py
@@ -17,7 +17,8 @@
 from bilberry_core.frame import MAX_FRAME_BYTES, FrameReader, encode_frame
 from bilberry_core.handshake import MAX_HANDSHAKE_BYTES, Identity, Purpose
 from bilberry_core.keepalive import keep_alive
-from bilberry_core.messages.registry import decode_message, encode_message
+from bilberry_core.messages.compression import Compressor
+from bilberry_core.messages.registry import decode_message, pack_message
 from bilberry_core.traffic import Traffic, TrafficCounter
 
 _log = getLogger(__name__)
@@ -58,6 +59,7 @@
         self.bytes_sent = 0
         self.bytes_received = 0
         self._counter = TrafficCounter()
+        self._compressor = Compressor()
         self._reader = FrameReader(MAX_HANDSHAKE_BYTES)
         self._transport: Transport | None = None
         self._is_writable = True
@@ -75,7 +77,8 @@
 
     def send(self, sent: Any) -> None:
         """Sends a message; raises `StreamClosedError` on a closed stream."""
-        self.send_encoded(encode_message(sent))
+        packed = pack_message(sent)
+        self.send_encoded(self._compressor.compress(type(sent), packed))
 
     def send_encoded(self, encoded: bytes) -> None:
         """Sends an encoded message, which several streams may share."""
