--- a/packages/bilberry_core/bilberry_core/scrape.py
+++ b/packages/bilberry_core/bilberry_core/scrape.py
@@ -37,6 +37,7 @@
         self._forward = forward
         self._registry = CollectorRegistry()
         self._families: dict[str, Any] = {}
+        self._series: dict[str, Any] = {}
 
     def incr(self, stat: str, count: int = 1) -> None:
         """Adds to a counter."""
@@ -60,6 +61,13 @@
         return generate_latest(self._registry)
 
     def _get_metric(self, kind: type, stat: str, **options: Any) -> Any:
+        series = self._series.get(stat)
+        if series is None:
+            series = self._add_series(kind, stat, **options)
+            self._series[stat] = series
+        return series
+
+    def _add_series(self, kind: type, stat: str, **options: Any) -> Any:
         parts = stat.split('.', _FAMILY_PARTS)
         family = '_'.join((_PREFIX, *parts[:_FAMILY_PARTS]))
         metric = self._families.get(family)
