--- a/packages/bilberryd/bilberryd/main.py
+++ b/packages/bilberryd/bilberryd/main.py
@@ -5,7 +5,6 @@
 """
 
 from asyncio import Runner
-from gc import freeze
 from os import environ
 from sys import argv, exit, stderr, stdout
 
@@ -19,6 +18,7 @@
 from uvloop import new_event_loop
 
 from bilberryd.assembly import build_daemon
+from bilberryd.collector import prepare_collector
 
 _EXIT_FAILED = 1
 _EXIT_SETTINGS = 2
@@ -69,9 +69,7 @@
 
 async def _run(settings: Settings) -> None:
     daemon = build_daemon(settings)
-    # Objects built at the start live as long as the process, so the garbage
-    # collector need not scan them.
-    freeze()
+    prepare_collector()
     await daemon.run()
 
 
--- a/packages/bilberryd/bilberryd/parts.py
+++ b/packages/bilberryd/bilberryd/parts.py
@@ -1,6 +1,7 @@
 """The parts that a daemon is built of."""
 
 from random import Random
+from typing import TYPE_CHECKING
 
 from bilberry_core.board import Board
 from bilberry_core.clock import SystemClock
@@ -9,15 +10,18 @@
 from bilberry_core.scrape import MetricsController, ScrapedMetrics
 from bilberry_core.settings import Settings
 from bilberry_core.stream import Credentials
-from bilberry_proxy.announcement import AnnouncementController
-from bilberry_proxy.controller import ProxyController
-from bilberry_replica.controller import ReplicaController
-from bilberry_rollouts.controller import RolloutController
+from bilberry_proxy.context import ProxyOptions
 from bilberry_spread.runtime import Runtime, open_runtime
 
 from bilberryd.board_metrics import BoardMetrics
 from bilberryd.daemon import Controller
 
+if TYPE_CHECKING:
+    from bilberry_proxy.announcement import AnnouncementController
+    from bilberry_proxy.controller import ProxyController
+    from bilberry_replica.controller import ReplicaController
+    from bilberry_rollouts.controller import RolloutController
+
 
 class DaemonParts:
     """The components of a daemon that is being built.
@@ -27,8 +31,13 @@
     are None without the role proxy.
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        proxy_options: ProxyOptions = ProxyOptions(),
+    ) -> None:
         self.settings = settings
+        self.proxy_options = proxy_options
         self.board = Board()
         self.clock = SystemClock()
         self.random = Random()
@@ -52,10 +61,10 @@
                     self._refresh_metrics,
                 ),
             )
-        self.acceptor: ReplicaController | None = None
-        self.rollouts: RolloutController | None = None
-        self.announcements: AnnouncementController | None = None
-        self.proxy: ProxyController | None = None
+        self.acceptor: 'ReplicaController | None' = None
+        self.rollouts: 'RolloutController | None' = None
+        self.announcements: 'AnnouncementController | None' = None
+        self.proxy: 'ProxyController | None' = None
 
     def build_spread_runtime(self) -> Runtime:
         """Returns the dependencies of the relay or the subscriber."""
--- a/tests/bilberryd/test_assembly.py
+++ b/tests/bilberryd/test_assembly.py
@@ -1,5 +1,8 @@
 """Tests of what a daemon is built of."""
 
+from subprocess import run
+from sys import executable
+
 from bilberry_core.endpoint import Address
 from bilberry_core.settings import ListenSettings, Role, Settings
 from bilberry_operators.controller import OperatorsController
@@ -7,6 +10,17 @@
 from bilberryd.assembly import build_daemon
 from testtools import TestCase
 
+_BUILD_PROXY = """
+from sys import modules
+from bilberry_core.endpoint import Address
+from bilberry_core.settings import ListenSettings, Role, Settings
+from bilberryd.assembly import build_daemon
+port = Address('127.0.0.1', 0)
+listen = ListenSettings(port, port)
+roles = frozenset((Role.PROXY,))
+build_daemon(Settings('fleet', 'a-1', 'a', 'region', roles, listen, b'secret'))
+print(sorted({name.partition('.')[0] for name in modules}))
+"""
 ANY_PORT = Address('127.0.0.1', 0)
 
 
@@ -31,3 +45,15 @@
         self.assertIs(
             by_type[ProxyController], operators._dependencies.exclusions
         )
+
+    def test_proxy_starts_without_the_code_of_replicas(self):
+        """Modules of other roles, which delay every start, aren't loaded."""
+        built = run(
+            [executable, '-c', _BUILD_PROXY],
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        self.assertIn('bilberry_proxy', built.stdout)
+        for package in ('bilberry_replica', 'bilberry_operators', 'yaml'):
+            self.assertNotIn(package, built.stdout)
