--- a/packages/bilberry_proxy/bilberry_proxy/router.py
+++ b/packages/bilberry_proxy/bilberry_proxy/router.py
@@ -23,14 +23,13 @@
 )
 from bilberry_proxy.known_notices import KnownNotices
 from bilberry_proxy.outlier import count_failure, count_success
+from bilberry_proxy.places import select_own, select_several
 from bilberry_proxy.response_size import ResponseSizes
 from bilberry_proxy.retry import RetryBudgets
 from bilberry_proxy.selection import (
     Selection,
     SelectionContext,
     select_endpoint,
-    select_own,
-    select_several,
 )
 from bilberry_proxy.service_time import ServiceTimes
 from bilberry_proxy.split import WeightedSplit
--- a/packages/bilberry_proxy/bilberry_proxy/selection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/selection.py
@@ -6,7 +6,6 @@
 """
 
 from collections.abc import Callable, Sequence
-from functools import partial
 from typing import NamedTuple
 
 from bilberry_core.clock import RandomSource
@@ -14,7 +13,6 @@
 from xxhash import xxh3_64_intdigest
 
 from bilberry_proxy.balancers.base import Balancer
-from bilberry_proxy.balancers.least_work import LeastWorkBalancer
 from bilberry_proxy.endpoint_load import (
     SIMILAR_FACTOR,
     SLOW_START_MS,
@@ -146,74 +144,6 @@
     )
 
 
-def select_several(
-    ready: Sequence[Candidate],
-    tried: Sequence[str],
-    context: SelectionContext,
-    random: RandomSource,
-    count: int,
-) -> tuple[Selection, ...]:
-    """Returns up to `count` endpoints at which a request may wait for a slot.
-
-    They are near ones, or far ones if `context.avoids_near` is set. Of the
-    endpoints in question, each is the one of two random ones with less
-    expected work. `tried` are instances that attempts were sent to.
-    """
-    remaining = [
-        candidate
-        for candidate in ready
-        if candidate.endpoint.instance not in tried
-        and _is_far(candidate, context) is context.avoids_near
-        and candidate.load.may_be_called(context.now)
-    ]
-    balancer = LeastWorkBalancer()
-    estimate = partial(estimate_work_us, now=context.now)
-    selections = []
-    while remaining and len(selections) < count:
-        chosen = balancer.pick(remaining, estimate, random)
-        remaining.remove(chosen)
-        selections.append(
-            Selection(
-                chosen.endpoint,
-                len(remaining) + 1,
-                'first slot',
-                len(ready) > len(tried) + 1,
-                is_near=not context.avoids_near,
-                is_busy=True,
-            ),
-        )
-    return tuple(selections)
-
-
-def select_own(
-    ready: Sequence[Candidate],
-    tried: Sequence[str],
-    instance: str,
-    now: float,
-) -> Selection | None:
-    """Returns the endpoint beside the proxy `instance`, if it may be called.
-
-    `tried` are instances that attempts were sent to.
-    """
-    for candidate in ready:
-        endpoint, load = candidate
-        if endpoint.instance == instance:
-            if instance in tried or not load.may_be_called(now):
-                return None
-            return Selection(
-                endpoint,
-                1,
-                'own',
-                len(ready) > len(tried) + 1,
-                is_near=True,
-            )
-    return None
-
-
-def _is_far(candidate: Candidate, context: SelectionContext) -> bool:
-    return candidate.endpoint.failure_domain != context.failure_domain
-
-
 def _skip_tried(
     candidates: Sequence[Candidate],
     tried: Sequence[str],
