Let a request wait beside its own proxy too

Hypothesis: asking the upstream beside the proxy takes no message and no link, so it should always be one of the places. Change: the first near place is the proxy's own upstream if it may be called.

Result: test_request_waits_beside_its_proxy_too.

--- a/packages/bilberry_proxy/bilberry_proxy/places.py
+++ b/packages/bilberry_proxy/bilberry_proxy/places.py
@@ -23,9 +23,10 @@
 ) -> tuple[Selection, ...]:
     """Returns up to `count` endpoints at which a request may wait for a slot.
 
-    They are near ones, or far ones if `context.avoids_near` is set. Each is the
-    one of two random ones with less expected work. `tried` are instances that
-    attempts were sent to.
+    They are near ones, or far ones if `context.avoids_near` is set. The one
+    beside the proxy is always among them, as asking it takes no message. Each
+    of the others is the one of two random ones with less expected work. `tried`
+    are instances that attempts were sent to.
     """
     remaining = [
         candidate
@@ -38,7 +39,9 @@
     estimate = partial(estimate_work_us, now=context.now)
     selections: list[Selection] = []
     while remaining and len(selections) < count:
-        chosen = balancer.pick(remaining, estimate, random)
+        chosen = _find_own(remaining, context) or balancer.pick(
+            remaining, estimate, random
+        )
         remaining.remove(chosen)
         selections.append(
             Selection(
@@ -78,5 +81,15 @@
     return None
 
 
+def _find_own(
+    candidates: Sequence[Candidate],
+    context: SelectionContext,
+) -> Candidate | None:
+    for candidate in candidates:
+        if candidate.endpoint.instance == context.instance:
+            return candidate
+    return None
+
+
 def _is_far(candidate: Candidate, context: SelectionContext) -> bool:
     return candidate.endpoint.failure_domain != context.failure_domain
--- a/tests/bilberry_proxy/test_placement.py
+++ b/tests/bilberry_proxy/test_placement.py
@@ -127,6 +127,17 @@
             {'two'}, {asked.endpoint.failure_domain for asked in plan.far}
         )
 
+    def test_request_waits_beside_its_proxy_too(self):
+        """Asking there takes no message; a long route has it alone at first."""
+        self.endpoints = tuple(
+            build_endpoint(index, failure_domain='one') for index in range(9)
+        )
+        own = self.endpoints[8]._replace(instance='me')
+        self.endpoints = (*self.endpoints[:8], own)
+        plan = self.plan_search()
+        self.assertEqual(MAX_NEAR_PLACES, len(plan.near))
+        self.assertIn('me', [asked.endpoint.instance for asked in plan.near])
+
     def test_other_domains_are_asked_later(self):
         """Traffic between domains is expensive."""
         plan = self.plan_search()
