Let late requests wait behind others and return later

Cause: after a burst callers used up their returns within a fifth of a second and were refused although there was room soon after; and a late request that waits takes a slot that another could use in time.

Change: within each priority, requests that miss their target in any case come last, wait for a tenth of their remaining time, and are asked to return after 0.3 of it.

--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -166,13 +166,15 @@
     """Asks for a slot for a request that is sent once a slot is offered.
 
     The reply is a `SlotOffer`, at once or later, or a `SlotRefused`: at once if
-    no slot is expected within `max_wait_ms`, else after that time.
+    no slot is expected within `max_wait_ms`, else after that time. `is_late`
+    tells that the request can't meet its target latency any more.
     """
 
     call: int
     service: str
     priority: Priority
     max_wait_ms: int
+    is_late: bool = False
 
 
 @message(62)
--- a/packages/bilberry_proxy/bilberry_proxy/admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admission.py
@@ -10,6 +10,7 @@
 from typing import Generic, NamedTuple, TypeVar
 
 from bilberry_core.clock import MS_PER_S
+from bilberry_core.messages.call import SlotRequest
 from bilberry_core.policy import Priority
 
 from bilberry_proxy.queue_departures import QueueDepartures
@@ -33,10 +34,38 @@
     Priority.NORMAL: 1.0,
     Priority.DEFERRABLE: 2.0,
 }
-_BY_RANK = (Priority.URGENT, Priority.NORMAL, Priority.DEFERRABLE)
 _US_PER_S = 1_000_000
 
 
+class Rank(NamedTuple):
+    """The rank of a call in the queue.
+
+    Within a priority, calls that can still meet their target latency come
+    before late ones: in lasting overload as many are served either way, but
+    more of them in time. Urgent calls are never late.
+    """
+
+    priority: Priority
+    is_late: bool = False
+
+
+def rank_request(request: SlotRequest) -> Rank:
+    """Returns the rank of a request for a slot."""
+    priority = request.priority
+    return Rank(priority, request.is_late and priority is not Priority.URGENT)
+
+
+_URGENT = Rank(Priority.URGENT)
+_DEFERRABLE = Rank(Priority.DEFERRABLE)
+_BY_RANK = (
+    _URGENT,
+    Rank(Priority.NORMAL),
+    Rank(Priority.NORMAL, is_late=True),
+    _DEFERRABLE,
+    Rank(Priority.DEFERRABLE, is_late=True),
+)
+
+
 class Ticket(NamedTuple, Generic[QueuedCall]):
     """A queued call; `expires_at` is monotonic time, in seconds.
 
@@ -44,7 +73,7 @@
     """
 
     call: QueuedCall
-    priority: Priority
+    rank: Rank
     expires_at: float
     is_reservation: bool = False
 
@@ -92,18 +121,16 @@
 
 
 class AdmissionQueue(Generic[QueuedCall]):
-    """A priority queue of calls that wait for a slot.
+    """A queue of calls that wait for a slot, by rank.
 
     Urgent calls come first; deferrable ones are never starved.
     """
 
     def __init__(self) -> None:
-        self._queues: dict[Priority, deque[Ticket[QueuedCall]]] = {
-            priority: deque() for priority in _BY_RANK
-        }
-        self._departures = {
-            priority: QueueDepartures() for priority in _BY_RANK
+        self._queues: dict[Rank, deque[Ticket[QueuedCall]]] = {
+            rank: deque() for rank in _BY_RANK
         }
+        self._departures = {rank: QueueDepartures() for rank in _BY_RANK}
         self._admitted = 0
         self._length = 0
 
@@ -111,14 +138,14 @@
         """Returns how many calls wait."""
         return self._length
 
-    def count_ahead(self, priority: Priority) -> int:
-        """Returns how many calls are ahead of a new one of `priority`."""
-        rank = _BY_RANK.index(priority) + 1
-        return sum(len(self._queues[ahead]) for ahead in _BY_RANK[:rank])
+    def count_ahead(self, rank: Rank) -> int:
+        """Returns how many calls are ahead of a new one of `rank`."""
+        until = _BY_RANK.index(rank) + 1
+        return sum(len(self._queues[ahead]) for ahead in _BY_RANK[:until])
 
     def estimate_wait_s(
         self,
-        priority: Priority,
+        rank: Rank,
         now: float,
         occupancy: Occupancy,
     ) -> float:
@@ -126,9 +153,9 @@
 
         `now` is monotonic time, in seconds.
         """
-        ahead = self.count_ahead(priority)
+        ahead = self.count_ahead(rank)
         capacity = max(occupancy.capacity, 1)
-        wait_s = self._departures[priority].estimate_wait_s(
+        wait_s = self._departures[rank].estimate_wait_s(
             ahead,
             now,
             occupancy.latency_us / capacity / _US_PER_S,
@@ -137,20 +164,20 @@
 
     def push(self, ticket: Ticket[QueuedCall], now: float) -> None:
         """Adds a call to the queue; `now` is monotonic time, in seconds."""
-        queue = self._queues[ticket.priority]
-        departures = self._departures[ticket.priority]
+        queue = self._queues[ticket.rank]
+        departures = self._departures[ticket.rank]
         departures.record_arrival(now, is_first=not queue)
         queue.append(ticket)
         self._length += 1
 
-    def evict_below(self, priority: Priority) -> Ticket[QueuedCall] | None:
-        """Removes and returns the newest call of the lowest priority.
+    def evict_below(self, rank: Rank) -> Ticket[QueuedCall] | None:
+        """Removes and returns the newest call of the lowest rank.
 
-        Only calls of a lower priority than `priority` are removed; returns
-        None if there is none.
+        Only calls of a lower rank than `rank` are removed; returns None if
+        there is none.
         """
-        rank = _BY_RANK.index(priority)
-        for lower in reversed(_BY_RANK[rank + 1 :]):
+        lowest = _BY_RANK.index(rank) + 1
+        for lower in reversed(_BY_RANK[lowest:]):
             if self._queues[lower]:
                 self._length -= 1
                 return self._queues[lower].pop()
@@ -172,17 +199,17 @@
             return None
         ticket = queue.popleft()
         self._length -= 1
-        self._departures[ticket.priority].record_departure(now)
+        self._departures[ticket.rank].record_departure(now)
         return ticket
 
     def remove(self, call: QueuedCall, now: float) -> None:
         """Removes one call; `now` is monotonic time, in seconds."""
-        for priority, queue in self._queues.items():
+        for rank, queue in self._queues.items():
             for ticket in queue:
                 if ticket.call is call:
                     queue.remove(ticket)
                     self._length -= 1
-                    self._departures[priority].record_departure(now)
+                    self._departures[rank].record_departure(now)
                     return
 
     def clear(self) -> list[Ticket[QueuedCall]]:
@@ -200,7 +227,7 @@
         expired: list[Ticket[QueuedCall]] = []
         if not self._length:
             return expired
-        for priority, queue in self._queues.items():
+        for rank, queue in self._queues.items():
             late = [ticket for ticket in queue if ticket.expires_at <= now]
             if late:
                 kept = (
@@ -208,7 +235,7 @@
                     for unexpired in queue
                     if unexpired.expires_at > now
                 )
-                self._queues[priority] = deque(kept)
+                self._queues[rank] = deque(kept)
             expired += late
         self._length -= len(expired)
         return expired
@@ -217,12 +244,12 @@
         """Returns the queue whose turn it is."""
         if not self._length:
             return None
-        deferrable = self._queues[Priority.DEFERRABLE]
+        deferrable = self._queues[_DEFERRABLE]
         if deferrable and (self._admitted + 1) % DEFERRABLE_SHARE == 0:
             return deferrable
-        for priority in _BY_RANK:
-            if self._queues[priority]:
-                return self._queues[priority]
+        for queue in self._queues.values():
+            if queue:
+                return queue
         return None
 
 
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -13,6 +13,7 @@
 from bilberry_core.metric import Metrics, NullMetrics
 from bilberry_core.verdict import FailureCode
 
+from bilberry_proxy.admission import rank_request
 from bilberry_proxy.admitted_call import AdmittedCall, Progress
 from bilberry_proxy.call import AnswerReceiver, SlotReceiver
 from bilberry_proxy.crash_probe import CrashProbe
@@ -122,7 +123,7 @@
             _shed(
                 self._queue.push_reservation(
                     reservation,
-                    request.priority,
+                    rank_request(request),
                     now,
                     request.max_wait_ms / MS_PER_S,
                 ),
--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -12,9 +12,10 @@
 refusing them wastes the work done so far.
 
 Callers that were refused return. What is left of their target latency counts
-from their first request (`usual_deadlines`): one that can hardly meet it any
-more waits for a moment only, so that it does not take the slot of a caller that
-can still be served in time.
+from their first request (`usual_deadlines`): one that will miss it in any case
+waits behind those that can still meet it. That serves as many in lasting
+overload, and more of them in time; after a burst or a restart the late ones are
+served as soon as there is room.
 """
 
 from typing import NamedTuple
@@ -43,6 +44,12 @@
 WAIT_SHARE = 0.4
 #: Shortest limit of the slack for a slot, as a share of the target latency.
 MIN_WAIT_SHARE = 0.1
+#: Share of its remaining time that a late request may wait. It takes only
+#: slots that no other request waits for.
+LATE_WAIT_SHARE = 0.1
+#: Share of its remaining time for which the caller of a request stays away that
+#: will be late in any case.
+LATE_RETRY_AFTER_SHARE = 0.3
 #: Share of the longest wait after which endpoints of other domains are asked
 #: beside near ones.
 HEAD_START_SHARE = 0.25
@@ -139,6 +146,7 @@
             far,
             max_wait_ms,
             _compute_head_start(plan.priority, max_wait_ms),
+            self._is_late(plan, now),
         )
 
     def record_refusal(
@@ -165,16 +173,26 @@
         if is_limited and retry_after_ms and priority is not Priority.URGENT:
             router.record_shed(endpoint, priority, retry_after_ms)
 
-    def build_refusal(self) -> Failure:
-        """Returns the refusal of a request that found no slot."""
+    def build_refusal(self, plan: Plan, now: float) -> Failure:
+        """Returns the refusal of a request that found no slot.
+
+        A caller that can be served in time after a short absence returns soon,
+        another one once the load may have eased.
+        """
+        retry_after_ms = max(
+            self._retry_after_ms,
+            int(self._max_wait_ms * RETRY_AFTER_SHARE),
+        )
+        if self._is_late(plan, now + retry_after_ms / MS_PER_S):
+            left_ms = (plan.deadline - now) * MS_PER_S
+            retry_after_ms = max(
+                retry_after_ms, int(left_ms * LATE_RETRY_AFTER_SHARE)
+            )
         return Failure(
             Verdict.NOT_RUN,
             FailureCode.OVERLOADED,
             'no upstream has a free slot in time',
-            max(
-                self._retry_after_ms,
-                int(self._max_wait_ms * RETRY_AFTER_SHARE),
-            ),
+            retry_after_ms,
         )
 
     def _choose_own(
@@ -215,6 +233,14 @@
         )
         return self._takes_new
 
+    def _is_late(self, plan: Plan, now: float) -> bool:
+        """Returns whether the request misses its target even if sent now."""
+        target_ms = plan.decision.policy.target_latency_ms
+        if not target_ms or plan.priority is Priority.URGENT:
+            return False
+        service_s = self._router.service_times.estimate_s(plan.route_key)
+        return now + service_s > self._started_at + target_ms / MS_PER_S
+
     def _limit_wait(self, plan: Plan, now: float) -> int:
         """Returns the longest useful wait, in milliseconds."""
         service_s = self._router.service_times.estimate_s(plan.route_key)
@@ -223,7 +249,9 @@
         if plan.priority is Priority.URGENT:
             return max(int(left_s * MS_PER_S), 0)
         longest_s = min(left_s, MAX_AGE_S[plan.priority])
-        if target_ms:
+        if self._is_late(plan, now):
+            longest_s *= LATE_WAIT_SHARE
+        elif target_ms:
             target_s = target_ms / MS_PER_S
             in_time_s = self._started_at + target_s - now
             slack_s = max(
--- a/packages/bilberry_proxy/bilberry_proxy/slot_finder.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_finder.py
@@ -101,7 +101,8 @@
 
     def on_no_slot(self) -> None:
         """Refuses the request."""
-        self._owner.fail(self._placement.build_refusal())
+        now = self._context.clock.now()
+        self._owner.fail(self._placement.build_refusal(self._plan, now))
 
     def _record(self, endpoint: Endpoint, refused: SlotRefused) -> None:
         self._placement.record_refusal(endpoint, self._plan.priority, refused)
--- a/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
@@ -14,6 +14,7 @@
     MAX_AGE_S,
     AdmissionQueue,
     Occupancy,
+    Rank,
     Ticket,
     bound_retry_after_ms,
     is_full,
@@ -71,7 +72,7 @@
         if self.is_free or within_ms >= NO_WAIT_LIMIT_MS:
             return True
         occupancy = self.measure_occupancy()
-        wait_s = self._queue.estimate_wait_s(priority, now, occupancy)
+        wait_s = self._queue.estimate_wait_s(Rank(priority), now, occupancy)
         return wait_s * MS_PER_S <= within_ms
 
     def push(
@@ -87,33 +88,34 @@
         """
         occupancy = self.measure_occupancy()
         age_s = min(MAX_AGE_S[priority], deadline - now)
-        ahead = self._queue.count_ahead(priority)
+        rank = Rank(priority)
+        ahead = self._queue.count_ahead(rank)
         if would_time_out(occupancy, ahead, age_s):
             return self._shed_call(
                 call, 'the wait for a slot would be too long'
             )
         shed = None
         if is_full(occupancy):
-            evicted = self._queue.evict_below(priority)
+            evicted = self._queue.evict_below(rank)
             if evicted is None:
                 return self._shed_call(call, 'the queue is full')
             shed = self._shed_call(
                 evicted.call,
                 'evicted by a call of higher priority',
             )
-        self._queue.push(Ticket(call, priority, now + age_s), now)
+        self._queue.push(Ticket(call, rank, now + age_s), now)
         return shed
 
     def push_reservation(
         self,
         reservation: QueuedCall,
-        priority: Priority,
+        rank: Rank,
         now: float,
         max_wait_s: float,
     ) -> ShedCall[QueuedCall] | None:
         """Queues a reservation, or sheds it if no slot is expected in time."""
         occupancy = self.measure_occupancy()
-        wait_s = self._queue.estimate_wait_s(priority, now, occupancy)
+        wait_s = self._queue.estimate_wait_s(rank, now, occupancy)
         if wait_s > max_wait_s:
             self.slots.limiter.defer()
             return ShedCall(
@@ -123,7 +125,7 @@
             )
         if len(self._queue) >= self.slots.capacity * RESERVATIONS_PER_SLOT:
             return self._shed_call(reservation, 'the queue is full')
-        ticket = Ticket(reservation, priority, now + max_wait_s, True)
+        ticket = Ticket(reservation, rank, now + max_wait_s, True)
         self._queue.push(ticket, now)
         return None
 
--- a/packages/bilberry_proxy/bilberry_proxy/slot_search.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_search.py
@@ -29,7 +29,8 @@
     """Where a request looks for a slot, and for how long.
 
     The `far` upstreams are asked after `head_start_ms`, or when all near ones
-    have refused.
+    have refused. `is_late` tells that the request misses its target latency
+    even with a slot at once.
     """
 
     service: str
@@ -38,6 +39,7 @@
     far: tuple[Selection, ...]
     max_wait_ms: int
     head_start_ms: int = 0
+    is_late: bool = False
 
 
 class FoundSlot(NamedTuple):
@@ -124,7 +126,9 @@
         plan = self._plan
         left_s = self._expires_at - self._context.clock.now()
         max_wait_ms = max(int(left_s * MS_PER_S), 0)
-        return SlotRequest(0, plan.service, plan.priority, max_wait_ms)
+        return SlotRequest(
+            0, plan.service, plan.priority, max_wait_ms, plan.is_late
+        )
 
     def found(self, ask: '_Ask') -> None:
         """Uses the slot that was offered first."""
--- a/tests/bilberry_proxy/played_load.py
+++ b/tests/bilberry_proxy/played_load.py
@@ -16,6 +16,7 @@
 from bilberry_core.policy import CallPolicy, Priority
 from bilberry_core.snapshot import Decision, Route, Snapshot
 from bilberry_core.verdict import Failure, FailureCode, Verdict
+from bilberry_proxy.admission import rank_request
 from bilberry_proxy.call import SlotReceiver
 from bilberry_proxy.caller_request import CallerRequest
 from bilberry_proxy.placement import Placement
@@ -43,8 +44,9 @@
 
     `speeds` are those of a domain's upstreams; work takes `work_s` at speed 1.
     `requests_per_s` is the rate of all callers of one domain; in the first
-    domain it is `first_factor` times as high. A refused caller returns up to
-    `returns` times.
+    domain it is `first_factor` times as high, and in the first `burst_s`
+    seconds `burst_factor` times. A refused caller returns up to `returns`
+    times.
     """
 
     domains: tuple[str, ...]
@@ -58,6 +60,8 @@
     seconds: float = 20.0
     first_factor: float = 1.0
     returns: int = 0
+    burst_s: float = 0
+    burst_factor: float = 1.0
 
 
 class Result(NamedTuple):
@@ -135,7 +139,7 @@
             return
         shed = queue.push_reservation(
             self,
-            request.priority,
+            rank_request(request),
             now,
             request.max_wait_ms / MS_PER_S,
         )
@@ -355,7 +359,8 @@
 
     def on_no_slot(self) -> None:
         """Ends the request with a refusal; its caller may return."""
-        refusal = self._placement.build_refusal()
+        now = self._play.clock.now()
+        refusal = self._placement.build_refusal(self._plan, now)
         self._play.refuse(self, refusal.retry_after_ms / MS_PER_S)
 
     def _start_search(self) -> None:
@@ -506,8 +511,10 @@
         if senders[0].domain == self.load.domains[0]:
             rate *= self.load.first_factor
         at = self.clock.now()
+        burst_end = at + self.load.burst_s
         while at < end:
-            at += self._random.expovariate(rate)
+            factor = self.load.burst_factor if at < burst_end else 1
+            at += self._random.expovariate(rate * factor)
             sender = self._random.choice(senders)
 
             def arrive(sender: PlayedSender = sender) -> None:
--- a/tests/bilberry_proxy/test_admission.py
+++ b/tests/bilberry_proxy/test_admission.py
@@ -5,7 +5,7 @@
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.policy import Priority
 from bilberry_core.upstream_notice import UpstreamIdentity, UpstreamNotice
-from bilberry_proxy.admission import DEFERRABLE_SHARE, QUEUE_PER_SLOT
+from bilberry_proxy.admission import DEFERRABLE_SHARE, QUEUE_PER_SLOT, Rank
 from bilberry_proxy.slot_queue import SlotQueue
 from hypothesis import given
 from hypothesis import strategies as st
@@ -224,12 +224,31 @@
         refused = queue.push(late, Priority.NORMAL, 0, 0.001)
         self.assertEqual(late, refused.call)
 
+    def test_late_request_waits_behind_those_that_can_be_in_time(self):
+        """It takes a slot before less urgent requests only."""
+        queue = build_queue(1)
+        queue.try_acquire()
+        ranks = (
+            Rank(Priority.DEFERRABLE),
+            Rank(Priority.NORMAL, is_late=True),
+            Rank(Priority.NORMAL),
+            Rank(Priority.URGENT),
+        )
+        for rank in ranks:
+            queue.push_reservation(rank, rank, 0, 9)
+        admitted = []
+        for _ in ranks:
+            queue.slots.run()
+            queue.end(None, 0.1)
+            admitted.append(queue.pop_next(0))
+        self.assertEqual(list(reversed(ranks)), admitted)
+
     def test_refused_reservation_returns_when_its_wait_fits(self):
         """The time to come back is what the wait is too long by."""
         queue = build_queue(1)
         queue.try_acquire()
-        queue.push_reservation(1, Priority.NORMAL, 0, 9)
-        refused = queue.push_reservation(9, Priority.NORMAL, 0.5, 0.4)
+        queue.push_reservation(1, Rank(Priority.NORMAL), 0, 9)
+        refused = queue.push_reservation(9, Rank(Priority.NORMAL), 0.5, 0.4)
         self.assertEqual(9, refused.call)
         self.assertEqual(600, refused.retry_after_ms)
 
--- a/tests/bilberry_proxy/test_placement.py
+++ b/tests/bilberry_proxy/test_placement.py
@@ -160,12 +160,30 @@
             self.endpoints, (900, 700, 800), strict=True
         ):
             self.refuse(endpoint, retry_after_ms)
-        refusal = self.placement.build_refusal()
+        refusal = self.placement.build_refusal(self.build_plan(), NOW)
         self.assertEqual(
             (Verdict.NOT_RUN, FailureCode.OVERLOADED, 700),
             (refusal.verdict, refusal.code, refusal.retry_after_ms),
         )
 
+    def test_late_request_gives_way_and_returns_later(self):
+        """It misses its target in any case; the load may ease until then."""
+        self.assertFalse(self.plan_search().is_late)
+        early = self.placement.build_refusal(self.build_plan(), NOW)
+        late_at = NOW + TARGET_MS / 1000 + 0.01
+        plan = self.plan_search(late_at)
+        self.assertTrue(plan.is_late)
+        self.assertTrue(0 < plan.max_wait_ms <= TARGET_MS / 2)
+        late = self.placement.build_refusal(self.build_plan(), late_at)
+        self.assertGreater(late.retry_after_ms, 2 * early.retry_after_ms)
+        self.assertLess(late.retry_after_ms, DEADLINE_MS / 2)
+
+    def test_urgent_request_is_never_late(self):
+        """It holds the slot of the request that made it."""
+        late_at = NOW + TARGET_MS / 1000 + 0.01
+        plan = self.plan_search(late_at, priority=Priority.URGENT)
+        self.assertFalse(plan.is_late)
+
     def test_urgent_request_waits_as_long_as_its_time_allows(self):
         """At all places at once: its slot elsewhere is held meanwhile."""
         plan = self.plan_search(priority=Priority.URGENT)
--- a/tests/bilberry_proxy/test_placement_load.py
+++ b/tests/bilberry_proxy/test_placement_load.py
@@ -55,6 +55,10 @@
     deadline_s=1.2,
     returns=2,
 )
+#: Three times as many for a moment, then three quarters.
+BURST = RETURNING._replace(
+    requests_per_s=400, burst_s=0.7, burst_factor=3, seconds=3
+)
 
 
 def play(load: Load) -> Result:
@@ -139,3 +143,11 @@
         reference = play_without_memory(RETURNING)
         self.assertGreater(result.in_time, reference.in_time + 0.05)
         self.assertLess(result.refused, reference.refused + 0.02)
+
+    def test_late_callers_are_served_once_a_burst_has_passed(self):
+        """They stay away for longer; nobody else is made late by them."""
+        result = play(BURST)
+        with patch('bilberry_proxy.placement.LATE_RETRY_AFTER_SHARE', 0):
+            reference = play(BURST)
+        self.assertLess(result.refused, reference.refused - 0.01)
+        self.assertGreater(result.in_time, reference.in_time - 0.01)
