--- a/packages/bilberry_proxy/bilberry_proxy/context.py
+++ b/packages/bilberry_proxy/bilberry_proxy/context.py
@@ -19,6 +19,10 @@
 from bilberry_proxy.suspect_tracker import SuspectTracker
 from bilberry_proxy.timers import TimerWheel
 
+#: Time after the start of a proxy until which requests wait for its first
+#: configuration, in seconds. Later it refuses them at once.
+START_S = 1.0
+
 
 class TargetFinder(Protocol):
     """A lookup of the target on which calls to an endpoint are opened."""
@@ -51,7 +55,8 @@
     being made, settled or released, and `running` the requests without a
     complete response; a graceful stop waits for both. `running_requests` are
     those at the upstream beside this proxy, and `service` is its service,
-    empty if not configured.
+    empty if not configured. Until `starts_until`, monotonic time in seconds,
+    requests wait for the first configuration.
     """
 
     board: Board
@@ -71,3 +76,4 @@
     rollout_evidence: RolloutEvidence
     dialect: HttpDialect = OWN_DIALECT
     service: str = ''
+    starts_until: float = 0
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -18,7 +18,7 @@
 from bilberry_proxy.call_server import CallServer
 from bilberry_proxy.call_streams import CallStreams
 from bilberry_proxy.caller_server import CallerServer
-from bilberry_proxy.context import ProxyContext, ProxyOptions
+from bilberry_proxy.context import START_S, ProxyContext, ProxyOptions
 from bilberry_proxy.exclusion import get_exclusion_reason
 from bilberry_proxy.pressure import Pressure
 from bilberry_proxy.rollout_evidence import RolloutEvidence
@@ -115,6 +115,7 @@
             rollout_evidence=RolloutEvidence(board, clock),
             dialect=options.dialect,
             service=options.service,
+            starts_until=clock.now() + START_S,
         )
         controller = cls(
             settings,
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -14,10 +14,12 @@
 from bilberry_proxy.admitter import LATE_RETRY_AFTER_MS
 from bilberry_proxy.answer import Answer, Caller
 from bilberry_proxy.caller_request import (
+    CallerRequest,
     compute_fingerprint,
     parse_caller_request,
 )
 from bilberry_proxy.claim_gate import ClaimGate
+from bilberry_proxy.configuration_wait import ConfigurationWait
 from bilberry_proxy.context import ProxyContext
 from bilberry_proxy.decision_log import Outcome, count_outcome, log_decision
 from bilberry_proxy.dispatch import Dispatch
@@ -62,6 +64,8 @@
     def __init__(self, context: ProxyContext, caller: Caller) -> None:
         self._context = context
         self._answer = Answer(caller, context.dialect)
+        self._request: CallerRequest | None = None
+        self._wait = ConfigurationWait(context, self._plan_request)
         self._outcome = Outcome()
         self._plan: Plan | None = None
         self._body = RequestBody(REPLAY_BYTES)
@@ -82,27 +86,13 @@
         if context.board.phase.value is Phase.DRAINING:
             self.on_failure(_DRAINING)
             return
-        planned = parse_caller_request(
-            start,
-            context.dialect,
-            context.service,
-        ).bind(
-            lambda request: plan_request(
-                request,
-                context.board.snapshot.value,
-                now,
-                context.claims is not None,
-                context.router.split.pick,
-                context.dialect,
-                is_call_of_running=context.running_requests.is_call_of_one(
-                    self._outcome.request_id,
-                ),
-            ),
-        )
-        if isinstance(planned, Success):
-            self._begin_plan(planned.unwrap(), now)
-        else:
-            self.on_failure(planned.failure())
+        parsed = parse_caller_request(start, context.dialect, context.service)
+        if not isinstance(parsed, Success):
+            self.on_failure(parsed.failure())
+            return
+        self._request = parsed.unwrap()
+        if not self._wait.start(self._request):
+            self._plan_request()
 
     def feed(self, body: bytes, last: bool) -> None:
         """Handles more of the request body."""
@@ -110,7 +100,7 @@
             return
         was_ready = self._body.is_ready
         self._body.feed(body, last)
-        if self._body.is_ready and not was_ready:
+        if self._body.is_ready and not was_ready and self._plan is not None:
             self._start()
         self.update_reading()
 
@@ -119,11 +109,12 @@
         self._answer.detach_caller()
         if self._outcome.ended or self._gate is not None:
             return
+        if self._wait.stop():
+            self._end(_CALLER_DISCONNECTED)
+            return
         verdict = self._dispatch.verdict
         self._dispatch.cancel()
-        self._end(
-            Failure(verdict, FailureCode.CANCELLED, 'the caller disconnected')
-        )
+        self._end(_CALLER_DISCONNECTED._replace(verdict=verdict))
 
     def resume_answer(self) -> None:
         """Grants credit for more of the response if the caller is writable."""
@@ -190,13 +181,36 @@
         self._end(None, answer.status)
         self._answer.start(answer.status, answer.headers, answer.body, True)
 
+    def _plan_request(self) -> None:
+        context = self._context
+        started_at = self._outcome.started_at
+        planned = plan_request(
+            self._request,
+            context.board.snapshot.value,
+            started_at,
+            context.claims is not None,
+            context.router.split.pick,
+            context.dialect,
+            is_call_of_running=context.running_requests.is_call_of_one(
+                self._outcome.request_id,
+            ),
+        )
+        if not isinstance(planned, Success):
+            self.on_failure(planned.failure())
+            return
+        self._begin_plan(planned.unwrap(), started_at)
+        if self._body.is_ready:
+            self._start()
+        if self._body.buffered:
+            self.update_reading()
+
     def _begin_plan(self, plan: Plan, now: float) -> None:
         context = self._context
         self._plan = plan
         self._outcome.plan = plan
         context.running.add(self)
         if plan.claimed:
-            self._body = RequestBody(CLAIMED_BODY_BYTES)
+            self._body.buffer_up_to(CLAIMED_BODY_BYTES)
         self._dispatch = Dispatch(context, self, self._outcome, self._body)
         context.interest.register(plan.service, now)
         if plan.request.deadline_ms:
--- a/packages/bilberry_proxy/bilberry_proxy/request_body.py
+++ b/packages/bilberry_proxy/bilberry_proxy/request_body.py
@@ -53,6 +53,14 @@
             self._buffered = self._buffered + body if self._buffered else body
         self.is_complete = self.is_complete or last
 
+    def buffer_up_to(self, max_buffered_bytes: int) -> None:
+        """Buffers more than before; no attempt may be attached."""
+        self._max_buffered_bytes = max_buffered_bytes
+        pending = self._pending
+        self._pending = []
+        for body, _last in pending:
+            self._buffered += body
+
     def attach(self, attempt: Attempt) -> None:
         """Forwards the bytes that follow `buffered` to `attempt`."""
         self._attempt = attempt
