--- a/packages/bilberry_proxy/bilberry_proxy/admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admission.py
@@ -10,10 +10,10 @@
 from typing import Generic, NamedTuple, TypeVar
 
 from bilberry_core.clock import MS_PER_S
-from bilberry_core.messages.call import SlotRequest
 from bilberry_core.policy import Priority
 
 from bilberry_proxy.queue_departures import QueueDepartures
+from bilberry_proxy.rank import BY_RANK, DEFERRABLE_RANK, Rank
 from bilberry_proxy.rate_limiter import Pace
 
 QueuedCall = TypeVar('QueuedCall')
@@ -37,35 +37,6 @@
 _US_PER_S = 1_000_000
 
 
-class Rank(NamedTuple):
-    """The rank of a call in the queue.
-
-    Within a priority, calls that can still meet their target latency come
-    before late ones: in lasting overload as many are served either way, but
-    more of them in time. Urgent calls are never late.
-    """
-
-    priority: Priority
-    is_late: bool = False
-
-
-def rank_request(request: SlotRequest) -> Rank:
-    """Returns the rank of a request for a slot."""
-    priority = request.priority
-    return Rank(priority, request.is_late and priority is not Priority.URGENT)
-
-
-_URGENT = Rank(Priority.URGENT)
-_DEFERRABLE = Rank(Priority.DEFERRABLE)
-_BY_RANK = (
-    _URGENT,
-    Rank(Priority.NORMAL),
-    Rank(Priority.NORMAL, is_late=True),
-    _DEFERRABLE,
-    Rank(Priority.DEFERRABLE, is_late=True),
-)
-
-
 class Ticket(NamedTuple, Generic[QueuedCall]):
     """A queued call; `expires_at` is monotonic time, in seconds.
 
@@ -128,9 +99,9 @@
 
     def __init__(self) -> None:
         self._queues: dict[Rank, deque[Ticket[QueuedCall]]] = {
-            rank: deque() for rank in _BY_RANK
+            rank: deque() for rank in BY_RANK
         }
-        self._departures = {rank: QueueDepartures() for rank in _BY_RANK}
+        self._departures = {rank: QueueDepartures() for rank in BY_RANK}
         self._admitted = 0
         self._length = 0
 
@@ -140,8 +111,8 @@
 
     def count_ahead(self, rank: Rank) -> int:
         """Returns how many calls are ahead of a new one of `rank`."""
-        until = _BY_RANK.index(rank) + 1
-        return sum(len(self._queues[ahead]) for ahead in _BY_RANK[:until])
+        until = BY_RANK.index(rank) + 1
+        return sum(len(self._queues[ahead]) for ahead in BY_RANK[:until])
 
     def estimate_wait_s(
         self,
@@ -176,8 +147,8 @@
         Only calls of a lower rank than `rank` are removed; returns None if
         there is none.
         """
-        lowest = _BY_RANK.index(rank) + 1
-        for lower in reversed(_BY_RANK[lowest:]):
+        lowest = BY_RANK.index(rank) + 1
+        for lower in reversed(BY_RANK[lowest:]):
             if self._queues[lower]:
                 self._length -= 1
                 return self._queues[lower].pop()
@@ -244,7 +215,7 @@
         """Returns the queue whose turn it is."""
         if not self._length:
             return None
-        deferrable = self._queues[_DEFERRABLE]
+        deferrable = self._queues[DEFERRABLE_RANK]
         if deferrable and (self._admitted + 1) % DEFERRABLE_SHARE == 0:
             return deferrable
         for queue in self._queues.values():
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -13,7 +13,6 @@
 from bilberry_core.metric import Metrics, NullMetrics
 from bilberry_core.verdict import FailureCode
 
-from bilberry_proxy.admission import rank_request
 from bilberry_proxy.admitted_call import AdmittedCall, Progress
 from bilberry_proxy.call import AnswerReceiver, SlotReceiver
 from bilberry_proxy.crash_probe import CrashProbe
@@ -21,6 +20,7 @@
 from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.lingering_calls import LingeringCalls
 from bilberry_proxy.notice_keeper import NoticeKeeper
+from bilberry_proxy.rank import rank_request
 from bilberry_proxy.reserved_slot import ReservedSlot
 from bilberry_proxy.running_requests import RunningRequests
 from bilberry_proxy.slot_queue import ShedCall, SlotQueue
--- a/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
@@ -14,13 +14,13 @@
     MAX_AGE_S,
     AdmissionQueue,
     Occupancy,
-    Rank,
     Ticket,
     bound_retry_after_ms,
     is_full,
     suggest_retry_after_ms,
     would_time_out,
 )
+from bilberry_proxy.rank import Rank
 from bilberry_proxy.slots import Slots
 from bilberry_proxy.suspect_queue import SuspectQueue
 
--- a/tests/bilberry_proxy/played_load.py
+++ b/tests/bilberry_proxy/played_load.py
@@ -16,11 +16,11 @@
 from bilberry_core.policy import CallPolicy, Priority
 from bilberry_core.snapshot import Decision, Route, Snapshot
 from bilberry_core.verdict import Failure, FailureCode, Verdict
-from bilberry_proxy.admission import rank_request
 from bilberry_proxy.call import SlotReceiver
 from bilberry_proxy.caller_request import CallerRequest
 from bilberry_proxy.placement import Placement
 from bilberry_proxy.plan import Plan
+from bilberry_proxy.rank import rank_request
 from bilberry_proxy.router import Router
 from bilberry_proxy.selection import Selection
 from bilberry_proxy.slot_queue import SlotQueue
--- a/tests/bilberry_proxy/test_admission.py
+++ b/tests/bilberry_proxy/test_admission.py
@@ -5,7 +5,8 @@
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.policy import Priority
 from bilberry_core.upstream_notice import UpstreamIdentity, UpstreamNotice
-from bilberry_proxy.admission import DEFERRABLE_SHARE, QUEUE_PER_SLOT, Rank
+from bilberry_proxy.admission import DEFERRABLE_SHARE, QUEUE_PER_SLOT
+from bilberry_proxy.rank import Rank
 from bilberry_proxy.slot_queue import SlotQueue
 from hypothesis import given
 from hypothesis import strategies as st
