Let a stop wait for requests that await the configuration

Cause: such a request was not among the running ones, so a graceful stop closed its connection without a response.

Change: a request counts as running from its head on.

Result: test_stop_does_not_cut_a_request_that_waits fails before and passes after.

--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -91,6 +91,7 @@
             self.on_failure(parsed.failure())
             return
         self._request = parsed.unwrap()
+        context.running.add(self)
         if not self._wait.start(self._request):
             self._plan_request()
 
@@ -208,7 +209,6 @@
         context = self._context
         self._plan = plan
         self._outcome.plan = plan
-        context.running.add(self)
         if plan.claimed:
             self._body.buffer_up_to(CLAIMED_BODY_BYTES)
         self._dispatch = Dispatch(context, self, self._outcome, self._body)
--- a/tests/bilberry_proxy/test_configuration_wait.py
+++ b/tests/bilberry_proxy/test_configuration_wait.py
@@ -24,6 +24,12 @@
     return b'bilberry_request_awaited_configuration_total' in rendered
 
 
+async def stop(node) -> None:
+    """Stops a proxy as its daemon does."""
+    await node.proxy.drain()
+    await node.proxy.stop()
+
+
 class ConfigurationWaitTest(TestCase):
     """A proxy that was restarted gets its configuration a moment later."""
 
@@ -77,6 +83,23 @@
         with patch('bilberry_proxy.controller.START_S', 0):
             self.assertEqual(503, run(script()))
 
+    def test_stop_does_not_cut_a_request_that_waits(self):
+        """It is answered before the proxy ends."""
+
+        async def script() -> int:
+            async with open_started() as (fleet, node):
+                calling = create_task(call(node))
+                await until(lambda: is_any_waiting(node))
+                stopping = create_task(stop(node))
+                await sleep(0.05)
+                fleet.is_lagging = False
+                fleet.spread()
+                status = (await calling).status
+                await stopping
+                return status
+
+        self.assertEqual(200, run(script()))
+
     def test_caller_that_leaves_meanwhile_is_forgotten(self):
         """Nothing is sent for it."""
 
