Leave a few long deadlines out of the usual ones

Cause: one caller with a far longer deadline than others in each 32 requests made the usual deadline unknown, so returning callers counted as new ones.

Change: the two longest deadlines of a batch are left out.

Result: test_few_callers_with_long_deadlines_do_not_count fails before and passes after.

--- a/packages/bilberry_proxy/bilberry_proxy/usual_deadlines.py
+++ b/packages/bilberry_proxy/bilberry_proxy/usual_deadlines.py
@@ -12,6 +12,9 @@
 
 #: Requests of a route between two looks at their deadlines.
 BATCH_SIZE = 32
+#: Longest deadlines of a batch that are left out, as those of a few callers who
+#: wait for longer than others.
+LEFT_OUT = 2
 #: Largest difference between usual deadlines, as a share of the longest.
 MAX_SPREAD = 0.2
 #: Share of a batch that must be alike for its deadlines to become the usual
@@ -56,9 +59,12 @@
         return (usual.mean_ms - deadline_ms) / MS_PER_S
 
     def _evaluate(self, route: _RouteKey, batch: list[int]) -> None:
-        shortest_ms = max(batch) * (1 - MAX_SPREAD)
+        longest_ms = sorted(batch)[-1 - LEFT_OUT]
+        shortest_ms = longest_ms * (1 - MAX_SPREAD)
         alike = [
-            deadline_ms for deadline_ms in batch if deadline_ms >= shortest_ms
+            deadline_ms
+            for deadline_ms in batch
+            if shortest_ms <= deadline_ms <= longest_ms
         ]
         share = len(alike) / len(batch)
         if share >= MIN_ALIKE:
--- a/tests/bilberry_proxy/test_usual_deadlines.py
+++ b/tests/bilberry_proxy/test_usual_deadlines.py
@@ -47,6 +47,14 @@
             self.record(BATCH_SIZE - BATCH_SIZE // 4, 300, 700)
         self.assertAlmostEqual(0.4, self.estimate_s(600), delta=0.05)
 
+    def test_few_callers_with_long_deadlines_do_not_count(self):
+        """The wait of others is still known."""
+        for _ in range(2):
+            self.record(BATCH_SIZE - 2, 950, 1050)
+            self.record(2, 500_000, 600_000)
+        self.assertEqual(0, self.estimate_s(USUAL_MS))
+        self.assertAlmostEqual(0.4, self.estimate_s(600), delta=0.05)
+
     def test_callers_with_many_deadlines_are_not_taken_for_returning(self):
         """No deadline is usual if they differ widely."""
         self.record(10 * BATCH_SIZE, 200, 2000)
