--- a/packages/bilberry_proxy/bilberry_proxy/usual_deadlines.py
+++ b/packages/bilberry_proxy/bilberry_proxy/usual_deadlines.py
@@ -59,14 +59,12 @@
         return (usual.mean_ms - deadline_ms) / MS_PER_S
 
     def _evaluate(self, route: _RouteKey, batch: list[int]) -> None:
-        longest_ms = sorted(batch)[-1 - LEFT_OUT]
-        shortest_ms = longest_ms * (1 - MAX_SPREAD)
+        kept = sorted(batch)[:-LEFT_OUT]
+        shortest_ms = kept[-1] * (1 - MAX_SPREAD)
         alike = [
-            deadline_ms
-            for deadline_ms in batch
-            if shortest_ms <= deadline_ms <= longest_ms
+            deadline_ms for deadline_ms in kept if deadline_ms >= shortest_ms
         ]
-        share = len(alike) / len(batch)
+        share = len(alike) / len(kept)
         if share >= MIN_ALIKE:
             mean_ms = sum(alike) / len(alike)
             self._usual[route] = UsualDeadline(min(alike), mean_ms)
