Spread the returns of reservations that a rate limit refuses

Cause: since a refused request for a slot was told only by how much its wait is too long, so callers of an upstream at its rate limit all came back at the same moment; docs/design/requests.md promises that they return at the rate of the limit.

Change: the time of the calls that were already asked to come back is added.

Result: test_refused_reservations_return_at_the_rate_of_the_limit fails before (150 ms for each) and passes after; no upstream without a rate limit is concerned.

--- a/packages/bilberry_proxy/bilberry_proxy/rate_limiter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/rate_limiter.py
@@ -32,6 +32,11 @@
     rate: float | None = None
     backlog: float = 0
 
+    @property
+    def backlog_s(self) -> float:
+        """The time in which the refused calls are sent, in seconds."""
+        return 0 if self.rate is None else self.backlog / self.rate
+
     def estimate_wait_s(self, ahead: int) -> float:
         """Returns the time until a call behind `ahead` others may be sent."""
         if self.rate is None:
@@ -42,7 +47,7 @@
         """Returns the time after which a refused call finds a token."""
         if self.rate is None:
             return 0
-        return self.estimate_wait_s(queued) + self.backlog / self.rate
+        return self.estimate_wait_s(queued) + self.backlog_s
 
 
 class RateLimiter:
--- a/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_queue.py
@@ -117,11 +117,12 @@
         occupancy = self.measure_occupancy()
         wait_s = self._queue.estimate_wait_s(rank, now, occupancy)
         if wait_s > max_wait_s:
+            excess_s = wait_s - max_wait_s + occupancy.pace.backlog_s
             self.slots.limiter.defer()
             return ShedCall(
                 reservation,
                 'no slot is expected to become free in time',
-                bound_retry_after_ms(wait_s - max_wait_s),
+                bound_retry_after_ms(excess_s),
             )
         if len(self._queue) >= self.slots.capacity * RESERVATIONS_PER_SLOT:
             return self._shed_call(reservation, 'the queue is full')
--- a/tests/bilberry_proxy/test_admission.py
+++ b/tests/bilberry_proxy/test_admission.py
@@ -253,6 +253,20 @@
         self.assertEqual(9, refused.call)
         self.assertEqual(600, refused.retry_after_ms)
 
+    def test_refused_reservations_return_at_the_rate_of_the_limit(self):
+        """Guards against callers that all come back at the same moment."""
+        queue = build_queue()
+        queue.slots.limiter.follow(
+            UpstreamNotice(UpstreamIdentity('i-1'), LIMIT)
+        )
+        queue.slots.limiter.advance(0)
+        refused = [
+            queue.push_reservation(index, Rank(Priority.NORMAL), 0, 0.05)
+            for index in range(4)
+        ]
+        times = [shed.retry_after_ms for shed in refused]
+        self.assertEqual([150, 350, 550, 750], times)
+
     @given(st.lists(st.sampled_from(Priority), max_size=20), st.randoms())
     def test_length_is_right_after_every_way_out(self, priorities, random):
         """Calls leave by their turn, their cancellation or their age."""
