Observe deadlines only of routes with a target latency

Cause: deadlines were collected for every route, although only the target of a route uses them: cost where no configuration asks for it.

Change: routes without a target are not observed.

Result: test_route_without_a_target_is_not_observed fails before (0.5 s taken for the wait of a caller) and passes after.

--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -213,7 +213,7 @@
             self._body.buffer_up_to(CLAIMED_BODY_BYTES)
         self._dispatch = Dispatch(context, self, self._outcome, self._body)
         context.interest.register(plan.service, now)
-        if plan.request.deadline_ms:
+        if plan.request.deadline_ms and plan.decision.policy.target_latency_ms:
             context.router.usual_deadlines.record(
                 plan.route_key, plan.request.deadline_ms
             )
--- a/packages/bilberry_proxy/bilberry_proxy/usual_deadlines.py
+++ b/packages/bilberry_proxy/bilberry_proxy/usual_deadlines.py
@@ -3,7 +3,7 @@
 This handles callers that return after a refusal. A caller sets the deadline of
 each request to the time that it has left, so a request of one that returns has
 less than usual. The usual deadlines of a route are known while most of them
-are alike.
+are alike. Only routes with a target latency are observed.
 """
 
 from typing import NamedTuple
--- a/tests/bilberry_proxy/test_usual_deadlines.py
+++ b/tests/bilberry_proxy/test_usual_deadlines.py
@@ -1,10 +1,13 @@
 """Tests of how long a caller has waited before a request."""
 
+from asyncio import run
 from random import Random
 
 from bilberry_proxy.usual_deadlines import BATCH_SIZE, UsualDeadlines
 from testtools import TestCase
 
+from tests.bilberry_proxy.fleet import SERVICE, call, open_fleet
+
 ROUTE = ('callouts', 'read')
 USUAL_MS = 1000
 
@@ -60,6 +63,21 @@
         self.record(10 * BATCH_SIZE, 200, 2000)
         self.assertEqual(0, self.estimate_s(300))
 
+    def test_route_without_a_target_is_not_observed(self):
+        """Its requests are never late."""
+
+        async def script() -> float:
+            async with open_fleet({'slots': 4}) as fleet:
+                node = fleet.nodes[0]
+                for _ in range(BATCH_SIZE):
+                    await call(node, bilberry_deadline_ms='1000')
+                router = node.proxy._context.router
+                return router.usual_deadlines.estimate_elapsed_s(
+                    (SERVICE, ''), 500
+                )
+
+        self.assertEqual(0, run(script()))
+
     def test_shorter_deadlines_become_usual(self):
         """Once callers begin with less time, that is no wait."""
         self.record(BATCH_SIZE, 950, 1050)
