Compute what is left of a target in one place; mend docstrings

Cause, found by reading the diff: the time left until a target is missed was computed both for the wait and for lateness; a docstring of the compressor claimed what was not measured; departures are of a rank since, not of a priority.

Change: one method for the time, wording. No behaviour changes.

--- a/packages/bilberry_core/bilberry_core/messages/compression.py
+++ b/packages/bilberry_core/bilberry_core/messages/compression.py
@@ -21,9 +21,9 @@
 class Compressor:
     """Compresses the messages of one stream.
 
-    Bodies are often compressed already or random, and a proxy spends more time
-    on compressing them again than on all else that it does with them. So a type
-    of message whose last attempt gained nothing is tried only now and then.
+    Bodies are often compressed already, and compressing them again takes time
+    and gains nothing. So a type of message whose last attempt gained nothing is
+    tried only now and then.
     """
 
     def __init__(self) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -239,7 +239,11 @@
         if not target_ms or plan.priority is Priority.URGENT:
             return False
         service_s = self._router.service_times.estimate_s(plan.route_key)
-        return now + service_s > self._started_at + target_ms / MS_PER_S
+        return self._measure_left_s(target_ms, now) < service_s
+
+    def _measure_left_s(self, target_ms: int, now: float) -> float:
+        """Returns the time until the target latency is missed, in seconds."""
+        return self._started_at + target_ms / MS_PER_S - now
 
     def _limit_wait(self, plan: Plan, now: float) -> int:
         """Returns the longest useful wait, in milliseconds."""
@@ -252,11 +256,13 @@
         if self._is_late(plan, now):
             longest_s *= LATE_WAIT_SHARE
         elif target_ms:
-            target_s = target_ms / MS_PER_S
-            in_time_s = self._started_at + target_s - now
+            left_for_wait_s = (
+                self._measure_left_s(target_ms, now)
+                - service_s * SERVICE_MARGIN
+            )
             slack_s = max(
-                in_time_s - service_s * SERVICE_MARGIN,
-                target_s * MIN_WAIT_SHARE,
+                left_for_wait_s,
+                target_ms / MS_PER_S * MIN_WAIT_SHARE,
             )
             longest_s = min(longest_s, slack_s * WAIT_SHARE)
         return max(int(longest_s * MS_PER_S), 0)
--- a/packages/bilberry_proxy/bilberry_proxy/places.py
+++ b/packages/bilberry_proxy/bilberry_proxy/places.py
@@ -23,10 +23,10 @@
 ) -> tuple[Selection, ...]:
     """Returns up to `count` endpoints at which a request may wait for a slot.
 
-    They are near ones, or far ones if `context.avoids_near` is set. The one
-    beside the proxy is always among them, as asking it takes no message. Each
-    of the others is the one of two random ones with less expected work. `tried`
-    are instances that attempts were sent to.
+    They are near ones, or far ones if `context.avoids_near` is set. Of near
+    ones, that beside the proxy comes first, as asking it takes no message. Each
+    other one is the one of two random ones with less expected work. `tried` are
+    instances that attempts were sent to.
     """
     remaining = [
         candidate
--- a/packages/bilberry_proxy/bilberry_proxy/queue_departures.py
+++ b/packages/bilberry_proxy/bilberry_proxy/queue_departures.py
@@ -3,7 +3,7 @@
 This handles a full upstream. How long a call waits depends on the work of the
 calls in the slots, on the more urgent calls that overtake it, and on those
 ahead that get a slot elsewhere first. All of it shows in the time between two
-departures of calls of one priority, while calls of that priority wait.
+departures of calls of one rank, while calls of that rank wait.
 """
 
 #: Weight of the newest gap in the exponential moving average.
@@ -11,7 +11,7 @@
 
 
 class QueueDepartures:
-    """The departures of waiting calls of one priority."""
+    """The departures of waiting calls of one rank."""
 
     def __init__(self) -> None:
         """Starts with an empty queue."""
