Let late requests give way at the only endpoint too

Cause: a request with one endpoint left waits there with its CallStart, which has no rank; since a late one waited a tenth of its remaining time so, in front of requests that could be in time. Found by writing a test of a late request through whole proxies.

Change: a late request is sent only to a slot that is free at once, and else looks for a slot by its rank.

Result: test_late_request_gives_way_at_the_only_endpoint_too fails before and passes after.

--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -101,7 +101,8 @@
         if self._takes_new:
             # A request can still wait at endpoints with the old version.
             selection = selection._replace(has_other=True)
-        if selection.has_other:
+        if selection.has_other or self._is_late(plan, now):
+            # What finds no slot at once waits by its rank, in a search.
             return PlacementChoice(selection, 0)
         return PlacementChoice(
             selection._replace(is_busy=False),
--- a/tests/bilberry_proxy/test_placement.py
+++ b/tests/bilberry_proxy/test_placement.py
@@ -178,6 +178,16 @@
         self.assertGreater(late.retry_after_ms, 2 * early.retry_after_ms)
         self.assertLess(late.retry_after_ms, DEADLINE_MS / 2)
 
+    def test_late_request_gives_way_at_the_only_endpoint_too(self):
+        """Guards against its wait there in front of others."""
+        self.endpoints = self.endpoints[:1]
+        late_at = NOW + TARGET_MS / 1000 + 0.01
+        choice = self.placement.choose(self.build_plan(), [], late_at)
+        self.assertEqual(0, choice.max_wait_ms)
+        plan = self.plan_search(late_at)
+        self.assertTrue(plan.is_late)
+        self.assertEqual(1, len(plan.near))
+
     def test_urgent_request_is_never_late(self):
         """It holds the slot of the request that made it."""
         late_at = NOW + TARGET_MS / 1000 + 0.01
