Count searches of late requests

Cause: lateness decides about rank, wait and return, and was neither logged nor counted. Found by reading the diff.

--- a/packages/bilberry_proxy/bilberry_proxy/slot_finder.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_finder.py
@@ -115,5 +115,7 @@
         )
         if plan is None:
             self.on_no_slot()
-        else:
-            self._search.start(plan)
+            return
+        if plan.is_late:
+            self._context.metrics.incr('request.late')
+        self._search.start(plan)
