Name the organisation of a request in its log line

Cause: no line and no metric told whose request was served or refused, so the hypotheses of docs/incidents/quota.md could not be told apart from outside. request_routed now has the field organisation where a request has one. Without organisations the line is as before.

--- a/packages/bilberry_proxy/bilberry_proxy/decision_log.py
+++ b/packages/bilberry_proxy/bilberry_proxy/decision_log.py
@@ -94,6 +94,8 @@
         fields['method'] = plan.request.method.decode('ascii')
         fields['version'] = plan.snapshot.version
         fields['exception'] = plan.decision.exception
+        if plan.organisation is not None:
+            fields['organisation'] = plan.organisation.name
     if outcome.selection is not None:
         fields['chosen'] = outcome.selection.endpoint.instance
         fields['candidates'] = outcome.selection.candidates
