Refuse a request whose body ends while the proxy is draining

Cause: the phase was checked when the head of a request arrived, and not when the request was complete and could be sent. Class: a decision on the state at the beginning of a wait that is not made again at its end.

Evidence: test_request_that_arrives_whole_late_in_a_stop_is_passed_on_and_cut gets no byte on the code before, and now 503 with the verdict not_run; no upstream ran it. Requests whose head comes after the linger time were refused already (test_draining_daemon_finishes_what_runs), and so were calls of other daemons; requests that wait for a slot or an endpoint are refused long before the end of a stop, since their waits are bounded by the target latency.

--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -235,6 +235,8 @@
         )
         priority = plan.priority
         refusal = self._context.pressure.get_shed_failure(priority)
+        if self._context.board.phase.value is Phase.DRAINING:
+            refusal = _DRAINING
         assessment = self._context.suspect_tracker.assess(self._fingerprint)
         if refusal is not None:
             self.on_failure(refusal)
--- a/tests/bilberry_proxy/test_stop.py
+++ b/tests/bilberry_proxy/test_stop.py
@@ -4,10 +4,17 @@
 from socket import SO_RCVBUF, SO_SNDBUF, SOL_SOCKET, socket
 from unittest.mock import patch
 
+from bilberry_core.board import Phase
+from bilberry_core.settings import TimingSettings
 from bilberry_proxy.caller_connection import CallerConnection
 from testtools import TestCase
 
-from tests.bilberry_proxy.fleet import SERVICE, Node, open_fleet
+from tests.bilberry_proxy.fleet import (
+    SERVICE,
+    Node,
+    open_fleet,
+    until,
+)
 
 #: Size of a response that the proxy takes whole from its upstream, while only
 #: a part of it fits into the buffers of the sockets.
@@ -41,6 +48,38 @@
         with patch.object(CallerConnection, 'connection_made', accept_slowly):
             self.assertEqual(RESPONSE_BYTES, run(scenario()))
 
+    def test_request_that_arrives_whole_late_in_a_stop_is_passed_on_and_cut(
+        self,
+    ):
+        """Its head came in time and the end of its body didn't."""
+
+        async def scenario():
+            upstream = {'slots': 1, 'latency_ms': 3000}
+            async with open_fleet({}, upstream) as fleet:
+                node = fleet.nodes[0]
+                node.proxy._settings = node.proxy._settings._replace(
+                    timing=TimingSettings(drain_ms=1000, linger_ms=200)
+                )
+                reader, writer = await open_connection(*node.callers)
+                writer.write(
+                    f'POST / HTTP/1.1\r\nhost: {SERVICE}\r\n'
+                    'content-length: 8\r\n\r\nhalf'.encode()
+                )
+                await until(lambda: node.proxy.busy)
+                stopping = create_task(stop(node))
+                phase = node.board.phase
+                await until(lambda: phase.value is Phase.DRAINING)
+                writer.write(b'half')
+                answer = await wait_for(reader.read(), 5)
+                writer.close()
+                await stopping
+                return answer, fleet.nodes[1].upstream.records.runs.total()
+
+        answer, runs = run(scenario())
+        self.assertEqual(b'HTTP/1.1 503', answer[: len('HTTP/1.1 503')])
+        self.assertIn(b'bilberry-verdict: not_run', answer)
+        self.assertEqual(0, runs)
+
 
 def accept_slowly(
     connection, transport, accept=CallerConnection.connection_made
