Send a request that is sent again on another connection than before

What callers saw: an upstream refuses a request, the daemon beside it keeps the connection, the request is sent there again (it may be the only upstream), and the upstream writes its earlier refusal once more.

Cause: a late response is told from the real one by the request's ID, and a retry has the same ID. Class: an identity that two things share.

Now a connection remembers the IDs that it has served, and the pool gives a request that was sent there a different one. A late response to another request was discarded already (test_answer_to_an_earlier_request_is_discarded), and one that comes while the connection is idle ends it (test_unread_bytes_while_idle).

An upstream that echoes no ID stays open to this: such responses can't be told apart.

--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -240,7 +240,7 @@
         self.running_requests.add(call.request_id)
         call.dispatched_at = self.clock.now()
         call.upstream = self._board.upstream.value
-        self._pool.acquire(call)
+        self._pool.acquire(call, call.request_id.encode('latin-1'))
 
     def _admit_waiting(self) -> None:
         now = self.clock.now()
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
@@ -5,6 +5,7 @@
 """
 
 from asyncio import Protocol, Transport
+from collections import deque
 from typing import Protocol as Interface
 
 from bilberry_core.verdict import FailureCode
@@ -34,6 +35,8 @@
 )
 
 _HTTP_VERSIONS = frozenset((b'1.0', b'1.1'))
+#: Requests of a connection that are remembered.
+MAX_REMEMBERED = 64
 _BODILESS_STATUSES = frozenset((204, 304))
 
 
@@ -88,6 +91,7 @@
         self._transport: Transport | None = None
         self._receiver: ResponseReceiver | None = None
         self._method = b''
+        self._served: deque[bytes] = deque(maxlen=MAX_REMEMBERED)
 
     @property
     def is_reusable(self) -> bool:
@@ -98,6 +102,13 @@
             and self._receiver is None
         )
 
+    def has_served(self, request_id: bytes) -> bool:
+        """Returns whether a request was sent here before.
+
+        A late copy of its earlier response would look like that to a retry.
+        """
+        return bool(request_id) and request_id in self._served
+
     def connection_made(self, transport: Transport) -> None:
         """Stores the transport of the new connection."""
         self._transport = transport
@@ -119,6 +130,7 @@
         raw = encode_message(self._http, start, request.body, request.last)
         self._receiver = receiver
         self._request = request
+        self._served.append(request.request_id)
         self._method = request.method
         self._transport.write(raw)
 
@@ -206,7 +218,7 @@
             self._fail_malformed('the response has an unknown HTTP version')
             return
         if start is not None:
-            self._has_length = self._is_framed(start, headers)
+            self._has_length = _is_framed(self._method, start, headers)
             if not self._has_length and not self._dialect.close_delimited:
                 self._fail_malformed('the response has no length')
                 return
@@ -253,14 +265,6 @@
         if unread:
             self.data_received(unread)
 
-    def _is_framed(self, start: Response, headers: Headers) -> bool:
-        if self._method == b'HEAD' or start.status_code in _BODILESS_STATUSES:
-            return True
-        return bool(
-            find_header(headers, CONTENT_LENGTH)
-            or find_header(headers, TRANSFER_ENCODING),
-        )
-
     def _finish(self) -> None:
         self._receiver = None
         http = self._http
@@ -277,3 +281,13 @@
         self.abort()
         if receiver is not None:
             receiver.on_broken(FailureCode.UPSTREAM_MALFORMED, detail)
+
+
+def _is_framed(method: bytes, start: Response, headers: Headers) -> bool:
+    """Returns whether a response says where it ends."""
+    if method == b'HEAD' or start.status_code in _BODILESS_STATUSES:
+        return True
+    return bool(
+        find_header(headers, CONTENT_LENGTH)
+        or find_header(headers, TRANSFER_ENCODING),
+    )
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_pool.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_pool.py
@@ -52,11 +52,17 @@
         self.address = address
         self.close_idle()
 
-    def acquire(self, requester: ConnectionRequester) -> None:
-        """Passes an idle connection to `requester`, or opens a new one."""
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable:
+    def acquire(
+        self, requester: ConnectionRequester, request_id: bytes = b''
+    ) -> None:
+        """Passes an idle connection to `requester`, or opens a new one.
+
+        A request that is sent again gets another connection than before.
+        """
+        self._idle = [one for one in self._idle if one.is_reusable]
+        for connection in reversed(self._idle):
+            if not connection.has_served(request_id):
+                self._idle.remove(connection)
                 self._assign(connection, requester)
                 return
         task = get_running_loop().create_task(self._dial(requester))
--- a/tests/bilberry_proxy/test_upstream_connection.py
+++ b/tests/bilberry_proxy/test_upstream_connection.py
@@ -246,6 +246,19 @@
         exchange = self.begin().receive(self.build(b'6', b'late'))
         self.assertFalse(exchange.is_whole)
 
+    def test_response_cut_in_its_head_is_passed_on_as_whole(self):
+        """Neither an end of file nor a reset completes it, at any position."""
+        raw = self.build(b'7', b'mine')
+        for size in range(raw.index(b'\r\n\r\n') + 4):
+            ended = self.begin().receive(raw[:size])
+            ended.connection.eof_received()
+            ended.close()
+            cut = self.begin().receive(raw[:size]).close()
+            for exchange in (ended, cut):
+                self.assertEqual((0, b''), (exchange.status, exchange.body))
+                self.assertFalse(exchange.is_whole)
+                self.assertEqual(FailureCode.UPSTREAM_CLOSED, exchange.code)
+
     def test_answer_without_length_ends_with_its_connection(self):
         """It is complete after an end of file, incomplete after a reset."""
         raw = b'HTTP/1.1 200 \r\nx-id: 7\r\n\r\nbody'
