--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -102,7 +102,7 @@
         was_ready = self._body.is_ready
         self._body.feed(body, last)
         if self._body.is_ready and not was_ready and self._plan is not None:
-            self._start()
+            self._start_late()
         self.update_reading()
 
     def on_caller_disconnected(self) -> None:
@@ -225,6 +225,13 @@
             self._expire,
         )
 
+    def _start_late(self) -> None:
+        """Starts a request after its body; its daemon may be stopping now."""
+        if self._context.board.phase.value is Phase.DRAINING:
+            self.on_failure(_DRAINING)
+        else:
+            self._start()
+
     def _start(self) -> None:
         plan = self._plan
         self._fingerprint = compute_fingerprint(
@@ -235,8 +242,6 @@
         )
         priority = plan.priority
         refusal = self._context.pressure.get_shed_failure(priority)
-        if self._context.board.phase.value is Phase.DRAINING:
-            refusal = _DRAINING
         assessment = self._context.suspect_tracker.assess(self._fingerprint)
         if refusal is not None:
             self.on_failure(refusal)
--- a/tests/bilberry_proxy/test_reserved_slot.py
+++ b/tests/bilberry_proxy/test_reserved_slot.py
@@ -56,7 +56,7 @@
         """Records the calls that run."""
         self.calls: list = []
 
-    def acquire(self, call) -> None:
+    def acquire(self, call, _request_id=b'') -> None:
         """Records a call that is sent to the upstream."""
         self.calls.append(call)
 
