Keep the quotas of organisations over all daemons together

Cause: rate and burst were checked, stored and spread, and nothing compared a request with them. Class: a promise that is accepted and kept by nobody.

The leader of the replicas grants tokens, of the shares of the quotas that daemons lend it; a daemon out of touch spends its own share. Who holds a share is an entry of the replicated log. Without organisations that have a rate nothing is sent or kept.

Beside it: ProxyController takes Agreements in place of claims, a replica's durable tables are one value, and a relay's sessions get their report sinks as one value.

--- a/bench/node.py
+++ b/bench/node.py
@@ -90,7 +90,6 @@
         clock,
         Random(0),
         NullMetrics(),
-        None,
     )
     addresses = {
         'callers': await proxy.start(),
--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -11,6 +11,12 @@
 
 from bilberry_core.configuration import AcceptedVersion
 from bilberry_core.endpoint import Address, Endpoint
+from bilberry_core.messages.allowance import (
+    AllowanceAnswer,
+    AllowanceOffer,
+    AllowanceReport,
+)
+from bilberry_core.quota import HolderTable
 from bilberry_core.rollout import RolloutReport, RolloutTable
 from bilberry_core.snapshot import Snapshot
 from bilberry_core.traffic import Traffic
@@ -112,6 +118,20 @@
     members: tuple[str, ...]
 
 
+class RelayedReports(NamedTuple):
+    """Reports to the granter that came by way of a relay."""
+
+    relay: str
+    reports: tuple[AllowanceReport, ...]
+
+
+class RelayedAnswers(NamedTuple):
+    """Answers of the granter that go by way of a relay."""
+
+    relay: str
+    answers: tuple[AllowanceAnswer, ...]
+
+
 class Cell(Generic[CellValue]):
     """An observable value on the blackboard."""
 
@@ -184,6 +204,17 @@
         What this proxy saw of open roll-outs since its last report.
     `rollout_reports`
         What other daemons report of open roll-outs, on a relay.
+    `holders`
+        The daemons that hold shares of the quotas, on a replica.
+    `granter_offer`, `granter_answers`
+        The newest offer of the granter of this replica, and its newest answers.
+    `allowance_offer`, `allowance_answer`
+        The newest offer of a granter, and its newest answer to this daemon.
+    `allowance_report`
+        The newest report of this daemon to the granter.
+    `attached_report`, `relayed_reports`
+        The newest report of a daemon that is attached to this relay, and the
+        newest ones that a relay passed to this replica.
     `claim_epoch`
         The claim holders that the replicated log agreed on.
     `holds_claims`
@@ -224,6 +255,14 @@
         self.rollouts: Cell[RolloutTable] = Cell(RolloutTable())
         self.rollout_evidence: Cell[RolloutReport] = Cell(RolloutReport())
         self.rollout_reports: Cell[RolloutReport] = Cell(RolloutReport())
+        self.holders: Cell[HolderTable] = Cell(HolderTable())
+        self.granter_offer: Cell[AllowanceOffer | None] = Cell(None)
+        self.granter_answers: Cell[RelayedAnswers | None] = Cell(None)
+        self.allowance_offer: Cell[AllowanceOffer | None] = Cell(None)
+        self.allowance_answer: Cell[AllowanceAnswer | None] = Cell(None)
+        self.allowance_report: Cell[AllowanceReport | None] = Cell(None)
+        self.attached_report: Cell[AllowanceReport | None] = Cell(None)
+        self.relayed_reports: Cell[RelayedReports | None] = Cell(None)
         self.claim_epoch: Cell[ClaimEpoch | None] = Cell(None)
         self.holds_claims: Cell[bool] = Cell(False)
         self.suspects: Cell[dict[tuple[bytes, str, int], Suspect]] = Cell({})
--- a/packages/bilberry_core/bilberry_core/clock.py
+++ b/packages/bilberry_core/bilberry_core/clock.py
@@ -3,7 +3,7 @@
 Decisions only read a clock or a random source that was passed in.
 """
 
-from time import monotonic, time
+from time import CLOCK_BOOTTIME, clock_gettime, monotonic, time
 from typing import Protocol
 
 #: Milliseconds in one second.
@@ -32,6 +32,14 @@
         return int(time() * MS_PER_S)
 
 
+class BootClock(SystemClock):
+    """The clock of this machine that goes on while it is suspended."""
+
+    def now(self) -> float:
+        """Returns the time since the machine was started, in seconds."""
+        return clock_gettime(CLOCK_BOOTTIME)
+
+
 class RandomSource(Protocol):
     """The part of `random.Random` that decisions use."""
 
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/messages/allowance.py
@@ -0,0 +1,105 @@
+"""Messages by which allowances of quotas are asked for and granted (80 to 89).
+
+They pass between the leader of the replicas and the proxies, by way of the
+relay that a proxy is attached to.
+"""
+
+from typing import NamedTuple
+
+from bilberry_core.messages.registry import message
+
+
+@message(80)
+class AllowanceOffer(NamedTuple):
+    """The leader asks every daemon to lend it its share of the quotas.
+
+    `stamp` is the leader's time, in seconds, and means nothing elsewhere.
+    """
+
+    term: int
+    stamp: float
+
+
+class AllowanceAsk(NamedTuple):
+    """What a daemon needs of the quota of one organisation.
+
+    `wanted` are new requests that wait for a token each, `spare` tokens it
+    would hold ready besides. `settled` counts all tokens of this term that it
+    has spent or has no use for, in the order in which they were granted, and
+    `returned` those of them that it did not spend.
+    """
+
+    organisation: str
+    wanted: int = 0
+    spare: int = 0
+    settled: int = 0
+    returned: int = 0
+
+
+@message(81)
+class AllowanceReport(NamedTuple):
+    """A daemon's reply to the offer with `term` and `stamp`.
+
+    `life` tells the starts of its process apart. `asked_at` is its own time, in
+    seconds, which the answer repeats. `lends` says that it spends nothing of
+    its share for now, and `divisor` which share it takes for its own; 0 for
+    none. `leaves` says that it will spend nothing any more. A report that
+    `is_vote` comes from a replica, which holds no share: it lends the leader
+    its vote on what no daemon holds.
+    """
+
+    instance: str
+    life: int
+    term: int
+    stamp: float
+    asked_at: float
+    lends: bool
+    divisor: int = 0
+    asks: tuple[AllowanceAsk, ...] = ()
+    leaves: bool = False
+    is_vote: bool = False
+
+
+@message(82)
+class AllowanceReports(NamedTuple):
+    """The reports that a relay passes on to the leader."""
+
+    reports: tuple[AllowanceReport, ...]
+
+
+class AllowanceGrant(NamedTuple):
+    """What the leader grants of the quota of one organisation.
+
+    Of the wanted tokens `refused` are not to be had now; the first of them may
+    be asked for again after `retry_after_ms`.
+    """
+
+    organisation: str
+    granted: int = 0
+    refused: int = 0
+    retry_after_ms: int = 0
+
+
+@message(83)
+class AllowanceAnswer(NamedTuple):
+    """The leader's answer to a report of an instance.
+
+    `life` and `asked_at` are those of the report; `divisor` is the share that
+    the instance may spend while it is out of touch, 0 for none. The grants
+    waited `waited_ms` for tokens.
+    """
+
+    instance: str
+    life: int
+    term: int
+    asked_at: float
+    divisor: int
+    grants: tuple[AllowanceGrant, ...] = ()
+    waited_ms: int = 0
+
+
+@message(84)
+class AllowanceAnswers(NamedTuple):
+    """The answers that a relay passes on to its proxies."""
+
+    answers: tuple[AllowanceAnswer, ...]
--- /dev/null
+++ b/packages/bilberry_core/bilberry_core/quota.py
@@ -0,0 +1,65 @@
+"""Quotas of organisations, and the daemons that hold shares of them.
+
+Every quota is divided into equal shares, whatever the organisation. A daemon
+that holds one spends it while it is out of touch, and lends it to the leader of
+the replicas otherwise. Who holds one is an entry of the replicated log.
+"""
+
+from typing import Any, NamedTuple
+
+from msgpack import packb, unpackb
+from msgspec import ValidationError, convert
+
+from bilberry_core.error import ConfigurationError
+from bilberry_core.organisation import Organisation
+
+#: Time in which an unused rate always adds up, in seconds: the smallest burst.
+MIN_BURST_S = 0.25
+
+
+class ShareHolder(NamedTuple):
+    """A daemon that holds one of `divisor` equal shares of every quota.
+
+    In a step a divisor of 0 takes its share away.
+    """
+
+    instance: str
+    divisor: int
+
+
+class HolderTable(NamedTuple):
+    """The daemons that hold shares; `number` increases with each step."""
+
+    number: int = 0
+    holders: tuple[ShareHolder, ...] = ()
+
+
+class HolderStep(NamedTuple):
+    """Changed holders, on top of the table with `number`."""
+
+    number: int
+    holders: tuple[ShareHolder, ...]
+
+
+def sum_shares(divisors: dict[str, int]) -> float:
+    """Returns what holders hold together; 1 is a whole quota."""
+    return sum(1 / divisor for divisor in divisors.values())
+
+
+def compute_capacity(organisation: Organisation) -> float:
+    """Returns the requests that an organisation may send at once."""
+    return max(organisation.burst, organisation.rate * MIN_BURST_S, 1)
+
+
+def encode_holder_step(step: HolderStep) -> bytes:
+    """Encodes a step for the log."""
+    return packb(step)
+
+
+def decode_holder_step(encoded: bytes) -> HolderStep:
+    """Decodes a step; raises `ConfigurationError`."""
+    try:
+        fields: Any = unpackb(encoded, use_list=False)
+        return convert(fields, HolderStep)
+    except (ValueError, ValidationError) as error:
+        raise ConfigurationError(f'invalid holders: {error}') from error
--- a/packages/bilberry_core/bilberry_core/verdict.py
+++ b/packages/bilberry_core/bilberry_core/verdict.py
@@ -45,6 +45,7 @@
     ENDPOINT_SILENT = 'endpoint_silent'
     UNAUTHORIZED = 'unauthorized'
     QUOTA_EXCEEDED = 'quota_exceeded'
+    QUOTA_UNAVAILABLE = 'quota_unavailable'
 
 
 class Failure(NamedTuple):
--- a/packages/bilberry_proxy/bilberry_proxy/context.py
+++ b/packages/bilberry_proxy/bilberry_proxy/context.py
@@ -3,6 +3,7 @@
 from asyncio import Task
 from typing import NamedTuple, Protocol
 
+from bilberry_core.allowance import Allowances
 from bilberry_core.board import Board
 from bilberry_core.claim import Claims
 from bilberry_core.clock import Clock, RandomSource
@@ -48,6 +49,17 @@
     fleet_retry_burst: int = 0
 
 
+class Agreements(NamedTuple):
+    """What a proxy agrees on with other daemons before a request runs.
+
+    `claims` is None if the settings name no replicas. Without `allowances` no
+    quota is enforced.
+    """
+
+    claims: Claims | None = None
+    allowances: Allowances | None = None
+
+
 class ProxyContext(NamedTuple):
     """The parts of a proxy that requests use.
 
@@ -56,7 +68,8 @@
     complete response; a graceful stop waits for both. `running_requests` are
     those at the upstream beside this proxy, and `service` is its service,
     empty if not configured. Until `starts_until`, monotonic time in seconds,
-    requests wait for the first configuration.
+    requests wait for the first configuration. Without `allowances` no quota
+    is enforced.
     """
 
     board: Board
@@ -77,3 +90,4 @@
     dialect: HttpDialect = OWN_DIALECT
     service: str = ''
     starts_until: float = 0
+    allowances: Allowances | None = None
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -5,7 +5,6 @@
 from typing import Self
 
 from bilberry_core.board import Board, Phase
-from bilberry_core.claim import Claims
 from bilberry_core.clock import MS_PER_S, Clock, RandomSource
 from bilberry_core.endpoint import Address, Endpoint
 from bilberry_core.listener import StreamListener
@@ -18,7 +17,12 @@
 from bilberry_proxy.call_server import CallServer
 from bilberry_proxy.call_streams import CallStreams
 from bilberry_proxy.caller_server import CallerServer
-from bilberry_proxy.context import START_S, ProxyContext, ProxyOptions
+from bilberry_proxy.context import (
+    START_S,
+    Agreements,
+    ProxyContext,
+    ProxyOptions,
+)
 from bilberry_proxy.exclusion import get_exclusion_reason
 from bilberry_proxy.pressure import Pressure
 from bilberry_proxy.rollout_evidence import RolloutEvidence
@@ -77,7 +81,7 @@
         clock: Clock,
         random: RandomSource,
         metrics: Metrics,
-        claims: Claims | None,
+        agreements: Agreements = Agreements(),
         options: ProxyOptions = ProxyOptions(),
     ) -> Self:
         """Builds the controller of one daemon."""
@@ -108,7 +112,7 @@
             pressure=Pressure(),
             find_target=streams.find_target,
             metrics=metrics,
-            claims=claims,
+            claims=agreements.claims,
             tasks=set(),
             running=set(),
             running_requests=admitter.running_requests,
@@ -116,6 +120,7 @@
             dialect=options.dialect,
             service=options.service,
             starts_until=clock.now() + START_S,
+            allowances=agreements.allowances,
         )
         controller = cls(
             settings,
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -12,6 +12,7 @@
 from returns.result import Success
 
 from bilberry_proxy.admitter import LATE_RETRY_AFTER_MS
+from bilberry_proxy.allowance_wait import AllowanceWait
 from bilberry_proxy.answer import Answer, Caller
 from bilberry_proxy.caller_request import (
     CallerRequest,
@@ -66,6 +67,7 @@
         self._answer = Answer(caller, context.dialect)
         self._request: CallerRequest | None = None
         self._wait = ConfigurationWait(context, self._plan_request)
+        self._allowance = AllowanceWait(context, self._run, self.on_failure)
         self._outcome = Outcome()
         self._plan: Plan | None = None
         self._body = RequestBody(REPLAY_BYTES)
@@ -102,7 +104,10 @@
         was_ready = self._body.is_ready
         self._body.feed(body, last)
         if self._body.is_ready and not was_ready and self._plan is not None:
-            self._start_late()
+            if self._context.board.phase.value is Phase.DRAINING:
+                self.on_failure(_DRAINING)
+                return
+            self._start()
         self.update_reading()
 
     def on_caller_disconnected(self) -> None:
@@ -110,7 +115,7 @@
         self._answer.detach_caller()
         if self._outcome.ended or self._gate is not None:
             return
-        if self._wait.stop():
+        if self._wait.stop() or self._allowance.stop():
             self._end(_CALLER_DISCONNECTED)
             return
         verdict = self._dispatch.verdict
@@ -179,6 +184,7 @@
         """Sends the stored response of the first request with this key."""
         if self._outcome.ended:
             return
+        self._allowance.give_back()
         self._end(None, answer.status)
         self._answer.start(answer.status, answer.headers, answer.body, True)
 
@@ -225,13 +231,6 @@
             self._expire,
         )
 
-    def _start_late(self) -> None:
-        """Starts a request after its body; its daemon may be stopping now."""
-        if self._context.board.phase.value is Phase.DRAINING:
-            self.on_failure(_DRAINING)
-        else:
-            self._start()
-
     def _start(self) -> None:
         plan = self._plan
         self._fingerprint = compute_fingerprint(
@@ -248,7 +247,12 @@
         elif assessment.level is SuspicionLevel.QUARANTINED:
             now_ms = self._context.clock.wall_ms()
             self.on_failure(build_quarantine_failure(assessment, now_ms))
-        elif not plan.claimed:
+        else:
+            self._allowance.start(plan)
+
+    def _run(self) -> None:
+        plan = self._plan
+        if not plan.claimed:
             self._dispatch.start(plan, self._fingerprint)
         elif self._body.is_whole:
             self._gate = ClaimGate(
@@ -286,6 +290,7 @@
                 self._expire,
             )
             return
+        self._allowance.stop()
         self._dispatch.cancel()
         self.on_failure(failure)
 
@@ -298,6 +303,8 @@
         if self._outcome.ended:
             return
         self._outcome.end(failure, status)
+        if failure is not None and failure.verdict is Verdict.NOT_RUN:
+            self._allowance.give_back()
         self._context.running.discard(self)
         if self._timer is not None:
             self._timer.cancel()
--- a/packages/bilberry_replica/bilberry_replica/controller.py
+++ b/packages/bilberry_replica/bilberry_replica/controller.py
@@ -31,6 +31,7 @@
 from bilberry_replica.dispatch import Dispatch
 from bilberry_replica.driver import Driver
 from bilberry_replica.forwarding import Forwarding
+from bilberry_replica.holder_log import HolderLog
 from bilberry_replica.joining import Joining
 from bilberry_replica.links import Links
 from bilberry_replica.outcome import build_result
@@ -146,6 +147,11 @@
         machine = self._driver.replica.machine
         return RolloutLog(self, lambda: machine.register.rollouts)
 
+    @property
+    def holders(self) -> HolderLog:
+        """The holders of shares in the log."""
+        return HolderLog(self)
+
     async def submit(
         self,
         change: Change,
--- a/packages/bilberry_replica/bilberry_replica/leading.py
+++ b/packages/bilberry_replica/bilberry_replica/leading.py
@@ -26,6 +26,7 @@
 )
 from bilberry_replica.error import ConsensusError
 from bilberry_replica.founding import is_empty, start_log
+from bilberry_replica.holder_register import is_holder_change
 from bilberry_replica.member import (
     add_learner,
     find_surplus_member,
@@ -180,7 +181,8 @@
     except ConsensusError as error:
         # The change is not in the log yet, so it is enough to refuse it.
         return NotAccepted(str(error))
-    if not is_rollout_change(logged.change):
+    change = logged.change
+    if not (is_rollout_change(change) or is_holder_change(change)):
         errors = validate(content)
         if errors:
             return NotAccepted('; '.join(errors))
--- a/packages/bilberry_replica/bilberry_replica/publisher.py
+++ b/packages/bilberry_replica/bilberry_replica/publisher.py
@@ -16,7 +16,8 @@
 class Publisher:
     """Publisher of the cells that a replica writes.
 
-    These are `accepted`, `rollouts`, `replica`, `beacon` and `claim_epoch`.
+    These are `accepted`, `rollouts`, `holders`, `replica`, `beacon` and
+    `claim_epoch`.
 
     Only committed versions are published, after the journal has stored that
     they are committed, and never an older one after a newer one.
@@ -33,6 +34,7 @@
         """Publishes everything that has changed."""
         self._publish_accepted()
         self._publish_rollouts()
+        self._publish_holders()
         self._publish_status()
         self._publish_epoch()
 
@@ -55,10 +57,15 @@
         self._board.accepted.put(build_version(newest))
 
     def _publish_rollouts(self) -> None:
-        table = self._replica.durable_rollouts
+        table = self._replica.durable_tables.rollouts
         if table.number > self._board.rollouts.value.number:
             self._board.rollouts.put(table)
 
+    def _publish_holders(self) -> None:
+        table = self._replica.durable_tables.holders
+        if table.number > self._board.holders.value.number:
+            self._board.holders.put(table)
+
     def _publish_status(self) -> None:
         node = self._replica.node
         status = ReplicaStatus(
--- a/packages/bilberry_replica/bilberry_replica/register.py
+++ b/packages/bilberry_replica/bilberry_replica/register.py
@@ -15,10 +15,12 @@
     NotAccepted,
 )
 from bilberry_core.messages.replica import LoggedChange
+from bilberry_core.quota import HolderTable
 from bilberry_core.rollout import RolloutTable
 from msgpack import packb, unpackb
 from msgspec import convert
 
+from bilberry_replica.holder_register import HolderRegister, is_holder_change
 from bilberry_replica.packing import get_content_digest, unpack_change
 from bilberry_replica.rollout_register import (
     RolloutRegister,
@@ -49,6 +51,7 @@
     history: tuple[HistoryEntry, ...] = ()
     outcomes: dict[str, Outcome] = {}
     rollouts: RolloutTable = RolloutTable()
+    holders: HolderTable = HolderTable()
 
 
 class Register:
@@ -65,6 +68,7 @@
         self._history = list(state.history)
         self._outcomes = dict(state.outcomes)
         self._rollouts = RolloutRegister(state.rollouts)
+        self._holders = HolderRegister(state.holders)
         self._history_count = history_count
         self._outcome_count = outcome_count
 
@@ -88,18 +92,26 @@
         """The newest roll-out of each service."""
         return self._rollouts.table
 
+    @property
+    def holders(self) -> HolderTable:
+        """The daemons that hold shares of the quotas."""
+        return self._holders.table
+
     def encode(self) -> bytes:
         """Encodes the register for a snapshot.
 
-        Without roll-outs it is what releases that know none encode.
+        Without roll-outs and holders it is what releases that know none encode.
         """
         state = RegisterState(
             self._version,
             tuple(self._history),
             self._outcomes,
             self.rollouts,
+            self.holders,
         )
-        return packb(state if self.rollouts.number else state[:-1])
+        if self.holders.number:
+            return packb(state)
+        return packb(state[:-1] if self.rollouts.number else state[:-2])
 
     def read_history(self, limit: int) -> tuple[HistoryEntry, ...]:
         """Returns the newest versions, newest first."""
@@ -114,7 +126,7 @@
         known, or will never be accepted.
         """
         change = logged.change
-        if is_rollout_change(change):
+        if is_rollout_change(change) or is_holder_change(change):
             return None
         outcome = self._outcomes.get(change.change_id)
         if outcome is not None:
@@ -128,6 +140,8 @@
         change = logged.change
         if is_rollout_change(change):
             return self._rollouts.apply(change, logged.accepted_ms)
+        if is_holder_change(change):
+            return self._holders.apply(change)
         decision = self.find_decision(logged)
         if decision is not None:
             return decision
--- a/packages/bilberry_replica/bilberry_replica/replica.py
+++ b/packages/bilberry_replica/bilberry_replica/replica.py
@@ -18,6 +18,7 @@
     InstallSnapshot,
     Membership,
 )
+from bilberry_core.quota import HolderTable
 from bilberry_core.rollout import RolloutTable
 
 from bilberry_replica.commitment import record_durable
@@ -73,6 +74,13 @@
     open_entries: int = 256
 
 
+class DurableTables(NamedTuple):
+    """The tables, besides the configuration, that survive a restart."""
+
+    rollouts: RolloutTable
+    holders: HolderTable
+
+
 class Flush(NamedTuple):
     """What a sync makes durable, and the messages to send after it."""
 
@@ -81,7 +89,7 @@
     sends: tuple[Send, ...]
     commit: int
     newest: HistoryEntry | None
-    rollouts: RolloutTable
+    tables: DurableTables
 
 
 class Replica:
@@ -110,7 +118,7 @@
         self._compacted_bytes = journal.size
         self._durable_commit = node.commit
         self._durable_newest = machine.register.newest
-        self._durable_rollouts = machine.register.rollouts
+        self._durable_tables = _get_tables(machine)
 
     @classmethod
     def open(
@@ -154,9 +162,9 @@
         return self._durable_newest
 
     @property
-    def durable_rollouts(self) -> RolloutTable:
-        """The newest roll-outs that survive a restart."""
-        return self._durable_rollouts
+    def durable_tables(self) -> DurableTables:
+        """The newest tables that survive a restart."""
+        return self._durable_tables
 
     @property
     def committed_membership(self) -> Membership:
@@ -234,7 +242,7 @@
             tuple(self._late),
             node.commit,
             self._machine.register.newest,
-            self._machine.register.rollouts,
+            _get_tables(self._machine),
         )
         self._late = []
         return flush
@@ -245,7 +253,7 @@
         """Returns the messages that may be sent after the journal sync."""
         self._durable_commit = max(self._durable_commit, flush.commit)
         self._durable_newest = flush.newest
-        self._durable_rollouts = flush.rollouts
+        self._durable_tables = flush.tables
         if flush.term == self._node.term:
             node = record_durable(self._node, flush.last_index)
             self.perform(
@@ -300,6 +308,11 @@
         self._compacted_bytes = self._journal.size
 
 
+def _get_tables(machine: StateMachine) -> DurableTables:
+    register = machine.register
+    return DurableTables(register.rollouts, register.holders)
+
+
 def _build_piece(
     node: Node,
     machine: StateMachine,
--- a/packages/bilberry_spread/bilberry_spread/broadcast.py
+++ b/packages/bilberry_spread/bilberry_spread/broadcast.py
@@ -18,6 +18,7 @@
 from bilberry_spread.mesh_receiver import MeshReceiver
 from bilberry_spread.receiver import Receiver
 from bilberry_spread.receivers import ReceiverSet
+from bilberry_spread.report_cells import ReportCells
 from bilberry_spread.runtime import Runtime
 from bilberry_spread.suspects import SuspectKey, merge_suspects
 from bilberry_spread.updates import EndpointUpdates
@@ -55,7 +56,9 @@
             settings.timing.lease_ms / MS_PER_S,
             self._on_endpoint_changed,
         )
-        self._receivers = ReceiverSet(settings, self._directory, self, runtime)
+        self._receivers = ReceiverSet(
+            settings, self._directory, self, runtime, ReportCells(board)
+        )
         self._content = Content(
             VersionHistory(),
             EndpointUpdates(self._directory.table, settings.instance),
--- a/packages/bilberry_spread/bilberry_spread/mesh.py
+++ b/packages/bilberry_spread/bilberry_spread/mesh.py
@@ -73,6 +73,11 @@
         if self._link is not None:
             send_if_open(self._link, VersionReport({}))
 
+    def send(self, sent: Any) -> None:
+        """Sends a message on the stream to the relay, if it is open."""
+        if self._link is not None:
+            send_if_open(self._link, sent)
+
     def redial_now(self) -> None:
         """Dials without delay; called when the relay is heard of again.
 
--- a/packages/bilberry_spread/bilberry_spread/mesh_receiver.py
+++ b/packages/bilberry_spread/bilberry_spread/mesh_receiver.py
@@ -3,6 +3,10 @@
 from typing import Any
 
 from bilberry_core.board import Suspect
+from bilberry_core.messages.allowance import (
+    AllowanceAnswers,
+    AllowanceOffer,
+)
 from bilberry_core.messages.spread import (
     RolloutReportUpdate,
     SuspectUpdate,
@@ -74,6 +78,11 @@
         if self.link.is_writable:
             self._send(RolloutReportUpdate(report))
 
+    def send_allowances(self, sent: AllowanceOffer | AllowanceAnswers) -> None:
+        """Sends what the granter of quotas says."""
+        if self.link.is_writable:
+            self._send(sent)
+
     def send_heartbeat(self) -> None:
         """Sends an empty report, so that the stream is not silent."""
         if self.link.is_writable:
--- a/packages/bilberry_spread/bilberry_spread/receiver.py
+++ b/packages/bilberry_spread/bilberry_spread/receiver.py
@@ -94,6 +94,18 @@
         """Marks suspects as not sent yet."""
         self._suspects |= keys
 
+    def send_offer(self, encoded: bytes) -> None:
+        """Sends an encoded offer, unless the receiver is attached elsewhere.
+
+        A receiver that reads too slowly misses it: the next one follows soon.
+        """
+        if self._is_standby or not self.link.is_writable:
+            return
+        try:
+            self.link.send_encoded(encoded)
+        except StreamClosedError:
+            return
+
     def attach(self) -> None:
         """Sends everything at once from now on."""
         self._is_standby = False
--- a/packages/bilberry_spread/bilberry_spread/receivers.py
+++ b/packages/bilberry_spread/bilberry_spread/receivers.py
@@ -5,10 +5,11 @@
 
 from functools import partial
 from logging import getLogger
-from typing import Any
+from typing import Any, NamedTuple
 
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Endpoint
+from bilberry_core.messages.allowance import AllowanceReports
 from bilberry_core.messages.spread import Busy, Subscribe
 from bilberry_core.settings import Settings
 
@@ -17,9 +18,10 @@
 from bilberry_spread.directory import RelayDirectory
 from bilberry_spread.mesh_receiver import MeshReceiver
 from bilberry_spread.receiver import Receiver, StandbyPace
+from bilberry_spread.report_cells import ReportCells
 from bilberry_spread.rollout_reports import RolloutReports
 from bilberry_spread.runtime import Link, Runtime, send_if_open
-from bilberry_spread.session import Session, SessionListener
+from bilberry_spread.session import Reports, Session, SessionListener
 from bilberry_spread.suspects import SuspectKey
 
 _log = getLogger(__name__)
@@ -28,6 +30,13 @@
 SILENT_LEASES = 3
 
 
+class Attached(NamedTuple):
+    """The sessions of receivers, and the subscribed relays, by instance."""
+
+    sessions: dict[str, Session]
+    relays: dict[str, MeshReceiver]
+
+
 class ReceiverSet:
     """The attached receivers, by instance."""
 
@@ -37,6 +46,7 @@
         directory: RelayDirectory,
         listener: SessionListener,
         runtime: Runtime,
+        allowance_reports: ReportCells,
     ) -> None:
         """Reports joins and messages of receivers to `listener`."""
         self._settings = settings
@@ -45,6 +55,7 @@
         self._runtime = runtime
         self._pace = StandbyPace.from_timing(settings.timing)
         self.rollout_reports = RolloutReports()
+        self._reports = Reports(self.rollout_reports, allowance_reports)
         self._admission = JoinAdmission(runtime.clock.now())
         self._sessions: dict[str, Session] = {}
         self._relays: dict[str, MeshReceiver] = {}
@@ -73,6 +84,11 @@
         """The relays that subscribe to the records that this one owns."""
         return tuple(self._relays.values())
 
+    @property
+    def attached(self) -> Attached:
+        """All receivers, for messages to single ones."""
+        return Attached(self._sessions, self._relays)
+
     def accept(self, link: Link) -> None:
         """Accepts a stream, whose first message must be a `Subscribe`."""
         link.receiver = partial(self._join, link)
@@ -151,7 +167,8 @@
         if instance not in self._peers:
             wait_ms = self._admission.admit(self._runtime.clock.now())
             if wait_ms:
-                self._refuse(link, instance, wait_ms)
+                self._runtime.metrics.incr('spread.joins_refused')
+                _refuse(link, instance, wait_ms)
                 return
         before = self._sessions.get(instance)
         session = Session(
@@ -159,7 +176,7 @@
             self._directory,
             self._listener,
             self._runtime,
-            self.rollout_reports,
+            self._reports,
         )
         self._sessions[instance] = session
         link.receiver = session.receive
@@ -172,15 +189,6 @@
         )
         self._listener.on_joined(session.receiver)
 
-    def _refuse(self, link: Link, instance: str, wait_ms: int) -> None:
-        _log.info(
-            'join_refused',
-            extra={'receiver': instance, 'retry_after_ms': wait_ms},
-        )
-        self._runtime.metrics.incr('spread.joins_refused')
-        send_if_open(link, Busy(wait_ms))
-        link.close()
-
     def _remove_session(self, session: Session) -> None:
         instance = session.receiver.instance
         if self._sessions.get(instance) is session:
@@ -192,5 +200,17 @@
             self._relays.pop(relay.instance)
             self._listener.on_relay_left(relay.instance)
 
-    def _hear_relay(self, relay: MeshReceiver, _received: Any) -> None:
-        self._listener.on_relay_heard(relay.instance)
+    def _hear_relay(self, relay: MeshReceiver, received: Any) -> None:
+        if isinstance(received, AllowanceReports):
+            self._reports.allowances.put_relayed(relay.instance, received)
+        else:
+            self._listener.on_relay_heard(relay.instance)
+
+
+def _refuse(link: Link, instance: str, wait_ms: int) -> None:
+    _log.info(
+        'join_refused',
+        extra={'receiver': instance, 'retry_after_ms': wait_ms},
+    )
+    send_if_open(link, Busy(wait_ms))
+    link.close()
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -20,6 +20,7 @@
 )
 from bilberry_core.settings import Peer, Role, Settings
 
+from bilberry_spread.allowance_routes import AllowanceRoutes
 from bilberry_spread.backoff import MAX_DELAY_S
 from bilberry_spread.broadcast import Broadcast
 from bilberry_spread.members import list_replicas
@@ -59,6 +60,13 @@
         self._mesh = MeshSet(settings, runtime, self._receive)
         self._broadcast = Broadcast(settings, board, runtime, self._mesh)
         self._mesh.update_peers(list_mesh_peers(settings))
+        self._allowances = AllowanceRoutes(
+            settings.instance,
+            board,
+            runtime.scheduler,
+            self._mesh,
+            self._broadcast.receivers.attached,
+        )
         self._source: RelaySource | None = None
         if Role.REPLICA not in settings.roles:
             self._source = RelaySource(
@@ -110,6 +118,7 @@
     def start(self) -> None:
         """Starts to watch the blackboard."""
         self._broadcast.start()
+        self._allowances.start()
         self._board.rollout_evidence.watch(
             self._broadcast.receivers.rollout_reports.add,
         )
@@ -165,6 +174,8 @@
             known = self._reports.get(peer.instance, {})
             self._reports[peer.instance] = apply_report(known, received)
             self._broadcast.on_versions_changed()
+        else:
+            self._allowances.receive(peer.instance, received)
 
     def _detect_pause(self) -> None:
         now = self._runtime.clock.now()
--- a/packages/bilberry_spread/bilberry_spread/session.py
+++ b/packages/bilberry_spread/bilberry_spread/session.py
@@ -1,9 +1,10 @@
 """Handles the messages that an attached receiver sends to its relay."""
 
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from bilberry_core.board import Suspect
+from bilberry_core.messages.allowance import AllowanceReport
 from bilberry_core.messages.spread import (
     Attach,
     EndpointAnnouncement,
@@ -19,6 +20,7 @@
 from bilberry_spread.directory import RelayDirectory
 from bilberry_spread.mesh_receiver import MeshReceiver
 from bilberry_spread.receiver import Receiver
+from bilberry_spread.report_cells import ReportCells
 from bilberry_spread.reports import apply_report
 from bilberry_spread.rollout_reports import RolloutReports
 from bilberry_spread.runtime import Runtime
@@ -51,6 +53,13 @@
         """Called with suspects that a receiver reports."""
 
 
+class Reports(NamedTuple):
+    """Where the reports of receivers go that are meant for the leader."""
+
+    rollouts: RolloutReports
+    allowances: ReportCells
+
+
 class Session:
     """The state of one attached receiver.
 
@@ -64,10 +73,10 @@
         directory: RelayDirectory,
         listener: SessionListener,
         runtime: Runtime,
-        rollout_reports: RolloutReports,
+        reports: Reports,
     ) -> None:
         """Passes endpoints to `directory`, and most to `listener`."""
-        self._rollout_reports = rollout_reports
+        self._reports = reports
         self.receiver = receiver
         self.versions: dict[str, int] = {}
         self.heard = runtime.clock.now()
@@ -119,9 +128,13 @@
         self._listener.receive_suspects(update.suspects, is_local=True)
 
     def _handle_rollout_report(self, update: RolloutReportUpdate) -> None:
-        self._rollout_reports.add(update.report)
+        self._reports.rollouts.add(update.report)
+
+    def _handle_allowance_report(self, report: AllowanceReport) -> None:
+        self._reports.allowances.put(report)
 
     _handlers: dict[type, Callable[..., None]] = {
+        AllowanceReport: _handle_allowance_report,
         Attach: _handle_attach,
         EndpointAnnouncement: _handle_announcement,
         LeaseRenewal: _handle_renewal,
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -10,6 +10,10 @@
 from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Endpoint
+from bilberry_core.messages.allowance import (
+    AllowanceAnswer,
+    AllowanceOffer,
+)
 from bilberry_core.messages.spread import (
     EndpointAnnouncement,
     EndpointRequest,
@@ -109,6 +113,7 @@
         board.rollout_evidence.watch(
             lambda report: self._send(RolloutReportUpdate(report)),
         )
+        board.allowance_report.watch(self._send)
         if self._settings.discovers_relays:
             board.claim_epoch.watch(self._update_members)
 
@@ -133,11 +138,15 @@
         self._send_suspects()
 
     def receive(self, received: Any) -> None:
-        """Handles endpoints and suspects; ignores other messages."""
+        """Handles endpoints, suspects and allowances; ignores the rest."""
         if isinstance(received, EndpointUpdate):
             self._endpoints.receive(received)
         elif isinstance(received, SuspectUpdate):
             self._suspects.receive(received)
+        elif isinstance(received, AllowanceOffer):
+            self._board.allowance_offer.put(received)
+        elif isinstance(received, AllowanceAnswer):
+            self._board.allowance_answer.put(received)
 
     def _update_members(self, epoch: ClaimEpoch | None) -> None:
         peers = list_replicas(epoch)
--- a/packages/bilberryd/bilberryd/parts.py
+++ b/packages/bilberryd/bilberryd/parts.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from bilberry_proxy.announcement import AnnouncementController
     from bilberry_proxy.controller import ProxyController
+    from bilberry_quotas.spender_controller import SpenderController
     from bilberry_replica.controller import ReplicaController
     from bilberry_rollouts.controller import RolloutController
 
@@ -27,8 +28,8 @@
     """The components of a daemon that is being built.
 
     `controllers` are in the order in which they start. `acceptor` and
-    `rollouts` are None without the role replica; `announcements` and `proxy`
-    are None without the role proxy.
+    `rollouts` are None without the role replica; `allowances`,
+    `announcements` and `proxy` are None without the role proxy.
     """
 
     def __init__(
@@ -63,6 +64,7 @@
             )
         self.acceptor: 'ReplicaController | None' = None
         self.rollouts: 'RolloutController | None' = None
+        self.allowances: 'SpenderController | None' = None
         self.announcements: 'AnnouncementController | None' = None
         self.proxy: 'ProxyController | None' = None
 
@@ -79,3 +81,5 @@
         self._board_metrics.refresh()
         if self.proxy is not None:
             self.proxy.update_gauges()
+        if self.allowances is not None:
+            self.allowances.update_gauges()
--- a/packages/bilberryd/bilberryd/proxy_part.py
+++ b/packages/bilberryd/bilberryd/proxy_part.py
@@ -1,8 +1,11 @@
 """Adds the controllers of the role proxy."""
 
 from bilberry_claims.client import ClaimClient
+from bilberry_core.clock import BootClock
 from bilberry_proxy.announcement import AnnouncementController
+from bilberry_proxy.context import Agreements
 from bilberry_proxy.controller import ProxyController
+from bilberry_quotas.spender_controller import SpenderController
 from bilberry_spread.compiler import SnapshotController
 
 from bilberryd.parts import DaemonParts
@@ -20,6 +23,13 @@
             parts.clock,
             parts.random,
         )
+    parts.allowances = SpenderController.from_settings(
+        settings,
+        parts.board,
+        BootClock(),
+        parts.random,
+        parts.metrics,
+    )
     parts.proxy = ProxyController.from_settings(
         settings,
         parts.board,
@@ -28,7 +38,7 @@
         parts.clock,
         parts.random,
         parts.metrics,
-        claims,
+        Agreements(claims, parts.allowances),
         parts.proxy_options,
     )
     parts.announcements = AnnouncementController.from_settings(
@@ -39,5 +49,6 @@
     parts.controllers += [
         SnapshotController.from_settings(settings, parts.board),
         parts.announcements,
+        parts.allowances,
         parts.proxy,
     ]
--- a/packages/bilberryd/bilberryd/replica_part.py
+++ b/packages/bilberryd/bilberryd/replica_part.py
@@ -1,8 +1,10 @@
 """Adds the controllers of the role replica."""
 
 from bilberry_claims.holder import HolderController
+from bilberry_core.clock import BootClock
 from bilberry_core.configuration_file import validate_content
 from bilberry_core.disk import Disk, SystemDisk
+from bilberry_quotas.granter_controller import GranterController
 from bilberry_replica.controller import ReplicaController, ReplicaOptions
 from bilberry_rollouts.controller import RolloutController
 
@@ -32,6 +34,15 @@
         parts.metrics,
     )
     parts.controllers.append(parts.rollouts)
+    parts.controllers.append(
+        GranterController.from_settings(
+            settings,
+            parts.board,
+            parts.acceptor.holders,
+            BootClock(),
+            parts.metrics,
+        ),
+    )
     if settings.keeps_claims:
         _add_holder(parts, parts.acceptor, disk)
 
--- a/tests/bilberry_proxy/fleet.py
+++ b/tests/bilberry_proxy/fleet.py
@@ -22,7 +22,7 @@
 from bilberry_core.snapshot import compile_snapshot
 from bilberry_core.stream import Credentials
 from bilberry_proxy.announcement import AnnouncementController
-from bilberry_proxy.context import ProxyOptions
+from bilberry_proxy.context import Agreements, ProxyOptions
 from bilberry_proxy.controller import ProxyController
 
 from standin.upstream import StandinOptions, StandinUpstream
@@ -137,7 +137,7 @@
             clock,
             Random(index),
             metrics,
-            self.claims,
+            Agreements(self.claims),
             self.options,
         )
         callers = await proxy.start()
