--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -16,7 +16,7 @@
     AllowanceOffer,
     AllowanceReport,
 )
-from bilberry_core.quota import HolderTable
+from bilberry_core.quota import HolderTable, QuotaStatus
 from bilberry_core.rollout import RolloutReport, RolloutTable
 from bilberry_core.snapshot import Snapshot
 from bilberry_core.traffic import Traffic
@@ -206,6 +206,8 @@
         What other daemons report of open roll-outs, on a relay.
     `holders`
         The daemons that hold shares of the quotas, on a replica.
+    `quotas`
+        The quotas as this replica grants them; None unless it leads.
     `granter_offer`, `granter_answers`
         The newest offer of the granter of this replica, and its newest answers.
     `allowance_offer`, `allowance_answer`
@@ -256,6 +258,7 @@
         self.rollout_evidence: Cell[RolloutReport] = Cell(RolloutReport())
         self.rollout_reports: Cell[RolloutReport] = Cell(RolloutReport())
         self.holders: Cell[HolderTable] = Cell(HolderTable())
+        self.quotas: Cell[QuotaStatus | None] = Cell(None)
         self.granter_offer: Cell[AllowanceOffer | None] = Cell(None)
         self.granter_answers: Cell[RelayedAnswers | None] = Cell(None)
         self.allowance_offer: Cell[AllowanceOffer | None] = Cell(None)
--- a/packages/bilberry_core/bilberry_core/quota.py
+++ b/packages/bilberry_core/bilberry_core/quota.py
@@ -41,6 +41,33 @@
     holders: tuple[ShareHolder, ...]
 
 
+class QuotaUse(NamedTuple):
+    """What became of the tokens of one organisation in the leader's term.
+
+    Requests that run use the tokens that were `granted` and not `returned`;
+    `refused` are those that were over the quota. `held` are tokens that daemons
+    may still spend.
+    """
+
+    organisation: str
+    granted: int = 0
+    returned: int = 0
+    refused: int = 0
+    held: int = 0
+
+
+class QuotaStatus(NamedTuple):
+    """The quotas as the leader grants them.
+
+    `fraction` is the part of every quota that was lent to it, by `daemons`.
+    """
+
+    term: int
+    fraction: float
+    daemons: int
+    uses: tuple[QuotaUse, ...]
+
+
 def sum_shares(divisors: dict[str, int]) -> float:
     """Returns what holders hold together; 1 is a whole quota."""
     return sum(1 / divisor for divisor in divisors.values())
--- a/packages/bilberry_operators/bilberry_operators/status.py
+++ b/packages/bilberry_operators/bilberry_operators/status.py
@@ -5,6 +5,7 @@
 
 from bilberry_core.board import Board
 from bilberry_core.endpoint import Endpoint
+from bilberry_core.quota import QuotaStatus
 from bilberry_core.settings import Settings
 from bilberry_core.traffic import Traffic
 
@@ -45,6 +46,7 @@
             }
             for instance, version in sorted(versions.items())
         ],
+        'quotas': _describe_quotas(board.quotas.value),
         'traffic': _describe_traffic(board.traffic),
         'services': group_endpoints(board.endpoints.value.values()),
     }
@@ -63,6 +65,13 @@
     return endpoint.service, endpoint.instance
 
 
+def _describe_quotas(status: QuotaStatus | None) -> dict[str, Any] | None:
+    if status is None:
+        return None
+    uses = {use.organisation: use._asdict() for use in status.uses}
+    return {**status._asdict(), 'uses': uses}
+
+
 def _describe_epoch(board: Board) -> dict[str, Any] | None:
     epoch = board.claim_epoch.value
     if epoch is None:
--- a/packages/bilberry_quotas/bilberry_quotas/granter.py
+++ b/packages/bilberry_quotas/bilberry_quotas/granter.py
@@ -4,9 +4,7 @@
 what that one may still grant was not lent to this one.
 """
 
-from collections import defaultdict
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.allowance import (
@@ -17,7 +15,7 @@
     AllowanceReport,
 )
 from bilberry_core.organisation import Organisation
-from bilberry_core.quota import HolderStep, HolderTable
+from bilberry_core.quota import HolderStep, HolderTable, QuotaStatus
 
 from bilberry_quotas.ledger import Ledger
 from bilberry_quotas.lenders import LOOK_S, Lenders
@@ -36,14 +34,6 @@
 EARLY_S = 2.0
 
 
-class Totals(NamedTuple):
-    """What a granter was asked for, granted and refused, in tokens."""
-
-    asked: int = 0
-    granted: int = 0
-    refused: int = 0
-
-
 class Granter:
     """The quotas that one leader grants of, during one term."""
 
@@ -56,17 +46,16 @@
         self._divisor = choose_divisor(0)
         self._started_at = now
         self._looked_at = now
-        self.totals: defaultdict[str, Totals] = defaultdict(Totals)
-
-    @property
-    def fraction(self) -> float:
-        """The part of every quota that may be granted."""
-        return self._fraction
 
     @property
-    def daemons(self) -> int:
-        """The number of daemons that were heard of in this term."""
-        return self._lenders.count
+    def status(self) -> QuotaStatus:
+        """What is lent, and what became of it in this term."""
+        return QuotaStatus(
+            self.term,
+            self._fraction,
+            self._lenders.count,
+            tuple(ledger.use for ledger in self._ledgers.values()),
+        )
 
     def configure(
         self, organisations: Iterable[Organisation], now: float
@@ -97,7 +86,6 @@
             self._advance_ledger(ledger, now)
             for ask in ledger.pop_ready():
                 grant = AllowanceGrant(name, ask.wanted)
-                self._count(grant, 0)
                 waited_s = now - ask.since
                 answers.append(self._answer(ask.report, (grant,), waited_s))
         return answers
@@ -145,9 +133,7 @@
         self._advance_ledger(ledger, now)
         if not ask.wanted and not ask.spare:
             return None
-        grant = ledger.grant(report, ask)
-        self._count(grant, ask.wanted)
-        return grant
+        return ledger.grant(report, ask)
 
     def _advance_ledger(self, ledger: Ledger, now: float) -> None:
         is_early = now - self._started_at < EARLY_S
@@ -170,11 +156,3 @@
             grants,
             int(waited_s * MS_PER_S),
         )
-
-    def _count(self, grant: AllowanceGrant, asked: int) -> None:
-        before = self.totals[grant.organisation]
-        self.totals[grant.organisation] = Totals(
-            before.asked + asked,
-            before.granted + grant.granted,
-            before.refused + grant.refused,
-        )
--- a/packages/bilberry_quotas/bilberry_quotas/granter_controller.py
+++ b/packages/bilberry_quotas/bilberry_quotas/granter_controller.py
@@ -109,7 +109,8 @@
         if now >= self._offer_at:
             self._offer_at = now + OFFER_S
             self._board.granter_offer.put(granter.offer(now))
-            self._metrics.update(granter)
+            self._metrics.update(granter.status)
+            self._board.quotas.put(granter.status)
         if now >= self._step_at and self._step is None:
             self._step_at = now + STEP_S
             self._plan_step(granter, now)
@@ -120,6 +121,7 @@
         is_leading = status is not None and status.role == _LEADER
         if not organisations or not is_leading:
             self._granter = None
+            self._board.quotas.put(None)
             self._granting.clear()
             return
         now = self._clock.now()
--- a/packages/bilberry_quotas/bilberry_quotas/ledger.py
+++ b/packages/bilberry_quotas/bilberry_quotas/ledger.py
@@ -15,7 +15,7 @@
     AllowanceReport,
 )
 from bilberry_core.organisation import Organisation
-from bilberry_core.quota import compute_capacity
+from bilberry_core.quota import QuotaUse, compute_capacity
 from bilberry_core.token_bucket import TokenBucket
 
 from bilberry_quotas.account import Account
@@ -47,6 +47,7 @@
     def __init__(self, organisation: Organisation, now: float) -> None:
         """Starts without tokens: what was spent before is not known."""
         self._organisation = organisation
+        self._use = QuotaUse(organisation.name)
         self._now = now
         self._fraction: float = 0
         self._queue_s: float = 0
@@ -57,14 +58,9 @@
         self._queue: deque[QueuedAsk] = deque()
 
     @property
-    def outstanding(self) -> int:
-        """Tokens that were granted and may still be spent."""
-        return self._outstanding
-
-    @property
-    def level(self) -> float:
-        """Tokens that may be granted."""
-        return self._bucket.level
+    def use(self) -> QuotaUse:
+        """What became of the tokens."""
+        return self._use._replace(held=self._outstanding)
 
     def configure(self, organisation: Organisation) -> None:
         """Adopts a new rate and burst."""
@@ -95,7 +91,9 @@
         """Counts tokens that a daemon has spent or returns."""
         account = self._accounts[instance]
         self._settle(account, ask.settled)
-        self._bucket.put(account.collect_returned(ask.returned))
+        returned = account.collect_returned(ask.returned)
+        self._bucket.put(returned)
+        self._count(0, returned)
 
     def forget(self, instance: str) -> None:
         """Forgets what a process had that has ended."""
@@ -120,6 +118,7 @@
         if not missing:
             granted += self._take_spare(ask.spare)
         self._record(report.instance, granted)
+        self._count(refused=refused)
         return AllowanceGrant(
             self._organisation.name,
             granted,
@@ -164,11 +163,22 @@
             return
         account = self._accounts[instance]
         account.granted += granted
+        self._count(granted)
         self._outstanding += granted
         self._expiries.append(
             _Expiry(self._now + TOKEN_S, account, account.granted)
         )
 
+    def _count(
+        self, granted: int = 0, returned: int = 0, refused: int = 0
+    ) -> None:
+        use = self._use
+        self._use = use._replace(
+            granted=use.granted + granted,
+            returned=use.returned + returned,
+            refused=use.refused + refused,
+        )
+
     def _expire(self) -> None:
         while self._expiries and self._expiries[0].until <= self._now:
             expiry = self._expiries.popleft()
--- a/packages/bilberry_quotas/bilberry_quotas/quota_metrics.py
+++ b/packages/bilberry_quotas/bilberry_quotas/quota_metrics.py
@@ -1,11 +1,11 @@
-"""Counts what the granter was asked for, granted and refused."""
+"""Counts what the granter granted, took back and refused."""
 
 from bilberry_core.metric import Metrics
-
-from bilberry_quotas.granter import Granter, Totals
+from bilberry_core.quota import QuotaStatus, QuotaUse
 
 #: Most organisations that have metrics of their own, in order of their names.
 MAX_ORGANISATIONS = 100
+_COUNTED = ('granted', 'returned', 'refused')
 
 
 class QuotaMetrics:
@@ -14,24 +14,24 @@
     def __init__(self, metrics: Metrics) -> None:
         """Starts without counts."""
         self._metrics = metrics
-        self._counted: dict[str, Totals] = {}
+        self._term = 0
+        self._counted: dict[str, QuotaUse] = {}
 
-    def update(self, granter: Granter) -> None:
+    def update(self, status: QuotaStatus) -> None:
         """Adds what has happened since the last call."""
-        self._metrics.gauge('quota.fraction', granter.fraction)
-        self._metrics.gauge('quota.daemons', granter.daemons)
-        totals = dict(granter.totals)
-        for name in sorted(totals)[:MAX_ORGANISATIONS]:
-            self._add(name, totals[name])
-        self._counted = totals
-
-    def _add(self, name: str, totals: Totals) -> None:
-        before = self._counted.get(name, Totals())
-        if totals == before:
-            return
-        changes = zip(Totals._fields, totals, before, strict=True)
-        for kind, count, counted in changes:
-            # A new granter counts from 0 again.
-            grown = count - counted if count >= counted else count
-            if grown:
+        self._metrics.gauge('quota.fraction', status.fraction)
+        self._metrics.gauge('quota.daemons', status.daemons)
+        if status.term != self._term:
+            self._term = status.term
+            self._counted = {}
+        for use in sorted(status.uses)[:MAX_ORGANISATIONS]:
+            self._add(use)
+
+    def _add(self, use: QuotaUse) -> None:
+        name = use.organisation
+        before = self._counted.get(name, QuotaUse(name))
+        self._counted[name] = use
+        for kind in _COUNTED:
+            grown = getattr(use, kind) - getattr(before, kind)
+            if grown > 0:
                 self._metrics.incr(f'quota.{kind}.{name}', grown)
--- a/packages/bilberryctl/bilberryctl/text.py
+++ b/packages/bilberryctl/bilberryctl/text.py
@@ -35,7 +35,7 @@
             f'{state}: {", ".join(names)}' for state, names in states.items()
         )
         lines.append(f'  {service}  {shown}')
-    return '\n'.join(lines)
+    return '\n'.join(lines + _render_quotas(document.get('quotas')))
 
 
 def render_explanation(document: Document) -> str:
@@ -82,6 +82,19 @@
     return f'{line}  behind for {proxy["behind_s"]} s'
 
 
+def _render_quotas(quotas: Document | None) -> list[str]:
+    """Returns the quotas as the leader grants them; no lines elsewhere."""
+    if quotas is None:
+        return []
+    lent = f'{quotas["fraction"]:.0%} lent by {quotas["daemons"]} daemons'
+    uses = [
+        f'  {name}  granted {use["granted"]}, returned {use["returned"]}, '
+        f'refused {use["refused"]}, held {use["held"]}'
+        for name, use in sorted(quotas['uses'].items())
+    ]
+    return [f'quotas     term {quotas["term"]}, {lent}', *uses]
+
+
 def _render_option(option: object) -> str:
     return ', '.join(option) if isinstance(option, list) else str(option)
 
