--- a/packages/bilberry_quotas/bilberry_quotas/purse.py
+++ b/packages/bilberry_quotas/bilberry_quotas/purse.py
@@ -45,11 +45,6 @@
         """Tokens at hand."""
         return sum(count for _, count in self._tokens)
 
-    @property
-    def demand(self) -> float:
-        """Average demand, in tokens a second."""
-        return self._demand
-
     @property
     def has_new_needs(self) -> bool:
         """Whether requests wait that the leader was not asked for yet."""
@@ -117,6 +112,10 @@
         self._reported = (0, 0)
         self._asked = 0
 
+    def repeat(self) -> None:
+        """Asks again for all who wait, as the last asks may be lost."""
+        self._asked = 0
+
     def pop_waiting(self, count: int) -> list[TokenWaiter]:
         """Removes and returns the requests that have waited longest."""
         count = min(count, len(self.waiting))
@@ -132,7 +131,7 @@
     def build_ask(self, now: float) -> AllowanceAsk | None:
         """Returns what is to be asked for and told; None if nothing."""
         if self._asked and now - self._asked_at > REPEAT_S:
-            self._asked = 0
+            self.repeat()
         wanted = len(self.waiting) - self._asked
         spare = self._find_spare(now)
         totals = (self._settled, self._returned)
--- a/packages/bilberry_quotas/bilberry_quotas/spender.py
+++ b/packages/bilberry_quotas/bilberry_quotas/spender.py
@@ -113,7 +113,7 @@
             if purse is not None:
                 purse.put(grant.granted, until)
                 self._hand_out(purse, now)
-                self._refuse(purse, grant)
+                _refuse(purse, grant)
 
     def build_report(self, now: float) -> AllowanceReport | None:
         """Returns the reply to the newest offer; None without one."""
@@ -134,6 +134,11 @@
             lending.is_leaving,
         )
 
+    def repeat_asks(self) -> None:
+        """Asks again for all who wait, as the way to the leader is new."""
+        for purse in self._purses.values():
+            purse.repeat()
+
     def tick(self, now: float) -> None:
         """Drops old tokens; out of touch, serves requests that wait."""
         is_in_touch = self.lending.is_in_touch(now)
@@ -185,12 +190,6 @@
                 Token(purse.organisation.name, self.lending.offer.term)
             )
 
-    def _refuse(self, purse: Purse, grant: AllowanceGrant) -> None:
-        spacing_ms = MS_PER_S / (purse.organisation.rate or MS_PER_S)
-        for index, waiter in enumerate(purse.pop_waiting(grant.refused)):
-            after_ms = grant.retry_after_ms + int(index * spacing_ms)
-            waiter.on_token_refused(TokenRefusal(True, max(after_ms, 1)))
-
     def _measure_demand(self, now: float) -> None:
         seconds = now - self._measured_at
         if seconds < OFFER_S / 2:
@@ -198,3 +197,11 @@
         self._measured_at = now
         for purse in self._purses.values():
             purse.measure_demand(seconds)
+
+
+def _refuse(purse: Purse, grant: AllowanceGrant) -> None:
+    """Refuses those who wait and get no token, at times that are spread."""
+    spacing_ms = MS_PER_S / (purse.organisation.rate or MS_PER_S)
+    for index, waiter in enumerate(purse.pop_waiting(grant.refused)):
+        after_ms = grant.retry_after_ms + int(index * spacing_ms)
+        waiter.on_token_refused(TokenRefusal(True, max(after_ms, 1)))
--- a/packages/bilberry_quotas/bilberry_quotas/spender_controller.py
+++ b/packages/bilberry_quotas/bilberry_quotas/spender_controller.py
@@ -5,7 +5,7 @@
 from typing import Self
 
 from bilberry_core.allowance import Token, TokenWaiter
-from bilberry_core.board import Board, Phase
+from bilberry_core.board import Board, Phase, SourceStatus
 from bilberry_core.clock import Clock, RandomSource
 from bilberry_core.messages.allowance import AllowanceAnswer, AllowanceOffer
 from bilberry_core.metric import Metrics
@@ -44,6 +44,7 @@
         self._has_quotas = Event()
         self._is_stopping = False
         board.snapshot.watch(self._on_snapshot)
+        board.source.watch(self._on_source)
         board.allowance_offer.watch(self._on_offer)
         board.allowance_answer.watch(self._on_answer)
         board.phase.watch(self._on_phase)
@@ -104,6 +105,11 @@
         elif not self._is_stopping:
             self._has_quotas.clear()
 
+    def _on_source(self, source: SourceStatus | None) -> None:
+        if source is not None:
+            self._spender.repeat_asks()
+            self._collect()
+
     def _on_offer(self, offer: AllowanceOffer | None) -> None:
         now = self._clock.now()
         if offer is not None and self._spender.receive_offer(offer, now):
