Let an organisation use its rate and its burst in each window

What callers saw: an organisation that asks for a little more than its rate all the time was refused, although each window of the rule (rate x window + burst) had room: its burst came once.

Cause: a token bucket of rate and burst allows less than the quota in every window but the first. Class: a limit that is kept by being stricter than it.

Change: tokens add up at rate + burst / window, and what was used in the last window, or may still be, never exceeds what was added in a window.

--- a/packages/bilberry_core/bilberry_core/allowance.py
+++ b/packages/bilberry_core/bilberry_core/allowance.py
@@ -9,11 +9,12 @@
     """The right to run one request of an organisation.
 
     `term` is that of the leader that granted it; None if it is of the daemon's
-    own share.
+    own share. It was given at `given_at`, in seconds of the daemon's time.
     """
 
     organisation: str
     term: int | None
+    given_at: float = 0
 
 
 class TokenRefusal(NamedTuple):
--- a/packages/bilberry_core/bilberry_core/settings.py
+++ b/packages/bilberry_core/bilberry_core/settings.py
@@ -73,6 +73,9 @@
     `linger_ms`
         Time for which callers are still served after a graceful stop begins,
         so that they can notice it (default: 0).
+    `quota_window_ms`
+        Length of the window in which an organisation may send its rate times
+        the window, and its burst; the same on all daemons (default: 5000).
     """
 
     heartbeat_ms: int = 150
@@ -83,6 +86,7 @@
     renew_ms: int = 2000
     drain_ms: int = 30_000
     linger_ms: int = 0
+    quota_window_ms: int = 5000
 
 
 class FoundingSettings(NamedTuple):
--- a/packages/bilberry_quotas/bilberry_quotas/granter.py
+++ b/packages/bilberry_quotas/bilberry_quotas/granter.py
@@ -37,9 +37,13 @@
 class Granter:
     """The quotas that one leader grants of, during one term."""
 
-    def __init__(self, term: int, now: float) -> None:
-        """Starts without organisations, holders and lent shares."""
+    def __init__(self, term: int, window_s: float, now: float) -> None:
+        """Starts without organisations, holders and lent shares.
+
+        Quotas hold for each window of `window_s` seconds.
+        """
         self.term = term
+        self._window_s = window_s
         self._lenders = Lenders()
         self._ledgers: dict[str, Ledger] = {}
         self._fraction: float = 0
@@ -66,7 +70,9 @@
         for organisation in organisations:
             name = organisation.name
             if organisation.rate:
-                ledger = known.get(name) or Ledger(organisation, now)
+                ledger = known.get(name)
+                if ledger is None:
+                    ledger = Ledger(organisation, self._window_s, now)
                 ledger.configure(organisation)
                 self._ledgers[name] = ledger
 
@@ -94,8 +100,13 @@
         """Counts the vote of a replica on what no daemon holds."""
         self._lenders.record_vote(report)
 
-    def receive(self, report: AllowanceReport, now: float) -> AllowanceAnswer:
-        """Answers a report that replies to an offer of this granter."""
+    def receive(
+        self, report: AllowanceReport, now: float
+    ) -> AllowanceAnswer | None:
+        """Answers a report that replies to an offer of this granter.
+
+        Returns None if there is nothing to answer.
+        """
         if self._lenders.record(report, now):
             for ledger in self._ledgers.values():
                 ledger.forget(report.instance)
@@ -103,7 +114,10 @@
             self._look(now)
         grants = [self._grant(report, ask, now) for ask in report.asks]
         given = tuple(grant for grant in grants if grant is not None)
-        return self._answer(report, given)
+        divisor = self._find_divisor(report)
+        if given or self._lenders.needs_answer(report, divisor):
+            return self._answer(report, given)
+        return None
 
     def plan_step(self, now: float) -> HolderStep | None:
         """Returns the change of holders that is to be logged next.
@@ -146,13 +160,16 @@
         grants: tuple[AllowanceGrant, ...],
         waited_s: float = 0,
     ) -> AllowanceAnswer:
-        logged = self._lenders.get_divisor(report.instance)
         return AllowanceAnswer(
             report.instance,
             report.life,
             self.term,
             report.asked_at,
-            find_told_divisor(logged, self._divisor),
+            self._find_divisor(report),
             grants,
             int(waited_s * MS_PER_S),
         )
+
+    def _find_divisor(self, report: AllowanceReport) -> int:
+        logged = self._lenders.get_divisor(report.instance)
+        return find_told_divisor(logged, self._divisor)
--- a/packages/bilberry_quotas/bilberry_quotas/granter_controller.py
+++ b/packages/bilberry_quotas/bilberry_quotas/granter_controller.py
@@ -8,7 +8,7 @@
 
 from bilberry_core.acceptance import Accepted, Refusal
 from bilberry_core.board import Board, RelayedAnswers, RelayedReports
-from bilberry_core.clock import Clock
+from bilberry_core.clock import MS_PER_S, Clock
 from bilberry_core.messages.allowance import AllowanceAnswer, AllowanceOffer
 from bilberry_core.metric import Metrics
 from bilberry_core.organisation import Organisation
@@ -47,18 +47,19 @@
 
     def __init__(
         self,
-        instance: str,
+        settings: Settings,
         board: Board,
         acceptor: StepAcceptor,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         """Watches the blackboard; `clock` goes on during a suspension."""
+        self._window_s = settings.timing.quota_window_ms / MS_PER_S
         self._board = board
         self._acceptor = acceptor
         self._clock = clock
         self._metrics = QuotaMetrics(metrics)
-        self._voter = Voter(instance, randbits(LIFE_BITS), clock.now())
+        self._voter = Voter(settings.instance, randbits(LIFE_BITS), clock.now())
         self._granter: Granter | None = None
         self._relays: dict[str, str] = {}
         self._offer_at: float = 0
@@ -82,7 +83,7 @@
         metrics: Metrics,
     ) -> Self:
         """Builds the controller of one replica."""
-        return cls(settings.instance, board, acceptor, clock, metrics)
+        return cls(settings, board, acceptor, clock, metrics)
 
     async def run(self) -> None:
         """Grants until `stop`, while this replica leads and has quotas."""
@@ -126,7 +127,7 @@
             return
         now = self._clock.now()
         if self._granter is None or self._granter.term != status.term:
-            self._granter = Granter(status.term, now)
+            self._granter = Granter(status.term, self._window_s, now)
             _log.info('granter_started', extra={'term': status.term})
         self._granter.configure(organisations, now)
         self._granter.follow(self._board.holders.value, status.members)
@@ -163,7 +164,7 @@
             else:
                 self._relays[report.instance] = relayed.relay
                 answers.append(granter.receive(report, now))
-        self._send(answers)
+        self._send([answer for answer in answers if answer is not None])
 
     def _send(self, answers: list[AllowanceAnswer]) -> None:
         by_relay: defaultdict[str, list[AllowanceAnswer]] = defaultdict(list)
--- a/packages/bilberry_quotas/bilberry_quotas/ledger.py
+++ b/packages/bilberry_quotas/bilberry_quotas/ledger.py
@@ -1,8 +1,9 @@
 """Keeps the quota of one organisation, on the leader.
 
 The tokens that may be granted, and those that were granted and may still be
-spent, never exceed the capacity together. So what daemons spend in any window
-stays below rate times window plus capacity, however long they keep tokens.
+spent, never exceed the capacity together, nor what is left of a window. So what
+daemons spend in any window stays below rate times window plus burst, however
+long they keep tokens.
 """
 
 from collections import defaultdict, deque
@@ -15,7 +16,7 @@
     AllowanceReport,
 )
 from bilberry_core.organisation import Organisation
-from bilberry_core.quota import QuotaUse, compute_capacity
+from bilberry_core.quota import QuotaUse, compute_capacity, compute_rate
 from bilberry_core.token_bucket import TokenBucket
 
 from bilberry_quotas.account import Account
@@ -44,23 +45,25 @@
 class Ledger:
     """The tokens of one organisation."""
 
-    def __init__(self, organisation: Organisation, now: float) -> None:
+    def __init__(
+        self, organisation: Organisation, window_s: float, now: float
+    ) -> None:
         """Starts without tokens: what was spent before is not known."""
         self._organisation = organisation
+        self._window_s = window_s
         self._use = QuotaUse(organisation.name)
         self._now = now
         self._fraction: float = 0
         self._queue_s: float = 0
-        self._bucket = TokenBucket(now)
+        self._bucket = TokenBucket(now, window_s)
         self._accounts: defaultdict[str, Account] = defaultdict(Account)
         self._expiries: deque[_Expiry] = deque()
-        self._outstanding = 0
         self._queue: deque[QueuedAsk] = deque()
 
     @property
     def use(self) -> QuotaUse:
         """What became of the tokens."""
-        return self._use._replace(held=self._outstanding)
+        return self._use._replace(held=self._bucket.held)
 
     def configure(self, organisation: Organisation) -> None:
         """Adopts a new rate and burst."""
@@ -81,11 +84,8 @@
         capacity = compute_capacity(self._organisation) * fraction
         if fraction:
             capacity = max(capacity, 1)
-        self._bucket.advance(
-            now,
-            self._organisation.rate * accrued,
-            max(capacity - self._outstanding, 0),
-        )
+        rate = compute_rate(self._organisation, self._window_s)
+        self._bucket.advance(now, rate * accrued, capacity)
 
     def settle(self, instance: str, ask: AllowanceAsk) -> None:
         """Counts tokens that a daemon has spent or returns."""
@@ -143,16 +143,17 @@
         return ready
 
     def _take_spare(self, spare: int) -> int:
-        most = int(self._bucket.level * SPARE_SHARE)
+        most = int(self._bucket.available * SPARE_SHARE)
         return self._bucket.take(min(spare, most))
 
     def _find_room(self) -> int:
         """Returns how many more tokens may be waited for."""
-        longest = self._organisation.rate * self._queue_s
+        rate = compute_rate(self._organisation, self._window_s)
+        longest = rate * self._queue_s
         return max(int(longest) - self._count_queued(), 0)
 
     def _defer(self, refused: int) -> float:
-        rate = self._organisation.rate
+        rate = compute_rate(self._organisation, self._window_s)
         return self._bucket.defer(refused, rate, self._count_queued())
 
     def _count_queued(self) -> int:
@@ -164,7 +165,6 @@
         account = self._accounts[instance]
         account.granted += granted
         self._count(granted)
-        self._outstanding += granted
         self._expiries.append(
             _Expiry(self._now + TOKEN_S, account, account.granted)
         )
@@ -187,4 +187,4 @@
     def _settle(self, account: Account, total: int) -> None:
         before = account.outstanding
         account.settle(total)
-        self._outstanding -= before - account.outstanding
+        self._bucket.settle(before - account.outstanding)
--- a/packages/bilberry_quotas/bilberry_quotas/lenders.py
+++ b/packages/bilberry_quotas/bilberry_quotas/lenders.py
@@ -13,6 +13,9 @@
 from bilberry_quotas.shares import KnownDaemon
 from bilberry_quotas.timing import HOLD_S, LEND_S
 
+#: Longest interval between two answers to a daemon that asks for nothing, in
+#: seconds.
+ANSWER_S = 5.0
 #: Longest interval between two looks at what is lent, in seconds. A share
 #: counts as lent for this much less.
 LOOK_S = 0.05
@@ -26,6 +29,7 @@
     lent_until: float
     divisor: int
     leaves: bool
+    answered_at: float
 
 
 class Lenders:
@@ -71,10 +75,29 @@
         if report.lends and report.stamp <= now:
             lent_until = max(lent_until, report.stamp + LEND_S)
         self._daemons[report.instance] = _Daemon(
-            report.life, now, lent_until, report.divisor, report.leaves
+            report.life,
+            now,
+            lent_until,
+            report.divisor,
+            report.leaves,
+            known.answered_at if known else 0,
         )
         return known is not None and known.life != report.life
 
+    def needs_answer(self, report: AllowanceReport, divisor: int) -> bool:
+        """Returns whether a daemon is to be told its share, or that it has it.
+
+        `divisor` is the share that it is to take.
+        """
+        daemon = self._daemons[report.instance]
+        is_due = daemon.heard_at - daemon.answered_at > ANSWER_S
+        if report.divisor == divisor and not is_due:
+            return False
+        self._daemons[report.instance] = daemon._replace(
+            answered_at=daemon.heard_at
+        )
+        return True
+
     def has_votes(self, now: float) -> bool:
         """Returns whether a majority of the replicas lends its votes."""
         votes = sum(
--- a/packages/bilberry_quotas/bilberry_quotas/purse.py
+++ b/packages/bilberry_quotas/bilberry_quotas/purse.py
@@ -9,8 +9,8 @@
 from bilberry_core.allowance import TokenWaiter
 from bilberry_core.messages.allowance import AllowanceAsk
 from bilberry_core.organisation import Organisation
-from bilberry_core.quota import compute_capacity
-from bilberry_core.token_bucket import TokenBucket
+
+from bilberry_quotas.own_share import OwnShare
 
 #: Time for which tokens are held ready for usual demand, in seconds.
 SPARE_S = 0.2
@@ -18,6 +18,9 @@
 SPARE_INTERVAL_S = 0.05
 #: Time after which an ask without an answer is repeated, in seconds.
 REPEAT_S = 1.2
+#: Intervals after a refusal in which the leader is told of used tokens soon,
+#: and no tokens are held ready.
+SHORT_INTERVALS = 5
 #: Weight of the newest interval in the average demand.
 DEMAND_WEIGHT = 0.5
 
@@ -25,12 +28,15 @@
 class Purse:
     """The tokens of one organisation, and the requests that wait for one."""
 
-    def __init__(self, organisation: Organisation, now: float) -> None:
+    def __init__(
+        self, organisation: Organisation, window_s: float, now: float
+    ) -> None:
         """Starts without tokens."""
         self.organisation = organisation
+        self.own = OwnShare(window_s, now)
+        self._short_for = 0
         self.waiting: deque[TokenWaiter] = deque()
         self._tokens: deque[tuple[float, int]] = deque()
-        self._own = TokenBucket(now)
         self._settled = 0
         self._returned = 0
         self._reported = (0, 0)
@@ -46,8 +52,17 @@
         return sum(count for _, count in self._tokens)
 
     @property
-    def has_new_needs(self) -> bool:
-        """Whether requests wait that the leader was not asked for yet."""
+    def has_news(self) -> bool:
+        """Whether the leader is to be told of this one soon.
+
+        Requests wait that it was not asked for yet; or it had refused some, and
+        tokens are used that it doesn't know of.
+        """
+        if (
+            self._short_for
+            and (self._settled, self._returned) != self._reported
+        ):
+            return True
         return len(self.waiting) > self._asked
 
     def put(self, count: int, until: float) -> None:
@@ -55,6 +70,12 @@
         if count:
             self._tokens.append((until, count))
 
+    def pop_refused(self, count: int) -> list[TokenWaiter]:
+        """Removes and returns the requests for which there are no tokens."""
+        if count:
+            self._short_for = SHORT_INTERVALS
+        return self.pop_waiting(count)
+
     def take(self, now: float) -> bool:
         """Spends a token; False if there is none."""
         self.expire(now)
@@ -72,6 +93,7 @@
 
     def measure_demand(self, seconds: float) -> None:
         """Averages the need since the last call, `seconds` ago."""
+        self._short_for = max(self._short_for - 1, 0)
         newest = self._needed / seconds
         self._needed = 0
         self._demand += (newest - self._demand) * DEMAND_WEIGHT
@@ -87,23 +109,6 @@
         """Returns a token that was spent for nothing."""
         self._returned += 1
 
-    def take_own(self, now: float, divisor: int) -> bool:
-        """Spends a token of this daemon's own share; False if none is left."""
-        self._own.advance(
-            now,
-            self.organisation.rate / divisor,
-            compute_capacity(self.organisation) / divisor,
-        )
-        return bool(self._own.take(1))
-
-    def give_back_own(self) -> None:
-        """Returns a token of this daemon's own share."""
-        self._own.put(1)
-
-    def restart_own(self, now: float) -> None:
-        """Begins to spend the own share, which starts empty."""
-        self._own = TokenBucket(now)
-
     def restart_term(self) -> None:
         """Drops the tokens of the leader before, and asks the next one."""
         self._tokens.clear()
@@ -144,7 +149,7 @@
         return AllowanceAsk(self.organisation.name, wanted, spare, *totals)
 
     def _find_spare(self, now: float) -> int:
-        if now - self._spare_at < SPARE_INTERVAL_S:
+        if self._short_for or now - self._spare_at < SPARE_INTERVAL_S:
             return 0
         spare = int(self._demand * SPARE_S) - self.held
         if spare <= 0:
--- a/packages/bilberry_quotas/bilberry_quotas/spender.py
+++ b/packages/bilberry_quotas/bilberry_quotas/spender.py
@@ -17,40 +17,47 @@
 
 from bilberry_quotas.lending import Lending
 from bilberry_quotas.purse import Purse
-from bilberry_quotas.timing import OFFER_S, TOKEN_S
+from bilberry_quotas.timing import OFFER_S, RETURN_S, TOKEN_S
 
 #: Length of the number that tells the starts of a process apart, in bits.
 LIFE_BITS = 48
 #: Time without an offer after which requests without a token are refused at
 #: once, in seconds. Before, the next leader is probably being elected.
 PATIENCE_S = 3.0
-#: Time after which a caller may return that was refused out of touch, in
-#: seconds; up to twice as long, so that callers don't return together.
-RETURN_S = 0.5
+#: Time after which a caller may come back that was refused out of touch, in
+#: seconds; up to twice as long, so that callers don't come together.
+COME_BACK_S = 0.5
 
 
 class Spender:
     """The tokens of one daemon, and its share of the quotas."""
 
     def __init__(
-        self, instance: str, life: int, random: RandomSource, now: float
+        self,
+        instance: str,
+        life: int,
+        window_s: float,
+        random: RandomSource,
+        now: float,
     ) -> None:
         """Starts out of touch.
 
-        `life` tells the starts of the process apart.
+        `life` tells the starts of the process apart. Quotas hold for each
+        window of `window_s` seconds.
         """
         self.lending = Lending(now)
         self._instance = instance
         self._life = life
+        self._window_s = window_s
         self._random = random
         self._is_own = False
         self._purses: dict[str, Purse] = {}
         self._measured_at = now
 
     @property
-    def has_new_needs(self) -> bool:
-        """Whether requests wait that the leader was not asked for yet."""
-        return any(purse.has_new_needs for purse in self._purses.values())
+    def has_news(self) -> bool:
+        """Whether the leader is to be told of some organisation soon."""
+        return any(purse.has_news for purse in self._purses.values())
 
     @property
     def held(self) -> int:
@@ -64,16 +71,22 @@
 
     def ask(
         self, organisation: Organisation, waiter: TokenWaiter, now: float
-    ) -> None:
-        """Gives a token, lets the request wait, or refuses it."""
+    ) -> bool:
+        """Gives a token, lets the request wait, or refuses it.
+
+        Returns whether there was no token at hand.
+        """
         purse = self._find_purse(organisation, now)
         purse.count_need()
         if purse.take(now):
-            waiter.on_token(Token(organisation.name, self.lending.offer.term))
-            return
+            waiter.on_token(
+                Token(organisation.name, self.lending.offer.term, now)
+            )
+            return False
         purse.waiting.append(waiter)
         if not self.lending.is_in_touch(now):
             self._serve_own(purse, now)
+        return True
 
     def leave(self, organisation: Organisation, waiter: TokenWaiter) -> None:
         """Takes back a request that waits."""
@@ -81,13 +94,13 @@
         if purse is not None:
             purse.leave(waiter)
 
-    def give_back(self, token: Token) -> None:
+    def give_back(self, token: Token, now: float) -> None:
         """Takes back the token of a request that did not run."""
         purse = self._purses.get(token.organisation)
-        if purse is None:
+        if purse is None or now - token.given_at > RETURN_S:
             return
         if token.term is None:
-            purse.give_back_own()
+            purse.own.give_back()
         elif token.term == self.lending.offer.term:
             purse.give_back()
 
@@ -152,12 +165,12 @@
         for name in self._purses.keys() - names:
             purse = self._purses.pop(name)
             for waiter in purse.pop_waiting(len(purse.waiting)):
-                waiter.on_token(Token(name, self.lending.offer.term))
+                waiter.on_token(Token(name, None))
 
     def _find_purse(self, organisation: Organisation, now: float) -> Purse:
         purse = self._purses.get(organisation.name)
         if purse is None:
-            purse = Purse(organisation, now)
+            purse = Purse(organisation, self._window_s, now)
             self._purses[organisation.name] = purse
         purse.organisation = organisation
         return purse
@@ -167,18 +180,19 @@
         if not self._is_own:
             self._is_own = True
             for each in self._purses.values():
-                each.restart_own(now)
+                each.own.restart(now)
         while purse.waiting and self.lending.has_share(now):
-            if not purse.take_own(now, self.lending.divisor):
+            divisor = self.lending.divisor
+            if not purse.own.take(purse.organisation, divisor, now):
                 break
             (waiter,) = purse.pop_waiting(1)
-            waiter.on_token(Token(purse.organisation.name, None))
+            waiter.on_token(Token(purse.organisation.name, None, now))
         if self.lending.measure_silence(now) >= PATIENCE_S:
             self._refuse_waiting(purse)
 
     def _refuse_waiting(self, purse: Purse) -> None:
         for waiter in purse.pop_waiting(len(purse.waiting)):
-            after_s = RETURN_S * (1 + self._random.random())
+            after_s = COME_BACK_S * (1 + self._random.random())
             waiter.on_token_refused(
                 TokenRefusal(False, int(after_s * MS_PER_S))
             )
@@ -187,7 +201,7 @@
         while purse.waiting and purse.take(now):
             (waiter,) = purse.pop_waiting(1)
             waiter.on_token(
-                Token(purse.organisation.name, self.lending.offer.term)
+                Token(purse.organisation.name, self.lending.offer.term, now)
             )
 
     def _measure_demand(self, now: float) -> None:
@@ -202,6 +216,6 @@
 def _refuse(purse: Purse, grant: AllowanceGrant) -> None:
     """Refuses those who wait and get no token, at times that are spread."""
     spacing_ms = MS_PER_S / (purse.organisation.rate or MS_PER_S)
-    for index, waiter in enumerate(purse.pop_waiting(grant.refused)):
+    for index, waiter in enumerate(purse.pop_refused(grant.refused)):
         after_ms = grant.retry_after_ms + int(index * spacing_ms)
         waiter.on_token_refused(TokenRefusal(True, max(after_ms, 1)))
--- a/packages/bilberry_quotas/bilberry_quotas/spender_controller.py
+++ b/packages/bilberry_quotas/bilberry_quotas/spender_controller.py
@@ -6,7 +6,7 @@
 
 from bilberry_core.allowance import Token, TokenWaiter
 from bilberry_core.board import Board, Phase, SourceStatus
-from bilberry_core.clock import Clock, RandomSource
+from bilberry_core.clock import MS_PER_S, Clock, RandomSource
 from bilberry_core.messages.allowance import AllowanceAnswer, AllowanceOffer
 from bilberry_core.metric import Metrics
 from bilberry_core.organisation import Organisation
@@ -26,19 +26,16 @@
 
     def __init__(
         self,
-        instance: str,
         board: Board,
         clock: Clock,
-        random: RandomSource,
         metrics: Metrics,
+        spender: Spender,
     ) -> None:
         """Watches the blackboard; `clock` goes on during a suspension."""
         self._board = board
         self._clock = clock
         self._metrics = metrics
-        self._spender = Spender(
-            instance, randbits(LIFE_BITS), random, clock.now()
-        )
+        self._spender = spender
         self._names: set[str] = set()
         self._is_collecting = False
         self._has_quotas = Event()
@@ -59,7 +56,14 @@
         metrics: Metrics,
     ) -> Self:
         """Builds the controller of one proxy."""
-        return cls(settings.instance, board, clock, random, metrics)
+        spender = Spender(
+            settings.instance,
+            randbits(LIFE_BITS),
+            settings.timing.quota_window_ms / MS_PER_S,
+            random,
+            clock.now(),
+        )
+        return cls(board, clock, metrics, spender)
 
     async def run(self) -> None:
         """Checks the tokens until `stop`, while there are quotas."""
@@ -76,8 +80,8 @@
 
     def ask(self, organisation: Organisation, waiter: TokenWaiter) -> None:
         """Calls one method of `waiter`, at once or later."""
-        self._spender.ask(organisation, waiter, self._clock.now())
-        self._collect()
+        if self._spender.ask(organisation, waiter, self._clock.now()):
+            self._collect()
 
     def leave(self, organisation: Organisation, waiter: TokenWaiter) -> None:
         """Takes back a request that waits; its methods are not called."""
@@ -85,7 +89,7 @@
 
     def give_back(self, token: Token) -> None:
         """Takes back the token of a request that did not run."""
-        self._spender.give_back(token)
+        self._spender.give_back(token, self._clock.now())
 
     def update_gauges(self) -> None:
         """Sets the gauges of this proxy's tokens."""
@@ -125,7 +129,7 @@
             self._report()
 
     def _collect(self) -> None:
-        if self._is_collecting or not self._spender.has_new_needs:
+        if self._is_collecting or not self._spender.has_news:
             return
         self._is_collecting = True
         get_running_loop().call_later(COLLECT_S, self._report)
