--- a/packages/bilberry_quotas/bilberry_quotas/shares.py
+++ b/packages/bilberry_quotas/bilberry_quotas/shares.py
@@ -16,6 +16,8 @@
 
 #: Fewest shares that every quota is divided into.
 MIN_SHARES = 16
+#: Steps in which the number of shares doubles.
+STEPS = 4
 #: Most of a quota that holders may have together, for rounding errors.
 _WHOLE = 1 + 1e-9
 
@@ -32,11 +34,16 @@
 
 
 def choose_divisor(daemons: int) -> int:
-    """Returns into how many shares a quota is divided for `daemons`."""
-    divisor = MIN_SHARES
-    while divisor < daemons:
-        divisor *= 2
-    return divisor
+    """Returns into how many shares a quota is divided for `daemons`.
+
+    The number grows by quarters of a power of two, so that few daemons more
+    don't change every share.
+    """
+    power = MIN_SHARES
+    while power * 2 < daemons:
+        power *= 2
+    step = power // STEPS
+    return max(MIN_SHARES, -(-daemons // step) * step)
 
 
 def find_told_divisor(logged: int, wanted: int) -> int:
