Reach the granter of quotas by way of neighbours

Cause: the only way to the leader was a daemon's own relay. Class: one way where there are several. It lends and spends as before; nothing in the accounts changes.

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -118,6 +118,17 @@
     members: tuple[str, ...]
 
 
+class AttachedReport(NamedTuple):
+    """A report to the granter that came by way of another daemon.
+
+    `sender` is the attached daemon that sent it to this relay; empty on the
+    daemon that passes it on.
+    """
+
+    sender: str
+    report: AllowanceReport
+
+
 class RelayedReports(NamedTuple):
     """Reports to the granter that came by way of a relay."""
 
@@ -215,7 +226,7 @@
     `allowance_report`
         The newest report of this daemon to the granter.
     `attached_report`, `relayed_reports`
-        The newest report of a daemon that is attached to this relay, and the
+        The newest report of another daemon that this one passes on, and the
         newest ones that a relay passed to this replica.
     `claim_epoch`
         The claim holders that the replicated log agreed on.
@@ -264,7 +275,7 @@
         self.allowance_offer: Cell[AllowanceOffer | None] = Cell(None)
         self.allowance_answer: Cell[AllowanceAnswer | None] = Cell(None)
         self.allowance_report: Cell[AllowanceReport | None] = Cell(None)
-        self.attached_report: Cell[AllowanceReport | None] = Cell(None)
+        self.attached_report: Cell[AttachedReport | None] = Cell(None)
         self.relayed_reports: Cell[RelayedReports | None] = Cell(None)
         self.claim_epoch: Cell[ClaimEpoch | None] = Cell(None)
         self.holds_claims: Cell[bool] = Cell(False)
--- a/packages/bilberry_core/bilberry_core/messages/allowance.py
+++ b/packages/bilberry_core/bilberry_core/messages/allowance.py
@@ -98,6 +98,11 @@
     waited_ms: int = 0
 
 
+@message(85)
+class AllowanceFollow(NamedTuple):
+    """Asks a daemon to pass on offers, reports and answers for a while."""
+
+
 @message(84)
 class AllowanceAnswers(NamedTuple):
     """The answers that a relay passes on to its proxies."""
--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -6,6 +6,10 @@
 
 from bilberry_core.handshake import Purpose
 from bilberry_core.listener import StreamListener
+from bilberry_core.messages.allowance import (
+    AllowanceFollow,
+    AllowanceReport,
+)
 from bilberry_core.messages.call import (
     CallAlive,
     CallCancel,
@@ -24,6 +28,7 @@
 )
 from bilberry_core.stream import Stream
 
+from bilberry_proxy.allowance_detour import AllowanceDetour
 from bilberry_proxy.call import CallTarget, OpenCall, SlotReservation
 from bilberry_proxy.message_handlers import MessageHandlers
 from bilberry_proxy.reply_queue import ReplyQueues
@@ -40,12 +45,14 @@
     ) -> None:
         """Forwards every received call to `target`.
 
-        `now` returns monotonic time, in seconds.
+        `now` returns monotonic time, in seconds. What other daemons say of
+        quotas goes to `detour`, if there is one.
         """
         self._target = target
         self._replies = ReplyQueues(now)
         self._streams: set[_ServedStream] = set()
         self._is_leaving = False
+        self.detour: AllowanceDetour | None = None
 
     @property
     def open_calls(self) -> int:
@@ -75,10 +82,15 @@
         """Serves a stream until it ends."""
         served = _ServedStream(stream, self._target, self._replies)
         self._streams.add(served)
+        detour = self.detour
+        if detour is not None:
+            served.add_detour(detour)
 
         def end() -> None:
             self._streams.discard(served)
             served.end()
+            if detour is not None:
+                detour.drop(served)
 
         stream.receiver = served.handlers.receive
         stream.on_close = end
@@ -127,6 +139,15 @@
             }
         )
 
+    def add_detour(self, detour: AllowanceDetour) -> None:
+        """Passes on what the other daemon says of quotas."""
+        self.handlers.add(
+            AllowanceFollow, lambda _follow: detour.add_follower(self)
+        )
+        self.handlers.add(
+            AllowanceReport, lambda report: detour.pass_on(self, report)
+        )
+
     @property
     def open_calls(self) -> int:
         """Number of calls that are open or not completely answered."""
--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -6,11 +6,12 @@
 """
 
 from asyncio import get_running_loop
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Any
 
 from bilberry_core.endpoint import Address
+from bilberry_core.messages.allowance import AllowanceAnswer, AllowanceOffer
 from bilberry_core.messages.call import (
     NO_LOAD,
     CallAlive,
@@ -49,8 +50,16 @@
 class CallStream:
     """A target for calls to the upstream beside one other daemon."""
 
-    def __init__(self, address: Address, dialer: Dialer) -> None:
-        """Creates the target; the first call opens the stream."""
+    def __init__(
+        self,
+        address: Address,
+        dialer: Dialer,
+        on_allowance: Callable[[Any], None] | None = None,
+    ) -> None:
+        """Creates the target; the first call opens the stream.
+
+        `on_allowance` is called with what the daemon says of quotas.
+        """
         self._address = address
         self._stream: Stream | None = None
         self._calls: dict[int, RemoteCall] = {}
@@ -62,17 +71,26 @@
                 ReplyStart: self._handle_reply,
                 ReplyChunk: self._handle_chunk,
                 CallFailed: self._handle_failed,
-                CallAlive: self._pass_on,
-                Credit: self._pass_on,
+                CallAlive: lambda alive: _pass_on(self._calls, alive),
+                Credit: lambda credit: _pass_on(self._calls, credit),
                 GoAway: self._handle_go_away,
                 SlotOffer: self._reservations.receive_offer,
                 SlotRefused: self._reservations.receive_refusal,
             }
         )
+        if on_allowance is not None:
+            self._handlers.add(AllowanceOffer, on_allowance)
+            self._handlers.add(AllowanceAnswer, on_allowance)
         self._opener = StreamOpener(
             address, dialer, self._handlers.receive, self
         )
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream is open, and its daemon stays."""
+        stream = self._stream
+        return stream is not None and stream.is_open and not self._leaving
+
     @property
     def is_idle(self) -> bool:
         """Whether no call is open and no slot is requested."""
@@ -194,15 +212,6 @@
         if call is not None:
             call.answers.fail(failed)
 
-    def _pass_on(self, message: CallAlive | Credit) -> None:
-        call = self._calls.get(message.call)
-        if call is None:
-            return
-        if isinstance(message, Credit):
-            call.answers.credit(message.size)
-        else:
-            call.answers.report_alive(message.alive)
-
     def _handle_go_away(self, _go_away: GoAway) -> None:
         def clear() -> None:
             self._leaving = False
@@ -223,6 +232,16 @@
             self._stream.close()
 
 
+def _pass_on(calls: dict[int, RemoteCall], message: CallAlive | Credit) -> None:
+    call = calls.get(message.call)
+    if call is None:
+        return
+    if isinstance(message, Credit):
+        call.answers.credit(message.size)
+    else:
+        call.answers.report_alive(message.alive)
+
+
 def _describe_target(address: Address, detail: str) -> str:
     """Returns the detail of a failure with the daemon that it concerns."""
     return f'daemon {address.host}:{address.port}: {detail}'
--- a/packages/bilberry_proxy/bilberry_proxy/call_streams.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_streams.py
@@ -1,6 +1,7 @@
 """The streams for calls to other daemons, one per daemon."""
 
-from typing import Self
+from collections.abc import Callable, Iterator
+from typing import Any, Self
 
 from bilberry_core.endpoint import Address, Endpoint
 from bilberry_core.snapshot import Snapshot
@@ -20,11 +21,15 @@
         own_target: CallTarget,
         dialer: Dialer,
     ) -> None:
-        """Uses `own_target`, not a stream, for calls to `instance`."""
+        """Uses `own_target`, not a stream, for calls to `instance`.
+
+        `on_allowance` is called with what neighbours say of quotas.
+        """
         self._instance = instance
         self._own_target = own_target
         self._dialer = dialer
         self._streams: dict[Address, CallStream] = {}
+        self.on_allowance: Callable[[Any], None] = _ignore
 
     @classmethod
     def from_credentials(
@@ -41,10 +46,16 @@
             return self._own_target
         stream = self._streams.get(endpoint.address)
         if stream is None:
-            stream = CallStream(endpoint.address, self._dialer)
+            stream = CallStream(
+                endpoint.address, self._dialer, self._receive_allowance
+            )
             self._streams[endpoint.address] = stream
         return stream
 
+    def list_open(self) -> Iterator[CallStream]:
+        """Returns the streams that are open now."""
+        return (one for one in self._streams.values() if one.is_open)
+
     def close_unused(self, snapshot: Snapshot) -> None:
         """Closes idle streams to daemons without endpoints in `snapshot`."""
         present = {
@@ -61,3 +72,10 @@
         """Closes every stream."""
         for stream in self._streams.values():
             stream.close()
+
+    def _receive_allowance(self, message: Any) -> None:
+        self.on_allowance(message)
+
+
+def _ignore(_message: Any) -> None:
+    """Default callback, which does nothing."""
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -14,6 +14,7 @@
 from bilberry_core.stream import Credentials
 
 from bilberry_proxy.admitter import Admitter
+from bilberry_proxy.allowance_detour import AllowanceDetour
 from bilberry_proxy.call_server import CallServer
 from bilberry_proxy.call_streams import CallStreams
 from bilberry_proxy.caller_server import CallerServer
@@ -66,6 +67,11 @@
         self._streams = streams
         self._calls = CallServer(admitter, context.clock.now)
         self._callers = CallerServer(context)
+        self._detour = AllowanceDetour(
+            context.board, context.clock, context.random, streams.list_open
+        )
+        self._calls.detour = self._detour
+        streams.on_allowance = self._detour.receive
         context.board.snapshot.watch(self._on_snapshot)
         context.board.rollouts.watch(
             context.router.candidates.set_rollouts,
@@ -246,6 +252,7 @@
         self._context.timers.advance(now)
         self._admitter.expire_waiting()
         self._calls.flush()
+        self._detour.tick()
         load = self._admitter.measure_load()
         self._context.rollout_evidence.report(
             is_idle=not load.outstanding and not load.queued,
--- a/packages/bilberry_proxy/bilberry_proxy/message_handlers.py
+++ b/packages/bilberry_proxy/bilberry_proxy/message_handlers.py
@@ -11,6 +11,10 @@
         """Handles the types that are keys of `handlers`."""
         self._handlers = handlers
 
+    def add(self, kind: type, handler: Callable[[Any], None]) -> None:
+        """Handles a further type."""
+        self._handlers[kind] = handler
+
     def receive(self, message: Any) -> None:
         """Handles a message; one of another type is ignored."""
         handler = self._handlers.get(type(message))
--- a/packages/bilberry_spread/bilberry_spread/allowance_routes.py
+++ b/packages/bilberry_spread/bilberry_spread/allowance_routes.py
@@ -7,7 +7,12 @@
 
 from typing import Any
 
-from bilberry_core.board import Board, RelayedAnswers, RelayedReports
+from bilberry_core.board import (
+    AttachedReport,
+    Board,
+    RelayedAnswers,
+    RelayedReports,
+)
 from bilberry_core.messages.allowance import (
     AllowanceAnswer,
     AllowanceAnswers,
@@ -45,6 +50,7 @@
         self._granter = ''
         self._newest = AllowanceOffer(0, 0)
         self._reports: list[AllowanceReport] = []
+        self._senders: dict[str, str] = {}
 
     def start(self) -> None:
         """Starts to watch the blackboard."""
@@ -52,7 +58,7 @@
         board.granter_offer.watch(self._on_own_offer)
         board.granter_answers.watch(self._on_own_answers)
         board.allowance_report.watch(self._add_report)
-        board.attached_report.watch(self._add_report)
+        board.attached_report.watch(self._add_attached)
 
     def receive(self, peer: str, received: Any) -> None:
         """Handles what the granter at a peer says; ignores other messages."""
@@ -90,12 +96,22 @@
 
     def _pass_on(self, answers: tuple[AllowanceAnswer, ...]) -> None:
         for answer in answers:
-            session = self._attached.sessions.get(answer.instance)
-            if answer.instance == self._instance:
+            sender = self._senders.get(answer.instance, self._instance)
+            session = self._attached.sessions.get(sender)
+            if sender == self._instance:
                 self._board.allowance_answer.put(answer)
             elif session is not None:
                 send_if_open(session.receiver.link, answer)
 
+    def _add_attached(self, attached: AttachedReport | None) -> None:
+        if attached is None:
+            return
+        # The answer goes back to who sent the newest report, if that was not
+        # the daemon itself.
+        sender = attached.sender or self._instance
+        self._senders[attached.report.instance] = sender
+        self._add_report(attached.report)
+
     def _add_report(self, report: AllowanceReport | None) -> None:
         if report is None:
             return
--- a/packages/bilberry_spread/bilberry_spread/report_cells.py
+++ b/packages/bilberry_spread/bilberry_spread/report_cells.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from bilberry_core.board import Board, RelayedReports
+from bilberry_core.board import AttachedReport, Board, RelayedReports
 from bilberry_core.messages.allowance import (
     AllowanceReport,
     AllowanceReports,
@@ -14,9 +14,9 @@
 
     board: Board
 
-    def put(self, report: AllowanceReport) -> None:
-        """Publishes the report of an attached daemon."""
-        self.board.attached_report.put(report)
+    def put(self, sender: str, report: AllowanceReport) -> None:
+        """Publishes a report that an attached daemon has sent."""
+        self.board.attached_report.put(AttachedReport(sender, report))
 
     def put_relayed(self, relay: str, relayed: AllowanceReports) -> None:
         """Publishes the reports that a relay passes to this replica."""
--- a/packages/bilberry_spread/bilberry_spread/session.py
+++ b/packages/bilberry_spread/bilberry_spread/session.py
@@ -131,7 +131,7 @@
         self._reports.rollouts.add(update.report)
 
     def _handle_allowance_report(self, report: AllowanceReport) -> None:
-        self._reports.allowances.put(report)
+        self._reports.allowances.put(self.receiver.instance, report)
 
     _handlers: dict[type, Callable[..., None]] = {
         AllowanceReport: _handle_allowance_report,
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -114,6 +114,9 @@
             lambda report: self._send(RolloutReportUpdate(report)),
         )
         board.allowance_report.watch(self._send)
+        board.attached_report.watch(
+            lambda attached: self._send(attached.report),
+        )
         if self._settings.discovers_relays:
             board.claim_epoch.watch(self._update_members)
 
--- a/tests/bilberry_spread/test_allowances.py
+++ b/tests/bilberry_spread/test_allowances.py
@@ -1,6 +1,6 @@
 """Tests of the way between proxies and the granter of quotas."""
 
-from bilberry_core.board import RelayedAnswers
+from bilberry_core.board import AttachedReport, RelayedAnswers
 from bilberry_core.messages.allowance import (
     AllowanceAnswer,
     AllowanceOffer,
@@ -77,3 +77,21 @@
         fleet.run(PASS_S)
         names = {report.instance for each in came for report in each.reports}
         self.assertEqual({node.name for node in fleet.proxies}, names)
+
+    def test_answer_to_a_neighbour_goes_to_the_daemon_itself(self):
+        """It goes back to the daemon that passed its report on."""
+        fleet = self.play(replicas=3, proxies=5)
+        granter = fleet.nodes['r-0'].board
+        came = []
+        granter.relayed_reports.watch(came.append)
+        for name in ('p-1', 'r-2'):
+            board = fleet.nodes[name].board
+            board.attached_report.put(AttachedReport('', build_report('p-0')))
+            fleet.run(PASS_S)
+            answer = AllowanceAnswer('p-0', 1, 3, 2.5, 16)
+            granter.granter_answers.put(
+                RelayedAnswers(came[-1].relay, (answer,))
+            )
+            fleet.run(PASS_S)
+            self.assertEqual(answer, board.allowance_answer.value)
+        self.assertIsNone(fleet.nodes['p-0'].board.allowance_answer.value)
