--- a/packages/bilberry_core/bilberry_core/allowance.py
+++ b/packages/bilberry_core/bilberry_core/allowance.py
@@ -41,8 +41,17 @@
 class Allowances(Protocol):
     """The tokens of one daemon."""
 
-    def ask(self, organisation: Organisation, waiter: TokenWaiter) -> None:
-        """Calls one method of `waiter`, at once or later."""
+    def ask(
+        self,
+        organisation: Organisation,
+        waiter: TokenWaiter,
+        *,
+        is_late: bool,
+    ) -> None:
+        """Calls one method of `waiter`, at once or later.
+
+        `is_late` tells that the request can't be answered in time any more.
+        """
 
     def leave(self, organisation: Organisation, waiter: TokenWaiter) -> None:
         """Takes back a request that waits; its methods are not called."""
--- a/packages/bilberry_proxy/bilberry_proxy/allowance_wait.py
+++ b/packages/bilberry_proxy/bilberry_proxy/allowance_wait.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from bilberry_core.allowance import Token, TokenRefusal
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.organisation import Organisation
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
@@ -41,7 +42,7 @@
             self._on_allowed()
             return
         self._organisation = organisation
-        allowances.ask(organisation, self)
+        allowances.ask(organisation, self, is_late=self._is_late(plan))
         if self._organisation is not None:
             now = self._context.clock.now()
             longest_s = (plan.deadline - now) * MAX_TIME_SHARE
@@ -79,6 +80,17 @@
         self._end()
         self._on_refused(build_refusal(organisation, refusal))
 
+    def _is_late(self, plan: Plan) -> bool:
+        """Returns whether its caller has used up the target latency."""
+        target_ms = plan.decision.policy.target_latency_ms
+        deadline_ms = plan.request.deadline_ms
+        if not target_ms or not deadline_ms:
+            return False
+        waited_s = self._context.router.usual_deadlines.estimate_elapsed_s(
+            plan.route_key, deadline_ms
+        )
+        return waited_s * MS_PER_S >= target_ms
+
     def _end(self) -> None:
         self._organisation = None
         if self._timer is not None:
--- a/packages/bilberry_quotas/bilberry_quotas/purse.py
+++ b/packages/bilberry_quotas/bilberry_quotas/purse.py
@@ -6,18 +6,21 @@
 
 from collections import deque
 
-from bilberry_core.allowance import TokenWaiter
+from bilberry_core.allowance import TokenRefusal
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.allowance import AllowanceAsk
 from bilberry_core.organisation import Organisation
 
 from bilberry_quotas.own_share import OwnShare
+from bilberry_quotas.waiting_line import WaitingLine
 
 #: Time for which tokens are held ready for usual demand, in seconds.
 SPARE_S = 0.2
 #: Least interval between two asks for spare tokens, in seconds.
 SPARE_INTERVAL_S = 0.05
-#: Time after which an ask without an answer is repeated, in seconds.
-REPEAT_S = 1.2
+#: Time after which a late caller may return, in milliseconds, until the leader
+#: names one.
+USUAL_RETURN_MS = 500
 #: Intervals after a refusal in which the leader is told of used tokens soon,
 #: and no tokens are held ready.
 SHORT_INTERVALS = 5
@@ -35,13 +38,12 @@
         self.organisation = organisation
         self.own = OwnShare(window_s, now)
         self._short_for = 0
-        self.waiting: deque[TokenWaiter] = deque()
+        self.line = WaitingLine()
         self._tokens: deque[tuple[float, int]] = deque()
         self._settled = 0
         self._returned = 0
         self._reported = (0, 0)
-        self._asked = 0
-        self._asked_at = now
+        self._come_back_ms = USUAL_RETURN_MS
         self._spare_at = now
         self._demand: float = 0
         self._needed = 0
@@ -63,18 +65,31 @@
             and (self._settled, self._returned) != self._reported
         ):
             return True
-        return len(self.waiting) > self._asked
+        return self.line.has_new
 
     def put(self, count: int, until: float) -> None:
         """Adds granted tokens that may be spent until `until`."""
         if count:
             self._tokens.append((until, count))
 
-    def pop_refused(self, count: int) -> list[TokenWaiter]:
-        """Removes and returns the requests for which there are no tokens."""
-        if count:
-            self._short_for = SHORT_INTERVALS
-        return self.pop_waiting(count)
+    def refuse(self, refused: int, retry_after_ms: int) -> None:
+        """Refuses those for whom there are no tokens.
+
+        The times at which they may return are spread.
+        """
+        if not refused:
+            return
+        self._short_for = SHORT_INTERVALS
+        self._come_back_ms = max(retry_after_ms, 1)
+        spacing_ms = MS_PER_S / (self.organisation.rate or MS_PER_S)
+        for index, waiter in enumerate(self.line.pop_timely(refused)):
+            after_ms = self._come_back_ms + int(index * spacing_ms)
+            waiter.on_token_refused(TokenRefusal(True, after_ms))
+
+    def refuse_overdue(self, now: float) -> None:
+        """Refuses late requests that were not granted a token in time."""
+        for waiter in self.line.pop_overdue(now):
+            waiter.on_token_refused(TokenRefusal(True, self._come_back_ms))
 
     def take(self, now: float) -> bool:
         """Spends a token; False if there is none."""
@@ -115,36 +130,16 @@
         self._settled = 0
         self._returned = 0
         self._reported = (0, 0)
-        self._asked = 0
-
-    def repeat(self) -> None:
-        """Asks again for all who wait, as the last asks may be lost."""
-        self._asked = 0
-
-    def pop_waiting(self, count: int) -> list[TokenWaiter]:
-        """Removes and returns the requests that have waited longest."""
-        count = min(count, len(self.waiting))
-        self._asked = max(self._asked - count, 0)
-        return [self.waiting.popleft() for _ in range(count)]
-
-    def leave(self, waiter: TokenWaiter) -> None:
-        """Removes a request that waits; what it asked for may still come."""
-        if waiter in self.waiting:
-            self.waiting.remove(waiter)
-            self._asked = min(self._asked, len(self.waiting))
+        self.line.repeat()
 
     def build_ask(self, now: float) -> AllowanceAsk | None:
         """Returns what is to be asked for and told; None if nothing."""
-        if self._asked and now - self._asked_at > REPEAT_S:
-            self.repeat()
-        wanted = len(self.waiting) - self._asked
-        spare = self._find_spare(now)
+        wanted, late = self.line.collect_new(now)
+        # Late requests get what the others leave, like spare tokens.
+        spare = max(late, self._find_spare(now))
         totals = (self._settled, self._returned)
         if not wanted and not spare and totals == self._reported:
             return None
-        if wanted:
-            self._asked_at = now
-        self._asked += wanted
         self._reported = totals
         return AllowanceAsk(self.organisation.name, wanted, spare, *totals)
 
--- a/packages/bilberry_quotas/bilberry_quotas/spender.py
+++ b/packages/bilberry_quotas/bilberry_quotas/spender.py
@@ -9,7 +9,6 @@
 from bilberry_core.clock import MS_PER_S, RandomSource
 from bilberry_core.messages.allowance import (
     AllowanceAnswer,
-    AllowanceGrant,
     AllowanceOffer,
     AllowanceReport,
 )
@@ -67,10 +66,15 @@
     @property
     def waiting(self) -> int:
         """Requests that wait for a token."""
-        return sum(len(purse.waiting) for purse in self._purses.values())
+        return sum(len(purse.line) for purse in self._purses.values())
 
     def ask(
-        self, organisation: Organisation, waiter: TokenWaiter, now: float
+        self,
+        organisation: Organisation,
+        waiter: TokenWaiter,
+        now: float,
+        *,
+        is_late: bool = False,
     ) -> bool:
         """Gives a token, lets the request wait, or refuses it.
 
@@ -83,7 +87,7 @@
                 Token(organisation.name, self.lending.offer.term, now)
             )
             return False
-        purse.waiting.append(waiter)
+        purse.line.add(waiter, now, is_late=is_late)
         if not self.lending.is_in_touch(now):
             self._serve_own(purse, now)
         return True
@@ -92,7 +96,7 @@
         """Takes back a request that waits."""
         purse = self._purses.get(organisation.name)
         if purse is not None:
-            purse.leave(waiter)
+            purse.line.leave(waiter)
 
     def give_back(self, token: Token, now: float) -> None:
         """Takes back the token of a request that did not run."""
@@ -126,7 +130,7 @@
             if purse is not None:
                 purse.put(grant.granted, until)
                 self._hand_out(purse, now)
-                _refuse(purse, grant)
+                purse.refuse(grant.refused, grant.retry_after_ms)
 
     def build_report(self, now: float) -> AllowanceReport | None:
         """Returns the reply to the newest offer; None without one."""
@@ -150,21 +154,23 @@
     def repeat_asks(self) -> None:
         """Asks again for all who wait, as the way to the leader is new."""
         for purse in self._purses.values():
-            purse.repeat()
+            purse.line.repeat()
 
     def tick(self, now: float) -> None:
         """Drops old tokens; out of touch, serves requests that wait."""
         is_in_touch = self.lending.is_in_touch(now)
         for purse in self._purses.values():
             purse.expire(now)
-            if purse.waiting and not is_in_touch:
+            if is_in_touch:
+                purse.refuse_overdue(now)
+            elif len(purse.line):
                 self._serve_own(purse, now)
 
     def drop_absent(self, names: set[str]) -> None:
         """Forgets organisations that have no quota any more."""
         for name in self._purses.keys() - names:
             purse = self._purses.pop(name)
-            for waiter in purse.pop_waiting(len(purse.waiting)):
+            for waiter in purse.line.pop_all():
                 waiter.on_token(Token(name, None))
 
     def _find_purse(self, organisation: Organisation, now: float) -> Purse:
@@ -181,25 +187,25 @@
             self._is_own = True
             for each in self._purses.values():
                 each.own.restart(now)
-        while purse.waiting and self.lending.has_share(now):
+        while len(purse.line) and self.lending.has_share(now):
             divisor = self.lending.divisor
             if not purse.own.take(purse.organisation, divisor, now):
                 break
-            (waiter,) = purse.pop_waiting(1)
+            waiter = purse.line.pop_first()
             waiter.on_token(Token(purse.organisation.name, None, now))
         if self.lending.measure_silence(now) >= PATIENCE_S:
             self._refuse_waiting(purse)
 
     def _refuse_waiting(self, purse: Purse) -> None:
-        for waiter in purse.pop_waiting(len(purse.waiting)):
+        for waiter in purse.line.pop_all():
             after_s = COME_BACK_S * (1 + self._random.random())
             waiter.on_token_refused(
                 TokenRefusal(False, int(after_s * MS_PER_S))
             )
 
     def _hand_out(self, purse: Purse, now: float) -> None:
-        while purse.waiting and purse.take(now):
-            (waiter,) = purse.pop_waiting(1)
+        while len(purse.line) and purse.take(now):
+            waiter = purse.line.pop_first()
             waiter.on_token(
                 Token(purse.organisation.name, self.lending.offer.term, now)
             )
@@ -211,11 +217,3 @@
         self._measured_at = now
         for purse in self._purses.values():
             purse.measure_demand(seconds)
-
-
-def _refuse(purse: Purse, grant: AllowanceGrant) -> None:
-    """Refuses those who wait and get no token, at times that are spread."""
-    spacing_ms = MS_PER_S / (purse.organisation.rate or MS_PER_S)
-    for index, waiter in enumerate(purse.pop_refused(grant.refused)):
-        after_ms = grant.retry_after_ms + int(index * spacing_ms)
-        waiter.on_token_refused(TokenRefusal(True, max(after_ms, 1)))
--- a/packages/bilberry_quotas/bilberry_quotas/spender_controller.py
+++ b/packages/bilberry_quotas/bilberry_quotas/spender_controller.py
@@ -78,9 +78,16 @@
         self._is_stopping = True
         self._has_quotas.set()
 
-    def ask(self, organisation: Organisation, waiter: TokenWaiter) -> None:
+    def ask(
+        self,
+        organisation: Organisation,
+        waiter: TokenWaiter,
+        *,
+        is_late: bool,
+    ) -> None:
         """Calls one method of `waiter`, at once or later."""
-        if self._spender.ask(organisation, waiter, self._clock.now()):
+        now = self._clock.now()
+        if self._spender.ask(organisation, waiter, now, is_late=is_late):
             self._collect()
 
     def leave(self, organisation: Organisation, waiter: TokenWaiter) -> None:
--- a/tests/bilberry_quotas/test_granting.py
+++ b/tests/bilberry_quotas/test_granting.py
@@ -110,6 +110,34 @@
         self.assertTrue(len(set(times)) > len(times) / 2)
 
 
+class LateTest(QuotaCase):
+    """Requests that can't be answered in time any more."""
+
+    def test_late_request_takes_the_token_of_one_in_time(self):
+        """While more is asked than the quota, hardly any late one runs."""
+        fleet = self.play(62)
+        self.ask(fleet, 2, 3)
+        late = []
+        for _ in range(300):
+            name = fleet.random.choice(fleet.names)
+            late.append(fleet.ask(name, 'large', is_late=True))
+            fleet.run(0.01, [('large', fleet.names, 900)])
+        served = sum(hasattr(request, 'token') for request in late)
+        self.assertTrue(served < len(late) / 20, f'{served} of {len(late)}')
+
+    def test_late_request_within_the_quota_is_refused(self):
+        """It gets what the others leave."""
+        fleet = self.play(62)
+        late = []
+        for _ in range(300):
+            name = fleet.random.choice(fleet.names)
+            late.append(fleet.ask(name, 'large', is_late=True))
+            fleet.run(0.01, [('large', fleet.names, 90)])
+        fleet.run(0.2)
+        served = sum(hasattr(request, 'token') for request in late)
+        self.assertTrue(served > len(late) * USED, f'{served}')
+
+
 class LossTest(QuotaCase):
     """Daemons, leaders and links that are lost."""
 
