--- /dev/null
+++ b/tests/bilberry_proxy/test_link_goodput.py
@@ -0,0 +1,42 @@
+"""Tests what share of the long responses arrives over a slow link."""
+
+from bilberry_proxy.bulk_window import MAX_QUEUE_DELAY_S
+from testtools import TestCase
+
+from tests.bilberry_proxy.played_link import LinkPlan, play
+
+#: Least share of the responses that could be delivered.
+GOODPUT = 0.9
+#: Mean time until a busy daemon handles what it received, in seconds.
+BUSY_S = 0.02
+
+
+class LinkGoodputTest(TestCase):
+    """Responses that are ready and wait for the link."""
+
+    def test_long_responses_become_late_together(self):
+        """Also with more of them than the link carries."""
+        for load in (1, 1.5, 2, 3):
+            played = play(LinkPlan(load=load))
+            self.assertGreater(
+                played.delivered, GOODPUT * played.fitting, f'load {load}'
+            )
+
+    def test_link_stands_idle_while_receivers_are_busy(self):
+        """A wait for their processors is no queue on the link."""
+        for load in (0.8, 1.5):
+            played = play(LinkPlan(load=load, lag_s=BUSY_S))
+            self.assertGreater(
+                played.delivered, GOODPUT * played.fitting, f'load {load}'
+            )
+
+    def test_small_message_waits_little_on_a_full_link(self):
+        """About as long as for a busy daemon, if that is longer."""
+        for lag_s in (0, BUSY_S):
+            played = play(LinkPlan(load=1.5, lag_s=lag_s))
+            waits = sorted(played.waits)
+            self.assertLess(
+                waits[len(waits) // 2],
+                2 * max(MAX_QUEUE_DELAY_S, lag_s),
+                f'lag {lag_s}',
+            )
