Show that overlapping stops cut responses on full links

No test led calls through a link, and no response on the way between two daemons was long: those of the stand-in shrink to almost nothing by compression. Downloads of the stand-in are 90,000 bytes that don't.

Three upstreams' daemons listen behind links of 4.55 Mbit/s: the link has the address that the fleet knows, a launcher lets the daemon listen elsewhere, with small buffers. The product has no setting for that and needs none. Downloads for 1.4 times what the links carry come in through three other daemons on open connections; all six daemons are stopped (drain 2 s, linger 0.8 s) and started again, three at a time. Refused requests come back with new IDs; a caller gives up after 6 s.

--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -72,10 +72,14 @@
 
     def start_daemon(self, instance: str) -> None:
         """Starts the daemon of an instance."""
-        settings = str(self.members[instance].settings)
-        command = [executable, '-m', 'bilberryd', 'run', '--settings', settings]
+        command = [executable, '-m', *self.build_command(instance)]
         self._daemons[instance] = self._launch(instance, command)
 
+    def build_command(self, instance: str) -> list[str]:
+        """Returns the module that runs a daemon, and its arguments."""
+        settings = str(self.members[instance].settings)
+        return ['bilberryd', 'run', '--settings', settings]
+
     def start_upstream(self, instance: str, *options: str) -> None:
         """Starts the stand-in upstream beside an instance's daemon."""
         member = self.members[instance]
--- a/soak/run.py
+++ b/soak/run.py
@@ -47,12 +47,16 @@
 
 
 class Report(NamedTuple):
-    """The promises that a run broke, and the faults that it injected."""
+    """The promises that a run broke, and the faults that it injected.
+
+    `folder` is kept if a promise was broken.
+    """
 
     seed: int
     broken: tuple[str, ...]
     faults: tuple[str, ...]
     answered: int
+    folder: str = ''
 
 
 class Soak:
@@ -221,6 +225,7 @@
     """Runs one seed; keeps its folder if a promise was broken."""
     folder = Path(mkdtemp(prefix=f'bilberry-soak-{seed}-'))
     report = await Soak(seed, folder).run(seconds)
-    if not report.broken:
-        rmtree(folder, ignore_errors=True)
+    if report.broken:
+        return report._replace(folder=str(folder))
+    rmtree(folder, ignore_errors=True)
     return report
--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -4,8 +4,8 @@
 sends fewer bytes than it declares, `/twice` sends two responses, `/early`
 closes the connection without a response and `/slow` takes one second. `/say`
 takes a JSON object of headers that all further responses get. Paths that begin
-with `/large/` have a large response. Other paths echo the request body, or the
-path if the body is empty.
+with `/large/` or `/download/` have a large response. Other paths echo the
+request body, or the path if the body is empty.
 
 Usage: `python -m standin.upstream --daemon HOST:PORT --service NAME`.
 """
@@ -48,7 +48,7 @@
 )
 
 from standin.arrivals import ArrivalFile
-from standin.large_body import LARGE_PATH, build_large_body
+from standin.large_body import DOWNLOAD_PATH, LARGE_PATH, build_large_body
 
 _HOST = '127.0.0.1'
 _MS_PER_S = 1000
@@ -419,7 +419,7 @@
 
 
 def _build_body(path: str, body: bytes) -> bytes:
-    if path.startswith(LARGE_PATH):
+    if path.startswith((LARGE_PATH, DOWNLOAD_PATH)):
         return build_large_body(path)
     return body or path.encode()
 
