Deliver ready responses one by one, and use the link that is free

Two causes at the daemon beside the upstream, in the same modules:

Long responses took turns. With more of them than the link carries each gets its last byte at the end. Now the one with the least left goes first; one that would be late otherwise precedes it (reply_schedule.py).

The window took each wait of a slice for a queue on its own link. A receiver that was busy for 20 ms shrank it to two slices, so the link stood empty while responses waited; and a receiver that stood still held it for a second. Now the least delay of 16 slices counts, a slice that was acknowledged takes all earlier ones off the link (link_flight.py), and a stream has half of the window at most while others wait.

--- a/packages/bilberry_proxy/bilberry_proxy/bulk_window.py
+++ b/packages/bilberry_proxy/bilberry_proxy/bulk_window.py
@@ -7,57 +7,106 @@
 small message waits for about `MAX_QUEUE_DELAY_S`. A call behind a request
 crosses four links, and the wait at each of them adds to its time.
 
-The window follows the delay beyond the shortest one seen lately, as that of
-LEDBAT does (RFC 6817).
+The window follows the delay beyond the shortest one, as that of LEDBAT does
+(RFC 6817). A receiver or this daemon may be busy when a slice arrives, and a
+wait for that is no queue on the link. So the least delay of several slices is
+taken: a queue delays all of them. Where all wait for busy daemons, small
+messages wait there as well, and a share of that wait is allowed on the link.
 """
 
 from typing import NamedTuple
 
 from bilberry_proxy.reply_slices import MAX_SLICE_BYTES, MIN_SLICE_BYTES
 
-#: Delay on the way, beyond the shortest, from which the window shrinks, in
-#: seconds.
+#: Delay on the link from which the window shrinks, in seconds.
 MAX_QUEUE_DELAY_S = 0.005
-#: Time for which the shortest delay is remembered at least, in seconds.
-BASE_DELAY_S = 60.0
-#: Time after which a slice that was not acknowledged no longer counts, in
-#: seconds: its receiver stands still and must not hold back the others.
-STALLED_S = 1.0
-#: Slices after which the shortest delay of a stream is taken as known.
-MIN_ACKNOWLEDGED = 16
+#: Delay on the link at which a new window no longer doubles, in seconds.
+START_QUEUE_DELAY_S = MAX_QUEUE_DELAY_S / 2
+#: Share of the mean delay that the link may add to it, if that is more.
+QUEUE_SHARE = 0.5
+#: Slices whose least delay is taken.
+SAMPLE_SLICES = 16
 #: Smallest and largest window, in bytes.
 MIN_WINDOW_BYTES = 2 * MIN_SLICE_BYTES
 MAX_WINDOW_BYTES = 16 << 20
-#: Bytes by which a window that was once too large grows, or shrinks, with each
-#: window that arrives without delay, or with twice the longest delay.
-GAIN_BYTES = 2 * MIN_SLICE_BYTES
+#: Bytes by which a window that was once too large grows, if a sample arrived
+#: without delay.
+GAIN_BYTES = MIN_SLICE_BYTES
+#: Share of a window by which it grows, if that is more.
+GAIN_SHARE = 0.25
+#: Largest share of the window that is taken off after one sample.
+MAX_LOSS_SHARE = 0.5
+#: Time after which a measured rate is no longer known, in seconds.
+RATE_AGE_S = 30.0
+#: Weight of the newest rate in the exponential moving average.
+_RATE_WEIGHT = 0.25
 #: Slices that a window holds if they are of medium size.
 _SLICES_PER_WINDOW = 8
-#: Largest share of the window that is taken off for one late slice.
-_SHRINK_SHARE = 0.125
 
 
-class ShortestDelay:
-    """The shortest delay of the last one or two `BASE_DELAY_S`."""
+class ArrivedSlice(NamedTuple):
+    """A slice that was received after `delay_s`, of `size` bytes."""
 
-    def __init__(self) -> None:
-        """Starts without a delay."""
-        self._since: float = 0
-        self._current_s = float('inf')
-        self._previous_s = float('inf')
+    delay_s: float
+    size: int
+
+
+class DelaySample:
+    """The delays of the last slices.
+
+    `is_limited` tells whether the window held back responses all the while.
+    """
+
+    def __init__(self, now: float) -> None:
+        """Starts at `now`, in seconds, without delays."""
+        self.is_limited = True
+        self.least_s = float('inf')
+        self._sum_s: float = 0
+        self._count = 0
+        self._size = 0
+        self._since = now
 
     @property
-    def seconds(self) -> float:
-        """The shortest delay, in seconds."""
-        return min(self._current_s, self._previous_s)
+    def mean_s(self) -> float:
+        """The mean delay, in seconds."""
+        return self._sum_s / self._count
 
-    def record(self, delay_s: float, now: float) -> None:
-        """Records a delay at `now`, both in seconds."""
-        if now - self._since > BASE_DELAY_S:
-            self._previous_s = self._current_s
-            self._current_s = float('inf')
-            self._since = now
-        self._current_s = min(self._current_s, delay_s)
+    def add(self, arrived: ArrivedSlice) -> None:
+        """Adds a slice."""
+        self.least_s = min(self.least_s, arrived.delay_s)
+        self._sum_s += arrived.delay_s
+        self._count += 1
+        self._size += arrived.size
+
+    def is_complete(self, window: float) -> bool:
+        """Returns whether a `window` of bytes has arrived, and some slices."""
+        return self._count >= SAMPLE_SLICES and self._size >= window
+
+    def measure_rate(self, now: float) -> float:
+        """Returns the rate of arrival until `now`, in bytes a second."""
+        return self._size / max(now - self._since, 1e-3)
+
+
+class LinkRate:
+    """The rate at which long responses leave, while they fill the window."""
+
+    def __init__(self) -> None:
+        """Starts unknown."""
+        self._mean: float = 0
+        self._measured_at = float('-inf')
+
+    def record(self, rate: float, now: float) -> None:
+        """Records a rate, in bytes a second, at `now`, in seconds."""
+        if self.estimate(now) is None:
+            self._mean = rate
+        self._mean += (rate - self._mean) * _RATE_WEIGHT
+        self._measured_at = now
+
+    def estimate(self, now: float) -> float | None:
+        """Returns the rate in bytes a second; None if it is not known."""
+        if now - self._measured_at > RATE_AGE_S:
+            return None
+        return self._mean
 
 
 class BulkWindow:
@@ -66,8 +115,10 @@
     def __init__(self) -> None:
         """Starts with the smallest window."""
         self.size: float = MIN_WINDOW_BYTES
-        self._shortest = ShortestDelay()
+        self.rate = LinkRate()
+        self._base_s = float('inf')
         self._is_new = True
+        self._sample: DelaySample | None = None
 
     @property
     def slice_bytes(self) -> int:
@@ -75,90 +126,57 @@
         size = int(self.size / _SLICES_PER_WINDOW)
         return min(max(size, MIN_SLICE_BYTES), MAX_SLICE_BYTES)
 
-    def adapt(
-        self,
-        arrived: 'ArrivedSlice',
-        shortest_s: float | None,
-        now: float,
-    ) -> None:
-        """Adapts to the delay of a slice that arrived at `now`, in seconds.
-
-        `shortest_s` is the shortest delay on its way; None if too few were
-        seen. The shortest of all ways is taken, unless this way is much
-        longer: streams that begin together delay each other's slices.
-        """
-        delay_s, size = arrived
-        self._shortest.record(delay_s, now)
-        base_s = self._shortest.seconds
-        if shortest_s is not None and shortest_s > base_s + MAX_QUEUE_DELAY_S:
-            base_s = shortest_s
-        room = 1 - (delay_s - base_s) / MAX_QUEUE_DELAY_S
-        self._is_new = self._is_new and room > 0
-        change = size * room
-        if not self._is_new:
-            change *= GAIN_BYTES / self.size
-        change = max(change, -self.size * _SHRINK_SHARE)
-        self.size = min(
-            max(self.size + change, MIN_WINDOW_BYTES),
-            MAX_WINDOW_BYTES,
+    def pause(self) -> None:
+        """Records that the window holds back nothing now."""
+        if self._sample is not None:
+            self._sample.is_limited = False
+
+    def adapt(self, arrived: ArrivedSlice, now: float) -> None:
+        """Adapts to a slice that arrived at `now`, in seconds."""
+        self._base_s = min(self._base_s, arrived.delay_s)
+        if self._is_new:
+            self._start(arrived)
+        if self._sample is None:
+            self._sample = DelaySample(now)
+        self._sample.add(arrived)
+        if self._sample.is_complete(self.size):
+            sample = self._sample
+            self._sample = None
+            self._follow(sample, now)
+
+    def _follow(self, sample: DelaySample, now: float) -> None:
+        rate = sample.measure_rate(now)
+        if sample.is_limited:
+            self.rate.record(rate, now)
+        queue_s = sample.least_s - self._base_s
+        allowed_s = max(
+            (sample.mean_s - self._base_s) * QUEUE_SHARE,
+            MAX_QUEUE_DELAY_S,
         )
-
-
-class ArrivedSlice(NamedTuple):
-    """A slice that was received after `delay_s`, of `size` bytes."""
-
-    delay_s: float
-    size: int
-
-
-class Flight:
-    """The slices of one stream that are sent and not acknowledged."""
-
-    def __init__(self) -> None:
-        """Starts empty."""
-        self._size = 0
-        self._sent: dict[int, list[tuple[float, int]]] = {}
-        self._acknowledged = 0
-        self._shortest = ShortestDelay()
-
-    def __len__(self) -> int:
-        """Returns the number of calls with slices on their way."""
-        return len(self._sent)
-
-    @property
-    def shortest_s(self) -> float | None:
-        """The shortest delay, in seconds; None if too few were seen."""
-        if self._acknowledged < MIN_ACKNOWLEDGED:
-            return None
-        return self._shortest.seconds
-
-    def send(self, call: int, size: int, now: float) -> None:
-        """Records a slice that is sent."""
-        self._sent.setdefault(call, []).append((now, size))
-        self._size += size
-
-    def acknowledge(self, call: int, now: float) -> ArrivedSlice | None:
-        """Records the receipt of a call's oldest slice, and returns it.
-
-        Returns None if the call is not known.
+        if queue_s < allowed_s:
+            if sample.is_limited:
+                self._grow(1 - queue_s / allowed_s)
+        else:
+            self._shrink((queue_s - allowed_s) * rate, sample)
+
+    def _start(self, arrived: ArrivedSlice) -> None:
+        """Doubles the window with each that arrives without delay."""
+        room = 1 - (arrived.delay_s - self._base_s) / START_QUEUE_DELAY_S
+        self._is_new = room > 0
+        if self._is_new:
+            gain = arrived.size * room
+            self.size = min(self.size + gain, MAX_WINDOW_BYTES)
+
+    def _grow(self, room: float) -> None:
+        gain = max(GAIN_BYTES, self.size * GAIN_SHARE)
+        self.size = min(self.size + gain * room, MAX_WINDOW_BYTES)
+
+    def _shrink(self, excess: float, sample: DelaySample) -> None:
+        """Takes the bytes that wait for too long off the window.
+
+        A delay that stays with the smallest window is that of the way.
         """
-        sent = self._sent.get(call)
-        if sent is None:
-            return None
-        sent_at, size = sent.pop(0)
-        if not sent:
-            self._sent.pop(call)
-        self._size -= size
-        delay_s = now - sent_at
-        self._acknowledged += 1
-        self._shortest.record(delay_s, now)
-        return ArrivedSlice(delay_s, size)
-
-    def cancel(self, call: int) -> None:
-        """Forgets the slices of a call."""
-        self._size -= sum(size for _, size in self._sent.pop(call, ()))
-
-    def measure(self, now: float) -> int:
-        """Returns the bytes on their way; 0 if their receiver stands still."""
-        oldest = min((sent[0][0] for sent in self._sent.values()), default=now)
-        return 0 if now - oldest > STALLED_S else self._size
+        if self.size <= MIN_WINDOW_BYTES:
+            self._base_s = sample.least_s
+        loss = min(excess, self.size * MAX_LOSS_SHARE)
+        self.size = max(self.size - loss, MIN_WINDOW_BYTES)
--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -1,10 +1,10 @@
-"""Sends responses to other daemons, long bodies in slices and in turn.
+"""Sends responses to other daemons, long bodies in slices.
 
 This handles large responses on a link that is slow for them: a small response
-must not wait behind them, nor one large response behind another. A response
-that fits in a slice is sent at once. A longer one is queued, and sent slice by
-slice: while its stream has little left to send, and while no more than a
-window of all streams' slices is on its way.
+must not wait behind them. A response that fits in a slice is sent at once. A
+longer one is queued, and sent slice by slice in the order of `reply_schedule`:
+while its stream has little left to send, and while no more than a window of all
+streams' slices is on its way.
 """
 
 from collections import deque
@@ -13,8 +13,14 @@
 
 from bilberry_core.messages.call import ReplyChunk, ReplyStart
 
-from bilberry_proxy.bulk_window import BulkWindow, Flight
-from bilberry_proxy.reply_slices import ReplyMessage, cut_slice
+from bilberry_proxy.bulk_window import ArrivedSlice, BulkWindow
+from bilberry_proxy.link_flight import LinkFlight, SentSlice
+from bilberry_proxy.reply_schedule import PendingReply, ReplySchedule
+from bilberry_proxy.reply_slices import ReplyMessage
+
+#: Share of the window that a stream may use while others wait.
+STREAM_SHARE = 0.5
+_NEVER = float('inf')
 
 
 class ReplyStream(Protocol):
@@ -33,58 +39,55 @@
 
 
 class ReplyQueues:
-    """The queues of all streams, which share one window."""
+    """The queues of all streams, which share one link."""
 
     def __init__(self, now: Callable[[], float]) -> None:
         """`now` returns monotonic time, in seconds."""
         self.now = now
         self.window = BulkWindow()
-        #: The queues with unsent responses, in the order of their next turns.
-        self._waiting: dict[ReplyQueue, None] = {}
-        #: The queues with slices on their way.
-        self._flying: set[ReplyQueue] = set()
+        self.flight = LinkFlight()
+        self.schedule = ReplySchedule()
+
+    @property
+    def backlog(self) -> int:
+        """The bytes of long responses that have not left the link."""
+        return self.schedule.unsent + self.flight.measure(self.now())
+
+    @property
+    def rate(self) -> float | None:
+        """The rate of the link in bytes a second; None if not known."""
+        return self.window.rate.estimate(self.now())
 
     def open(self, stream: ReplyStream) -> 'ReplyQueue':
         """Returns the queue of a new stream."""
         return ReplyQueue(stream, self)
 
-    def add_waiting(self, queue: 'ReplyQueue') -> None:
-        """Gives turns to a queue that has an unsent response."""
-        self._waiting.setdefault(queue)
-        self.flush()
-
-    def update_flying(self, queue: 'ReplyQueue') -> None:
-        """Records whether a queue has slices on their way."""
-        if queue.flight:
-            self._flying.add(queue)
-        else:
-            self._flying.discard(queue)
-
-    def close(self, queue: 'ReplyQueue') -> None:
-        """Removes the queue of a stream that has ended."""
-        self._waiting.pop(queue, None)
-        self._flying.discard(queue)
+    def add(self, reply: PendingReply) -> None:
+        """Gives a turn to a response with an unsent part."""
+        self.schedule.add(reply)
         self.flush()
 
     def has_room(self) -> bool:
         """Whether another slice may be sent."""
-        now = self.now()
-        sent = sum(queue.flight.measure(now) for queue in self._flying)
+        sent = self.flight.measure(self.now())
         return not sent or sent + self.window.slice_bytes <= self.window.size
 
+    def advance(self) -> None:
+        """Reorders the responses by the time, and sends what may be sent."""
+        self.schedule.advance(self.now(), self.rate)
+        self.flush()
+
     def flush(self) -> None:
-        """Sends one slice of each queue in turn while there is room."""
-        skipped = 0
-        while skipped < len(self._waiting) and self.has_room():
-            queue = next(iter(self._waiting))
-            self._waiting.pop(queue)
-            if queue.is_ready:
-                queue.send_slice(self.window.slice_bytes)
-                skipped = 0
-            else:
-                skipped += 1
-            if queue:
-                self._waiting[queue] = None
+        """Sends slices in the order of their turns while there is room."""
+        self.schedule.unblock()
+        while self.has_room():
+            reply = self.schedule.pop()
+            if reply is None:
+                self.window.pause()
+                return
+            reply.owner.send_slice(reply, self.window.slice_bytes)
+            if reply.is_waiting:
+                self.schedule.add(reply)
 
 
 class ReplyQueue:
@@ -92,29 +95,56 @@
 
     def __init__(self, stream: ReplyStream, queues: ReplyQueues) -> None:
         """Sends on `stream`; `queues` are those of all streams."""
-        self.flight = Flight()
         self._stream = stream
         self._queues = queues
-        #: The unsent messages of each call, in the order of their next turns.
-        self._unsent: dict[int, deque[ReplyMessage]] = {}
+        self._replies: dict[int, PendingReply] = {}
+        self._dues: dict[int, float] = {}
+        self._flying: dict[int, deque[SentSlice]] = {}
+        self._unacknowledged = 0
+        self._stops_at: float | None = None
 
     def __len__(self) -> int:
         """Returns the number of responses with an unsent part."""
-        return len(self._unsent)
+        return len(self._replies)
 
     @property
-    def is_ready(self) -> bool:
-        """Whether a slice waits and the stream accepts it."""
-        return bool(self._unsent) and self._stream.is_writable
+    def is_writable(self) -> bool:
+        """Whether the stream accepts a slice."""
+        return self._stream.is_writable
+
+    @property
+    def is_within_share(self) -> bool:
+        """Whether the stream uses less than its share of the window.
+
+        A receiver that is slow holds back the others by no more than that.
+        """
+        window = self._queues.window
+        return self._unacknowledged < window.size * STREAM_SHARE
+
+    def expect(self, call: int, due: float) -> None:
+        """Records when the response to a call is due, in seconds."""
+        self._dues[call] = due
+
+    def precede_others(self, due: float) -> None:
+        """Lets all responses precede those of other streams.
+
+        What its daemon receives after `due`, in seconds, is lost.
+        """
+        self._stops_at = due
+        for reply in self._replies.values():
+            self._queues.schedule.precede(reply, due)
+        self._queues.flush()
 
     def start(self, reply: ReplyStart) -> None:
         """Sends a response that fits in a slice, and queues a longer one."""
-        if len(reply.body) <= self._queues.window.slice_bytes:
-            self._send(reply)
-            if not reply.last:
-                self._record(reply)
+        if len(reply.body) > self._queues.window.slice_bytes:
+            self._add(reply)
             return
-        self._add(reply)
+        self._send(reply)
+        if reply.last:
+            self._dues.pop(reply.call, None)
+        else:
+            self._record(reply)
 
     def add(self, chunk: ReplyChunk) -> None:
         """Queues more of a response."""
@@ -122,48 +152,67 @@
 
     def acknowledge(self, call: int) -> None:
         """Records that the other daemon has received a slice."""
-        now = self._queues.now()
-        arrived = self.flight.acknowledge(call, now)
-        if arrived is not None:
-            self._queues.window.adapt(arrived, self.flight.shortest_s, now)
-            self._queues.update_flying(self)
-            self._queues.flush()
+        flying = self._flying.get(call)
+        if flying is None:
+            return
+        received = flying.popleft()
+        self._unacknowledged -= received.size
+        if not flying:
+            self._flying.pop(call)
+        queues = self._queues
+        queues.flight.acknowledge(received)
+        now = queues.now()
+        arrived = ArrivedSlice(now - received.sent_at, received.size)
+        queues.window.adapt(arrived, now)
+        queues.flush()
 
     def cancel(self, call: int) -> None:
         """Drops the unsent part of a response."""
-        self._unsent.pop(call, None)
-        self.flight.cancel(call)
-        self._queues.update_flying(self)
+        self._dues.pop(call, None)
+        reply = self._replies.pop(call, None)
+        if reply is not None:
+            self._queues.schedule.remove(reply)
+        for sent in self._flying.pop(call, ()):
+            self._unacknowledged -= sent.size
+            self._queues.flight.remove(sent)
 
     def close(self) -> None:
         """Drops everything, as the stream has ended."""
-        self._unsent.clear()
-        self._queues.close(self)
+        for call in (*self._replies, *self._flying):
+            self.cancel(call)
+        self._dues.clear()
+        self._queues.flush()
 
     def flush(self) -> None:
         """Sends what may be sent, as the stream is writable again."""
         self._queues.flush()
 
-    def send_slice(self, size: int) -> None:
-        """Sends `size` bytes of the response whose turn it is."""
-        call, unsent = next(iter(self._unsent.items()))
-        self._unsent.pop(call)
-        message, rest = cut_slice(unsent.popleft(), size)
-        if rest is not None:
-            unsent.appendleft(rest)
-        if unsent:
-            self._unsent[call] = unsent
+    def send_slice(self, reply: PendingReply, size: int) -> None:
+        """Sends the next `size` bytes of a response at most."""
+        message = reply.cut(size)
+        if not reply.is_waiting:
+            self._replies.pop(reply.call)
+        if message.last:
+            self._dues.pop(reply.call, None)
         self._record(message)
         self._send(message)
 
     def _add(self, message: ReplyMessage) -> None:
-        self._unsent.setdefault(message.call, deque()).append(message)
-        self._queues.add_waiting(self)
+        call = message.call
+        reply = self._replies.get(call)
+        if reply is None:
+            reply = PendingReply(self, call, self._dues.get(call, _NEVER))
+            self._replies[call] = reply
+            if self._stops_at is not None:
+                self._queues.schedule.precede(reply, self._stops_at)
+        reply.add(message)
+        self._queues.add(reply)
 
     def _record(self, message: ReplyMessage) -> None:
-        size = len(message.body)
-        self.flight.send(message.call, size, self._queues.now())
-        self._queues.update_flying(self)
+        queues = self._queues
+        sent = queues.flight.send(len(message.body), queues.now())
+        self._flying.setdefault(message.call, deque()).append(sent)
+        self._unacknowledged += sent.size
 
     def _send(self, message: ReplyMessage) -> None:
         if self._stream.is_open:
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
@@ -0,0 +1,170 @@
+"""Decides which long response gets the next turn on the link.
+
+Responses that take turns become late together when more of them are under way
+than the link carries in time. So the one with the least left goes first, which
+delivers most of them soonest. A response precedes these that would otherwise be
+late, or that goes to a daemon which is shutting down and can't take it later.
+"""
+
+from collections import deque
+from heapq import heappop, heappush
+from itertools import count
+from typing import NamedTuple, Protocol
+
+from bilberry_proxy.reply_slices import ReplyMessage, cut_slice
+
+#: Time that a response gets for its rest, as a multiple of what the link needs
+#: for that alone, before it precedes shorter ones.
+SLACK_FACTOR = 2.0
+
+
+class ReplyOwner(Protocol):
+    """The queue of a stream."""
+
+    @property
+    def is_writable(self) -> bool:
+        """Whether the stream accepts a slice."""
+
+    @property
+    def is_within_share(self) -> bool:
+        """Whether the stream may send while others wait."""
+
+
+class PendingReply:
+    """A long response that is not completely sent."""
+
+    def __init__(self, owner: ReplyOwner, call: int, due: float) -> None:
+        """Starts without bytes; `due` is monotonic time, in seconds."""
+        self.owner = owner
+        self.call = call
+        self.due = due
+        self.unsent = 0
+        self.is_preceding = False
+        self.turn = 0
+        self._messages: deque[ReplyMessage] = deque()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a part of the response can be sent."""
+        return bool(self._messages)
+
+    def add(self, message: ReplyMessage) -> None:
+        """Adds a part of the response."""
+        self._messages.append(message)
+        self.unsent += len(message.body)
+
+    def cut(self, size: int) -> ReplyMessage:
+        """Removes and returns the next `size` bytes at most."""
+        message, rest = cut_slice(self._messages.popleft(), size)
+        if rest is not None:
+            self._messages.appendleft(rest)
+        self.unsent -= len(message.body)
+        return message
+
+    def clear(self) -> None:
+        """Drops the unsent part."""
+        self._messages.clear()
+        self.unsent = 0
+
+    def is_pressing(self, now: float, rate: float | None) -> bool:
+        """Returns whether the response is late unless it goes first.
+
+        `now` is monotonic time in seconds, `rate` that of the link in bytes a
+        second, None if it is not known.
+        """
+        if rate is None:
+            return False
+        return now + self.unsent / rate * SLACK_FACTOR > self.due
+
+
+class _Turn(NamedTuple):
+    """A place in the order; outdated if the response has a newer turn."""
+
+    is_following: bool
+    measure: float
+    number: int
+    reply: PendingReply
+
+
+class ReplySchedule:
+    """The long responses of all streams that wait for the link."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._turns: list[_Turn] = []
+        self._numbers = count(1)
+        self._replies: dict[PendingReply, None] = {}
+        self._blocked: dict[PendingReply, None] = {}
+
+    def __len__(self) -> int:
+        """Returns how many responses wait."""
+        return len(self._replies)
+
+    @property
+    def unsent(self) -> int:
+        """The bytes that wait."""
+        return sum(reply.unsent for reply in self._replies)
+
+    def add(self, reply: PendingReply) -> None:
+        """Gives a response a turn by what is left of it now."""
+        self._replies.setdefault(reply)
+        self._blocked.pop(reply, None)
+        reply.turn = next(self._numbers)
+        measure = reply.due if reply.is_preceding else reply.unsent
+        heappush(
+            self._turns,
+            _Turn(not reply.is_preceding, measure, reply.turn, reply),
+        )
+
+    def remove(self, reply: PendingReply) -> None:
+        """Removes a response."""
+        self._replies.pop(reply, None)
+        self._blocked.pop(reply, None)
+        reply.turn = 0
+
+    def pop(self) -> PendingReply | None:
+        """Removes and returns the response whose turn it is.
+
+        Those whose streams accept nothing are passed over. One whose stream
+        has used its share goes on if no other can.
+        """
+        while self._turns:
+            turn = heappop(self._turns)
+            reply = turn.reply
+            if reply.turn != turn.number:
+                continue
+            owner = reply.owner
+            if owner.is_writable and owner.is_within_share:
+                self.remove(reply)
+                return reply
+            self._blocked[reply] = None
+        return self._pop_blocked()
+
+    def unblock(self) -> None:
+        """Gives turns to the responses that were passed over."""
+        for reply in tuple(self._blocked):
+            if reply.owner.is_writable and reply.owner.is_within_share:
+                self.add(reply)
+
+    def _pop_blocked(self) -> PendingReply | None:
+        for reply in self._blocked:
+            if reply.owner.is_writable:
+                self.remove(reply)
+                return reply
+        return None
+
+    def advance(self, now: float, rate: float | None) -> None:
+        """Lets responses precede that are late otherwise.
+
+        `now` and `rate` are described at `PendingReply.is_pressing`.
+        """
+        for reply in tuple(self._replies):
+            if not reply.is_preceding and reply.is_pressing(now, rate):
+                self.precede(reply, reply.due)
+
+    def precede(self, reply: PendingReply, due: float) -> None:
+        """Lets a response precede others; it is `due` then, in seconds."""
+        reply.is_preceding = True
+        reply.due = min(reply.due, due)
+        if reply in self._replies and reply not in self._blocked:
+            self.add(reply)
--- /dev/null
+++ b/tests/bilberry_proxy/test_reply_schedule.py
@@ -0,0 +1,80 @@
+"""Tests which long response goes first."""
+
+from bilberry_core.messages.call import ReplyChunk
+from bilberry_proxy.reply_schedule import PendingReply, ReplySchedule
+from testtools import TestCase
+
+RATE = 1000
+
+
+class FakeOwner:
+    """A stream that accepts slices or doesn't."""
+
+    is_writable = True
+    is_within_share = True
+
+
+class ReplyScheduleTest(TestCase):
+    """Responses of several streams."""
+
+    def setUp(self):
+        """Starts with two long responses and a shorter one."""
+        super().setUp()
+        self.schedule = ReplySchedule()
+        self.replies = [
+            self.add(size, due) for size, due in ((500, 9), (300, 8), (400, 7))
+        ]
+
+    def add(self, size: int, due: float) -> PendingReply:
+        """Adds a response of a stream of its own."""
+        reply = PendingReply(FakeOwner(), 1, due)
+        reply.add(ReplyChunk(1, bytes(size), last=True))
+        self.schedule.add(reply)
+        return reply
+
+    def pop_all(self) -> list[int]:
+        """Returns the indices of all responses in their order."""
+        popped = iter(self.schedule.pop, None)
+        return [self.replies.index(reply) for reply in popped]
+
+    def test_least_left_goes_first(self):
+        """By what is left of it when its turn comes."""
+        self.assertEqual([1, 2, 0], self.pop_all())
+
+    def test_response_that_is_late_otherwise_precedes(self):
+        """The earliest due comes first of these."""
+        self.schedule.advance(6.5, RATE)
+        self.assertEqual([2, 1, 0], self.pop_all())
+
+    def test_nothing_precedes_while_the_rate_is_not_known(self):
+        """It can't be told whether it is late."""
+        self.schedule.advance(6.5, None)
+        self.assertEqual([1, 2, 0], self.pop_all())
+
+    def test_response_to_a_daemon_that_stops_precedes(self):
+        """It can't be delivered later."""
+        self.schedule.precede(self.replies[0], 2)
+        self.assertEqual([0, 1, 2], self.pop_all())
+
+    def test_blocked_stream_is_passed_over(self):
+        """Until it accepts slices again."""
+        self.replies[1].owner.is_writable = False
+        self.assertEqual([2, 0], self.pop_all())
+        self.replies[1].owner.is_writable = True
+        self.schedule.unblock()
+        self.assertEqual([1], self.pop_all())
+
+    def test_stream_over_its_share_goes_on_if_no_other_can(self):
+        """The link would stand idle."""
+        self.replies[1].owner.is_within_share = False
+        self.assertEqual([2, 0, 1], self.pop_all())
+
+    def test_removed_response_gets_no_turn(self):
+        """Also if it was passed over before."""
+        self.schedule.remove(self.replies[1])
+        self.replies[2].owner.is_writable = False
+        self.assertEqual([0], self.pop_all())
+        self.schedule.remove(self.replies[2])
+        self.replies[2].owner.is_writable = True
+        self.schedule.unblock()
+        self.assertEqual(([], 0), (self.pop_all(), len(self.schedule)))
