End what a stop accepts within the stop, and deliver it first

The daemon that stops tells the daemons that it calls how long it goes on (CallerStops); their responses to it precede others from then on. Older daemons ignore the message. A request that comes while callers are still served ends with the stop at the latest: its upstream gets that deadline, and one that usually takes longer than what is left is refused at once, not run. Nothing else is refused by this.

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -266,6 +266,8 @@
 
     def __init__(self) -> None:
         self.phase: Cell[Phase] = Cell(Phase.STARTING)
+        #: Monotonic time at which a graceful stop ends, in seconds.
+        self.drains_until: Cell[float | None] = Cell(None)
         self.accepted: Cell[AcceptedVersion | None] = Cell(None)
         self.own_endpoint: Cell[Endpoint | None] = Cell(None)
         self.upstream_address: Cell[Address | None] = Cell(None)
--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -197,3 +197,13 @@
     failure: Failure
     load: Load
     notice: UpstreamNotice | None = None
+
+
+@message(64)
+class CallerStops(NamedTuple):
+    """The daemon that opened the calls ends its graceful stop in `left_ms`.
+
+    Responses that reach it later are lost, so they precede others.
+    """
+
+    left_ms: Number
--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -4,6 +4,7 @@
 from time import monotonic
 from typing import Any
 
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.handshake import Purpose
 from bilberry_core.listener import StreamListener
 from bilberry_core.messages.allowance import (
@@ -14,6 +15,7 @@
     CallAlive,
     CallCancel,
     CallChunk,
+    CallerStops,
     CallFailed,
     CallProbe,
     CallStart,
@@ -97,9 +99,9 @@
         if self._is_leaving:
             served.send(GoAway())
 
-    def flush(self) -> None:
-        """Sends what waited for receivers that stand still."""
-        self._replies.flush()
+    def advance(self) -> None:
+        """Sends what the time and the link allow now."""
+        self._replies.advance()
 
     def send_go_away(self) -> None:
         """Notifies every other daemon that no new call is accepted.
@@ -127,8 +129,10 @@
         stream.on_writable = self.replies.flush
         self._stream = stream
         self._target = target
+        self._now = replies.now
         self.handlers = MessageHandlers(
             {
+                CallerStops: self._precede,
                 CallStart: self._start,
                 CallChunk: self._continue,
                 CallCancel: self._cancel,
@@ -185,6 +189,8 @@
         if start.call in self.calls:
             return
         answers = _StreamAnswers(self, start.call)
+        due = self._now() + start.deadline_ms / MS_PER_S
+        self.replies.expect(start.call, due)
         reservation = self.reservations.pop(start.call, None)
         if reservation is None:
             call = self._target.open(start, answers)
@@ -215,6 +221,9 @@
     def _acknowledge(self, received: SliceReceived) -> None:
         self.replies.acknowledge(received.call)
 
+    def _precede(self, stops: CallerStops) -> None:
+        self.replies.precede_others(self._now() + stops.left_ms / MS_PER_S)
+
     def _grant(self, credit: Credit) -> None:
         call = self.calls.get(credit.call)
         if call is not None:
--- a/packages/bilberry_proxy/bilberry_proxy/call_streams.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_streams.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Self
 
+from bilberry_core.clock import MS_PER_S
 from bilberry_core.endpoint import Address, Endpoint
+from bilberry_core.messages.call import CallerStops
 from bilberry_core.snapshot import Snapshot
 from bilberry_core.stream import Credentials
 
@@ -56,6 +58,14 @@
         """Returns the streams that are open now."""
         return (one for one in self._streams.values() if one.is_open)
 
+    def announce_stop(self, left_s: float) -> None:
+        """Tells every daemon when the stop of this one ends.
+
+        `left_s` is the time until then, in seconds.
+        """
+        for stream in self._streams.values():
+            stream.send(CallerStops(int(left_s * MS_PER_S)))
+
     def close_unused(self, snapshot: Snapshot) -> None:
         """Closes idle streams to daemons without endpoints in `snapshot`."""
         present = {
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -213,8 +213,7 @@
         phase = self._context.board.phase
         linger_s = self._settings.timing.linger_ms / MS_PER_S
         phase.put(Phase.LEAVING if linger_s else Phase.DRAINING)
-        self._calls.send_go_away()
-        self._callers.drain()
+        self._announce_stop(until)
         await sleep(linger_s)
         phase.put(Phase.DRAINING)
         left = await self._finish_requests(until)
@@ -229,6 +228,13 @@
         self._streams.close()
         self._admitter.close()
 
+    def _announce_stop(self, until: float) -> None:
+        """Tells callers and daemons of the stop that ends at `until`."""
+        self._context.board.drains_until.put(until)
+        self._streams.announce_stop(until - self._context.clock.now())
+        self._calls.send_go_away()
+        self._callers.drain()
+
     async def _finish_requests(self, until: float) -> int:
         """Waits for the end of all requests; gives up what is left then.
 
@@ -265,7 +271,7 @@
         self.pressure.record_lag(now - due)
         self._context.timers.advance(now)
         self._admitter.expire_waiting()
-        self._calls.flush()
+        self._calls.advance()
         self._detour.tick()
         load = self._admitter.measure_load()
         self._context.rollout_evidence.report(
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -32,6 +32,7 @@
 from bilberry_proxy.running_attempts import RunningAttempts
 from bilberry_proxy.silence import SilenceWatch
 from bilberry_proxy.slot_finder import SlotFinder
+from bilberry_proxy.stop_limit import limit_by_stop
 
 #: Time after which a caller may retry if a service has no ready endpoint.
 NO_ENDPOINT_RETRY_AFTER_MS = 500
@@ -185,7 +186,7 @@
         endpoint = selection.endpoint
         now = context.clock.now()
         start = build_call_start(
-            self._plan,
+            limit_by_stop(self._plan, context.board),
             self._body,
             self._fingerprint,
             now,
@@ -225,7 +226,8 @@
                 plan.retries + 1 - self._attempts.arrivals,
                 MAX_PLACEMENTS - len(self._outcome.tried),
             ),
-            plan.deadline - self._context.clock.now(),
+            limit_by_stop(plan, self._context.board).deadline
+            - self._context.clock.now(),
             self._recorder.is_quarantined(),
             self._has_other,
         )
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -28,6 +28,7 @@
 from bilberry_proxy.plan import Plan, doubt_denial, plan_request
 from bilberry_proxy.poison import SuspicionLevel, build_quarantine_failure
 from bilberry_proxy.request_body import RequestBody
+from bilberry_proxy.stop_limit import DRAINING, is_too_late
 from bilberry_proxy.timers import Timer
 
 #: Longest body that is buffered for retries, in bytes.
@@ -39,15 +40,7 @@
 DEADLINE_GRACE_S = 0.05
 #: Longest pause of a response that goes on after its deadline, in seconds.
 RESPONSE_PAUSE_S = 5.0
-#: Time after which a caller may retry when the proxy is draining.
-DRAINING_RETRY_AFTER_MS = 1000
 
-_DRAINING = Failure(
-    Verdict.NOT_RUN,
-    FailureCode.DRAINING,
-    'this proxy is shutting down',
-    DRAINING_RETRY_AFTER_MS,
-)
 _CALLER_DISCONNECTED = Failure(
     Verdict.NOT_RUN,
     FailureCode.CANCELLED,
@@ -88,7 +81,7 @@
         request_id = find_header(start.headers, context.dialect.request_id)
         self._outcome.request_id = request_id.decode('latin-1')
         if context.board.phase.value is Phase.DRAINING:
-            self.on_failure(_DRAINING)
+            self.on_failure(DRAINING)
             return
         parsed = parse_caller_request(start, context.dialect, context.service)
         if not isinstance(parsed, Success):
@@ -107,7 +100,7 @@
         self._body.feed(body, last)
         if self._body.is_ready and not was_ready and self._plan is not None:
             if self._context.board.phase.value is Phase.DRAINING:
-                self.on_failure(_DRAINING)
+                self.on_failure(DRAINING)
                 return
             self._start()
         self.update_reading()
@@ -125,7 +118,7 @@
         self._allowance.stop()
         if self._dispatch is not None:
             self._dispatch.cancel()
-        self.on_failure(_DRAINING._replace(verdict=verdict))
+        self.on_failure(DRAINING._replace(verdict=verdict))
 
     def on_caller_disconnected(self) -> None:
         """Cancels the request, unless it is claimed."""
@@ -258,8 +251,7 @@
             plan.request.target,
             self._body.buffered,
         )
-        priority = plan.priority
-        refusal = self._context.pressure.get_shed_failure(priority)
+        refusal = _find_refusal(self._context, plan)
         assessment = self._context.suspect_tracker.assess(self._fingerprint)
         if refusal is not None:
             self.on_failure(refusal)
@@ -334,6 +326,13 @@
         count_outcome(self._context.metrics, self._outcome, now)
 
 
+def _find_refusal(context: ProxyContext, plan: Plan) -> Failure | None:
+    service_s = context.router.service_times.estimate_s(plan.route_key)
+    if is_too_late(context.board, service_s, context.clock.now()):
+        return DRAINING
+    return context.pressure.get_shed_failure(plan.priority)
+
+
 def _outlives_caller(gate: ClaimGate | None, plan: Plan, now: float) -> bool:
     """Returns whether a claimed request goes on without its caller."""
     return gate is not None and gate.is_granted and now < plan.run_deadline
--- a/tests/bilberry_proxy/test_stop.py
+++ b/tests/bilberry_proxy/test_stop.py
@@ -12,6 +12,7 @@
 from tests.bilberry_proxy.fleet import (
     SERVICE,
     Node,
+    call,
     open_fleet,
     until,
 )
@@ -113,6 +114,28 @@
         self.assertIn(b'bilberry-verdict: not_run', answer)
         self.assertEqual(0, runs)
 
+    def test_request_that_outlasts_a_stop_is_passed_on_and_cut(self):
+        """It comes while callers are still served, too late for its work."""
+
+        async def scenario():
+            upstream = {'slots': 2, 'latency_ms': 800}
+            async with open_fleet({}, upstream) as fleet:
+                node = fleet.nodes[0]
+                node.proxy._settings = node.proxy._settings._replace(
+                    timing=TimingSettings(drain_ms=600, linger_ms=500)
+                )
+                first = await call(node)
+                stopping = create_task(stop(node))
+                await until(lambda: node.board.phase.value is Phase.LEAVING)
+                late = await call(node)
+                await stopping
+                runs = fleet.nodes[1].upstream.records.runs.total()
+                return first.status, late, runs
+
+        first, late, runs = run(scenario())
+        self.assertEqual((200, 503, 1), (first, late.status, runs))
+        self.assertIn((b'bilberry-verdict', b'not_run'), late.headers)
+
     def test_request_that_is_left_after_a_stop_gets_no_response(self):
         """One is at work, one is queued, and one has half of its body."""
 
