Admit calls with long responses by what the link carries

Calls were admitted by slots alone.

The caller's daemon sends the usual size of a long response with a call and with a request for a slot. Unknown rates, urgent calls and calls without a size refuse nothing. The wait of a response for the link counts like that for a slot, so that routes don't seem slow.

--- a/packages/bilberry_core/bilberry_core/messages/call.py
+++ b/packages/bilberry_core/bilberry_core/messages/call.py
@@ -23,7 +23,8 @@
     """The load of an upstream, as measured by the daemon beside it.
 
     `latency_us` is a moving mean of the upstream's response times, `waited_us`
-    the time for which this call waited for its slot, both in microseconds.
+    the time for which this call waited for its slot, and its response for the
+    link, both in microseconds.
     """
 
     outstanding: Number
@@ -45,6 +46,7 @@
     `suspect` requests were in flight at a crash and run alone. The call is
     rejected if it would wait for a slot for longer than `max_wait_ms`. `notice`
     is what the sender knows of the upstream from earlier responses.
+    `response_bytes` is the usual size of the response if that is long, else 0.
     """
 
     call: Number
@@ -60,6 +62,7 @@
     suspect: bool = False
     max_wait_ms: Number = NO_WAIT_LIMIT_MS
     notice: UpstreamNotice | None = None
+    response_bytes: Number = 0
 
 
 @message(51)
@@ -169,6 +172,7 @@
     The reply is a `SlotOffer`, at once or later, or a `SlotRefused`: at once if
     no slot is expected within `max_wait_ms`, else after that time. `is_late`
     tells that the request can't meet its target latency any more.
+    `response_bytes` is described at `CallStart`.
     """
 
     call: Number
@@ -176,6 +180,7 @@
     priority: Priority
     max_wait_ms: Number
     is_late: bool = False
+    response_bytes: Number = 0
 
 
 @message(62)
--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -12,6 +12,7 @@
     AllowanceReport,
 )
 from bilberry_core.messages.call import (
+    NO_LOAD,
     CallAlive,
     CallCancel,
     CallChunk,
@@ -29,9 +30,11 @@
     SlotRequest,
 )
 from bilberry_core.stream import Stream
+from bilberry_core.verdict import Failure
 
 from bilberry_proxy.allowance_detour import AllowanceDetour
 from bilberry_proxy.call import CallTarget, OpenCall, SlotReservation
+from bilberry_proxy.link_admission import LinkAdmission, WaitingRequest
 from bilberry_proxy.message_handlers import MessageHandlers
 from bilberry_proxy.reply_queue import ReplyQueues
 from bilberry_proxy.reply_slices import MAX_SLICE_BYTES
@@ -52,6 +55,7 @@
         """
         self._target = target
         self._replies = ReplyQueues(now)
+        self._link = LinkAdmission(self._replies)
         self._streams: set[_ServedStream] = set()
         self._is_leaving = False
         self.detour: AllowanceDetour | None = None
@@ -82,7 +86,7 @@
 
     def accept(self, stream: Stream) -> None:
         """Serves a stream until it ends."""
-        served = _ServedStream(stream, self._target, self._replies)
+        served = _ServedStream(stream, self._target, self._replies, self._link)
         self._streams.add(served)
         detour = self.detour
         if detour is not None:
@@ -100,8 +104,9 @@
             served.send(GoAway())
 
     def advance(self) -> None:
-        """Sends what the time and the link allow now."""
+        """Sends and admits what the time and the link allow now."""
         self._replies.advance()
+        self._link.advance()
 
     def send_go_away(self) -> None:
         """Notifies every other daemon that no new call is accepted.
@@ -121,14 +126,18 @@
         stream: Stream,
         target: CallTarget,
         replies: ReplyQueues,
+        link: LinkAdmission,
     ) -> None:
         self.calls: dict[int, OpenCall] = {}
         self.reservations: dict[int, SlotReservation] = {}
+        #: The calls that wait for the link.
+        self.waiting: set[int] = set()
         self.replies = replies.open(stream)
         stream.limit_buffer(MAX_SLICE_BYTES)
         stream.on_writable = self.replies.flush
         self._stream = stream
         self._target = target
+        self.link = link
         self._now = replies.now
         self.handlers = MessageHandlers(
             {
@@ -165,6 +174,9 @@
     def end(self) -> None:
         """Cancels every call, as no response can be delivered any more."""
         self.replies.close()
+        for number in (*self.calls, *self.reservations, *self.waiting):
+            self.link.release((self, number))
+        self.waiting.clear()
         calls = self.calls
         self.calls = {}
         for call in calls.values():
@@ -175,9 +187,26 @@
             reservation.cancel()
 
     def _reserve(self, request: SlotRequest) -> None:
-        if request.call in self.reservations or request.call in self.calls:
+        known = (self.reservations, self.calls, self.waiting)
+        if any(request.call in calls for calls in known):
             return
         receiver = _StreamSlotReceiver(self, request.call)
+        waiting_s = request.max_wait_ms / MS_PER_S
+        waiting = WaitingRequest(
+            (self, request.call),
+            request,
+            self._now() + waiting_s,
+            lambda admitted: self._reserve_slot(admitted, receiver),
+            receiver.refuse,
+        )
+        self.waiting.add(request.call)
+        self.link.request(waiting)
+
+    def _reserve_slot(
+        self, request: SlotRequest, receiver: '_StreamSlotReceiver'
+    ) -> None:
+        """Requests the slot: the link has room for the response."""
+        self.waiting.discard(request.call)
         reservation = self._target.reserve(request, receiver)
         if receiver.is_refused:
             return
@@ -189,6 +218,10 @@
         if start.call in self.calls:
             return
         answers = _StreamAnswers(self, start.call)
+        refusal = self.link.admit((self, start.call), start)
+        if refusal is not None:
+            answers.fail(CallFailed(start.call, refusal, NO_LOAD))
+            return
         due = self._now() + start.deadline_ms / MS_PER_S
         self.replies.expect(start.call, due)
         reservation = self.reservations.pop(start.call, None)
@@ -206,6 +239,8 @@
 
     def _cancel(self, cancel: CallCancel) -> None:
         self.replies.cancel(cancel.call)
+        self.waiting.discard(cancel.call)
+        self.link.release((self, cancel.call))
         call = self.calls.pop(cancel.call, None)
         if call is not None:
             call.cancel()
@@ -242,6 +277,7 @@
 
     def start_reply(self, reply: ReplyStart) -> None:
         """Sends the start of the response."""
+        self._served.link.release((self._served, self._call))
         self._served.replies.start(reply)
         self._end(reply.last)
 
@@ -252,6 +288,7 @@
 
     def fail(self, failed: CallFailed) -> None:
         """Sends the failure that ends the call, and nothing after it."""
+        self._served.link.release((self._served, self._call))
         self._served.replies.cancel(self._call)
         self._served.send(failed)
         self._end(last=True)
@@ -291,4 +328,10 @@
         """Sends the refusal."""
         self.is_refused = True
         self._served.reservations.pop(self._call, None)
+        self._served.waiting.discard(self._call)
+        self._served.link.release((self._served, self._call))
         self._served.send(refused)
+
+    def refuse(self, failure: Failure) -> None:
+        """Sends a refusal of this daemon itself."""
+        self.refuse_slot(SlotRefused(self._call, failure, NO_LOAD))
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -194,7 +194,12 @@
             _is_suspect(context, self._fingerprint),
             context.dialect.retried,
             choice.max_wait_ms,
-        )._replace(notice=context.router.get_notice(endpoint))
+        )._replace(
+            notice=context.router.get_notice(endpoint),
+            response_bytes=context.router.response_sizes.estimate(
+                self._plan.route_key
+            ),
+        )
         self._outcome.record_attempt(selection)
         load = context.router.get_load(endpoint)
         attempt = Attempt(self, endpoint, load, now)
--- /dev/null
+++ b/packages/bilberry_proxy/bilberry_proxy/link_admission.py
@@ -0,0 +1,150 @@
+"""Admits calls with long responses by what the link of this daemon carries.
+
+This handles more long responses than the link carries. A slot is free as soon
+as the upstream has responded, while the response waits for the link. So a call
+is accepted if its response can begin to leave soon; otherwise it waits for that
+as for a slot, or is refused at once if the wait is too long. The rate of the
+link is measured while responses fill it, and nothing is refused before.
+"""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple, Protocol
+
+from bilberry_core.clock import MS_PER_S
+from bilberry_core.messages.call import CallStart, SlotRequest
+from bilberry_core.policy import Priority
+from bilberry_core.verdict import Failure, FailureCode, Verdict
+
+from bilberry_proxy.admission import bound_retry_after_ms
+from bilberry_proxy.rank import BY_RANK, rank_request
+
+#: Time that the link needs for what is ahead of a call that does not wait, in
+#: seconds: the upstream responds within about that time.
+LEAD_S = 0.25
+#: Calls that may wait for the link.
+MAX_WAITING = 64
+
+CallKey = tuple[Any, int]
+
+
+class Link(Protocol):
+    """The link that the responses cross."""
+
+    now: Callable[[], float]
+
+    @property
+    def backlog(self) -> int:
+        """The bytes of long responses that have not left the link."""
+
+    @property
+    def rate(self) -> float | None:
+        """The rate of the link in bytes a second; None if not known."""
+
+
+class WaitingRequest(NamedTuple):
+    """A request for a slot that waits for the link.
+
+    `admit` is called with the request once there is room, `refuse` with a
+    failure at `expires_at`, monotonic time in seconds.
+    """
+
+    key: CallKey
+    request: SlotRequest
+    expires_at: float
+    admit: Callable[[SlotRequest], None]
+    refuse: Callable[[Failure], None]
+
+
+class LinkAdmission:
+    """The calls whose responses are promised the link, or wait for it."""
+
+    def __init__(self, link: Link) -> None:
+        """Starts without calls."""
+        self._link = link
+        self._promised: dict[CallKey, int] = {}
+        self._waiting: list[WaitingRequest] = []
+
+    def __len__(self) -> int:
+        """Returns how many requests wait for the link."""
+        return len(self._waiting)
+
+    @property
+    def promised(self) -> int:
+        """The expected bytes of responses that have not begun."""
+        return sum(self._promised.values())
+
+    def admit(self, key: CallKey, start: CallStart) -> Failure | None:
+        """Promises the link to a call, or returns its refusal."""
+        if not is_limited(start):
+            return None
+        excess_s = self._estimate_wait_s() - start.max_wait_ms / MS_PER_S
+        if key not in self._promised and excess_s > 0:
+            return _build_refusal(excess_s)
+        self._promised[key] = start.response_bytes
+        return None
+
+    def release(self, key: CallKey) -> None:
+        """Ends the promise to a call: its response began, or none comes."""
+        self._promised.pop(key, None)
+        self._waiting = [one for one in self._waiting if one.key != key]
+
+    def request(self, waiting: WaitingRequest) -> None:
+        """Admits a request for a slot, lets it wait, or refuses it."""
+        request = waiting.request
+        wait_s = self._estimate_wait_s()
+        excess_s = wait_s - request.max_wait_ms / MS_PER_S
+        if not is_limited(request):
+            waiting.admit(request)
+        elif excess_s > 0 or len(self._waiting) >= MAX_WAITING:
+            waiting.refuse(_build_refusal(max(excess_s, 0)))
+        elif wait_s > 0:
+            self._waiting.append(waiting)
+            self._waiting.sort(
+                key=lambda one: BY_RANK.index(rank_request(one.request))
+            )
+        else:
+            self._admit(waiting)
+
+    def advance(self) -> None:
+        """Admits what the link has room for, and refuses what has expired."""
+        now = self._link.now()
+        expired = [one for one in self._waiting if one.expires_at <= now]
+        for waiting in expired:
+            self._waiting.remove(waiting)
+            waiting.refuse(_build_refusal(self._estimate_wait_s()))
+        while self._waiting and not self._estimate_wait_s():
+            self._admit(self._waiting.pop(0))
+
+    def _admit(self, waiting: WaitingRequest) -> None:
+        request = waiting.request
+        self._promised[waiting.key] = request.response_bytes
+        left_s = max(waiting.expires_at - self._link.now(), 0)
+        waiting.admit(request._replace(max_wait_ms=int(left_s * MS_PER_S)))
+
+    def _estimate_wait_s(self) -> float:
+        """Returns how long a new call would wait for the link, in seconds."""
+        rate = self._link.rate
+        if rate is None:
+            return 0
+        ahead_s = (self._link.backlog + self.promised) / rate
+        return max(ahead_s - LEAD_S, 0)
+
+
+def is_limited(request: CallStart | SlotRequest) -> bool:
+    """Returns whether the link limits a call or a request for a slot.
+
+    Urgent calls belong to requests under way, and what was done for them would
+    be lost.
+    """
+    if request.priority is Priority.URGENT:
+        return False
+    return request.response_bytes > 0
+
+
+def _build_refusal(excess_s: float) -> Failure:
+    return Failure(
+        Verdict.NOT_RUN,
+        FailureCode.NO_FREE_SLOT,
+        'the link has no room for the response in time',
+        bound_retry_after_ms(excess_s),
+    )
--- a/packages/bilberry_proxy/bilberry_proxy/placement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/placement.py
@@ -148,6 +148,7 @@
             max_wait_ms,
             _compute_head_start(plan.priority, max_wait_ms),
             self._is_late(plan, now),
+            self._router.response_sizes.estimate(plan.route_key),
         )
 
     def record_refusal(
--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -16,7 +16,7 @@
 from bilberry_proxy.bulk_window import ArrivedSlice, BulkWindow
 from bilberry_proxy.link_flight import LinkFlight, SentSlice
 from bilberry_proxy.reply_schedule import PendingReply, ReplySchedule
-from bilberry_proxy.reply_slices import ReplyMessage
+from bilberry_proxy.reply_slices import ReplyMessage, add_wait
 
 #: Share of the window that a stream may use while others wait.
 STREAM_SHARE = 0.5
@@ -189,7 +189,8 @@
 
     def send_slice(self, reply: PendingReply, size: int) -> None:
         """Sends the next `size` bytes of a response at most."""
-        message = reply.cut(size)
+        waited_s = self._queues.now() - reply.ready_at
+        message = add_wait(reply.cut(size), waited_s)
         if not reply.is_waiting:
             self._replies.pop(reply.call)
         if message.last:
@@ -201,7 +202,12 @@
         call = message.call
         reply = self._replies.get(call)
         if reply is None:
-            reply = PendingReply(self, call, self._dues.get(call, _NEVER))
+            reply = PendingReply(
+                self,
+                call,
+                self._dues.get(call, _NEVER),
+                self._queues.now(),
+            )
             self._replies[call] = reply
             if self._stops_at is not None:
                 self._queues.schedule.precede(reply, self._stops_at)
--- a/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
@@ -33,11 +33,14 @@
 class PendingReply:
     """A long response that is not completely sent."""
 
-    def __init__(self, owner: ReplyOwner, call: int, due: float) -> None:
+    def __init__(
+        self, owner: ReplyOwner, call: int, due: float, now: float = 0
+    ) -> None:
         """Starts without bytes; `due` is monotonic time, in seconds."""
         self.owner = owner
         self.call = call
         self.due = due
+        self.ready_at = now
         self.unsent = 0
         self.is_preceding = False
         self.turn = 0
--- a/packages/bilberry_proxy/bilberry_proxy/response_size.py
+++ b/packages/bilberry_proxy/bilberry_proxy/response_size.py
@@ -22,6 +22,10 @@
         mean = self._means.get(route, size)
         self._means[route] = mean + (size - mean) * _WEIGHT
 
+    def estimate(self, route: tuple[str, str]) -> int:
+        """Returns the usual size of a long response, in bytes, else 0."""
+        return int(self._means[route]) if self.is_long(route) else 0
+
     def is_long(self, route: tuple[str, str]) -> bool:
         """Returns whether the responses of a route are long."""
         return self._means.get(route, 0) > LONG_BYTES
--- a/packages/bilberry_proxy/bilberry_proxy/slot_search.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_search.py
@@ -30,7 +30,7 @@
 
     The `far` upstreams are asked after `head_start_ms`, or when all near ones
     have refused. `is_late` tells that the request misses its target latency
-    even with a slot at once.
+    even with a slot at once. `response_bytes` is described at `CallStart`.
     """
 
     service: str
@@ -40,6 +40,7 @@
     max_wait_ms: int
     head_start_ms: int = 0
     is_late: bool = False
+    response_bytes: int = 0
 
 
 class FoundSlot(NamedTuple):
@@ -127,7 +128,12 @@
         left_s = self._expires_at - self._context.clock.now()
         max_wait_ms = max(int(left_s * MS_PER_S), 0)
         return SlotRequest(
-            0, plan.service, plan.priority, max_wait_ms, plan.is_late
+            0,
+            plan.service,
+            plan.priority,
+            max_wait_ms,
+            plan.is_late,
+            plan.response_bytes,
         )
 
     def found(self, ask: '_Ask') -> None:
--- a/tests/bilberry_proxy/test_reply_queue.py
+++ b/tests/bilberry_proxy/test_reply_queue.py
@@ -372,3 +372,24 @@
         """It found one elsewhere."""
         self.stream.receiver(CallCancel(1))
         self.assertTrue(self.target.reservation.is_cancelled)
+
+
+class LinkWaitTest(TestCase):
+    """The wait of a response for the link."""
+
+    def test_wait_for_the_link_counts_as_the_work_of_the_upstream(self):
+        """Then requests would seem to miss their target latency."""
+        now: list[float] = [0]
+        queues = ReplyQueues(lambda: now[0])
+        stream = FakeStream(1 << 30)
+        queue = queues.open(stream)
+        queue.start(build_reply(1, LARGE))
+        queue.start(build_reply(2, LARGE))
+        now[0] = 2
+        queues.flush()
+        while len(stream.list_complete()) < 2:
+            for call in (1, 2):
+                queue.acknowledge(call)
+        starts = [one for one in stream.sent if isinstance(one, ReplyStart)]
+        waits = [one.load.waited_us for one in starts]
+        self.assertEqual([0, 2_000_000], waits)
