Log and count long responses of which a part is not sent

A download crosses to the daemon of its caller in slices, which takes seconds on a slow link.

The daemon beside the upstream writes reply_dropped now: request, cause, bytes unsent, bytes sent and unacknowledged, age since the response began; and counts it by cause. Slices that were sent and not acknowledged when a stream ended count as well. Two gauges beside response.unsent tell the bytes unsent and on their way. What is sent, and when, does not change.

--- a/packages/bilberry_proxy/bilberry_proxy/bulk_window.py
+++ b/packages/bilberry_proxy/bilberry_proxy/bulk_window.py
@@ -125,6 +125,15 @@
         """Returns the number of calls with slices on their way."""
         return len(self._sent)
 
+    def __contains__(self, call: int) -> bool:
+        """Returns whether slices of a call are on their way."""
+        return call in self._sent
+
+    @property
+    def size(self) -> int:
+        """The bytes on their way, also those of a receiver at a stand."""
+        return self._size
+
     @property
     def shortest_s(self) -> float | None:
         """The shortest delay, in seconds; None if too few were seen."""
@@ -154,6 +163,10 @@
         self._shortest.record(delay_s, now)
         return ArrivedSlice(delay_s, size)
 
+    def measure_call(self, call: int) -> int:
+        """Returns the bytes of one call that are on their way."""
+        return sum(size for _, size in self._sent.get(call, ()))
+
     def cancel(self, call: int) -> None:
         """Forgets the slices of a call."""
         self._size -= sum(size for _, size in self._sent.pop(call, ()))
--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from time import monotonic
-from typing import Any
+from typing import Any, Self
 
 from bilberry_core.handshake import Purpose
 from bilberry_core.listener import StreamListener
@@ -30,7 +30,9 @@
 
 from bilberry_proxy.allowance_detour import AllowanceDetour
 from bilberry_proxy.call import CallTarget, OpenCall, SlotReservation
+from bilberry_proxy.context import ProxyContext
 from bilberry_proxy.message_handlers import MessageHandlers
+from bilberry_proxy.reply_drop import DropCause, LeftBytes, ReplyDropLog
 from bilberry_proxy.reply_queue import ReplyQueues
 from bilberry_proxy.reply_slices import MAX_SLICE_BYTES
 
@@ -42,18 +44,26 @@
         self,
         target: CallTarget,
         now: Callable[[], float] = monotonic,
+        drops: ReplyDropLog = ReplyDropLog(),
     ) -> None:
         """Forwards every received call to `target`.
 
-        `now` returns monotonic time, in seconds. What other daemons say of
+        `now` returns monotonic time, in seconds. `drops` gets the long
+        responses that are not sent whole. What other daemons say of
         quotas goes to `detour`, if there is one.
         """
         self._target = target
-        self._replies = ReplyQueues(now)
+        self._replies = ReplyQueues(now, drops)
         self._streams: set[_ServedStream] = set()
         self._is_leaving = False
         self.detour: AllowanceDetour | None = None
 
+    @classmethod
+    def from_context(cls, context: ProxyContext, target: CallTarget) -> Self:
+        """Builds the server of one proxy."""
+        drops = ReplyDropLog(context.metrics, context.dialect)
+        return cls(target, context.clock.now, drops)
+
     @property
     def open_calls(self) -> int:
         """Number of open calls from other daemons."""
@@ -64,6 +74,15 @@
         """Number of long responses with an unsent part."""
         return sum(len(served.replies) for served in self._streams)
 
+    @property
+    def left_bytes(self) -> LeftBytes:
+        """The bytes of long responses that other daemons have not got."""
+        parts = [served.replies.left for served in self._streams]
+        return LeftBytes(
+            sum(left.unsent for left in parts),
+            sum(left.on_way for left in parts),
+        )
+
     @property
     def window_bytes(self) -> float:
         """The bytes of long responses that may be on their way."""
@@ -184,7 +203,7 @@
     def _start(self, start: CallStart) -> None:
         if start.call in self.calls:
             return
-        answers = _StreamAnswers(self, start.call)
+        answers = _StreamAnswers(self, start)
         reservation = self.reservations.pop(start.call, None)
         if reservation is None:
             call = self._target.open(start, answers)
@@ -224,16 +243,17 @@
 class _StreamAnswers:
     """Sends the response to one call to the daemon that opened it."""
 
-    __slots__ = ('_call', '_served', 'ended')
+    __slots__ = ('_call', '_request', '_served', 'ended')
 
-    def __init__(self, served: _ServedStream, call: int) -> None:
+    def __init__(self, served: _ServedStream, start: CallStart) -> None:
         self.ended = False
         self._served = served
-        self._call = call
+        self._call = start.call
+        self._request = start.headers
 
     def start_reply(self, reply: ReplyStart) -> None:
         """Sends the start of the response."""
-        self._served.replies.start(reply)
+        self._served.replies.start(reply, self._request)
         self._end(reply.last)
 
     def continue_reply(self, chunk: ReplyChunk) -> None:
@@ -243,7 +263,7 @@
 
     def fail(self, failed: CallFailed) -> None:
         """Sends the failure that ends the call, and nothing after it."""
-        self._served.replies.cancel(self._call)
+        self._served.replies.cancel(self._call, DropCause.FAILED)
         self._served.send(failed)
         self._end(last=True)
 
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -65,7 +65,7 @@
         self._context = context
         self._admitter = admitter
         self._streams = streams
-        self._calls = CallServer(admitter, context.clock.now)
+        self._calls = CallServer.from_context(context, admitter)
         self._callers = CallerServer(context)
         self._detour = AllowanceDetour(
             context.board, context.clock, context.random, streams.list_open
@@ -144,13 +144,12 @@
         metrics.gauge('proxy.requests', len(self._context.running))
         metrics.gauge('proxy.connections', self.connections)
         metrics.gauge('proxy.calls', self._calls.open_calls)
-        metrics.gauge('response.unsent', self._calls.unsent_responses)
-        metrics.gauge('response.window', self._calls.window_bytes)
         for (
             service,
             tokens,
         ) in self._context.router.retry_budgets.read().items():
             metrics.gauge(f'retry.budget.{service}', tokens)
+        self._update_response_gauges()
         self._update_admission_gauges()
 
     @property
@@ -244,6 +243,14 @@
             await sleep(TICK_S)
         return left
 
+    def _update_response_gauges(self) -> None:
+        metrics = self._context.metrics
+        left = self._calls.left_bytes
+        metrics.gauge('response.unsent', self._calls.unsent_responses)
+        metrics.gauge('response.window', self._calls.window_bytes)
+        metrics.gauge('response.unsent_bytes', left.unsent)
+        metrics.gauge('response.on_way_bytes', left.on_way)
+
     def _update_admission_gauges(self) -> None:
         metrics = self._context.metrics
         load = self._admitter.measure_load()
--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -8,12 +8,19 @@
 """
 
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Protocol
 
 from bilberry_core.messages.call import ReplyChunk, ReplyStart
 
 from bilberry_proxy.bulk_window import BulkWindow, Flight
+from bilberry_proxy.http_headers import Headers
+from bilberry_proxy.reply_drop import (
+    BegunReplies,
+    DropCause,
+    LeftBytes,
+    ReplyDropLog,
+)
 from bilberry_proxy.reply_slices import ReplyMessage, cut_slice
 
 
@@ -35,9 +42,14 @@
 class ReplyQueues:
     """The queues of all streams, which share one window."""
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        drops: ReplyDropLog = ReplyDropLog(),
+    ) -> None:
         """`now` returns monotonic time, in seconds."""
         self.now = now
+        self.drops = drops
         self.window = BulkWindow()
         #: The queues with unsent responses, in the order of their next turns.
         self._waiting: dict[ReplyQueue, None] = {}
@@ -95,6 +107,7 @@
         self.flight = Flight()
         self._stream = stream
         self._queues = queues
+        self._begun = BegunReplies(queues.drops)
         #: The unsent messages of each call, in the order of their next turns.
         self._unsent: dict[int, deque[ReplyMessage]] = {}
 
@@ -102,14 +115,26 @@
         """Returns the number of responses with an unsent part."""
         return len(self._unsent)
 
+    @property
+    def left(self) -> LeftBytes:
+        """The bytes of all responses that the other daemon has not got."""
+        unsent = sum(_measure(parts) for parts in self._unsent.values())
+        return LeftBytes(unsent, self.flight.size)
+
     @property
     def is_ready(self) -> bool:
         """Whether a slice waits and the stream accepts it."""
         return bool(self._unsent) and self._stream.is_writable
 
-    def start(self, reply: ReplyStart) -> None:
-        """Sends a response that fits in a slice, and queues a longer one."""
-        if len(reply.body) <= self._queues.window.slice_bytes:
+    def start(self, reply: ReplyStart, request: Headers = ()) -> None:
+        """Sends a response that fits in a slice, and queues a longer one.
+
+        `request` are the headers of the request.
+        """
+        is_short = len(reply.body) <= self._queues.window.slice_bytes
+        if not is_short or not reply.last:
+            self._begun.begin(reply.call, request, self._queues.now())
+        if is_short:
             self._send(reply)
             if not reply.last:
                 self._record(reply)
@@ -125,18 +150,26 @@
         now = self._queues.now()
         arrived = self.flight.acknowledge(call, now)
         if arrived is not None:
+            self._begun.acknowledge(call, call in self.flight)
             self._queues.window.adapt(arrived, self.flight.shortest_s, now)
             self._queues.update_flying(self)
             self._queues.flush()
 
-    def cancel(self, call: int) -> None:
+    def cancel(
+        self,
+        call: int,
+        cause: DropCause = DropCause.CANCELLED,
+    ) -> None:
         """Drops the unsent part of a response."""
+        self._drop(call, cause)
         self._unsent.pop(call, None)
         self.flight.cancel(call)
         self._queues.update_flying(self)
 
     def close(self) -> None:
         """Drops everything, as the stream has ended."""
+        for call in self._begun:
+            self._drop(call, DropCause.STREAM_ENDED)
         self._unsent.clear()
         self._queues.close(self)
 
@@ -155,6 +188,13 @@
             self._unsent[call] = unsent
         self._record(message)
         self._send(message)
+        if message.last:
+            self._begun.end(call)
+
+    def _drop(self, call: int, cause: DropCause) -> None:
+        unsent = _measure(self._unsent.get(call, ()))
+        left = LeftBytes(unsent, self.flight.measure_call(call))
+        self._begun.drop(call, cause, left, self._queues.now())
 
     def _add(self, message: ReplyMessage) -> None:
         self._unsent.setdefault(message.call, deque()).append(message)
@@ -168,3 +208,8 @@
     def _send(self, message: ReplyMessage) -> None:
         if self._stream.is_open:
             self._stream.send(message)
+
+
+def _measure(messages: Iterable[ReplyMessage]) -> int:
+    """Returns the bytes of the bodies of messages."""
+    return sum(len(message.body) for message in messages)
