Tell what a planned stop begins with, and what it leaves, apart

A stop wrote one number at its end: requests, responses in send buffers, claims, calls and long responses in one sum. From proxy_drained with left 3 nobody could tell whether the proxy waited for its upstream, for a caller who reads slowly, or for a slow link to another daemon; and nothing told what the stop had begun with.

proxy_draining is written at the begin and proxy_drained at the end, both with the same figures, apart by who waits: own requests, claims, responses that callers have not read (with bytes), calls at the upstream, calls of other daemons, long responses to them (bytes unsent, bytes on their way). left stays the sum that it was. proxy_drained comes from the module remaining_work now.

--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -14,6 +14,7 @@
 from bilberry_proxy.exchange import Exchange
 from bilberry_proxy.http_events import EventBatch
 from bilberry_proxy.pipelined_request import PipelinedRequest, RequestPipeline
+from bilberry_proxy.send_buffer import SendBuffer
 
 #: Bytes of further pipelined requests that are buffered before reading pauses.
 MAX_READ_AHEAD_BYTES = 64 << 10
@@ -41,6 +42,7 @@
         """
         self.is_writable = True
         self.is_draining = False
+        self.sent = SendBuffer()
         self._build_exchange = build_exchange
         self._connections = connections
         self._may_overtake = may_overtake
@@ -55,13 +57,14 @@
         """Whether a part of a response may not have reached the caller."""
         if self._transport is None:
             return False
-        return self._is_discarding or _has_unsent(self._transport)
+        return self._is_discarding or self.sent.size > 0
 
     # Callbacks of the event loop.
 
     def connection_made(self, transport: Transport) -> None:
         """Registers the connection."""
         self._transport = transport
+        self.sent.open(transport)
         self._connections.add(self)
         self._pipeline.add(self, b'')
 
@@ -84,6 +87,7 @@
     def connection_lost(self, _error: Exception | None) -> None:
         """Unregisters the connection and cancels its requests."""
         self._transport = None
+        self.sent.close()
         self._connections.discard(self)
         self._pipeline.cancel()
 
@@ -95,7 +99,7 @@
         if self._transport is None:
             return
         limit_s = DISCARD_S if self._is_discarding else MAX_IDLE_S
-        is_sending = self._is_discarding and _has_unsent(self._transport)
+        is_sending = self._is_discarding and self.sent.size > 0
         is_busy = is_sending or self._pipeline.exchanges
         if is_busy or self._idle_since is None:
             self._idle_since = now
@@ -115,8 +119,7 @@
 
     def write(self, raw: bytes) -> None:
         """Sends bytes to the caller."""
-        if self._transport is not None:
-            self._transport.write(raw)
+        self.sent.write(raw)
 
     def finish(self, request: PipelinedRequest) -> None:
         """Advances to the next request once the first is answered."""
@@ -209,10 +212,6 @@
         return True
 
 
-def _has_unsent(transport: Transport) -> bool:
-    return transport.get_write_buffer_size() > 0
-
-
 def _close(transport: Transport | None, is_discarding: bool) -> None:
     """Closes a connection once its last response is sent.
 
--- a/packages/bilberry_proxy/bilberry_proxy/caller_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_server.py
@@ -41,6 +41,11 @@
         """The number of connections on which a response is still sent."""
         return sum(connection.has_unsent for connection in self._connections)
 
+    @property
+    def unread_bytes(self) -> int:
+        """The bytes of responses that wait here for their callers."""
+        return sum(connection.sent.size for connection in self._connections)
+
     async def start(self, address: Address) -> None:
         """Starts listening for callers."""
         self._server = await get_running_loop().create_server(
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -1,7 +1,6 @@
 """The proxy of one daemon: serves callers' requests and daemons' calls."""
 
 from asyncio import sleep
-from logging import getLogger
 from typing import Self
 
 from bilberry_core.board import Board, Phase
@@ -26,14 +25,13 @@
 )
 from bilberry_proxy.exclusion import get_exclusion_reason
 from bilberry_proxy.pressure import Pressure
+from bilberry_proxy.remaining_work import RemainingWork, WorkMeter
 from bilberry_proxy.rollout_evidence import RolloutEvidence
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
 from bilberry_proxy.suspect_tracker import SuspectTracker
 from bilberry_proxy.timers import TICK_S, TimerWheel
 
-_log = getLogger(__name__)
-
 #: Longest wait for other daemons to close their streams, in seconds.
 STREAM_CLOSE_TIMEOUT_S = 2.0
 _SWEEP_TICKS = 50
@@ -67,6 +65,7 @@
         self._streams = streams
         self._calls = CallServer.from_context(context, admitter)
         self._callers = CallerServer(context)
+        self._work = WorkMeter(context, admitter, self._calls, self._callers)
         self._detour = AllowanceDetour(
             context.board, context.clock, context.random, streams.list_open
         )
@@ -160,11 +159,7 @@
     @property
     def busy(self) -> int:
         """The number of requests, responses, claims and calls in progress."""
-        own = len(self._context.running) + len(self._context.tasks)
-        called = (
-            self._admitter.measure_load().outstanding + self._calls.open_calls
-        )
-        return own + self._callers.unsent + called
+        return self._work.measure().total
 
     @property
     def connections(self) -> int:
@@ -209,6 +204,7 @@
         """
         clock = self._context.clock
         until = clock.now() + self._settings.timing.drain_ms / MS_PER_S
+        self._work.log_begin()
         phase = self._context.board.phase
         linger_s = self._settings.timing.linger_ms / MS_PER_S
         phase.put(Phase.LEAVING if linger_s else Phase.DRAINING)
@@ -220,7 +216,7 @@
         until = min(until, clock.now() + STREAM_CLOSE_TIMEOUT_S)
         while self._calls.open_streams and clock.now() < until:
             await sleep(TICK_S)
-        _log.info('proxy_drained', extra={'left': left})
+        self._work.log_end(left)
 
     async def stop(self) -> None:
         """Closes every connection and stream."""
@@ -228,17 +224,17 @@
         self._streams.close()
         self._admitter.close()
 
-    async def _finish_requests(self, until: float) -> int:
+    async def _finish_requests(self, until: float) -> RemainingWork:
         """Waits for the end of all requests; gives up what is left then.
 
-        Returns how much was left.
+        Returns what was left.
         """
         while self.busy and self._context.clock.now() < until:
             await sleep(TICK_S)
-        left = self.busy
+        left = self._work.measure()
         for exchange in tuple(self._context.running):
             exchange.give_up()
-        if left:
+        if left.total:
             # The last responses are sent.
             await sleep(TICK_S)
         return left
