Tell at a stop which long responses to other daemons are not sent whole

A daemon that ends closes its streams and its event loop at once, so reply_dropped was not written for what its stop left unsent: the daemon at the other end only saw the stream end. It is written now with the cause proxy_stop, before the streams close.

test_stop_drops_a_response_without_a_line needs report_stop, which was not there. test_reply_drop, test_reply_queue, test_remaining_work and test_stop pass.

--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -116,6 +116,11 @@
         if self._is_leaving:
             served.send(GoAway())
 
+    def report_stop(self) -> None:
+        """Tells of the responses that are cut because the proxy ends."""
+        for served in self._streams:
+            served.replies.report_drops(DropCause.STOP)
+
     def flush(self) -> None:
         """Sends what waited for receivers that stand still."""
         self._replies.flush()
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -220,6 +220,7 @@
 
     async def stop(self) -> None:
         """Closes every connection and stream."""
+        self._calls.report_stop()
         self._callers.close()
         self._streams.close()
         self._admitter.close()
--- a/packages/bilberry_proxy/bilberry_proxy/reply_drop.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_drop.py
@@ -25,6 +25,7 @@
     STREAM_ENDED = 'stream_ended'
     CANCELLED = 'cancelled'
     FAILED = 'failed'
+    STOP = 'proxy_stop'
 
 
 class LeftBytes(NamedTuple):
--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -166,10 +166,14 @@
         self.flight.cancel(call)
         self._queues.update_flying(self)
 
+    def report_drops(self, cause: DropCause) -> None:
+        """Tells of the responses that are not sent whole any more."""
+        for call in self._begun:
+            self._drop(call, cause)
+
     def close(self) -> None:
         """Drops everything, as the stream has ended."""
-        for call in self._begun:
-            self._drop(call, DropCause.STREAM_ENDED)
+        self.report_drops(DropCause.STREAM_ENDED)
         self._unsent.clear()
         self._queues.close(self)
 
--- a/tests/bilberry_proxy/test_reply_drop.py
+++ b/tests/bilberry_proxy/test_reply_drop.py
@@ -29,6 +29,7 @@
     build_reply,
 )
 
+DIALECT = OWN_DIALECT._replace(request_id=b'x-id')
 AGE_S = 1.5
 MODULE = 'bilberry_proxy.reply_drop'
 
@@ -73,7 +74,7 @@
         self.server = CallServer(
             self.target,
             lambda: self.now,
-            ReplyDropLog(self.metrics, OWN_DIALECT),
+            ReplyDropLog(self.metrics, DIALECT),
         )
         self.server.accept(self.stream)
         self.stream.receiver(
@@ -82,7 +83,7 @@
                 'callouts',
                 b'GET',
                 b'/',
-                ((OWN_DIALECT.request_id, b'abc'),),
+                ((DIALECT.request_id, b'abc'),),
                 b'',
                 last=True,
                 deadline_ms=1000,
@@ -142,6 +143,18 @@
         with self.expect('failed'):
             self.target.answers.fail(failed)
 
+    def test_stop_drops_a_response_without_a_line(self):
+        """It is told once, and its bytes wait until the process ends."""
+        self.target.answers.start_reply(build_reply(1, LARGE))
+        left = self.server.left_bytes
+        with self.assertLogs(MODULE, 'INFO') as logs:
+            self.server.report_stop()
+            self.stream.on_close()
+        (record,) = logs.records
+        self.assertEqual(
+            ('proxy_stop', left.unsent), (record.cause, record.unsent_bytes)
+        )
+
     def test_response_that_was_on_its_way_is_lost_without_a_line(self):
         """Its stream ends after it was sent, before it was received."""
         body = bytes(MIN_SLICE_BYTES)
