Log and count responses that are cut or late, and where their bytes were

A response that was complete here and still in the send buffer when its connection was aborted was told as a 200.

The proxy that took the request writes response_cut (WARNING) once for each response that had begun and that its caller does not get whole: cause, code, verdict, bytes passed on and left, apart by where they were, age, time since its first byte; and response_late (INFO) for one that ends whole after its deadline. Both are counted. Complete responses are remembered while their bytes wait in the send buffer. A transport that is lost (asyncio's and uvloop's) says that its buffer is empty, so its size is looked at after each write; after a reset by the caller the figure is as of the last look. No behaviour changes; the bytes of a response are written by ResponseOutput and SendBuffer now.

--- a/packages/bilberry_proxy/bilberry_proxy/answer.py
+++ b/packages/bilberry_proxy/bilberry_proxy/answer.py
@@ -8,11 +8,14 @@
 from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.failure_answer import build_failure_answer
 from bilberry_proxy.http_headers import Headers
+from bilberry_proxy.response_track import CutCause, ResponseTrack, find_cause
 
 
 class Caller(Protocol):
     """The connection on which a request was received."""
 
+    response: ResponseTrack | None
+
     @property
     def is_writable(self) -> bool:
         """Whether the send buffer has room for more of the response."""
@@ -32,6 +35,13 @@
     def withdraw_answer(self) -> bool:
         """Takes back a response; False if a part of it may have been sent."""
 
+    def report_cut(
+        self,
+        cause: CutCause,
+        failure: Failure | None = None,
+    ) -> None:
+        """Tells of a response that has begun and is cut."""
+
     def abort_answer(self) -> None:
         """Closes the connection, so that the caller detects a truncation."""
 
@@ -46,8 +56,10 @@
         self,
         caller: Caller,
         dialect: HttpDialect = OWN_DIALECT,
+        track: ResponseTrack | None = None,
     ) -> None:
         """Creates an unsent response; `dialect` names headers of failures."""
+        self._track = track or ResponseTrack()
         self._dialect = dialect
         self._caller: Caller | None = caller
         self._status = 0
@@ -77,6 +89,8 @@
         self._uncredited += len(body)
         self._sent_bytes += len(body)
         if self._caller is not None:
+            self._track.begin(headers, len(body), last)
+            self._caller.response = self._track
             self._caller.start_answer(status, headers, body, last)
 
     def send_body(self, body: bytes, last: bool) -> None:
@@ -84,6 +98,7 @@
         self._uncredited += len(body)
         self._sent_bytes += len(body)
         if self._caller is not None:
+            self._track.add(len(body), last)
             self._caller.send_answer_body(body, last)
 
     def has_advanced(self) -> bool:
@@ -92,8 +107,14 @@
         self._seen_bytes = self._sent_bytes
         return self._seen_bytes > before
 
+    def report_cut(self, cause: CutCause, failure: Failure) -> None:
+        """Tells of a response that has begun and is cut."""
+        if self._status and self._caller is not None:
+            self._caller.report_cut(cause, failure)
+
     def fail(self, failure: Failure) -> None:
         """Sends a failure response, or aborts a response that was sent."""
+        self.report_cut(find_cause(failure), failure)
         if self._is_sent():
             self._caller.abort_answer()
             return
--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -14,6 +14,7 @@
 from bilberry_proxy.exchange import Exchange
 from bilberry_proxy.http_events import EventBatch
 from bilberry_proxy.pipelined_request import PipelinedRequest, RequestPipeline
+from bilberry_proxy.response_track import CutCause
 from bilberry_proxy.send_buffer import SendBuffer
 
 #: Bytes of further pipelined requests that are buffered before reading pauses.
@@ -81,15 +82,16 @@
     def resume_writing(self) -> None:
         """Resumes responses: the send buffer has room again."""
         self.is_writable = True
+        self.sent.look()
         for exchange in self._pipeline.exchanges:
             exchange.resume_answer()
 
-    def connection_lost(self, _error: Exception | None) -> None:
+    def connection_lost(self, error: Exception | None) -> None:
         """Unregisters the connection and cancels its requests."""
         self._transport = None
-        self.sent.close()
         self._connections.discard(self)
-        self._pipeline.cancel()
+        self.sent.close(error)
+        self._pipeline.cancel(CutCause.CALLER)
 
     def expire_idle(self, now: float) -> None:
         """Closes the connection if it was idle for over `MAX_IDLE_S`.
@@ -98,6 +100,7 @@
         """
         if self._transport is None:
             return
+        self.sent.look()
         limit_s = DISCARD_S if self._is_discarding else MAX_IDLE_S
         is_sending = self._is_discarding and self.sent.size > 0
         is_busy = is_sending or self._pipeline.exchanges
@@ -117,10 +120,6 @@
             newest.exchange is None and not newest.is_read
         )
 
-    def write(self, raw: bytes) -> None:
-        """Sends bytes to the caller."""
-        self.sent.write(raw)
-
     def finish(self, request: PipelinedRequest) -> None:
         """Advances to the next request once the first is answered."""
         while self._pipeline and self._pipeline[0].is_answered:
@@ -128,11 +127,10 @@
                 return
         self._read_events()
 
-    def abort(self) -> None:
+    def abort(self, cause: CutCause = CutCause.CONNECTION) -> None:
         """Resets the connection, so that the caller detects a truncation."""
-        if self._transport is not None:
-            self._transport.abort()
-        self._pipeline.cancel()
+        self.sent.abort(cause)
+        self._pipeline.cancel(cause)
 
     def set_reading(self, enabled: bool) -> None:
         """Resumes or pauses reading from the caller."""
@@ -146,9 +144,10 @@
     def _drop_first(self) -> bool:
         """Removes the answered request; False if the connection closes."""
         answered = self._pipeline.popleft()
+        self.sent.finish(answered.response)
         closes = self.is_draining and not self._pipeline
         if closes or not answered.is_reusable:
-            self._pipeline.cancel()
+            self._pipeline.cancel(CutCause.CONNECTION)
             self._idle_since = None
             self._is_discarding = not answered.is_callers_last
             _close(self._transport, self._is_discarding)
--- a/packages/bilberry_proxy/bilberry_proxy/caller_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_server.py
@@ -11,6 +11,7 @@
 from bilberry_proxy.exchange import Exchange
 from bilberry_proxy.pipelined_request import PipelinedRequest
 from bilberry_proxy.plan import is_repeatable
+from bilberry_proxy.response_track import CutCause
 
 _BACKLOG = 1024
 
@@ -70,7 +71,7 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self._connections):
-            connection.abort()
+            connection.abort(CutCause.STOP)
 
     def _accept(self) -> CallerConnection:
         connection = CallerConnection(
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -28,6 +28,7 @@
 from bilberry_proxy.plan import Plan, doubt_denial, plan_request
 from bilberry_proxy.poison import SuspicionLevel, build_quarantine_failure
 from bilberry_proxy.request_body import RequestBody
+from bilberry_proxy.response_track import CutCause, ResponseTrack
 from bilberry_proxy.timers import Timer
 
 #: Longest body that is buffered for retries, in bytes.
@@ -66,7 +67,8 @@
 
     def __init__(self, context: ProxyContext, caller: Caller) -> None:
         self._context = context
-        self._answer = Answer(caller, context.dialect)
+        self._track = ResponseTrack(context.metrics, context.clock.now)
+        self._answer = Answer(caller, context.dialect, self._track)
         self._request: CallerRequest | None = None
         self._wait = ConfigurationWait(context, self._plan_request)
         self._allowance = AllowanceWait(context, self._run, self.on_failure)
@@ -87,6 +89,8 @@
         self._outcome.started_at = now
         request_id = find_header(start.headers, context.dialect.request_id)
         self._outcome.request_id = request_id.decode('latin-1')
+        self._track.request_id = self._outcome.request_id
+        self._track.started_at = now
         if context.board.phase.value is Phase.DRAINING:
             self.on_failure(_DRAINING)
             return
@@ -125,7 +129,9 @@
         self._allowance.stop()
         if self._dispatch is not None:
             self._dispatch.cancel()
-        self.on_failure(_DRAINING._replace(verdict=verdict))
+        failure = _DRAINING._replace(verdict=verdict)
+        self._answer.report_cut(CutCause.STOP, failure)
+        self.on_failure(failure)
 
     def on_caller_disconnected(self) -> None:
         """Cancels the request, unless it is claimed."""
@@ -330,6 +336,10 @@
         if self._timer is not None:
             self._timer.cancel()
         now = self._context.clock.now()
+        if failure is None and self._answer.has_caller:
+            deadline = self._plan.deadline
+            if now > deadline:
+                self._track.report_late(deadline, now)
         log_decision(self._outcome, now)
         count_outcome(self._context.metrics, self._outcome, now)
 
--- a/packages/bilberry_proxy/bilberry_proxy/pipelined_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/pipelined_request.py
@@ -36,6 +36,8 @@
     Headers,
     find_header,
 )
+from bilberry_proxy.response_track import CutCause, ResponseTrack
+from bilberry_proxy.send_buffer import ResponseOutput, SendBuffer
 
 _log = getLogger(__name__)
 
@@ -47,18 +49,16 @@
     """The connection on which the requests are received."""
 
     is_writable: bool
+    sent: SendBuffer
 
     def is_closing_after(self, request: 'PipelinedRequest') -> bool:
         """Returns whether the connection closes after this response."""
 
-    def write(self, raw: bytes) -> None:
-        """Sends bytes to the caller."""
-
     def finish(self, request: 'PipelinedRequest') -> None:
         """Handles a complete response."""
 
-    def abort(self) -> None:
-        """Resets the connection."""
+    def abort(self, cause: CutCause = CutCause.CONNECTION) -> None:
+        """Resets the connection, which cuts every response on it."""
 
     def set_reading(self, enabled: bool) -> None:
         """Resumes or pauses reading from the caller."""
@@ -75,12 +75,12 @@
         self.is_callers_last = False
         self.announces_close = False
         self.is_answered = False
+        self.response: ResponseTrack | None = None
         self._owner = owner
+        self._output = ResponseOutput(owner.sent)
         self._http = Connection(SERVER)
         self._writer = self._http
         self._is_head = False
-        self._is_first = False
-        self._pending: list[bytes] = []
         self.receive(received)
 
     @property
@@ -116,11 +116,7 @@
 
     def become_first(self) -> None:
         """Flushes the buffer: all earlier responses are complete."""
-        self._is_first = True
-        pending = b''.join(self._pending)
-        self._pending.clear()
-        if pending:
-            self._owner.write(pending)
+        self._output.become_first()
 
     def begin(self, exchange: Exchange, batch: EventBatch) -> None:
         """Starts the exchange of a request whose head was received."""
@@ -128,7 +124,7 @@
         self.exchange = exchange
         self._is_head = batch.start.method == _HEAD
         if not batch.last:
-            self._write_raw(encode_continue(self._writer))
+            self._output.write(encode_continue(self._writer))
         exchange.begin(batch.start)
         self.feed(batch)
 
@@ -143,7 +139,7 @@
         Aborts the connection instead if a request is in progress.
         """
         if self.exchange is not None:
-            self._owner.abort()
+            self._owner.abort(CutCause.CALLER)
             return
         failure = Failure(
             Verdict.NOT_RUN,
@@ -192,9 +188,9 @@
 
         Another one may follow, so that earlier requests are still answered.
         """
-        if self._is_first or self._is_head:
+        if self._output.is_first or self._is_head:
             return False
-        self._pending.clear()
+        self._output.clear()
         self._writer = Connection(SERVER)
         return True
 
@@ -203,6 +199,16 @@
         self.exchange = None
         self._owner.abort()
 
+    def report_cut(
+        self,
+        cause: CutCause,
+        failure: Failure | None = None,
+    ) -> None:
+        """Tells of a response that has begun and is cut."""
+        if self.response is not None:
+            waiting = self._output.measure_waiting()
+            self.response.report_cut(cause, waiting, failure)
+
     def set_reading(self, enabled: bool) -> None:
         """Resumes or pauses reading, unless the request is complete."""
         if not self.is_read:
@@ -214,7 +220,7 @@
         except LocalProtocolError as error:
             self._refuse_answer(error)
             return
-        self._write_raw(raw)
+        self._output.write(raw)
         if last:
             self.exchange = None
             self.is_answered = True
@@ -224,16 +230,9 @@
         if self.exchange is not None:
             # Further parts of the answer are refused without a line each.
             _log.warning('answer_malformed', extra={'cause': str(error)})
+        self.report_cut(CutCause.UPSTREAM)
         self.abort_answer()
 
-    def _write_raw(self, raw: bytes) -> None:
-        if not raw:
-            return
-        if self._is_first:
-            self._owner.write(raw)
-        else:
-            self._pending.append(raw)
-
 
 class RequestPipeline(deque[PipelinedRequest]):
     """The requests of one connection, in the order of their responses."""
@@ -267,8 +266,10 @@
             request.become_first()
         self.append(request)
 
-    def cancel(self) -> None:
+    def cancel(self, cause: CutCause) -> None:
         """Removes every request: the caller no longer waits."""
+        for request in self:
+            request.report_cut(cause)
         exchanges = self.exchanges
         self.clear()
         for exchange in exchanges:
--- a/packages/bilberry_proxy/bilberry_proxy/send_buffer.py
+++ b/packages/bilberry_proxy/bilberry_proxy/send_buffer.py
@@ -1,6 +1,33 @@
-"""The bytes of responses that wait until a caller reads them."""
+"""The bytes of responses that wait at a proxy for their caller.
+
+A response that is complete here may still wait in the send buffer of its
+connection. So the latest complete responses are remembered until their bytes
+have left the buffer.
+"""
 
 from asyncio import Transport
+from collections import deque
+from typing import NamedTuple
+
+from bilberry_proxy.response_track import (
+    CutCause,
+    ResponseTrack,
+    WaitingBytes,
+)
+
+#: Complete responses of one connection that are remembered at most.
+MAX_REMEMBERED = 64
+
+
+class WrittenResponse(NamedTuple):
+    """A complete response, from its first to behind its last byte.
+
+    Bytes are counted from the begin of the connection.
+    """
+
+    start: int
+    end: int
+    track: ResponseTrack
 
 
 class SendBuffer:
@@ -9,6 +36,10 @@
     def __init__(self) -> None:
         """Starts without a connection."""
         self._transport: Transport | None = None
+        self._written = 0
+        self._complete = 0
+        self._unread = 0
+        self._responses: deque[WrittenResponse] = deque(maxlen=MAX_REMEMBERED)
 
     @property
     def size(self) -> int:
@@ -23,9 +54,90 @@
 
     def write(self, raw: bytes) -> None:
         """Sends bytes, unless the connection is lost."""
+        transport = self._transport
+        if transport is not None:
+            transport.write(raw)
+            self._written += len(raw)
+            # A transport that is lost doesn't tell what it dropped.
+            self._unread = transport.get_write_buffer_size()
+
+    def finish(self, track: ResponseTrack | None) -> None:
+        """Records that all bytes of a response are written."""
+        start = self._complete
+        self._complete = self._written
+        if self._unread and track is not None:
+            self._responses.append(WrittenResponse(start, self._written, track))
+
+    def measure_incomplete(self) -> int:
+        """Returns the bytes that wait of the response that is being sent."""
+        self.look()
+        return min(self._unread, self._written - self._complete)
+
+    def look(self) -> None:
+        """Forgets complete responses of which no byte waits any more."""
+        if self._transport is None:
+            return
+        self._unread = self.size
+        sent = self._written - self._unread
+        while self._responses and self._responses[0].end <= sent:
+            self._responses.popleft()
+
+    def report_cut(self, cause: CutCause) -> None:
+        """Tells of each complete response of which bytes still wait."""
+        sent = self._written - self._unread
+        for start, end, track in self._responses:
+            unread = end - max(start, sent)
+            if unread > 0:
+                track.report_cut(cause, WaitingBytes(unread=unread))
+        self._responses.clear()
+
+    def abort(self, cause: CutCause) -> None:
+        """Resets the connection, which drops the bytes that wait."""
+        self.look()
+        self.report_cut(cause)
         if self._transport is not None:
-            self._transport.write(raw)
+            self._transport.abort()
+        self._transport = None
 
-    def close(self) -> None:
-        """Drops everything, as the connection is lost."""
+    def close(self, error: Exception | None) -> None:
+        """Ends with the connection; without an error all bytes were sent."""
         self._transport = None
+        if error is None:
+            self._unread = 0
+        self.report_cut(CutCause.CALLER)
+
+
+class ResponseOutput:
+    """The bytes of one response, which may have to wait for earlier ones."""
+
+    def __init__(self, buffer: SendBuffer) -> None:
+        """Starts behind earlier responses, with nothing written."""
+        self.is_first = False
+        self._buffer = buffer
+        self._pending: list[bytes] = []
+
+    def measure_waiting(self) -> WaitingBytes:
+        """Returns the bytes of the response that wait here."""
+        if self.is_first:
+            return WaitingBytes(unread=self._buffer.measure_incomplete())
+        return WaitingBytes(pending=sum(map(len, self._pending)))
+
+    def write(self, raw: bytes) -> None:
+        """Sends bytes, or keeps them while there are earlier responses."""
+        if not raw:
+            return
+        if self.is_first:
+            self._buffer.write(raw)
+        else:
+            self._pending.append(raw)
+
+    def become_first(self) -> None:
+        """Sends what was kept: all earlier responses are complete."""
+        self.is_first = True
+        pending = b''.join(self._pending)
+        self._pending.clear()
+        self.write(pending)
+
+    def clear(self) -> None:
+        """Drops what is kept."""
+        self._pending.clear()
