--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -9,8 +9,10 @@
 from asyncio import Protocol, Transport
 from collections.abc import Callable
 
+from bilberry_core.metric import Metrics, NullMetrics
 from h11 import RemoteProtocolError, Request
 
+from bilberry_proxy.dropped_input import DroppedInput
 from bilberry_proxy.exchange import Exchange
 from bilberry_proxy.http_events import EventBatch
 from bilberry_proxy.pipelined_request import PipelinedRequest, RequestPipeline
@@ -35,6 +37,7 @@
         build_exchange: Callable[[PipelinedRequest], Exchange],
         connections: set['CallerConnection'],
         may_overtake: Callable[[Request], bool] = lambda _start: False,
+        metrics: Metrics = NullMetrics(),
     ) -> None:
         """Adds itself to `connections` for as long as it is open.
 
@@ -52,6 +55,7 @@
         self._reading_events = False
         self._idle_since: float | None = None
         self._is_discarding = False
+        self._dropped = DroppedInput(metrics)
 
     @property
     def has_unsent(self) -> bool:
@@ -74,6 +78,8 @@
         if self._pipeline:
             self._pipeline[-1].receive(received)
             self._read_events()
+        else:
+            self._dropped.record(len(received))
 
     def pause_writing(self) -> None:
         """Records that the send buffer is full: the caller reads slowly."""
@@ -150,6 +156,9 @@
             self._pipeline.cancel(CutCause.CONNECTION)
             self._idle_since = None
             self._is_discarding = not answered.is_callers_last
+            if answered.response is not None:
+                self._dropped.request_id = answered.response.request_id
+            self._dropped.record(len(answered.trailing))
             _close(self._transport, self._is_discarding)
             return False
         if not self._pipeline:
--- a/packages/bilberry_proxy/bilberry_proxy/caller_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_server.py
@@ -78,6 +78,7 @@
             self._build_exchange,
             self._connections,
             self._may_overtake,
+            self._context.metrics,
         )
         phase = self._context.board.phase.value
         connection.is_draining = phase in {Phase.LEAVING, Phase.DRAINING}
