--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -9,11 +9,15 @@
 from asyncio import Protocol, Transport
 from collections.abc import Callable
 
+from bilberry_core.metric import Metrics, NullMetrics
 from h11 import RemoteProtocolError, Request
 
+from bilberry_proxy.dropped_input import DroppedInput
 from bilberry_proxy.exchange import Exchange
 from bilberry_proxy.http_events import EventBatch
 from bilberry_proxy.pipelined_request import PipelinedRequest, RequestPipeline
+from bilberry_proxy.response_track import CutCause
+from bilberry_proxy.send_buffer import SendBuffer
 
 #: Bytes of further pipelined requests that are buffered before reading pauses.
 MAX_READ_AHEAD_BYTES = 64 << 10
@@ -33,6 +37,7 @@
         build_exchange: Callable[[PipelinedRequest], Exchange],
         connections: set['CallerConnection'],
         may_overtake: Callable[[Request], bool] = lambda _start: False,
+        metrics: Metrics = NullMetrics(),
     ) -> None:
         """Adds itself to `connections` for as long as it is open.
 
@@ -41,6 +46,7 @@
         """
         self.is_writable = True
         self.is_draining = False
+        self.sent = SendBuffer()
         self._build_exchange = build_exchange
         self._connections = connections
         self._may_overtake = may_overtake
@@ -49,19 +55,21 @@
         self._reading_events = False
         self._idle_since: float | None = None
         self._is_discarding = False
+        self._dropped = DroppedInput(metrics)
 
     @property
     def has_unsent(self) -> bool:
         """Whether a part of a response may not have reached the caller."""
         if self._transport is None:
             return False
-        return self._is_discarding or _has_unsent(self._transport)
+        return self._is_discarding or self.sent.size > 0
 
     # Callbacks of the event loop.
 
     def connection_made(self, transport: Transport) -> None:
         """Registers the connection."""
         self._transport = transport
+        self.sent.open(transport)
         self._connections.add(self)
         self._pipeline.add(self, b'')
 
@@ -70,6 +78,8 @@
         if self._pipeline:
             self._pipeline[-1].receive(received)
             self._read_events()
+        else:
+            self._dropped.record(len(received))
 
     def pause_writing(self) -> None:
         """Records that the send buffer is full: the caller reads slowly."""
@@ -78,14 +88,16 @@
     def resume_writing(self) -> None:
         """Resumes responses: the send buffer has room again."""
         self.is_writable = True
+        self.sent.look()
         for exchange in self._pipeline.exchanges:
             exchange.resume_answer()
 
-    def connection_lost(self, _error: Exception | None) -> None:
+    def connection_lost(self, error: Exception | None) -> None:
         """Unregisters the connection and cancels its requests."""
         self._transport = None
         self._connections.discard(self)
-        self._pipeline.cancel()
+        self.sent.close(error)
+        self._pipeline.cancel(CutCause.CALLER)
 
     def expire_idle(self, now: float) -> None:
         """Closes the connection if it was idle for over `MAX_IDLE_S`.
@@ -94,8 +106,9 @@
         """
         if self._transport is None:
             return
+        self.sent.look()
         limit_s = DISCARD_S if self._is_discarding else MAX_IDLE_S
-        is_sending = self._is_discarding and _has_unsent(self._transport)
+        is_sending = self._is_discarding and self.sent.size > 0
         is_busy = is_sending or self._pipeline.exchanges
         if is_busy or self._idle_since is None:
             self._idle_since = now
@@ -113,11 +126,6 @@
             newest.exchange is None and not newest.is_read
         )
 
-    def write(self, raw: bytes) -> None:
-        """Sends bytes to the caller."""
-        if self._transport is not None:
-            self._transport.write(raw)
-
     def finish(self, request: PipelinedRequest) -> None:
         """Advances to the next request once the first is answered."""
         while self._pipeline and self._pipeline[0].is_answered:
@@ -125,11 +133,10 @@
                 return
         self._read_events()
 
-    def abort(self) -> None:
+    def abort(self, cause: CutCause = CutCause.CONNECTION) -> None:
         """Resets the connection, so that the caller detects a truncation."""
-        if self._transport is not None:
-            self._transport.abort()
-        self._pipeline.cancel()
+        self.sent.abort(cause)
+        self._pipeline.cancel(cause)
 
     def set_reading(self, enabled: bool) -> None:
         """Resumes or pauses reading from the caller."""
@@ -143,11 +150,15 @@
     def _drop_first(self) -> bool:
         """Removes the answered request; False if the connection closes."""
         answered = self._pipeline.popleft()
+        self.sent.finish(answered.response)
         closes = self.is_draining and not self._pipeline
         if closes or not answered.is_reusable:
-            self._pipeline.cancel()
+            self._pipeline.cancel(CutCause.CONNECTION)
             self._idle_since = None
             self._is_discarding = not answered.is_callers_last
+            if answered.response is not None:
+                self._dropped.request_id = answered.response.request_id
+            self._dropped.record(len(answered.trailing))
             _close(self._transport, self._is_discarding)
             return False
         if not self._pipeline:
@@ -209,10 +220,6 @@
         return True
 
 
-def _has_unsent(transport: Transport) -> bool:
-    return transport.get_write_buffer_size() > 0
-
-
 def _close(transport: Transport | None, is_discarding: bool) -> None:
     """Closes a connection once its last response is sent.
 
--- a/packages/bilberry_proxy/bilberry_proxy/caller_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_server.py
@@ -11,6 +11,7 @@
 from bilberry_proxy.exchange import Exchange
 from bilberry_proxy.pipelined_request import PipelinedRequest
 from bilberry_proxy.plan import is_repeatable
+from bilberry_proxy.response_track import CutCause
 
 _BACKLOG = 1024
 
@@ -41,6 +42,11 @@
         """The number of connections on which a response is still sent."""
         return sum(connection.has_unsent for connection in self._connections)
 
+    @property
+    def unread_bytes(self) -> int:
+        """The bytes of responses that wait here for their callers."""
+        return sum(connection.sent.size for connection in self._connections)
+
     async def start(self, address: Address) -> None:
         """Starts listening for callers."""
         self._server = await get_running_loop().create_server(
@@ -65,13 +71,14 @@
         if self._server is not None:
             self._server.close()
         for connection in tuple(self._connections):
-            connection.abort()
+            connection.abort(CutCause.STOP)
 
     def _accept(self) -> CallerConnection:
         connection = CallerConnection(
             self._build_exchange,
             self._connections,
             self._may_overtake,
+            self._context.metrics,
         )
         phase = self._context.board.phase.value
         connection.is_draining = phase in {Phase.LEAVING, Phase.DRAINING}
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -1,7 +1,6 @@
 """The proxy of one daemon: serves callers' requests and daemons' calls."""
 
 from asyncio import sleep
-from logging import getLogger
 from typing import Self
 
 from bilberry_core.board import Board, Phase
@@ -26,14 +25,13 @@
 )
 from bilberry_proxy.exclusion import get_exclusion_reason
 from bilberry_proxy.pressure import Pressure
+from bilberry_proxy.remaining_work import RemainingWork, WorkMeter
 from bilberry_proxy.rollout_evidence import RolloutEvidence
 from bilberry_proxy.router import Router
 from bilberry_proxy.service_interest import ServiceInterest
 from bilberry_proxy.suspect_tracker import SuspectTracker
 from bilberry_proxy.timers import TICK_S, TimerWheel
 
-_log = getLogger(__name__)
-
 #: Longest wait for other daemons to close their streams, in seconds.
 STREAM_CLOSE_TIMEOUT_S = 2.0
 _SWEEP_TICKS = 50
@@ -65,8 +63,9 @@
         self._context = context
         self._admitter = admitter
         self._streams = streams
-        self._calls = CallServer(admitter, context.clock.now)
+        self._calls = CallServer.from_context(context, admitter)
         self._callers = CallerServer(context)
+        self._work = WorkMeter(context, admitter, self._calls, self._callers)
         self._detour = AllowanceDetour(
             context.board, context.clock, context.random, streams.list_open
         )
@@ -144,13 +143,12 @@
         metrics.gauge('proxy.requests', len(self._context.running))
         metrics.gauge('proxy.connections', self.connections)
         metrics.gauge('proxy.calls', self._calls.open_calls)
-        metrics.gauge('response.unsent', self._calls.unsent_responses)
-        metrics.gauge('response.window', self._calls.window_bytes)
         for (
             service,
             tokens,
         ) in self._context.router.retry_budgets.read().items():
             metrics.gauge(f'retry.budget.{service}', tokens)
+        self._calls.update_gauges(metrics)
         self._update_admission_gauges()
 
     @property
@@ -161,11 +159,7 @@
     @property
     def busy(self) -> int:
         """The number of requests, responses, claims and calls in progress."""
-        own = len(self._context.running) + len(self._context.tasks)
-        called = (
-            self._admitter.measure_load().outstanding + self._calls.open_calls
-        )
-        return own + self._callers.unsent + called
+        return self._work.measure().total
 
     @property
     def connections(self) -> int:
@@ -210,6 +204,7 @@
         """
         clock = self._context.clock
         until = clock.now() + self._settings.timing.drain_ms / MS_PER_S
+        self._work.log_begin()
         phase = self._context.board.phase
         linger_s = self._settings.timing.linger_ms / MS_PER_S
         phase.put(Phase.LEAVING if linger_s else Phase.DRAINING)
@@ -220,10 +215,11 @@
         until = min(until, clock.now() + STREAM_CLOSE_TIMEOUT_S)
         while self._calls.open_streams and clock.now() < until:
             await sleep(TICK_S)
-        _log.info('proxy_drained', extra={'left': left})
+        self._work.log_end(left)
 
     async def stop(self) -> None:
         """Closes every connection and stream."""
+        self._calls.report_stop()
         self._callers.close()
         self._streams.close()
         self._admitter.close()
@@ -235,17 +231,17 @@
         self._calls.send_go_away()
         self._callers.drain()
 
-    async def _finish_requests(self, until: float) -> int:
+    async def _finish_requests(self, until: float) -> RemainingWork:
         """Waits for the end of all requests; gives up what is left then.
 
-        Returns how much was left.
+        Returns what was left.
         """
         while self.busy and self._context.clock.now() < until:
             await sleep(TICK_S)
-        left = self.busy
+        left = self._work.measure()
         for exchange in tuple(self._context.running):
             exchange.give_up()
-        if left:
+        if left.total:
             # The last responses are sent.
             await sleep(TICK_S)
         return left
--- a/packages/bilberry_proxy/bilberry_proxy/link_admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/link_admission.py
@@ -12,6 +12,7 @@
 
 from bilberry_core.clock import MS_PER_S
 from bilberry_core.messages.call import CallStart, SlotRequest
+from bilberry_core.metric import Metrics, NullMetrics
 from bilberry_core.policy import Priority
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
@@ -58,9 +59,10 @@
 class LinkAdmission:
     """The calls whose responses are promised the link, or wait for it."""
 
-    def __init__(self, link: Link) -> None:
+    def __init__(self, link: Link, metrics: Metrics = NullMetrics()) -> None:
         """Starts without calls."""
         self._link = link
+        self._metrics = metrics
         self._promised: dict[CallKey, int] = {}
         self._waiting: list[WaitingRequest] = []
 
@@ -79,7 +81,7 @@
             return None
         excess_s = self._estimate_wait_s() - start.max_wait_ms / MS_PER_S
         if key not in self._promised and excess_s > 0:
-            return _build_refusal(excess_s)
+            return self._refuse(excess_s)
         self._promised[key] = start.response_bytes
         return None
 
@@ -96,7 +98,7 @@
         if not is_limited(request):
             waiting.admit(request)
         elif excess_s > 0 or len(self._waiting) >= MAX_WAITING:
-            waiting.refuse(_build_refusal(max(excess_s, 0)))
+            waiting.refuse(self._refuse(max(excess_s, 0)))
         elif wait_s > 0:
             self._waiting.append(waiting)
             self._waiting.sort(
@@ -111,7 +113,7 @@
         expired = [one for one in self._waiting if one.expires_at <= now]
         for waiting in expired:
             self._waiting.remove(waiting)
-            waiting.refuse(_build_refusal(self._estimate_wait_s()))
+            waiting.refuse(self._refuse(self._estimate_wait_s()))
         while self._waiting and not self._estimate_wait_s():
             self._admit(self._waiting.pop(0))
 
@@ -121,6 +123,16 @@
         left_s = max(waiting.expires_at - self._link.now(), 0)
         waiting.admit(request._replace(max_wait_ms=int(left_s * MS_PER_S)))
 
+    def _refuse(self, excess_s: float) -> Failure:
+        """Counts and returns a refusal; there is room after `excess_s`."""
+        self._metrics.incr('link.refused')
+        return Failure(
+            Verdict.NOT_RUN,
+            FailureCode.NO_FREE_SLOT,
+            'the link has no room for the response in time',
+            bound_retry_after_ms(excess_s),
+        )
+
     def _estimate_wait_s(self) -> float:
         """Returns how long a new call would wait for the link, in seconds."""
         rate = self._link.rate
@@ -139,12 +151,3 @@
     if request.priority is Priority.URGENT:
         return False
     return request.response_bytes > 0
-
-
-def _build_refusal(excess_s: float) -> Failure:
-    return Failure(
-        Verdict.NOT_RUN,
-        FailureCode.NO_FREE_SLOT,
-        'the link has no room for the response in time',
-        bound_retry_after_ms(excess_s),
-    )
--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -11,10 +11,17 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from bilberry_core.messages.call import ReplyChunk, ReplyStart
+from bilberry_core.messages.call import ReplyStart
 
 from bilberry_proxy.bulk_window import ArrivedSlice, BulkWindow
+from bilberry_proxy.http_headers import Headers
 from bilberry_proxy.link_flight import LinkFlight, SentSlice
+from bilberry_proxy.reply_drop import (
+    BegunReplies,
+    DropCause,
+    LeftBytes,
+    ReplyDropLog,
+)
 from bilberry_proxy.reply_schedule import PendingReply, ReplySchedule
 from bilberry_proxy.reply_slices import ReplyMessage, add_wait
 
@@ -41,9 +48,14 @@
 class ReplyQueues:
     """The queues of all streams, which share one link."""
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        drops: ReplyDropLog = ReplyDropLog(),
+    ) -> None:
         """`now` returns monotonic time, in seconds."""
         self.now = now
+        self.drops = drops
         self.window = BulkWindow()
         self.flight = LinkFlight()
         self.schedule = ReplySchedule()
@@ -97,6 +109,7 @@
         """Sends on `stream`; `queues` are those of all streams."""
         self._stream = stream
         self._queues = queues
+        self._begun = BegunReplies(queues.drops)
         self._replies: dict[int, PendingReply] = {}
         self._dues: dict[int, float] = {}
         self._flying: dict[int, deque[SentSlice]] = {}
@@ -107,6 +120,12 @@
         """Returns the number of responses with an unsent part."""
         return len(self._replies)
 
+    @property
+    def left(self) -> LeftBytes:
+        """The bytes of all responses that the other daemon has not got."""
+        unsent = sum(reply.unsent for reply in self._replies.values())
+        return LeftBytes(unsent, self._unacknowledged)
+
     @property
     def is_writable(self) -> bool:
         """Whether the stream accepts a slice."""
@@ -135,10 +154,16 @@
             self._queues.schedule.precede(reply, due)
         self._queues.flush()
 
-    def start(self, reply: ReplyStart) -> None:
-        """Sends a response that fits in a slice, and queues a longer one."""
-        if len(reply.body) > self._queues.window.slice_bytes:
-            self._add(reply)
+    def start(self, reply: ReplyStart, request: Headers = ()) -> None:
+        """Sends a response that fits in a slice, and queues a longer one.
+
+        `request` are the headers of the request.
+        """
+        is_short = len(reply.body) <= self._queues.window.slice_bytes
+        if not is_short or not reply.last:
+            self._begun.begin(reply.call, request, self._queues.now())
+        if not is_short:
+            self.add(reply)
             return
         self._send(reply)
         if reply.last:
@@ -146,9 +171,22 @@
         else:
             self._record(reply)
 
-    def add(self, chunk: ReplyChunk) -> None:
-        """Queues more of a response."""
-        self._add(chunk)
+    def add(self, message: ReplyMessage) -> None:
+        """Queues a response, or more of one."""
+        call = message.call
+        reply = self._replies.get(call)
+        if reply is None:
+            reply = PendingReply(
+                self,
+                call,
+                self._dues.get(call, _NEVER),
+                self._queues.now(),
+            )
+            self._replies[call] = reply
+            if self._stops_at is not None:
+                self._queues.schedule.precede(reply, self._stops_at)
+        reply.add(message)
+        self._queues.add(reply)
 
     def acknowledge(self, call: int) -> None:
         """Records that the other daemon has received a slice."""
@@ -159,6 +197,7 @@
         self._unacknowledged -= received.size
         if not flying:
             self._flying.pop(call)
+        self._begun.acknowledge(call, call in self._flying)
         queues = self._queues
         queues.flight.acknowledge(received)
         now = queues.now()
@@ -166,8 +205,13 @@
         queues.window.adapt(arrived, now)
         queues.flush()
 
-    def cancel(self, call: int) -> None:
+    def cancel(
+        self,
+        call: int,
+        cause: DropCause = DropCause.CANCELLED,
+    ) -> None:
         """Drops the unsent part of a response."""
+        self._drop(call, cause)
         self._dues.pop(call, None)
         reply = self._replies.pop(call, None)
         if reply is not None:
@@ -176,8 +220,14 @@
             self._unacknowledged -= sent.size
             self._queues.flight.remove(sent)
 
+    def report_drops(self, cause: DropCause) -> None:
+        """Tells of the responses that are not sent whole any more."""
+        for call in self._begun:
+            self._drop(call, cause)
+
     def close(self) -> None:
         """Drops everything, as the stream has ended."""
+        self.report_drops(DropCause.STREAM_ENDED)
         for call in (*self._replies, *self._flying):
             self.cancel(call)
         self._dues.clear()
@@ -197,22 +247,15 @@
             self._dues.pop(reply.call, None)
         self._record(message)
         self._send(message)
+        if message.last:
+            self._begun.end(reply.call)
 
-    def _add(self, message: ReplyMessage) -> None:
-        call = message.call
+    def _drop(self, call: int, cause: DropCause) -> None:
         reply = self._replies.get(call)
-        if reply is None:
-            reply = PendingReply(
-                self,
-                call,
-                self._dues.get(call, _NEVER),
-                self._queues.now(),
-            )
-            self._replies[call] = reply
-            if self._stops_at is not None:
-                self._queues.schedule.precede(reply, self._stops_at)
-        reply.add(message)
-        self._queues.add(reply)
+        unsent = 0 if reply is None else reply.unsent
+        on_way = sum(sent.size for sent in self._flying.get(call, ()))
+        left = LeftBytes(unsent, on_way)
+        self._begun.drop(call, cause, left, self._queues.now())
 
     def _record(self, message: ReplyMessage) -> None:
         queues = self._queues
