Let no responses of one stream take turns, nor accept what comes too late

The least left goes first there as well (test_responses_of_one_stream_take_turns failed before).

And two requests that were accepted 0.5 s after SIGTERM began to leave 0.5 s before the end of the stop: their places in queues knew nothing of the stop, and a slot that was offered to them was used however late. The stop limits the search for a slot now, and a call whose response can't be delivered within its deadline is refused, not run, also with an offered slot (test_call_is_accepted_whose_response_comes_after_its_deadline).

--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -101,6 +101,7 @@
 
     def start(self, plan: Plan, fingerprint: bytes) -> None:
         """Starts the first attempt, unless every endpoint would shed it."""
+        plan = limit_by_stop(plan, self._context.board)
         self._plan = plan
         self._fingerprint = fingerprint
         self._recorder = AttemptRecorder(self._context, plan, fingerprint)
--- a/packages/bilberry_proxy/bilberry_proxy/link_admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/link_admission.py
@@ -80,8 +80,10 @@
         if not is_limited(start):
             return None
         excess_s = self._estimate_wait_s() - start.max_wait_ms / MS_PER_S
-        if key not in self._promised and excess_s > 0:
-            return self._refuse(excess_s)
+        late_s = self._estimate_lateness_s(start)
+        if key not in self._promised and excess_s > 0 or late_s > 0:
+            self.release(key)
+            return self._refuse(max(excess_s, late_s))
         self._promised[key] = start.response_bytes
         return None
 
@@ -133,6 +135,17 @@
             bound_retry_after_ms(excess_s),
         )
 
+    def _estimate_lateness_s(self, start: CallStart) -> float:
+        """Returns by how much the response would miss the deadline.
+
+        In seconds; at most 0 if it can be delivered before.
+        """
+        rate = self._link.rate
+        if rate is None:
+            return 0
+        needed_s = (self._link.backlog + start.response_bytes) / rate
+        return needed_s - start.deadline_ms / MS_PER_S
+
     def _estimate_wait_s(self) -> float:
         """Returns how long a new call would wait for the link, in seconds."""
         rate = self._link.rate
--- a/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
@@ -83,8 +83,7 @@
 class _Turn(NamedTuple):
     """A place in the order; outdated if the response has a newer turn."""
 
-    is_following: bool
-    measure: float
+    rank: tuple[bool, float]
     number: int
     reply: PendingReply
 
@@ -113,11 +112,7 @@
         self._replies.setdefault(reply)
         self._blocked.pop(reply, None)
         reply.turn = next(self._numbers)
-        measure = reply.due if reply.is_preceding else reply.unsent
-        heappush(
-            self._turns,
-            _Turn(not reply.is_preceding, measure, reply.turn, reply),
-        )
+        heappush(self._turns, _Turn(_rank(reply), reply.turn, reply))
 
     def remove(self, reply: PendingReply) -> None:
         """Removes a response."""
@@ -150,11 +145,11 @@
                 self.add(reply)
 
     def _pop_blocked(self) -> PendingReply | None:
-        for reply in self._blocked:
-            if reply.owner.is_writable:
-                self.remove(reply)
-                return reply
-        return None
+        writable = (reply for reply in self._blocked if reply.owner.is_writable)
+        first = min(writable, key=_rank, default=None)
+        if first is not None:
+            self.remove(first)
+        return first
 
     def advance(self, now: float, rate: float | None) -> None:
         """Lets responses precede that are late otherwise.
@@ -171,3 +166,10 @@
         reply.due = min(reply.due, due)
         if reply in self._replies and reply not in self._blocked:
             self.add(reply)
+
+
+def _rank(reply: PendingReply) -> tuple[bool, float]:
+    """Returns what orders the responses: the least goes first."""
+    if reply.is_preceding:
+        return False, reply.due
+    return True, reply.unsent
--- a/tests/bilberry_proxy/test_link_admission.py
+++ b/tests/bilberry_proxy/test_link_admission.py
@@ -77,6 +77,16 @@
             (refusal.verdict, refusal.code, refusal.retry_after_ms),
         )
 
+    def test_call_is_accepted_whose_response_comes_after_its_deadline(self):
+        """Also in a slot that was offered for it."""
+        self.request(1, max_wait_ms=1000)
+        late = build_start(deadline_ms=int(LONG / RATE * 1000) - 1)
+        in_time = build_start(deadline_ms=int(LONG / RATE * 1000) + 1)
+        self.assertEqual([1], self.admitted)
+        self.assertIsNotNone(self.admission.admit(('stream', 1), late))
+        self.assertEqual(0, self.admission.promised)
+        self.assertIsNone(self.admission.admit(('stream', 1), in_time))
+
     def test_promised_responses_count(self):
         """Those that have not begun, until they begin or end."""
         admit = self.admission.admit
--- a/tests/bilberry_proxy/test_reply_schedule.py
+++ b/tests/bilberry_proxy/test_reply_schedule.py
@@ -69,6 +69,19 @@
         self.replies[1].owner.is_within_share = False
         self.assertEqual([2, 0, 1], self.pop_all())
 
+    def test_responses_of_one_stream_take_turns(self):
+        """It has used its share, and no other stream has any."""
+        for reply in self.replies:
+            reply.owner.is_within_share = False
+        sent = []
+        while len(self.schedule):
+            reply = self.schedule.pop()
+            sent.append(self.replies.index(reply))
+            reply.cut(100)
+            if reply.is_waiting:
+                self.schedule.add(reply)
+        self.assertEqual([1, 1, 1, 2, 2, 2, 2, 0, 0, 0, 0, 0], sent)
+
     def test_removed_response_gets_no_turn(self):
         """Also if it was passed over before."""
         self.schedule.remove(self.replies[1])
