Know the size of responses when they begin, and count what was promised

The size is that which the response names, bounded so that it fits into a message; promises to others count towards the deadline; and the deadline in a stop leaves 0.1 s for the delivery.

--- a/packages/bilberry_proxy/bilberry_proxy/attempt_recorder.py
+++ b/packages/bilberry_proxy/bilberry_proxy/attempt_recorder.py
@@ -7,6 +7,7 @@
 from bilberry_proxy.context import ProxyContext
 from bilberry_proxy.plan import Plan
 from bilberry_proxy.poison import SuspicionLevel
+from bilberry_proxy.response_size import parse_length
 
 _US_PER_S = 1_000_000
 
@@ -25,6 +26,7 @@
         self._plan = plan
         self._fingerprint = fingerprint
         self._received = 0
+        self._is_size_known = False
 
     def record_reply(self, attempt: Attempt, reply: ReplyStart) -> None:
         """Records the start of a response."""
@@ -44,11 +46,18 @@
             latency_s,
             reply.load.waited_us,
         )
+        length = parse_length(reply.headers)
+        self._is_size_known = length is not None
+        if length is not None:
+            router.response_sizes.update(plan.route_key, length)
 
     def record_body(self, body: bytes, last: bool) -> None:
-        """Records a part of the response body, and its size at the end."""
+        """Records a part of the response body, and its size at the end.
+
+        A size that the response names was recorded when it began.
+        """
         self._received += len(body)
-        if last:
+        if last and not self._is_size_known:
             sizes = self._context.router.response_sizes
             sizes.update(self._plan.route_key, self._received)
 
--- a/packages/bilberry_proxy/bilberry_proxy/call_streams.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_streams.py
@@ -64,7 +64,7 @@
         `left_s` is the time until then, in seconds.
         """
         for stream in self._streams.values():
-            stream.send(CallerStops(int(left_s * MS_PER_S)))
+            stream.send(CallerStops(max(int(left_s * MS_PER_S), 0)))
 
     def close_unused(self, snapshot: Snapshot) -> None:
         """Closes idle streams to daemons without endpoints in `snapshot`."""
--- a/packages/bilberry_proxy/bilberry_proxy/link_admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/link_admission.py
@@ -80,7 +80,7 @@
         if not is_limited(start):
             return None
         excess_s = self._estimate_wait_s() - start.max_wait_ms / MS_PER_S
-        late_s = self._estimate_lateness_s(start)
+        late_s = self._estimate_lateness_s(key, start)
         if key not in self._promised and excess_s > 0 or late_s > 0:
             self.release(key)
             return self._refuse(max(excess_s, late_s))
@@ -135,7 +135,7 @@
             bound_retry_after_ms(excess_s),
         )
 
-    def _estimate_lateness_s(self, start: CallStart) -> float:
+    def _estimate_lateness_s(self, key: CallKey, start: CallStart) -> float:
         """Returns by how much the response would miss the deadline.
 
         In seconds; at most 0 if it can be delivered before.
@@ -143,7 +143,9 @@
         rate = self._link.rate
         if rate is None:
             return 0
-        needed_s = (self._link.backlog + start.response_bytes) / rate
+        promised = self.promised - self._promised.get(key, 0)
+        ahead = self._link.backlog + promised
+        needed_s = (ahead + start.response_bytes) / rate
         return needed_s - start.deadline_ms / MS_PER_S
 
     def _estimate_wait_s(self) -> float:
--- a/packages/bilberry_proxy/bilberry_proxy/response_size.py
+++ b/packages/bilberry_proxy/bilberry_proxy/response_size.py
@@ -4,12 +4,26 @@
 links that they cross, which for small ones makes no difference.
 """
 
+from bilberry_proxy.http_headers import CONTENT_LENGTH, Headers, find_header
+
 #: Mean size of a response, in bytes, from which a route counts as long.
 LONG_BYTES = 32 << 10
+#: Largest size that counts, in bytes; a longer one is taken as this.
+MAX_BYTES = 1 << 30
+#: Digits of a length that may be a number of bytes.
+_MAX_DIGITS = 15
 #: Weight of the newest response in the exponential moving average.
 _WEIGHT = 0.1
 
 
+def parse_length(headers: Headers) -> int | None:
+    """Returns the length that a response names; None if it names none."""
+    length = find_header(headers, CONTENT_LENGTH)
+    if not length.isdigit() or len(length) > _MAX_DIGITS:
+        return None
+    return int(length)
+
+
 class ResponseSizes:
     """The average response size of each route, as one proxy observes it."""
 
@@ -18,7 +32,8 @@
         self._means: dict[tuple[str, str], float] = {}
 
     def update(self, route: tuple[str, str], size: int) -> None:
-        """Adds a complete response of `size` bytes to the average."""
+        """Adds a response of `size` bytes to the average."""
+        size = min(size, MAX_BYTES)
         mean = self._means.get(route, size)
         self._means[route] = mean + (size - mean) * _WEIGHT
 
--- a/packages/bilberry_proxy/bilberry_proxy/stop_limit.py
+++ b/packages/bilberry_proxy/bilberry_proxy/stop_limit.py
@@ -11,6 +11,8 @@
 
 #: Time after which a caller may retry when the proxy is draining.
 DRAINING_RETRY_AFTER_MS = 1000
+#: Time for a response from its arrival until its caller has it, in seconds.
+DELIVERY_S = 0.1
 DRAINING = Failure(
     Verdict.NOT_RUN,
     FailureCode.DRAINING,
@@ -22,9 +24,9 @@
 def limit_by_stop(plan: Plan, board: Board) -> Plan:
     """Returns the plan with a deadline within the stop, if there is one."""
     until = board.drains_until.value
-    if until is None or plan.deadline <= until:
+    if until is None or plan.deadline <= until - DELIVERY_S:
         return plan
-    return plan._replace(deadline=until)
+    return plan._replace(deadline=until - DELIVERY_S)
 
 
 def is_too_late(board: Board, service_s: float, now: float) -> bool:
