Send what a stopping daemon needs beyond its share, the least left first

Its stream had used its share of a window that had become small, its daemon acknowledged slowly, and so the responses of others went first; and both were due at the same time and took turns. A stream to a daemon that stops has no share to keep until then, and of responses that are due together the one with the least left goes first.

--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -135,9 +135,12 @@
     def is_within_share(self) -> bool:
         """Whether the stream uses less than its share of the window.
 
-        A receiver that is slow holds back the others by no more than that.
+        A receiver that is slow holds back the others by no more than that,
+        unless its daemon stops and has no other time.
         """
         window = self._queues.window
+        if self._stops_at is not None:
+            return self._queues.now() < self._stops_at
         return self._unacknowledged < window.size * STREAM_SHARE
 
     def expect(self, call: int, due: float) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
@@ -80,10 +80,13 @@
         return now + self.unsent / rate * SLACK_FACTOR > self.due
 
 
+_Rank = tuple[bool, float, int]
+
+
 class _Turn(NamedTuple):
     """A place in the order; outdated if the response has a newer turn."""
 
-    rank: tuple[bool, float]
+    rank: _Rank
     number: int
     reply: PendingReply
 
@@ -168,8 +171,7 @@
             self.add(reply)
 
 
-def _rank(reply: PendingReply) -> tuple[bool, float]:
+def _rank(reply: PendingReply) -> _Rank:
     """Returns what orders the responses: the least goes first."""
-    if reply.is_preceding:
-        return False, reply.due
-    return True, reply.unsent
+    due = reply.due if reply.is_preceding else 0
+    return not reply.is_preceding, due, reply.unsent
--- a/tests/bilberry_proxy/test_reply_queue.py
+++ b/tests/bilberry_proxy/test_reply_queue.py
@@ -201,6 +201,17 @@
             queues.flush()
         self.assertEqual([2], other.list_complete())
 
+    def test_daemon_that_stops_waits_for_the_share_of_its_stream(self):
+        """It acknowledges slowly, and others have much to send."""
+        queues = ReplyQueues(float)
+        stopping, going = FakeStream(1 << 30), FakeStream(1 << 30)
+        queue, other = queues.open(stopping), queues.open(going)
+        queue.start(build_reply(1, LARGE))
+        other.start(build_reply(2, LARGE))
+        queue.precede_others(1)
+        queue.acknowledge(1)
+        self.assertEqual([], going.sent)
+
     def test_cancelled_response_sends_nothing_more(self):
         """Its bytes would delay responses that are still wanted."""
         stream = FakeStream()
--- a/tests/bilberry_proxy/test_reply_schedule.py
+++ b/tests/bilberry_proxy/test_reply_schedule.py
@@ -56,6 +56,12 @@
         self.schedule.precede(self.replies[0], 2)
         self.assertEqual([0, 1, 2], self.pop_all())
 
+    def test_responses_that_are_due_together_take_turns(self):
+        """Those to one daemon that stops."""
+        for reply in self.replies:
+            self.schedule.precede(reply, 2)
+        self.assertEqual([1, 2, 0], self.pop_all())
+
     def test_blocked_stream_is_passed_over(self):
         """Until it accepts slices again."""
         self.replies[1].owner.is_writable = False
