Read no odd length of a response that is cut

One of over 4,300 digits, from another daemon, raised ValueError on the stream that brought it, which closes the stream for every other call. Longer lengths than 18 digits count as not known.

test_odd_length_raises_an_error_on_the_stream_that_brought_it failed before: ValueError: Exceeds the limit (4300 digits) for integer string conversion.

--- a/packages/bilberry_proxy/bilberry_proxy/response_track.py
+++ b/packages/bilberry_proxy/bilberry_proxy/response_track.py
@@ -19,6 +19,9 @@
 
 _log = getLogger(__name__)
 
+#: Digits of the longest length that is read.
+_MAX_DIGITS = 18
+
 
 class CutCause(StrEnum):
     """Why a caller does not get the whole of a response."""
@@ -143,7 +146,7 @@
         if self._is_whole:
             return 0
         length = find_header(self._headers, CONTENT_LENGTH)
-        if not length.isdigit():
+        if len(length) > _MAX_DIGITS or not length.isdigit():
             return None
         return max(int(length) - self._received, 0)
 
--- a/tests/bilberry_proxy/test_send_buffer.py
+++ b/tests/bilberry_proxy/test_send_buffer.py
@@ -211,6 +211,14 @@
         with self.assertNoLogs(MODULE):
             self.answers[0].fail(BROKEN)
 
+    def test_odd_length_raises_an_error_on_the_stream_that_brought_it(self):
+        """It is longer than any number that Python reads."""
+        odd = ((b'content-length', b'9' * 5000),)
+        lines = self.read_lines(
+            lambda: self.answers[0].start(200, odd, b'part', last=False)
+        )
+        self.assertEqual([('0', 'broken_off', None, 0, 0)], lines)
+
     def test_malformed_response_is_not_told(self):
         """More of it comes than its head says."""
         first = self.answers[0]
