Know the size of a response also for a proxy that has just started

The daemon beside the upstream knows the sizes that it has served, by host and first path segment, and takes them for calls that bring none (served_sizes.py). A slot that was offered to a call which the link refuses is given back at once.

--- a/packages/bilberry_proxy/bilberry_proxy/link_admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/link_admission.py
@@ -18,6 +18,7 @@
 
 from bilberry_proxy.admission import bound_retry_after_ms
 from bilberry_proxy.rank import BY_RANK, rank_request
+from bilberry_proxy.served_sizes import ServedSizes
 
 #: Time that the link needs for what is ahead of a call that does not wait, in
 #: seconds: the upstream responds within about that time.
@@ -63,6 +64,7 @@
         """Starts without calls."""
         self._link = link
         self._metrics = metrics
+        self.sizes = ServedSizes()
         self._promised: dict[CallKey, int] = {}
         self._waiting: list[WaitingRequest] = []
 
@@ -77,6 +79,7 @@
 
     def admit(self, key: CallKey, start: CallStart) -> Failure | None:
         """Promises the link to a call, or returns its refusal."""
+        start = start._replace(response_bytes=self.sizes.estimate(start))
         if not is_limited(start):
             return None
         excess_s = self._estimate_wait_s() - start.max_wait_ms / MS_PER_S
--- a/packages/bilberry_proxy/bilberry_proxy/response_size.py
+++ b/packages/bilberry_proxy/bilberry_proxy/response_size.py
@@ -27,15 +27,21 @@
 class ResponseSizes:
     """The average response size of each route, as one proxy observes it."""
 
-    def __init__(self) -> None:
-        """Starts without observations."""
+    def __init__(self, max_routes: int | None = None) -> None:
+        """Starts without observations.
+
+        Of more than `max_routes` the first one is forgotten, if that is set.
+        """
         self._means: dict[tuple[str, str], float] = {}
+        self._max_routes = max_routes
 
     def update(self, route: tuple[str, str], size: int) -> None:
         """Adds a response of `size` bytes to the average."""
         size = min(size, MAX_BYTES)
         mean = self._means.get(route, size)
         self._means[route] = mean + (size - mean) * _WEIGHT
+        if self._max_routes and len(self._means) > self._max_routes:
+            self._means.pop(next(iter(self._means)))
 
     def estimate(self, route: tuple[str, str]) -> int:
         """Returns the usual size of a long response, in bytes, else 0."""
--- a/packages/bilberry_proxy/bilberry_proxy/served_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/served_stream.py
@@ -34,6 +34,7 @@
 from bilberry_proxy.reply_drop import DropCause
 from bilberry_proxy.reply_queue import ReplyQueues
 from bilberry_proxy.reply_slices import MAX_SLICE_BYTES
+from bilberry_proxy.served_sizes import build_key
 
 
 class ServedStream:
@@ -138,6 +139,7 @@
         answers = _StreamAnswers(self, start)
         refusal = self.link.admit((self, start.call), start)
         if refusal is not None:
+            self._drop_reservation(start.call)
             answers.fail(CallFailed(start.call, refusal, NO_LOAD))
             return
         due = self._now() + start.deadline_ms / MS_PER_S
@@ -162,7 +164,10 @@
         call = self.calls.pop(cancel.call, None)
         if call is not None:
             call.cancel()
-        reservation = self.reservations.pop(cancel.call, None)
+        self._drop_reservation(cancel.call)
+
+    def _drop_reservation(self, number: int) -> None:
+        reservation = self.reservations.pop(number, None)
         if reservation is not None:
             reservation.cancel()
 
@@ -186,17 +191,20 @@
 class _StreamAnswers:
     """Sends the response to one call to the daemon that opened it."""
 
-    __slots__ = ('_call', '_request', '_served', 'ended')
+    __slots__ = ('_call', '_request', '_served', '_size_key', 'ended')
 
     def __init__(self, served: ServedStream, start: CallStart) -> None:
         self.ended = False
         self._served = served
         self._call = start.call
         self._request = start.headers
+        self._size_key = build_key(start)
 
     def start_reply(self, reply: ReplyStart) -> None:
         """Sends the start of the response."""
-        self._served.link.release((self._served, self._call))
+        link = self._served.link
+        link.release((self._served, self._call))
+        link.sizes.record(self._size_key, reply)
         self._served.replies.start(reply, self._request)
         self._end(reply.last)
 
