--- a/packages/bilberry_proxy/bilberry_proxy/link_admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/link_admission.py
@@ -79,15 +79,17 @@
 
     def admit(self, key: CallKey, start: CallStart) -> Failure | None:
         """Promises the link to a call, or returns its refusal."""
-        start = start._replace(response_bytes=self.sizes.estimate(start))
-        if not is_limited(start):
+        size = self.sizes.estimate(start)
+        if not is_limited(start.priority, size):
             return None
-        excess_s = self._estimate_wait_s() - start.max_wait_ms / MS_PER_S
-        late_s = self._estimate_lateness_s(key, start)
-        if key not in self._promised and excess_s > 0 or late_s > 0:
+        excess_s = self._estimate_lateness_s(key, size, start.deadline_ms)
+        if key not in self._promised:
+            wait_s = self._estimate_wait_s()
+            excess_s = max(excess_s, wait_s - start.max_wait_ms / MS_PER_S)
+        if excess_s > 0:
             self.release(key)
-            return self._refuse(max(excess_s, late_s))
-        self._promised[key] = start.response_bytes
+            return self._refuse(excess_s)
+        self._promised[key] = size
         return None
 
     def release(self, key: CallKey) -> None:
@@ -100,7 +102,7 @@
         request = waiting.request
         wait_s = self._estimate_wait_s()
         excess_s = wait_s - request.max_wait_ms / MS_PER_S
-        if not is_limited(request):
+        if not is_limited(request.priority, request.response_bytes):
             waiting.admit(request)
         elif excess_s > 0 or len(self._waiting) >= MAX_WAITING:
             waiting.refuse(self._refuse(max(excess_s, 0)))
@@ -138,18 +140,19 @@
             bound_retry_after_ms(excess_s),
         )
 
-    def _estimate_lateness_s(self, key: CallKey, start: CallStart) -> float:
-        """Returns by how much the response would miss the deadline.
+    def _estimate_lateness_s(
+        self, key: CallKey, size: int, deadline_ms: int
+    ) -> float:
+        """Returns by how much a response of `size` bytes would be late.
 
-        In seconds; at most 0 if it can be delivered before.
+        In seconds; at most 0 if it can be delivered within `deadline_ms`.
         """
         rate = self._link.rate
         if rate is None:
             return 0
         promised = self.promised - self._promised.get(key, 0)
         ahead = self._link.backlog + promised
-        needed_s = (ahead + start.response_bytes) / rate
-        return needed_s - start.deadline_ms / MS_PER_S
+        return (ahead + size) / rate - deadline_ms / MS_PER_S
 
     def _estimate_wait_s(self) -> float:
         """Returns how long a new call would wait for the link, in seconds."""
@@ -160,12 +163,10 @@
         return max(ahead_s - LEAD_S, 0)
 
 
-def is_limited(request: CallStart | SlotRequest) -> bool:
-    """Returns whether the link limits a call or a request for a slot.
+def is_limited(priority: Priority, response_bytes: int) -> bool:
+    """Returns whether the link limits a call with a response of this size.
 
     Urgent calls belong to requests under way, and what was done for them would
     be lost.
     """
-    if request.priority is Priority.URGENT:
-        return False
-    return request.response_bytes > 0
+    return priority is not Priority.URGENT and response_bytes > 0
