Let no response precede others because it is due

Cause: a response that would be late otherwise went before shorter ones, by due time. In a backlog each response comes to that point, so the order was that of due times, which docs/design/links.md had weighed and not chosen; and it never went back, also when the response was late already. test_link_goodput did not see it: played_link.py only flushed its queues, without due times, while a daemon advances them at each tick.

played_link.py advances now, and its responses are due when they are given up.

--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -85,8 +85,7 @@
         return not sent or sent + self.window.slice_bytes <= self.window.size
 
     def advance(self) -> None:
-        """Reorders the responses by the time, and sends what may be sent."""
-        self.schedule.advance(self.now(), self.rate)
+        """Sends what the time allows: slices that stand still count no more."""
         self.flush()
 
     def flush(self) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
@@ -1,9 +1,10 @@
 """Decides which long response gets the next turn on the link.
 
 Responses that take turns become late together when more of them are under way
-than the link carries in time. So the one with the least left goes first, which
-delivers most of them soonest. A response precedes these that would otherwise be
-late, or that goes to a daemon which is shutting down and can't take it later.
+than the link carries in time, and so do those that precede others because they
+are due. So the one with the least left goes first, which delivers most of them
+soonest. Only a response to a daemon which is shutting down precedes these, as
+it can't be taken later.
 """
 
 from collections import deque
@@ -13,10 +14,6 @@
 
 from bilberry_proxy.reply_slices import ReplyMessage, cut_slice
 
-#: Time that a response gets for its rest, as a multiple of what the link needs
-#: for that alone, before it precedes shorter ones.
-SLACK_FACTOR = 2.0
-
 
 class ReplyOwner(Protocol):
     """The queue of a stream."""
@@ -69,16 +66,6 @@
         self._messages.clear()
         self.unsent = 0
 
-    def is_pressing(self, now: float, rate: float | None) -> bool:
-        """Returns whether the response is late unless it goes first.
-
-        `now` is monotonic time in seconds, `rate` that of the link in bytes a
-        second, None if it is not known.
-        """
-        if rate is None:
-            return False
-        return now + self.unsent / rate * SLACK_FACTOR > self.due
-
 
 class _Turn(NamedTuple):
     """A place in the order; outdated if the response has a newer turn."""
@@ -156,15 +143,6 @@
                 return reply
         return None
 
-    def advance(self, now: float, rate: float | None) -> None:
-        """Lets responses precede that are late otherwise.
-
-        `now` and `rate` are described at `PendingReply.is_pressing`.
-        """
-        for reply in tuple(self._replies):
-            if not reply.is_preceding and reply.is_pressing(now, rate):
-                self.precede(reply, reply.due)
-
     def precede(self, reply: PendingReply, due: float) -> None:
         """Lets a response precede others; it is `due` then, in seconds."""
         reply.is_preceding = True
--- a/tests/bilberry_proxy/played_link.py
+++ b/tests/bilberry_proxy/played_link.py
@@ -17,7 +17,7 @@
 HEAD_BYTES = 50
 #: Time that a byte needs on the way, in seconds.
 WAY_S = 0.0005
-#: Interval at which a daemon flushes its queues, in seconds.
+#: Interval at which a daemon advances its queues, in seconds.
 TICK_S = 0.01
 
 
@@ -26,7 +26,7 @@
 
     `load` is that of the link, 1 if its bytes are just as many as it carries.
     `lag_s` is the mean time, in seconds, until a busy daemon handles what it
-    received. Each response is given up `patience_s` after it was ready.
+    received. Each response is due and given up `patience_s` after it was ready.
     """
 
     bytes_per_s: float = 500_000
@@ -99,8 +99,8 @@
         self.schedule(arrives_s + self._draw_lag(), receive)
 
     def tick(self) -> None:
-        """Flushes the queues, again and again."""
-        self.queues.flush()
+        """Advances the queues, again and again."""
+        self.queues.advance()
         self.schedule(TICK_S, self.tick)
 
     def _draw_lag(self) -> float:
@@ -146,6 +146,7 @@
     mu = log(MEAN_BYTES) - SIZE_SPREAD**2 / 2
     body = bytes(int(link.random.lognormvariate(mu, SIZE_SPREAD)))
     queue = link.random.choice(link.streams).queue
+    queue.expect(call, link.now + link.plan.patience_s)
     queue.start(ReplyStart(call, 200, (), body, True, Load(0, 0, 0, 0)))
     link.schedule(
         link.plan.patience_s,
--- a/tests/bilberry_proxy/test_link_goodput.py
+++ b/tests/bilberry_proxy/test_link_goodput.py
@@ -9,6 +9,8 @@
 GOODPUT = 0.9
 #: Mean time until a busy daemon handles what it received, in seconds.
 BUSY_S = 0.02
+#: Time in which a backlog shows what it does, in seconds.
+LONG_S = 60
 
 
 class LinkGoodputTest(TestCase):
@@ -17,7 +19,7 @@
     def test_long_responses_become_late_together(self):
         """Also with more of them than the link carries."""
         for load in (1, 1.5, 2, 3):
-            played = play(LinkPlan(load=load))
+            played = play(LinkPlan(load=load, seconds=LONG_S))
             self.assertGreater(
                 played.delivered, GOODPUT * played.fitting, f'load {load}'
             )
--- a/tests/bilberry_proxy/test_reply_schedule.py
+++ b/tests/bilberry_proxy/test_reply_schedule.py
@@ -4,8 +4,6 @@
 from bilberry_proxy.reply_schedule import PendingReply, ReplySchedule
 from testtools import TestCase
 
-RATE = 1000
-
 
 class FakeOwner:
     """A stream that accepts slices or doesn't."""
@@ -41,15 +39,11 @@
         """By what is left of it when its turn comes."""
         self.assertEqual([1, 2, 0], self.pop_all())
 
-    def test_response_that_is_late_otherwise_precedes(self):
-        """The earliest due comes first of these."""
-        self.schedule.advance(6.5, RATE)
-        self.assertEqual([2, 1, 0], self.pop_all())
-
-    def test_nothing_precedes_while_the_rate_is_not_known(self):
-        """It can't be told whether it is late."""
-        self.schedule.advance(6.5, None)
-        self.assertEqual([1, 2, 0], self.pop_all())
+    def test_response_that_is_due_first_waits_for_shorter_ones(self):
+        """Else all of them become late with more than the link carries."""
+        self.replies.append(self.add(450, 0))
+        self.replies.append(self.add(350, 9))
+        self.assertEqual([1, 4, 2, 3, 0], self.pop_all())
 
     def test_response_to_a_daemon_that_stops_precedes(self):
         """It can't be delivered later."""
