Await no receipt of a response that is sent whole

Cause: a response that is longer than a slice when it begins waits, and may fit in one when its turn comes, as slices grow with the window. It is sent as a ReplyStart that is also the last message, which the other daemon does not acknowledge. The queue counted its bytes as on their way until the stream ended. Since they take from the stream's share of the window, so after some of them the stream gets turns only when no other wants one; and reply_dropped tells of them when the stream ends, though they arrived.

--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -242,12 +242,16 @@
         message = add_wait(reply.cut(size), waited_s)
         if not reply.is_waiting:
             self._replies.pop(reply.call)
-        if message.last:
-            self._dues.pop(reply.call, None)
-        self._record(message)
+        is_whole = isinstance(message, ReplyStart) and message.last
+        if not is_whole:
+            self._record(message)
         self._send(message)
         if message.last:
+            self._dues.pop(reply.call, None)
             self._begun.end(reply.call)
+        if is_whole:
+            # Its receiver acknowledges only parts of a response.
+            self._begun.acknowledge(reply.call, is_on_way=False)
 
     def _drop(self, call: int, cause: DropCause) -> None:
         reply = self._replies.get(call)
--- a/tests/bilberry_proxy/test_reply_queue.py
+++ b/tests/bilberry_proxy/test_reply_queue.py
@@ -13,7 +13,7 @@
     SlotRequest,
 )
 from bilberry_core.policy import Priority
-from bilberry_proxy.bulk_window import MAX_QUEUE_DELAY_S
+from bilberry_proxy.bulk_window import MAX_QUEUE_DELAY_S, MAX_WINDOW_BYTES
 from bilberry_proxy.call_server import CallServer
 from bilberry_proxy.link_flight import STALLED_S
 from bilberry_proxy.reply_queue import ReplyQueue, ReplyQueues
@@ -201,6 +201,22 @@
             queues.flush()
         self.assertEqual([2], other.list_complete())
 
+    def test_response_that_fits_in_a_grown_slice_awaits_no_receipt(self):
+        """Its receiver acknowledges only parts of a response."""
+        stream = FakeStream(1 << 30)
+        queues = ReplyQueues(int)
+        queue = queues.open(stream)
+        queue.start(build_reply(1, LARGE))
+        queue.start(build_reply(2, LARGE[: MIN_SLICE_BYTES + 1]))
+        queues.window.size = MAX_WINDOW_BYTES
+        queues.flush()
+        whole = [sent for sent in stream.sent if sent.call == 2]
+        self.assertEqual([LARGE[: MIN_SLICE_BYTES + 1]], [whole[0].body])
+        for sent in stream.sent:
+            if sent not in whole:
+                queue.acknowledge(sent.call)
+        self.assertEqual(0, queue.left.on_way)
+
     def test_cancelled_response_sends_nothing_more(self):
         """Its bytes would delay responses that are still wanted."""
         stream = FakeStream()
