--- a/packages/bilberry_proxy/bilberry_proxy/call_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_stream.py
@@ -60,6 +60,8 @@
 
         `on_allowance` is called with what the daemon says of quotas.
         """
+        #: Called when a stream has opened, before a call is written to it.
+        self.on_open: Callable[[], None] = _do_nothing
         self._address = address
         self._stream: Stream | None = None
         self._calls: dict[int, RemoteCall] = {}
@@ -172,6 +174,7 @@
         if not stream.is_open:
             self.stream_lost('the stream was lost')
             return
+        self.on_open()
         for call in tuple(self._calls.values()):
             call.write()
 
@@ -235,6 +238,10 @@
             self._stream.close()
 
 
+def _do_nothing() -> None:
+    """Default callback."""
+
+
 def _pass_on(calls: dict[int, RemoteCall], message: CallAlive | Credit) -> None:
     call = calls.get(message.call)
     if call is None:
--- a/packages/bilberry_proxy/bilberry_proxy/call_streams.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_streams.py
@@ -1,6 +1,8 @@
 """The streams for calls to other daemons, one per daemon."""
 
+from asyncio import get_running_loop
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import Any, Self
 
 from bilberry_core.clock import MS_PER_S
@@ -31,6 +33,7 @@
         self._own_target = own_target
         self._dialer = dialer
         self._streams: dict[Address, CallStream] = {}
+        self._stops_at: float | None = None
         self.on_allowance: Callable[[Any], None] = _ignore
 
     @classmethod
@@ -51,6 +54,7 @@
             stream = CallStream(
                 endpoint.address, self._dialer, self._receive_allowance
             )
+            stream.on_open = partial(self._tell_stop, stream)
             self._streams[endpoint.address] = stream
         return stream
 
@@ -61,10 +65,12 @@
     def announce_stop(self, left_s: float) -> None:
         """Tells every daemon when the stop of this one ends.
 
-        `left_s` is the time until then, in seconds.
+        `left_s` is the time until then, in seconds. Streams that open later
+        begin with it.
         """
+        self._stops_at = get_running_loop().time() + left_s
         for stream in self._streams.values():
-            stream.send(CallerStops(int(left_s * MS_PER_S)))
+            self._tell_stop(stream)
 
     def close_unused(self, snapshot: Snapshot) -> None:
         """Closes idle streams to daemons without endpoints in `snapshot`."""
@@ -83,6 +89,11 @@
         for stream in self._streams.values():
             stream.close()
 
+    def _tell_stop(self, stream: CallStream) -> None:
+        if self._stops_at is not None:
+            left_s = max(self._stops_at - get_running_loop().time(), 0)
+            stream.send(CallerStops(int(left_s * MS_PER_S)))
+
     def _receive_allowance(self, message: Any) -> None:
         self.on_allowance(message)
 
--- a/tests/bilberry_proxy/test_call_stream.py
+++ b/tests/bilberry_proxy/test_call_stream.py
@@ -3,9 +3,10 @@
 from asyncio import Event, run, sleep
 from unittest.mock import patch
 
-from bilberry_core.endpoint import Address
+from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.messages.call import (
     CallCancel,
+    CallerStops,
     CallFailed,
     CallStart,
     GoAway,
@@ -20,6 +21,7 @@
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 from bilberry_proxy import stream_opener
 from bilberry_proxy.call_stream import CallStream
+from bilberry_proxy.call_streams import CallStreams
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -31,6 +33,9 @@
 )
 
 NO_SLOT = Failure(Verdict.NOT_RUN, FailureCode.NO_FREE_SLOT, '')
+ENDPOINT = Endpoint(
+    'node', 1, 1, 'callouts', NOWHERE, 'one', EndpointState.READY, 1, 1
+)
 REQUEST = SlotRequest(0, 'callouts', Priority.NORMAL, 100)
 
 
@@ -506,3 +511,33 @@
         waiting, refused = ends[:dials], ends[dials:]
         self.assertEqual([[] for _ in waiting], waiting)
         self.assertEqual([[Verdict.NOT_RUN] for _ in refused], refused)
+
+
+class StopTest(TestCase):
+    """The stop of the daemon that opens the calls."""
+
+    def test_stream_that_opens_in_a_stop_does_not_tell_of_it(self):
+        """Nor one that is lost in it and opens again."""
+
+        async def scenario():
+            opened: list[FakeStream] = []
+
+            async def dial(_address, _receiver):
+                await sleep(0)
+                opened.append(FakeStream())
+                return opened[-1]
+
+            streams = CallStreams('own', None, dial)
+            streams.announce_stop(5)
+            streams.find_target(ENDPOINT).open(START, Answers())
+            await settle()
+            opened[0].on_close()
+            with patch.object(stream_opener, 'OPEN_WAIT_S', 0):
+                streams.find_target(ENDPOINT).open(START, Answers())
+            await settle()
+            return [stream.sent[0] for stream in opened]
+
+        first, again = run(scenario())
+        for told in (first, again):
+            self.assertIsInstance(told, CallerStops)
+            self.assertLessEqual(told.left_ms, 5000)
