Admit what waits for the link before what comes later

Cause: a request for a slot that came when the link had room again was admitted at once, ahead of those that waited for it, also if it ranks below them: these are looked at only at the next tick. Its promise then filled the link, and they waited on until they were refused.

A request joins those that wait, and the first by rank is admitted. Room is given before expired requests are refused, so that one that can't wait gets an idle link as before (test_request_that_can_not_wait_gets_a_link_with_room). test_waiting_request_is_overtaken_by_a_later_one fails on: 2 is admitted instead of 1. test_link_admission and test_reply_queue pass.

--- a/packages/bilberry_proxy/bilberry_proxy/link_admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/link_admission.py
@@ -93,29 +93,27 @@
     def request(self, waiting: WaitingRequest) -> None:
         """Admits a request for a slot, lets it wait, or refuses it."""
         request = waiting.request
-        wait_s = self._estimate_wait_s()
-        excess_s = wait_s - request.max_wait_ms / MS_PER_S
+        excess_s = self._estimate_wait_s() - request.max_wait_ms / MS_PER_S
         if not is_limited(request):
             waiting.admit(request)
         elif excess_s > 0 or len(self._waiting) >= MAX_WAITING:
             waiting.refuse(self._refuse(max(excess_s, 0)))
-        elif wait_s > 0:
+        else:
             self._waiting.append(waiting)
             self._waiting.sort(
                 key=lambda one: BY_RANK.index(rank_request(one.request))
             )
-        else:
-            self._admit(waiting)
+            self.advance()
 
     def advance(self) -> None:
         """Admits what the link has room for, and refuses what has expired."""
+        while self._waiting and not self._estimate_wait_s():
+            self._admit(self._waiting.pop(0))
         now = self._link.now()
         expired = [one for one in self._waiting if one.expires_at <= now]
         for waiting in expired:
             self._waiting.remove(waiting)
             waiting.refuse(self._refuse(self._estimate_wait_s()))
-        while self._waiting and not self._estimate_wait_s():
-            self._admit(self._waiting.pop(0))
 
     def _admit(self, waiting: WaitingRequest) -> None:
         request = waiting.request
--- a/tests/bilberry_proxy/test_link_admission.py
+++ b/tests/bilberry_proxy/test_link_admission.py
@@ -113,6 +113,19 @@
         self.admission.advance()
         self.assertEqual([2, 1], self.admitted)
 
+    def test_waiting_request_is_overtaken_by_a_later_one(self):
+        """It comes when the link has room again, before the next tick."""
+        self.link.backlog = RATE
+        self.request(1, max_wait_ms=2000)
+        self.link.backlog = 0
+        self.request(2, max_wait_ms=2000)
+        self.assertEqual([1], self.admitted)
+
+    def test_request_that_can_not_wait_gets_a_link_with_room(self):
+        """Its time is over as soon as it comes."""
+        self.request(1, max_wait_ms=0)
+        self.assertEqual([1], self.admitted)
+
     def test_request_that_waits_in_vain_is_refused_at_once(self):
         """Or when its time is over, if the link is slower than it seemed."""
         self.link.backlog = RATE
