Free the bytes of a response that is given up while others wait

Cause: a response that is cancelled leaves its turn in the heap of the schedule, with its unsent bytes, until all shorter ones are sent. In a lasting backlog that doesn't come.

--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -215,6 +215,8 @@
         reply = self._replies.pop(call, None)
         if reply is not None:
             self._queues.schedule.remove(reply)
+            # An outdated turn may refer to it for long.
+            reply.clear()
         for sent in self._flying.pop(call, ()):
             self._unacknowledged -= sent.size
             self._queues.flight.remove(sent)
--- a/tests/bilberry_proxy/test_reply_queue.py
+++ b/tests/bilberry_proxy/test_reply_queue.py
@@ -201,6 +201,18 @@
             queues.flush()
         self.assertEqual([2], other.list_complete())
 
+    def test_cancelled_response_is_kept_while_others_wait(self):
+        """Its turn comes only when all shorter ones are sent."""
+        queues = ReplyQueues(int)
+        queue = queues.open(FakeStream())
+        queue.start(build_reply(1, LARGE))
+        queue.start(build_reply(2, LARGE))
+        kept = [turn.reply for turn in queues.schedule._turns]
+        queue.cancel(1)
+        queue.cancel(2)
+        self.assertNotEqual([], kept)
+        self.assertEqual(0, sum(reply.unsent for reply in kept))
+
     def test_response_that_fits_in_a_grown_slice_awaits_no_receipt(self):
         """Its receiver acknowledges only parts of a response."""
         stream = FakeStream(1 << 30)
