--- a/tests/bilberry_proxy/played_link.py
+++ b/tests/bilberry_proxy/played_link.py
@@ -15,8 +15,6 @@
 SIZE_SPREAD = 0.6
 #: Bytes that a message takes beside its body.
 HEAD_BYTES = 50
-#: Time that a byte needs on the way, in seconds.
-WAY_S = 0.0005
 #: Interval at which a daemon advances its queues, in seconds.
 TICK_S = 0.01
 
@@ -26,12 +24,14 @@
 
     `load` is that of the link, 1 if its bytes are just as many as it carries.
     `lag_s` is the mean time, in seconds, until a busy daemon handles what it
-    received. Each response is due and given up `patience_s` after it was ready.
+    received, and `way_s` the time that a byte needs on the way. Each response
+    is due and given up `patience_s` after it was ready.
     """
 
     bytes_per_s: float = 500_000
     load: float = 1
     lag_s: float = 0
+    way_s: float = 0.0005
     seconds: float = 20
     patience_s: float = 6
     streams: int = 40
@@ -39,12 +39,16 @@
 
 
 class LinkResult(NamedTuple):
-    """Numbers of responses, and the waits of small messages, in seconds."""
+    """Numbers of responses, and the waits of small messages, in seconds.
+
+    `rates` are those by which calls are admitted, where they are known.
+    """
 
     ready: int
     delivered: int
     fitting: float
     waits: list[float]
+    rates: list[float]
 
 
 class PlayedLink:
@@ -86,13 +90,13 @@
         size = len(message.body) + HEAD_BYTES
         sent_s = size / self.plan.bytes_per_s
         self._free_at = max(self._free_at, self.now) + sent_s
-        arrives_s = self._free_at - self.now + WAY_S
+        arrives_s = self._free_at - self.now + self.plan.way_s
 
         def receive() -> None:
             if message.last:
                 self.delivered[message.call] = self.now
             self.schedule(
-                WAY_S + self._draw_lag(),
+                self.plan.way_s + self._draw_lag(),
                 lambda: stream.queue.acknowledge(message.call),
             )
 
@@ -129,16 +133,19 @@
     link = PlayedLink(plan)
     link.tick()
     waits: list[float] = []
+    rates: list[float | None] = []
     mean_gap_s = MEAN_BYTES / plan.bytes_per_s / plan.load
     ready = 0
     while link.now < plan.seconds:
         link.advance(link.random.expovariate(1 / mean_gap_s))
         waits.append(link.backlog_s)
+        rates.append(link.queues.rate)
         ready += 1
         _start(link, ready)
     link.advance(plan.patience_s)
     fitting = min(ready, plan.seconds * plan.bytes_per_s / MEAN_BYTES)
-    return LinkResult(ready, len(link.delivered), fitting, waits)
+    known = [rate for rate in rates if rate is not None]
+    return LinkResult(ready, len(link.delivered), fitting, waits, known)
 
 
 def _start(link: PlayedLink, call: int) -> None:
--- a/tests/bilberry_proxy/test_link_goodput.py
+++ b/tests/bilberry_proxy/test_link_goodput.py
@@ -11,6 +11,8 @@
 BUSY_S = 0.02
 #: Time in which a backlog shows what it does, in seconds.
 LONG_S = 60
+#: A fast link to a far region that is nearly idle.
+FAR = LinkPlan(bytes_per_s=12_500_000, load=0.1, way_s=0.03)
 
 
 class LinkGoodputTest(TestCase):
@@ -42,3 +44,10 @@
                 2 * max(MAX_QUEUE_DELAY_S, lag_s),
                 f'lag {lag_s}',
             )
+
+    def test_far_link_that_is_nearly_idle_seems_slow(self):
+        """Calls would be refused whose responses it carries."""
+        played = play(FAR)
+        slow = [rate for rate in played.rates if rate < FAR.bytes_per_s / 2]
+        self.assertEqual([], slow)
+        self.assertGreater(played.delivered, GOODPUT * played.ready)
