--- a/tests/bilberry_proxy/test_link_goodput.py
+++ b/tests/bilberry_proxy/test_link_goodput.py
@@ -51,3 +51,8 @@
         slow = [rate for rate in played.rates if rate < FAR.bytes_per_s / 2]
         self.assertEqual([], slow)
         self.assertGreater(played.delivered, GOODPUT * played.ready)
+
+    def test_busy_receivers_far_away_keep_the_window_small(self):
+        """The first that is busy ends its doubling after a start."""
+        played = play(FAR._replace(lag_s=0.05, seconds=8))
+        self.assertGreater(played.delivered, GOODPUT * played.ready)
