Drop the outdated turns of long responses

Cause: a response that is given up or gets a newer turn leaves the old one in the heap until all shorter ones are sent. docs/design/links.md says that what a daemon keeps is bounded; in a lasting backlog the heap grew: played at twice what the link carries, 84 turns after 20 s and 285 after 120 s, for 19 to 33 responses.

test_turns_of_removed_responses_are_kept fails without the change (131 turns). test_reply_schedule, test_reply_queue and test_link_goodput pass but for the known failure.

--- a/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
@@ -8,12 +8,16 @@
 """
 
 from collections import deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 from typing import NamedTuple, Protocol
 
 from bilberry_proxy.reply_slices import ReplyMessage, cut_slice
 
+#: Turns that are kept for each response that waits, at most, and beside these.
+MAX_TURNS = 2
+SPARE_TURNS = 64
+
 
 class ReplyOwner(Protocol):
     """The queue of a stream."""
@@ -105,6 +109,8 @@
             self._turns,
             _Turn(not reply.is_preceding, measure, reply.turn, reply),
         )
+        if len(self._turns) > MAX_TURNS * len(self) + SPARE_TURNS:
+            self._drop_outdated()
 
     def remove(self, reply: PendingReply) -> None:
         """Removes a response."""
@@ -136,6 +142,12 @@
             if reply.owner.is_writable and reply.owner.is_within_share:
                 self.add(reply)
 
+    def _drop_outdated(self) -> None:
+        self._turns = [
+            turn for turn in self._turns if turn.number == turn.reply.turn
+        ]
+        heapify(self._turns)
+
     def _pop_blocked(self) -> PendingReply | None:
         for reply in self._blocked:
             if reply.owner.is_writable:
--- a/tests/bilberry_proxy/test_reply_schedule.py
+++ b/tests/bilberry_proxy/test_reply_schedule.py
@@ -1,7 +1,11 @@
 """Tests which long response goes first."""
 
 from bilberry_core.messages.call import ReplyChunk
-from bilberry_proxy.reply_schedule import PendingReply, ReplySchedule
+from bilberry_proxy.reply_schedule import (
+    SPARE_TURNS,
+    PendingReply,
+    ReplySchedule,
+)
 from testtools import TestCase
 
 
@@ -63,6 +67,13 @@
         self.replies[1].owner.is_within_share = False
         self.assertEqual([2, 0, 1], self.pop_all())
 
+    def test_turns_of_removed_responses_are_kept(self):
+        """They come after all shorter ones, of which there are always some."""
+        for _ in range(2 * SPARE_TURNS):
+            self.schedule.remove(self.add(600, 9))
+        self.assertLess(len(self.schedule._turns), 1.5 * SPARE_TURNS)
+        self.assertEqual([1, 2, 0], self.pop_all())
+
     def test_removed_response_gets_no_turn(self):
         """Also if it was passed over before."""
         self.schedule.remove(self.replies[1])
