--- a/packages/bilberry_proxy/bilberry_proxy/link_admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/link_admission.py
@@ -18,6 +18,7 @@
 
 from bilberry_proxy.admission import bound_retry_after_ms
 from bilberry_proxy.rank import BY_RANK, rank_request
+from bilberry_proxy.served_sizes import ServedSizes
 
 #: Time that the link needs for what is ahead of a call that does not wait, in
 #: seconds: the upstream responds within about that time.
@@ -63,6 +64,7 @@
         """Starts without calls."""
         self._link = link
         self._metrics = metrics
+        self.sizes = ServedSizes()
         self._promised: dict[CallKey, int] = {}
         self._waiting: list[WaitingRequest] = []
 
@@ -77,11 +79,14 @@
 
     def admit(self, key: CallKey, start: CallStart) -> Failure | None:
         """Promises the link to a call, or returns its refusal."""
+        start = start._replace(response_bytes=self.sizes.estimate(start))
         if not is_limited(start):
             return None
         excess_s = self._estimate_wait_s() - start.max_wait_ms / MS_PER_S
-        if key not in self._promised and excess_s > 0:
-            return self._refuse(excess_s)
+        late_s = self._estimate_lateness_s(key, start)
+        if key not in self._promised and excess_s > 0 or late_s > 0:
+            self.release(key)
+            return self._refuse(max(excess_s, late_s))
         self._promised[key] = start.response_bytes
         return None
 
@@ -131,6 +136,19 @@
             bound_retry_after_ms(excess_s),
         )
 
+    def _estimate_lateness_s(self, key: CallKey, start: CallStart) -> float:
+        """Returns by how much the response would miss the deadline.
+
+        In seconds; at most 0 if it can be delivered before.
+        """
+        rate = self._link.rate
+        if rate is None:
+            return 0
+        promised = self.promised - self._promised.get(key, 0)
+        ahead = self._link.backlog + promised
+        needed_s = (ahead + start.response_bytes) / rate
+        return needed_s - start.deadline_ms / MS_PER_S
+
     def _estimate_wait_s(self) -> float:
         """Returns how long a new call would wait for the link, in seconds."""
         rate = self._link.rate
--- a/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
@@ -71,11 +71,13 @@
         self.unsent = 0
 
 
+_Rank = tuple[bool, float, int]
+
+
 class _Turn(NamedTuple):
     """A place in the order; outdated if the response has a newer turn."""
 
-    is_following: bool
-    measure: float
+    rank: _Rank
     number: int
     reply: PendingReply
 
@@ -104,11 +106,7 @@
         self._replies.setdefault(reply)
         self._blocked.pop(reply, None)
         reply.turn = next(self._numbers)
-        measure = reply.due if reply.is_preceding else reply.unsent
-        heappush(
-            self._turns,
-            _Turn(not reply.is_preceding, measure, reply.turn, reply),
-        )
+        heappush(self._turns, _Turn(_rank(reply), reply.turn, reply))
         if len(self._turns) > MAX_TURNS * len(self) + SPARE_TURNS:
             self._drop_outdated()
 
@@ -149,11 +147,11 @@
         heapify(self._turns)
 
     def _pop_blocked(self) -> PendingReply | None:
-        for reply in self._blocked:
-            if reply.owner.is_writable:
-                self.remove(reply)
-                return reply
-        return None
+        writable = (reply for reply in self._blocked if reply.owner.is_writable)
+        first = min(writable, key=_rank, default=None)
+        if first is not None:
+            self.remove(first)
+        return first
 
     def precede(self, reply: PendingReply, due: float) -> None:
         """Lets a response precede others; it is `due` then, in seconds."""
@@ -161,3 +159,9 @@
         reply.due = min(reply.due, due)
         if reply in self._replies and reply not in self._blocked:
             self.add(reply)
+
+
+def _rank(reply: PendingReply) -> _Rank:
+    """Returns what orders the responses: the least goes first."""
+    due = reply.due if reply.is_preceding else 0
+    return not reply.is_preceding, due, reply.unsent
--- a/tests/bilberry_proxy/test_reply_schedule.py
+++ b/tests/bilberry_proxy/test_reply_schedule.py
@@ -54,6 +54,12 @@
         self.schedule.precede(self.replies[0], 2)
         self.assertEqual([0, 1, 2], self.pop_all())
 
+    def test_responses_that_are_due_together_take_turns(self):
+        """Those to one daemon that stops."""
+        for reply in self.replies:
+            self.schedule.precede(reply, 2)
+        self.assertEqual([1, 2, 0], self.pop_all())
+
     def test_blocked_stream_is_passed_over(self):
         """Until it accepts slices again."""
         self.replies[1].owner.is_writable = False
@@ -74,6 +80,19 @@
         self.assertLess(len(self.schedule._turns), 1.5 * SPARE_TURNS)
         self.assertEqual([1, 2, 0], self.pop_all())
 
+    def test_responses_of_one_stream_take_turns(self):
+        """It has used its share, and no other stream has any."""
+        for reply in self.replies:
+            reply.owner.is_within_share = False
+        sent = []
+        while len(self.schedule):
+            reply = self.schedule.pop()
+            sent.append(self.replies.index(reply))
+            reply.cut(100)
+            if reply.is_waiting:
+                self.schedule.add(reply)
+        self.assertEqual([1, 1, 1, 2, 2, 2, 2, 0, 0, 0, 0, 0], sent)
+
     def test_removed_response_gets_no_turn(self):
         """Also if it was passed over before."""
         self.schedule.remove(self.replies[1])
