--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -85,8 +85,7 @@
         return not sent or sent + self.window.slice_bytes <= self.window.size
 
     def advance(self) -> None:
-        """Reorders the responses by the time, and sends what may be sent."""
-        self.schedule.advance(self.now(), self.rate)
+        """Sends what the time allows: slices that stand still count no more."""
         self.flush()
 
     def flush(self) -> None:
@@ -219,6 +218,8 @@
         reply = self._replies.pop(call, None)
         if reply is not None:
             self._queues.schedule.remove(reply)
+            # An outdated turn may refer to it for long.
+            reply.clear()
         for sent in self._flying.pop(call, ()):
             self._unacknowledged -= sent.size
             self._queues.flight.remove(sent)
@@ -246,12 +247,16 @@
         message = add_wait(reply.cut(size), waited_s)
         if not reply.is_waiting:
             self._replies.pop(reply.call)
-        if message.last:
-            self._dues.pop(reply.call, None)
-        self._record(message)
+        is_whole = isinstance(message, ReplyStart) and message.last
+        if not is_whole:
+            self._record(message)
         self._send(message)
         if message.last:
+            self._dues.pop(reply.call, None)
             self._begun.end(reply.call)
+        if is_whole:
+            # Its receiver acknowledges only parts of a response.
+            self._begun.acknowledge(reply.call, is_on_way=False)
 
     def _drop(self, call: int, cause: DropCause) -> None:
         reply = self._replies.get(call)
--- a/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
@@ -1,21 +1,22 @@
 """Decides which long response gets the next turn on the link.
 
 Responses that take turns become late together when more of them are under way
-than the link carries in time. So the one with the least left goes first, which
-delivers most of them soonest. A response precedes these that would otherwise be
-late, or that goes to a daemon which is shutting down and can't take it later.
+than the link carries in time, and so do those that precede others because they
+are due. So the one with the least left goes first, which delivers most of them
+soonest. Only a response to a daemon which is shutting down precedes these, as
+it can't be taken later.
 """
 
 from collections import deque
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 from typing import NamedTuple, Protocol
 
 from bilberry_proxy.reply_slices import ReplyMessage, cut_slice
 
-#: Time that a response gets for its rest, as a multiple of what the link needs
-#: for that alone, before it precedes shorter ones.
-SLACK_FACTOR = 2.0
+#: Turns that are kept for each response that waits, at most, and beside these.
+MAX_TURNS = 2
+SPARE_TURNS = 64
 
 
 class ReplyOwner(Protocol):
@@ -69,16 +70,6 @@
         self._messages.clear()
         self.unsent = 0
 
-    def is_pressing(self, now: float, rate: float | None) -> bool:
-        """Returns whether the response is late unless it goes first.
-
-        `now` is monotonic time in seconds, `rate` that of the link in bytes a
-        second, None if it is not known.
-        """
-        if rate is None:
-            return False
-        return now + self.unsent / rate * SLACK_FACTOR > self.due
-
 
 _Rank = tuple[bool, float, int]
 
@@ -116,6 +107,8 @@
         self._blocked.pop(reply, None)
         reply.turn = next(self._numbers)
         heappush(self._turns, _Turn(_rank(reply), reply.turn, reply))
+        if len(self._turns) > MAX_TURNS * len(self) + SPARE_TURNS:
+            self._drop_outdated()
 
     def remove(self, reply: PendingReply) -> None:
         """Removes a response."""
@@ -147,6 +140,12 @@
             if reply.owner.is_writable and reply.owner.is_within_share:
                 self.add(reply)
 
+    def _drop_outdated(self) -> None:
+        self._turns = [
+            turn for turn in self._turns if turn.number == turn.reply.turn
+        ]
+        heapify(self._turns)
+
     def _pop_blocked(self) -> PendingReply | None:
         writable = (reply for reply in self._blocked if reply.owner.is_writable)
         first = min(writable, key=_rank, default=None)
@@ -154,15 +153,6 @@
             self.remove(first)
         return first
 
-    def advance(self, now: float, rate: float | None) -> None:
-        """Lets responses precede that are late otherwise.
-
-        `now` and `rate` are described at `PendingReply.is_pressing`.
-        """
-        for reply in tuple(self._replies):
-            if not reply.is_preceding and reply.is_pressing(now, rate):
-                self.precede(reply, reply.due)
-
     def precede(self, reply: PendingReply, due: float) -> None:
         """Lets a response precede others; it is `due` then, in seconds."""
         reply.is_preceding = True
