--- a/packages/bilberry_proxy/bilberry_proxy/bulk_window.py
+++ b/packages/bilberry_proxy/bilberry_proxy/bulk_window.py
@@ -36,6 +36,9 @@
 GAIN_SHARE = 0.25
 #: Largest share of the window that is taken off after one sample.
 MAX_LOSS_SHARE = 0.5
+#: Share of the allowed delay from which the link counts as full. What waits
+#: less arrives at the rate of the window, and the link may carry more.
+FULL_SHARE = 0.5
 #: Time after which a measured rate is no longer known, in seconds.
 RATE_AGE_S = 30.0
 #: Weight of the newest rate in the exponential moving average.
@@ -88,7 +91,7 @@
 
 
 class LinkRate:
-    """The rate at which long responses leave, while they fill the window."""
+    """The rate at which long responses leave, while they fill the link."""
 
     def __init__(self) -> None:
         """Starts unknown."""
@@ -146,13 +149,15 @@
 
     def _follow(self, sample: DelaySample, now: float) -> None:
         rate = sample.measure_rate(now)
-        if sample.is_limited:
-            self.rate.record(rate, now)
         queue_s = sample.least_s - self._base_s
         allowed_s = max(
             (sample.mean_s - self._base_s) * QUEUE_SHARE,
             MAX_QUEUE_DELAY_S,
         )
+        if sample.is_limited:
+            is_full = queue_s >= allowed_s * FULL_SHARE
+            if is_full or rate > (self.rate.estimate(now) or rate):
+                self.rate.record(rate, now)
         if queue_s < allowed_s:
             if sample.is_limited:
                 self._grow(1 - queue_s / allowed_s)
