Order responses to stopping daemons by the stop alone

Now the stop that ends first goes first, and in it the least left. Deadlines of responses are no longer kept, and the tests of the schedule say what an order by age or due time would do.

--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -27,7 +27,6 @@
 
 #: Share of the window that a stream may use while others wait.
 STREAM_SHARE = 0.5
-_NEVER = float('inf')
 
 
 class ReplyStream(Protocol):
@@ -110,7 +109,6 @@
         self._queues = queues
         self._begun = BegunReplies(queues.drops)
         self._replies: dict[int, PendingReply] = {}
-        self._dues: dict[int, float] = {}
         self._flying: dict[int, deque[SentSlice]] = {}
         self._unacknowledged = 0
         self._stops_at: float | None = None
@@ -142,18 +140,14 @@
             return self._queues.now() < self._stops_at
         return self._unacknowledged < window.size * STREAM_SHARE
 
-    def expect(self, call: int, due: float) -> None:
-        """Records when the response to a call is due, in seconds."""
-        self._dues[call] = due
-
-    def precede_others(self, due: float) -> None:
+    def precede_others(self, stops_at: float) -> None:
         """Lets all responses precede those of other streams.
 
-        What its daemon receives after `due`, in seconds, is lost.
+        What its daemon receives after `stops_at`, in seconds, is lost.
         """
-        self._stops_at = due
+        self._stops_at = stops_at
         for reply in self._replies.values():
-            self._queues.schedule.precede(reply, due)
+            self._queues.schedule.precede(reply, stops_at)
         self._queues.flush()
 
     def start(self, reply: ReplyStart, request: Headers = ()) -> None:
@@ -168,9 +162,7 @@
             self.add(reply)
             return
         self._send(reply)
-        if reply.last:
-            self._dues.pop(reply.call, None)
-        else:
+        if not reply.last:
             self._record(reply)
 
     def add(self, message: ReplyMessage) -> None:
@@ -178,12 +170,7 @@
         call = message.call
         reply = self._replies.get(call)
         if reply is None:
-            reply = PendingReply(
-                self,
-                call,
-                self._dues.get(call, _NEVER),
-                self._queues.now(),
-            )
+            reply = PendingReply(self, call, self._queues.now())
             self._replies[call] = reply
             if self._stops_at is not None:
                 self._queues.schedule.precede(reply, self._stops_at)
@@ -214,7 +201,6 @@
     ) -> None:
         """Drops the unsent part of a response."""
         self._drop(call, cause)
-        self._dues.pop(call, None)
         reply = self._replies.pop(call, None)
         if reply is not None:
             self._queues.schedule.remove(reply)
@@ -234,7 +220,6 @@
         self.report_drops(DropCause.STREAM_ENDED)
         for call in (*self._replies, *self._flying):
             self.cancel(call)
-        self._dues.clear()
         self._queues.flush()
 
     def flush(self) -> None:
@@ -252,7 +237,6 @@
             self._record(message)
         self._send(message)
         if message.last:
-            self._dues.pop(reply.call, None)
             self._begun.end(reply.call)
         if is_whole:
             # Its receiver acknowledges only parts of a response.
--- a/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
@@ -34,16 +34,14 @@
 class PendingReply:
     """A long response that is not completely sent."""
 
-    def __init__(
-        self, owner: ReplyOwner, call: int, due: float, now: float = 0
-    ) -> None:
-        """Starts without bytes; `due` is monotonic time, in seconds."""
+    def __init__(self, owner: ReplyOwner, call: int, now: float = 0) -> None:
+        """Starts without bytes at `now`, monotonic time in seconds."""
         self.owner = owner
         self.call = call
-        self.due = due
         self.ready_at = now
         self.unsent = 0
-        self.is_preceding = False
+        #: When the daemon that it goes to ends its stop; None if it goes on.
+        self.stops_at: float | None = None
         self.turn = 0
         self._messages: deque[ReplyMessage] = deque()
 
@@ -153,15 +151,15 @@
             self.remove(first)
         return first
 
-    def precede(self, reply: PendingReply, due: float) -> None:
-        """Lets a response precede others; it is `due` then, in seconds."""
-        reply.is_preceding = True
-        reply.due = min(reply.due, due)
+    def precede(self, reply: PendingReply, stops_at: float) -> None:
+        """Lets a response precede others; its daemon ends at `stops_at`."""
+        reply.stops_at = stops_at
         if reply in self._replies and reply not in self._blocked:
             self.add(reply)
 
 
 def _rank(reply: PendingReply) -> _Rank:
     """Returns what orders the responses: the least goes first."""
-    due = reply.due if reply.is_preceding else 0
-    return not reply.is_preceding, due, reply.unsent
+    if reply.stops_at is None:
+        return True, 0, reply.unsent
+    return False, reply.stops_at, reply.unsent
--- a/packages/bilberry_proxy/bilberry_proxy/served_stream.py
+++ b/packages/bilberry_proxy/bilberry_proxy/served_stream.py
@@ -142,8 +142,6 @@
             self._drop_reservation(start.call)
             answers.fail(CallFailed(start.call, refusal, NO_LOAD))
             return
-        due = self._now() + start.deadline_ms / MS_PER_S
-        self.replies.expect(start.call, due)
         reservation = self.reservations.pop(start.call, None)
         if reservation is None:
             call = self._target.open(start, answers)
--- a/tests/bilberry_proxy/played_link.py
+++ b/tests/bilberry_proxy/played_link.py
@@ -25,7 +25,7 @@
     `load` is that of the link, 1 if its bytes are just as many as it carries.
     `lag_s` is the mean time, in seconds, until a busy daemon handles what it
     received, and `way_s` the time that a byte needs on the way. Each response
-    is due and given up `patience_s` after it was ready.
+    is given up `patience_s` after it was ready.
     """
 
     bytes_per_s: float = 500_000
@@ -153,7 +153,6 @@
     mu = log(MEAN_BYTES) - SIZE_SPREAD**2 / 2
     body = bytes(int(link.random.lognormvariate(mu, SIZE_SPREAD)))
     queue = link.random.choice(link.streams).queue
-    queue.expect(call, link.now + link.plan.patience_s)
     queue.start(ReplyStart(call, 200, (), body, True, Load(0, 0, 0, 0)))
     link.schedule(
         link.plan.patience_s,
--- a/tests/bilberry_proxy/test_reply_schedule.py
+++ b/tests/bilberry_proxy/test_reply_schedule.py
@@ -23,13 +23,11 @@
         """Starts with two long responses and a shorter one."""
         super().setUp()
         self.schedule = ReplySchedule()
-        self.replies = [
-            self.add(size, due) for size, due in ((500, 9), (300, 8), (400, 7))
-        ]
+        self.replies = [self.add(size) for size in (500, 300, 400)]
 
-    def add(self, size: int, due: float) -> PendingReply:
+    def add(self, size: int) -> PendingReply:
         """Adds a response of a stream of its own."""
-        reply = PendingReply(FakeOwner(), 1, due)
+        reply = PendingReply(FakeOwner(), 1)
         reply.add(ReplyChunk(1, bytes(size), last=True))
         self.schedule.add(reply)
         return reply
@@ -43,10 +41,9 @@
         """By what is left of it when its turn comes."""
         self.assertEqual([1, 2, 0], self.pop_all())
 
-    def test_response_that_is_due_first_waits_for_shorter_ones(self):
-        """Else all of them become late with more than the link carries."""
-        self.replies.append(self.add(450, 0))
-        self.replies.append(self.add(350, 9))
+    def test_response_that_waits_for_longest_goes_first(self):
+        """Then all become late with more than the link carries."""
+        self.replies.extend(self.add(size) for size in (450, 350))
         self.assertEqual([1, 4, 2, 3, 0], self.pop_all())
 
     def test_response_to_a_daemon_that_stops_precedes(self):
@@ -54,8 +51,8 @@
         self.schedule.precede(self.replies[0], 2)
         self.assertEqual([0, 1, 2], self.pop_all())
 
-    def test_responses_that_are_due_together_take_turns(self):
-        """Those to one daemon that stops."""
+    def test_responses_to_one_daemon_that_stops_take_turns(self):
+        """Else the least left of them goes first as well."""
         for reply in self.replies:
             self.schedule.precede(reply, 2)
         self.assertEqual([1, 2, 0], self.pop_all())
@@ -76,7 +73,7 @@
     def test_turns_of_removed_responses_are_kept(self):
         """They come after all shorter ones, of which there are always some."""
         for _ in range(2 * SPARE_TURNS):
-            self.schedule.remove(self.add(600, 9))
+            self.schedule.remove(self.add(600))
         self.assertLess(len(self.schedule._turns), 1.5 * SPARE_TURNS)
         self.assertEqual([1, 2, 0], self.pop_all())
 
