Let nothing wait for the link of a daemon that stops, and leave others a quarter

From the review: requests for a slot that waited for the link of a daemon which got SIGTERM waited on, up to a second, to be refused then; they are refused at once (test_request_waits_for_the_link_of_a_daemon_that_stops). And a daemon that stops and stands still could hold the whole window, a second at a time; it has three quarters, so that an acknowledgement of another stream takes its slices off the link.

--- a/packages/bilberry_proxy/bilberry_proxy/call_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_server.py
@@ -127,5 +127,6 @@
         Each of them closes its stream once its calls have ended.
         """
         self._is_leaving = True
+        self._link.stop()
         for served in tuple(self._streams):
             served.send(GoAway())
--- a/packages/bilberry_proxy/bilberry_proxy/link_admission.py
+++ b/packages/bilberry_proxy/bilberry_proxy/link_admission.py
@@ -122,6 +122,15 @@
             self._waiting.remove(waiting)
             waiting.refuse(self._refuse(self._estimate_wait_s()))
 
+    def stop(self) -> None:
+        """Lets nothing wait any more: the daemon accepts no new calls.
+
+        The target refuses what is passed on to it.
+        """
+        while self._waiting:
+            waiting = self._waiting.pop(0)
+            waiting.admit(waiting.request)
+
     def _admit(self, waiting: WaitingRequest) -> None:
         request = waiting.request
         self._promised[waiting.key] = request.response_bytes
--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -27,6 +27,8 @@
 
 #: Share of the window that a stream may use while others wait.
 STREAM_SHARE = 0.5
+#: The same of a stream to a daemon that stops.
+STOP_SHARE = 0.75
 
 
 class ReplyStream(Protocol):
@@ -132,13 +134,14 @@
     def is_within_share(self) -> bool:
         """Whether the stream uses less than its share of the window.
 
-        A receiver that is slow holds back the others by no more than that,
-        unless its daemon stops and has no other time.
+        A receiver that is slow holds back the others by no more than that. One
+        that stops has a greater share, as it has no other time.
         """
-        window = self._queues.window
-        if self._stops_at is not None:
-            return self._queues.now() < self._stops_at
-        return self._unacknowledged < window.size * STREAM_SHARE
+        queues = self._queues
+        share = STREAM_SHARE
+        if self._stops_at is not None and queues.now() < self._stops_at:
+            share = STOP_SHARE
+        return self._unacknowledged < queues.window.size * share
 
     def precede_others(self, stops_at: float) -> None:
         """Lets all responses precede those of other streams.
--- a/tests/bilberry_proxy/test_link_admission.py
+++ b/tests/bilberry_proxy/test_link_admission.py
@@ -154,6 +154,15 @@
         self.assertEqual(MAX_WAITING, len(self.admission))
         self.assertEqual(MAX_WAITING, len(self.refused))
 
+    def test_request_waits_for_the_link_of_a_daemon_that_stops(self):
+        """That accepts no new call, whatever its link carries."""
+        self.link.backlog = RATE
+        for call in (1, 2):
+            self.request(call, max_wait_ms=1000)
+        self.admission.stop()
+        self.assertEqual([1, 2], self.admitted)
+        self.assertEqual((0, 0), (len(self.admission), self.admission.promised))
+
     def test_withdrawn_request_is_forgotten(self):
         """Its sender found a slot elsewhere."""
         self.link.backlog = RATE
