Double a new window until something waits on the link, and know its rate from then

One slice that was 2.5 ms late ended the doubling of a new window, also where its receiver was just busy; now a whole sample has to wait, and slices that are late just add nothing. And a rate counts once something was seen to wait on the link: before that it is the rate of a small window. After that it is the rate at which responses really leave, full link or not, since that is how long the next one waits.

--- a/packages/bilberry_proxy/bilberry_proxy/bulk_window.py
+++ b/packages/bilberry_proxy/bilberry_proxy/bulk_window.py
@@ -36,9 +36,6 @@
 GAIN_SHARE = 0.25
 #: Largest share of the window that is taken off after one sample.
 MAX_LOSS_SHARE = 0.5
-#: Share of the allowed delay from which the link counts as full. What waits
-#: less arrives at the rate of the window, and the link may carry more.
-FULL_SHARE = 0.5
 #: Time after which a measured rate is no longer known, in seconds.
 RATE_AGE_S = 30.0
 #: Weight of the newest rate in the exponential moving average.
@@ -91,7 +88,11 @@
 
 
 class LinkRate:
-    """The rate at which long responses leave, while they fill the link."""
+    """The rate at which long responses leave, while others wait.
+
+    It is known once something was seen to wait on the link: before that the
+    window is small, and the link may carry much more.
+    """
 
     def __init__(self) -> None:
         """Starts unknown."""
@@ -150,14 +151,14 @@
     def _follow(self, sample: DelaySample, now: float) -> None:
         rate = sample.measure_rate(now)
         queue_s = sample.least_s - self._base_s
+        if queue_s > START_QUEUE_DELAY_S:
+            self._is_new = False
         allowed_s = max(
             (sample.mean_s - self._base_s) * QUEUE_SHARE,
             MAX_QUEUE_DELAY_S,
         )
-        if sample.is_limited:
-            is_full = queue_s >= allowed_s * FULL_SHARE
-            if is_full or rate > (self.rate.estimate(now) or rate):
-                self.rate.record(rate, now)
+        if sample.is_limited and not self._is_new:
+            self.rate.record(rate, now)
         if queue_s < allowed_s:
             if sample.is_limited:
                 self._grow(1 - queue_s / allowed_s)
@@ -167,8 +168,7 @@
     def _start(self, arrived: ArrivedSlice) -> None:
         """Doubles the window with each that arrives without delay."""
         room = 1 - (arrived.delay_s - self._base_s) / START_QUEUE_DELAY_S
-        self._is_new = room > 0
-        if self._is_new:
+        if room > 0:
             gain = arrived.size * room
             self.size = min(self.size + gain, MAX_WINDOW_BYTES)
 
