Let relays tell a restarted daemon that its upstream has left

A daemon that was restarted after it acknowledged a departure took a late announcement from before it, and its upstream got requests again until a response of it said that it leaves. Daemons have no disk, and the proxies know only departures that responses named.

Cause: nothing but the process of the daemon knew that this start (ID and start time) had left. The relays kept the record of the endpoint, but a restarted daemon must supersede that.

Change: an announcement to a relay names the start of its upstream, and a new message (46, DepartureUpdate) tells departures from daemon to relay, between relays, and back to a daemon that announces such a start again. The relay does not take that announcement, so no proxy hears of it; the daemon ends the upstream. No new upstream waits.

Only starts with an ID, a start time and numbered announcements: others may announce themselves again after a departure, as before.

Not run: real daemons that are killed after a departure.

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -11,6 +11,7 @@
 
 from bilberry_core.bounds import Name, Port, SignedNumber
 from bilberry_core.configuration import AcceptedVersion
+from bilberry_core.departure import Departure
 from bilberry_core.endpoint import Address, Endpoint
 from bilberry_core.messages.allowance import (
     AllowanceAnswer,
@@ -213,6 +214,11 @@
         The start of the upstream that last announced itself to this daemon.
     `upstream_notice`
         What that upstream says of itself in its responses.
+    `departure`
+        The newest departure of an upstream beside this daemon.
+    `told_departure`
+        The newest start of an upstream of which a relay told this daemon that
+        it has left before.
     `upstream_crash`
         The newest crash of that upstream.
     `endpoints`
@@ -273,6 +279,8 @@
         self.upstream_notice: Cell[UpstreamNotice] = Cell(
             UpstreamNotice(UpstreamIdentity()),
         )
+        self.departure: Cell[Departure | None] = Cell(None)
+        self.told_departure: Cell[UpstreamIdentity | None] = Cell(None)
         self.upstream_crash: Cell[UpstreamCrash | None] = Cell(None)
         self.endpoints: Cell[dict[str, Endpoint]] = Cell({})
         self.snapshot: Cell[Snapshot | None] = Cell(None)
--- a/packages/bilberry_core/bilberry_core/messages/spread.py
+++ b/packages/bilberry_core/bilberry_core/messages/spread.py
@@ -20,6 +20,7 @@
 from bilberry_core.organisation import Organisation
 from bilberry_core.policy import CallPolicy
 from bilberry_core.rollout import RolloutReport, RolloutTable
+from bilberry_core.upstream_notice import UpstreamIdentity
 
 #: Reported in place of a version for an instance that is no longer attached.
 DETACHED = -1
@@ -156,10 +157,12 @@
 
     `attached` is the time at which the writer attached to this relay, in
     milliseconds of its wall clock; it increases with each attachment.
+    `upstream` is the start of the upstream that announced itself.
     """
 
     endpoint: Endpoint
     attached: Number = 0
+    upstream: UpstreamIdentity = UpstreamIdentity()
 
 
 @message(39)
@@ -209,3 +212,13 @@
     """What proxies saw of open roll-outs; relays forward the sum."""
 
     report: RolloutReport
+
+
+@message(46, records=(RecordField('upstreams'),))
+class DepartureUpdate(NamedTuple):
+    """Starts of upstreams that have left and must not be announced again.
+
+    A daemon sends those that were beside it, a relay those that it heard of.
+    """
+
+    upstreams: tuple[UpstreamIdentity, ...]
--- a/packages/bilberry_proxy/bilberry_proxy/announcement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -11,6 +11,7 @@
 
 from bilberry_core.board import Board, Phase, UpstreamCrash
 from bilberry_core.clock import MS_PER_S, Clock
+from bilberry_core.departure import Departure
 from bilberry_core.endpoint import Address, Endpoint, EndpointState
 from bilberry_core.http import (
     HttpLimits,
@@ -59,6 +60,7 @@
         board.phase.watch(self._on_phase_change)
         board.upstream_crash.watch(self._on_crash)
         board.upstream_notice.watch(self._on_notice)
+        board.told_departure.watch(self._on_told_departure)
         board.rollouts.watch(self._on_rollouts)
 
     @classmethod
@@ -79,13 +81,6 @@
         bound = self._server.sockets[0].getsockname()
         return Address(bound[0], bound[1])
 
-    @property
-    def _is_leaving(self) -> bool:
-        """Whether this daemon or the upstream beside it is leaving."""
-        if self._board.phase.value in _LEAVING:
-            return True
-        return self._board.upstream_notice.value.is_leaving
-
     async def start(self) -> Address:
         """Starts listening and returns the bound address."""
         listen = self._settings.listen.upstream
@@ -129,8 +124,12 @@
     def leave(self, upstream_id: str = '') -> None:
         """Marks the endpoint as gone if `upstream_id` is the current one."""
         timestamp = Timestamp(self._clock.now(), self._clock.wall_ms())
-        if self._starts.end(upstream_id, timestamp):
-            self._put_state(EndpointState.GONE)
+        if not self._starts.end(upstream_id, timestamp):
+            return
+        self._put_state(EndpointState.GONE)
+        if self._starts.has_left_for_good:
+            upstream = self._board.upstream.value
+            self._board.departure.put(Departure(upstream, timestamp.now))
 
     def check_lease(self) -> None:
         """Marks the endpoint as gone once its lease has expired."""
@@ -162,7 +161,7 @@
         is_retired = self._board.rollouts.value.is_retired(
             announced.service, announced.version, self._incarnation
         )
-        if self._is_leaving or is_retired:
+        if _is_leaving(self._board) or is_retired:
             state = EndpointState.DRAINING
         record = Endpoint(
             instance=self._settings.instance,
@@ -220,13 +219,25 @@
             return
         if rollout.is_retired(known.version, known.incarnation):
             self._put_state(EndpointState.DRAINING)
-        elif not self._is_leaving:
+        elif not _is_leaving(self._board):
             self._put_state(self._announced_state)
 
     def _on_notice(self, notice: UpstreamNotice) -> None:
         if notice.is_leaving:
             self._put_state(EndpointState.DRAINING)
 
+    def _on_told_departure(self, upstream: UpstreamIdentity | None) -> None:
+        """Ends an upstream that left before this daemon was restarted."""
+        if upstream is None or upstream != self._board.upstream.value:
+            return
+        _log.info(
+            'upstream_left_before',
+            extra={'upstream': upstream.upstream_id},
+        )
+        timestamp = Timestamp(self._clock.now(), self._clock.wall_ms())
+        self._starts.end(upstream.upstream_id, timestamp)
+        self._put_state(EndpointState.GONE)
+
     def _on_crash(self, crash: UpstreamCrash | None) -> None:
         if crash is None or crash.address != self._board.upstream_address.value:
             return
@@ -251,6 +262,13 @@
         self._board.own_endpoint.put(record)
 
 
+def _is_leaving(board: Board) -> bool:
+    """Returns whether this daemon or the upstream beside it is leaving."""
+    return (
+        board.phase.value in _LEAVING or board.upstream_notice.value.is_leaving
+    )
+
+
 def _compute_since_ms(
     known: Endpoint | None,
     state: EndpointState,
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_starts.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_starts.py
@@ -38,6 +38,15 @@
         self._has_left = False
         self._departures: dict[str, Timestamp] = {}
 
+    @property
+    def has_left_for_good(self) -> bool:
+        """Whether the newest known start has left and can't come back.
+
+        An upstream that doesn't name its starts may announce itself again.
+        """
+        is_named = bool(self._upstream_id and self._started_ms)
+        return self._has_left and is_named and bool(self._sequence)
+
     def check(self, announced: AnnouncementBody, wall_ms: int) -> None:
         """Raises `ValueError` if the announced start is yet to come.
 
--- a/packages/bilberry_spread/bilberry_spread/broadcast.py
+++ b/packages/bilberry_spread/bilberry_spread/broadcast.py
@@ -177,7 +177,11 @@
 
     def _on_own_endpoint(self, endpoint: Endpoint | None) -> None:
         if endpoint is not None:
-            self._directory.put_own(endpoint, self._runtime.clock.now())
+            self._directory.put_own(
+                endpoint,
+                self._runtime.clock.now(),
+                self._board.upstream.value,
+            )
 
     def _put_suspects(
         self,
--- a/packages/bilberry_spread/bilberry_spread/directory.py
+++ b/packages/bilberry_spread/bilberry_spread/directory.py
@@ -9,13 +9,15 @@
 from collections.abc import Callable
 from itertools import chain, repeat
 
-from bilberry_core.endpoint import Endpoint
+from bilberry_core.endpoint import Endpoint, EndpointState
 from bilberry_core.messages.spread import (
     EndpointAnnouncement,
     EndpointKey,
     EndpointUpdate,
 )
+from bilberry_core.upstream_notice import UpstreamIdentity
 
+from bilberry_spread.departures import Departures
 from bilberry_spread.table import EndpointTable, Home
 
 #: Called with a record that changed, and whether it must be sent to the other
@@ -37,23 +39,42 @@
         self._lease_s = lease_s
         self._on_change = on_change
         self._table = EndpointTable(lease_s)
+        self._departures = Departures()
 
     @property
     def table(self) -> EndpointTable:
         """The table of all known records."""
         return self._table
 
-    def put_own(self, endpoint: Endpoint, now: float) -> None:
+    @property
+    def departures(self) -> Departures:
+        """The starts of upstreams that left."""
+        return self._departures
+
+    def put_own(
+        self,
+        endpoint: Endpoint,
+        now: float,
+        upstream: UpstreamIdentity = UpstreamIdentity(),
+    ) -> None:
         """Merges the endpoint of this daemon itself, which has no lease."""
+        if self._has_left(endpoint, upstream, now):
+            return
         if self._table.merge(endpoint, Home(self._home), now):
             self._on_change(endpoint, True)
 
-    def announce(self, announcement: EndpointAnnouncement, now: float) -> None:
-        """Merges the record of an attached proxy and starts its lease."""
+    def announce(self, announcement: EndpointAnnouncement, now: float) -> bool:
+        """Merges the record of an attached proxy and starts its lease.
+
+        Returns False if the upstream has left: the record is not taken.
+        """
+        if self._has_left(announcement.endpoint, announcement.upstream, now):
+            return False
         home = Home(self._home, announcement.attached)
         expires = now + self._lease_s
         if self._table.merge(announcement.endpoint, home, now, expires):
             self._on_change(announcement.endpoint, True)
+        return True
 
     def renew(self, key: EndpointKey, attached: int, now: float) -> bool:
         """Renews a lease; returns False if the record must be announced."""
@@ -110,6 +131,16 @@
             self._on_change(entry.endpoint, entry.home.instance == self._home)
         return tuple(ended.endpoint for ended in removed)
 
+    def _has_left(
+        self,
+        endpoint: Endpoint,
+        upstream: UpstreamIdentity,
+        now: float,
+    ) -> bool:
+        if endpoint.state is EndpointState.GONE:
+            return False
+        return self._departures.has(upstream, now)
+
     def _is_home(self, instance: str) -> bool:
         entry = self._table.entries.get(instance)
         return entry is not None and entry.home.instance == self._home
--- a/packages/bilberry_spread/bilberry_spread/mesh_receiver.py
+++ b/packages/bilberry_spread/bilberry_spread/mesh_receiver.py
@@ -8,11 +8,13 @@
     AllowanceOffer,
 )
 from bilberry_core.messages.spread import (
+    DepartureUpdate,
     RolloutReportUpdate,
     SuspectUpdate,
     VersionReport,
 )
 from bilberry_core.rollout import RolloutReport
+from bilberry_core.upstream_notice import UpstreamIdentity
 
 from bilberry_spread.reports import build_report
 from bilberry_spread.runtime import Link, send_if_open
@@ -23,7 +25,8 @@
 class MeshReceiver:
     """A subscribed relay, and the updates not sent to it yet.
 
-    It gets endpoints, suspects and version reports of this relay's proxies.
+    It gets endpoints, departures, suspects and version reports of this relay's
+    proxies.
     """
 
     def __init__(self, link: Link, instance: str) -> None:
@@ -32,6 +35,7 @@
         self.instance = instance
         self._needs_full_update = True
         self._changed: set[str] = set()
+        self._departures: set[UpstreamIdentity] = set()
         self._suspects: set[SuspectKey] = set()
         self._reported: dict[str, int] = {}
 
@@ -39,6 +43,10 @@
         """Marks an endpoint that this relay owns as changed."""
         self._changed.add(instance)
 
+    def mark_departures(self, upstreams: frozenset[UpstreamIdentity]) -> None:
+        """Marks departures of upstreams as not sent yet."""
+        self._departures |= upstreams
+
     def mark_suspects(self, keys: set[SuspectKey]) -> None:
         """Marks suspects as not sent yet."""
         self._suspects |= keys
@@ -51,6 +59,9 @@
         """Sends pending updates if the stream is writable."""
         if not self.link.is_writable:
             return
+        if self._departures:
+            self._send(DepartureUpdate(tuple(sorted(self._departures))))
+            self._departures = set()
         if self._needs_full_update:
             self._needs_full_update = False
             self._changed.clear()
--- a/packages/bilberry_spread/bilberry_spread/receivers.py
+++ b/packages/bilberry_spread/bilberry_spread/receivers.py
@@ -155,6 +155,9 @@
     def _admit_relay(self, link: Link, subscribe: Subscribe) -> None:
         before = self._relays.get(subscribe.instance)
         relay = MeshReceiver(link, subscribe.instance)
+        relay.mark_departures(
+            self._directory.departures.find_kept(self._runtime.clock.now()),
+        )
         self._relays[subscribe.instance] = relay
         link.receiver = partial(self._hear_relay, relay)
         link.on_close = partial(self._remove_relay, relay)
--- a/packages/bilberry_spread/bilberry_spread/relay.py
+++ b/packages/bilberry_spread/bilberry_spread/relay.py
@@ -23,6 +23,7 @@
 from bilberry_spread.allowance_routes import AllowanceRoutes
 from bilberry_spread.backoff import MAX_DELAY_S
 from bilberry_spread.broadcast import Broadcast
+from bilberry_spread.departure_routes import DepartureRoutes
 from bilberry_spread.members import list_replicas
 from bilberry_spread.mesh_set import MeshSet
 from bilberry_spread.relay_source import RelaySource
@@ -67,6 +68,13 @@
             self._mesh,
             self._broadcast.receivers.attached,
         )
+        self._departures = DepartureRoutes(
+            board,
+            runtime,
+            self._broadcast.directory.departures,
+            self._broadcast.receivers.attached,
+            self._broadcast.schedule_flush,
+        )
         self._source: RelaySource | None = None
         if Role.REPLICA not in settings.roles:
             self._source = RelaySource(
@@ -118,6 +126,7 @@
     def start(self) -> None:
         """Starts to watch the blackboard."""
         self._broadcast.start()
+        self._departures.start()
         self._allowances.start()
         self._board.rollout_evidence.watch(
             self._broadcast.receivers.rollout_reports.add,
@@ -175,6 +184,7 @@
             self._reports[peer.instance] = apply_report(known, received)
             self._broadcast.on_versions_changed()
         else:
+            self._departures.receive(received)
             self._allowances.receive(peer.instance, received)
 
     def _detect_pause(self) -> None:
--- a/packages/bilberry_spread/bilberry_spread/session.py
+++ b/packages/bilberry_spread/bilberry_spread/session.py
@@ -1,6 +1,7 @@
 """Handles the messages that an attached receiver sends to its relay."""
 
 from collections.abc import Callable
+from logging import getLogger
 from typing import Any, NamedTuple, Protocol
 
 from bilberry_core.board import Suspect
@@ -8,6 +9,7 @@
 from bilberry_core.messages.registry import RefusedMessage
 from bilberry_core.messages.spread import (
     Attach,
+    DepartureUpdate,
     EndpointAnnouncement,
     EndpointKey,
     EndpointRequest,
@@ -17,6 +19,7 @@
     SuspectUpdate,
     VersionReport,
 )
+from bilberry_core.upstream_notice import UpstreamIdentity
 
 from bilberry_spread.directory import RelayDirectory
 from bilberry_spread.mesh_receiver import MeshReceiver
@@ -24,7 +27,9 @@
 from bilberry_spread.report_cells import ReportCells
 from bilberry_spread.reports import apply_report
 from bilberry_spread.rollout_reports import RolloutReports
-from bilberry_spread.runtime import Runtime
+from bilberry_spread.runtime import Runtime, send_if_open
+
+_log = getLogger(__name__)
 
 
 class SessionListener(Protocol):
@@ -64,8 +69,9 @@
 class Session:
     """The state of one attached receiver.
 
-    `versions` holds the running versions that it reported, by instance, and
-    `heard` the monotonic time of its last message.
+    `versions` holds the running versions that it reported, by instance,
+    `heard` the monotonic time of its last message, and `upstream` the start of
+    the upstream that it announced last.
     """
 
     def __init__(
@@ -81,6 +87,7 @@
         self.receiver = receiver
         self.versions: dict[str, int] = {}
         self.heard = runtime.clock.now()
+        self.upstream = UpstreamIdentity()
         self._directory = directory
         self._listener = listener
         self._runtime = runtime
@@ -94,10 +101,28 @@
         if handler is not None:
             handler(self, received)
 
+    def tell_departure(self) -> None:
+        """Tells the receiver that the upstream beside it has left before."""
+        _log.info(
+            'departure_told',
+            extra={
+                'receiver': self.receiver.instance,
+                'upstream': self.upstream.upstream_id,
+            },
+        )
+        send_if_open(self.receiver.link, DepartureUpdate((self.upstream,)))
+
     def _handle_announcement(self, announcement: EndpointAnnouncement) -> None:
         self._is_refused = False
         self._attached = announcement.attached
-        self._directory.announce(announcement, self.heard)
+        self.upstream = announcement.upstream
+        if not self._directory.announce(announcement, self.heard):
+            self.tell_departure()
+
+    def _handle_departures(self, update: DepartureUpdate) -> None:
+        self._directory.departures.add(
+            update.upstreams, self.heard, is_local=True
+        )
 
     def _handle_refused(self, _refused: RefusedMessage) -> None:
         self._is_refused = True
@@ -145,6 +170,7 @@
     _handlers: dict[type, Callable[..., None]] = {
         AllowanceReport: _handle_allowance_report,
         Attach: _handle_attach,
+        DepartureUpdate: _handle_departures,
         EndpointAnnouncement: _handle_announcement,
         LeaseRenewal: _handle_renewal,
         RefusedMessage: _handle_refused,
--- a/packages/bilberry_spread/bilberry_spread/subscriber.py
+++ b/packages/bilberry_spread/bilberry_spread/subscriber.py
@@ -5,16 +5,20 @@
 and puts the state received from the relay on the blackboard.
 """
 
+from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.clock import MS_PER_S
+from bilberry_core.departure import Departure
 from bilberry_core.endpoint import Endpoint
 from bilberry_core.messages.allowance import (
     AllowanceAnswer,
     AllowanceOffer,
 )
 from bilberry_core.messages.spread import (
+    DepartureUpdate,
     EndpointAnnouncement,
     EndpointRequest,
     EndpointUpdate,
@@ -74,6 +78,13 @@
         self._attached = 0
         self._ticker = Ticker(self.tick)
         self._next_renewal = runtime.clock.now()
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            EndpointUpdate: self._endpoints.receive,
+            SuspectUpdate: self._suspects.receive,
+            DepartureUpdate: partial(_put_departures, board),
+            AllowanceOffer: board.allowance_offer.put,
+            AllowanceAnswer: board.allowance_answer.put,
+        }
 
     @classmethod
     def from_settings(
@@ -104,7 +115,8 @@
     def start(self) -> None:
         """Starts to watch the blackboard for state to send to the relay."""
         board = self._board
-        board.own_endpoint.watch(self._announce)
+        for cell in (board.own_endpoint, board.departure):
+            cell.watch(partial(_announce_own, self._announce, board))
         board.requested_services.watch(
             lambda _services: self._send_requested_services(),
         )
@@ -141,15 +153,10 @@
         self._send_suspects()
 
     def receive(self, received: Any) -> None:
-        """Handles endpoints, suspects and allowances; ignores the rest."""
-        if isinstance(received, EndpointUpdate):
-            self._endpoints.receive(received)
-        elif isinstance(received, SuspectUpdate):
-            self._suspects.receive(received)
-        elif isinstance(received, AllowanceOffer):
-            self._board.allowance_offer.put(received)
-        elif isinstance(received, AllowanceAnswer):
-            self._board.allowance_answer.put(received)
+        """Handles what a relay tells; ignores the rest."""
+        handler = self._handlers.get(type(received))
+        if handler is not None:
+            handler(received)
 
     def _update_members(self, epoch: ClaimEpoch | None) -> None:
         peers = list_replicas(epoch)
@@ -166,9 +173,15 @@
             main.send(sent)
 
     def _announce(self, endpoint: Endpoint | None) -> None:
-        if endpoint is not None:
-            self._send(EndpointAnnouncement(endpoint, self._attached))
-            self._schedule_renewal(self._runtime.clock.now())
+        if endpoint is None:
+            return
+        now = self._runtime.clock.now()
+        departure = self._board.departure.value
+        if departure is not None and departure.is_kept(now):
+            self._send(DepartureUpdate((departure.upstream,)))
+        upstream = self._board.upstream.value
+        self._send(EndpointAnnouncement(endpoint, self._attached, upstream))
+        self._schedule_renewal(now)
 
     def _renew(self, now: float) -> None:
         endpoint = self._board.own_endpoint.value
@@ -204,3 +217,16 @@
         new = self._suspects.collect_new()
         if new:
             self._send(SuspectUpdate(new))
+
+
+def _announce_own(
+    announce: Callable[[Endpoint | None], None],
+    board: Board,
+    _changed: Endpoint | Departure | None,
+) -> None:
+    announce(board.own_endpoint.value)
+
+
+def _put_departures(board: Board, update: DepartureUpdate) -> None:
+    for upstream in update.upstreams:
+        board.told_departure.put(upstream)
--- a/tests/bilberry_proxy/fleet.py
+++ b/tests/bilberry_proxy/fleet.py
@@ -3,6 +3,7 @@
 from asyncio import Task, create_task, sleep
 from contextlib import asynccontextmanager
 from random import Random
+from time import monotonic
 from typing import NamedTuple
 
 from bilberry_core.board import Board, Phase
@@ -12,7 +13,8 @@
     Configuration,
     Service,
 )
-from bilberry_core.endpoint import Address
+from bilberry_core.departure import Departure
+from bilberry_core.endpoint import Address, EndpointState
 from bilberry_core.http import HttpRequest, HttpResponse, fetch
 from bilberry_core.listener import StreamListener
 from bilberry_core.metric import NullMetrics
@@ -24,6 +26,7 @@
 from bilberry_proxy.announcement import AnnouncementController
 from bilberry_proxy.context import Agreements, ProxyOptions
 from bilberry_proxy.controller import ProxyController
+from bilberry_spread.departures import Departures
 
 from standin.upstream import StandinOptions, StandinUpstream
 
@@ -66,6 +69,7 @@
         self.agreements = Agreements(claims, allowances)
         self.options = options
         self.is_lagging = False
+        self.departures = Departures()
 
     async def add(self, domain: str = 'one', **options) -> Node:
         """Adds a node.
@@ -143,7 +147,8 @@
         )
         callers = await proxy.start()
         task = create_task(proxy.run())
-        board.own_endpoint.watch(lambda _own: self.spread())
+        board.departure.watch(self._add_departure)
+        board.own_endpoint.watch(lambda _own: self._hear(board))
         return Node(
             board,
             proxy,
@@ -164,6 +169,23 @@
         for node in self.nodes:
             node.board.suspects.put(dict(suspects))
 
+    def _add_departure(self, departure: Departure) -> None:
+        """Keeps a departure, as a relay does."""
+        self.departures.add((departure.upstream,), monotonic(), is_local=True)
+
+    def _hear(self, board: Board) -> None:
+        """Tells a daemon that its upstream has left, as a relay does.
+
+        A record of an upstream that has left is not spread.
+        """
+        upstream = board.upstream.value
+        own = board.own_endpoint.value
+        is_ended = own is None or own.state is EndpointState.GONE
+        if is_ended or not self.departures.has(upstream, monotonic()):
+            self.spread()
+        elif not self.is_lagging:
+            board.told_departure.put(upstream)
+
     def spread(self) -> None:
         """Publishes a snapshot of all endpoints to every node.
 
