--- a/tests/bilberry_proxy/test_silence.py
+++ b/tests/bilberry_proxy/test_silence.py
@@ -1,5 +1,6 @@
 """Tests the detection of endpoints that stop responding."""
 
+from bilberry_core.clock import MS_PER_S
 from bilberry_proxy.silence import PROBE_S, SILENT_S, SilenceWatch
 from bilberry_proxy.timers import TICK_S, TimerWheel
 from testtools import TestCase
@@ -24,6 +25,29 @@
         self.probes += 1
 
 
+class LateAttempt(FakeAttempt):
+    """An attempt whose call reaches a silent upstream late.
+
+    The daemon beside the upstream answers each probe at once.
+    """
+
+    def __init__(self, get_now, dispatched_at: float) -> None:
+        """Dispatches the call at a given time."""
+        super().__init__()
+        self._get_now = get_now
+        self._dispatched_at = dispatched_at
+        self._is_alive = False
+
+    def is_endpoint_alive(self, _since: float) -> bool:
+        """Returns the answer to the newest probe."""
+        return self._is_alive
+
+    def probe(self, silence_s: float) -> None:
+        """Answers as the daemon does: a new call may take that long."""
+        super().probe(silence_s)
+        self._is_alive = self._dispatched_at > self._get_now() - silence_s
+
+
 class SilenceWatchTest(TestCase):
     """A watch over a request with a timeout of two seconds."""
 
@@ -90,3 +114,50 @@
         self.advance(1)
         self.advance(PROBE_S)
         self.assertEqual([], self.abandoned)
+
+    def test_call_that_reached_a_silent_upstream_late_is_not_kept_alone(self):
+        """Of 400 ms, 60 are left for another endpoint, as without delay."""
+        for delay_ms in range(0, 50, 5):
+            self.watch.stop()
+            self.now = 0
+            self.timers = TimerWheel(0)
+            attempt = LateAttempt(lambda: self.now, delay_ms / MS_PER_S)
+            abandoned = self.watch_from_zero(attempt, 0.4)
+            self.play_until(0.34)
+            self.assertEqual([attempt], abandoned)
+
+    def test_upstream_that_falls_silent_after_a_probe_is_left(self):
+        """It responded to others at first, so it is probed again."""
+        self.advance(1)
+        self.attempt.last_seen_at = self.now
+        self.advance(PROBE_S)
+        self.assertEqual([], self.abandoned)
+        self.play_until(2)
+        self.assertEqual([self.attempt], self.abandoned)
+
+    def test_busy_upstream_is_probed_a_bounded_number_of_times(self):
+        """Each time half of what was left is over."""
+        self.watch.stop()
+        attempt = FakeAttempt()
+        abandoned = self.watch_from_zero(attempt, 60)
+        while self.now < 60:
+            if self.now > 29:
+                attempt.last_seen_at = self.now if attempt.probes else -1
+            self.play_until(self.now + TICK_S)
+        self.assertEqual([], abandoned)
+        self.assertLessEqual(attempt.probes, 20)
+
+    def watch_from_zero(self, attempt, total_s: float) -> list:
+        """Starts a watch; returns the list for what it gives up."""
+        abandoned: list = []
+        watch = SilenceWatch(
+            attempt, self.timers, lambda: self.now, abandoned.append
+        )
+        watch.start(total_s, total_s)
+        return abandoned
+
+    def play_until(self, until: float) -> None:
+        """Advances the time tick by tick."""
+        while self.now < until:
+            self.now += TICK_S
+            self.timers.advance(self.now)
