Run two tests of replicas in virtual time

test_leader_loss_keeps_what_was_accepted and test_without_quorum_nothing_is_accepted failed in 2 of 11 runs of their file at a load of about 20. Their fleet elects a leader after 90 ms of silence, in one event loop. Trials of both scenarios that record the loop's lag and the roles:

- Leader loss, 194 runs at a load of about 20, 2 failed: the loop stood still for 127 and 178 ms between the election and the first change; the leader stood back, another term began, and the replica itself sent the change again, so the outcome was Accepted(1, resent=True), which is true, not Accepted(1).
- Without a quorum, 44 runs, 1 failed: a lag of 95 ms, then b led; the test cut off a, which led before, so its change was NotAccepted, not OutcomeUnknown.

In each failed run the lag is above the 90 ms, and the outcome is right for what happened. Timings, steps and assertions stay; both tests run in virtual time, which stands still while a thread syncs.

--- a/tests/bilberry_replica/fleet.py
+++ b/tests/bilberry_replica/fleet.py
@@ -8,7 +8,7 @@
 
 from bilberry_core.acceptance import Change
 from bilberry_core.board import Board
-from bilberry_core.clock import SystemClock
+from bilberry_core.clock import Clock, SystemClock
 from bilberry_core.configuration import (
     Configuration,
     Service,
@@ -56,7 +56,13 @@
 class Member:
     """A replica with its listener, board and disk."""
 
-    def __init__(self, settings: Settings, disk: Disk, limits: Limits) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        disk: Disk,
+        limits: Limits,
+        clock: Clock,
+    ) -> None:
         """Builds the replica without starting it."""
         self.traffic = Traffic()
         credentials = Credentials(
@@ -74,7 +80,7 @@
             self.board,
             self.listener,
             credentials,
-            SystemClock(),
+            clock,
             Random(),
             disk,
             options=ReplicaOptions(limits),
@@ -104,10 +110,12 @@
         names: str,
         timing: TimingSettings = FAST,
         limits: Limits = Limits(),
+        clock: Clock = SystemClock(),
     ) -> None:
         """Adds a replica for each letter of `names`."""
         self.timing = timing
         self.limits = limits
+        self.clock = clock
         self.peers: tuple[Peer, ...] = ()
         self.members: dict[str, Member] = {}
         self.extend(names)
@@ -125,7 +133,10 @@
             known = self.members.get(name)
             kept = known.disk if known else FakeDisk()
             member = Member(
-                self._build_settings(name), disk or kept, self.limits
+                self._build_settings(name),
+                disk or kept,
+                self.limits,
+                self.clock,
             )
             self.members[name] = member
             await member.start()
--- a/tests/bilberry_replica/test_controller.py
+++ b/tests/bilberry_replica/test_controller.py
@@ -17,6 +17,7 @@
 
 from tests.bilberry_core.fake_disk import FakeDisk
 from tests.bilberry_replica.fleet import TIMEOUT_S, Fleet, build_change
+from tests.virtual_time import VirtualClock, run_virtually
 
 
 def fail_sync(_name: str) -> None:
@@ -102,7 +103,7 @@
         """A new leader knows the change that the lost one accepted."""
 
         async def scenario():
-            fleet = Fleet('abc')
+            fleet = Fleet('abc', clock=VirtualClock())
             await fleet.start('abc')
             leader = await fleet.find_leader()
             first = await fleet.submit(leader, build_change('1', 0))
@@ -115,7 +116,7 @@
             await fleet.kill('abc')
             return first, again, second
 
-        first, again, second = run(scenario())
+        first, again, second = run_virtually(scenario())
         self.assertEqual(Success(Accepted(1)), first)
         self.assertEqual(Success(Accepted(1, resent=True)), again)
         self.assertEqual(Success(Accepted(2)), second)
@@ -124,7 +125,7 @@
         """The last of three replicas accepts nothing and confirms no read."""
 
         async def scenario():
-            fleet = Fleet('abc')
+            fleet = Fleet('abc', clock=VirtualClock())
             await fleet.start('abc')
             leader = await fleet.find_leader()
             await fleet.submit(leader, build_change('1', 0))
@@ -139,7 +140,7 @@
             await fleet.kill('abc')
             return unknown, refused, read, resent
 
-        unknown, refused, read, resent = run(scenario())
+        unknown, refused, read, resent = run_virtually(scenario())
         self.assertIsInstance(unknown.failure(), OutcomeUnknown)
         self.assertIsInstance(refused.failure(), NotAccepted)
         self.assertIsInstance(read.failure(), NotAccepted)
