End an upstream with an ID at its DELETE

An upstream that announces an ID on the daemon's own interface and sends `DELETE /v1/endpoint` stayed ready until its lease ended, and got requests for up to 6 s more; docs/INTERFACES.md says that it is gone. Cause: the request names no upstream, and was taken for the departure of one without an ID. It means the one that is announced. The platform's interface names the ID and was not affected.

test_upstream_with_an_id_is_gone_after_delete fails before.

--- a/packages/bilberry_proxy/bilberry_proxy/announcement.py
+++ b/packages/bilberry_proxy/bilberry_proxy/announcement.py
@@ -110,7 +110,7 @@
         if request.target != _PATH:
             return HttpResponse(404, body=f'expected {_PATH}\n'.encode())
         if request.method == 'DELETE':
-            self.leave()
+            self.leave(self._board.upstream.value.upstream_id)
             return HttpResponse(204)
         if request.method != 'PUT':
             return HttpResponse(405, ((b'allow', b'PUT, DELETE'),))
--- a/tests/bilberry_proxy/test_announcement.py
+++ b/tests/bilberry_proxy/test_announcement.py
@@ -140,6 +140,14 @@
         self.ask(state='draining')
         self.assertTrue(self.own.is_newer_than(first))
 
+    def test_upstream_with_an_id_is_gone_after_delete(self):
+        """`DELETE` names no upstream: it ends the one that is announced."""
+        self.ask(upstream_id='i-1', started_ms=90_000, sequence=7)
+        self.assertEqual(204, self.ask('DELETE').status)
+        self.assertEqual(EndpointState.GONE, self.own.state)
+        self.ask(upstream_id='i-1', started_ms=90_000, sequence=6)
+        self.assertEqual(EndpointState.GONE, self.own.state)
+
     def test_silent_upstream_is_gone(self):
         """An upstream is gone once it was silent for a lease, not before."""
         self.ask()
