--- a/packages/bilberry_claims/bilberry_claims/holder.py
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -11,6 +11,7 @@
 from bilberry_core.handshake import Purpose
 from bilberry_core.journal import Journal
 from bilberry_core.listener import StreamListener
+from bilberry_core.metric import Metrics, NullMetrics
 from bilberry_core.stream import Credentials, Stream
 
 from bilberry_claims.follower import EndHandover, EpochFollower
@@ -31,7 +32,8 @@
     A reply is sent once everything that it reports is durable; replies that
     wait at the same time share one sync. While the disk refuses writes,
     requests get no reply and change nothing. `end_handover` may be set to a
-    callback that commits the end of a handover to the replicated log.
+    callback that commits the end of a handover to the replicated log, and
+    `metrics` to a client that counts what is found in the journal.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
     ) -> None:
         """Ignores messages until `run` has read the journal."""
         self.end_handover: EndHandover = _refuse_to_end_handover
+        self.metrics: Metrics = NullMetrics()
         self._board = board
         self._credentials = credentials
         self._disk = disk
@@ -130,7 +133,9 @@
                 await wait_for(self._stopping.wait(), _POLL_S)
 
     async def _open(self) -> None:
-        opened = await to_thread(Journal.open, self._disk, JOURNAL_NAME)
+        opened = await to_thread(
+            Journal.open, self._disk, JOURNAL_NAME, self.metrics
+        )
         journal, records = opened
         await to_thread(self._core.load, records, self._clock.wall_ms())
         self._outbox = Outbox(journal, partial(self._compact, journal))
--- a/packages/bilberry_core/bilberry_core/journal.py
+++ b/packages/bilberry_core/bilberry_core/journal.py
@@ -1,60 +1,53 @@
 """A journal of records in one file, which are durable after a sync.
 
-A record consists of the length and the checksum of its payload, the checksum
-of this header, the payload, and an end mark that is never zero. This
-distinguishes a record that was only partly written, which is dropped, from one
-that was damaged later, which raises `JournalError`.
+All records that wait at a sync are written as one batch (`journal_batch`).
+After a loss of power, a last batch that was never synced is cut off; damage
+of what was synced raises `JournalError`.
 """
 
 from asyncio import Task, create_task, shield, sleep, to_thread
 from collections.abc import Iterable
 from logging import getLogger
-from struct import Struct
 from time import monotonic
 from typing import NamedTuple
-from zlib import crc32
 
 from bilberry_core.disk import Disk
 from bilberry_core.error import JournalError
+from bilberry_core.journal_batch import (
+    MAGIC,
+    OVERHEAD_BYTES,
+    RECOVERY_ADVICE,
+    StoredBatches,
+    encode_batch,
+    encode_content,
+    encode_record,
+    read_batches,
+)
+from bilberry_core.journal_format_1 import MAGIC_1, read_records_1
+from bilberry_core.metric import Metrics, NullMetrics
 
 _log = getLogger(__name__)
 
 #: Time between attempts at writing while the disk refuses, in seconds.
 RETRY_S = 0.25
-_MAGIC = b'BILBERRY-JOURNAL-1\n'
-_RECORD_SIZES = Struct('>II')
-_HEADER_CHECKSUM = Struct('>I')
-_HEADER_BYTES = _RECORD_SIZES.size + _HEADER_CHECKSUM.size
-_END_MARK = b'\xa5'
-_ZERO_BYTE = b'\0'
-_RECOVERY_ADVICE = (
-    'keep a copy of the data folder, empty it, and let this replica '
-    + 'catch up from the others'
-)
-
-
-class _QueuedWrite(NamedTuple):
-    """Bytes to append, or to replace the file with."""
-
-    payload: bytes
-    replaces: bool = False
 
 
 class _Batch(NamedTuple):
-    """Writes that are performed together, and how many there were by then."""
+    """What replaces the file, if anything, and what is appended then.
 
-    writes: tuple[_QueuedWrite, ...]
+    `queued` tells how many writes were queued by then.
+    """
+
+    replacement: bytes | None
+    encoded: tuple[bytes, ...]
     queued: int
 
-    @property
-    def replaces(self) -> bool:
-        """Whether the content of the file before the batch is dropped."""
-        return bool(self.writes) and self.writes[0].replaces
-
-    @property
-    def size(self) -> int:
-        """Bytes in all writes."""
-        return sum(len(write.payload) for write in self.writes)
+    def get_end(self, start: int) -> int:
+        """Returns the size of a file that had `start` bytes before it."""
+        end = start if self.replacement is None else len(self.replacement)
+        if self.encoded:
+            end += OVERHEAD_BYTES + sum(map(len, self.encoded))
+        return end
 
 
 class Journal:
@@ -74,22 +67,26 @@
         self._size = size
         self._durable_size = size
         self._is_settled = False
-        self._writes: list[_QueuedWrite] = []
         # What `open` has read may not be durable yet: the first sync covers it.
         self._queued = 1
         self._durable = 0
+        self._replacement: bytes | None = None
+        self._encoded: list[bytes] = []
         self._flush: Task[None] | None = None
         self._failing_since: float | None = None
 
     @classmethod
-    def open(cls, disk: Disk, name: str) -> tuple['Journal', list[bytes]]:
+    def open(
+        cls, disk: Disk, name: str, metrics: Metrics = NullMetrics()
+    ) -> tuple['Journal', list[bytes]]:
         """Returns the journal of a file and its records; writes nothing.
 
-        A last record that was only partly written is dropped; the first sync
-        cuts it off. Raises `JournalError` if records are damaged.
+        A last batch that was never synced and is not whole is dropped; the
+        first sync cuts it off. Raises `JournalError` if synced records are
+        damaged.
         """
         try:
-            return cls._load(disk, name)
+            return cls._load(disk, name, metrics)
         except OSError as error:
             raise JournalError(f'file "{name}": {error}') from error
 
@@ -115,16 +112,21 @@
 
     def append(self, record: bytes) -> None:
         """Queues a record, which is durable after the next `sync`."""
-        payload = _encode_record(record)
-        self._queue_write(_QueuedWrite(payload))
-        self._size += len(payload)
+        encoded = encode_record(record)
+        if not self._encoded:
+            self._size += OVERHEAD_BYTES
+        self._size += len(encoded)
+        self._encoded.append(encoded)
+        self._queued += 1
 
     def replace(self, records: Iterable[bytes]) -> None:
         """Queues the replacement of all earlier records by `records`."""
-        payload = _MAGIC + b''.join(map(_encode_record, records))
-        self._writes.clear()
-        self._queue_write(_QueuedWrite(payload, replaces=True))
-        self._size = len(payload)
+        self._replacement = encode_content(
+            b''.join(map(encode_record, records))
+        )
+        self._encoded = []
+        self._queued += 1
+        self._size = len(self._replacement)
 
     async def sync(self) -> None:
         """Makes everything queued so far durable, however long that takes.
@@ -163,28 +165,36 @@
             self._flush = None
 
     def _begin_batch(self) -> _Batch:
-        batch = _Batch(tuple(self._writes), self._queued)
-        self._writes = []
+        batch = _Batch(self._replacement, tuple(self._encoded), self._queued)
+        self._replacement = None
+        self._encoded = []
         return batch
 
     def _perform(self, batch: _Batch) -> None:
-        """Performs writes from a known end of the file, and syncs them."""
-        writes = batch.writes
-        if batch.replaces:
-            self._disk.replace(self._name, writes[0].payload)
-            writes = writes[1:]
-        elif not self._is_settled:
-            self._disk.truncate(self._name, self._durable_size)
-        self._is_settled = False
-        if writes:
-            payload = b''.join(write.payload for write in writes)
+        """Writes a batch at a known end of the file, and syncs it."""
+        size = self._settle(batch.replacement)
+        if batch.encoded:
+            payload = encode_batch(b''.join(batch.encoded), size)
             self._disk.append(self._name, payload)
             self._disk.sync(self._name)
         self._is_settled = True
 
+    def _settle(self, replacement: bytes | None) -> int:
+        """Replaces the file, or cuts it back to what is synced.
+
+        Returns its size.
+        """
+        is_settled = self._is_settled
+        self._is_settled = False
+        if replacement is not None:
+            self._disk.replace(self._name, replacement)
+            return len(replacement)
+        if not is_settled:
+            self._disk.truncate(self._name, self._durable_size)
+        return self._durable_size
+
     def _finish(self, batch: _Batch) -> None:
-        kept = 0 if batch.replaces else self._durable_size
-        self._durable_size = kept + batch.size
+        self._durable_size = batch.get_end(self._durable_size)
         self._durable = batch.queued
         if self._failing_since is not None:
             seconds = monotonic() - self._failing_since
@@ -195,11 +205,13 @@
             )
 
     def _keep(self, batch: _Batch, error: OSError) -> None:
-        """Queues the writes of a failed batch again, before later ones."""
-        self._is_settled = False
-        is_superseded = self._writes and self._writes[0].replaces
-        if not is_superseded:
-            self._writes = [*batch.writes, *self._writes]
+        """Queues the records of a failed batch again, before later ones."""
+        if self._replacement is None:
+            if batch.encoded and self._encoded:
+                # They share a batch now.
+                self._size -= OVERHEAD_BYTES
+            self._encoded = [*batch.encoded, *self._encoded]
+            self._replacement = batch.replacement
         if self._failing_since is None:
             self._failing_since = monotonic()
             _log.critical(
@@ -207,76 +219,30 @@
                 extra={'file': self._name, 'cause': str(error)},
             )
 
-    def _queue_write(self, write: _QueuedWrite) -> None:
-        self._writes.append(write)
-        self._queued += 1
-
     @classmethod
-    def _load(cls, disk: Disk, name: str) -> tuple['Journal', list[bytes]]:
+    def _load(
+        cls, disk: Disk, name: str, metrics: Metrics
+    ) -> tuple['Journal', list[bytes]]:
         stored = disk.read(name)
-        if len(stored) < len(_MAGIC) and _MAGIC.startswith(stored):
-            journal = cls(disk, name, 0)
-            journal.replace(())
-            return journal, []
-        if not stored.startswith(_MAGIC):
-            raise JournalError(
-                f'file "{name}" is not a journal: {_RECOVERY_ADVICE}'
-            )
-        records, end = _read_records(name, stored)
-        return cls(disk, name, end), records
-
-
-def _encode_record(record: bytes) -> bytes:
-    sizes = _RECORD_SIZES.pack(len(record), crc32(record))
-    return sizes + _HEADER_CHECKSUM.pack(crc32(sizes)) + record + _END_MARK
-
-
-def _read_records(name: str, stored: bytes) -> tuple[list[bytes], int]:
-    records: list[bytes] = []
-    start = len(_MAGIC)
-    while start < len(stored):
-        end = _find_end(stored, start)
-        if not _is_whole(stored, start, end):
-            if _is_torn(stored, start, end):
-                break
-            raise JournalError(
-                f'file "{name}" is damaged at byte {start}: {_RECOVERY_ADVICE}',
+        found = _read(name, stored)
+        if found.end < len(stored):
+            metrics.incr('journal.tails_dropped')
+            _log.warning(
+                'journal_tail_dropped',
+                extra={'file': name, 'bytes': len(stored) - found.end},
             )
-        records.append(stored[start + _HEADER_BYTES : end - 1])
-        start = end
-    return records, start
-
-
-def _find_end(stored: bytes, start: int) -> int:
-    """Returns the end offset of a record, 0 if its header is damaged."""
-    header = stored[start : start + _HEADER_BYTES]
-    if len(header) < _HEADER_BYTES:
-        return 0
-    if (
-        _HEADER_CHECKSUM.pack(crc32(header[: _RECORD_SIZES.size]))
-        != header[_RECORD_SIZES.size :]
-    ):
-        return 0
-    size, _ = _RECORD_SIZES.unpack_from(header)
-    return start + _HEADER_BYTES + size + 1
-
-
-def _is_whole(stored: bytes, start: int, end: int) -> bool:
-    if not end or end > len(stored):
-        return False
-    _, checksum = _RECORD_SIZES.unpack_from(stored, start)
-    body = stored[start + _HEADER_BYTES : end - 1]
-    return crc32(body) == checksum and stored[end - 1 : end] == _END_MARK
-
-
-def _is_torn(stored: bytes, start: int, end: int) -> bool:
-    """Returns whether a record was only partly written.
-
-    In that case the file ends within it, or zeros replace its end.
-    """
-    if end > len(stored):
-        return True
-    written = len(stored.rstrip(_ZERO_BYTE)) - start
-    if end:
-        return written < end - start
-    return written < _HEADER_BYTES
+        journal = cls(disk, name, found.end)
+        if not stored.startswith(MAGIC):
+            journal.replace(found.records)
+        return journal, found.records
+
+
+def _read(name: str, stored: bytes) -> StoredBatches:
+    """Returns what a file holds; no bytes hold nothing."""
+    if stored.startswith(MAGIC):
+        return read_batches(name, stored)
+    if stored.startswith(MAGIC_1):
+        return read_records_1(name, stored)
+    if MAGIC.startswith(stored) or MAGIC_1.startswith(stored):
+        return StoredBatches([], len(stored))
+    raise JournalError(f'file "{name}" is not a journal: {RECOVERY_ADVICE}')
--- a/packages/bilberry_replica/bilberry_replica/building.py
+++ b/packages/bilberry_replica/bilberry_replica/building.py
@@ -8,6 +8,7 @@
 from bilberry_core.endpoint import Address
 from bilberry_core.journal import Journal
 from bilberry_core.messages.replica import Member, Membership
+from bilberry_core.metric import Metrics, NullMetrics
 from bilberry_core.settings import Settings
 
 from bilberry_replica.driver import Driver
@@ -30,10 +31,14 @@
 
     `validate`
         Returns the errors found in the content of a change.
+
+    `metrics`
+        Counts what is found in the journal.
     """
 
     limits: Limits = Limits()
     validate: Validate = validate_content
+    metrics: Metrics = NullMetrics()
 
 
 def open_driver(
@@ -42,18 +47,18 @@
     clock: Clock,
     random: RandomSource,
     links: Links,
-    limits: Limits,
+    options: ReplicaOptions,
 ) -> Driver:
     """Opens the replica stored on a disk.
 
     Raises `JournalError` if the disk is damaged.
     """
-    opened = Journal.open(disk, JOURNAL_NAME)
+    opened = Journal.open(disk, JOURNAL_NAME, options.metrics)
     replica = Replica.open(
         opened,
         _build_node(settings, random.randrange(_MAX_STORE_ID) + 1),
         EventTime(clock.now(), random.random()),
-        limits,
+        options.limits,
     )
     return Driver(replica, opened[0], clock, random, links.send)
 
--- a/packages/bilberry_replica/bilberry_replica/controller.py
+++ b/packages/bilberry_replica/bilberry_replica/controller.py
@@ -96,8 +96,7 @@
         Raises `JournalError` if the disk is damaged.
         """
         links = Links(credentials, random)
-        limits = options.limits
-        driver = open_driver(settings, disk, clock, random, links, limits)
+        driver = open_driver(settings, disk, clock, random, links, options)
         controller = cls(settings, driver, board, links, options)
         links.accept_from(listener, controller.build_dispatch().receive)
         return controller
--- a/packages/bilberryd/bilberryd/replica_part.py
+++ b/packages/bilberryd/bilberryd/replica_part.py
@@ -23,7 +23,7 @@
         parts.clock,
         parts.random,
         disk,
-        ReplicaOptions(validate=validate_content),
+        ReplicaOptions(validate=validate_content, metrics=parts.metrics),
     )
     parts.controllers.append(parts.acceptor)
     parts.rollouts = RolloutController.from_settings(
@@ -60,4 +60,5 @@
         parts.clock,
     )
     holder.end_handover = acceptor.end_handover
+    holder.metrics = parts.metrics
     parts.controllers.append(holder)
--- a/tests/bilberry_core/test_journal.py
+++ b/tests/bilberry_core/test_journal.py
@@ -152,7 +152,8 @@
     def test_start_on_a_full_disk_drops_a_torn_tail(self):
         """The tail is cut off before the next record is written."""
         disk = FakeDisk()
-        write(disk, [b'kept', b'torn'])
+        write(disk, [b'kept'])
+        write(disk, [b'torn'])
         del disk.files[NAME][-3:]
         disk.room = 0
         disk.before_sync = fail
@@ -181,11 +182,12 @@
         """A file that is shorter than what was synced is not continued."""
         disk = FakeDisk()
         journal = write(disk, [b'1', b'2'])
+        synced = disk.synced[NAME]
         disk.before_sync = fail
         journal.append(b'3')
         self.assertRaises(OSError, journal.sync_now)
         disk.before_sync = len
-        del disk.files[NAME][-40:]
+        del disk.files[NAME][synced - 1 :]
         self.assertRaises(JournalError, journal.sync_now)
 
     def test_waiting_callers_share_a_sync(self):
--- a/tests/bilberry_replica/test_schedule.py
+++ b/tests/bilberry_replica/test_schedule.py
@@ -132,7 +132,8 @@
         for _ in range(60):
             offer_until_accepted(self, schedule)
             run_rounds(schedule, 5)
-        queued = len(stalled.journal._writes)
+        # The replacement of the file, and what is appended to it.
+        queued = 1 + len(stalled.journal._encoded)
         self.assertLessEqual(queued, 2 * LIMITS.log_entries)
         self.assertLessEqual(len(stalled.replica._late), 256)
         schedule.settle()
