Schedules of replicas tear unsynced writes at a crash

Crashes kept a prefix of the unsynced bytes of a file. They lose, tear or keep each unsynced write now (power_loss.py), also where all replicas crash at once, which lost everything unsynced before.

--- a/tests/bilberry_core/power_loss.py
+++ b/tests/bilberry_core/power_loss.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from errno import EIO
+from random import Random
 from typing import NamedTuple
 
 from hypothesis import strategies as st
@@ -41,8 +42,10 @@
 
 PRESENT = Fate()
 MISSING = Fate(0)
-_TORN = st.builds(Fate, st.integers(1, 4000)) | st.builds(
-    Fate, st.none(), st.integers(1, 255)
+_TORN_BYTES = 4000
+_SECTOR_SETS = 256
+_TORN = st.builds(Fate, st.integers(1, _TORN_BYTES - 1)) | st.builds(
+    Fate, st.none(), st.integers(1, _SECTOR_SETS - 1)
 )
 _FATES = st.sampled_from((PRESENT, MISSING)) | _TORN
 LOSSES = st.builds(
@@ -50,6 +53,23 @@
 )
 
 
+def pick_loss(random: Random) -> Loss:
+    """Picks a loss; one of four takes everything that is unsynced."""
+    fates = tuple(
+        random.choice(
+            (
+                PRESENT,
+                MISSING,
+                Fate(random.randrange(1, _TORN_BYTES)),
+                Fate(lost_sectors=random.randrange(1, _SECTOR_SETS)),
+            )
+        )
+        for _ in range(3)
+    )
+    takes_all = random.randrange(4) == 0
+    return Loss(fates, random.choice((True, False)), takes_all)
+
+
 class PowerLossDisk(FakeDisk):
     """Files whose unsynced writes are present, missing or torn after a loss.
 
--- a/tests/bilberry_replica/events.py
+++ b/tests/bilberry_replica/events.py
@@ -17,6 +17,7 @@
 from bilberry_replica.member import remove_member
 from bilberry_replica.packing import pack_change
 
+from tests.bilberry_core.power_loss import pick_loss
 from tests.bilberry_replica.checker import JOURNAL_NAME, Operation, require
 from tests.bilberry_replica.schedule import (
     Host,
@@ -154,14 +155,14 @@
     """Crashes a replica; part of its unsynced data may survive."""
     host = _pick_running(schedule)
     if host:
-        schedule.crash(host, schedule.random.choice((0, 0, 5, 17, 60, 10_000)))
+        schedule.crash(host, pick_loss(schedule.random))
 
 
 def crash_all(schedule: Schedule) -> None:
     """Sometimes crashes every replica at once."""
     if schedule.random.randrange(3) == 0:
         for host in schedule.list_running():
-            schedule.crash(host)
+            schedule.crash(host, pick_loss(schedule.random))
 
 
 def freeze(schedule: Schedule) -> None:
--- a/tests/bilberry_replica/schedule.py
+++ b/tests/bilberry_replica/schedule.py
@@ -29,7 +29,7 @@
 from bilberry_replica.node import EventTime, Node, Timing
 from bilberry_replica.replica import Replica
 
-from tests.bilberry_core.fake_disk import FakeDisk
+from tests.bilberry_core.power_loss import Loss, PowerLossDisk
 from tests.bilberry_replica.checker import (
     JOURNAL_NAME,
     Checker,
@@ -53,7 +53,7 @@
         self.name = name
         self.domain = domain
         self.store = store
-        self.disk = FakeDisk()
+        self.disk = PowerLossDisk()
         self.clock_rate = 1.0
         self.frozen = False
         self.published_version = 0
@@ -114,18 +114,18 @@
         self.checker.watch(host.replica)
         host.replica.machine.on_applied = self._build_applied_callback(host)
 
-    def crash(self, host: Host, kept: int = 0) -> None:
-        """Crashes a replica; `kept` bytes of its unsynced data survive."""
+    def crash(self, host: Host, loss: Loss = Loss((), takes_all=True)) -> None:
+        """Crashes a replica; its unsynced writes arrive in part."""
         host.replica = None
         host.flush = None
         host.frozen = False
         host.offers = {}
         host.reads = []
-        host.disk.crash(kept)
+        host.disk.lose_power(loss)
 
     def wipe(self, host: Host) -> None:
         """Gives a stopped replica a new disk."""
-        host.disk = FakeDisk()
+        host.disk = PowerLossDisk()
         host.published_version = 0
         host.store = self.next_store()
 
