A new leader grants once an entry of its term is committed

Cause: a granter began with the role of leader. By then its replica shows what it knew as a follower: a quota that was lowered, and accepted, just before the leader was lost may be in its log without being known as committed, and it granted by the old one until its first entry was committed.

Change: a replica says in its status whether its disk has a committed entry of its own term (is_current); the granter makes offers only then. Meanwhile daemons spend what they hold, as without a leader. Roll-outs need no such rule: their steps name the table that they change, and the log refuses others.

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -114,7 +114,9 @@
 class ReplicaStatus(NamedTuple):
     """A replica's view of the replicated log and its own role in it.
 
-    `disk_stalled` is set while its disk takes no writes.
+    `disk_stalled` is set while its disk takes no writes. `is_current` is set
+    while it leads and an entry of its term is committed, and synced and shown
+    here: then everything accepted in earlier terms is shown, too.
     """
 
     role: str
@@ -123,6 +125,7 @@
     commit: int
     members: tuple[str, ...]
     disk_stalled: bool = False
+    is_current: bool = False
 
     @property
     def is_leader(self) -> bool:
--- a/packages/bilberry_quotas/bilberry_quotas/granter_controller.py
+++ b/packages/bilberry_quotas/bilberry_quotas/granter_controller.py
@@ -42,7 +42,11 @@
 
 
 class GranterController:
-    """The granter of this replica while it leads, and its vote."""
+    """The granter of this replica while it leads, and its vote.
+
+    It grants once an entry of its term is committed, since it may know older
+    quotas and holders as a follower.
+    """
 
     def __init__(
         self,
@@ -118,8 +122,9 @@
     def _update(self) -> None:
         status = self._board.replica.value
         organisations = self._list_limited()
-        is_leading = status is not None and status.is_leader
-        if not organisations or not is_leading:
+        # A new leader may not know yet what the one before it accepted last.
+        is_current = status is not None and status.is_current
+        if not organisations or not is_current:
             self._granter = None
             self._board.quotas.put(None)
             self._granting.clear()
--- a/packages/bilberry_replica/bilberry_replica/flush.py
+++ b/packages/bilberry_replica/bilberry_replica/flush.py
@@ -18,11 +18,15 @@
 
 
 class Flush(NamedTuple):
-    """What a sync makes durable, and the messages to send after it."""
+    """What a sync makes durable, and the messages to send after it.
+
+    `commit_term` is the term of the entry at `commit`.
+    """
 
     term: int
     sends: tuple[Send, ...]
     commit: int
+    commit_term: int
     newest: HistoryEntry | None
     tables: DurableTables
 
--- a/packages/bilberry_replica/bilberry_replica/publisher.py
+++ b/packages/bilberry_replica/bilberry_replica/publisher.py
@@ -75,6 +75,7 @@
             node.commit,
             tuple(member.instance for member in node.membership.members),
             node.is_stalled,
+            node.is_leader and node.term == self._replica.durable_commit_term,
         )
         if status != self._board.replica.value:
             self._board.replica.put(status)
--- a/packages/bilberry_replica/bilberry_replica/replica.py
+++ b/packages/bilberry_replica/bilberry_replica/replica.py
@@ -72,6 +72,10 @@
         Called with each beacon of the leader.
     `flush_began_at`
         When the flush began that has not ended yet, in monotonic seconds.
+    `durable_commit_term`
+        Term of the last entry that this process noted as committed on its
+        disk. Once it is a leader's own term, the leader shows everything that
+        was accepted before.
     """
 
     def __init__(
@@ -85,6 +89,7 @@
         self.on_beacon: Callable[[Beacon], None] = _ignore
         self.limits = limits
         self.flush_began_at: float | None = None
+        self.durable_commit_term = 0
         self._journal = journal
         self._node = node
         self._machine = machine
@@ -225,6 +230,7 @@
             node.term,
             tuple(self._late),
             node.commit,
+            node.log.find_term(node.commit) or 0,
             self._machine.register.newest,
             get_tables(self._machine),
         )
@@ -243,7 +249,9 @@
         self.flush_began_at = None
         ended = end_stall(self._node, event_time)
         self.perform(Step(ended), event_time)
-        self._durable_commit = max(self._durable_commit, flush.commit)
+        if flush.commit > self._durable_commit:
+            self._durable_commit = flush.commit
+            self.durable_commit_term = flush.commit_term
         self._durable_newest = flush.newest
         self._durable_tables = flush.tables
         if flush.term == self._node.term:
