Sync a new data folder and its names before the first write

Cause: the folders above a new data folder were never synced, so a loss of power could take the folder with what was acknowledged.

Change: the first write of a process syncs the folder, and before it marks a new one the folders above it, as far as they may be read (folder_unsynced).

Three tests in tests/bilberry_core/test_disk.py record what is synced; all three fail without the change and pass with it.

Run: lint; tests/bilberry_core, bilberryd and tests/process/test_disks.py: all pass.

--- a/packages/bilberry_core/bilberry_core/disk.py
+++ b/packages/bilberry_core/bilberry_core/disk.py
@@ -75,6 +75,7 @@
         self._lock = lock
         self._descriptors: dict[str, int] = {}
         self._unmarked_fleet = ''
+        self._is_settled = False
 
     @classmethod
     def open(cls, folder: str, fleet: str) -> 'SystemDisk':
@@ -98,7 +99,7 @@
 
     def append(self, name: str, payload: bytes) -> None:
         """Appends bytes to a file, which is created if needed."""
-        self._mark_folder()
+        self._settle_folder()
         descriptor = self._descriptors.get(name)
         if descriptor is None:
             descriptor = self._open_to_append(name)
@@ -118,7 +119,7 @@
 
     def replace(self, name: str, payload: bytes) -> None:
         """Replaces the content of a file, durably and atomically."""
-        self._mark_folder()
+        self._settle_folder()
         self._replace_file(name, payload)
 
     def truncate(self, name: str, size: int) -> None:
@@ -127,6 +128,7 @@
         Opens the file anew, as a descriptor may forget that a sync failed.
         Raises `JournalError` if the file has fewer bytes.
         """
+        self._settle_folder()
         self._close_file(name)
         with _open_file(self._folder / name, O_WRONLY) as descriptor:
             stored = fstat(descriptor).st_size
@@ -197,15 +199,25 @@
 
     def _try_to_mark_folder(self) -> None:
         try:
-            self._mark_folder()
+            self._settle_folder()
         except OSError as error:
             _log.critical('folder_unmarked', extra={'cause': str(error)})
 
-    def _mark_folder(self) -> None:
-        """Records the fleet in a new folder."""
+    def _settle_folder(self) -> None:
+        """Makes the folder and its names durable before the first write.
+
+        Records the fleet in a new folder. What a killed process renamed or
+        created may not be synced yet.
+        """
+        if self._is_settled:
+            return
         if self._unmarked_fleet:
+            _sync_parents(self._folder)
             self._replace_file(_FLEET_NAME, self._unmarked_fleet.encode())
             self._unmarked_fleet = ''
+        else:
+            self._sync_folder()
+        self._is_settled = True
 
     def _open_to_append(self, name: str) -> int:
         descriptor = open_descriptor(
@@ -223,8 +235,7 @@
             close_descriptor(descriptor)
 
     def _sync_folder(self) -> None:
-        with _open_file(self._folder, O_RDONLY) as descriptor:
-            fsync(descriptor)
+        _sync_path(self._folder)
 
 
 def _lock_folder(folder: Path) -> int:
@@ -245,6 +256,21 @@
     return descriptor
 
 
+def _sync_path(path: Path) -> None:
+    with _open_file(path, O_RDONLY) as descriptor:
+        fsync(descriptor)
+
+
+def _sync_parents(folder: Path) -> None:
+    """Syncs the folders above one, as far as they may be read."""
+    for parent in folder.resolve().parents:
+        try:
+            _sync_path(parent)
+        except PermissionError as error:
+            _log.warning('folder_unsynced', extra={'cause': str(error)})
+            return
+
+
 def _write_file(path: Path, payload: bytes) -> None:
     with _open_file(path, O_WRONLY | O_CREAT) as descriptor:
         _write_all(descriptor, payload)
--- a/tests/bilberry_core/test_disk.py
+++ b/tests/bilberry_core/test_disk.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from os import fsync, readlink
 from pathlib import Path
 from resource import RLIMIT_FSIZE, getrlimit, setrlimit
 from tempfile import TemporaryDirectory
+from unittest.mock import patch
 
 from bilberry_core.disk import SystemDisk
 from bilberry_core.error import JournalError
@@ -22,6 +24,19 @@
         setrlimit(RLIMIT_FSIZE, (soft, hard))
 
 
+@contextmanager
+def record_syncs() -> Iterator[list[str]]:
+    """Records the paths of everything that is synced."""
+    synced: list[str] = []
+
+    def sync(descriptor: int) -> None:
+        synced.append(readlink(f'/proc/self/fd/{descriptor}'))
+        fsync(descriptor)
+
+    with patch('bilberry_core.disk.fsync', sync):
+        yield synced
+
+
 class SystemDiskTest(TestCase):
     """Tests of a data folder in the file system."""
 
@@ -117,3 +132,39 @@
         disk = self.open_disk()
         self.assertEqual(('log',), disk.list())
         self.assertEqual(b'whole', disk.read('log'))
+
+    def test_loss_of_power_takes_a_new_data_folder(self):
+        """Folders above it are synced before anything in it counts."""
+        self.folder = str(Path(self.folder) / 'below')
+        with record_syncs() as synced:
+            disk = self.open_disk()
+            disk.append('log', b'1')
+            disk.sync('log')
+        above = Path(self.folder).resolve().parents
+        self.assertIn(str(above[0]), synced)
+        self.assertIn(str(above[1]), synced)
+
+    def test_loss_of_power_undoes_a_replacement_of_a_killed_process(self):
+        """It may not have synced the new name of what is read now."""
+        disk = SystemDisk.open(self.folder, 'one')
+        disk.replace('log', b'new')
+        disk.close()
+        for write in (
+            lambda disk: disk.truncate('log', 3),
+            lambda disk: disk.append('log', b''),
+        ):
+            disk = SystemDisk.open(self.folder, 'one')
+            self.assertEqual(b'new', disk.read('log'))
+            with record_syncs() as synced:
+                write(disk)
+            disk.close()
+            self.assertIn(str(Path(self.folder).resolve()), synced)
+
+    def test_loss_of_power_leaves_files_without_their_fleet(self):
+        """The mark of a killed process is synced before another file."""
+        SystemDisk.open(self.folder, 'one').close()
+        disk = self.open_disk()
+        folder = str(Path(self.folder).resolve())
+        with record_syncs() as synced:
+            disk.replace('log', b'1')
+        self.assertEqual(folder, synced[0])
