A stop no longer waits for a disk that hangs

Cause: journals were written by asyncio's default threads. The loop's end and the interpreter's exit both wait for those without a limit, so a replica whose disk hung never ended; a claim holder's stop waited for its last replies as well.

Change: journals are written in a thread of their own that no exit waits for (disk_thread.py). A stop waits two seconds for the write that runs and then logs journal_left_unsynced. Replies and messages that depend on the write were never sent, and the next start cuts off what it left torn.

--- a/packages/bilberry_claims/bilberry_claims/holder.py
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -8,8 +8,9 @@
 from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.clock import Clock
 from bilberry_core.disk import Disk
+from bilberry_core.disk_thread import DiskThread
 from bilberry_core.handshake import Purpose
-from bilberry_core.journal import Journal
+from bilberry_core.journal import STOP_WAIT_S, Journal
 from bilberry_core.listener import StreamListener
 from bilberry_core.metric import Metrics, NullMetrics
 from bilberry_core.stream import Credentials, Stream
@@ -53,6 +54,7 @@
         self._clock = clock
         self._limits = limits
         self._core = HolderCore(credentials.instance, limits)
+        self._journal: Journal | None = None
         self._outbox: Outbox | None = None
         self._follower: EpochFollower | None = None
         self._stopping = Event()
@@ -102,7 +104,8 @@
         await self._follow()
         unwatch()
         if not self._outbox.is_blocked:
-            await self._outbox.flush()
+            with suppress(TimeoutError):
+                await wait_for(self._outbox.flush(), STOP_WAIT_S)
         self.close()
 
     def close(self) -> None:
@@ -112,8 +115,13 @@
             self._follower.close()
 
     async def stop(self) -> None:
-        """Makes `run` end after the pending replies are sent."""
+        """Makes `run` end after the pending replies are sent.
+
+        Waits for the disk, for a limited time.
+        """
         self._stopping.set()
+        if self._journal is not None:
+            await self._journal.finish()
 
     def _adopt(self, epoch: ClaimEpoch | None) -> None:
         self._follower.adopt(epoch)
@@ -133,11 +141,12 @@
                 await wait_for(self._stopping.wait(), _POLL_S)
 
     async def _open(self) -> None:
-        opened = await to_thread(
-            Journal.open, self._disk, JOURNAL_NAME, self.metrics
+        opened = await DiskThread().run(
+            partial(Journal.open, self._disk, JOURNAL_NAME, self.metrics)
         )
         journal, records = opened
         await to_thread(self._core.load, records, self._clock.wall_ms())
+        self._journal = journal
         self._outbox = Outbox(journal, partial(self._compact, journal))
         self._follower = EpochFollower(
             self._core,
--- a/packages/bilberry_core/bilberry_core/journal.py
+++ b/packages/bilberry_core/bilberry_core/journal.py
@@ -5,13 +5,15 @@
 of what was synced raises `JournalError`.
 """
 
-from asyncio import Task, create_task, shield, sleep, to_thread
+from asyncio import Task, create_task, shield, sleep, wait
 from collections.abc import Iterable
+from functools import partial
 from logging import getLogger
 from time import monotonic
 from typing import NamedTuple
 
 from bilberry_core.disk import Disk
+from bilberry_core.disk_thread import DiskThread
 from bilberry_core.error import JournalError
 from bilberry_core.journal_batch import (
     MAGIC,
@@ -30,6 +32,8 @@
 
 #: Time between attempts at writing while the disk refuses, in seconds.
 RETRY_S = 0.25
+#: Longest wait of a stop for the disk, in seconds.
+STOP_WAIT_S = 2.0
 
 
 class _Batch(NamedTuple):
@@ -72,6 +76,7 @@
         self._durable = 0
         self._replacement: bytes | None = None
         self._encoded: list[bytes] = []
+        self._thread = DiskThread()
         self._flush: Task[None] | None = None
         self._failing_since: float | None = None
 
@@ -139,6 +144,20 @@
                 self._flush = create_task(self._flush_in_thread())
             await shield(self._flush)
 
+    async def finish(self) -> None:
+        """Waits for the attempt at writing that runs, for a limited time.
+
+        What it leaves unsynced was never acknowledged.
+        """
+        if self._flush is None:
+            return
+        done, _running = await wait([self._flush], timeout=STOP_WAIT_S)
+        if not done:
+            _log.critical(
+                'journal_left_unsynced',
+                extra={'file': self._name, 'bytes': self.unsynced_bytes},
+            )
+
     def sync_now(self) -> None:
         """Makes everything queued so far durable, in the calling thread.
 
@@ -155,7 +174,7 @@
     async def _flush_in_thread(self) -> None:
         batch = self._begin_batch()
         try:
-            await to_thread(self._perform, batch)
+            await self._thread.run(partial(self._perform, batch))
         except OSError as error:
             self._keep(batch, error)
             await sleep(RETRY_S)
--- a/packages/bilberry_replica/bilberry_replica/controller.py
+++ b/packages/bilberry_replica/bilberry_replica/controller.py
@@ -137,8 +137,9 @@
             self._shut_down(tasks)
 
     async def stop(self) -> None:
-        """Ends `run`."""
+        """Ends `run`; waits for the disk, for a limited time."""
         self._stopping.set()
+        await self._driver.finish()
 
     @property
     def rollouts(self) -> RolloutLog:
--- a/packages/bilberry_replica/bilberry_replica/driver.py
+++ b/packages/bilberry_replica/bilberry_replica/driver.py
@@ -108,6 +108,10 @@
             sends = self.run_event(self.replica.end_flush, flush)
             self._send_all(sends)
 
+    async def finish(self) -> None:
+        """Waits for the sync that runs, for a limited time."""
+        await self._journal.finish()
+
     async def tick_forever(self) -> None:
         """Ticks the replica whenever something is due."""
         while True:
--- a/tests/bilberry_replica/test_controller.py
+++ b/tests/bilberry_replica/test_controller.py
@@ -2,6 +2,7 @@
 
 from asyncio import gather, run
 from errno import EIO
+from threading import Event
 
 from bilberry_core.acceptance import (
     Accepted,
@@ -243,6 +244,35 @@
         self.assertEqual(2, second.unwrap().version)
         self.assertEqual(1, shown.version)
 
+    def test_stop_waits_for_a_disk_that_hangs(self):
+        """It ends and names the journal; what was accepted is there."""
+
+        async def scenario():
+            fleet = Fleet('abc')
+            await fleet.start('abc')
+            await fleet.submit('a', build_change('1', 0))
+            await fleet.wait_version(1)
+            member = fleet.members['c']
+            is_free = Event()
+            member.disk.before_sync = lambda _name: is_free.wait()
+            await fleet.submit('a', build_change('2', 1))
+            await member.board.replica.wait_for(
+                lambda status: status.disk_stalled,
+            )
+            await member.controller.stop()
+            await member.task
+            await fleet.kill('abc')
+            member.disk.before_sync = len
+            await fleet.start('abc')
+            await fleet.wait_version(2)
+            await fleet.kill('abc')
+            is_free.set()
+
+        with self.assertLogs('bilberry_core', 'CRITICAL') as logs:
+            run(scenario())
+        events = {record.getMessage() for record in logs.records}
+        self.assertIn('journal_left_unsynced', events)
+
     def test_damaged_journal_stops_one_replica(self):
         """A replica with a flipped bit refuses to start and names a remedy."""
 
