--- a/packages/bilberry_claims/bilberry_claims/holder.py
+++ b/packages/bilberry_claims/bilberry_claims/holder.py
@@ -8,9 +8,11 @@
 from bilberry_core.board import Board, ClaimEpoch
 from bilberry_core.clock import Clock
 from bilberry_core.disk import Disk
+from bilberry_core.disk_thread import DiskThread
 from bilberry_core.handshake import Purpose
-from bilberry_core.journal import Journal
+from bilberry_core.journal import STOP_WAIT_S, Journal
 from bilberry_core.listener import StreamListener
+from bilberry_core.metric import Metrics, NullMetrics
 from bilberry_core.stream import Credentials, Stream
 
 from bilberry_claims.follower import EndHandover, EpochFollower
@@ -31,7 +33,8 @@
     A reply is sent once everything that it reports is durable; replies that
     wait at the same time share one sync. While the disk refuses writes,
     requests get no reply and change nothing. `end_handover` may be set to a
-    callback that commits the end of a handover to the replicated log.
+    callback that commits the end of a handover to the replicated log, and
+    `metrics` to a client that counts what is found in the journal.
     """
 
     def __init__(
@@ -44,12 +47,14 @@
     ) -> None:
         """Ignores messages until `run` has read the journal."""
         self.end_handover: EndHandover = _refuse_to_end_handover
+        self.metrics: Metrics = NullMetrics()
         self._board = board
         self._credentials = credentials
         self._disk = disk
         self._clock = clock
         self._limits = limits
         self._core = HolderCore(credentials.instance, limits)
+        self._journal: Journal | None = None
         self._outbox: Outbox | None = None
         self._follower: EpochFollower | None = None
         self._stopping = Event()
@@ -99,7 +104,8 @@
         await self._follow()
         unwatch()
         if not self._outbox.is_blocked:
-            await self._outbox.flush()
+            with suppress(TimeoutError):
+                await wait_for(self._outbox.flush(), STOP_WAIT_S)
         self.close()
 
     def close(self) -> None:
@@ -109,8 +115,13 @@
             self._follower.close()
 
     async def stop(self) -> None:
-        """Makes `run` end after the pending replies are sent."""
+        """Makes `run` end after the pending replies are sent.
+
+        Waits for the disk, for a limited time.
+        """
         self._stopping.set()
+        if self._journal is not None:
+            await self._journal.finish()
 
     def _adopt(self, epoch: ClaimEpoch | None) -> None:
         self._follower.adopt(epoch)
@@ -130,9 +141,12 @@
                 await wait_for(self._stopping.wait(), _POLL_S)
 
     async def _open(self) -> None:
-        opened = await to_thread(Journal.open, self._disk, JOURNAL_NAME)
+        opened = await DiskThread().run(
+            partial(Journal.open, self._disk, JOURNAL_NAME, self.metrics)
+        )
         journal, records = opened
         await to_thread(self._core.load, records, self._clock.wall_ms())
+        self._journal = journal
         self._outbox = Outbox(journal, partial(self._compact, journal))
         self._follower = EpochFollower(
             self._core,
--- a/packages/bilberry_replica/bilberry_replica/controller.py
+++ b/packages/bilberry_replica/bilberry_replica/controller.py
@@ -96,8 +96,7 @@
         Raises `JournalError` if the disk is damaged.
         """
         links = Links(credentials, random)
-        limits = options.limits
-        driver = open_driver(settings, disk, clock, random, links, limits)
+        driver = open_driver(settings, disk, clock, random, links, options)
         controller = cls(settings, driver, board, links, options)
         links.accept_from(listener, controller.build_dispatch().receive)
         return controller
@@ -138,8 +137,9 @@
             self._shut_down(tasks)
 
     async def stop(self) -> None:
-        """Ends `run`."""
+        """Ends `run`; waits for the disk, for a limited time."""
         self._stopping.set()
+        await self._driver.finish()
 
     @property
     def rollouts(self) -> RolloutLog:
