Don't take a receiver that stands still for a full link

Two frozen daemons with a download each made a link of 569 kB/s seem full for others until their streams ended. What waits for a stalled stream is not counted (test_backlog_of_a_receiver_that_stands_still_counts failed before).

--- a/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_queue.py
@@ -15,7 +15,7 @@
 
 from bilberry_proxy.bulk_window import ArrivedSlice, BulkWindow
 from bilberry_proxy.http_headers import Headers
-from bilberry_proxy.link_flight import LinkFlight, SentSlice
+from bilberry_proxy.link_flight import STALLED_S, LinkFlight, SentSlice
 from bilberry_proxy.reply_drop import (
     BegunReplies,
     DropCause,
@@ -143,6 +143,15 @@
             share = STOP_SHARE
         return self._unacknowledged < queues.window.size * share
 
+    @property
+    def is_stalled(self) -> bool:
+        """Whether nothing was acknowledged for long that was sent."""
+        now = self._queues.now()
+        return any(
+            now - slices[0].sent_at > STALLED_S
+            for slices in self._flying.values()
+        )
+
     def precede_others(self, stops_at: float) -> None:
         """Lets all responses precede those of other streams.
 
--- a/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
+++ b/packages/bilberry_proxy/bilberry_proxy/reply_schedule.py
@@ -30,6 +30,10 @@
     def is_within_share(self) -> bool:
         """Whether the stream may send while others wait."""
 
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the receiver of the stream stands still."""
+
 
 class PendingReply:
     """A long response that is not completely sent."""
@@ -96,8 +100,12 @@
 
     @property
     def unsent(self) -> int:
-        """The bytes that wait."""
-        return sum(reply.unsent for reply in self._replies)
+        """The bytes that wait for the link, and not for their receiver."""
+        return sum(
+            reply.unsent
+            for reply in self._replies
+            if not reply.owner.is_stalled
+        )
 
     def add(self, reply: PendingReply) -> None:
         """Gives a response a turn by what is left of it now."""
--- a/tests/bilberry_proxy/test_reply_queue.py
+++ b/tests/bilberry_proxy/test_reply_queue.py
@@ -201,6 +201,19 @@
             queues.flush()
         self.assertEqual([2], other.list_complete())
 
+    def test_backlog_of_a_receiver_that_stands_still_counts(self):
+        """Calls of others would be refused for it."""
+        now: list[float] = [0]
+        queues = ReplyQueues(lambda: now[0])
+        queue = queues.open(FakeStream(1 << 30))
+        queue.start(build_reply(1, LARGE))
+        self.assertEqual(len(LARGE), queues.backlog)
+        now[0] = 2 * STALLED_S
+        self.assertEqual(0, queues.backlog)
+        queue.acknowledge(1)
+        queue.acknowledge(1)
+        self.assertNotEqual(0, queues.backlog)
+
     def test_cancelled_response_is_kept_while_others_wait(self):
         """Its turn comes only when all shorter ones are sent."""
         queues = ReplyQueues(int)
--- a/tests/bilberry_proxy/test_reply_schedule.py
+++ b/tests/bilberry_proxy/test_reply_schedule.py
@@ -14,6 +14,7 @@
 
     is_writable = True
     is_within_share = True
+    is_stalled = False
 
 
 class ReplyScheduleTest(TestCase):
@@ -90,6 +91,11 @@
                 self.schedule.add(reply)
         self.assertEqual([1, 1, 1, 2, 2, 2, 2, 0, 0, 0, 0, 0], sent)
 
+    def test_receiver_that_stands_still_makes_the_link_seem_full(self):
+        """What waits for it doesn't wait for the link."""
+        self.replies[0].owner.is_stalled = True
+        self.assertEqual(300 + 400, self.schedule.unsent)
+
     def test_removed_response_gets_no_turn(self):
         """Also if it was passed over before."""
         self.schedule.remove(self.replies[1])
