--- a/packages/bilberry_proxy/bilberry_proxy/response_track.py
+++ b/packages/bilberry_proxy/bilberry_proxy/response_track.py
@@ -15,13 +15,11 @@
 from bilberry_core.metric import Metrics, NullMetrics
 from bilberry_core.verdict import Failure, FailureCode
 
-from bilberry_proxy.http_headers import CONTENT_LENGTH, Headers, find_header
+from bilberry_proxy.http_headers import Headers
+from bilberry_proxy.response_size import parse_length
 
 _log = getLogger(__name__)
 
-#: Digits of the longest length that is read.
-_MAX_DIGITS = 18
-
 
 class CutCause(StrEnum):
     """Why a caller does not get the whole of a response."""
@@ -145,10 +143,8 @@
         """Returns the bytes of the body that have not arrived, if known."""
         if self._is_whole:
             return 0
-        length = find_header(self._headers, CONTENT_LENGTH)
-        if len(length) > _MAX_DIGITS or not length.isdigit():
-            return None
-        return max(int(length) - self._received, 0)
+        length = parse_length(self._headers)
+        return None if length is None else max(length - self._received, 0)
 
 
 def find_cause(failure: Failure) -> CutCause:
