--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -116,6 +116,8 @@
         self.lab, self.name, self.host = lab, name, host
         self.service, self.slots, self._work = service, slots, work
         self.speed = 1.0
+        #: Whether a request is dropped when its connection closes.
+        self.drops = True
         self.is_up = False
         self.instance = ''
         self._server = None
@@ -195,7 +197,9 @@
                 finally:
                     self._waiting -= 1
                 try:
-                    answer = await self._work(self, method, path, headers, body)
+                    answer = await self._run(
+                        reader, self._work(self, method, path, headers, body)
+                    )
                 finally:
                     self._free.release()
                 if answer is None:
@@ -212,6 +216,22 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _run(self, reader, work):
+        """Works on a request, until its connection closes."""
+        if not self.drops:
+            return await work
+        working = asyncio.ensure_future(work)
+        closing = asyncio.ensure_future(reader.read(1))
+        try:
+            await asyncio.wait(
+                {working, closing}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return working.result() if working.done() else None
+        finally:
+            working.cancel()
+            closing.cancel()
+            await asyncio.wait({working, closing})
+
     def _reply(self, writer, status, headers, body, declined=False):
         lines = [
             f'HTTP/1.1 {status} X',
@@ -231,7 +251,11 @@
 class Lab:
     """The machines, their processes, and the operator."""
 
-    def __init__(self, folder, cores=3):
+    def __init__(self, folder, cores=3, contracts=(), bounds=()):
+        self._contracts = (
+            'base', 'drain', 'config', 'cost', 'retry', 'recover', *contracts
+        )
+        self._bounds = (*BOUNDS, *bounds)
         self.record = Record(Path(folder) / 'record.txt')
         self.temporary = Path(tempfile.mkdtemp(prefix='bilberry-review-'))
         self.cores = [f'core-{number}' for number in range(cores)]
@@ -286,8 +310,8 @@
             f'InTolerance = {"true" if kind == "core" else "false"}',
             'Discovery = "static"', 'EntryMode = "static"',
             f'HeartbeatS = {BEAT_S}',
-            'Contracts = ["base","drain","config","cost","retry","recover"]',
-            'Bounds = [%s]' % ','.join(f'"{one}"' for one in BOUNDS),
+            f'Contracts = {json.dumps(self._contracts)}',
+            f'Bounds = {json.dumps(self._bounds)}',
         ]
         if kind == 'core':
             data = self.temporary / f'data-{name}'
