--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,6 @@
-"""Clients leave before their deadline, and backends finish what they began.
+"""A request with a long body crashes each backend that begins to run it.
 
-The backends of `desk` make a call to `roster` while they work. One of the three
-does not drop a request when its connection closes, so it makes its call also
-after the client has left.
+It comes again, with the same path, caller and body, at any machine.
 """
 
 import asyncio
@@ -19,141 +17,152 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HOST = 'app.example'
-SLOTS = 12
-QUOTA = ('QuotaWindowS=5', 'QuotaOverage=0.1', 'QuotaSlack=20')
-KEYS = {'key-agents-1': 'agents', 'key-trekkers-1': 'trekkers'}
-WORK_S, CALL_AFTER_S = 0.35, 0.28
-PER_S, LASTS_S = 40.0, 30.0
-DEADLINE_S = 2.5
-#: Share of the clients that leave, within this time: half of the objective.
-LEAVE_SHARE, LEAVE_S = 0.2, 0.3
+BACKENDS, FRONTS, SLOTS = 4, 3, 12
+BODY_BYTES = int(os.environ.get('BODY', 200_000))
+PATH = '/desk/closing-report'
+#: How often the request comes, and the pause between two comings.
+TIMES, PAUSE_S = 12, 3.5
+#: Time after which a crashed backend is back.
+BACK_S = 2.0
+STABLE_WINDOW_S = 3.0
+MOST_RETRIES = 3
+USUAL_PER_S = 6.0
+DEADLINE_S = 3.0
 
 
 class Traffic:
     def __init__(self, lab):
         self.lab = lab
-        self.requests = 0
-        self.calls = {}
+        self.body = random.Random(7).randbytes(BODY_BYTES)
+        self.crashes = []
+        self.sent_at = {}
+        self.arrivals = []
         self.outcomes = {}
+        self.tasks = set()
 
     async def work(self, backend, method, path, headers, body):
-        attempt = headers['x-attempt-id']
-        if backend.service == 'roster':
-            await asyncio.sleep(0.02)
-            return b'roster'
-        began = time.monotonic()
-        await asyncio.sleep(CALL_AFTER_S)
-        left_s = int(headers['x-deadline-ms']) / 1000 - CALL_AFTER_S
-        if left_s > 0:
-            await self.make_call(backend, f'{attempt}.1', left_s)
-        await asyncio.sleep(max(began + WORK_S - time.monotonic(), 0))
+        if path == PATH:
+            attempt = headers['x-attempt-id']
+            self.arrivals.append((self.lab.record.now(), attempt))
+            same = body == self.body
+            self.lab.record.write(
+                f'{attempt} begins to run at {backend.name}, body '
+                f'{"as sent" if same else "CHANGED"}'
+            )
+            if TROUBLE:
+                self.crashes.append(self.lab.record.now())
+                self.lab.record.write(
+                    f'{backend.name} crashes, crash {len(self.crashes)}'
+                )
+                task = asyncio.create_task(self.come_back(backend))
+                self.tasks.add(task)
+                await asyncio.sleep(1)
+                return None
+        await asyncio.sleep(0.05)
         return b'done'
 
-    async def make_call(self, backend, attempt, left_s):
-        """A call of a running request; it carries no tenant key."""
-        self.requests += 1
-        status = await self.exchange(
-            backend.host, 'GET', f'/roster/{attempt}', attempt, left_s, ''
-        )
-        self.calls[status] = self.calls.get(status, 0) + 1
-        self.lab.record.write(
-            f'{attempt} call of {backend.name}, {int(left_s * 1000)} ms left: '
-            f'{status}'
-        )
+    async def come_back(self, backend):
+        backend.crash()
+        await asyncio.sleep(BACK_S)
+        await backend.start()
 
-    async def exchange(self, host, method, path, attempt, wait_s, key):
+    async def send(self, name, method, path, body):
+        """Sends a request; a body goes in pieces, as the path delivers it."""
+        attempt = f'{random.getrandbits(64):016x}'
+        self.sent_at[attempt] = self.lab.record.now()
+        is_suspect = path == PATH
+        if is_suspect:
+            self.lab.record.write(f'{attempt} sent to {name}: {method} {path}')
+        status = 'none'
         try:
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout(DEADLINE_S + 1):
                 reader, writer = await asyncio.open_connection(
-                    host, stand.CALLERS
+                    self.lab.hosts[name], stand.CALLERS
                 )
                 try:
-                    authorization = f'Authorization: Bearer {key}\r\n'
                     writer.write(
                         f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
                         f'X-Attempt-Id: {attempt}\r\n'
                         f'X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n'
-                        f'{authorization if key else ""}'
-                        'Content-Length: 0\r\n\r\n'.encode()
+                        f'Content-Length: {len(body)}\r\n\r\n'.encode()
                     )
-                    return (await stand.read_response(reader)).status
+                    at = 0
+                    while at < len(body):
+                        size = random.randint(1000, 9000)
+                        writer.write(body[at:at + size])
+                        await writer.drain()
+                        await asyncio.sleep(0.001)
+                        at += size
+                    status = (await stand.read_response(reader)).status
                 finally:
                     writer.close()
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-            return type(error).__name__
-
-    async def send(self, name):
-        attempt = f'{random.getrandbits(64):016x}'
-        leaves = TROUBLE and random.random() < LEAVE_SHARE
-        wait_s = random.uniform(0, LEAVE_S) if leaves else DEADLINE_S
-        self.requests += 1
-        self.lab.record.write(f'{attempt} sent to {name}')
-        status = await self.exchange(
-            self.lab.hosts[name], 'POST', f'/desk/{attempt}', attempt, wait_s,
-            random.choice(list(KEYS)),
-        )
-        if leaves and status == 'TimeoutError':
-            status = 'left'
-        self.lab.record.write(f'{attempt} ended: {status}')
+            status = type(error).__name__
+        if is_suspect:
+            self.lab.record.write(f'{attempt} answered: {status}')
         self.outcomes[status] = self.outcomes.get(status, 0) + 1
 
-    async def send_all(self):
-        tasks = set()
-        until = time.monotonic() + LASTS_S
+    async def send_usual(self, until):
+        names = list(self.lab.backends)
         while time.monotonic() < until:
-            await asyncio.sleep(random.expovariate(PER_S))
-            name = random.choice(list(self.lab.backends))
-            task = asyncio.create_task(self.send(name))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
-        if tasks:
-            await asyncio.wait(tasks)
-        await asyncio.sleep(DEADLINE_S)
-
-
-def tenant(name):
-    keys = [key for key, holder in KEYS.items() if holder == name]
-    return {
-        'Type': 'Tenants', 'Metadata': {'Name': name},
-        'Spec': {
-            'Name': name, 'ApiKeys': keys, 'Priority': 1,
-            'RatePerS': 500, 'Burst': 500,
-        },
-    }
+            await asyncio.sleep(random.expovariate(USUAL_PER_S))
+            number = random.getrandbits(32)
+            task = asyncio.create_task(
+                self.send(random.choice(names), 'GET', f'/read/{number}', b'')
+            )
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def find_late(self):
+        """The comings sent 3 s after the third crash that reached a backend."""
+        if len(self.crashes) < 3:
+            return []
+        since = self.crashes[2] + STABLE_WINDOW_S
+        return sorted({
+            attempt for _at, attempt in self.arrivals
+            if self.sent_at[attempt] > since
+        })
 
 
 async def main():
-    lab = stand.Lab(FOLDER, contracts=('tenants', 'quota'), bounds=QUOTA)
+    lab = stand.Lab(FOLDER)
     traffic = Traffic(lab)
-    for number in range(3):
+    for number in range(BACKENDS):
         lab.add_side(f'side-{number}', 'desk', SLOTS, traffic.work)
-    for number in range(3, 6):
-        lab.add_side(f'side-{number}', 'roster', SLOTS, traffic.work)
-    lab.backends['side-0'].drops = False
+    for number in range(BACKENDS, BACKENDS + FRONTS):
+        lab.add_side(f'side-{number}', 'front', SLOTS, traffic.work)
     try:
         await lab.start_all()
         await lab.configure([
-            stand.route('r-desk', '/desk/', 'desk', 'non_idempotent', 2.0),
-            stand.route('r-roster', '/roster/', 'roster', 'idempotent', 1.0),
-            stand.service('desk'), stand.service('roster'),
-            tenant('agents'), tenant('trekkers'), stand.LIMITS,
+            stand.route('r-desk', '/desk/', 'desk', 'non_idempotent', 3.0),
+            stand.route('r-read', '/read/', 'desk', 'idempotent', 3.0),
+            stand.service('desk'), stand.service('front'), stand.LIMITS,
         ])
         await lab.wait_ready()
         await asyncio.sleep(5)
-        await traffic.send_all()
-        denied = sum(
-            count for status, count in traffic.calls.items()
-            if status in (401, 403, 404)
+        usual = asyncio.create_task(
+            traffic.send_usual(time.monotonic() + TIMES * PAUSE_S)
         )
-        most = 5 + traffic.requests / 500
+        fronts = list(lab.backends)[BACKENDS:]
+        for coming in range(TIMES):
+            await traffic.send(
+                fronts[coming % FRONTS], 'POST', PATH, traffic.body
+            )
+            await asyncio.sleep(PAUSE_S)
+        await usual
+        late = traffic.find_late()
         text = (
-            f'{traffic.requests} requests, clients {traffic.outcomes}, calls '
-            f'{traffic.calls}: {denied} denied (allowed: {most:.0f})'
+            f'came {TIMES} times, {len(traffic.arrivals)} runs begun, '
+            f'{len(traffic.crashes)} crashes, {len(late)} comings reached a '
+            f'backend later than {STABLE_WINDOW_S} s after the third crash '
+            f'(allowed: {MOST_RETRIES}), answers {traffic.outcomes}'
         )
         lab.record.write(text)
         print(text)
-        return denied > most
+        return len(late) > MOST_RETRIES
     finally:
+        for task in tuple(traffic.tasks):
+            task.cancel()
         await lab.close()
 
 
