--- a/review/5/case.py
+++ b/review/5/case.py
@@ -27,6 +27,8 @@
 DEADLINE_S = 2.5
 #: Share of the clients that leave, within this time: half of the objective.
 LEAVE_SHARE, LEAVE_S = 0.2, 0.3
+#: For how long they do so at a time, and the pause between.
+SPAN_S, PAUSE_S = 5.5, 2.0
 
 
 class Traffic:
@@ -84,7 +86,10 @@
 
     async def send(self, name):
         attempt = f'{random.getrandbits(64):016x}'
-        leaves = TROUBLE and random.random() < LEAVE_SHARE
+        passed_s = (time.monotonic() - self.began) % (SPAN_S + PAUSE_S)
+        leaves = (
+            TROUBLE and passed_s < SPAN_S and random.random() < LEAVE_SHARE
+        )
         wait_s = random.uniform(0, LEAVE_S) if leaves else DEADLINE_S
         self.requests += 1
         self.lab.record.write(f'{attempt} sent to {name}')
@@ -99,6 +104,7 @@
 
     async def send_all(self):
         tasks = set()
+        self.began = time.monotonic()
         until = time.monotonic() + LASTS_S
         while time.monotonic() < until:
             await asyncio.sleep(random.expovariate(PER_S))
@@ -133,7 +139,7 @@
     try:
         await lab.start_all()
         await lab.configure([
-            stand.route('r-desk', '/desk/', 'desk', 'non_idempotent', 2.0),
+            stand.route('r-desk', '/desk/', 'desk', 'non_idempotent', 2.4),
             stand.route('r-roster', '/roster/', 'roster', 'idempotent', 1.0),
             stand.service('desk'), stand.service('roster'),
             tenant('agents'), tenant('trekkers'), stand.LIMITS,
