--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -109,6 +109,13 @@
         return None
 
 
+class BrokenOff:
+    """An answer of which only the first `size` bytes are sent."""
+
+    def __init__(self, body, size):
+        self.body, self.size = body, size
+
+
 class Backend:
     """The application beside a proxy; `work` answers one request."""
 
@@ -204,6 +211,10 @@
                     self._free.release()
                 if answer is None:
                     return
+                if isinstance(answer, BrokenOff):
+                    self._reply(writer, 200, headers, answer.body, answer.size)
+                    await writer.drain()
+                    return
                 self._reply(writer, 200, headers, answer)
                 await writer.drain()
         except (
@@ -232,7 +243,9 @@
             closing.cancel()
             await asyncio.wait({working, closing})
 
-    def _reply(self, writer, status, headers, body, declined=False):
+    def _reply(
+        self, writer, status, headers, body, sent=None, declined=False
+    ):
         lines = [
             f'HTTP/1.1 {status} X',
             f'X-Attempt-Id: {headers.get("x-attempt-id", "")}',
@@ -245,7 +258,7 @@
         if declined:
             lines.append('X-Not-Executed: 1')
         head = '\r\n'.join(lines) + '\r\n\r\n'
-        writer.write(head.encode() + body)
+        writer.write(head.encode() + body[:sent])
 
 
 class Lab:
