--- a/review/5/case.py
+++ b/review/5/case.py
@@ -83,16 +83,16 @@
                             for left in waiting:
                                 self.note(left, 'not read')
                             return
-            except (OSError, asyncio.IncompleteReadError) as error:
+            except TimeoutError:
+                for attempt in waiting:
+                    self.note(attempt, 'late')
+                return
+            except (OSError, asyncio.IncompleteReadError):
                 for place, attempt in enumerate(waiting):
                     self.note(attempt, 'broken' if not place else 'cut')
                     if place:
                         self.cut.append(attempt)
                 return
-            except TimeoutError:
-                for attempt in waiting:
-                    self.note(attempt, 'late')
-                return
 
     def note(self, attempt, ending):
         self.lab.record.write(
