--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,7 @@
-"""A route is removed whose host has the name of its service."""
+"""Two of six backends send, for some requests, bytes without end.
+
+The bytes are interim responses, one after the other, until the caller closes.
+"""
 
 import asyncio
 import os
@@ -13,114 +16,126 @@
 import lab as stand  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-SERVICE = HOST = 'desk'
-KEPT, DROPPED = '/kept/', '/dropped/'
+HOST = 'app.example'
 SLOTS = 12
-CONFIG_APPLY_S = 2.0
-PER_S, BEFORE_S, AFTER_S = 20.0, 5.0, 12.0
-DEADLINE_S = 2.0
+TIMEOUT_S, DEADLINE_S, GRACE_S = 0.8, 1.5, 0.5
+PER_S = 90.0
+GARBLED, SHARE, TIMES, GARBLE_S, CALM_S = (
+    ('side-0', 'side-1'), 0.02, 6, 5.5, 2.0
+)
+PIECE = b'HTTP/1.1 103 Early Hints\r\n\r\n' * 4000
+#: Longest pause of the stand-ins themselves that the check bears.
+MOST_PAUSE_S = 0.25
+MOST, MOST_SHARE = 8, 0.5
 
 
 class Traffic:
     def __init__(self, lab):
         self.lab = lab
-        self.sent_at = {}
-        self.runs = []
-        self.answers = {}
+        self.is_garbling = False
+        self.hits = {}
+        self.ended = {}
+        self.outcomes = {}
 
     async def work(self, backend, method, path, headers, body):
         attempt = headers['x-attempt-id']
-        self.runs.append((attempt, path))
-        self.lab.record.write(f'{attempt} run by {backend.name}: {path}')
         await asyncio.sleep(0.05)
+        is_hit = backend.name in GARBLED and random.random() < SHARE
+        if self.is_garbling and is_hit:
+            self.hits[attempt] = backend.name
+            self.lab.record.write(f'{attempt} gets bytes without end')
+            return stand.Endless(PIECE)
         return b'done'
 
-    async def send(self, name, prefix):
+    async def send(self, name):
         attempt = f'{random.getrandbits(64):016x}'
-        self.sent_at[attempt] = time.monotonic()
-        self.lab.record.write(f'{attempt} sent to {name}: {prefix}')
+        self.lab.record.write(f'{attempt} sent to {name}')
+        began = time.monotonic()
         status = 'none'
+        writer = None
         try:
             async with asyncio.timeout(DEADLINE_S):
                 reader, writer = await asyncio.open_connection(
                     self.lab.hosts[name], stand.CALLERS
                 )
-                try:
-                    writer.write(
-                        f'GET {prefix}{attempt} HTTP/1.1\r\nHost: {HOST}\r\n'
-                        f'X-Attempt-Id: {attempt}\r\n'
-                        f'X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n'
-                        '\r\n'.encode()
-                    )
-                    status = (await stand.read_response(reader)).status
-                finally:
-                    writer.close()
-        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+                writer.write(
+                    f'GET /read/{attempt} HTTP/1.1\r\nHost: {HOST}\r\n'
+                    f'X-Attempt-Id: {attempt}\r\n'
+                    f'X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n'
+                    '\r\n'.encode()
+                )
+                status = (await stand.read_response(reader)).status
+        except TimeoutError:
+            status = 'no final answer'
+        except (OSError, asyncio.IncompleteReadError) as error:
             status = type(error).__name__
-        self.lab.record.write(f'{attempt} answered: {status}')
-        key = (prefix, status)
-        self.answers[key] = self.answers.get(key, 0) + 1
+        finally:
+            if writer is not None:
+                writer.close()
+        self.ended[attempt] = (time.monotonic() - began, status)
+        self.outcomes[status] = self.outcomes.get(status, 0) + 1
+        self.lab.record.write(
+            f'{attempt} after {self.ended[attempt][0]:.2f} s: {status}'
+        )
 
-    async def send_all(self, lasts_s):
+    async def send_all(self, until):
         tasks = set()
-        until = time.monotonic() + lasts_s
-        while time.monotonic() < until:
-            await asyncio.sleep(random.expovariate(PER_S))
-            name = random.choice(list(self.lab.backends))
-            prefix = random.choice((KEPT, DROPPED))
-            task = asyncio.create_task(self.send(name, prefix))
+        names = list(self.lab.backends)
+        due = time.monotonic()
+        while due < until:
+            due += random.expovariate(PER_S)
+            await asyncio.sleep(max(due - time.monotonic(), 0))
+            task = asyncio.create_task(self.send(random.choice(names)))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
         if tasks:
             await asyncio.wait(tasks)
 
 
-def list_resources(prefixes):
-    routes = [
-        stand.route(f'r-{prefix.strip("/")}', prefix, SERVICE, 'idempotent',
-                    2.0, host=HOST)
-        for prefix in prefixes
-    ]
-    return [
-        *routes, stand.service(SERVICE), stand.service('front'), stand.LIMITS
-    ]
-
-
 async def main():
     lab = stand.Lab(FOLDER)
     traffic = Traffic(lab)
-    for number in range(2):
-        lab.add_side(f'side-{number}', SERVICE, SLOTS, traffic.work)
-    for number in range(2, 4):
-        lab.add_side(f'side-{number}', 'front', SLOTS, traffic.work)
+    for number in range(6):
+        lab.add_side(f'side-{number}', 'desk', SLOTS, traffic.work)
     try:
         await lab.start_all()
-        await lab.configure(list_resources((KEPT, DROPPED)))
+        await lab.configure([
+            stand.route('r-read', '/read/', 'desk', 'idempotent', TIMEOUT_S),
+            stand.service('desk'), stand.LIMITS,
+        ])
         await lab.wait_ready()
         await asyncio.sleep(5)
-        sending = asyncio.create_task(
-            traffic.send_all(BEFORE_S + CONFIG_APPLY_S + AFTER_S)
-        )
-        await asyncio.sleep(BEFORE_S)
-        late_from = float('inf')
-        if TROUBLE:
-            lab.record.write(f'a configuration without {DROPPED} is sent')
-            await lab.configure(list_resources((KEPT,)))
-            late_from = time.monotonic() + CONFIG_APPLY_S
+        pauses = stand.Pauses()
+        sending = asyncio.create_task(traffic.send_all(
+            time.monotonic() + TIMES * (GARBLE_S + CALM_S) + CALM_S
+        ))
+        for _ in range(TIMES):
+            await asyncio.sleep(CALM_S)
+            traffic.is_garbling = TROUBLE
+            await asyncio.sleep(GARBLE_S)
+            traffic.is_garbling = False
         await sending
+        lasting = [
+            attempt for attempt, (took_s, _) in traffic.ended.items()
+            if took_s > TIMEOUT_S
+        ]
         late = [
-            attempt for attempt, path in traffic.runs
-            if path.startswith(DROPPED)
-            and traffic.sent_at[attempt] > late_from
+            attempt for attempt in lasting
+            if traffic.ended[attempt][0] > TIMEOUT_S + GRACE_S
         ]
+        sound = [attempt for attempt in late if attempt not in traffic.hits]
         text = (
-            f'{len(traffic.sent_at)} requests, answers {traffic.answers}; run '
-            f'on the removed route later than {CONFIG_APPLY_S} s after the '
-            f'acknowledgement: {len(late)}'
+            f'{len(traffic.ended)} requests, answers {traffic.outcomes}, '
+            f'{len(traffic.hits)} got bytes without end; {len(lasting)} were '
+            f'unanswered after {TIMEOUT_S} s, {len(late)} of them {GRACE_S} s '
+            f'later ({len(sound)} of these had got no such bytes); longest '
+            f'pause of the stand-ins {pauses.longest_s:.3f} s'
         )
         lab.record.write(text)
         print(text)
-        return bool(late)
+        if pauses.longest_s > MOST_PAUSE_S:
+            raise stand.CouldNotRun('the stand-ins stood still for too long')
+        return len(late) >= MOST and len(late) > MOST_SHARE * len(lasting)
     finally:
         await lab.close()
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,6 @@
-"""Clients send requests ahead, and two of nine backends break off answers.
+"""A request with a long body crashes each backend that begins to run it.
 
-A route is split over two services; the backends of the second one are sound.
+It comes again, with the same path, caller and body, at any machine.
 """
 
 import asyncio
@@ -17,141 +17,152 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 HOST = 'app.example'
-SLOTS, CLIENTS, AHEAD = 12, 12, 4
-ANSWER_BYTES = int(os.environ.get('ANSWER', 90_000))
-GARBLED, SHARE, TIMES, GARBLE_S, CALM_S = ('side-0', 'side-1'), 0.02, 6, 5.5, 2.0
+BACKENDS, FRONTS, SLOTS = 4, 3, 12
+BODY_BYTES = int(os.environ.get('BODY', 200_000))
+PATH = '/desk/closing-report'
+#: How often the request comes, and the pause between two comings.
+TIMES, PAUSE_S = 12, 3.5
+#: Time after which a crashed backend is back.
+BACK_S = 2.0
+STABLE_WINDOW_S = 3.0
+MOST_RETRIES = 3
+USUAL_PER_S = 6.0
 DEADLINE_S = 3.0
-MOST = 3
 
 
 class Traffic:
     def __init__(self, lab):
         self.lab = lab
-        self.is_garbling = False
-        self.runs = {}
-        self.broken = set()
-        self.ended = {}
-        self.cut = []
+        self.body = random.Random(7).randbytes(BODY_BYTES)
+        self.crashes = []
+        self.sent_at = {}
+        self.arrivals = []
+        self.outcomes = {}
+        self.tasks = set()
 
     async def work(self, backend, method, path, headers, body):
-        attempt = headers['x-attempt-id']
-        self.runs.setdefault(attempt, []).append(backend.name)
+        if path == PATH:
+            attempt = headers['x-attempt-id']
+            self.arrivals.append((self.lab.record.now(), attempt))
+            same = body == self.body
+            self.lab.record.write(
+                f'{attempt} begins to run at {backend.name}, body '
+                f'{"as sent" if same else "CHANGED"}'
+            )
+            if TROUBLE:
+                self.crashes.append(self.lab.record.now())
+                self.lab.record.write(
+                    f'{backend.name} crashes, crash {len(self.crashes)}'
+                )
+                task = asyncio.create_task(self.come_back(backend))
+                self.tasks.add(task)
+                await asyncio.sleep(1)
+                return None
         await asyncio.sleep(0.05)
-        answer = random.Random(attempt).randbytes(ANSWER_BYTES)
-        is_hit = backend.name in GARBLED and random.random() < SHARE
-        if self.is_garbling and is_hit:
-            self.broken.add(attempt)
-            self.lab.record.write(f'{attempt} broken off by {backend.name}')
-            return stand.BrokenOff(answer, ANSWER_BYTES * 8 // 10)
-        return answer
-
-    async def use_connections(self, name, until):
-        while time.monotonic() < until:
-            try:
+        return b'done'
+
+    async def come_back(self, backend):
+        backend.crash()
+        await asyncio.sleep(BACK_S)
+        await backend.start()
+
+    async def send(self, name, method, path, body):
+        """Sends a request; a body goes in pieces, as the path delivers it."""
+        attempt = f'{random.getrandbits(64):016x}'
+        self.sent_at[attempt] = self.lab.record.now()
+        is_suspect = path == PATH
+        if is_suspect:
+            self.lab.record.write(f'{attempt} sent to {name}: {method} {path}')
+        status = 'none'
+        try:
+            async with asyncio.timeout(DEADLINE_S + 1):
                 reader, writer = await asyncio.open_connection(
                     self.lab.hosts[name], stand.CALLERS
                 )
-            except OSError:
-                await asyncio.sleep(0.2)
-                continue
-            try:
-                await self._use(name, reader, writer, until)
-            finally:
-                writer.close()
-            await asyncio.sleep(0.05)
-
-    async def _use(self, name, reader, writer, until):
-        """One request, then several at a time on the kept connection."""
-        count = 1
+                try:
+                    writer.write(
+                        f'{method} {path} HTTP/1.1\r\nHost: {HOST}\r\n'
+                        f'X-Attempt-Id: {attempt}\r\n'
+                        f'X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n'
+                        f'Content-Length: {len(body)}\r\n\r\n'.encode()
+                    )
+                    at = 0
+                    while at < len(body):
+                        size = random.randint(1000, 9000)
+                        writer.write(body[at:at + size])
+                        await writer.drain()
+                        await asyncio.sleep(0.001)
+                        at += size
+                    status = (await stand.read_response(reader)).status
+                finally:
+                    writer.close()
+        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+            status = type(error).__name__
+        if is_suspect:
+            self.lab.record.write(f'{attempt} answered: {status}')
+        self.outcomes[status] = self.outcomes.get(status, 0) + 1
+
+    async def send_usual(self, until):
+        names = list(self.lab.backends)
         while time.monotonic() < until:
-            waiting = [f'{random.getrandbits(64):016x}' for _ in range(count)]
-            count = AHEAD
-            for attempt in waiting:
-                self.lab.record.write(f'{attempt} sent to {name}')
-                writer.write(
-                    f'GET /page/{attempt} HTTP/1.1\r\nHost: {HOST}\r\n'
-                    f'X-Attempt-Id: {attempt}\r\n'
-                    f'X-Deadline-Ms: {int(DEADLINE_S * 1000)}\r\n\r\n'.encode()
-                )
-            try:
-                async with asyncio.timeout(DEADLINE_S + 1):
-                    for place, attempt in enumerate(tuple(waiting)):
-                        response = await stand.read_response(reader)
-                        self.note(attempt, response.status)
-                        waiting.remove(attempt)
-                        if response.headers.get('connection') == 'close':
-                            for left in waiting:
-                                self.note(left, 'not read')
-                            return
-            except TimeoutError:
-                for attempt in waiting:
-                    self.note(attempt, 'late')
-                return
-            except (OSError, asyncio.IncompleteReadError):
-                for place, attempt in enumerate(waiting):
-                    self.note(attempt, 'broken' if not place else 'cut')
-                    if place:
-                        self.cut.append(attempt)
-                return
-
-    def note(self, attempt, ending):
-        self.lab.record.write(
-            f'{attempt} ended: {ending}; run by {self.runs.get(attempt)}'
-        )
-        self.ended[ending] = self.ended.get(ending, 0) + 1
+            await asyncio.sleep(random.expovariate(USUAL_PER_S))
+            number = random.getrandbits(32)
+            task = asyncio.create_task(
+                self.send(random.choice(names), 'GET', f'/read/{number}', b'')
+            )
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    def find_late(self):
+        """The comings sent 3 s after the third crash that reached a backend."""
+        if len(self.crashes) < 3:
+            return []
+        since = self.crashes[2] + STABLE_WINDOW_S
+        return sorted({
+            attempt for _at, attempt in self.arrivals
+            if self.sent_at[attempt] > since
+        })
 
 
 async def main():
     lab = stand.Lab(FOLDER)
     traffic = Traffic(lab)
-    for number in range(6):
-        part = 'pages-a' if number < 3 else 'pages-b'
-        lab.add_side(f'side-{number}', part, SLOTS, traffic.work)
-    for number in range(6, 9):
+    for number in range(BACKENDS):
+        lab.add_side(f'side-{number}', 'desk', SLOTS, traffic.work)
+    for number in range(BACKENDS, BACKENDS + FRONTS):
         lab.add_side(f'side-{number}', 'front', SLOTS, traffic.work)
     try:
         await lab.start_all()
-        page = stand.route('r-page', '/page/', '', 'idempotent', 3.0)
-        del page['Spec']['Service']
-        page['Spec']['TrafficSplit'] = [
-            {'Service': 'pages-a', 'Weight': 50},
-            {'Service': 'pages-b', 'Weight': 50},
-        ]
         await lab.configure([
-            page, stand.service('pages-a'), stand.service('pages-b'),
-            stand.service('front'), stand.LIMITS,
+            stand.route('r-desk', '/desk/', 'desk', 'non_idempotent', 3.0),
+            stand.route('r-read', '/read/', 'desk', 'idempotent', 3.0),
+            stand.service('desk'), stand.service('front'), stand.LIMITS,
         ])
         await lab.wait_ready()
         await asyncio.sleep(5)
-        until = time.monotonic() + TIMES * (GARBLE_S + CALM_S) + 1
-        names = list(lab.backends)
-        using = [
-            asyncio.create_task(
-                traffic.use_connections(names[number % len(names)], until)
+        usual = asyncio.create_task(
+            traffic.send_usual(time.monotonic() + TIMES * PAUSE_S)
+        )
+        fronts = list(lab.backends)[BACKENDS:]
+        for coming in range(TIMES):
+            await traffic.send(
+                fronts[coming % FRONTS], 'POST', PATH, traffic.body
             )
-            for number in range(CLIENTS)
-        ]
-        for _ in range(TIMES):
-            await asyncio.sleep(CALM_S)
-            traffic.is_garbling = TROUBLE
-            await asyncio.sleep(GARBLE_S)
-            traffic.is_garbling = False
-        await asyncio.wait(using)
-        await asyncio.sleep(1)
-        lost = [
-            attempt for attempt in traffic.cut
-            if traffic.runs.get(attempt)
-            and not set(GARBLED) & set(traffic.runs[attempt])
-        ]
+            await asyncio.sleep(PAUSE_S)
+        await usual
+        late = traffic.find_late()
         text = (
-            f'{sum(traffic.ended.values())} requests, {traffic.ended}, '
-            f'{len(traffic.broken)} answers broken off; {len(lost)} requests '
-            f'were run by other backends and cut (allowed: {MOST})'
+            f'came {TIMES} times, {len(traffic.arrivals)} runs begun, '
+            f'{len(traffic.crashes)} crashes, {len(late)} comings reached a '
+            f'backend later than {STABLE_WINDOW_S} s after the third crash '
+            f'(allowed: {MOST_RETRIES}), answers {traffic.outcomes}'
         )
         lab.record.write(text)
         print(text)
-        return len(lost) > MOST
+        return len(late) > MOST_RETRIES
     finally:
+        for task in tuple(traffic.tasks):
+            task.cancel()
         await lab.close()
 
 
--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -109,11 +109,11 @@
         return None
 
 
-class BrokenOff:
-    """An answer of which only the first `size` bytes are sent."""
+class Endless:
+    """Bytes that are no answer and come without end, `piece` by `piece`."""
 
-    def __init__(self, body, size):
-        self.body, self.size = body, size
+    def __init__(self, piece):
+        self.piece = piece
 
 
 class Backend:
@@ -211,10 +211,10 @@
                     self._free.release()
                 if answer is None:
                     return
-                if isinstance(answer, BrokenOff):
-                    self._reply(writer, 200, headers, answer.body, answer.size)
+                while isinstance(answer, Endless):
+                    writer.write(answer.piece)
                     await writer.drain()
-                    return
+                    await asyncio.sleep(0)
                 self._reply(writer, 200, headers, answer)
                 await writer.drain()
         except (
@@ -243,9 +243,7 @@
             closing.cancel()
             await asyncio.wait({working, closing})
 
-    def _reply(
-        self, writer, status, headers, body, sent=None, declined=False
-    ):
+    def _reply(self, writer, status, headers, body, declined=False):
         lines = [
             f'HTTP/1.1 {status} X',
             f'X-Attempt-Id: {headers.get("x-attempt-id", "")}',
@@ -258,7 +256,7 @@
         if declined:
             lines.append('X-Not-Executed: 1')
         head = '\r\n'.join(lines) + '\r\n\r\n'
-        writer.write(head.encode() + body[:sent])
+        writer.write(head.encode() + body)
 
 
 class Lab:
@@ -465,6 +463,22 @@
 }
 
 
+class Pauses:
+    """Measures for how long the stand-ins themselves stood still."""
+
+    def __init__(self):
+        self.longest_s = 0.0
+        self._task = asyncio.create_task(self._measure())
+
+    async def _measure(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.02)
+            self.longest_s = max(
+                self.longest_s, time.monotonic() - before - 0.02
+            )
+
+
 def run(main):
     """Runs a case; exits with 0 (held), 1 (broken) or 2 (could not run)."""
     import sys
