--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -13,7 +13,9 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -284,7 +286,6 @@
         )
 
     def _find_network(self):
-        import socket
         for network in random.sample(range(20, 250), 200):
             try:
                 self._lock = socket.create_server((f'127.{network}.0.1', READY))
@@ -481,10 +482,9 @@
 
 def run(main):
     """Runs a case; exits with 0 (held), 1 (broken) or 2 (could not run)."""
-    import sys
     try:
         broken = asyncio.run(main())
-    except CouldNotRun as error:
-        print(f'could not run: {error}')
+    except Exception as error:
+        print(f'could not run: {type(error).__name__}: {error}')
         sys.exit(2)
     sys.exit(1 if broken else 0)
