Bytes without end stop nobody: limits of a message, and parsing in steps

Cause: read_batch took h11's events until there was none. Interim responses end nothing, so one upstream fed it for as long as it liked, in single steps of the event loop; deadlines came late by as much.

Change: MessageReader passes 16 KiB at a time to h11 and takes 64 events in a step; MessageSize limits interim responses, header lines, chunks and bytes beside the body, StraySize the responses to earlier requests. The daemon beside the upstream ends a late response that has no length, or that waits for its upstream. No credit for what waits behind another response. The same limits in the small HTTP client and server. One log line (message_limit_exceeded) and counters by limit.

Why it works: no peer decides how much is done in a step, or how much is kept.

--- a/packages/bilberry_core/bilberry_core/http_client.py
+++ b/packages/bilberry_core/bilberry_core/http_client.py
@@ -12,6 +12,7 @@
 )
 
 from bilberry_core.endpoint import Address
+from bilberry_core.http_limits import MAX_INTERIM_RESPONSES
 from bilberry_core.http_message import (
     HttpError,
     HttpRequest,
@@ -68,10 +69,11 @@
     connection: Connection,
     reader: StreamReader,
 ) -> HttpResponse:
-    start = await receive_event(connection, reader)
-    while not isinstance(start, Response):
+    for _ in range(MAX_INTERIM_RESPONSES + 1):
+        start = await receive_event(connection, reader)
         if isinstance(start, ConnectionClosed):
             raise HttpError('the connection closed before a response')
-        start = await receive_event(connection, reader)
-    body = await receive_body(connection, reader)
-    return HttpResponse(start.status_code, tuple(start.headers), body)
+        if isinstance(start, Response):
+            body = await receive_body(connection, reader)
+            return HttpResponse(start.status_code, tuple(start.headers), body)
+    raise HttpError(f'more than {MAX_INTERIM_RESPONSES} interim responses')
--- a/packages/bilberry_core/bilberry_core/http_message.py
+++ b/packages/bilberry_core/bilberry_core/http_message.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 requests and responses, and their encoding with h11."""
 
-from asyncio import StreamReader
+from asyncio import StreamReader, sleep
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -15,10 +15,11 @@
 )
 
 from bilberry_core.error import BilberryError
+from bilberry_core.http_limits import MAX_HEADER_LINES, get_max_chunks
 
 #: Largest body of a request or a response, in bytes.
 MAX_BODY_BYTES = 4 << 20
-_READ_BYTES = 65536
+_READ_BYTES = 16384
 _STATUS_BAD_REQUEST = 400
 _STATUS_TOO_LARGE = 413
 
@@ -82,14 +83,18 @@
 ) -> bytes:
     """Returns the body of a message; raises `HttpError` if it is too long."""
     body = bytearray()
+    chunks = 0
     event = await receive_event(connection, reader)
     while isinstance(event, Data):
         body += event.data
+        chunks += int(event.chunk_start)
         if len(body) > max_bytes:
             raise HttpError(
                 f'body is longer than {max_bytes} bytes',
                 _STATUS_TOO_LARGE,
             )
+        if chunks > get_max_chunks(len(body)):
+            raise HttpError('the chunks of the body are too small')
         event = await receive_event(connection, reader)
     if not isinstance(event, EndOfMessage):
         raise HttpError('the connection closed inside a body')
@@ -97,13 +102,20 @@
 
 
 async def receive_event(connection: Connection, reader: StreamReader):
-    """Returns the next event of h11, reading input as needed."""
+    """Returns the next event of h11, reading input as needed.
+
+    Raises `HttpError` if the event has too many header lines.
+    """
     event = connection.next_event()
     while event is NEED_DATA:
         connection.receive_data(await reader.read(_READ_BYTES))
+        # What the reader has buffered already is read without a turn of others.
+        await sleep(0)
         event = connection.next_event()
     if event is PAUSED:
         raise HttpError('pipelined requests are not supported')
+    if len(getattr(event, 'headers', ())) > MAX_HEADER_LINES:
+        raise HttpError(f'more than {MAX_HEADER_LINES} header lines')
     return event
 
 
--- a/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitted_call.py
@@ -23,6 +23,7 @@
 from bilberry_proxy.call import WINDOW_BYTES, AnswerReceiver
 from bilberry_proxy.call_log import UpstreamContext, log_failure
 from bilberry_proxy.http_headers import Headers, find_header
+from bilberry_proxy.late_response import LateResponse
 from bilberry_proxy.notice_keeper import NoticeKeeper
 from bilberry_proxy.request_upload import RequestUpload
 from bilberry_proxy.timers import Timer
@@ -123,8 +124,9 @@
         self._admitter = admitter
         sent = 0 if start.last else len(start.body)
         self._upload = RequestUpload(answers, sent)
-        self._window = WINDOW_BYTES
+        self.window = WINDOW_BYTES
         self._buffered_answer: BufferedAnswer | None = None
+        self.late: LateResponse | None = None
 
     # Called by the opener.
 
@@ -135,9 +137,9 @@
 
     def grant(self, size: int) -> None:
         """Lets the upstream send `size` further bytes of the response."""
-        was_exhausted = self._window <= 0
-        self._window += size
-        if was_exhausted and self._window > 0 and self.connection is not None:
+        was_exhausted = self.window <= 0
+        self.window += size
+        if was_exhausted and self.window > 0 and self.connection is not None:
             self.connection.set_reading(enabled=True)
 
     def probe(self, silence_ms: int) -> None:
@@ -264,6 +266,7 @@
             self._admitter.free_slot(self)
             return
         self.progress = Progress.ANSWERED
+        self.late = LateResponse(buffered.headers)
         body = buffered.body
         waited_s = self.dispatched_at - self.opened_at
         waited_us = int(waited_s * _US_PER_S)
@@ -300,8 +303,9 @@
             self._end()
             self._admitter.free_slot(self)
             return
-        self._window -= size
-        if self._window <= 0 and self.connection is not None:
+        self.late.add(size)
+        self.window -= size
+        if self.window <= 0 and self.connection is not None:
             self.connection.set_reading(enabled=False)
 
     def _end(self) -> Progress:
--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -18,6 +18,7 @@
 from bilberry_proxy.crash_probe import CrashProbe
 from bilberry_proxy.crash_recorder import CrashRecorder
 from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
+from bilberry_proxy.late_response import LATE_CHECK_S
 from bilberry_proxy.lingering_calls import LingeringCalls
 from bilberry_proxy.notice_keeper import NoticeKeeper
 from bilberry_proxy.rank import rank_request
@@ -68,7 +69,7 @@
         self._queue: SlotQueue[WaitingCall] = SlotQueue()
         self.early_offers = self._queue.slots.early_offers
         self._lingering = LingeringCalls(clock, timers, self.free_slot)
-        self._pool = UpstreamPool(self._lingering.end, dialect)
+        self._pool = UpstreamPool(self._lingering.end, dialect, metrics)
         recorder = CrashRecorder(board, clock, suspect_tracker)
         self._probe = CrashProbe(recorder.record)
         self.notices = NoticeKeeper(board, clock, metrics, dialect)
@@ -223,7 +224,9 @@
         if refusal is not None:
             call.fail(*refusal, STATE_RETRY_AFTER_MS)
             return call
-        call.timer = self.timers.schedule(deadline, partial(_expire, call))
+        call.timer = self.timers.schedule(
+            deadline, partial(_expire, self, call)
+        )
         return call
 
     def _admit(self, call: AdmittedCall) -> None:
@@ -257,14 +260,20 @@
             )
 
 
-def _expire(call: AdmittedCall) -> None:
-    """Fails a call at its deadline, unless its response is on its way."""
-    if call.progress is not Progress.ANSWERED:
-        call.fail(
-            FailureCode.DEADLINE,
-            'the deadline has passed',
-            LATE_RETRY_AFTER_MS,
+def _expire(admitter: Admitter, call: AdmittedCall) -> None:
+    """Fails a call at its deadline, unless its response goes on."""
+    is_answered = call.progress is Progress.ANSWERED
+    if is_answered and call.late.may_go_on(waits_for_upstream=call.window > 0):
+        call.timer = admitter.timers.schedule(
+            admitter.clock.now() + LATE_CHECK_S,
+            partial(_expire, admitter, call),
         )
+        return
+    call.fail(
+        FailureCode.DEADLINE,
+        'the deadline has passed',
+        LATE_RETRY_AFTER_MS,
+    )
 
 
 def _shed(refused: ShedCall[WaitingCall] | None) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -10,19 +10,15 @@
 from collections.abc import Callable
 
 from bilberry_core.metric import Metrics, NullMetrics
-from h11 import RemoteProtocolError, Request
+from h11 import Request
 
-from bilberry_proxy.dropped_input import DroppedInput
 from bilberry_proxy.exchange import Exchange
-from bilberry_proxy.http_events import EventBatch
-from bilberry_proxy.pipelined_request import PipelinedRequest, RequestPipeline
+from bilberry_proxy.pipelined_request import PipelinedRequest
+from bilberry_proxy.request_intake import RequestIntake
+from bilberry_proxy.request_pipeline import RequestPipeline
 from bilberry_proxy.response_track import CutCause
 from bilberry_proxy.send_buffer import SendBuffer
 
-#: Bytes of further pipelined requests that are buffered before reading pauses.
-MAX_READ_AHEAD_BYTES = 64 << 10
-#: Requests of one connection that are processed concurrently.
-MAX_PIPELINED_REQUESTS = 8
 #: Longest time without a complete request head, in seconds.
 MAX_IDLE_S = 60.0
 #: Time for which bytes that follow the last response are dropped, in seconds.
@@ -47,15 +43,19 @@
         self.is_writable = True
         self.is_draining = False
         self.sent = SendBuffer()
-        self._build_exchange = build_exchange
         self._connections = connections
-        self._may_overtake = may_overtake
         self._transport: Transport | None = None
-        self._pipeline = RequestPipeline()
-        self._reading_events = False
+        self._pipeline = RequestPipeline(self)
+        self._intake = RequestIntake(
+            self._pipeline,
+            build_exchange,
+            may_overtake,
+            self._end_idle,
+            self._stop,
+            metrics,
+        )
         self._idle_since: float | None = None
         self._is_discarding = False
-        self._dropped = DroppedInput(metrics)
 
     @property
     def has_unsent(self) -> bool:
@@ -70,16 +70,13 @@
         """Registers the connection."""
         self._transport = transport
         self.sent.open(transport)
+        self._intake.pace.open(transport)
         self._connections.add(self)
-        self._pipeline.add(self, b'')
+        self._intake.add(b'')
 
     def data_received(self, received: bytes) -> None:
         """Parses received bytes and starts the requests in them."""
-        if self._pipeline:
-            self._pipeline[-1].receive(received)
-            self._read_events()
-        else:
-            self._dropped.record(len(received))
+        self._intake.receive(received)
 
     def pause_writing(self) -> None:
         """Records that the send buffer is full: the caller reads slowly."""
@@ -95,6 +92,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Unregisters the connection and cancels its requests."""
         self._transport = None
+        self._intake.pace.close()
         self._connections.discard(self)
         self.sent.close(error)
         self._pipeline.cancel(CutCause.CALLER)
@@ -131,7 +129,7 @@
         while self._pipeline and self._pipeline[0].is_answered:
             if not self._drop_first():
                 return
-        self._read_events()
+        self._intake.read()
 
     def abort(self, cause: CutCause = CutCause.CONNECTION) -> None:
         """Resets the connection, so that the caller detects a truncation."""
@@ -139,13 +137,8 @@
         self._pipeline.cancel(cause)
 
     def set_reading(self, enabled: bool) -> None:
-        """Resumes or pauses reading from the caller."""
-        if self._transport is None:
-            return
-        if enabled:
-            self._transport.resume_reading()
-        else:
-            self._transport.pause_reading()
+        """Resumes or pauses reading the body of the newest request."""
+        self._intake.set_reading(enabled)
 
     def _drop_first(self) -> bool:
         """Removes the answered request; False if the connection closes."""
@@ -157,67 +150,21 @@
             self._idle_since = None
             self._is_discarding = not answered.is_callers_last
             if answered.response is not None:
-                self._dropped.request_id = answered.response.request_id
-            self._dropped.record(len(answered.trailing))
+                self._intake.dropped.request_id = answered.response.request_id
+            self._intake.dropped.record(answered.reader.unread_size)
             _close(self._transport, self._is_discarding)
             return False
         if not self._pipeline:
-            self._pipeline.add(self, answered.trailing)
+            self._intake.add(answered.reader.unread)
         else:
             self._pipeline[0].become_first()
-        self.set_reading(enabled=True)
         return True
 
-    def _read_events(self) -> None:
-        if self._reading_events or self._transport is None:
-            return
-        self._reading_events = True
-        try:
-            while self._pipeline and self._read_request(self._pipeline[-1]):
-                """Continues while more events are buffered."""
-        except RemoteProtocolError as error:
-            self.is_draining = True
-            self._pipeline[-1].refuse(error)
-        finally:
-            self._reading_events = False
-        if (
-            self._pipeline
-            and len(self._pipeline[-1].trailing) > MAX_READ_AHEAD_BYTES
-        ):
-            self.set_reading(enabled=False)
-
-    def _read_request(self, request: PipelinedRequest) -> bool:
-        """Reads the newest request; returns whether more may be buffered."""
-        if request.start is not None:
-            return self._begin(request, request.start)
-        if request.is_read:
-            return self._read_ahead(request)
-        batch = request.read()
-        if batch.is_empty:
-            return False
-        if batch.start is not None:
-            return self._begin(request, batch)
-        request.feed(batch)
-        return request.is_read
-
-    def _read_ahead(self, request: PipelinedRequest) -> bool:
-        if (
-            len(self._pipeline) >= MAX_PIPELINED_REQUESTS
-            or not request.trailing
-        ):
-            return False
-        self._pipeline.add(self, request.trailing)
-        return True
+    def _stop(self) -> None:
+        self.is_draining = True
 
-    def _begin(self, request: PipelinedRequest, batch: EventBatch) -> bool:
-        """Starts an exchange; False if the request has to wait."""
-        request.start = batch
-        if self._pipeline.must_wait(request, self._may_overtake):
-            return False
-        request.start = None
+    def _end_idle(self) -> None:
         self._idle_since = None
-        request.begin(self._build_exchange(request), batch)
-        return True
 
 
 def _close(transport: Transport | None, is_discarding: bool) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/http_events.py
+++ b/packages/bilberry_proxy/bilberry_proxy/http_events.py
@@ -1,19 +1,15 @@
-"""Reads and writes the events of an h11 connection in batches.
+"""Batches of the events of an h11 connection, and how messages are encoded.
 
-The events of one socket read are passed on together, so that a small message
-is handled in one step.
+The events of one step are passed on together, so that a small message is
+handled at once.
 """
 
 from typing import NamedTuple
 
 from h11 import (
-    NEED_DATA,
-    PAUSED,
     Connection,
-    ConnectionClosed,
     Data,
     EndOfMessage,
-    Event,
     InformationalResponse,
     Request,
     Response,
@@ -35,23 +31,6 @@
         return self.start is None and not self.body and not self.last
 
 
-def read_batch(connection: Connection) -> EventBatch:
-    """Returns the available part of the message that the peer sends.
-
-    Raises `RemoteProtocolError` if the peer violates the protocol.
-    """
-    start: Request | Response | None = None
-    body: list[bytes] = []
-    event = connection.next_event()
-    while not _is_end(event):
-        if isinstance(event, Data):
-            body.append(bytes(event.data))
-        elif isinstance(event, Request | Response):
-            start = event
-        event = connection.next_event()
-    return EventBatch(start, b''.join(body), isinstance(event, EndOfMessage))
-
-
 def encode_message(
     connection: Connection,
     start: Request | Response | None,
@@ -79,9 +58,3 @@
     return connection.send(
         InformationalResponse(status_code=_CONTINUE, headers=[]),
     )
-
-
-def _is_end(event: Event | type) -> bool:
-    if event is NEED_DATA or event is PAUSED:
-        return True
-    return isinstance(event, EndOfMessage | ConnectionClosed)
--- a/packages/bilberry_proxy/bilberry_proxy/pipelined_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/pipelined_request.py
@@ -5,8 +5,6 @@
 the responses to all earlier requests are complete.
 """
 
-from collections import deque
-from collections.abc import Callable
 from logging import getLogger
 from typing import Protocol
 
@@ -18,7 +16,6 @@
     Connection,
     LocalProtocolError,
     RemoteProtocolError,
-    Request,
     Response,
 )
 
@@ -28,7 +25,6 @@
     EventBatch,
     encode_continue,
     encode_message,
-    read_batch,
 )
 from bilberry_proxy.http_headers import (
     CLOSE,
@@ -36,6 +32,7 @@
     Headers,
     find_header,
 )
+from bilberry_proxy.message_reader import MessageReader
 from bilberry_proxy.response_track import CutCause, ResponseTrack
 from bilberry_proxy.send_buffer import ResponseOutput, SendBuffer
 
@@ -79,36 +76,29 @@
         self._owner = owner
         self._output = ResponseOutput(owner.sent)
         self._http = Connection(SERVER)
+        self.reader = MessageReader(self._http, received)
         self._writer = self._http
         self._is_head = False
-        self.receive(received)
 
     @property
     def is_writable(self) -> bool:
-        """Whether the send buffer has room for more of the response."""
-        return self._owner.is_writable
+        """Whether there is room for more of the response.
+
+        What arrives before the earlier responses are complete has to wait.
+        """
+        return self._owner.is_writable and self._output.has_room
 
     @property
     def is_reusable(self) -> bool:
         """Whether the connection may be used for another request."""
         return (self._writer.our_state, self._http.their_state) == (DONE, DONE)
 
-    @property
-    def trailing(self) -> bytes:
-        """The bytes received after the end of the request."""
-        return self._http.trailing_data[0]
-
-    def receive(self, received: bytes) -> None:
-        """Adds received bytes, of this request or of later ones."""
-        if received:
-            self._http.receive_data(received)
-
     def read(self) -> EventBatch:
-        """Returns the parts of the request that are buffered.
+        """Returns the buffered parts of the request, of one step at most.
 
         Raises `RemoteProtocolError` if the caller violates the protocol.
         """
-        batch = read_batch(self._http)
+        batch = self.reader.read()
         if batch.last:
             self.is_read = True
             self.is_callers_last = self._http.their_state is MUST_CLOSE
@@ -116,7 +106,10 @@
 
     def become_first(self) -> None:
         """Flushes the buffer: all earlier responses are complete."""
+        was_full = not self._output.has_room
         self._output.become_first()
+        if was_full and self.exchange is not None:
+            self.exchange.resume_answer()
 
     def begin(self, exchange: Exchange, batch: EventBatch) -> None:
         """Starts the exchange of a request whose head was received."""
@@ -234,48 +227,6 @@
         self.abort_answer()
 
 
-class RequestPipeline(deque[PipelinedRequest]):
-    """The requests of one connection, in the order of their responses."""
-
-    @property
-    def exchanges(self) -> list[Exchange]:
-        """The exchanges in progress."""
-        exchanges = [request.exchange for request in self]
-        return [exchange for exchange in exchanges if exchange is not None]
-
-    def must_wait(
-        self,
-        request: PipelinedRequest,
-        may_overtake: Callable[[Request], bool],
-    ) -> bool:
-        """Returns whether earlier requests keep one from its start.
-
-        Behind a response that announces the end of the connection nothing is
-        started: it would be cancelled with the connection.
-        """
-        if request is self[0]:
-            return False
-        if any(earlier.announces_close for earlier in self):
-            return True
-        return not may_overtake(request.start.start)
-
-    def add(self, owner: PipelineOwner, received: bytes) -> None:
-        """Adds a request that starts with the bytes `received`."""
-        request = PipelinedRequest(owner, received)
-        if not self:
-            request.become_first()
-        self.append(request)
-
-    def cancel(self, cause: CutCause) -> None:
-        """Removes every request: the caller no longer waits."""
-        for request in self:
-            request.report_cut(cause)
-        exchanges = self.exchanges
-        self.clear()
-        for exchange in exchanges:
-            exchange.on_caller_disconnected()
-
-
 def _needs_length(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
     if status in _BODILESS_STATUSES:
         return False
--- a/packages/bilberry_proxy/bilberry_proxy/send_buffer.py
+++ b/packages/bilberry_proxy/bilberry_proxy/send_buffer.py
@@ -17,6 +17,8 @@
 
 #: Complete responses of one connection that are remembered at most.
 MAX_REMEMBERED = 64
+#: Bytes of a response that wait for earlier ones before no more is asked for.
+MAX_PENDING_BYTES = 64 << 10
 
 
 class WrittenResponse(NamedTuple):
@@ -115,12 +117,18 @@
         self.is_first = False
         self._buffer = buffer
         self._pending: list[bytes] = []
+        self._pending_bytes = 0
+
+    @property
+    def has_room(self) -> bool:
+        """Whether more of the response may be asked for."""
+        return self._pending_bytes <= MAX_PENDING_BYTES
 
     def measure_waiting(self) -> WaitingBytes:
         """Returns the bytes of the response that wait here."""
         if self.is_first:
             return WaitingBytes(unread=self._buffer.measure_incomplete())
-        return WaitingBytes(pending=sum(map(len, self._pending)))
+        return WaitingBytes(pending=self._pending_bytes)
 
     def write(self, raw: bytes) -> None:
         """Sends bytes, or keeps them while there are earlier responses."""
@@ -130,14 +138,16 @@
             self._buffer.write(raw)
         else:
             self._pending.append(raw)
+            self._pending_bytes += len(raw)
 
     def become_first(self) -> None:
         """Sends what was kept: all earlier responses are complete."""
         self.is_first = True
         pending = b''.join(self._pending)
-        self._pending.clear()
+        self.clear()
         self.write(pending)
 
     def clear(self) -> None:
         """Drops what is kept."""
         self._pending.clear()
+        self._pending_bytes = 0
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_connection.py
@@ -1,26 +1,29 @@
 """One HTTP/1.1 connection to the upstream beside this daemon, with h11.
 
 A connection serves one request at a time. It is reused only if the response
-ended where its framing says and no bytes are left unread.
+ended where its framing says and no bytes are left unread. What is received is
+parsed in steps, and a connection that exceeds a limit of a message is aborted.
 """
 
 from asyncio import Protocol, Transport
 from collections import deque
 from typing import Protocol as Interface
 
+from bilberry_core.metric import Metrics, NullMetrics
 from bilberry_core.verdict import FailureCode
 from h11 import (
     CLIENT,
     DONE,
     Connection,
     LocalProtocolError,
+    ProtocolError,
     RemoteProtocolError,
     Request,
     Response,
 )
 
 from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
-from bilberry_proxy.http_events import EventBatch, encode_message, read_batch
+from bilberry_proxy.http_events import EventBatch, encode_message
 from bilberry_proxy.http_headers import (
     CONTENT_LENGTH,
     TRANSFER_ENCODING,
@@ -28,6 +31,9 @@
     find_header,
     select_answer_headers,
 )
+from bilberry_proxy.message_limits import StraySize, report_limit
+from bilberry_proxy.message_reader import MessageReader
+from bilberry_proxy.reading_pace import ReadingPace
 from bilberry_proxy.upstream_request import (
     UpstreamRequest,
     frame_request,
@@ -38,6 +44,7 @@
 #: Requests of a connection that are remembered.
 MAX_REMEMBERED = 64
 _BODILESS_STATUSES = frozenset((204, 304))
+_PEER = 'upstream'
 
 
 class ResponseReceiver(Interface):
@@ -79,19 +86,26 @@
         self,
         owner: ConnectionOwner,
         dialect: HttpDialect = OWN_DIALECT,
+        metrics: Metrics = NullMetrics(),
     ) -> None:
         """Creates an unconnected protocol; the upstream uses `dialect`."""
         self._dialect = dialect
+        self._metrics = metrics
         self._has_length = True
         self._request: UpstreamRequest | None = None
         self._is_stray = False
         self.is_writable = True
         self._owner = owner
         self._http = Connection(CLIENT)
+        self._reader = MessageReader(self._http)
+        self._stray = StraySize()
+        self._pace = ReadingPace(self._read)
         self._transport: Transport | None = None
         self._receiver: ResponseReceiver | None = None
         self._method = b''
-        self._served: deque[bytes] = deque(maxlen=MAX_REMEMBERED)
+        #: The requests that were sent here. A late copy of the response to
+        #: one of them would look like that to a retry.
+        self.served: deque[bytes] = deque(maxlen=MAX_REMEMBERED)
 
     @property
     def is_reusable(self) -> bool:
@@ -102,16 +116,10 @@
             and self._receiver is None
         )
 
-    def has_served(self, request_id: bytes) -> bool:
-        """Returns whether a request was sent here before.
-
-        A late copy of its earlier response would look like that to a retry.
-        """
-        return bool(request_id) and request_id in self._served
-
     def connection_made(self, transport: Transport) -> None:
         """Stores the transport of the new connection."""
         self._transport = transport
+        self._pace.open(transport)
 
     def begin(
         self,
@@ -130,7 +138,9 @@
         raw = encode_message(self._http, start, request.body, request.last)
         self._receiver = receiver
         self._request = request
-        self._served.append(request.request_id)
+        self._stray = StraySize()
+        self.set_reading(enabled=True)
+        self.served.append(request.request_id)
         self._method = request.method
         self._transport.write(raw)
 
@@ -141,18 +151,13 @@
         try:
             raw = encode_message(self._http, None, body, last)
         except LocalProtocolError as error:
-            self._fail_malformed(f'request body: {error}')
+            self._fail_malformed(error)
             return
         self._transport.write(raw)
 
     def set_reading(self, enabled: bool) -> None:
         """Resumes or pauses reading the response."""
-        if self._transport is None:
-            return
-        if enabled:
-            self._transport.resume_reading()
-        else:
-            self._transport.pause_reading()
+        self._pace.set_room(enabled)
 
     def half_close(self) -> bool:
         """Closes the sending side, which cancels the request.
@@ -162,7 +167,7 @@
         self._receiver = None
         if self._transport is None or self._transport.is_closing():
             return False
-        self._transport.resume_reading()
+        self._pace.set_room(has_room=True)
         self._transport.write_eof()
         return True
 
@@ -176,19 +181,17 @@
         if self._receiver is None:
             self.abort()
             return
-        self._http.receive_data(received)
-        try:
-            batch = read_batch(self._http)
-        except RemoteProtocolError as error:
-            self._fail_malformed(str(error))
-            return
-        self._deliver(batch)
+        self._reader.receive(received)
+        self._read()
 
     def eof_received(self) -> None:
         """Called by the event loop when the upstream has sent everything."""
-        if self._receiver is not None and not self._has_length:
-            # For h11, empty bytes mark the end of the stream.
-            self.data_received(b'')
+        if self._receiver is None or self._has_length:
+            return
+        self._reader.receive_end()
+        self._read()
+        while self._receiver is not None and self._reader.has_more:
+            self._read()
 
     def pause_writing(self) -> None:
         """Called by the event loop when the upstream reads too slowly."""
@@ -203,6 +206,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the request in progress and notifies the owner."""
         self._transport = None
+        self._pace.close()
         receiver = self._receiver
         self._receiver = None
         if receiver is not None:
@@ -210,25 +214,33 @@
             receiver.on_broken(FailureCode.UPSTREAM_CLOSED, detail)
         self._owner.connection_ended(self)
 
+    def _read(self) -> None:
+        """Reads one step, and leaves what is behind it to the next turn."""
+        if self._receiver is None:
+            return
+        try:
+            batch = self._reader.read()
+            self._deliver(batch)
+        except RemoteProtocolError as error:
+            self._fail_malformed(error)
+            return
+        if self._receiver is not None and self._reader.has_more:
+            self._pace.continue_soon()
+
     def _deliver(self, batch: EventBatch) -> None:
         receiver = self._receiver
         start = batch.start
         headers = tuple(start.headers) if start is not None else ()
-        if start is not None and start.http_version not in _HTTP_VERSIONS:
-            self._fail_malformed('the response has an unknown HTTP version')
-            return
         if start is not None:
             self._has_length = _is_framed(self._method, start, headers)
-            if not self._has_length and not self._dialect.close_delimited:
-                self._fail_malformed('the response has no length')
-                return
+            _check_start(start, self._has_length, self._dialect)
             self._is_stray = is_stray(
                 self._request,
                 headers,
                 self._dialect,
             )
         if self._is_stray:
-            self._skip_stray(batch.last)
+            self._skip_stray(batch)
             return
         if batch.last:
             self._finish()
@@ -242,17 +254,18 @@
         elif not batch.is_empty:
             receiver.on_body(batch.body, batch.last)
 
-    def _skip_stray(self, last: bool) -> None:
+    def _skip_stray(self, batch: EventBatch) -> None:
         """Discards a late response to an earlier request, and reads on."""
-        if not last:
+        self._stray.add(len(batch.body), batch.last)
+        if not batch.last:
             return
-        unread = self._http.trailing_data[0]
+        unread = self._reader.unread
         request = self._request
         if self._http.our_state is not DONE or not self._has_length:
-            self._fail_malformed('received a response to another request')
-            return
+            raise RemoteProtocolError('received a response to another request')
         self._is_stray = False
         self._http = Connection(CLIENT)
+        self._reader = MessageReader(self._http, unread)
         # h11 parses a response only after a request was sent through the same
         # object. The real request was already sent, so these bytes are
         # dropped.
@@ -263,24 +276,36 @@
         )
         encode_message(self._http, start, b'', last=True)
         if unread:
-            self.data_received(unread)
+            self._read()
 
     def _finish(self) -> None:
         self._receiver = None
         http = self._http
-        unread = http.trailing_data[0]
+        unread = self._reader.unread
         if unread or (http.our_state, http.their_state) != (DONE, DONE):
             self.abort()
             return
         http.start_next_cycle()
         self._owner.connection_free(self)
 
-    def _fail_malformed(self, detail: str) -> None:
+    def _fail_malformed(self, error: ProtocolError) -> None:
         receiver = self._receiver
         self._receiver = None
         self.abort()
+        request_id = self._request.request_id.decode('latin-1')
+        report_limit(error, _PEER, self._metrics, request_id)
         if receiver is not None:
-            receiver.on_broken(FailureCode.UPSTREAM_MALFORMED, detail)
+            receiver.on_broken(FailureCode.UPSTREAM_MALFORMED, str(error))
+
+
+def _check_start(
+    start: Response, has_length: bool, dialect: HttpDialect
+) -> None:
+    """Raises `RemoteProtocolError` for a response that can't be read."""
+    if start.http_version not in _HTTP_VERSIONS:
+        raise RemoteProtocolError('the response has an unknown HTTP version')
+    if not has_length and not dialect.close_delimited:
+        raise RemoteProtocolError('the response has no length')
 
 
 def _is_framed(method: bytes, start: Response, headers: Headers) -> bool:
--- a/packages/bilberry_proxy/bilberry_proxy/upstream_pool.py
+++ b/packages/bilberry_proxy/bilberry_proxy/upstream_pool.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from bilberry_core.endpoint import Address
+from bilberry_core.metric import Metrics, NullMetrics
 
 from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.upstream_connection import UpstreamConnection
@@ -30,12 +31,14 @@
         self,
         on_ended: Callable[[UpstreamConnection], None],
         dialect: HttpDialect = OWN_DIALECT,
+        metrics: Metrics = NullMetrics(),
     ) -> None:
         """Creates an empty pool; the upstream uses `dialect`.
 
         `on_ended` is called when a connection ends.
         """
         self._dialect = dialect
+        self._metrics = metrics
         self.address: Address | None = None
         self._on_ended = on_ended
         self._open: set[UpstreamConnection] = set()
@@ -61,7 +64,7 @@
         """
         self._idle = [one for one in self._idle if one.is_reusable]
         for connection in reversed(self._idle):
-            if not connection.has_served(request_id):
+            if not request_id or request_id not in connection.served:
                 self._idle.remove(connection)
                 self._assign(connection, requester)
                 return
@@ -87,7 +90,7 @@
         self._on_ended(connection)
 
     async def _dial(self, requester: ConnectionRequester) -> None:
-        connection = UpstreamConnection(self, self._dialect)
+        connection = UpstreamConnection(self, self._dialect, self._metrics)
         loop = get_running_loop()
         try:
             async with timeout(CONNECT_TIMEOUT_S):
--- a/standin/upstream.py
+++ b/standin/upstream.py
@@ -4,8 +4,9 @@
 sends fewer bytes than it declares, `/twice` sends two responses, `/early`
 closes the connection without a response and `/slow` takes one second. `/say`
 takes a JSON object of headers that all further responses get. Paths that begin
-with `/large/` or `/download/` have a large response. Other paths echo the
-request body, or the path if the body is empty.
+with `/large/` or `/download/` have a large response. `/endless/FORM` sends
+bytes of a form without end, and `/endless/FORM/slow` a byte at a time. Other
+paths echo the request body, or the path if the body is empty.
 
 Usage: `python -m standin.upstream --daemon HOST:PORT --service NAME`.
 """
@@ -48,6 +49,12 @@
 )
 
 from standin.arrivals import ArrivalFile
+from standin.endless import (
+    ENDLESS_FORMS,
+    ENDLESS_PATH,
+    SLOW_PAUSE_S,
+    EndlessForm,
+)
 from standin.large_body import DOWNLOAD_PATH, LARGE_PATH, build_large_body
 
 _HOST = '127.0.0.1'
@@ -141,6 +148,8 @@
         self._request: Request | None = None
         self._body: list[bytes] = []
         self._task: Task[None] | None = None
+        self._is_writable = True
+        self._endless = b''
 
     def connection_made(self, transport: Transport) -> None:
         """Registers the connection with the upstream."""
@@ -160,6 +169,39 @@
         self._http.receive_data(received)
         self._read_events()
 
+    def pause_writing(self) -> None:
+        """Records that the daemon reads slowly."""
+        self._is_writable = False
+
+    def resume_writing(self) -> None:
+        """Goes on with bytes without end."""
+        self._is_writable = True
+        if self._endless:
+            self._send_piece()
+
+    def send_endless(self, form: EndlessForm, *, is_slow: bool) -> None:
+        """Sends bytes until the connection closes."""
+        self._transport.write(form.begin)
+        if is_slow:
+            self._send_slowly(form.piece)
+            return
+        self._endless = form.piece
+        self._send_piece()
+
+    def _send_piece(self) -> None:
+        if self._transport.is_closing() or not self._is_writable:
+            return
+        self._transport.write(self._endless)
+        get_running_loop().call_soon(self._send_piece)
+
+    def _send_slowly(self, piece: bytes) -> None:
+        if self._transport.is_closing():
+            return
+        self._transport.write(piece[:1])
+        get_running_loop().call_later(
+            SLOW_PAUSE_S, self._send_slowly, piece[1:] + piece[:1]
+        )
+
     def close_idle(self) -> None:
         """Closes the connection if it serves no request."""
         if self._request is None:
@@ -338,6 +380,10 @@
         body: bytes,
     ) -> None:
         """Sends a response, or fails in the way that the path selects."""
+        if path.startswith(ENDLESS_PATH):
+            name, _, pace = path.removeprefix(ENDLESS_PATH).partition('/')
+            connection.send_endless(ENDLESS_FORMS[name], is_slow=bool(pace))
+            return
         if path == self.options.crash_path:
             self.crash()
         elif path == '/truncate':
--- a/tests/bilberry_proxy/test_caller_connection.py
+++ b/tests/bilberry_proxy/test_caller_connection.py
@@ -27,6 +27,10 @@
 
     abort = close
 
+    def is_closing(self) -> bool:
+        """Returns whether the connection was closed."""
+        return self.is_closed
+
     def write_eof(self) -> None:
         """Records that nothing more is written."""
         self.is_half_closed = True
--- /dev/null
+++ b/tests/bilberry_proxy/test_endless.py
@@ -0,0 +1,134 @@
+"""Tests of upstreams that send bytes without end in place of a response."""
+
+from asyncio import IncompleteReadError, gather, open_connection, run, sleep
+from time import monotonic
+
+from bilberry_core.verdict import FailureCode
+from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
+from bilberry_proxy.upstream_request import UpstreamRequest
+from testtools import TestCase
+
+from standin.endless import ENDLESS_FORMS, ENDLESS_PATH
+from tests.bilberry_proxy.fleet import SERVICE, call, configure, open_fleet
+from tests.bilberry_proxy.test_upstream_connection import GET, Exchange
+
+DIALECT = HttpDialect(request_id=b'x-request-id', close_delimited=True)
+REQUEST = UpstreamRequest(
+    b'GET', b'/', ((b'host', b'a'),), b'', True, request_id=b'mine'
+)
+#: Size of a read of the event loop, in bytes.
+READ_BYTES = 256 << 10
+#: What a connection may take of bytes that are no response.
+MOST_BYTES = 1 << 20
+#: What a proxy may make of the forms that are a response without end.
+BODIES = frozenset(
+    ('large_chunks', 'without_length', 'after_the_response', 'refusal')
+)
+TIMEOUT_MS = 400
+#: Time by which a request is ended after its timeout, in seconds.
+SLACK_S = 0.5
+
+
+class EndlessResponseTest(TestCase):
+    """One connection, to which each form is sent as fast as it reads."""
+
+    def flood(self, name: str) -> tuple[Exchange, int]:
+        """Returns the connection and the bytes that it has taken."""
+        form = ENDLESS_FORMS[name]
+
+        async def scenario():
+            exchange = Exchange(REQUEST, DIALECT)
+            read = form.piece * (READ_BYTES // len(form.piece))
+            taken = 0
+            exchange.receive(form.begin)
+            while not exchange.transport.is_aborted and taken < 2 * MOST_BYTES:
+                if exchange.transport.is_reading:
+                    exchange.receive(read)
+                    taken += len(read)
+                await sleep(0)
+            return exchange, taken
+
+        return run(scenario())
+
+    def test_bytes_that_are_no_response_are_read_without_end(self):
+        """In a head, before one, as framing, and as responses to others."""
+        for name in ENDLESS_FORMS.keys() - BODIES:
+            exchange, taken = self.flood(name)
+            self.assertTrue(exchange.transport.is_aborted, name)
+            self.assertLessEqual(taken, MOST_BYTES, name)
+            self.assertEqual(FailureCode.UPSTREAM_MALFORMED, exchange.code)
+
+    def test_one_read_holds_the_event_loop(self):
+        """Other connections have their turn before it is parsed whole."""
+        turns = []
+
+        async def scenario():
+            exchange = Exchange(GET, OWN_DIALECT)
+            chunks = b'20\r\n%b\r\n' % (b'x' * 32) * 6000
+            head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+            exchange.receive(head + chunks + b'0\r\n\r\n')
+            while not exchange.is_whole and exchange.code is None:
+                turns.append(len(exchange.body))
+                await sleep(0)
+            return exchange
+
+        exchange = run(scenario())
+        self.assertEqual(6000 * 32, len(exchange.body))
+        self.assertGreater(len(turns), 6000 // 100)
+        self.assertTrue(exchange.transport.is_reading)
+
+
+class EndlessFleetTest(TestCase):
+    """Requests through two daemons, beside an upstream of each form."""
+
+    async def ask(self, node, path: str) -> tuple[int, float]:
+        """Returns the status that a caller gets, 0 for a cut, and the time."""
+        reader, writer = await open_connection(*node.callers)
+        writer.write(
+            f'POST {path} HTTP/1.1\r\nhost: {SERVICE}\r\n'
+            'content-length: 0\r\nconnection: close\r\n\r\n'.encode()
+        )
+        began = monotonic()
+        status = 0
+        try:
+            head = await reader.readuntil(b'\r\n\r\n')
+            status = int(head.split()[1])
+            while await reader.read(READ_BYTES):
+                """Takes what comes until the connection ends."""
+        except (ConnectionError, IncompleteReadError):
+            """The response is cut."""
+        writer.close()
+        return status, monotonic() - began
+
+    def test_request_has_no_end_after_its_timeout(self):
+        """Each form, fast and slowly, while other requests are served."""
+
+        async def scenario():
+            async with open_fleet(
+                {'slots': 64},
+                {},
+                configuration=configure(timeout_ms=TIMEOUT_MS),
+            ) as fleet:
+                paths = [
+                    f'{ENDLESS_PATH}{name}{pace}'
+                    for name in sorted(ENDLESS_FORMS)
+                    for pace in ('', '/slow')
+                ]
+                found = []
+                for path in paths:
+                    for node in fleet.nodes:
+                        found.append((path, self.ask(node, path)))
+                ended = await gather(*(asked for _, asked in found))
+                late = [
+                    (path, ending)
+                    for (path, _), ending in zip(found, ended, strict=True)
+                    if ending[1] > TIMEOUT_MS / 1000 + SLACK_S
+                ]
+                good = await call(fleet.nodes[1], '/good')
+                open_left = len(fleet.nodes[0].upstream.open_connections)
+                return late, good.status, open_left
+
+        late, status, open_left = run(scenario())
+        self.assertEqual([], late)
+        self.assertEqual(200, status)
+        self.assertLessEqual(open_left, 2)
