A connection closes behind the last request that was begun on it, and no sooner

Cause: is_closing_after looked at the newest request only. If that one was not read whole, the connection closed behind any earlier response, and _drop_first cancelled what was under way between the two. The same class: a malformed last request (in its head, in its body, or with more bytes behind it), requests begun behind a Connection: close of the caller, responses that break off or that HTTP can't carry, and a failed response to HEAD.

Change: the end is announced on the response behind which no request was begun. A malformed request is refused in its turn. A response with requests under way behind it is held back until it is whole, 256 KiB at most; nothing is begun behind one that is partly sent or usually longer.

Exchange.give_up is abandon.

--- a/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_connection.py
@@ -51,7 +51,6 @@
             build_exchange,
             may_overtake,
             self._end_idle,
-            self._stop,
             metrics,
         )
         self._idle_since: float | None = None
@@ -116,13 +115,16 @@
     # Callbacks of the pipelined requests.
 
     def is_closing_after(self, request: PipelinedRequest) -> bool:
-        """Returns whether the connection closes after this response."""
-        if not self.is_draining:
-            return False
-        newest = self._pipeline[-1]
-        return request is newest or (
-            newest.exchange is None and not newest.is_read
-        )
+        """Returns whether the connection closes after this response.
+
+        It is the last one that a stopping proxy sends here: what follows is
+        not begun.
+        """
+        return self.is_draining and not self.has_begun_behind(request)
+
+    def has_begun_behind(self, request: PipelinedRequest) -> bool:
+        """Returns whether a later request was begun."""
+        return self._pipeline.has_begun_behind(request)
 
     def finish(self, request: PipelinedRequest) -> None:
         """Advances to the next request once the first is answered."""
@@ -160,9 +162,6 @@
             self._pipeline[0].become_first()
         return True
 
-    def _stop(self) -> None:
-        self.is_draining = True
-
     def _end_idle(self) -> None:
         self._idle_since = None
 
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -240,7 +240,7 @@
             await sleep(TICK_S)
         left = self._work.measure()
         for exchange in tuple(self._context.running):
-            exchange.give_up()
+            exchange.abandon()
         if left.total:
             # The last responses are sent.
             await sleep(TICK_S)
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -59,6 +59,8 @@
     """One request and its response."""
 
     def __init__(self, context: ProxyContext, caller: Caller) -> None:
+        #: The usual size of the response, in bytes; 0 if it is short.
+        self.usual_bytes = 0
         self._context = context
         self._track = ResponseTrack(context.metrics, context.clock.now)
         self._answer = Answer(caller, context.dialect, self._track)
@@ -109,8 +111,16 @@
             self._start()
         self.update_reading()
 
-    def give_up(self) -> None:
-        """Ends the request, as the proxy ends."""
+    def abandon(
+        self,
+        failure: Failure = DRAINING,
+        cause: CutCause = CutCause.STOP,
+    ) -> None:
+        """Ends the request with a failure, whose verdict is filled in.
+
+        A response that has begun is reported as cut by `cause`. Without
+        arguments it ends as the proxy does.
+        """
         if self._outcome.ended:
             return
         verdict = Verdict.NOT_RUN
@@ -122,8 +132,8 @@
         self._allowance.stop()
         if self._dispatch is not None:
             self._dispatch.cancel()
-        failure = DRAINING._replace(verdict=verdict)
-        self._answer.report_cut(CutCause.STOP, failure)
+        failure = failure._replace(verdict=verdict)
+        self._answer.report_cut(cause, failure)
         self.on_failure(failure)
 
     def on_caller_disconnected(self) -> None:
@@ -233,6 +243,8 @@
         context = self._context
         self._plan = plan
         self._outcome.plan = plan
+        sizes = context.router.response_sizes
+        self.usual_bytes = sizes.estimate(plan.route_key)
         if plan.claimed:
             self._body.buffer_up_to(CLAIMED_BODY_BYTES)
         self._dispatch = Dispatch(context, self, self._outcome, self._body)
--- a/packages/bilberry_proxy/bilberry_proxy/pipelined_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/pipelined_request.py
@@ -40,6 +40,7 @@
 
 _BODILESS_STATUSES = frozenset((204, 304))
 _HEAD = b'HEAD'
+_HEAD_REQUEST = b'HEAD / HTTP/1.1\r\nhost: -\r\n\r\n'
 
 
 class PipelineOwner(Protocol):
@@ -51,6 +52,9 @@
     def is_closing_after(self, request: 'PipelinedRequest') -> bool:
         """Returns whether the connection closes after this response."""
 
+    def has_begun_behind(self, request: 'PipelinedRequest') -> bool:
+        """Returns whether a later request was begun."""
+
     def finish(self, request: 'PipelinedRequest') -> None:
         """Handles a complete response."""
 
@@ -64,17 +68,24 @@
 class PipelinedRequest:
     """One request on a connection, and its response."""
 
-    def __init__(self, owner: PipelineOwner, received: bytes) -> None:
-        """Starts with the bytes `received` after the previous request."""
+    def __init__(
+        self, owner: PipelineOwner, received: bytes, number: int = 0
+    ) -> None:
+        """Starts with the bytes `received` after the previous request.
+
+        `number` is greater than those of earlier requests.
+        """
+        self.number = number
         self.exchange: Exchange | None = None
         self.start: EventBatch | None = None
         self.is_read = False
         self.is_callers_last = False
         self.announces_close = False
         self.is_answered = False
+        self.is_refused = False
         self.response: ResponseTrack | None = None
         self._owner = owner
-        self._output = ResponseOutput(owner.sent)
+        self.output = ResponseOutput(owner.sent)
         self._http = Connection(SERVER)
         self.reader = MessageReader(self._http, received)
         self._writer = self._http
@@ -86,12 +97,18 @@
 
         What arrives before the earlier responses are complete has to wait.
         """
-        return self._owner.is_writable and self._output.has_room
+        return self._owner.is_writable and self.output.has_room
+
+    @property
+    def is_begun(self) -> bool:
+        """Whether the request was passed on, or answered."""
+        return self.exchange is not None or self.is_answered
 
     @property
     def is_reusable(self) -> bool:
         """Whether the connection may be used for another request."""
-        return (self._writer.our_state, self._http.their_state) == (DONE, DONE)
+        is_last = self.is_callers_last or not self.is_read
+        return self._writer.our_state is DONE and not is_last
 
     def read(self) -> EventBatch:
         """Returns the buffered parts of the request, of one step at most.
@@ -106,8 +123,8 @@
 
     def become_first(self) -> None:
         """Flushes the buffer: all earlier responses are complete."""
-        was_full = not self._output.has_room
-        self._output.become_first()
+        was_full = not self.output.has_room
+        self.output.become_first()
         if was_full and self.exchange is not None:
             self.exchange.resume_answer()
 
@@ -117,7 +134,7 @@
         self.exchange = exchange
         self._is_head = batch.start.method == _HEAD
         if not batch.last:
-            self._output.write(encode_continue(self._writer))
+            self.output.write(encode_continue(self._writer))
         exchange.begin(batch.start)
         self.feed(batch)
 
@@ -127,25 +144,13 @@
             self.exchange.feed(batch.body, batch.last)
 
     def refuse(self, error: RemoteProtocolError) -> None:
-        """Responds to malformed bytes with a failure.
-
-        Aborts the connection instead if a request is in progress.
-        """
+        """Ends a malformed request with a failure; nothing follows it."""
+        self.is_refused = True
         if self.exchange is not None:
-            self._owner.abort(CutCause.CALLER)
-            return
-        failure = Failure(
-            Verdict.NOT_RUN,
-            FailureCode.BAD_REQUEST,
-            str(error),
-        )
-        answer = build_failure_answer(failure)
-        self.start_answer(
-            answer.status,
-            answer.headers,
-            answer.body,
-            last=True,
-        )
+            failure = _build_refusal(error)
+            self.exchange.abandon(failure, CutCause.CALLER)
+        elif not self.is_answered:
+            self._fail(_build_refusal(error))
 
     # Called by the exchange.
 
@@ -164,6 +169,8 @@
             self.announces_close = True
         if self.announces_close:
             framed.append(CLOSE)
+        if not last and self._owner.has_begun_behind(self):
+            self.output.hold()
         sent_body = b'' if self._is_head else body
         try:
             start = Response(status_code=status, headers=framed)
@@ -174,17 +181,18 @@
 
     def send_answer_body(self, body: bytes, last: bool) -> None:
         """Sends more of the response body."""
-        self._write(None, body, last)
+        if not self.is_answered:
+            self._write(None, body, last)
 
     def withdraw_answer(self) -> bool:
         """Takes back a response; False if a part of it may have been sent.
 
         Another one may follow, so that earlier requests are still answered.
         """
-        if self._output.is_first or self._is_head:
+        if self.output.has_passed:
             return False
-        self._output.clear()
-        self._writer = Connection(SERVER)
+        self.output.clear()
+        self._writer = _build_writer(self._is_head)
         return True
 
     def abort_answer(self) -> None:
@@ -199,7 +207,7 @@
     ) -> None:
         """Tells of a response that has begun and is cut."""
         if self.response is not None:
-            waiting = self._output.measure_waiting()
+            waiting = self.output.measure_waiting()
             self.response.report_cut(cause, waiting, failure)
 
     def set_reading(self, enabled: bool) -> None:
@@ -213,21 +221,49 @@
         except LocalProtocolError as error:
             self._refuse_answer(error)
             return
-        self._output.write(raw)
+        self.output.write(raw)
         if last:
             self.exchange = None
             self.is_answered = True
+            self.output.release()
             self._owner.finish(self)
 
     def _refuse_answer(self, error: LocalProtocolError) -> None:
+        """Replaces a response that HTTP can't carry by a failure.
+
+        Resets the connection instead if a part of it was sent.
+        """
         if self.exchange is not None:
             # Further parts of the answer are refused without a line each.
             _log.warning('answer_malformed', extra={'cause': str(error)})
         self.report_cut(CutCause.UPSTREAM)
-        self.abort_answer()
+        if self.withdraw_answer():
+            code = FailureCode.UPSTREAM_MALFORMED
+            self._fail(Failure(Verdict.RAN, code, str(error)))
+        else:
+            self.abort_answer()
+
+    def _fail(self, failure: Failure) -> None:
+        answer = build_failure_answer(failure)
+        self.start_answer(answer.status, answer.headers, answer.body, last=True)
+
+
+def _build_refusal(error: RemoteProtocolError) -> Failure:
+    return Failure(Verdict.NOT_RUN, FailureCode.BAD_REQUEST, str(error))
 
 
 def _needs_length(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
     if status in _BODILESS_STATUSES:
         return False
     return not find_header(headers, CONTENT_LENGTH)
+
+
+def _build_writer(is_head: bool) -> Connection:
+    """Returns a connection that has nothing sent of a response."""
+    writer = Connection(SERVER)
+    if is_head:
+        # h11 sends no body in response to a HEAD request that it has read.
+        writer.receive_data(_HEAD_REQUEST)
+        writer.next_event()
+        writer.next_event()
+    return writer
--- a/packages/bilberry_proxy/bilberry_proxy/request_intake.py
+++ b/packages/bilberry_proxy/bilberry_proxy/request_intake.py
@@ -35,13 +35,10 @@
         build_exchange: Callable[[PipelinedRequest], Exchange],
         may_overtake: Callable[[Request], bool],
         on_begin: Callable[[], None],
-        on_refused: Callable[[], None],
         metrics: Metrics,
     ) -> None:
         """Adds the requests to `pipeline`; calls `on_begin` for each.
 
-        `on_refused` is called when the caller violates the protocol.
-
         `may_overtake` returns whether a request may start before the earlier
         requests are answered.
         """
@@ -51,14 +48,13 @@
         self._build_exchange = build_exchange
         self._may_overtake = may_overtake
         self._on_begin = on_begin
-        self._on_refused = on_refused
         self._metrics = metrics
         self._is_reading = False
         self._may_read_body = True
 
     def receive(self, received: bytes) -> None:
-        """Adds received bytes, unless the connection closes."""
-        if not self._pipeline:
+        """Adds received bytes, unless no request can follow."""
+        if not self._pipeline or self._pipeline[-1].is_refused:
             self.dropped.record(len(received))
             return
         self._pipeline[-1].reader.receive(received)
@@ -83,7 +79,6 @@
             self._read_step()
         except RemoteProtocolError as error:
             report_limit(error, _PEER, self._metrics)
-            self._on_refused()
             self._pipeline[-1].refuse(error)
         finally:
             self._is_reading = False
@@ -99,6 +94,8 @@
 
     def _read_request(self, request: PipelinedRequest) -> bool:
         """Reads the newest request; returns whether more may be buffered."""
+        if request.is_refused:
+            return False
         if request.start is not None:
             return self._begin(request, request.start)
         if request.is_read:
@@ -110,7 +107,7 @@
         return request.is_read or request.reader.has_more
 
     def _read_ahead(self, request: PipelinedRequest) -> bool:
-        if not request.reader.unread_size:
+        if request.is_callers_last or not request.reader.unread_size:
             return False
         if len(self._pipeline) >= MAX_PIPELINED_REQUESTS:
             return False
--- a/packages/bilberry_proxy/bilberry_proxy/request_pipeline.py
+++ b/packages/bilberry_proxy/bilberry_proxy/request_pipeline.py
@@ -1,4 +1,9 @@
-"""The requests of one connection, in the order of their responses."""
+"""The requests of one connection, in the order of their responses.
+
+A connection closes only behind the last request that was begun on it, as long
+as every response is whole: a caller can't tell what became of a request behind
+a response that ends the connection.
+"""
 
 from collections import deque
 from collections.abc import Callable
@@ -8,6 +13,7 @@
 from bilberry_proxy.exchange import Exchange
 from bilberry_proxy.pipelined_request import PipelinedRequest, PipelineOwner
 from bilberry_proxy.response_track import CutCause
+from bilberry_proxy.send_buffer import MAX_HELD_BYTES
 
 
 class RequestPipeline(deque[PipelinedRequest]):
@@ -32,17 +38,26 @@
         """Returns whether earlier requests keep one from its start.
 
         Behind a response that announces the end of the connection nothing is
-        started: it would be cancelled with the connection.
+        started: it would be cancelled with the connection. The same holds for
+        a response that may break off: one that is partly sent, or will be too
+        long to be held back until it is whole.
         """
         if request is self[0]:
             return False
-        if any(earlier.announces_close for earlier in self):
+        if any(_may_end_connection(earlier) for earlier in self):
             return True
         return not may_overtake(request.start.start)
 
+    def has_begun_behind(self, request: PipelinedRequest) -> bool:
+        """Returns whether a later request was begun."""
+        return any(
+            later.is_begun for later in self if later.number > request.number
+        )
+
     def add(self, received: bytes) -> None:
         """Adds a request that starts with the bytes `received`."""
-        request = PipelinedRequest(self._owner, received)
+        number = self[-1].number + 1 if self else 0
+        request = PipelinedRequest(self._owner, received, number)
         if not self:
             request.become_first()
         self.append(request)
@@ -55,3 +70,13 @@
         self.clear()
         for exchange in exchanges:
             exchange.on_caller_disconnected()
+
+
+def _may_end_connection(request: PipelinedRequest) -> bool:
+    """Returns whether a response ends the connection, or may break off."""
+    if request.announces_close:
+        return True
+    exchange = request.exchange
+    if exchange is None:
+        return False
+    return request.output.has_passed or exchange.usual_bytes > MAX_HELD_BYTES
--- a/packages/bilberry_proxy/bilberry_proxy/send_buffer.py
+++ b/packages/bilberry_proxy/bilberry_proxy/send_buffer.py
@@ -19,6 +19,8 @@
 MAX_REMEMBERED = 64
 #: Bytes of a response that wait for earlier ones before no more is asked for.
 MAX_PENDING_BYTES = 64 << 10
+#: Bytes of a response that are held back until it is whole.
+MAX_HELD_BYTES = 256 << 10
 
 
 class WrittenResponse(NamedTuple):
@@ -110,11 +112,18 @@
 
 
 class ResponseOutput:
-    """The bytes of one response, which may have to wait for earlier ones."""
+    """The bytes of one response, which may have to wait.
+
+    They wait for earlier responses, or are held back until the response is
+    whole.
+    """
 
     def __init__(self, buffer: SendBuffer) -> None:
         """Starts behind earlier responses, with nothing written."""
         self.is_first = False
+        #: Whether the caller may have a part of the response.
+        self.has_passed = False
+        self._is_held = False
         self._buffer = buffer
         self._pending: list[bytes] = []
         self._pending_bytes = 0
@@ -122,32 +131,51 @@
     @property
     def has_room(self) -> bool:
         """Whether more of the response may be asked for."""
-        return self._pending_bytes <= MAX_PENDING_BYTES
+        limit = MAX_HELD_BYTES if self.is_first else MAX_PENDING_BYTES
+        return self._pending_bytes <= limit
 
     def measure_waiting(self) -> WaitingBytes:
         """Returns the bytes of the response that wait here."""
-        if self.is_first:
+        if self.has_passed:
             return WaitingBytes(unread=self._buffer.measure_incomplete())
         return WaitingBytes(pending=self._pending_bytes)
 
     def write(self, raw: bytes) -> None:
-        """Sends bytes, or keeps them while there are earlier responses."""
+        """Sends bytes, or keeps them while the response has to wait."""
         if not raw:
             return
-        if self.is_first:
-            self._buffer.write(raw)
-        else:
-            self._pending.append(raw)
-            self._pending_bytes += len(raw)
+        self._pending.append(raw)
+        self._pending_bytes += len(raw)
+        self._flush()
 
     def become_first(self) -> None:
         """Sends what was kept: all earlier responses are complete."""
         self.is_first = True
-        pending = b''.join(self._pending)
-        self.clear()
-        self.write(pending)
+        self._flush()
+
+    def hold(self) -> None:
+        """Keeps the response back, unless a part of it was sent.
+
+        A longer one than `MAX_HELD_BYTES` is sent as it comes.
+        """
+        self._is_held = not self.has_passed
+
+    def release(self) -> None:
+        """Sends what was kept: the response is whole."""
+        self._is_held = False
+        self._flush()
 
     def clear(self) -> None:
         """Drops what is kept."""
         self._pending.clear()
         self._pending_bytes = 0
+
+    def _flush(self) -> None:
+        if self._pending_bytes > MAX_HELD_BYTES:
+            self._is_held = False
+        if not self.is_first or self._is_held or not self._pending:
+            return
+        pending = b''.join(self._pending)
+        self.clear()
+        self.has_passed = True
+        self._buffer.write(pending)
