The platform's documents alone decide what is served

Cause: where no routing rule matches, plan_request falls back to the hosts of services, and each service is a host of its own name. That is a feature of the product's own files which the adapter never switched off. The same class: an Idempotency-Key, which the platform doesn't know, was claimed, or refused if long; headers of the product's own dialect decided whether a request may overtake.

--- a/packages/bilberry_proxy/bilberry_proxy/caller_request.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_request.py
@@ -10,7 +10,6 @@
 
 from bilberry_proxy.dialect import OWN_DIALECT, HttpDialect
 from bilberry_proxy.http_headers import (
-    IDEMPOTENCY_KEY,
     Headers,
     select_request_headers,
 )
@@ -53,9 +52,9 @@
     headers = tuple(start.headers)
     found = dict(headers)
     deadline = found.get(dialect.deadline, b'')
-    key = found.get(IDEMPOTENCY_KEY, b'')
+    key = found.get(dialect.idempotency_key, b'')
     target = start.target
-    refusal = _validate(start.method, target, key)
+    refusal = _validate(start.method, target, key, dialect)
     if deadline and not _is_deadline(deadline):
         refusal = (
             f'header "{dialect.deadline.decode()}": expected 1 to '
@@ -100,10 +99,12 @@
     method: bytes,
     target: bytes,
     key: bytes,
+    dialect: HttpDialect,
 ) -> str:
     if len(key) > MAX_KEY_BYTES:
         return (
-            f'header "idempotency-key": expected at most {MAX_KEY_BYTES} bytes'
+            f'header "{dialect.idempotency_key.decode()}": expected at most '
+            f'{MAX_KEY_BYTES} bytes'
         )
     if method == b'CONNECT' or not target.startswith(b'/'):
         return 'expected a request target that begins with "/"'
--- a/packages/bilberry_proxy/bilberry_proxy/caller_server.py
+++ b/packages/bilberry_proxy/bilberry_proxy/caller_server.py
@@ -88,4 +88,6 @@
         return Exchange(self._context, request)
 
     def _may_overtake(self, start: Request) -> bool:
-        return is_repeatable(start, self._context.board.snapshot.value)
+        context = self._context
+        snapshot = context.board.snapshot.value
+        return is_repeatable(start, snapshot, context.dialect)
--- a/packages/bilberry_proxy/bilberry_proxy/dialect.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dialect.py
@@ -1,4 +1,4 @@
-"""The header names that callers and upstreams of a deployment use.
+"""What callers and upstreams of a deployment send, and what it means.
 
 The proxy uses its own names unless it is given others. An empty name disables
 the feature that the header serves.
@@ -8,7 +8,7 @@
 
 
 class HttpDialect(NamedTuple):
-    """Header names, in lower case, and requirements on responses.
+    """Header names, in lower case, and what requests and responses may be.
 
     `deadline`
         How long the sender of the request waits for its response, in
@@ -39,6 +39,11 @@
     `close_delimited`
         Whether the end of the connection may delimit a response (default:
         False).
+    `idempotency_key`
+        The key by which a request is claimed, so that it runs at most once.
+    `hosts_of_services`
+        Whether the name and the hosts of a service lead to it where no route
+        matches (default: True).
     """
 
     deadline: bytes = b'bilberry-deadline-ms'
@@ -54,6 +59,8 @@
     leaving: bytes = b'bilberry-leaving'
     fractional_retry_after: bool = False
     close_delimited: bool = False
+    idempotency_key: bytes = b'idempotency-key'
+    hosts_of_services: bool = True
 
 
 #: The default header names.
--- a/packages/bilberry_proxy/bilberry_proxy/http_headers.py
+++ b/packages/bilberry_proxy/bilberry_proxy/http_headers.py
@@ -10,7 +10,6 @@
 Headers = tuple[tuple[bytes, bytes], ...]
 
 AUTHORIZATION = b'authorization'
-IDEMPOTENCY_KEY = b'idempotency-key'
 RETRIED = OWN_DIALECT.retried
 CODE = b'bilberry-code'
 RETRY_AFTER = b'retry-after'
--- a/packages/bilberry_proxy/bilberry_proxy/plan.py
+++ b/packages/bilberry_proxy/bilberry_proxy/plan.py
@@ -92,9 +92,11 @@
             ),
         )
     rule = snapshot.find_rule(request.host, request.path)
-    service = snapshot.services_by_host.get(request.host)
+    service = None
     if rule is not None:
         service = pick_target(rule)
+    elif dialect.hosts_of_services:
+        service = snapshot.services_by_host.get(request.host)
     if service is None:
         detail = f'no route for host "{request.host}", path "{request.path}"'
         return Refused(
@@ -135,9 +137,13 @@
     )
 
 
-def is_repeatable(start: Request, snapshot: Snapshot | None) -> bool:
+def is_repeatable(
+    start: Request,
+    snapshot: Snapshot | None,
+    dialect: HttpDialect = OWN_DIALECT,
+) -> bool:
     """Returns whether the policy of its route lets a request be repeated."""
-    parsed = parse_caller_request(start)
+    parsed = parse_caller_request(start, dialect)
     if snapshot is None or not isinstance(parsed, Success):
         return False
     request = parsed.unwrap()
