--- a/tests/bilberry_proxy/test_endless_requests.py
+++ b/tests/bilberry_proxy/test_endless_requests.py
@@ -102,6 +102,23 @@
             self.assertLessEqual(self.flood(begin, piece), MOST_BYTES, name)
             self.assertTrue(self.is_ended, name)
 
+    def test_sound_request_meets_a_limit(self):
+        """One of small chunks, and one of as many headers as fit."""
+        chunks = b'1\r\nx\r\n' * 8000 + b'0\r\n\r\n'
+        lines = b'a:b\r\n' * 3000
+
+        async def scenario():
+            self.connection.data_received(_CHUNKED + chunks)
+            while not ManualExchange.opened[0].request.is_read:
+                await sleep(0)
+            self.connection.data_received(
+                b'GET / HTTP/1.1\r\nhost: a\r\n%b\r\n' % lines
+            )
+
+        run(scenario())
+        self.assertEqual(2, len(ManualExchange.opened))
+        self.assertFalse(self.is_ended)
+
     def test_requests_sent_ahead_hold_the_event_loop(self):
         """Others have their turn before all of one read are begun."""
         turns = []
