A replica that was removed while it was away is admitted again

Cause: the leader removed the first silent member by name after 2 s, and a replica with a log never asked to be admitted, so the one that was gone stayed a voter and the one that came back stayed outside.

Change: a replica that has heard no leader for an election timeout asks, also with a log, and comes back as a learner; the one silent for longest gives way; a successor that has caught up takes the place of a lost voter instead of raising the quorum beside it. Where only operators remove replicas, their decision stands. Log lines for removals (with the silences), admissions and requests; gauges replica.voters, replica.silent and replica.spare_losses; bilberryctl status shows them.

Why it works: whoever is removed wrongly is a voter again soon after it is in touch, and no place is held by one that is gone.

find_surplus_member takes silences in place of names; its tests give 3 s for what was a set of names, with the same expectations.

--- a/packages/bilberry_core/bilberry_core/board.py
+++ b/packages/bilberry_core/bilberry_core/board.py
@@ -118,6 +118,10 @@
     `disk_stalled` is set while its disk takes no writes. `is_current` is set
     while it leads and an entry of its term is committed, and synced and shown
     here: then everything accepted in earlier terms is shown, too.
+
+    `voters` counts the members that count towards a quorum. The leader alone
+    knows which of the members are `silent`, and how many more voters may be
+    lost while a quorum remains (`spare_losses`); elsewhere that is None.
     """
 
     role: str
@@ -127,6 +131,9 @@
     members: tuple[str, ...]
     disk_stalled: bool = False
     is_current: bool = False
+    voters: int = 0
+    silent: tuple[str, ...] = ()
+    spare_losses: int | None = None
 
     @property
     def is_leader(self) -> bool:
--- a/packages/bilberry_core/bilberry_core/messages/replica.py
+++ b/packages/bilberry_core/bilberry_core/messages/replica.py
@@ -173,9 +173,13 @@
 
 @message(16)
 class Probe(NamedTuple):
-    """A replica without a log identifies itself and asks to be admitted."""
+    """A replica identifies itself and asks to be admitted.
+
+    `has_log` is set if it has a log, and was removed or hears no leader.
+    """
 
     member: Member
+    has_log: bool = False
 
 
 @message(17)
--- a/packages/bilberry_replica/bilberry_replica/consensus.py
+++ b/packages/bilberry_replica/bilberry_replica/consensus.py
@@ -31,9 +31,6 @@
     receive_append_reply,
 )
 
-#: Silence after which a replica may be removed as lost, in seconds.
-MEMBER_SILENCE_S = 2.0
-
 _RECEIVERS = {
     VoteRequest: receive_vote_request,
     VoteReply: receive_vote_reply,
@@ -123,21 +120,6 @@
     return ''
 
 
-def list_silent_members(node: Node, event_time: EventTime) -> tuple[str, ...]:
-    """Returns the members that have not replied for `MEMBER_SILENCE_S`.
-
-    Returns none until this replica has led for that long.
-    """
-    since = event_time.now - MEMBER_SILENCE_S
-    if node.leading_since > since:
-        return ()
-    return tuple(
-        instance
-        for instance, progress in node.peers.items()
-        if progress.stamp < since
-    )
-
-
 def install_snapshot(node: Node, log: Log) -> Node:
     """Replaces the log by a snapshot and the entries that continue it."""
     durable = 0
--- a/packages/bilberry_replica/bilberry_replica/leading.py
+++ b/packages/bilberry_replica/bilberry_replica/leading.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from logging import getLogger
 from typing import NamedTuple
 
 from bilberry_core.acceptance import NotAccepted
@@ -22,24 +23,32 @@
     find_caught_up_learner,
     find_replaced_member,
     has_committed_in_term,
-    list_silent_members,
 )
 from bilberry_replica.error import ConsensusError
 from bilberry_replica.founding import is_empty, start_log
 from bilberry_replica.holder_register import is_holder_change
 from bilberry_replica.member import (
     add_learner,
-    find_surplus_member,
     promote,
     remove_member,
+    replace_voter,
 )
 from bilberry_replica.node import EventTime, Step
 from bilberry_replica.packing import unpack_change
 from bilberry_replica.register import Decision
+from bilberry_replica.removal import (
+    MEMBER_SILENCE_S,
+    SUCCEEDED_SILENCE_S,
+    find_surplus_member,
+    measure_silences,
+    must_wait_for_place,
+)
 from bilberry_replica.replica import Replica
 from bilberry_replica.replication import broadcast, propose
 from bilberry_replica.rollout_register import is_rollout_change
 
+_log = getLogger(__name__)
+
 Validate = Callable[[bytes], list[str]]
 
 
@@ -108,15 +117,31 @@
 def admit_member(
     replica: Replica, member: Member, event_time: EventTime
 ) -> None:
-    """Proposes to add a replica that has no log as a learner."""
+    """Proposes to add a replica as a learner, unless it is a member."""
     membership = add_learner(replica.node.membership, member)
-    propose_membership(replica, membership, event_time)
+    if propose_membership(replica, membership, event_time):
+        _log.info(
+            'replica_admitted',
+            extra={'replica': member.instance, 'store': member.store},
+        )
+
+
+def readmit_member(
+    replica: Replica, member: Member, event_time: EventTime
+) -> None:
+    """Admits a replica that has a log and was removed while it was silent.
+
+    Where only operators remove replicas, their decision stands.
+    """
+    if replica.node.membership.min_quorum:
+        admit_member(replica, member, event_time)
 
 
 def maintain_membership(replica: Replica, event_time: EventTime) -> None:
     """Demotes replaced members, promotes learners, removes silent members.
 
-    Proposes at most one of these changes per call.
+    Proposes at most one of these changes per call. A learner that may be the
+    successor of a voter is promoted once that one is heard, or removed.
     """
     node = replica.node
     replaced = find_replaced_member(node)
@@ -124,16 +149,36 @@
         admit_member(replica, replaced, event_time)
         return
     learner = find_caught_up_learner(node)
-    if learner:
+    if learner and not must_wait_for_place(node, event_time):
         membership = promote(node.membership, learner)
         propose_membership(replica, membership, event_time)
         return
+    least_s = SUCCEEDED_SILENCE_S if learner else MEMBER_SILENCE_S
+    silences = measure_silences(node, event_time, least_s)
     surplus = find_surplus_member(
-        node.membership, list_silent_members(node, event_time)
+        node.membership, silences, has_successor=bool(learner)
     )
     if surplus:
-        membership = remove_member(node.membership, surplus)
-        propose_membership(replica, membership, event_time)
+        change = replace_voter if learner else remove_member
+        membership = change(node.membership, surplus)
+        if propose_membership(replica, membership, event_time):
+            _log_removal(surplus, silences, membership)
+
+
+def _log_removal(
+    removed: str, silences: dict[str, float], membership: Membership
+) -> None:
+    _log.warning(
+        'silent_replica_removed',
+        extra={
+            'replica': removed,
+            'silences': {
+                instance: round(silence_s, 3)
+                for instance, silence_s in silences.items()
+            },
+            'members': len(membership.members),
+        },
+    )
 
 
 def found_fleet(
--- a/packages/bilberry_replica/bilberry_replica/member.py
+++ b/packages/bilberry_replica/bilberry_replica/member.py
@@ -53,23 +53,6 @@
     return Membership(1, tuple(sorted(voters)), min_quorum=min_quorum)
 
 
-def find_surplus_member(membership: Membership, silent: Collection[str]) -> str:
-    """Returns a silent member that the quorum does not need, or ''.
-
-    A silent learner is never needed. A silent voter is not needed if the
-    fleet, without it, can still lose as many voters as when the fleet was
-    founded. Without `min_quorum`, only an operator removes a replica.
-    """
-    if not membership.min_quorum:
-        return ''
-    needed = 2 * membership.min_quorum - 1
-    has_spare = len(list_voters(membership)) > needed
-    for member in membership.members:
-        if member.instance in silent and (has_spare or not member.voter):
-            return member.instance
-    return ''
-
-
 def add_learner(membership: Membership, joining: Member) -> Membership | None:
     """Adds a replica as a learner; returns None if nothing changes.
 
@@ -107,6 +90,14 @@
     return _set_members(membership, remaining)
 
 
+def replace_voter(membership: Membership, lost: str) -> Membership:
+    """Removes a voter whose successor has caught up as a learner."""
+    remaining = tuple(
+        member for member in membership.members if member.instance != lost
+    )
+    return _set_members(membership, remaining)
+
+
 def end_handover(membership: Membership, epoch: int) -> Membership | None:
     """Ends the handover of claims; returns None if this epoch has none."""
     if membership.epoch != epoch or not membership.previous:
--- a/packages/bilberry_replica/bilberry_replica/publisher.py
+++ b/packages/bilberry_replica/bilberry_replica/publisher.py
@@ -7,7 +7,8 @@
 from bilberry_core.configuration import AcceptedVersion, decode_configuration
 from bilberry_core.messages.replica import Membership
 
-from bilberry_replica.member import build_epoch
+from bilberry_replica.member import build_epoch, list_voters
+from bilberry_replica.removal import measure_tolerance
 from bilberry_replica.replica import Replica
 
 _log = getLogger(__name__)
@@ -76,6 +77,8 @@
             tuple(member.instance for member in node.membership.members),
             node.is_stalled,
             node.is_leader and node.term == self._replica.durable_commit_term,
+            len(list_voters(node.membership)),
+            *measure_tolerance(node),
         )
         if status != self._board.replica.value:
             self._board.replica.put(status)
--- a/packages/bilberryctl/bilberryctl/text.py
+++ b/packages/bilberryctl/bilberryctl/text.py
@@ -72,7 +72,20 @@
         return 'no'
     leader = replica['leader'] or 'none known'
     members = ', '.join(replica['members'])
-    return f'{replica["role"]}, leader {leader}, members {members}'
+    line = f'{replica["role"]}, leader {leader}, members {members}'
+    return f'{line}{_render_tolerance(replica)}'
+
+
+def _render_tolerance(replica: Document) -> str:
+    """Returns what the leader knows of losses; nothing elsewhere."""
+    spare_losses = replica.get('spare_losses')
+    if spare_losses is None:
+        return ''
+    silent = ', '.join(replica['silent']) or 'none'
+    voters = replica['voters']
+    return (
+        f'; voters {voters}, silent {silent}, {spare_losses} more may be lost'
+    )
 
 
 def _render_proxy(proxy: Document) -> str:
--- a/packages/bilberryd/bilberryd/board_metrics.py
+++ b/packages/bilberryd/bilberryd/board_metrics.py
@@ -8,6 +8,9 @@
 from bilberry_core.metric import Metrics
 from bilberry_core.snapshot import Snapshot
 
+#: Value of a gauge that only the leader of the replicas knows, elsewhere.
+_UNKNOWN = -1
+
 
 class BoardMetrics:
     """The gauges for the state on a blackboard, set before each scrape."""
@@ -78,6 +81,12 @@
         self._metrics.gauge('replica.commit', status.commit)
         self._metrics.gauge('replica.leads', int(status.is_leader))
         self._metrics.gauge('replica.members', len(status.members))
+        self._metrics.gauge('replica.voters', status.voters)
+        is_known = status.spare_losses is not None
+        silent = len(status.silent) if is_known else _UNKNOWN
+        spare_losses = status.spare_losses if is_known else _UNKNOWN
+        self._metrics.gauge('replica.silent', silent)
+        self._metrics.gauge('replica.spare_losses', spare_losses)
         self._metrics.gauge('replica.disk_stalled', int(status.disk_stalled))
 
     def _set_endpoint_gauges(self) -> None:
--- a/tests/bilberry_replica/fleet.py
+++ b/tests/bilberry_replica/fleet.py
@@ -18,6 +18,7 @@
 from bilberry_core.endpoint import Address
 from bilberry_core.listener import StreamListener
 from bilberry_core.settings import (
+    FoundingSettings,
     ListenSettings,
     Peer,
     Role,
@@ -111,8 +112,10 @@
         timing: TimingSettings = FAST,
         limits: Limits = Limits(),
         clock: Clock = SystemClock(),
+        founding: FoundingSettings = FoundingSettings(),
     ) -> None:
         """Adds a replica for each letter of `names`."""
+        self.founding = founding
         self.timing = timing
         self.limits = limits
         self.clock = clock
@@ -191,4 +194,5 @@
             secret=b'secret',
             replicas=self.peers,
             timing=self.timing,
+            founding=self.founding,
         )
--- a/tests/bilberry_replica/schedule.py
+++ b/tests/bilberry_replica/schedule.py
@@ -73,7 +73,7 @@
 class Schedule:
     """A fleet, its network and its clients, driven from one seed."""
 
-    def __init__(self, seed: int, domains: str) -> None:
+    def __init__(self, seed: int, domains: str, min_quorum: int = 0) -> None:
         """Founds a fleet with a replica in each of these domains."""
         self.random = Random(seed)
         self.now = float()
@@ -88,7 +88,7 @@
             self.hosts[host.name] = host
             self.start(host)
         membership = build_first_membership(
-            [host.member for host in self.hosts.values()]
+            [host.member for host in self.hosts.values()], min_quorum
         )
         self.do(self.hosts[min(self.hosts)], found_fleet, membership)
         self.settle()
@@ -173,10 +173,14 @@
         """Advances the time on all replicas and admits those without a log."""
         self.now += seconds
         for host in self.list_running():
-            self.do(host, Replica.tick)
-            if host.replica and host.replica.node.is_leader:
-                self.do(host, maintain_membership)
-                self._admit(host)
+            self.tick_one(host)
+
+    def tick_one(self, host: Host) -> None:
+        """Performs what is due on one replica."""
+        self.do(host, Replica.tick)
+        if host.replica and host.replica.node.is_leader:
+            self.do(host, maintain_membership)
+            self._admit(host)
 
     def list_running(self) -> list[Host]:
         """Returns the replicas that run and are not frozen."""
--- a/tests/bilberry_replica/test_member.py
+++ b/tests/bilberry_replica/test_member.py
@@ -7,11 +7,11 @@
     build_epoch,
     build_first_membership,
     end_handover,
-    find_surplus_member,
     has_quorum,
     promote,
     remove_member,
 )
+from bilberry_replica.removal import find_surplus_member
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -117,15 +117,27 @@
         five = build_first_membership(
             [build_member(name) for name in 'abcde'], 3
         )
-        self.assertEqual('', find_surplus_member(five, {'a'}))
+        self.assertEqual('', find_surplus_member(five, {'a': 3.0}))
         learning = add_learner(five, build_member('f'))
-        self.assertEqual('', find_surplus_member(learning, {'a'}))
-        self.assertEqual('f', find_surplus_member(learning, {'f'}))
+        self.assertEqual('', find_surplus_member(learning, {'a': 3.0}))
+        self.assertEqual('f', find_surplus_member(learning, {'f': 3.0}))
         six = promote(learning, 'f')
-        self.assertEqual('a', find_surplus_member(six, {'a'}))
-        self.assertEqual('', find_surplus_member(six, ()))
+        self.assertEqual('a', find_surplus_member(six, {'a': 3.0}))
+        self.assertEqual('', find_surplus_member(six, {}))
+
+    def test_first_silent_replica_by_name_is_removed(self):
+        """One that is restarted is silent for less than the one that left."""
+        six = build_first_membership(
+            [build_member(name) for name in 'abcdef'], 3
+        )
+        self.assertEqual('e', find_surplus_member(six, {'e': 4.0, 'a': 3.0}))
+        self.assertEqual('e', find_surplus_member(six, {'e': 2.1}))
+        seven = build_first_membership(
+            [build_member(name) for name in 'abcdefg'], 3
+        )
+        self.assertEqual('e', find_surplus_member(seven, {'e': 3.0, 'a': 2.5}))
 
     def test_operators_decide_without_a_minimum_quorum(self):
         """Without a minimum quorum, only operators remove a replica."""
         four = build_first_membership([build_member(name) for name in 'abcd'])
-        self.assertEqual('', find_surplus_member(four, {'a'}))
+        self.assertEqual('', find_surplus_member(four, {'a': 3.0}))
--- a/tests/bilberry_replica/test_schedule.py
+++ b/tests/bilberry_replica/test_schedule.py
@@ -3,8 +3,8 @@
 The seeds are fixed by the `ci` profile; `make soak` runs more.
 """
 
-from bilberry_replica.consensus import list_silent_members
 from bilberry_replica.node import EventTime
+from bilberry_replica.removal import measure_silences
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -156,8 +156,8 @@
         run_rounds(schedule, 200)
         leader = find_leader(schedule)
         event_time = EventTime(schedule.now * leader.clock_rate, 0)
-        silent = list_silent_members(leader.replica.node, event_time)
-        self.assertEqual((), silent)
+        silent = measure_silences(leader.replica.node, event_time)
+        self.assertEqual({}, silent)
         self.assertEqual(0, leader.replica.node.peers[learner.name].match)
         schedule.settle()
 
