A body of which a part is lost is sent to nobody; a refused one is kept

Cause: where the daemon beside an upstream had no slot left, Dispatch went on with another search without asking whether the body could still be sent whole; what had been forwarded to the refused attempt was not kept.

Change: RequestBody.begin_attempt decides, and build_call_start takes what it returns. What is forwarded is kept until the first credit, 256 KiB a request and 16 MiB a daemon (gauge request.kept_bytes), so a refused request is sent again whole; where a part is lost the caller is refused at once, not_run where that is proven.

Why it works: no attempt can be built without the decision, and every piece that an attempt got is either kept or makes the body unrepeatable.

--- a/packages/bilberry_proxy/bilberry_proxy/call_start.py
+++ b/packages/bilberry_proxy/bilberry_proxy/call_start.py
@@ -4,12 +4,12 @@
 from bilberry_core.messages.call import CallStart
 
 from bilberry_proxy.plan import Plan
-from bilberry_proxy.request_body import RequestBody
+from bilberry_proxy.request_body import BodyStart
 
 
 def build_call_start(  # noqa: WPS211 - what a call is made of
     plan: Plan,
-    body: RequestBody,
+    body: BodyStart,
     fingerprint: bytes,
     now: float,
     tried: bool,
@@ -35,8 +35,8 @@
         request.method,
         request.target,
         headers,
-        body.buffered,
-        body.is_whole,
+        body.content,
+        body.last,
         max(remaining_ms, 1),
         plan.priority,
         fingerprint,
--- a/packages/bilberry_proxy/bilberry_proxy/controller.py
+++ b/packages/bilberry_proxy/bilberry_proxy/controller.py
@@ -143,6 +143,7 @@
         metrics.gauge('proxy.requests', len(self._context.running))
         metrics.gauge('proxy.connections', self.connections)
         metrics.gauge('proxy.calls', self._calls.open_calls)
+        metrics.gauge('request.kept_bytes', self.pressure.kept_bodies.size)
         for (
             service,
             tokens,
--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -49,6 +49,12 @@
     FailureCode.ENDPOINT_SILENT,
     'the daemon beside the upstream stopped responding',
 )
+_BODY_LOST = Failure(
+    Verdict.NOT_RUN,
+    FailureCode.OVERLOADED,
+    'a part of the body was sent to an upstream that refused it',
+    NO_ENDPOINT_RETRY_AFTER_MS,
+)
 
 
 class DispatchOwner(Protocol):
@@ -160,7 +166,9 @@
             return
         self._body.detach()
         if failure.code is FailureCode.NO_FREE_SLOT:
-            self._finder.find_after(attempt, failure)
+            self._finder.find_after(
+                attempt, failure, may_repeat=self._body.is_replayable
+            )
             return
         decision = self._decide_retry(attempt, failure)
         self._outcome.record_attempt_failure(failure, decision.reason)
@@ -181,14 +189,23 @@
         choice: PlacementChoice,
         reservation: SlotReservation | None = None,
     ) -> None:
-        """Sends the request, to a slot that was offered if there is one."""
+        """Sends the request, to a slot that was offered if there is one.
+
+        Nothing is sent if a part of its body is lost.
+        """
+        body = self._body.begin_attempt()
+        if body is None:
+            if reservation is not None:
+                reservation.cancel()
+            self.fail(_BODY_LOST._replace(verdict=self._outcome.verdict))
+            return
         context = self._context
         selection = choice.selection
         endpoint = selection.endpoint
         now = context.clock.now()
         start = build_call_start(
             limit_by_stop(self._plan, context.board),
-            self._body,
+            body,
             self._fingerprint,
             now,
             bool(self._outcome.tried),
--- a/packages/bilberry_proxy/bilberry_proxy/exchange.py
+++ b/packages/bilberry_proxy/bilberry_proxy/exchange.py
@@ -69,7 +69,7 @@
         self._allowance = AllowanceWait(context, self._run, self.on_failure)
         self._outcome = Outcome()
         self._plan: Plan | None = None
-        self._body = RequestBody(REPLAY_BYTES)
+        self._body = RequestBody(REPLAY_BYTES, context.pressure.kept_bodies)
         self._dispatch: Dispatch | None = None
         self._gate: ClaimGate | None = None
         self._timer: Timer | None = None
@@ -337,6 +337,7 @@
         if failure is not None and failure.verdict is Verdict.NOT_RUN:
             self._allowance.give_back()
         self._context.running.discard(self)
+        self._body.release()
         if self._timer is not None:
             self._timer.cancel()
         now = self._context.clock.now()
--- a/packages/bilberry_proxy/bilberry_proxy/pressure.py
+++ b/packages/bilberry_proxy/bilberry_proxy/pressure.py
@@ -7,6 +7,8 @@
 from bilberry_core.policy import Priority
 from bilberry_core.verdict import Failure, FailureCode, Verdict
 
+from bilberry_proxy.kept_bodies import KeptBodies
+
 #: Lag of the event loop above which a priority is shed, in seconds.
 MAX_LAG_S = {
     Priority.URGENT: float('inf'),
@@ -25,9 +27,13 @@
 
 
 class Pressure:
-    """The load shedder for the latest lag of the event loop."""
+    """The load shedder for the latest lag of the event loop.
+
+    It also holds the limit of the bytes that requests keep.
+    """
 
     def __init__(self) -> None:
+        self.kept_bodies = KeptBodies()
         self._lag_s: float = 0
 
     def record_lag(self, lag_s: float) -> None:
--- a/packages/bilberry_proxy/bilberry_proxy/slot_finder.py
+++ b/packages/bilberry_proxy/bilberry_proxy/slot_finder.py
@@ -71,8 +71,13 @@
             self._owner.open_attempt(choice)
         return True
 
-    def find_after(self, attempt: Attempt, failure: Failure) -> None:
-        """Looks for a slot, as the endpoint of an attempt had none."""
+    def find_after(
+        self, attempt: Attempt, failure: Failure, *, may_repeat: bool
+    ) -> None:
+        """Looks for a slot, as the endpoint of an attempt had none.
+
+        A request that can't be sent again is refused.
+        """
         self._outcome.drop_attempt()
         refused = SlotRefused(
             0,
@@ -81,7 +86,10 @@
             attempt.reported_notice,
         )
         self._record(attempt.endpoint, refused)
-        self._start_search()
+        if may_repeat:
+            self._start_search()
+        else:
+            self.on_no_slot()
 
     def cancel(self) -> None:
         """Ends the search."""
