An organisation without a limit is accepted

Operators saw (review): a configuration with a tenant whose RatePerS is 0 or left out was refused, "expected its canonical encoding", though it means no limit; the same in the product's own files without a rate.

Cause: no limit was encoded as the integer 0, and read back as 0.0. Change: a rate is a float from the start.

--- a/packages/bilberry_core/bilberry_core/organisation.py
+++ b/packages/bilberry_core/bilberry_core/organisation.py
@@ -29,7 +29,7 @@
     name: str
     key_digests: tuple[str, ...] = ()
     priority: Priority | None = None
-    rate: float = 0
+    rate: float = 0.0  # noqa: WPS358 - as it is encoded
     burst: int = 0
 
 
--- a/tests/bilberry_core/test_organisations.py
+++ b/tests/bilberry_core/test_organisations.py
@@ -41,6 +41,15 @@
         self.assertEqual(parsed, decode_configuration(encoded))
         self.assertEqual([], validate_content(encoded))
 
+    def test_organisation_without_a_rate_is_refused(self):
+        """It has no limit, in the file and in what replicas store."""
+        text = '\n'.join(TEXT.splitlines()[:-2])
+        for rate in ('', '\n    rate: 0', '\n    rate: 0.0'):
+            parsed = parse_configuration(f'{text}{rate}', 'a').unwrap()
+            encoded = encode_configuration(parsed)
+            self.assertEqual([], validate_content(encoded))
+            self.assertEqual(parsed, decode_configuration(encoded))
+
     def test_key_of_two_organisations_is_refused_by_their_names(self):
         """The problem shows neither the key nor its digest."""
         text = f'{TEXT}  other:\n    key_digests: [{DIGEST}]\n'
--- a/tests/bilberry_platform/test_configuration.py
+++ b/tests/bilberry_platform/test_configuration.py
@@ -150,3 +150,19 @@
             build_body(build_service(), version='x'),
         ):
             self.assertRaises(ConfigurationError, build_change, bad, 12)
+
+
+class TenantTest(TestCase):
+    """Organisations of the platform's documents."""
+
+    def test_tenant_without_a_limit_is_refused(self):
+        """A rate of 0 and a rate left out are no limit."""
+        for quota in ({}, {'RatePerS': 0}, {'RatePerS': float(), 'Burst': 0}):
+            tenant = {
+                'Type': 'Tenants',
+                'Metadata': {'Name': 'one'},
+                'Spec': {'ApiKeys': ['key'], **quota},
+            }
+            change = build_change(build_body(build_service(), tenant), 12)
+            (organisation,) = decode_configuration(change.content).organisations
+            self.assertEqual((0, 0), (organisation.rate, organisation.burst))
