Calls for a request whose caller has left are recognized until its deadline

Cause: the slot of a cancelled call is freed after 0.1 s, and its ID was forgotten with it, while the upstream may go on. Change: the ID of a call that ended without a response is kept until the deadline that the upstream was told.

--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -177,10 +177,17 @@
         self._queue.remove(call, self.clock.now())
 
     def free_slot(self, call: AdmittedCall) -> None:
-        """Frees the slot of a call and admits waiting calls."""
-        self.running_requests.remove(call.request_id)
+        """Frees the slot of a call and admits waiting calls.
+
+        An upstream may go on with a request that was cancelled, until the
+        deadline that it was told.
+        """
+        forget = partial(self.running_requests.remove, call.request_id)
         latency_s: float = 0
-        if call.is_answered:
+        if not call.is_answered:
+            self.timers.schedule(call.deadline, forget)
+        else:
+            forget()
             self._answered_at = self.clock.now()
             latency_s = self._answered_at - call.dispatched_at
             self._suspect_tracker.clear(call.start.fingerprint)
