--- a/packages/bilberry_proxy/bilberry_proxy/dispatch.py
+++ b/packages/bilberry_proxy/bilberry_proxy/dispatch.py
@@ -300,7 +300,7 @@
     def _on_snapshot(self, snapshot: Snapshot) -> None:
         plan = self._plan
         route = snapshot.routes.get(plan.service)
-        if route is None:
+        if route is None or snapshot is plan.snapshot:
             return
         if self._context.router.choose(route, plan.decision, []) is None:
             return
--- a/packages/bilberry_proxy/bilberry_proxy/endpoint_wait.py
+++ b/packages/bilberry_proxy/bilberry_proxy/endpoint_wait.py
@@ -29,13 +29,18 @@
         self._unwatch: Callable[[], None] | None = None
 
     def start(self, service: str) -> bool:
-        """Starts waiting; False if the service's waiting time is over."""
+        """Starts waiting; False if the service's waiting time is over.
+
+        The request may have been planned with an older snapshot, so the newest
+        one is passed on at once.
+        """
         context = self._context
         until = context.interest.get_wait_deadline(service)
         if until <= context.clock.now():
             return False
         self._timer = context.timers.schedule(until, self._expire)
         self._unwatch = context.board.snapshot.watch(self._on_snapshot)
+        self._on_snapshot(context.board.snapshot.value)
         return True
 
     def stop(self) -> None:
