A late response ends by the clock, also one that its caller takes slowly

Cause: a response without a length could bring 1 MiB after its deadline, which at a slow caller takes seconds, and one with a length could wait 5 s for its upstream, also if that sends a byte every so often; the time was counted in nominal checks. Change: 0.25 s by the clock for a response without a length (or of more than 64 MiB), and 0.25 s of waiting for the upstream for any other; less than 4 KiB in 0.05 s counts as waiting.

--- a/packages/bilberry_proxy/bilberry_proxy/admitter.py
+++ b/packages/bilberry_proxy/bilberry_proxy/admitter.py
@@ -269,10 +269,11 @@
 
 def _expire(admitter: Admitter, call: AdmittedCall) -> None:
     """Fails a call at its deadline, unless its response goes on."""
+    now = admitter.clock.now()
     is_answered = call.progress is Progress.ANSWERED
-    if is_answered and call.late.may_go_on(waits_for_upstream=call.window > 0):
+    if is_answered and call.late.may_go_on(now, has_room=call.window > 0):
         call.timer = admitter.timers.schedule(
-            admitter.clock.now() + LATE_CHECK_S,
+            now + LATE_CHECK_S,
             partial(_expire, admitter, call),
         )
         return
--- a/packages/bilberry_proxy/bilberry_proxy/late_response.py
+++ b/packages/bilberry_proxy/bilberry_proxy/late_response.py
@@ -1,23 +1,23 @@
 """Decides how long a response goes on after the deadline of its request.
 
 What an upstream has made is delivered, also when late. But a body without a
-length may have no end, and an upstream that sends nothing may have stopped. So
+length may have no end, and an upstream that sends little may have stopped. So
 the daemon beside the upstream, which knows for whom the response waits, limits
 what comes after the deadline.
 """
 
 from bilberry_proxy.http_headers import Headers
-from bilberry_proxy.response_size import MAX_BYTES, parse_length
+from bilberry_proxy.response_size import parse_length
 
 #: Time between two checks of a late response, in seconds.
 LATE_CHECK_S = 0.05
-#: Longest time for which a late response of known length waits for its
-#: upstream, in seconds.
-MAX_SIZED_WAIT_S = 5.0
-#: The same of a response without a length, in seconds.
-MAX_UNSIZED_WAIT_S = 0.2
-#: Bytes that a response without a length has after the deadline.
-MAX_UNSIZED_BYTES = 1 << 20
+#: Longest time after the deadline for a response without a length, and longest
+#: time in which a late one waits for its upstream, in seconds.
+MAX_LATE_S = 0.25
+#: Longest length of a response that counts as known, in bytes.
+MAX_KNOWN_BYTES = 64 << 20
+#: Bytes between two checks below which a response waits for its upstream.
+MIN_PROGRESS_BYTES = 4096
 
 
 class LateResponse:
@@ -26,27 +26,26 @@
     def __init__(self, headers: Headers) -> None:
         """`headers` are those of the response."""
         length = parse_length(headers)
-        self._is_sized = length is not None and length <= MAX_BYTES
-        self._is_late = False
-        self._late_bytes = 0
-        self._waited_s: float = 0
+        self._is_sized = length is not None and length <= MAX_KNOWN_BYTES
+        self._checked_at: float | None = None
+        self._received = 0
+        self._spent_s: float = 0
 
     def add(self, size: int) -> None:
         """Counts a part of the body."""
-        if self._is_late:
-            self._late_bytes += size
+        self._received += size
 
-    def may_go_on(self, *, waits_for_upstream: bool) -> bool:
+    def may_go_on(self, now: float, *, has_room: bool) -> bool:
         """Returns whether the response goes on until the next check.
 
         The first check is at the deadline, the next ones follow in steps of
-        `LATE_CHECK_S`.
+        `LATE_CHECK_S`; `now` is monotonic time, in seconds. Without room it
+        waits for its caller.
         """
-        if self._is_late and waits_for_upstream:
-            self._waited_s += LATE_CHECK_S
-        self._is_late = True
-        if self._is_sized:
-            return self._waited_s < MAX_SIZED_WAIT_S
-        if self._late_bytes > MAX_UNSIZED_BYTES:
-            return False
-        return self._waited_s < MAX_UNSIZED_WAIT_S
+        is_waiting = has_room and self._received < MIN_PROGRESS_BYTES
+        since = now if self._checked_at is None else self._checked_at
+        if is_waiting or not self._is_sized:
+            self._spent_s += now - since
+        self._checked_at = now
+        self._received = 0
+        return self._spent_s < MAX_LATE_S
