--- a/review/8/case.py
+++ b/review/8/case.py
@@ -31,7 +31,7 @@
 
 
 async def play(record):
-    fleet = Fleet([CALLERS] * 2 + [TARGET] * 2, heartbeat_s=HEARTBEAT_S)
+    fleet = Fleet([CALLERS] * 2 + [TARGET] * 3, heartbeat_s=HEARTBEAT_S)
     backends = [Backend(side, record) for side in fleet.sides]
     leaving = backends[-1]
     answers, tasks = [], set()
