--- a/review/common-2/case.py
+++ b/review/common-2/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import time
 import traceback
@@ -36,6 +37,8 @@
 def run_case(file, play):
     """Runs `play(record)`, which returns whether the rule held, and exits."""
     record = Record(Path(file).resolve().parent)
+    # Ends the processes that were started, too.
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(NOT_RUN))
     status = NOT_RUN
     try:
         held = asyncio.run(asyncio.wait_for(play(record), LIMIT_S))
